--- /dev/null
+++ b/lycheestall/cli.py
@@ -0,0 +1,15 @@
+"""The command line; each group of commands lives in a module of its own."""
+
+from __future__ import annotations
+
+import click
+
+from . import __version__
+
+__all__ = ["main"]
+
+
+@click.group()
+@click.version_option(__version__, prog_name="lycheestall")
+def main() -> None:
+    """Schedules agent programs: a daemon, its rules and its tools."""
