--- /dev/null
+++ b/lycheestall/logs.py
@@ -0,0 +1,39 @@
+"""Structured logs: one JSON object a line, on standard error."""
+
+from __future__ import annotations
+
+import logging
+import sys
+
+import structlog
+
+__all__ = ["Logger", "configure_logs", "get_logger"]
+
+Logger = structlog.typing.FilteringBoundLogger
+
+
+def configure_logs(*, level: str = "info") -> None:
+    """Sets up JSON lines for the whole process.
+
+    Args:
+        level: ``debug``, ``info``, ``warning`` or ``error``.
+    """
+    number = logging.getLevelNamesMapping()[level.upper()]
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.dict_tracebacks,
+            structlog.processors.JSONRenderer(),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(number),
+        logger_factory=structlog.PrintLoggerFactory(file=sys.stderr),
+        cache_logger_on_first_use=True,
+    )
+
+
+def get_logger(**fields: str) -> Logger:
+    """Returns a logger that adds the given fields to each line."""
+    logger: Logger = structlog.get_logger(**fields)
+    return logger
