--- /dev/null
+++ b/tests/_program_fakes.py
@@ -0,0 +1,201 @@
+"""Small in-test fakes of the cell, the dispatcher and applications."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from twisted.internet.defer import Deferred
+
+from lycheestall.calls import CallSink, ResponseHead
+from lycheestall.cell_view import CellView, Folded
+from lycheestall.dispatch import (
+    ChatDispatcher,
+    ChatJob,
+    ChatListener,
+    JobHandle,
+)
+from lycheestall.fold import Verdict
+from lycheestall.ids import (
+    IdempotencyKey,
+    Offset,
+    PartitionId,
+    ProgramId,
+    RequestId,
+    SessionId,
+    TargetId,
+    VmId,
+)
+from lycheestall.outcomes import Outcome, Refused
+from lycheestall.records import CellRecord
+from lycheestall.targets import (
+    ActionAnswer,
+    ActionRequest,
+    Application,
+    EngineDone,
+    LoadReport,
+    LookupAnswer,
+)
+
+
+class FakeSink(CallSink):
+    """Collects one answer."""
+
+    def __init__(self) -> None:
+        self.head: ResponseHead | None = None
+        self.body = b""
+        self.outcomes: list[Outcome] = []
+        self.full = False
+
+    @property
+    def outcome(self) -> Outcome | None:
+        return self.outcomes[-1] if self.outcomes else None
+
+    def header(self, name: str) -> str:
+        assert self.head is not None
+        return dict(self.head.headers).get(name, "")
+
+    def start(self, head: ResponseHead) -> None:
+        assert self.head is None and not self.body
+        self.head = head
+
+    def chunk(self, data: bytes) -> None:
+        assert self.head is not None and not self.outcomes
+        self.body += data
+
+    def finish(self, outcome: Outcome) -> None:
+        assert not self.outcomes
+        self.outcomes.append(outcome)
+
+    def congested(self) -> bool:
+        return self.full
+
+
+class FakeCell(CellView):
+    """A cell whose log gives records back when the test says so."""
+
+    def __init__(self) -> None:
+        self.refused: Refused | None = None
+        self.silent = False
+        self.automatic = True
+        self.written: list[CellRecord] = []
+        self.waiting: list[tuple[CellRecord, Deferred[Folded]]] = []
+        self.epoch = Offset(1)
+        self.verdict = Verdict(True)
+        self.offset = 10
+
+    @property
+    def session(self) -> SessionId:
+        return SessionId("s1")
+
+    def owner_of(self, partition: PartitionId) -> VmId | None:
+        return VmId("vm1")
+
+    def epoch_of(self, partition: PartitionId) -> Offset:
+        return self.epoch
+
+    def refusal(self, partition: PartitionId) -> Refused | None:
+        return self.refused
+
+    def log_silent(self) -> bool:
+        return self.silent
+
+    def submit(self, body: CellRecord) -> Deferred[Folded]:
+        result: Deferred[Folded] = Deferred()
+        self.written.append(body)
+        self.waiting.append((body, result))
+        if self.automatic and not self.silent:
+            self.read_back()
+        return result
+
+    def read_back(self, verdict: Verdict | None = None) -> None:
+        waiting, self.waiting = self.waiting, []
+        for _, result in waiting:
+            self.offset += 1
+            if result.called:
+                continue
+            result.callback(
+                Folded(Offset(self.offset), verdict or self.verdict)
+            )
+
+
+@dataclass
+class FakeJob(JobHandle):
+    job: ChatJob
+    listener: ChatListener
+    cancelled: bool = False
+    start: int = 0
+
+    def cancel(self) -> None:
+        self.cancelled = True
+
+    def accept(self, target: str = "engine-1") -> None:
+        request = RequestId(f"{self.job.program}.{self.job.number}")
+        self.listener.accepted(TargetId(target), request)
+
+    def answer(self, text: str = "hello", tokens_out: int = 5) -> None:
+        event = b'data: {"choices":[{"index":0,"delta":{"content":"%s"}}]}\n\n'
+        self.listener.chunk(event % text.encode())
+        self.listener.chunk(b"data: [DONE]\n\n")
+        self.listener.done(
+            EngineDone(self.job.prompt_tokens, tokens_out, 0),
+            TargetId("engine-1"),
+        )
+
+    def run(self, text: str = "hello", tokens_out: int = 5) -> None:
+        self.accept()
+        self.answer(text, tokens_out)
+
+
+class FakeDispatcher(ChatDispatcher):
+    """Keeps jobs until the test answers them."""
+
+    def __init__(self) -> None:
+        self.jobs: list[FakeJob] = []
+        self.paused: list[ProgramId] = []
+        self.ended: list[ProgramId] = []
+
+    def submit(self, job: ChatJob, listener: ChatListener) -> JobHandle:
+        handle = FakeJob(job, listener)
+        self.jobs.append(handle)
+        return handle
+
+    def resume(
+        self,
+        job: ChatJob,
+        target: TargetId,
+        request: RequestId,
+        start: int,
+        listener: ChatListener,
+    ) -> JobHandle:
+        handle = FakeJob(job, listener, start=start)
+        self.jobs.append(handle)
+        return handle
+
+    def program_paused(self, root: ProgramId) -> None:
+        self.paused.append(root)
+
+    def program_ended(self, root: ProgramId) -> None:
+        self.ended.append(root)
+
+
+@dataclass
+class FakeApplication(Application):
+    """Answers when the test says so and counts runs by key."""
+
+    requests: list[ActionRequest] = field(default_factory=list)
+    answers: list[Deferred[ActionAnswer]] = field(default_factory=list)
+    record: LookupAnswer | None = None
+    looked_up: list[IdempotencyKey] = field(default_factory=list)
+
+    async def call(self, request: ActionRequest) -> ActionAnswer:
+        self.requests.append(request)
+        answer: Deferred[ActionAnswer] = Deferred()
+        self.answers.append(answer)
+        return await answer
+
+    async def look_up(self, key: IdempotencyKey) -> LookupAnswer | None:
+        self.looked_up.append(key)
+        return self.record
+
+    async def load(self) -> LoadReport | None:
+        return None
