--- /dev/null
+++ b/lycheestall/_reactor.py
@@ -0,0 +1,21 @@
+"""Puts Twisted on the asyncio loop, once per process."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+
+__all__ = ["install_reactor"]
+
+
+def install_reactor() -> None:
+    """Installs the asyncio reactor unless a reactor is installed.
+
+    Must run before anything imports ``twisted.internet.reactor``; some
+    libraries do so when they are imported.
+    """
+    if "twisted.internet.reactor" in sys.modules:
+        return
+    from twisted.internet import asyncioreactor
+
+    asyncioreactor.install(asyncio.new_event_loop())
