--- a/lycheestall/messages.py
+++ b/lycheestall/messages.py
@@ -36,7 +36,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Hello:
-    """First frame on a connection, from the side that opened it."""
+    """First frame on a connection, from both sides."""
 
     vm: VmId
     session: SessionId
--- /dev/null
+++ b/tests/test_mesh_websocket.py
@@ -0,0 +1,276 @@
+"""Tests of the websocket mesh over real loopback connections."""
+
+from __future__ import annotations
+
+import asyncio
+import datetime
+import ipaddress
+from collections.abc import Awaitable, Callable
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes, serialization
+from cryptography.hazmat.primitives.asymmetric import ec
+from cryptography.x509.oid import NameOID
+from websockets.asyncio.client import connect
+from websockets.exceptions import WebSocketException
+from websockets.protocol import State
+
+from lycheestall.codec import encode_message
+from lycheestall.ids import CellId, SessionId, VmId
+from lycheestall.mesh_tls import TlsContexts
+from lycheestall.mesh_websocket import WebsocketMesh
+from lycheestall.messages import Hello, MeshMessage, StatusWanted
+from lycheestall.settings import TlsSettings
+
+Key = ec.EllipticCurvePrivateKey
+
+
+class Authority:
+    """Signs certificates for the test's VMs."""
+
+    def __init__(self, directory: Path, name: str) -> None:
+        self.directory = directory
+        self.name = name
+        self.key = ec.generate_private_key(ec.SECP256R1())
+        self.certificate = _sign(name, self.key, name, self.key, True)
+        self.file = directory / f"{name}.pem"
+        self.file.write_bytes(_pem(self.certificate))
+
+    def issue(self, vm: str, file: str) -> TlsSettings:
+        """Writes a certificate and key for a VM."""
+        key = ec.generate_private_key(ec.SECP256R1())
+        certificate = _sign(vm, key, self.name, self.key, False)
+        certificate_file = self.directory / f"{file}.pem"
+        key_file = self.directory / f"{file}.key"
+        certificate_file.write_bytes(_pem(certificate))
+        key_file.write_bytes(
+            key.private_bytes(
+                serialization.Encoding.PEM,
+                serialization.PrivateFormat.PKCS8,
+                serialization.NoEncryption(),
+            )
+        )
+        return TlsSettings(
+            str(certificate_file), str(key_file), str(self.file)
+        )
+
+
+def _pem(certificate: x509.Certificate) -> bytes:
+    return certificate.public_bytes(serialization.Encoding.PEM)
+
+
+def _sign(
+    name: str, key: Key, issuer: str, issuer_key: Key, authority: bool
+) -> x509.Certificate:
+    now = datetime.datetime.now(datetime.UTC)
+    address = x509.IPAddress(ipaddress.ip_address("127.0.0.1"))
+    return (
+        x509.CertificateBuilder()
+        .subject_name(_name(name))
+        .issuer_name(_name(issuer))
+        .public_key(key.public_key())
+        .serial_number(x509.random_serial_number())
+        .not_valid_before(now - datetime.timedelta(hours=1))
+        .not_valid_after(now + datetime.timedelta(hours=1))
+        .add_extension(x509.BasicConstraints(authority, None), critical=True)
+        .add_extension(
+            x509.SubjectAlternativeName([x509.DNSName(name), address]),
+            critical=False,
+        )
+        .sign(issuer_key, hashes.SHA256())
+    )
+
+
+def _name(name: str) -> x509.Name:
+    return x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, name)])
+
+
+class Node:
+    """A mesh that keeps what it hears."""
+
+    def __init__(self, vm: str, settings: TlsSettings | None) -> None:
+        hello = Hello(VmId(vm), SessionId(f"{vm}-1"), CellId("main"), "0")
+        tls = None if settings is None else TlsContexts(settings)
+        self.mesh = WebsocketMesh(
+            hello,
+            "127.0.0.1",
+            0,
+            tls=tls,
+            ping_interval_s=0.1,
+            ping_timeout_s=0.2,
+        )
+        self.heard: list[tuple[str, MeshMessage]] = []
+        self.lost: list[str] = []
+        self.mesh.on_message(lambda vm, got: self.heard.append((vm, got)))
+        self.mesh.on_lost(self.lost.append)
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """Where it listens."""
+        return ("127.0.0.1", self.mesh.port)
+
+
+async def _wait(wanted: Callable[[], bool]) -> None:
+    async with asyncio.timeout(20):
+        while not wanted():
+            await asyncio.sleep(0.005)
+
+
+def _run(nodes: list[Node], scenario: Callable[[], Awaitable[None]]) -> None:
+    async def main() -> None:
+        loop = asyncio.get_running_loop()
+        for node in nodes:
+            await node.mesh.start().asFuture(loop)
+        try:
+            await scenario()
+        finally:
+            for node in nodes:
+                await node.mesh.stop().asFuture(loop)
+
+    asyncio.run(main())
+
+
+def test_peers_with_certificates_exchange_messages(tmp_path: Path) -> None:
+    authority = Authority(tmp_path, "authority")
+    low = Node("a", authority.issue("a", "a"))
+    high = Node("b", authority.issue("b", "b"))
+
+    async def scenario() -> None:
+        low.mesh.set_peers({VmId("b"): high.address})
+        await _wait(lambda: bool(low.mesh.connected()))
+        await _wait(lambda: bool(high.mesh.connected()))
+        for number in range(50):
+            assert low.mesh.send(VmId("b"), StatusWanted(number))
+        assert high.mesh.send(VmId("a"), StatusWanted(99))
+        await _wait(lambda: len(high.heard) == 50 and len(low.heard) == 1)
+        low.mesh.set_peers({})
+        await _wait(lambda: not high.mesh.connected())
+
+    _run([low, high], scenario)
+    assert high.heard == [("a", StatusWanted(n)) for n in range(50)]
+    assert high.lost == ["a"]
+
+
+@pytest.mark.parametrize("fault", ["other authority", "other name"])
+def test_peer_without_valid_certificate_gets_nothing(
+    tmp_path: Path, fault: str
+) -> None:
+    authority = Authority(tmp_path, "authority")
+    node = Node("b", authority.issue("b", "b"))
+    if fault == "other authority":
+        given = Authority(tmp_path, "stranger").issue("a", "a")
+    else:
+        given = authority.issue("c", "c")
+    settings = replace(given, authority_file=str(authority.file))
+
+    async def scenario() -> None:
+        assert await _refused(node, settings)
+        assert not node.mesh.connected()
+        assert not await _refused(node, authority.issue("a", "valid"))
+
+    _run([node], scenario)
+
+
+async def _refused(node: Node, settings: TlsSettings) -> bool:
+    """Returns whether a peer named ``a`` is dropped before any message."""
+    uri = f"wss://127.0.0.1:{node.mesh.port}/"
+    hello = Hello(VmId("a"), SessionId("a-1"), CellId("main"), "0")
+    context = TlsContexts(settings).client()
+    try:
+        async with connect(uri, ssl=context, proxy=None) as raw:
+            await raw.send(encode_message(hello))
+            await raw.recv()
+            await _wait(
+                lambda: (
+                    bool(node.mesh.connected())
+                    or bool(raw.state is State.CLOSED)
+                )
+            )
+            return raw.state is State.CLOSED
+    except (OSError, WebSocketException):
+        return True
+
+
+def test_message_before_hello_drops_the_connection() -> None:
+    node = Node("b", None)
+
+    async def scenario() -> None:
+        uri = f"ws://127.0.0.1:{node.mesh.port}/"
+        async with connect(uri, proxy=None, compression=None) as raw:
+            await raw.send(encode_message(StatusWanted(1)))
+            with pytest.raises(WebSocketException):
+                while True:
+                    await asyncio.wait_for(raw.recv(), 5)
+
+    _run([node], scenario)
+    assert node.heard == []
+
+
+def test_silent_connection_is_found_and_replaced() -> None:
+    low, high = Node("a", None), Node("b", None)
+
+    async def scenario() -> None:
+        sockets: list[asyncio.StreamWriter] = []
+        silent = asyncio.Event()
+
+        async def pump(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            while data := await reader.read(65536):
+                if silent.is_set() and writer in sockets:
+                    continue
+                writer.write(data)
+
+        async def relay(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            far = await asyncio.open_connection(*high.address)
+            if not silent.is_set():
+                sockets.extend([writer, far[1]])
+            await asyncio.gather(
+                pump(reader, far[1]),
+                pump(far[0], writer),
+                return_exceptions=True,
+            )
+            far[1].close()
+            writer.close()
+
+        middle = await asyncio.start_server(relay, "127.0.0.1", 0)
+        port = middle.sockets[0].getsockname()[1]
+        low.mesh.set_peers({VmId("b"): ("127.0.0.1", port)})
+        await _wait(lambda: bool(high.mesh.connected()))
+        silent.set()
+        await _wait(lambda: bool(low.lost) and bool(low.mesh.connected()))
+        await _wait(lambda: bool(high.lost) and bool(high.mesh.connected()))
+        assert low.mesh.send(VmId("b"), StatusWanted(7))
+        await _wait(lambda: ("a", StatusWanted(7)) in high.heard)
+        low.mesh.set_peers({})
+        middle.close()
+
+    _run([low, high], scenario)
+
+
+def test_certificates_are_read_again_without_restart(tmp_path: Path) -> None:
+    first = Authority(tmp_path, "first")
+    second = Authority(tmp_path, "second")
+    node = Node("b", first.issue("b", "b"))
+    settings = second.issue("a", "a")
+
+    async def scenario() -> None:
+        assert await _refused(node, settings)
+        second.issue("b", "b")
+        first.file.write_bytes(second.file.read_bytes())
+        async with asyncio.timeout(20):
+            while await _refused(node, settings):
+                await asyncio.sleep(0.05)
+
+    _run([node], scenario)
+
+
+def test_no_tls_means_loopback_only() -> None:
+    hello = Hello(VmId("a"), SessionId("a-1"), CellId("main"), "0")
+    with pytest.raises(ValueError, match="loopback"):
+        WebsocketMesh(hello, "10.0.0.1", 0)
