Dispatch chat jobs to engines over pure scheduling decisions

Cause: owners of programs need a dispatcher that queues, places, resumes and repeats chat calls; the decisions have to run under any clock. Placement is simple for now.

--- /dev/null
+++ b/lycheestall/_engine_dispatch.py
@@ -0,0 +1,238 @@
+"""One job of the engine dispatcher: its stream, its recovery, its end."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from collections.abc import Coroutine
+from typing import Any
+
+from twisted.internet import defer
+from twisted.internet.interfaces import IReactorTime
+from twisted.internet.task import deferLater
+from twisted.python.failure import Failure
+
+from ._timer import timer_of
+from .dispatch import ChatJob, ChatListener, JobHandle
+from .dispatch_commands import JobKey
+from .ids import RequestId, TargetId
+from .targets import (
+    Engine,
+    EngineBroken,
+    EngineDone,
+    EngineRefused,
+    EngineRequest,
+    EngineResult,
+    EngineSink,
+)
+
+__all__ = ["EngineDispatch", "StreamOwner"]
+
+ACCEPT_TIMEOUT_S = 10.0
+STALL_TIMEOUT_S = 30.0
+RESUME_PAUSES_S = (0.0, 0.25, 1.0)
+NOT_FOUND = 404
+
+
+class StreamOwner(ABC):
+    """Hears how a dispatch's stream goes."""
+
+    @abstractmethod
+    def stream_accepted(self, dispatch: EngineDispatch) -> None:
+        """The engine has the request."""
+
+    @abstractmethod
+    def stream_ended(
+        self, dispatch: EngineDispatch, result: EngineResult, *, lost: bool
+    ) -> None:
+        """The stream ended and cannot be taken up again.
+
+        Args:
+            dispatch: The job.
+            result: How it ended.
+            lost: Whether an engine that had the request no longer has
+                it, which means that its process ended.
+        """
+
+    @abstractmethod
+    def cancelled(self, dispatch: EngineDispatch) -> None:
+        """The job is no longer wanted."""
+
+
+class EngineDispatch(JobHandle, EngineSink):
+    """A job from submission to its end, over all its attempts."""
+
+    def __init__(
+        self,
+        key: JobKey,
+        job: ChatJob,
+        listener: ChatListener,
+        *,
+        owner: StreamOwner,
+        clock: IReactorTime,
+        delivered: int = 0,
+    ) -> None:
+        """Holds a job that no engine has yet.
+
+        Args:
+            key: The job's key.
+            job: The job.
+            listener: Who hears of it.
+            owner: Who hears of its stream.
+            clock: For timeouts and pauses.
+            delivered: Body bytes that the listener already has.
+        """
+        self.key = key
+        self.job = job
+        self.listener = listener
+        self.chunks = 1 if delivered else 0
+        self.ended = False
+        self.target = TargetId("")
+        self._owner = owner
+        self._clock = clock
+        self._timer = timer_of(clock)
+        self._delivered = delivered
+        self._request = RequestId("")
+        self._engine: Engine | None = None
+        self._accepted = False
+        self._active_at = 0.0
+        self._stream: defer.Deferred[EngineResult] | None = None
+        self._run: defer.Deferred[None] | None = None
+
+    def send(
+        self, engine: Engine, target: TargetId, request: EngineRequest
+    ) -> None:
+        """Starts a stream on an engine."""
+        self._open(engine, target, request.request)
+        self._start(engine.generate(request, self))
+
+    def take_up(
+        self, engine: Engine, target: TargetId, request: RequestId
+    ) -> None:
+        """Takes up the stream of an earlier dispatch."""
+        self._open(engine, target, request)
+        self._accepted = True
+        self._start(engine.resume(request, self._delivered, self))
+
+    def watch(self, now: float) -> None:
+        """Breaks a stream that has made no progress for too long."""
+        if self._stream is None:
+            return
+        idle_s = now - self._active_at
+        waits = not self._accepted and idle_s > ACCEPT_TIMEOUT_S
+        stalled = self.chunks > 0 and idle_s > STALL_TIMEOUT_S
+        if waits or stalled:
+            self._stream.cancel()
+
+    def stop(self) -> None:
+        """Ends the stream and tells the engine to stop the request."""
+        self.ended = True
+        run, self._run = self._run, None
+        if run is not None:
+            run.cancel()
+        self.cancel_at_engine()
+
+    def cancel_at_engine(self) -> None:
+        """Tells the engine, without waiting, to stop the request."""
+        if self._engine is None:
+            return
+        engine, self._engine = self._engine, None
+        _ignore(defer.ensureDeferred(engine.cancel(self._request)))
+
+    def cancel(self) -> None:
+        """Ends the job; the engine is told to stop. No event follows."""
+        if self.ended:
+            return
+        self.stop()
+        self._owner.cancelled(self)
+
+    def accepted(self) -> None:
+        """The engine has the request."""
+        if self.ended:
+            return
+        self._accepted = True
+        self._active_at = self._timer.seconds()
+        self._owner.stream_accepted(self)
+        self.listener.accepted(self.target, self._request)
+
+    def chunk(self, data: bytes) -> None:
+        """Passes the next bytes of the answer on."""
+        if self.ended:
+            return
+        self._active_at = self._timer.seconds()
+        self.chunks += 1
+        self._delivered += len(data)
+        self.listener.chunk(data)
+
+    def _open(
+        self, engine: Engine, target: TargetId, request: RequestId
+    ) -> None:
+        self.target = target
+        self._engine = engine
+        self._request = request
+        self._accepted = False
+        self._active_at = self._timer.seconds()
+
+    def _start(self, first: Coroutine[Any, Any, EngineResult]) -> None:
+        run = defer.ensureDeferred(self._follow(first))
+        if not run.called:
+            self._run = run
+        _ignore(run)
+
+    async def _follow(self, first: Coroutine[Any, Any, EngineResult]) -> None:
+        result = await self._await_stream(first)
+        lost = False
+        if isinstance(result, EngineBroken):
+            result, lost = await self._recover(result)
+        if self.ended:
+            return
+        self._run = None
+        self._owner.stream_ended(self, result, lost=lost)
+
+    async def _recover(
+        self, broken: EngineBroken
+    ) -> tuple[EngineResult, bool]:
+        """Resumes a broken stream where it broke, while that gets on."""
+        pauses = list(RESUME_PAUSES_S)
+        lost = False
+        while pauses and self._engine is not None:
+            await _pause(self._clock, pauses.pop(0))
+            before = self._delivered
+            resumed = self._engine.resume(self._request, before, self)
+            result = await self._await_stream(resumed)
+            if isinstance(result, EngineDone):
+                return result, False
+            lost = isinstance(result, EngineRefused)
+            if isinstance(result, EngineRefused) and (
+                result.status == NOT_FOUND
+            ):
+                break
+            if self._delivered > before:
+                pauses = list(RESUME_PAUSES_S)
+        return broken, lost and self._accepted
+
+    async def _await_stream(
+        self, stream: Coroutine[Any, Any, EngineResult]
+    ) -> EngineResult:
+        self._active_at = self._timer.seconds()
+        self._stream = defer.ensureDeferred(stream)
+        try:
+            return await self._stream
+        except Exception as error:
+            return EngineBroken(self._accepted, self.chunks, repr(error))
+        finally:
+            self._stream = None
+
+
+async def _pause(clock: IReactorTime, seconds: float) -> None:
+    if seconds:
+        await deferLater(clock, seconds)
+
+
+def _ignore(deferred: defer.Deferred[Any]) -> None:
+    """Drops a cancellation; anything else goes to the log of errors."""
+    deferred.addErrback(_drop_cancellation)
+
+
+def _drop_cancellation(failure: Failure) -> None:
+    if not isinstance(failure.value, defer.CancelledError):
+        failure.raiseException()
