Model an engine that batches continuously in virtual time

Change: EngineModel is fluid between events: submit, cancel, advance, next_event_at; PrefixCache evicts by last use and honours pins.

--- /dev/null
+++ b/lycheestall/engine_model.py
@@ -0,0 +1,362 @@
+"""A virtual-time model of a model engine that batches continuously.
+
+The model is fluid between events: requests in the batch share one decode
+rate, and one prefill at a time takes a fixed share of the engine while
+others decode. ``advance`` moves it to a time and returns what happened.
+"""
+
+from __future__ import annotations
+
+import heapq
+from dataclasses import dataclass
+
+from ._prefix_cache import PrefixCache
+from .engine_model_events import (
+    CacheChanged,
+    ModelEvent,
+    ModelRequest,
+    RequestFinished,
+    RequestStarted,
+    TokensStarted,
+)
+from .ids import ProgramId, RequestId
+
+__all__ = [
+    "CacheChanged",
+    "EngineCosts",
+    "EngineModel",
+    "ModelEvent",
+    "ModelRequest",
+    "RequestFinished",
+    "RequestStarted",
+    "TokensStarted",
+]
+
+
+@dataclass(frozen=True, slots=True)
+class EngineCosts:
+    """Speeds and sizes of an engine.
+
+    Attributes:
+        prefill_tokens_per_s: Prompt tokens computed a second, alone.
+        decode_base_s: One batch step, without its sequences.
+        decode_sequence_s: What each sequence adds to a batch step.
+        prefill_share: Share of the engine a prefill takes while other
+            requests decode.
+        batch_limit: Most requests in the batch.
+        kv_tokens: Tokens that fit into the KV memory, cache included.
+        queue_limit: Most requests waiting; more are turned away.
+    """
+
+    prefill_tokens_per_s: float = 8000.0
+    decode_base_s: float = 0.012
+    decode_sequence_s: float = 0.0008
+    prefill_share: float = 0.6
+    batch_limit: int = 16
+    kv_tokens: int = 150_000
+    queue_limit: int = 10_000
+
+    def decode_step_s(self, sequences: int) -> float:
+        """Returns how long one token takes in a batch of that size."""
+        return self.decode_base_s + self.decode_sequence_s * sequences
+
+
+@dataclass(slots=True)
+class _Running:
+    request: ModelRequest
+    cached: int
+    prefill_left: float
+    decode_from: float = -1.0
+
+
+class EngineModel:
+    """One engine: a priority queue, a batch and a prefix cache."""
+
+    def __init__(
+        self, costs: EngineCosts | None = None, *, now: float = 0.0
+    ) -> None:
+        """Starts idle with an empty cache.
+
+        Args:
+            costs: Speeds and sizes; the defaults when None.
+            now: The time.
+        """
+        self.costs = costs or EngineCosts()
+        self.speed = 1.0
+        self._reset(now)
+
+    def _reset(self, now: float) -> None:
+        self.cache = PrefixCache(self.costs.kv_tokens)
+        self._now = now
+        self._serial = 0
+        self._events: list[ModelEvent] = []
+        self._queue: list[tuple[int, int, ModelRequest]] = []
+        self._gone: set[RequestId] = set()
+        self._running: dict[RequestId, _Running] = {}
+        self._prefills: list[_Running] = []
+        self._decode_clock = 0.0
+        self._decode_ends: list[tuple[float, int, RequestId]] = []
+        self._decoding = 0
+
+    @property
+    def running(self) -> int:
+        """Requests in the batch."""
+        return len(self._running)
+
+    @property
+    def waiting(self) -> int:
+        """Requests in the queue."""
+        return len(self._queue) - len(self._gone)
+
+    @property
+    def kv_used(self) -> float:
+        """Share of the KV memory that running requests and pins hold."""
+        return self.cache.held_share()
+
+    def submit(self, request: ModelRequest, now: float) -> bool:
+        """Takes a request into the queue.
+
+        Args:
+            request: The request.
+            now: The time.
+
+        Returns:
+            False when the queue is full or the request can never fit;
+            it was not run then.
+        """
+        self._run_until(now)
+        size = request.prompt_tokens + request.output_tokens
+        if size > self.costs.kv_tokens:
+            return False
+        if self.waiting >= self.costs.queue_limit:
+            return False
+        self._serial += 1
+        entry = (request.priority, self._serial, request)
+        heapq.heappush(self._queue, entry)
+        self._fill_batch()
+        return True
+
+    def cancel(self, request: RequestId, now: float) -> bool:
+        """Stops a request; what it has computed stays cached.
+
+        Args:
+            request: The request.
+            now: The time.
+
+        Returns:
+            Whether the engine had it.
+        """
+        self._run_until(now)
+        running = self._running.get(request)
+        if running is None:
+            return self._cancel_queued(request)
+        made = self.tokens_made(request)
+        left = int(running.prefill_left)
+        self._remove(running)
+        held = running.request.prompt_tokens - left + made
+        self._store(running.request, held)
+        self._fill_batch()
+        return True
+
+    def tokens_made(self, request: RequestId) -> int:
+        """Returns the tokens generated so far, 0 when not running."""
+        running = self._running.get(request)
+        if running is None or running.decode_from < 0:
+            return 0
+        made = self._decode_clock - running.decode_from
+        return min(int(made), running.request.output_tokens)
+
+    def next_event_at(self) -> float | None:
+        """Returns when something happens next, None while idle."""
+        if self._events:
+            return self._now
+        return _earliest(self._prefill_at(), self._decode_at())
+
+    def advance(self, now: float) -> list[ModelEvent]:
+        """Moves to a time and returns the events since the last call."""
+        self._run_until(now)
+        events, self._events = self._events, []
+        return events
+
+    def set_speed(self, speed: float, now: float) -> None:
+        """Makes the engine slower or faster from now on."""
+        self._run_until(now)
+        self.speed = speed
+
+    def pin(self, program: ProgramId) -> bool:
+        """Keeps a program's prefix from eviction; False if not held."""
+        return self.cache.pin(program)
+
+    def unpin(self, program: ProgramId) -> None:
+        """Lets a program's prefix be evicted again."""
+        self.cache.unpin(program)
+
+    def import_prefix(
+        self, program: ProgramId, tokens: int, now: float
+    ) -> bool:
+        """Takes a prefix computed elsewhere; False when it cannot fit."""
+        self._run_until(now)
+        if not self._make_room(tokens):
+            return False
+        self.cache.store(program, tokens)
+        self._events.append(CacheChanged(self._now, program, tokens))
+        return True
+
+    def crash(self, now: float) -> list[RequestId]:
+        """Loses queue, batch and cache; returns the requests lost."""
+        self._run_until(now)
+        queued = [entry[2].request for entry in self._queue]
+        lost = [r for r in queued if r not in self._gone]
+        lost.extend(self._running)
+        self._reset(now)
+        return lost
+
+    def _cancel_queued(self, request: RequestId) -> bool:
+        queued = any(entry[2].request == request for entry in self._queue)
+        if not queued or request in self._gone:
+            return False
+        self._gone.add(request)
+        self._fill_batch()
+        return True
+
+    def _prefill_at(self) -> float | None:
+        if not self._prefills:
+            return None
+        return (
+            self._now + self._prefills[0].prefill_left / self._prefill_rate()
+        )
+
+    def _decode_at(self) -> float | None:
+        self._drop_stale_ends()
+        if not self._decode_ends:
+            return None
+        left = max(self._decode_ends[0][0] - self._decode_clock, 0.0)
+        return self._now + left / self._decode_rate()
+
+    def _prefill_rate(self) -> float:
+        share = self.costs.prefill_share if self._decoding else 1.0
+        return self.costs.prefill_tokens_per_s * share * self.speed
+
+    def _decode_rate(self) -> float:
+        share = 1.0 - self.costs.prefill_share if self._prefills else 1.0
+        step_s = self.costs.decode_step_s(self._decoding)
+        return share * self.speed / step_s
+
+    def _run_until(self, now: float) -> None:
+        while True:
+            prefill_at = self._prefill_at()
+            decode_at = self._decode_at()
+            at = _earliest(prefill_at, decode_at)
+            if at is None or at > now:
+                break
+            self._move(at)
+            if at == prefill_at:
+                self._end_prefill()
+            else:
+                self._end_decode()
+        self._move(max(now, self._now))
+
+    def _move(self, at: float) -> None:
+        passed = at - self._now
+        if passed <= 0:
+            return
+        if self._decoding:
+            self._decode_clock += passed * self._decode_rate()
+        if self._prefills:
+            first = self._prefills[0]
+            done = passed * self._prefill_rate()
+            first.prefill_left = max(first.prefill_left - done, 0.0)
+        self._now = at
+
+    def _end_prefill(self) -> None:
+        running = self._prefills.pop(0)
+        running.prefill_left = 0.0
+        running.decode_from = self._decode_clock
+        self._decoding += 1
+        request = running.request
+        self._serial += 1
+        ends = self._decode_clock + max(request.output_tokens, 1)
+        entry = (ends, self._serial, request.request)
+        heapq.heappush(self._decode_ends, entry)
+        self._events.append(TokensStarted(self._now, request.request))
+
+    def _end_decode(self) -> None:
+        ends, _, request_id = heapq.heappop(self._decode_ends)
+        self._decode_clock = max(self._decode_clock, ends)
+        running = self._running[request_id]
+        request = running.request
+        self._remove(running)
+        self._store(request, request.prompt_tokens + request.output_tokens)
+        self._events.append(
+            RequestFinished(
+                self._now,
+                request.request,
+                request.prompt_tokens,
+                request.output_tokens,
+                running.cached,
+            )
+        )
+        self._fill_batch()
+
+    def _remove(self, running: _Running) -> None:
+        del self._running[running.request.request]
+        if running.decode_from >= 0:
+            self._decoding -= 1
+        else:
+            self._prefills.remove(running)
+        self.cache.end_use(running.request.program)
+
+    def _drop_stale_ends(self) -> None:
+        ends = self._decode_ends
+        while ends and ends[0][2] not in self._running:
+            heapq.heappop(ends)
+
+    def _store(self, request: ModelRequest, tokens: int) -> None:
+        self.cache.store(request.program, tokens)
+        self._events.append(CacheChanged(self._now, request.program, tokens))
+
+    def _make_room(self, tokens: int) -> bool:
+        evicted = self.cache.make_room(tokens)
+        if evicted is None:
+            return False
+        for program in evicted:
+            self._events.append(CacheChanged(self._now, program, 0))
+        return True
+
+    def _fill_batch(self) -> None:
+        while self._queue and len(self._running) < self.costs.batch_limit:
+            request = self._queue[0][2]
+            if request.request in self._gone:
+                self._gone.discard(request.request)
+                heapq.heappop(self._queue)
+                continue
+            if not self._start(request):
+                return
+            heapq.heappop(self._queue)
+
+    def _start(self, request: ModelRequest) -> bool:
+        cached = self._cached_tokens(request)
+        size = request.prompt_tokens + request.output_tokens
+        self.cache.begin_use(request.program)
+        if not self._make_room(size - self.cache.tokens(request.program)):
+            self.cache.end_use(request.program)
+            return False
+        self.cache.reserve(request.program, size)
+        left = float(request.prompt_tokens - cached)
+        running = _Running(request, cached, left)
+        self._running[request.request] = running
+        self._prefills.append(running)
+        started = RequestStarted(self._now, request.request, cached)
+        self._events.append(started)
+        return True
+
+    def _cached_tokens(self, request: ModelRequest) -> int:
+        own = self.cache.cached(request.program)
+        if not own and request.parent is not None:
+            held = self.cache.cached(request.parent)
+            own = min(held, request.parent_tokens)
+        return max(min(own, request.prompt_tokens - 1), 0)
+
+
+def _earliest(*times: float | None) -> float | None:
+    return min((t for t in times if t is not None), default=None)
