Add targets and callers in virtual time for system tests

Cause: the ten promises are to be checked from what targets saw and what callers were told, in every cell of the fault matrix. Change: fake engines, applications and callers over the virtual world.

--- /dev/null
+++ b/lycheestall/daemon.py
@@ -0,0 +1,194 @@
+"""The daemon's process: sockets, signals and one node."""
+
+from __future__ import annotations
+
+import os
+import random
+import signal
+import time
+from typing import Any
+
+from twisted.internet import defer
+from twisted.internet.defer import Deferred, ensureDeferred
+
+from .accounts import Accounts
+from .admin_api import AdminApi
+from .caller_api import CallerApi
+from .http_limits import BoundedSite
+from .http_targets import HttpTargets
+from .ids import SessionId
+from .log_http import HttpLogService
+from .logs import configure_logs, get_logger
+from .mesh_tls import TlsContexts
+from .mesh_websocket import WebsocketMesh
+from .messages import Hello
+from .metrics import Metrics
+from .node import Node, NodePorts
+from .settings import Settings
+from .settings_check import load_settings
+from .vm_list_http import HttpVmList
+
+__all__ = ["Daemon", "run_daemon"]
+
+LISTEN_BACKLOG = 1024
+
+
+class Daemon:
+    """One node on real sockets.
+
+    Args:
+        settings: Checked settings.
+        reactor: The running Twisted reactor.
+    """
+
+    def __init__(self, settings: Settings, reactor: Any) -> None:
+        self._settings = settings
+        self._reactor = reactor
+        self._logger = get_logger(vm=settings.vm, zone=settings.zone)
+        self._ports: list[Any] = []
+        self._draining = False
+        self.exit_code = 0
+        session = new_session(settings)
+        self._mesh = _mesh(settings, session)
+        metrics = Metrics(vm=settings.vm)
+        targets = HttpTargets(reactor)
+        platform = settings.platform
+        self.node = Node(
+            settings=settings,
+            session=session,
+            ports=NodePorts(
+                clock=reactor,
+                wall_ms=wall_ms,
+                log=HttpLogService(targets.client, platform.log_url),
+                vm_list=HttpVmList(targets.client, platform.vm_list_url),
+                mesh=self._mesh,
+                targets=targets,
+                random=random.Random(os.urandom(16)),
+                logger=self._logger,
+                metrics=metrics,
+            ),
+        )
+        accounts = Accounts(settings.accounts)
+        self._callers = CallerApi(
+            accounts=accounts,
+            handler=self.node,
+            issue_program=self.node.issue_program,
+            ready=self.node.ready,
+        )
+        self._admin = AdminApi(
+            accounts=accounts, source=self.node, metrics=metrics
+        )
+
+    async def start(self) -> None:
+        """Opens the listeners and starts the node."""
+        await self._mesh.start()
+        listen = self._settings.listen
+        self._listen(self._callers.app.resource(), listen.callers_port)
+        self._listen(self._admin.app.resource(), listen.admin_port)
+        self.node.start()
+        self._logger.info(
+            "serving",
+            host=listen.host,
+            callers_port=listen.callers_port,
+            admin_port=listen.admin_port,
+            mesh_port=listen.mesh_port,
+        )
+
+    def drain(self) -> None:
+        """Begins the graceful shutdown; later signals change nothing."""
+        if self._draining:
+            return
+        self._draining = True
+        self._logger.info("draining")
+        done = ensureDeferred(self._drain())
+        done.addErrback(self._drain_failed)
+        done.addBoth(lambda _: self._reactor.stop())
+
+    async def _drain(self) -> None:
+        await self.node.drain()
+        for port in self._ports:
+            await defer.maybeDeferred(port.stopListening)
+        await self.node.stop()
+        await self._mesh.stop()
+        self._logger.info("stopped")
+
+    def _drain_failed(self, failure: Any) -> None:
+        self.exit_code = 1
+        self._logger.error("drain failed", error=failure.getTraceback())
+
+    def _listen(self, resource: Any, port: int) -> None:
+        self._ports.append(
+            self._reactor.listenTCP(
+                port,
+                BoundedSite(resource),
+                backlog=LISTEN_BACKLOG,
+                interface=self._settings.listen.host,
+            )
+        )
+
+
+def wall_ms() -> int:
+    """Returns the wall-clock time, milliseconds since 1970."""
+    return time.time_ns() // 1_000_000
+
+
+def new_session(settings: Settings) -> SessionId:
+    """Returns an id for this life of the daemon.
+
+    Args:
+        settings: Names the VM.
+    """
+    return SessionId(f"{settings.vm}.{wall_ms()}.{os.urandom(4).hex()}")
+
+
+def _mesh(settings: Settings, session: SessionId) -> WebsocketMesh:
+    from . import __version__
+
+    tls = None
+    if settings.tls is not None:
+        tls = TlsContexts(settings.tls)
+    return WebsocketMesh(
+        Hello(settings.vm, session, settings.cell, __version__),
+        settings.listen.host,
+        settings.listen.mesh_port,
+        tls=tls,
+    )
+
+
+def run_daemon(settings_file: str, *, log_level: str) -> int:
+    """Runs a daemon until it is told to stop.
+
+    Args:
+        settings_file: Path of the settings.
+        log_level: Least severe log lines to write.
+
+    Returns:
+        The process's exit code.
+    """
+    from twisted.internet import reactor
+
+    configure_logs(level=log_level)
+    loaded = load_settings(settings_file)
+    if not isinstance(loaded, Settings):
+        for error in loaded:
+            print(error)
+        return 2
+    daemon = Daemon(loaded, reactor)
+    started: Deferred[None] = Deferred()
+    reactor.callWhenRunning(started.callback, None)  # type: ignore[attr-defined]
+    started.addCallback(lambda _: ensureDeferred(daemon.start()))
+    started.addErrback(lambda failure: _start_failed(daemon, reactor, failure))
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: _from_signal(daemon, reactor))
+    reactor.run(installSignalHandlers=False)  # type: ignore[attr-defined]
+    return daemon.exit_code
+
+
+def _from_signal(daemon: Daemon, reactor: Any) -> None:
+    reactor.callFromThread(daemon.drain)
+
+
+def _start_failed(daemon: Daemon, reactor: Any, failure: Any) -> None:
+    get_logger().error("start failed", error=failure.getTraceback())
+    daemon.exit_code = 1
+    reactor.stop()
--- /dev/null
+++ b/tests/fake_targets.py
@@ -0,0 +1,550 @@
+"""Engines and applications in virtual time, with a record of what came.
+
+Each target is a node of the world: killing, pausing and cutting it are
+the world's. Checkers read the records kept here, never the books of the
+system under test.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from hashlib import sha256
+
+import orjson
+from twisted.internet.defer import Deferred
+
+from lycheestall.ids import (
+    IdempotencyKey,
+    ModelName,
+    ProgramId,
+    RequestId,
+    TargetId,
+    VmId,
+    ZoneId,
+)
+from lycheestall.platform import VmEntry, VmRole
+from lycheestall.target_factory import TargetFactory
+from lycheestall.targets import (
+    ActionAnswer,
+    ActionDone,
+    ActionNotSent,
+    ActionRequest,
+    ActionUnknown,
+    Application,
+    CacheEvents,
+    Engine,
+    EngineBroken,
+    EngineDone,
+    EngineOrder,
+    EngineRefused,
+    EngineRequest,
+    EngineResult,
+    EngineSink,
+    HeldMemory,
+    LoadReport,
+    LookupAnswer,
+    LookupState,
+    OrderAnswer,
+    OrderResult,
+)
+from tests.fakes import NodeClock, World
+
+LATENCY_S = 0.001
+CHUNKS = 8
+CHUNK_S = 0.05
+ACTION_S = 0.05
+RESET_S = 0.01
+BYTES_PER_TOKEN = 4
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """One request that reached an engine.
+
+    Attributes:
+        at: True time.
+        target: The engine.
+        vm: The VM that sent it.
+        request: Its request.
+    """
+
+    at: float
+    target: str
+    vm: str
+    request: EngineRequest
+
+
+def answer_text(body: bytes) -> str:
+    """Returns the text that every engine answers a body with."""
+    messages = orjson.dumps(orjson.loads(body)["messages"])
+    return " ".join(
+        sha256(messages + str(index).encode()).hexdigest()[:6]
+        for index in range(CHUNKS)
+    )
+
+
+def answer_events(body: bytes) -> list[bytes]:
+    """Returns the SSE events of a body's answer, the end mark last."""
+    events: list[bytes] = []
+    for index, word in enumerate(answer_text(body).split(" ")):
+        text = word if index == 0 else f" {word}"
+        document = {"choices": [{"index": 0, "delta": {"content": text}}]}
+        events.append(b"data: " + orjson.dumps(document) + b"\n\n")
+    events.append(b"data: [DONE]\n\n")
+    return events
+
+
+def prompt_tokens(body: bytes) -> int:
+    """Returns what an engine counts as the prompt's tokens."""
+    messages = orjson.dumps(orjson.loads(body)["messages"])
+    return len(messages) // BYTES_PER_TOKEN + 1
+
+
+@dataclass
+class _Stream:
+    request: EngineRequest
+    events: list[bytes]
+    made: int = 0
+    cancelled: bool = False
+    listeners: list[Callable[[], None]] = field(default_factory=list)
+
+
+class FakeEngine:
+    """One engine: streams, memory held, and a record of arrivals.
+
+    Attributes:
+        arrivals: Every request that reached it, in order.
+        billed_by_program: Tokens, by top-level program.
+        crashes_on: Bodies that crash it, by a piece of their text.
+        leaving: Whether it says so in its load reports.
+        slow: Factor on the time between chunks.
+    """
+
+    def __init__(self, world: World, name: str, zone: str) -> None:
+        self.world = world
+        self.name = name
+        self.zone = zone
+        self.arrivals: list[Arrival] = []
+        self.billed_by_program: dict[str, int] = {}
+        self.crashes_on: list[bytes] = []
+        self.leaving = False
+        self.slow = 1.0
+        self.port = 0
+        self.boot()
+
+    def boot(self) -> None:
+        """Starts a new life with empty memory."""
+        self.clock = self.world.boot(self.name)
+        self.stream_by_request: dict[str, _Stream] = {}
+
+    def entry(self) -> VmEntry:
+        """Returns its line in the VM list."""
+        return VmEntry(
+            VmId(self.name),
+            VmRole.ENGINE,
+            ZoneId(self.zone),
+            "10.0.0.1",
+            self.port,
+            group="planner",
+        )
+
+    def arrive(self, vm: str, request: EngineRequest) -> _Stream:
+        """Takes a request and starts to generate."""
+        self.arrivals.append(
+            Arrival(self.world.now, self.name, vm, request)
+        )
+        stream = _Stream(request, answer_events(request.body))
+        self.stream_by_request[request.request] = stream
+        root = request.program.split("/")[0]
+        billed = self.billed_by_program.get(root, 0)
+        billed += prompt_tokens(request.body)
+        self.billed_by_program[root] = billed
+        for piece in self.crashes_on:
+            if piece in request.body:
+                self.world.later(0.01, self.crash)
+        self._next(stream)
+        return stream
+
+    def crash(self) -> None:
+        """Dies and comes back empty after a while."""
+        if not self.world.running(self.name):
+            return
+        self.world.kill(self.name)
+        self.world.later(2.0, self.boot)
+
+    def held(self) -> tuple[HeldMemory, ...]:
+        """Returns the streams whose memory is held."""
+        return tuple(
+            HeldMemory(
+                stream.request.program, "stream", request, stream.made
+            )
+            for request, stream in self.stream_by_request.items()
+        )
+
+    def release(self, program: ProgramId) -> None:
+        """Frees all streams of a program and its sub-agents."""
+        for request, stream in list(self.stream_by_request.items()):
+            name = stream.request.program
+            if name == program or name.startswith(f"{program}/"):
+                self.cancel(RequestId(request))
+
+    def cancel(self, request: RequestId) -> None:
+        """Stops and frees one stream."""
+        stream = self.stream_by_request.pop(request, None)
+        if stream is not None:
+            stream.cancelled = True
+
+    def _next(self, stream: _Stream) -> None:
+        def make() -> None:
+            if stream.cancelled:
+                return
+            stream.made += 1
+            root = stream.request.program.split("/")[0]
+            if stream.made < len(stream.events):
+                self.billed_by_program[root] += 1
+                self._next(stream)
+            for wake in list(stream.listeners):
+                wake()
+
+        self.world.later(CHUNK_S * self.slow, make, self.clock)
+
+
+class FakeEngineClient(Engine):
+    """One VM's connection to an engine."""
+
+    def __init__(
+        self, engine: FakeEngine, clock: NodeClock, vm: str
+    ) -> None:
+        self._engine = engine
+        self._clock = clock
+        self._vm = vm
+        self._world = engine.world
+
+    async def generate(
+        self, request: EngineRequest, sink: EngineSink
+    ) -> EngineResult:
+        """Sends the request after the way there."""
+        refused = await self._connect()
+        if refused is not None:
+            return refused
+        life = self._engine.clock
+        await self._travel()
+        if not life.alive:
+            return EngineBroken(False, 0, "connection reset")
+        opened: Deferred[_Stream] = Deferred()
+
+        def arrive() -> None:
+            stream = self._engine.arrive(self._vm, request)
+            self._world.later(
+                LATENCY_S, lambda: opened.callback(stream), self._clock
+            )
+
+        self._world.later(0.0, arrive, life)
+        self._watch(life, opened)
+        stream = await opened
+        if stream is None:
+            return EngineBroken(False, 0, "connection reset")
+        sink.accepted()
+        return await self._follow(stream, life, 0, sink)
+
+    async def resume(
+        self, request: RequestId, start: int, sink: EngineSink
+    ) -> EngineResult:
+        """Takes a stream up from a byte of its body."""
+        refused = await self._connect()
+        if refused is not None:
+            return refused
+        life = self._engine.clock
+        await self._travel()
+        stream = self._engine.stream_by_request.get(request)
+        if stream is None or not life.alive:
+            return EngineRefused(404, "no such request")
+        sink.accepted()
+        return await self._follow(stream, life, start, sink)
+
+    async def cancel(self, request: RequestId) -> bool:
+        """Stops a request."""
+        return await self._do(lambda: self._engine.cancel(request))
+
+    async def load(self) -> LoadReport | None:
+        """Returns the engine's load."""
+        if not await self._do(lambda: None):
+            return None
+        running = len(self._engine.stream_by_request)
+        return LoadReport(
+            TargetId(self._engine.name),
+            running,
+            0,
+            0.0,
+            100.0,
+            (ModelName("planner"),),
+            self._engine.leaving,
+        )
+
+    async def cache_events(self, since: int) -> CacheEvents | None:
+        """Returns no events: they are all lost."""
+        return CacheEvents((), since)
+
+    async def order(self, order: EngineOrder) -> OrderAnswer:
+        """Takes any order."""
+        return OrderAnswer(OrderResult.DONE)
+
+    async def held(self) -> tuple[HeldMemory, ...] | None:
+        """Lists what the engine holds."""
+        if not await self._do(lambda: None):
+            return None
+        return self._engine.held()
+
+    async def release(self, program: ProgramId) -> bool:
+        """Frees a program's memory."""
+        return await self._do(lambda: self._engine.release(program))
+
+    async def export_cache(self, program: ProgramId) -> bytes | None:
+        """Has nothing to export."""
+        return None
+
+    async def import_cache(self, program: ProgramId, data: bytes) -> bool:
+        """Takes nothing."""
+        return False
+
+    async def _connect(self) -> EngineRefused | None:
+        await self._travel()
+        if self._engine.clock.alive:
+            return None
+        return EngineRefused(0, "connection refused")
+
+    async def _do(self, effect: Callable[[], None]) -> bool:
+        await self._travel()
+        if not self._world.running(self._engine.name):
+            await self._world.sleep(1.0, self._clock)
+            return False
+        effect()
+        await self._travel()
+        return True
+
+    def _travel(self) -> Deferred[None]:
+        return self._world.sleep(LATENCY_S, self._clock)
+
+    def _watch(self, life: NodeClock, opened: Deferred[_Stream]) -> None:
+        def look() -> None:
+            if opened.called:
+                return
+            if not life.alive:
+                opened.callback(None)  # type: ignore[arg-type]
+                return
+            self._world.later(RESET_S, look, self._clock)
+
+        look()
+
+    async def _follow(
+        self, stream: _Stream, life: NodeClock, start: int, sink: EngineSink
+    ) -> EngineResult:
+        sent = 0
+        skip = start
+        while True:
+            while sent < stream.made:
+                data = stream.events[sent]
+                sent += 1
+                if skip >= len(data):
+                    skip -= len(data)
+                    continue
+                sink.chunk(data[skip:])
+                skip = 0
+            if sent == len(stream.events):
+                self._engine.cancel(stream.request.request)
+                return EngineDone(
+                    prompt_tokens(stream.request.body), CHUNKS, 0
+                )
+            if not await self._more(stream, life):
+                return EngineBroken(True, sent, "connection reset")
+
+    async def _more(self, stream: _Stream, life: NodeClock) -> bool:
+        changed: Deferred[bool] = Deferred()
+
+        def wake() -> None:
+            stream.listeners.remove(wake)
+            self._world.later(LATENCY_S, lambda: fire(True), self._clock)
+
+        def fire(alive: bool) -> None:
+            if not changed.called:
+                changed.callback(alive)
+
+        def look() -> None:
+            if changed.called:
+                return
+            if not life.alive or stream.cancelled:
+                fire(False)
+                return
+            self._world.later(0.25, look, self._clock)
+
+        stream.listeners.append(wake)
+        look()
+        return await changed
+
+
+class FakeApplication:
+    """A group's shared record of actions, behind several runners.
+
+    Attributes:
+        runs_by_key: How often each key's effect happened.
+        arrivals: Every request that took effect, with its true time.
+        lose_answer_until: Answers are lost before this time.
+        crash_before: Dies on arrival, before the effect, when set.
+        crash_after: Dies after the effect, before the answer, when set.
+        offers_lookup: Whether it answers look-ups.
+    """
+
+    def __init__(
+        self, world: World, name: str, group: str, zone: str
+    ) -> None:
+        self.world = world
+        self.name = name
+        self.group = group
+        self.zone = zone
+        self.runs_by_key: dict[str, int] = {}
+        self.arrivals: list[tuple[float, str, ActionRequest]] = []
+        self.lose_answer_until = 0.0
+        self.crash_before = False
+        self.crash_after = False
+        self.offers_lookup = False
+        self.slow_s = 0.0
+        self.port = 0
+        self.boot()
+
+    def boot(self) -> None:
+        """Starts a new life; its records are kept elsewhere and stay."""
+        self.clock = self.world.boot(self.name)
+
+    def entry(self) -> VmEntry:
+        """Returns its line in the VM list."""
+        return VmEntry(
+            VmId(self.name),
+            VmRole.APPLICATION,
+            ZoneId(self.zone),
+            "10.0.0.2",
+            self.port,
+            group=self.group,
+        )
+
+    def die(self) -> None:
+        """Crashes and comes back after a while."""
+        self.world.kill(self.name)
+        self.world.later(2.0, self.boot)
+
+    def run(self, vm: str, request: ActionRequest) -> None:
+        """Makes the effect happen."""
+        self.arrivals.append((self.world.now, vm, request))
+        runs = self.runs_by_key.get(request.key, 0)
+        self.runs_by_key[request.key] = runs + 1
+
+
+class FakeApplicationClient(Application):
+    """One VM's connection to an application runner."""
+
+    def __init__(
+        self, application: FakeApplication, clock: NodeClock, vm: str
+    ) -> None:
+        self._application = application
+        self._clock = clock
+        self._vm = vm
+        self._world = application.world
+
+    async def call(self, request: ActionRequest) -> ActionAnswer:
+        """Sends one call."""
+        await self._travel()
+        application = self._application
+        life = application.clock
+        if not life.alive:
+            return ActionNotSent("connection refused")
+        await self._travel()
+        done: Deferred[ActionAnswer] = Deferred()
+
+        def answer(result: ActionAnswer) -> None:
+            if not done.called:
+                done.callback(result)
+
+        def arrive() -> None:
+            if application.crash_before:
+                application.crash_before = False
+                application.die()
+                return
+            application.run(self._vm, request)
+            if application.crash_after:
+                application.crash_after = False
+                application.die()
+                return
+            if self._world.now < application.lose_answer_until:
+                return
+            body = orjson.dumps({"done": request.key, "path": request.path})
+            result = ActionDone(200, "application/json", body)
+            self._world.later(
+                LATENCY_S + application.slow_s,
+                lambda: answer(result),
+                self._clock,
+            )
+
+        def watch() -> None:
+            if done.called:
+                return
+            if not life.alive:
+                answer(ActionUnknown("connection reset"))
+                return
+            self._world.later(0.25, watch, self._clock)
+
+        self._world.later(ACTION_S, arrive, life)
+        self._world.later(0.25, watch, self._clock)
+        self._world.later(
+            request.deadline_s,
+            lambda: answer(ActionUnknown("timeout")),
+            self._clock,
+        )
+        return await done
+
+    async def look_up(self, key: IdempotencyKey) -> LookupAnswer | None:
+        """Asks for the application's record."""
+        await self._travel()
+        application = self._application
+        if not application.offers_lookup or not application.clock.alive:
+            return None
+        if key in application.runs_by_key:
+            body = orjson.dumps({"done": key, "path": ""})
+            return LookupAnswer(
+                LookupState.RAN, ActionDone(200, "application/json", body)
+            )
+        return LookupAnswer(LookupState.NO_RECORD)
+
+    async def load(self) -> LoadReport | None:
+        """Reports no load."""
+        return LoadReport(TargetId(self._application.name), 0, 0, 0.0, 0.0)
+
+    def _travel(self) -> Deferred[None]:
+        return self._world.sleep(LATENCY_S, self._clock)
+
+
+class FakeTargets(TargetFactory):
+    """One VM's clients of all targets of a run."""
+
+    def __init__(
+        self,
+        engine_by_name: dict[str, FakeEngine],
+        application_by_name: dict[str, FakeApplication],
+        clock: NodeClock,
+        vm: str,
+    ) -> None:
+        self._engine_by_name = engine_by_name
+        self._application_by_name = application_by_name
+        self._clock = clock
+        self._vm = vm
+
+    def engine(self, entry: VmEntry) -> Engine:
+        """Returns a client of an engine."""
+        engine = self._engine_by_name[entry.vm]
+        return FakeEngineClient(engine, self._clock, self._vm)
+
+    def application(self, entry: VmEntry) -> Application:
+        """Returns a client of an application runner."""
+        application = self._application_by_name[entry.vm]
+        return FakeApplicationClient(application, self._clock, self._vm)
+
+
