--- /dev/null
+++ b/lycheestall/rules_parser.py
@@ -0,0 +1,245 @@
+"""Reads rule files; every error comes with its position, all at once."""
+
+from __future__ import annotations
+
+import unicodedata
+from dataclasses import dataclass, replace
+from functools import lru_cache
+from importlib import resources
+
+from lark import Lark, Token
+from lark.exceptions import UnexpectedCharacters, UnexpectedInput
+
+from ._rule_reading import RuleValueError, read_statement
+from .rules_text import Remark, Rule, RuleFile, Statement
+
+__all__ = [
+    "MAX_LINE_CHARS",
+    "MAX_RULE_LINES",
+    "RULES_FORMAT",
+    "RuleError",
+    "parse_rules",
+]
+
+RULES_FORMAT = 1
+"""The newest format of rule text that this release reads.
+
+It grows with every change after which another set of texts is valid,
+a new time zone database included.
+"""
+
+MAX_LINE_CHARS = 1_000
+MAX_RULE_LINES = 50_000
+MAX_ERRORS = 1_000
+_LINE_CACHE_ENTRIES = 65_536
+
+_EXPECTED_BY_TERMINAL = {
+    "$END": "'#'",
+    "NAME": "a name",
+    "NUMBER": "a number such as 20k",
+    "DURATION": "a duration such as 30s",
+    "PERCENT": "a percentage such as 90%",
+    "CLOCK": "a time such as 22:00",
+    "ZONE": "a time zone such as Asia/Kolkata",
+    "CURRENCY": "a currency such as EUR",
+    "METHOD": "a method such as POST",
+    "PATH": "a path such as /orders",
+    "DAY": "a day such as mon",
+}
+_LINE_END = "the end of the line"
+_MEMBER_EXPECTED = "a comment that names who asked"
+
+
+@dataclass(frozen=True, slots=True)
+class RuleError:
+    """A mistake in a rule file.
+
+    Attributes:
+        file: The file's name, as given.
+        line: Line number, from 1.
+        column: Column, from 1.
+        found: What stands there.
+        expected: What could stand there.
+    """
+
+    file: str
+    line: int
+    column: int
+    found: str
+    expected: str
+
+    def __str__(self) -> str:
+        return (
+            f"{self.file}:{self.line}:{self.column}: "
+            f"found {self.found}, expected {self.expected}"
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class _LineError:
+    column: int
+    found: str
+    expected: str
+
+
+@lru_cache(maxsize=1)
+def _grammar() -> Lark:
+    grammar = resources.files(__package__).joinpath("rules.lark").read_text()
+    return Lark(grammar, parser="lalr", lexer="contextual")
+
+
+def _quoted(word: str) -> str:
+    return f"'{word}'" if word else _LINE_END
+
+
+def _expected(names: set[str]) -> str:
+    words: set[str] = set()
+    for name in names:
+        terminal = name.lstrip("_").lower().replace("_", "-")
+        words.add(_EXPECTED_BY_TERMINAL.get(name, f"'{terminal}'"))
+    words.discard("'blank'")
+    if "'comma'" in words:
+        words.discard("'comma'")
+        words.add("','")
+    return " or ".join(sorted(words))
+
+
+def _word_at(line: str, start: int) -> str:
+    rest = line[start:].split(None, 1)
+    return rest[0] if rest else ""
+
+
+def _unexpected(line: str, error: UnexpectedInput) -> _LineError:
+    start = error.pos_in_stream
+    if start is None or start < 0:
+        start = len(line)
+    token = getattr(error, "token", None)
+    if isinstance(token, Token) and token.type == "$END":
+        start = len(line.rstrip())
+    names = getattr(error, "accepts", None) or getattr(error, "expected", None)
+    if isinstance(error, UnexpectedCharacters):
+        names = error.allowed
+    found = _quoted(_word_at(line, start))
+    return _LineError(start + 1, found, _expected(set(names or ())))
+
+
+@lru_cache(maxsize=_LINE_CACHE_ENTRIES)
+def _read_line(line: str) -> Statement | _LineError:
+    try:
+        return read_statement(_grammar().parse(line))
+    except UnexpectedInput as error:
+        return _unexpected(line, error)
+    except RuleValueError as error:
+        start = error.token.start_pos or 0
+        found = _quoted(str(error.token))
+        return _LineError(start + 1, found, error.expected)
+
+
+def _bad_character(line: str) -> _LineError | None:
+    if line.isprintable():
+        return None
+    for index, character in enumerate(line):
+        category = unicodedata.category(character)
+        if character != "\t" and category in ("Cc", "Cs"):
+            found = f"control character U+{ord(character):04X}"
+            return _LineError(index + 1, found, "printable text")
+    return None
+
+
+class _FileReader:
+    """Reads one file's lines and gathers rules and errors."""
+
+    def __init__(self, file: str) -> None:
+        self.file = file
+        self.rules: list[Rule] = []
+        self.remarks: list[Remark] = []
+        self.errors: list[RuleError] = []
+        self._currency = ""
+        self._currency_line = 0
+
+    def read(self, text: str) -> None:
+        for number, raw in enumerate(text.split("\n"), start=1):
+            if number > MAX_RULE_LINES:
+                limit = _LineError(
+                    1, "another line", f"at most {MAX_RULE_LINES} lines"
+                )
+                self._report(number, limit)
+                return
+            if len(self.errors) >= MAX_ERRORS:
+                return
+            self._read(number, raw.removesuffix("\r"))
+
+    def _report(self, number: int, error: _LineError) -> None:
+        self.errors.append(
+            RuleError(
+                self.file, number, error.column, error.found, error.expected
+            )
+        )
+
+    def _read(self, number: int, line: str) -> None:
+        if len(line) > MAX_LINE_CHARS:
+            limit = f"at most {MAX_LINE_CHARS} characters a line"
+            found = f"{len(line)} characters"
+            self._report(number, _LineError(MAX_LINE_CHARS + 1, found, limit))
+            return
+        bad = _bad_character(line)
+        if bad is not None:
+            self._report(number, bad)
+            return
+        code, mark, comment = line.partition("#")
+        member = comment.strip()
+        if code.strip():
+            self._read_rule(number, code, mark, member)
+        elif mark:
+            self.remarks.append(Remark(number, member))
+
+    def _read_rule(
+        self, number: int, code: str, mark: str, member: str
+    ) -> None:
+        statement = _read_line(code)
+        named = any(character.isalnum() for character in member)
+        end = len(code) if mark else len(code.rstrip())
+        at_end = _LineError(end + 1, _quoted(mark), _MEMBER_EXPECTED)
+        if isinstance(statement, _LineError):
+            if statement.found == _LINE_END:
+                statement = replace(at_end, expected=statement.expected)
+            self._report(number, statement)
+        elif self._check_currency(number, code, statement) and named:
+            self.rules.append(Rule(number, statement, member))
+        if not named:
+            self._report(number, at_end)
+
+    def _check_currency(
+        self, number: int, code: str, statement: Statement
+    ) -> bool:
+        money = getattr(statement, "money", None)
+        money = money or getattr(statement, "price", None)
+        if money is None:
+            return True
+        if not self._currency:
+            self._currency = money.currency
+            self._currency_line = number
+        if money.currency == self._currency:
+            return True
+        column = code.rfind(money.currency) + 1
+        expected = f"{self._currency}, as on line {self._currency_line}"
+        found = _quoted(money.currency)
+        self._report(number, _LineError(column, found, expected))
+        return False
+
+
+def parse_rules(text: str, *, file: str) -> RuleFile | tuple[RuleError, ...]:
+    """Reads a rule file.
+
+    Args:
+        text: The file's text.
+        file: Its name, for errors.
+
+    Returns:
+        The rules, or every mistake in line order.
+    """
+    reader = _FileReader(file)
+    reader.read(text)
+    if reader.errors:
+        return tuple(reader.errors)
+    return RuleFile(tuple(reader.rules), tuple(reader.remarks))
--- /dev/null
+++ b/lycheestall/rules_printing.py
@@ -0,0 +1,179 @@
+"""Writes rules in the rules language.
+
+Printing a file and parsing the text gives the same file again.
+"""
+
+from __future__ import annotations
+
+from decimal import Decimal
+
+from . import rules_text as text
+from .rules_text import Money, RuleFile, Scope, Statement, TargetScope
+
+__all__ = ["DAY_NAMES", "MS_BY_UNIT", "print_rules", "print_statement"]
+
+DAY_NAMES = ("mon", "tue", "wed", "thu", "fri", "sat", "sun")
+MS_BY_UNIT = {
+    "d": 86_400_000,
+    "h": 3_600_000,
+    "m": 60_000,
+    "s": 1_000,
+    "ms": 1,
+}
+_MICROS = 1_000_000
+_MINUTES_PER_HOUR = 60
+
+
+def _count(value: int) -> str:
+    if value and value % 1_000_000 == 0:
+        return f"{value // 1_000_000}M"
+    if value and value % 1_000 == 0:
+        return f"{value // 1_000}k"
+    return str(value)
+
+
+def _things(value: int, noun: str) -> str:
+    return f"{_count(value)} {noun}" + ("" if value == 1 else "s")
+
+
+def _duration(value_ms: int) -> str:
+    for unit, size in MS_BY_UNIT.items():
+        if value_ms % size == 0:
+            return f"{value_ms // size}{unit}"
+    return f"{value_ms}ms"
+
+
+def _money(money: Money) -> str:
+    whole, part = divmod(money.micros, _MICROS)
+    decimals = f"{part:06d}".rstrip("0").ljust(2, "0")
+    return f"{whole}.{decimals} {money.currency}"
+
+
+def _decimal(value: Decimal) -> str:
+    return f"{value.normalize():f}"
+
+
+def _clock(minute: int) -> str:
+    hour, rest = divmod(minute, _MINUTES_PER_HOUR)
+    return f"{hour:02d}:{rest:02d}"
+
+
+def _scope(scope: Scope) -> str:
+    parts: list[str] = []
+    if scope.account:
+        parts.append(f"account {scope.account}")
+    if scope.program_class:
+        parts.append(f"class {scope.program_class}")
+    if scope.application:
+        parts.append(f"application {scope.application}")
+    return " ".join(parts) or "everyone"
+
+
+def _targets(scope: TargetScope) -> str:
+    if scope.target:
+        return f"target {scope.target}"
+    if scope.group:
+        return f"group {scope.group}"
+    return "every target"
+
+
+def _amounts(rule: text.BudgetRule | text.RateRule) -> str:
+    parts: list[str] = []
+    if rule.tokens is not None:
+        parts.append(_things(rule.tokens, "token"))
+    if rule.calls is not None:
+        parts.append(_things(rule.calls, "call"))
+    if rule.money is not None:
+        parts.append(_money(rule.money))
+    return ", ".join(parts)
+
+
+def _operation(rule: text.OperationRule) -> str:
+    application = "every application"
+    if rule.application:
+        application = f"application {rule.application}"
+    safety = "idempotent" if rule.idempotent else "non-idempotent"
+    price = f" and costs {_money(rule.price)}" if rule.price else ""
+    return (
+        f"operation {rule.method} {rule.path} of {application} "
+        f"is {safety}{price}"
+    )
+
+
+def _window(rule: text.WindowRule) -> str:
+    days = ", ".join(DAY_NAMES[day] for day in rule.days)
+    return (
+        f"leave {_targets(rule.scope)} alone from {_clock(rule.start)} "
+        f"to {_clock(rule.end)} {rule.zone}{' on ' + days if days else ''}"
+    )
+
+
+def print_statement(rule: Statement) -> str:
+    """Returns a rule in the rules language, without its comment.
+
+    Args:
+        rule: Any rule.
+    """
+    match rule:
+        case text.BudgetRule(scope):
+            return f"budget of {_scope(scope)} is {_amounts(rule)}"
+        case text.WeightRule(scope, weight):
+            return f"weight of {_scope(scope)} is {_decimal(weight)}"
+        case text.PriorityRule(scope, priority):
+            return f"priority of {_scope(scope)} is {_count(priority)}"
+        case text.ConcurrencyRule(scope, calls):
+            most = _things(calls, "call")
+            return f"concurrency of {_scope(scope)} is {most}"
+        case text.RateRule(scope, per_ms):
+            per = _duration(per_ms)
+            return f"rate of {_scope(scope)} is {_amounts(rule)} per {per}"
+        case text.TurnLimitRule(scope, turns):
+            most = _things(turns, "turn")
+            return f"turn limit of {_scope(scope)} is {most}"
+        case text.TimeLimitRule(scope, limit_ms):
+            return f"time limit of {_scope(scope)} is {_duration(limit_ms)}"
+        case text.RetryLimitRule(scope, attempts):
+            most = _things(attempts, "attempt")
+            return f"retry limit of {_scope(scope)} is {most}"
+        case text.OperationRule():
+            return _operation(rule)
+        case text.WindowRule():
+            return _window(rule)
+        case _:
+            return _print_target_rule(rule)
+
+
+def _print_target_rule(
+    rule: text.TargetConcurrencyRule
+    | text.FencingRule
+    | text.LoadLimitRule
+    | text.ErrorLimitRule,
+) -> str:
+    targets = _targets(rule.scope)
+    match rule:
+        case text.TargetConcurrencyRule(calls=calls):
+            return f"concurrency of {targets} is {_things(calls, 'call')}"
+        case text.FencingRule(checks=checks):
+            verb = "checks" if checks else "ignores"
+            return f"{targets} {verb} fencing numbers"
+        case text.LoadLimitRule(percent=percent):
+            return f"leave {targets} alone above {_decimal(percent)}% load"
+        case text.ErrorLimitRule(percent=percent):
+            return f"leave {targets} alone above {_decimal(percent)}% errors"
+
+
+def print_rules(file: RuleFile) -> str:
+    """Returns a rule file's text, each rule on its own line number.
+
+    Args:
+        file: Rules and remarks with distinct line numbers.
+    """
+    text_by_number: dict[int, str] = {}
+    for rule in file.rules:
+        statement = print_statement(rule.statement)
+        text_by_number[rule.number] = f"{statement} # {rule.member}"
+    for remark in file.remarks:
+        text_by_number[remark.number] = f"# {remark.text}".rstrip()
+    last = max(text_by_number, default=0)
+    lines = [text_by_number.get(number, "") for number in range(1, last + 1)]
+    return "".join(f"{line}\n" for line in lines)
