--- a/lycheestall/daemon.py
+++ b/lycheestall/daemon.py
@@ -165,8 +165,9 @@
     Returns:
         The process's exit code.
     """
-    from twisted.internet import reactor
+    from twisted.internet import reactor as installed
 
+    reactor: Any = installed
     configure_logs(level=log_level)
     loaded = load_settings(settings_file)
     if not isinstance(loaded, Settings):
@@ -175,12 +176,12 @@
         return 2
     daemon = Daemon(loaded, reactor)
     started: Deferred[None] = Deferred()
-    reactor.callWhenRunning(started.callback, None)  # type: ignore[attr-defined]
+    reactor.callWhenRunning(started.callback, None)
     started.addCallback(lambda _: ensureDeferred(daemon.start()))
     started.addErrback(lambda failure: _start_failed(daemon, reactor, failure))
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: _from_signal(daemon, reactor))
-    reactor.run(installSignalHandlers=False)  # type: ignore[attr-defined]
+    reactor.run(installSignalHandlers=False)
     return daemon.exit_code
 
 
--- a/lycheestall/node.py
+++ b/lycheestall/node.py
@@ -11,14 +11,16 @@
 from .clock import Clock
 from .engine_directory import EngineDirectory
 from .engine_dispatcher import EngineDispatcher
-from .ids import TargetId, VmId
+from .ids import AccountId, ProgramId, SessionId, TargetId, VmId
 from .logs import Logger
 from .mesh import Mesh
 from .messages import MeshMessage
 from .metrics import Metrics
 from .outcomes import Outcome
+from .partitions import partition_of
 from .platform import LogService, VmList, VmListing, VmRole
 from .polling import Poller
+from .program_ids import NONCE_BYTES, issue_program_id
 from .program_owner import ProgramOwner
 from .router import Router
 from .rule_book import RuleBook
@@ -32,6 +34,7 @@
 
 VM_POLL_INTERVAL_S = 1.0
 LOAD_POLL_INTERVAL_S = 0.5
+ISSUE_TRIES = 64
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,13 +69,21 @@
 
     Args:
         settings: This VM's settings.
+        session: This life of the daemon.
         ports: What it is plugged into.
     """
 
-    def __init__(self, *, settings: Settings, ports: NodePorts) -> None:
+    def __init__(
+        self, *, settings: Settings, session: SessionId, ports: NodePorts
+    ) -> None:
         self.settings = settings
+        self.session = session
         self._ports = ports
         self._vm = settings.vm
+        self._partitions = settings.tuning.partitions
+        self._receipt_keys = [
+            bytes.fromhex(key) for key in settings.receipt_keys
+        ]
         self._draining = False
         self.supervisor = Supervisor(clock=ports.clock, logger=ports.logger)
         self.cell = StaticCell(settings.vm, [settings.vm])
@@ -100,16 +111,16 @@
             rules=self.rules,
             clock=ports.clock,
             wall_ms=ports.wall_ms,
-            receipt_keys=[bytes.fromhex(k) for k in settings.receipt_keys],
+            receipt_keys=self._receipt_keys,
             settings=settings.tuning,
-            partitions=settings.tuning.partitions,
+            partitions=self._partitions,
         )
         self.router = Router(
             vm=settings.vm,
             cell=self.cell,
             mesh=ports.mesh,
             owner=self.owner,
-            partitions=settings.tuning.partitions,
+            partitions=self._partitions,
             clock=ports.clock,
         )
         ports.mesh.on_message(self._on_message)
@@ -139,6 +150,23 @@
         """Returns the rules in force on this VM."""
         return EMPTY_RULES
 
+    def issue_program(self, account: AccountId) -> ProgramId:
+        """Returns a new program id, of a partition owned here if any."""
+        for _ in range(ISSUE_TRIES):
+            program = self._new_program(account)
+            partition = partition_of(account, program, self._partitions)
+            if self.cell.owner_of(partition) == self._vm:
+                break
+        return program
+
+    def _new_program(self, account: AccountId) -> ProgramId:
+        return issue_program_id(
+            account=account,
+            issued_ms=self._ports.wall_ms(),
+            nonce=self._ports.random.randbytes(NONCE_BYTES),
+            key=self._receipt_keys[0],
+        )
+
     def ready(self) -> bool:
         """Returns whether the node takes new calls."""
         return not self._draining
--- a/tests/fake_callers.py
+++ b/tests/fake_callers.py
@@ -285,9 +285,7 @@
     def _check_action(self, step: Action, sink: _AttemptSink) -> None:
         got = str(orjson.loads(sink.body).get("done"))
         if got != step.key:
-            self.wrong.append(
-                Wrong(self.program, self._number, got, step.key)
-            )
+            self.wrong.append(Wrong(self.program, self._number, got, step.key))
 
     def _send_open(self) -> None:
         self._send(CallKind.OPEN)
--- a/tests/fake_targets.py
+++ b/tests/fake_targets.py
@@ -151,9 +151,7 @@
 
     def arrive(self, vm: str, request: EngineRequest) -> _Stream:
         """Takes a request and starts to generate."""
-        self.arrivals.append(
-            Arrival(self.world.now, self.name, vm, request)
-        )
+        self.arrivals.append(Arrival(self.world.now, self.name, vm, request))
         stream = _Stream(request, answer_events(request.body))
         self.stream_by_request[request.request] = stream
         root = request.program.split("/")[0]
@@ -176,9 +174,7 @@
     def held(self) -> tuple[HeldMemory, ...]:
         """Returns the streams whose memory is held."""
         return tuple(
-            HeldMemory(
-                stream.request.program, "stream", request, stream.made
-            )
+            HeldMemory(stream.request.program, "stream", request, stream.made)
             for request, stream in self.stream_by_request.items()
         )
 
@@ -213,9 +209,7 @@
 class FakeEngineClient(Engine):
     """One VM's connection to an engine."""
 
-    def __init__(
-        self, engine: FakeEngine, clock: NodeClock, vm: str
-    ) -> None:
+    def __init__(self, engine: FakeEngine, clock: NodeClock, vm: str) -> None:
         self._engine = engine
         self._clock = clock
         self._vm = vm
@@ -395,9 +389,7 @@
         offers_lookup: Whether it answers look-ups.
     """
 
-    def __init__(
-        self, world: World, name: str, group: str, zone: str
-    ) -> None:
+    def __init__(self, world: World, name: str, group: str, zone: str) -> None:
         self.world = world
         self.name = name
         self.group = group
@@ -546,5 +538,3 @@
         """Returns a client of an application runner."""
         application = self._application_by_name[entry.vm]
         return FakeApplicationClient(application, self._clock, self._vm)
-
-
