--- a/lycheestall/rules_match.py
+++ b/lycheestall/rules_match.py
@@ -6,6 +6,7 @@
 from typing import Generic, TypeVar
 
 from . import rules_text as text
+from ._account_limits import AccountLimits
 from ._operation_index import OperationIndex
 from ._quiet_times import QuietTimes
 from ._rule_defaults import (
@@ -21,7 +22,6 @@
 from .rule_book import (
     AccountLimit,
     ActionRule,
-    LimitKind,
     ProgramLimits,
     RetryRule,
     RuleBook,
@@ -36,6 +36,7 @@
 
 _MS_PER_S = 1000
 _CACHE_ENTRIES = 16_384
+_NO_APPLICATION = TargetId("")
 
 KeyT = TypeVar("KeyT")
 ValueT = TypeVar("ValueT")
@@ -70,7 +71,7 @@
         self._limits: dict[str, ScopeIndex[_Found]] = {}
         self._weights: ScopeIndex[tuple[RuleLine, float]] = ScopeIndex()
         self._priorities: ScopeIndex[_Found] = ScopeIndex()
-        self._shared: dict[str, dict[str, AccountLimit]] = {}
+        self._shared = AccountLimits()
         self._retries: ScopeIndex[_Found] = ScopeIndex()
         self._operations = OperationIndex()
         self._concurrency: TargetIndex[_Found] = TargetIndex()
@@ -83,7 +84,6 @@
             self._add(rule.statement, line)
         self._program_cache: _Cache[Scope, ProgramLimits] = _Cache()
         self._share_cache: _Cache[Scope, ShareRule] = _Cache()
-        self._account_cache: _Cache[str, tuple[AccountLimit, ...]] = _Cache()
         self._action_cache: _Cache[tuple[str, str], ActionRule] = _Cache()
 
     def _add(self, statement: Statement, line: RuleLine) -> None:
@@ -106,13 +106,8 @@
                 self._priorities.add(scope, (line, priority))
             case text.RetryLimitRule(scope, attempts):
                 self._retries.add(scope, (line, attempts))
-            case text.ConcurrencyRule(scope, calls):
-                limit = AccountLimit(
-                    "concurrency", LimitKind.CONCURRENCY, calls, 0.0, line
-                )
-                self._share_limit(scope, limit)
-            case text.RateRule(scope):
-                self._share_limit(scope, _rate_limit(statement, line))
+            case text.ConcurrencyRule() | text.RateRule():
+                self._shared.add(statement, line)
             case text.OperationRule():
                 self._operation(statement, line)
             case text.TargetConcurrencyRule(targets, calls):
@@ -134,10 +129,6 @@
         index = self._limits.setdefault(name, ScopeIndex())
         index.add(scope, (line, value))
 
-    def _share_limit(self, scope: Scope, limit: AccountLimit) -> None:
-        limit_by_name = self._shared.setdefault(scope.account, {})
-        limit_by_name[limit.name] = limit
-
     def _operation(self, rule: text.OperationRule, line: RuleLine) -> None:
         price = 0 if rule.price is None else rule.price.micros
         action = ActionRule(rule.idempotent, price, line)
@@ -162,7 +153,7 @@
         self,
         account: AccountId,
         program_class: str,
-        application: TargetId = TargetId(""),
+        application: TargetId = _NO_APPLICATION,
     ) -> ProgramLimits:
         """Returns the limits of one program.
 
@@ -234,15 +225,7 @@
 
     def account_limits(self, account: AccountId) -> tuple[AccountLimit, ...]:
         """Returns the account's limits, in order of their names."""
-        name = account if account in self._shared else ""
-        return self._account_cache.get(
-            name, lambda: self._account_limits(name)
-        )
-
-    def _account_limits(self, account: str) -> tuple[AccountLimit, ...]:
-        limit_by_name = dict(self._shared.get("", {}))
-        limit_by_name.update(self._shared.get(account, {}))
-        return tuple(limit for _, limit in sorted(limit_by_name.items()))
+        return self._shared.find(account)
 
     def action(self, application: TargetId, operation: str) -> ActionRule:
         """Returns how an operation is treated."""
@@ -301,16 +284,5 @@
         return RetryRule(DEFAULT_ATTEMPTS, default_line(words))
 
 
-def _rate_limit(rule: text.RateRule, line: RuleLine) -> AccountLimit:
-    kind, amount = LimitKind.CALLS, rule.calls
-    if rule.tokens is not None:
-        kind, amount = LimitKind.TOKENS, rule.tokens
-    if rule.money is not None:
-        kind, amount = LimitKind.MONEY, rule.money.micros
-    assert amount is not None
-    name = f"{kind.value}-per-{rule.per_ms}ms"
-    return AccountLimit(name, kind, amount, rule.per_ms / _MS_PER_S, line)
-
-
 EMPTY_RULES = MatchedRules(RuleFile())
 """The rules before anything was published: defaults throughout."""
