Fold a cell's sessions, claims and crashes from its log

Cause: membership and ownership have to follow from the log alone, the same on every VM, through repeats, races, retention and checkpoints. SessionJoined carries what its writer had read, so that a late repeat cannot revive a session that the state has forgotten; SessionRenewed carries what its writer has folded, so that the log itself shows when a majority knows of a membership change (a majority of an older, smaller membership could otherwise back a lease that a takeover cannot see).

--- /dev/null
+++ b/lycheestall/cell_fold.py
@@ -0,0 +1,174 @@
+"""The state of a cell, computed from its log stream."""
+
+from __future__ import annotations
+
+import cbor2
+
+from .claims import Claims, TargetClaims
+from .crashes import Crashes
+from .fold import Fold, LedgerPart, PortionsPart, Verdict
+from .ids import Offset, PartitionId, SessionId
+from .records import (
+    NO_OFFSET,
+    CheckpointPart,
+    CrashReported,
+    PartitionClaimed,
+    PartitionReleased,
+    PortionReturned,
+    PortionTaken,
+    Record,
+    RecordBody,
+    RulesRecord,
+    SessionDeposed,
+    SessionJoined,
+    SessionLeft,
+    SessionRenewed,
+    TargetClaimed,
+)
+from .sessions import Sessions
+
+__all__ = ["REPEATED", "CellFold"]
+
+REPEATED = Verdict(False, "the record was read before")
+_NOT_LIVE = Verdict(False, "the writer's session is not live")
+_FOREIGN = Verdict(False, "no record of this stream")
+_ACCEPTED = Verdict(True)
+
+STATE_FORMAT = 1
+
+
+class CellFold(Fold):
+    """Composes the parts of a cell's state.
+
+    Only a live session's records take effect, each sequence once. The
+    newest sequence of a writer is dropped with its session: from then
+    on every record of that session is refused, and ``Sessions`` refuses
+    to let it join again.
+
+    Args:
+        ledger: The part for programs, budgets and intents.
+        portions: The part for accounts' shared limits.
+    """
+
+    def __init__(self, ledger: LedgerPart, portions: PortionsPart) -> None:
+        self.sessions = Sessions()
+        self.claims: Claims[PartitionId] = Claims()
+        self.target_claims = TargetClaims()
+        self.crashes = Crashes()
+        self.ledger = ledger
+        self.portions = portions
+        self._as_of = NO_OFFSET
+        self._sequence_by_writer: dict[SessionId, int] = {}
+
+    @property
+    def as_of(self) -> Offset:
+        """The newest offset in the state."""
+        return self._as_of
+
+    def sequence(self, writer: SessionId) -> int:
+        """Returns the newest sequence taken from a live session, or 0."""
+        return self._sequence_by_writer.get(writer, 0)
+
+    def apply(self, offset: Offset, record: Record) -> Verdict:
+        """Takes the next record into the state."""
+        self._as_of = offset
+        writer = record.writer
+        if isinstance(record.body, SessionJoined):
+            return self._join(offset, record, record.body)
+        if not self.sessions.is_live(writer):
+            return _NOT_LIVE
+        if record.sequence <= self._sequence_by_writer[writer]:
+            return REPEATED
+        self._sequence_by_writer[writer] = record.sequence
+        verdict = self._route(offset, writer, record.body)
+        self._drop_sequences(writer, record.body)
+        return verdict
+
+    def dump(self) -> bytes:
+        """Returns the whole state as CBOR."""
+        return cbor2.dumps(
+            [
+                STATE_FORMAT,
+                self._as_of,
+                list(self._sequence_by_writer.items()),
+                self.sessions.dump(),
+                self.claims.dump(),
+                self.target_claims.dump(),
+                self.crashes.dump(),
+                self.ledger.dump(),
+                self.portions.dump(),
+            ]
+        )
+
+    def load(self, data: bytes) -> None:
+        """Replaces the state."""
+        format_, as_of, sequences, *parts = cbor2.loads(data)
+        if format_ != STATE_FORMAT:
+            raise ValueError(f"cell state in unknown format {format_}")
+        self._as_of = Offset(as_of)
+        self._sequence_by_writer = dict(sequences)
+        own_parts = (
+            self.sessions,
+            self.claims,
+            self.target_claims,
+            self.crashes,
+            self.ledger,
+            self.portions,
+        )
+        for part, state in zip(own_parts, parts, strict=True):
+            part.load(state)
+
+    def _join(
+        self, offset: Offset, record: Record, body: SessionJoined
+    ) -> Verdict:
+        verdict = self.sessions.join(offset, record.writer, body)
+        if verdict.accepted:
+            self._sequence_by_writer[record.writer] = record.sequence
+        return verdict
+
+    def _drop_sequences(self, writer: SessionId, body: RecordBody) -> None:
+        ended = writer
+        if isinstance(body, SessionDeposed):
+            ended = body.session
+        if not self.sessions.is_live(ended):
+            self._sequence_by_writer.pop(ended, None)
+
+    def _route(
+        self, offset: Offset, writer: SessionId, body: RecordBody
+    ) -> Verdict:
+        match body:
+            case SessionRenewed():
+                return self.sessions.renew(offset, writer, body)
+            case SessionLeft():
+                return self.sessions.leave(offset, writer)
+            case SessionDeposed():
+                return self.sessions.depose(offset, writer, body)
+            case PartitionClaimed():
+                return self.claims.claim(
+                    offset,
+                    writer,
+                    body.partition,
+                    body.previous,
+                    self.sessions.is_live,
+                )
+            case PartitionReleased():
+                return self.claims.release(
+                    writer, body.partition, body.epoch, body.successor
+                )
+            case TargetClaimed():
+                return self.target_claims.claim(
+                    offset,
+                    writer,
+                    body.target,
+                    body.previous,
+                    self.sessions.is_live,
+                )
+            case CrashReported():
+                return self.crashes.report(body)
+            case PortionTaken() | PortionReturned():
+                return self.portions.apply(offset, writer, body)
+            case CheckpointPart():
+                return _ACCEPTED
+        if isinstance(body, RulesRecord):
+            return _FOREIGN
+        return self.ledger.apply(offset, writer, body, self.claims)
--- a/lycheestall/fold.py
+++ b/lycheestall/fold.py
@@ -4,11 +4,15 @@
 
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
-from .ids import Offset
-from .records import Record
+from .ids import Offset, PartitionId, SessionId
+from .records import CellRecord, Record
 
-__all__ = ["Fold", "Verdict"]
+if TYPE_CHECKING:
+    from .claims import Claims
+
+__all__ = ["Fold", "FoldPart", "LedgerPart", "PortionsPart", "Verdict"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,3 +46,46 @@
     @abstractmethod
     def load(self, data: bytes) -> None:
         """Replaces the state by one that ``dump`` made."""
+
+
+class FoldPart(ABC):
+    """A part of a fold's state that is kept and restored by itself."""
+
+    @abstractmethod
+    def dump(self) -> object:
+        """Returns the state as numbers, strings, bytes, lists and maps."""
+
+    @abstractmethod
+    def load(self, state: object) -> None:
+        """Replaces the state by one that ``dump`` made."""
+
+
+class LedgerPart(FoldPart):
+    """The part that keeps programs, budgets and intents."""
+
+    @abstractmethod
+    def apply(
+        self,
+        offset: Offset,
+        writer: SessionId,
+        body: CellRecord,
+        claims: Claims[PartitionId],
+    ) -> Verdict:
+        """Takes a record of a live session.
+
+        Args:
+            offset: Where the record is.
+            writer: Who wrote it.
+            body: What it says.
+            claims: Who owns which partition at this offset.
+        """
+
+
+class PortionsPart(FoldPart):
+    """The part that keeps the portions of accounts' shared limits."""
+
+    @abstractmethod
+    def apply(
+        self, offset: Offset, writer: SessionId, body: CellRecord
+    ) -> Verdict:
+        """Takes a record of a live session."""
--- a/lycheestall/records.py
+++ b/lycheestall/records.py
@@ -69,6 +69,9 @@
         host: Mesh address.
         port: Mesh port.
         release: The daemon's version.
+        after: The newest offset the writer knew of. Valid only while
+            few enough records lie between, so that a late duplicate
+            cannot revive a session whose end is no longer in the state.
     """
 
     vm: VmId
@@ -76,11 +79,18 @@
     host: str
     port: int
     release: str
+    after: Offset = NO_OFFSET
 
 
 @dataclass(frozen=True, slots=True)
 class SessionRenewed:
-    """The writer's session is still alive."""
+    """The writer's session is still alive.
+
+    Attributes:
+        folded: The newest offset in the writer's state.
+    """
+
+    folded: Offset = NO_OFFSET
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/lycheestall/sessions.py
@@ -0,0 +1,291 @@
+"""Which sessions belong to the cell, as the log says."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, replace
+from enum import Enum
+from typing import Any, cast
+
+from .fold import FoldPart, Verdict
+from .ids import Offset, SessionId, VmId, ZoneId
+from .records import (
+    NO_OFFSET,
+    SessionDeposed,
+    SessionJoined,
+    SessionRenewed,
+)
+
+__all__ = [
+    "JOIN_HORIZON_RECORDS",
+    "Configuration",
+    "EndedSession",
+    "Session",
+    "SessionEnd",
+    "Sessions",
+]
+
+JOIN_HORIZON_RECORDS = 100_000
+
+_ACCEPTED = Verdict(True)
+
+
+@dataclass(frozen=True, slots=True)
+class Session:
+    """A live session.
+
+    Attributes:
+        session: Its id.
+        vm: The VM it runs on.
+        zone: The VM's availability zone.
+        host: Mesh address.
+        port: Mesh port.
+        release: The daemon's version.
+        joined: Offset of its join record.
+        last_seen: Offset of its newest join or renewal record.
+        acknowledged: Newest offset it has said to have folded.
+    """
+
+    session: SessionId
+    vm: VmId
+    zone: ZoneId
+    host: str
+    port: int
+    release: str
+    joined: Offset
+    last_seen: Offset
+    acknowledged: Offset
+
+
+class SessionEnd(Enum):
+    """How a session ended."""
+
+    LEFT = "left"
+    DEPOSED = "deposed"
+
+
+@dataclass(frozen=True, slots=True)
+class EndedSession:
+    """What is kept of a session after its end.
+
+    Attributes:
+        vm: The VM it ran on.
+        ended: Offset of the record that ended it.
+        how: Whether it left or was deposed.
+        acknowledged: Newest offset it had said to have folded.
+    """
+
+    vm: VmId
+    ended: Offset
+    how: SessionEnd
+    acknowledged: Offset
+
+
+@dataclass(frozen=True, slots=True)
+class Configuration:
+    """The members of the cell from one offset on.
+
+    Attributes:
+        start: Offset of the record that made it.
+        members: The live sessions.
+    """
+
+    start: Offset
+    members: frozenset[SessionId]
+
+
+class Sessions(FoldPart):
+    """Live sessions, and what must be remembered of ended ones.
+
+    A configuration stays open until a majority of its members is known
+    from the log to have folded the start of the next one. Only members
+    of an open configuration can still back a peer lease, so a takeover
+    has to hear from a majority of each open one.
+    """
+
+    def __init__(self) -> None:
+        self._by_id: dict[SessionId, Session] = {}
+        self._ended_by_id: dict[SessionId, EndedSession] = {}
+        self._configurations: list[Configuration] = [
+            Configuration(NO_OFFSET, frozenset())
+        ]
+
+    @property
+    def by_id(self) -> Mapping[SessionId, Session]:
+        """The live sessions."""
+        return self._by_id
+
+    @property
+    def configurations(self) -> tuple[Configuration, ...]:
+        """The open configurations, the present one last."""
+        return tuple(self._configurations)
+
+    def ended(self, session: SessionId) -> EndedSession | None:
+        """Returns how a session ended, while that is remembered."""
+        return self._ended_by_id.get(session)
+
+    def is_live(self, session: SessionId) -> bool:
+        """Returns whether a session has joined and not ended."""
+        return session in self._by_id
+
+    def vm_of(self, session: SessionId) -> VmId | None:
+        """Returns the VM of a session that is live or remembered."""
+        found = self._by_id.get(session) or self._ended_by_id.get(session)
+        return None if found is None else found.vm
+
+    def join(
+        self, offset: Offset, writer: SessionId, body: SessionJoined
+    ) -> Verdict:
+        """Takes a join record."""
+        if writer in self._by_id:
+            return Verdict(False, "session has joined already")
+        if writer in self._ended_by_id:
+            return Verdict(False, "session has ended")
+        if offset - body.after > JOIN_HORIZON_RECORDS:
+            return Verdict(False, "join is too old")
+        self._by_id[writer] = Session(
+            session=writer,
+            vm=body.vm,
+            zone=body.zone,
+            host=body.host,
+            port=body.port,
+            release=body.release,
+            joined=offset,
+            last_seen=offset,
+            acknowledged=NO_OFFSET,
+        )
+        self._configure(offset)
+        return _ACCEPTED
+
+    def renew(
+        self, offset: Offset, writer: SessionId, body: SessionRenewed
+    ) -> Verdict:
+        """Takes a live session's renewal."""
+        known = self._by_id[writer]
+        self._by_id[writer] = replace(
+            known,
+            last_seen=offset,
+            acknowledged=max(known.acknowledged, body.folded),
+        )
+        self._close_configurations()
+        return _ACCEPTED
+
+    def leave(self, offset: Offset, writer: SessionId) -> Verdict:
+        """Takes a live session's graceful end."""
+        self._end(offset, writer, SessionEnd.LEFT)
+        return _ACCEPTED
+
+    def depose(
+        self, offset: Offset, writer: SessionId, body: SessionDeposed
+    ) -> Verdict:
+        """Takes the end of a silent session by a live one."""
+        known = self._by_id.get(body.session)
+        if known is None:
+            return Verdict(False, "session is not live")
+        if body.session == writer:
+            return Verdict(False, "a session cannot depose itself")
+        if known.last_seen != body.last_seen:
+            return Verdict(False, "session has renewed since")
+        self._end(offset, body.session, SessionEnd.DEPOSED)
+        return _ACCEPTED
+
+    def dump(self) -> object:
+        """Returns the state as primitives."""
+        return [
+            [_session_row(session) for session in self._by_id.values()],
+            [_ended_row(*item) for item in self._ended_by_id.items()],
+            [[c.start, sorted(c.members)] for c in self._configurations],
+        ]
+
+    def load(self, state: object) -> None:
+        """Replaces the state."""
+        live, ended, configurations = cast(list[Any], state)
+        self._by_id = {}
+        for row in live:
+            session = Session(*row)
+            self._by_id[session.session] = session
+        self._ended_by_id = {}
+        for name, vm, offset, how, acknowledged in ended:
+            self._ended_by_id[name] = EndedSession(
+                vm, offset, SessionEnd(how), acknowledged
+            )
+        self._configurations = [
+            Configuration(start, frozenset(members))
+            for start, members in configurations
+        ]
+
+    def _end(
+        self, offset: Offset, session: SessionId, how: SessionEnd
+    ) -> None:
+        known = self._by_id.pop(session)
+        self._ended_by_id[session] = EndedSession(
+            known.vm, offset, how, known.acknowledged
+        )
+        self._configure(offset)
+
+    def _configure(self, offset: Offset) -> None:
+        members = frozenset(self._by_id)
+        self._configurations.append(Configuration(offset, members))
+        self._close_configurations()
+        self._forget_ended(offset)
+
+    def _close_configurations(self) -> None:
+        while len(self._configurations) > 1:
+            oldest, successor = self._configurations[:2]
+            if not self._majority_knows(oldest.members, successor.start):
+                return
+            del self._configurations[0]
+
+    def _majority_knows(
+        self, members: Iterable[SessionId], offset: Offset
+    ) -> bool:
+        count = 0
+        knowing = 0
+        for session in members:
+            count += 1
+            if self._acknowledged(session, offset):
+                knowing += 1
+        return count == 0 or knowing > count // 2
+
+    def _acknowledged(self, session: SessionId, offset: Offset) -> bool:
+        live = self._by_id.get(session)
+        if live is not None:
+            return live.acknowledged >= offset
+        ended = self._ended_by_id[session]
+        if ended.how is SessionEnd.LEFT:
+            return True
+        return ended.acknowledged >= offset
+
+    def _forget_ended(self, offset: Offset) -> None:
+        needed: set[SessionId] = set()
+        for configuration in self._configurations:
+            needed |= configuration.members
+        for session, ended in list(self._ended_by_id.items()):
+            if offset - ended.ended <= JOIN_HORIZON_RECORDS:
+                continue
+            if session not in needed:
+                del self._ended_by_id[session]
+
+
+def _session_row(session: Session) -> list[object]:
+    return [
+        session.session,
+        session.vm,
+        session.zone,
+        session.host,
+        session.port,
+        session.release,
+        session.joined,
+        session.last_seen,
+        session.acknowledged,
+    ]
+
+
+def _ended_row(session: SessionId, ended: EndedSession) -> list[object]:
+    return [
+        session,
+        ended.vm,
+        ended.ended,
+        ended.how.value,
+        ended.acknowledged,
+    ]
--- /dev/null
+++ b/tests/test_cell_fold.py
@@ -0,0 +1,309 @@
+"""Tests of the cell's fold."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+from fakes_cell import KeepingLedger, KeepingPortions
+from hypothesis import Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+
+from lycheestall.cell_fold import CellFold
+from lycheestall.claims import Claims
+from lycheestall.crashes import Crashes
+from lycheestall.fold import Verdict
+from lycheestall.ids import (
+    AccountId,
+    Offset,
+    PartitionId,
+    SessionId,
+    TargetId,
+    VmId,
+    ZoneId,
+)
+from lycheestall.records import (
+    NO_OFFSET,
+    CrashReported,
+    PartitionClaimed,
+    PartitionReleased,
+    PortionTaken,
+    Record,
+    RecordBody,
+    SessionDeposed,
+    SessionJoined,
+    SessionLeft,
+    SessionRenewed,
+)
+from lycheestall.sessions import JOIN_HORIZON_RECORDS, SessionEnd
+
+NAMES = ("a", "b", "c", "d")
+PARTITIONS = 3
+
+names = st.sampled_from(NAMES)
+partitions = st.integers(0, PARTITIONS - 1)
+
+
+def new_fold() -> CellFold:
+    return CellFold(KeepingLedger(), KeepingPortions())
+
+
+def joined(name: str, after: int = -1) -> SessionJoined:
+    return SessionJoined(
+        VmId(name), ZoneId("z"), "127.0.0.1", 1, "0", Offset(after)
+    )
+
+
+class Writer:
+    """Applies records of several sessions at growing offsets."""
+
+    def __init__(self, fold: CellFold) -> None:
+        self.fold = fold
+        self.offset = -1
+        self.sequence_by_name: dict[str, int] = {}
+
+    def write(self, name: str, body: RecordBody) -> Verdict:
+        """Appends a record under the next sequence."""
+        sequence = self.sequence_by_name.get(name, 0) + 1
+        self.sequence_by_name[name] = sequence
+        return self.append(Record(SessionId(name), sequence, body))
+
+    def append(self, record: Record) -> Verdict:
+        """Appends a record as it is."""
+        self.offset += 1
+        return self.fold.apply(Offset(self.offset), record)
+
+
+class FoldMachine(RuleBasedStateMachine):
+    """Random writers with races, repeats, checkpoints and lost tails."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.writer = Writer(new_fold())
+        self.fold = self.writer.fold
+        self.records: list[Record] = []
+        self.copies: list[CellFold] = []
+        self.life_by_name = dict.fromkeys(NAMES, 0)
+        self.owners: dict[int, str] = {}
+
+    def session(self, name: str) -> str:
+        """Returns the newest session of a name."""
+        return f"{name}{self.life_by_name[name]}"
+
+    def write(self, name: str, body: RecordBody) -> Verdict:
+        """Appends a record to all folds."""
+        session = self.session(name)
+        sequence = self.writer.sequence_by_name.get(session, 0) + 1
+        self.writer.sequence_by_name[session] = sequence
+        record = Record(SessionId(session), sequence, body)
+        self.records.append(record)
+        return self.append(record)
+
+    def append(self, record: Record) -> Verdict:
+        """Applies a record to all folds."""
+        verdict = self.writer.append(record)
+        for copy in self.copies:
+            again = copy.apply(Offset(self.writer.offset), record)
+            assert again == verdict
+        return verdict
+
+    @rule(name=names)
+    def join(self, name: str) -> None:
+        """Joins, or tries to once more."""
+        self.write(name, joined(name, self.writer.offset))
+
+    @rule(name=names)
+    def restart(self, name: str) -> None:
+        """Joins under a new session; the old one stays."""
+        self.life_by_name[name] += 1
+        assert self.write(name, joined(name, self.writer.offset)).accepted
+
+    @rule(name=names, lag=st.integers(0, 5))
+    def renew(self, name: str, lag: int) -> None:
+        """Renews with what a lagging reader has folded."""
+        folded = Offset(max(-1, self.writer.offset - lag))
+        self.write(name, SessionRenewed(folded))
+
+    @rule(name=names)
+    def leave(self, name: str) -> None:
+        """Ends gracefully."""
+        self.write(name, SessionLeft())
+
+    @rule(name=names, other=names, stale=st.booleans())
+    def depose(self, name: str, other: str, stale: bool) -> None:
+        """Deposes, with the newest or an older offset."""
+        target = SessionId(self.session(other))
+        known = self.fold.sessions.by_id.get(target)
+        seen = NO_OFFSET if known is None else known.last_seen
+        newest = Offset(seen - 1 if stale else seen)
+        verdict = self.write(name, SessionDeposed(target, newest))
+        assert not (stale and verdict.accepted)
+
+    @rule(name=names, partition=partitions, stale=st.booleans())
+    def claim(self, name: str, partition: int, stale: bool) -> None:
+        """Claims; what is accepted has to be free."""
+        key = PartitionId(partition)
+        former = self.fold.claims.by_key.get(key)
+        previous = self.fold.claims.epoch(key)
+        if stale:
+            previous = Offset(previous - 1)
+        verdict = self.write(name, PartitionClaimed(key, previous))
+        if not verdict.accepted:
+            return
+        assert not stale
+        if former is None:
+            return
+        holder = former.successor or former.owner
+        mine = holder == self.session(name) and former.successor
+        assert mine or not self.fold.sessions.is_live(holder)
+        assert self.fold.claims.epoch(key) == self.writer.offset
+
+    @rule(name=names, partition=partitions, other=names)
+    def release(self, name: str, partition: int, other: str) -> None:
+        """Releases, held or not."""
+        key = PartitionId(partition)
+        epoch = self.fold.claims.epoch(key)
+        successor = SessionId(self.session(other))
+        self.write(name, PartitionReleased(key, epoch, successor))
+
+    @rule(name=names)
+    def other_parts(self, name: str) -> None:
+        """Writes what another part of the fold takes."""
+        body = PortionTaken(AccountId("x"), "l", 1, 1, 9)
+        verdict = self.write(name, body)
+        live = self.fold.sessions.is_live(SessionId(self.session(name)))
+        assert verdict.accepted == live
+
+    @rule(data=st.data())
+    def repeat(self, data: Any) -> None:
+        """An earlier record takes effect late once more."""
+        if not self.records:
+            return
+        record = data.draw(st.sampled_from(self.records))
+        before = self.fold.dump()
+        verdict = self.append(record)
+        assert not verdict.accepted
+        fold = new_fold()
+        fold.load(before)
+        fold._as_of = Offset(self.writer.offset)
+        assert fold.dump() == self.fold.dump()
+
+    @rule()
+    def checkpoint(self) -> None:
+        """A reader starts from the state as dumped here."""
+        if len(self.copies) == 3:
+            return
+        copy = new_fold()
+        copy.load(self.fold.dump())
+        self.copies.append(copy)
+
+    @invariant()
+    def checkpoint_and_tail_equal_the_whole_fold(self) -> None:
+        """Each copy agrees with the fold."""
+        for copy in self.copies:
+            assert copy.dump() == self.fold.dump()
+
+    @invariant()
+    def configurations_end_with_the_live_sessions(self) -> None:
+        """The newest configuration is the membership."""
+        newest = self.fold.sessions.configurations[-1]
+        assert newest.members == frozenset(self.fold.sessions.by_id)
+
+
+def test_fold_machine() -> None:
+    run_state_machine_as_test(FoldMachine)
+
+
+def test_fold_machine_notices_a_fold_that_takes_repeats(
+    monkeypatch: Any,
+) -> None:
+    class Forgetful(CellFold):
+        def _drop_sequences(self, writer: Any, body: Any) -> None:
+            self._sequence_by_writer[writer] = 0
+
+    monkeypatch.setitem(globals(), "CellFold", Forgetful)
+    quick = settings(phases=[Phase.generate], max_examples=20)
+    with pytest.raises(AssertionError):
+        run_state_machine_as_test(FoldMachine, settings=quick)
+
+
+def test_ended_session_cannot_return_by_a_late_repeat() -> None:
+    writer = Writer(new_fold())
+    writer.write("a", joined("a"))
+    writer.write("b", joined("b", 0))
+    writer.write("a", SessionLeft())
+    repeated = Record(SessionId("a"), 1, joined("a"))
+    assert not writer.append(repeated).accepted
+    writer.offset += JOIN_HORIZON_RECORDS
+    writer.write("b", SessionRenewed(Offset(writer.offset)))
+    writer.write("c", joined("c", writer.offset))
+    assert writer.fold.sessions.ended(SessionId("a")) is None
+    assert not writer.append(repeated).accepted
+
+
+def test_configuration_stays_open_until_its_majority_knows() -> None:
+    writer = Writer(new_fold())
+    for name in ("a", "b", "c"):
+        writer.write(name, joined(name, writer.offset))
+        for renewing in NAMES:
+            writer.write(renewing, SessionRenewed(Offset(writer.offset)))
+    assert len(writer.fold.sessions.configurations) == 1
+    writer.write("d", joined("d", writer.offset))
+    start = Offset(writer.offset)
+    writer.write("a", SessionRenewed(Offset(start - 1)))
+    writer.write("b", SessionRenewed(start))
+    assert len(writer.fold.sessions.configurations) == 2
+    writer.write("c", SessionRenewed(start))
+    assert len(writer.fold.sessions.configurations) == 1
+
+
+def test_deposed_member_does_not_close_a_configuration() -> None:
+    writer = Writer(new_fold())
+    writer.write("a", joined("a"))
+    writer.write("b", joined("b", 0))
+    seen = writer.fold.sessions.by_id[SessionId("a")].last_seen
+    assert writer.write("b", SessionDeposed(SessionId("a"), seen)).accepted
+    open_members = [c.members for c in writer.fold.sessions.configurations]
+    assert frozenset({SessionId("a")}) in open_members
+    ended = writer.fold.sessions.ended(SessionId("a"))
+    assert ended is not None
+    assert ended.how is SessionEnd.DEPOSED
+
+
+def test_only_an_explicit_release_spares_the_wait() -> None:
+    claims: Claims[PartitionId] = Claims()
+    key, a, b, c = PartitionId(1), *map(SessionId, "abc")
+    live = {a, b, c}
+
+    def is_live(session: SessionId) -> bool:
+        return session in live
+
+    assert claims.claim(Offset(1), a, key, NO_OFFSET, is_live).accepted
+    assert not claims.by_key[key].takeover
+    assert not claims.claim(Offset(2), b, key, Offset(1), is_live).accepted
+    assert claims.release(a, key, Offset(1), b).accepted
+    assert not claims.holds(key, a, Offset(1))
+    assert not claims.claim(Offset(3), c, key, Offset(1), is_live).accepted
+    assert claims.claim(Offset(4), b, key, Offset(1), is_live).accepted
+    assert not claims.by_key[key].takeover
+    live.remove(b)
+    assert claims.claim(Offset(5), c, key, Offset(4), is_live).accepted
+    assert claims.by_key[key].takeover
+
+
+def test_request_is_quarantined_from_its_second_crash_on() -> None:
+    crashes = Crashes()
+    crashes.report(CrashReported(b"x", TargetId("t1")))
+    assert not crashes.quarantined(b"x")
+    crashes.report(CrashReported(b"x", TargetId("t2")))
+    assert crashes.quarantined(b"x")
+    assert not crashes.quarantined(b"y")
+    restored = Crashes()
+    restored.load(crashes.dump())
+    assert restored.targets(b"x") == {"t1", "t2"}
