--- /dev/null
+++ b/lycheestall/ledger.py
@@ -0,0 +1,367 @@
+"""What the log says of programs: opened, drawn, intents, ended."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any, Protocol
+
+from .fold import Verdict
+from .ids import (
+    AccountId,
+    IdempotencyKey,
+    Offset,
+    PartitionId,
+    ProgramId,
+    SessionId,
+    TargetId,
+)
+from .program_ids import issued_ms_of
+from .records import (
+    BudgetDrawn,
+    CellRecord,
+    Forgotten,
+    IntentRecorded,
+    IntentVoided,
+    OutcomeRecorded,
+    ProgramEnded,
+    ProgramOpened,
+)
+
+__all__ = [
+    "Claim",
+    "Claims",
+    "Intent",
+    "KeptAnswer",
+    "Ledger",
+    "LedgerProgram",
+    "Spend",
+]
+
+ACCEPTED = Verdict(True)
+
+
+class Claim(Protocol):
+    """The newest valid claim of a partition."""
+
+    @property
+    def session(self) -> SessionId:
+        """Returns the claimant."""
+
+    @property
+    def offset(self) -> Offset:
+        """Returns the claim's offset, the partition's epoch."""
+
+
+class Claims(Protocol):
+    """Who holds which partition, as of the record being folded."""
+
+    def current(self, partition: PartitionId) -> Claim | None:
+        """Returns a partition's newest valid claim, None without one."""
+
+
+@dataclass(frozen=True, slots=True)
+class Spend:
+    """Amounts of a program's budget.
+
+    Attributes:
+        tokens: Prompt and answer tokens.
+        calls: Calls of any kind.
+        money_micros: Money in millionths.
+    """
+
+    tokens: int = 0
+    calls: int = 0
+    money_micros: int = 0
+
+    def plus(self, other: Spend) -> Spend:
+        """Returns the sum."""
+        return Spend(
+            self.tokens + other.tokens,
+            self.calls + other.calls,
+            self.money_micros + other.money_micros,
+        )
+
+    def minus(self, other: Spend) -> Spend:
+        """Returns the difference, which may be below zero."""
+        return Spend(
+            self.tokens - other.tokens,
+            self.calls - other.calls,
+            self.money_micros - other.money_micros,
+        )
+
+    def at_least(self, other: Spend) -> Spend:
+        """Returns the greater of both, field by field."""
+        return Spend(
+            max(self.tokens, other.tokens),
+            max(self.calls, other.calls),
+            max(self.money_micros, other.money_micros),
+        )
+
+    def within(self, other: Spend) -> bool:
+        """Returns whether no field is over the other's."""
+        return self.at_least(other) == other
+
+
+@dataclass(frozen=True, slots=True)
+class KeptAnswer:
+    """A non-idempotent call's answer, as the log has it."""
+
+    status: int
+    content_type: str
+    body: bytes
+    whole: bool
+
+
+@dataclass(slots=True)
+class Intent:
+    """A non-idempotent call that was, or was about to be, dispatched.
+
+    Attributes:
+        session: Who recorded it.
+        body_digest: Digest of the call's body.
+        target: Where it was to go.
+        number: The call's position in its program.
+        answer: The recorded outcome, None while it may have run.
+        closed: Whether the target vouched that it never runs.
+    """
+
+    session: SessionId
+    body_digest: bytes
+    target: TargetId
+    number: int
+    answer: KeptAnswer | None = None
+    closed: bool = False
+
+
+@dataclass(slots=True)
+class LedgerProgram:
+    """A top-level program, as the log has it.
+
+    Attributes:
+        account: Who pays.
+        program_class: Its class, for rules.
+        partition: Where it belongs.
+        opened_ms: When it was opened or its id issued, whichever is
+            later; milliseconds since 1970.
+        drawn: What its owners may have spent.
+        ended: Why it ended, empty while open.
+        intent_by_key: Its non-idempotent calls.
+    """
+
+    account: AccountId
+    program_class: str
+    partition: PartitionId
+    opened_ms: int
+    drawn: Spend = Spend()
+    ended: str = ""
+    intent_by_key: dict[IdempotencyKey, Intent] = field(default_factory=dict)
+
+
+class Ledger:
+    """The part of the cell's fold that concerns programs.
+
+    Attributes:
+        program_by_id: Programs by their form in the log.
+        forgotten_before_ms: Programs from before are dropped; an issued
+            id from before that is not here is of unknown past.
+    """
+
+    def __init__(self) -> None:
+        self.program_by_id: dict[ProgramId, LedgerProgram] = {}
+        self.forgotten_before_ms = 0
+
+    def apply(
+        self,
+        offset: Offset,
+        writer: SessionId,
+        body: CellRecord,
+        claims: Claims,
+    ) -> Verdict:
+        """Takes a record; one of another kind is not accepted.
+
+        Args:
+            offset: Where the record is.
+            writer: The session that wrote it.
+            body: The record.
+            claims: Who holds which partition at this offset.
+        """
+        if isinstance(body, Forgotten):
+            return self._forget(body)
+        if isinstance(body, OutcomeRecorded):
+            return self._settle(body)
+        if isinstance(body, IntentVoided):
+            return self._void(writer, body, claims)
+        if not isinstance(
+            body, ProgramOpened | BudgetDrawn | ProgramEnded | IntentRecorded
+        ):
+            return Verdict(False, "no record of programs")
+        claim = claims.current(body.partition)
+        if claim is None or claim.session != writer:
+            return Verdict(False, "the writer does not hold the partition")
+        if claim.offset != body.epoch:
+            return Verdict(False, "the epoch is not the newest claim")
+        if isinstance(body, ProgramOpened):
+            return self._open(body)
+        program = self.program_by_id.get(body.program)
+        if program is None:
+            return Verdict(False, "the program is not open")
+        if program.ended:
+            return Verdict(False, "the program has ended")
+        if isinstance(body, ProgramEnded):
+            program.ended = body.reason or "ended"
+            return ACCEPTED
+        if isinstance(body, BudgetDrawn):
+            drawn = Spend(body.tokens, body.calls, body.money_micros)
+            program.drawn = program.drawn.at_least(drawn)
+            return ACCEPTED
+        return self._intend(writer, body, program)
+
+    def intent(self, program: ProgramId, key: IdempotencyKey) -> Intent | None:
+        """Returns a program's intent by key.
+
+        Args:
+            program: The program's form in the log.
+            key: The caller's idempotency key.
+        """
+        found = self.program_by_id.get(program)
+        return None if found is None else found.intent_by_key.get(key)
+
+    def dump(self) -> object:
+        """Returns the state as lists, strings, numbers and bytes."""
+        programs = [
+            _dump_program(name, program)
+            for name, program in self.program_by_id.items()
+        ]
+        return [self.forgotten_before_ms, programs]
+
+    def load(self, state: Any) -> None:
+        """Replaces the state by one that ``dump`` made."""
+        self.forgotten_before_ms, programs = state
+        self.program_by_id = dict(_load_program(item) for item in programs)
+
+    def _open(self, body: ProgramOpened) -> Verdict:
+        if body.program in self.program_by_id:
+            return Verdict(False, "the program is known already")
+        opened_ms = max(body.opened_ms, issued_ms_of(body.program) or 0)
+        if opened_ms < self.forgotten_before_ms:
+            return Verdict(False, "the program is older than the state")
+        self.program_by_id[body.program] = LedgerProgram(
+            account=body.account,
+            program_class=body.program_class,
+            partition=body.partition,
+            opened_ms=opened_ms,
+        )
+        return ACCEPTED
+
+    def _intend(
+        self, writer: SessionId, body: IntentRecorded, program: LedgerProgram
+    ) -> Verdict:
+        if issued_ms_of(body.program) is None:
+            return Verdict(False, "the program's id was not issued")
+        if body.key in program.intent_by_key:
+            return Verdict(False, "the key is taken")
+        program.intent_by_key[body.key] = Intent(
+            session=writer,
+            body_digest=body.body_digest,
+            target=body.target,
+            number=body.number,
+        )
+        return ACCEPTED
+
+    def _settle(self, body: OutcomeRecorded) -> Verdict:
+        intent = self.intent(body.program, body.key)
+        if intent is None:
+            return Verdict(False, "no such intent")
+        if intent.answer is not None or intent.closed:
+            return Verdict(False, "the intent is settled")
+        intent.answer = KeptAnswer(
+            body.status, body.content_type, body.body, body.whole
+        )
+        return ACCEPTED
+
+    def _void(
+        self, writer: SessionId, body: IntentVoided, claims: Claims
+    ) -> Verdict:
+        program = self.program_by_id.get(body.program)
+        intent = self.intent(body.program, body.key)
+        if program is None or intent is None:
+            return Verdict(False, "no such intent")
+        if intent.answer is not None or intent.closed:
+            return Verdict(False, "the intent is settled")
+        if body.closed:
+            claim = claims.current(program.partition)
+            if claim is None or claim.session != writer:
+                return Verdict(False, "the writer does not hold the program")
+            intent.closed = True
+            return ACCEPTED
+        if intent.session != writer:
+            return Verdict(False, "the intent is another session's")
+        del program.intent_by_key[body.key]
+        return ACCEPTED
+
+    def _forget(self, body: Forgotten) -> Verdict:
+        if body.before_ms <= self.forgotten_before_ms:
+            return Verdict(False, "what is forgotten only grows")
+        self.forgotten_before_ms = body.before_ms
+        for name, program in list(self.program_by_id.items()):
+            if program.opened_ms < body.before_ms:
+                del self.program_by_id[name]
+        return ACCEPTED
+
+
+def _dump_program(name: ProgramId, program: LedgerProgram) -> list[object]:
+    intents = [
+        _dump_intent(key, intent)
+        for key, intent in program.intent_by_key.items()
+    ]
+    drawn = program.drawn
+    return [
+        name,
+        program.account,
+        program.program_class,
+        program.partition,
+        program.opened_ms,
+        [drawn.tokens, drawn.calls, drawn.money_micros],
+        program.ended,
+        intents,
+    ]
+
+
+def _dump_intent(key: IdempotencyKey, intent: Intent) -> list[object]:
+    answer = intent.answer
+    kept = answer and [
+        answer.status,
+        answer.content_type,
+        answer.body,
+        answer.whole,
+    ]
+    return [
+        key,
+        intent.session,
+        intent.body_digest,
+        intent.target,
+        intent.number,
+        kept,
+        intent.closed,
+    ]
+
+
+def _load_program(item: Any) -> tuple[ProgramId, LedgerProgram]:
+    name, account, program_class, partition, opened_ms, *rest = item
+    drawn, ended, intents = rest
+    program = LedgerProgram(
+        account=account,
+        program_class=program_class,
+        partition=partition,
+        opened_ms=opened_ms,
+        drawn=Spend(*drawn),
+        ended=ended,
+        intent_by_key=dict(_load_intent(intent) for intent in intents),
+    )
+    return name, program
+
+
+def _load_intent(item: Any) -> tuple[IdempotencyKey, Intent]:
+    key, session, digest, target, number, kept, closed = item
+    answer = None if kept is None else KeptAnswer(*kept)
+    return key, Intent(session, digest, target, number, answer, closed)
--- a/lycheestall/program_owner.py
+++ b/lycheestall/program_owner.py
@@ -7,9 +7,7 @@
 
 import orjson
 from twisted.internet.defer import Deferred, ensureDeferred, succeed
-from twisted.internet.interfaces import IReactorTime
 
-from ._timer import timer_of
 from .answers import Answer, AnswerKey, AnswerStore
 from .application_picker import ApplicationPicker, Runner
 from .calls import (
@@ -22,6 +20,7 @@
 )
 from .cell_view import CellView, PartitionWatcher
 from .chat_body import BadBody, ChatAssembler, ChatBody, parse_chat
+from .clock import Clock
 from .dispatch import ChatDispatcher, ChatJob, ChatListener, JobHandle
 from .ids import (
     CallNumber,
@@ -138,7 +137,7 @@
         dispatcher: ChatDispatcher,
         applications: ApplicationPicker,
         rules: Callable[[], RuleBook],
-        clock: IReactorTime,
+        clock: Clock,
         wall_ms: Callable[[], int],
         receipt_keys: Sequence[bytes],
         settings: TuningSettings,
@@ -148,7 +147,7 @@
         self._dispatcher = dispatcher
         self._applications = applications
         self._rules = rules
-        self._timer = timer_of(clock)
+        self._clock = clock
         self._wall_ms = wall_ms
         self._receipt_keys = tuple(receipt_keys)
         self._settings = settings
@@ -244,7 +243,7 @@
             prompt_tokens=body.prompt_tokens,
             max_tokens=body.max_tokens,
             fingerprint=fingerprint.digest(),
-            deadline_s=self._timer.seconds() + call.deadline_s,
+            deadline_s=self._clock.seconds() + call.deadline_s,
             epoch=self._cell.epoch_of(partition),
             may_send=lambda: self._cell.refusal(partition),
             may_repeat=lambda: True,
@@ -329,4 +328,4 @@
         return _NoHandle()
 
     def _ended(self, key: AnswerKey) -> None:
-        self._answers.finished(key, self._timer.seconds())
+        self._answers.finished(key, self._clock.seconds())
--- a/lycheestall/records.py
+++ b/lycheestall/records.py
@@ -209,10 +209,19 @@
 
 @dataclass(frozen=True, slots=True)
 class IntentVoided:
-    """The writer's own intent was never dispatched and never will be."""
+    """An intent was never dispatched and never will be.
+
+    Attributes:
+        program: The program.
+        key: The call's key.
+        closed: False when the writer voids its own intent, which frees
+            the key. True when the partition's owner passes on that the
+            target has closed the key; the key stays taken.
+    """
 
     program: ProgramId
     key: IdempotencyKey
+    closed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/tests/test_ledger.py
@@ -0,0 +1,295 @@
+"""State machine tests of the programs' part of the fold."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import cbor2
+import pytest
+from hypothesis import Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from lycheestall.fold import Verdict
+from lycheestall.ids import (
+    AccountId,
+    IdempotencyKey,
+    Offset,
+    PartitionId,
+    ProgramId,
+    SessionId,
+    TargetId,
+)
+from lycheestall.ledger import Claim, Claims, Ledger
+from lycheestall.program_ids import issue_program_id, ledger_id
+from lycheestall.records import (
+    BudgetDrawn,
+    CellRecord,
+    Forgotten,
+    IntentRecorded,
+    IntentVoided,
+    OutcomeRecorded,
+    ProgramEnded,
+    ProgramOpened,
+)
+
+ACCOUNT = AccountId("snowline")
+PARTITION = PartitionId(3)
+ISSUED_MS = (100, 300)
+PROGRAMS = [
+    ledger_id(
+        ACCOUNT,
+        issue_program_id(
+            account=ACCOUNT, issued_ms=at, nonce=bytes(8), key=b"k"
+        ),
+    )
+    for at in ISSUED_MS
+]
+SESSIONS = [SessionId("s1"), SessionId("s2")]
+sessions = st.sampled_from(SESSIONS)
+holders = st.sampled_from([True, True, False])
+programs = st.sampled_from(PROGRAMS)
+keys = st.sampled_from([IdempotencyKey("k1"), IdempotencyKey("k2")])
+stale = st.sampled_from([0, 0, 0, 1])
+
+
+@dataclass(frozen=True)
+class _Claim:
+    session: SessionId
+    offset: Offset
+
+
+class _Claims(Claims):
+    def __init__(self) -> None:
+        self.claim: _Claim | None = None
+
+    def current(self, partition: PartitionId) -> Claim | None:
+        return self.claim
+
+
+class _LedgerMachine(RuleBasedStateMachine):
+    """Drives one ledger and keeps its own account of what may run."""
+
+    ledger_class = Ledger
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.ledger = self.ledger_class()
+        self.claims = _Claims()
+        self.claims.claim = _Claim(SESSIONS[0], Offset(1))
+        self.offset = 1
+        self.allowed: dict[tuple[ProgramId, IdempotencyKey], SessionId] = {}
+        self.ended: set[ProgramId] = set()
+        self.forgotten = 0
+
+    def apply(self, writer: SessionId, body: CellRecord) -> Verdict:
+        self.offset += 1
+        return self.ledger.apply(
+            Offset(self.offset), writer, body, self.claims
+        )
+
+    def holds(self, writer: SessionId, late: int) -> bool:
+        claim = self.claims.claim
+        return claim is not None and claim.session == writer and not late
+
+    def writer(self, holder: bool) -> SessionId:
+        claim = self.claims.claim
+        if claim is None:
+            return SESSIONS[0]
+        return SESSIONS[holder == (claim.session == SESSIONS[1])]
+
+    def epoch(self, late: int) -> Offset:
+        claim = self.claims.claim
+        return Offset(0 if claim is None else claim.offset - late)
+
+    @precondition(lambda self: self.offset % 4 == 2)
+    @rule(session=sessions)
+    def claim(self, session: SessionId) -> None:
+        self.offset += 1
+        self.claims.claim = _Claim(session, Offset(self.offset))
+
+    @rule(holder=holders, program=programs, late=stale)
+    def open(self, holder: bool, program: ProgramId, late: int) -> None:
+        writer = self.writer(holder)
+        epoch = self.epoch(late)
+        body = ProgramOpened(program, ACCOUNT, "c", PARTITION, epoch, 1)
+        if self.apply(writer, body).accepted:
+            assert self.holds(writer, late)
+            assert ISSUED_MS[PROGRAMS.index(program)] >= self.forgotten
+
+    @rule(holder=holders, program=programs, key=keys, late=stale)
+    def intend(
+        self,
+        holder: bool,
+        program: ProgramId,
+        key: IdempotencyKey,
+        late: int,
+    ) -> None:
+        writer = self.writer(holder)
+        epoch = self.epoch(late)
+        body = IntentRecorded(
+            program, PARTITION, epoch, key, b"d", TargetId("t"), 1
+        )
+        if not self.apply(writer, body).accepted:
+            return
+        assert self.holds(writer, late)
+        assert program not in self.ended
+        assert (program, key) not in self.allowed
+        self.allowed[program, key] = writer
+
+    @rule(holder=holders, program=programs, key=keys)
+    def void(
+        self, holder: bool, program: ProgramId, key: IdempotencyKey
+    ) -> None:
+        writer = self.writer(holder)
+        if self.apply(writer, IntentVoided(program, key)).accepted:
+            assert self.allowed.pop((program, key)) == writer
+
+    @rule(holder=holders, program=programs, key=keys)
+    def close(
+        self, holder: bool, program: ProgramId, key: IdempotencyKey
+    ) -> None:
+        writer = self.writer(holder)
+        body = IntentVoided(program, key, closed=True)
+        if self.apply(writer, body).accepted:
+            assert self.holds(writer, 0)
+
+    @rule(holder=holders, program=programs, key=keys)
+    def settle(
+        self, holder: bool, program: ProgramId, key: IdempotencyKey
+    ) -> None:
+        writer = self.writer(holder)
+        body = OutcomeRecorded(program, key, 200, "", b"x", True)
+        if self.apply(writer, body).accepted:
+            assert (program, key) in self.allowed
+
+    @rule(holder=holders, program=programs, tokens=st.integers(0, 9))
+    def draw(self, holder: bool, program: ProgramId, tokens: int) -> None:
+        writer = self.writer(holder)
+        known = self.ledger.program_by_id.get(program)
+        before = 0 if known is None else known.drawn.tokens
+        body = BudgetDrawn(program, PARTITION, self.epoch(0), tokens, 1, 0)
+        if self.apply(writer, body).accepted:
+            drawn = self.ledger.program_by_id[program].drawn.tokens
+            assert drawn == max(before, tokens)
+
+    @precondition(lambda self: self.offset % 4 == 0)
+    @rule(holder=holders, program=programs, late=stale)
+    def end(self, holder: bool, program: ProgramId, late: int) -> None:
+        writer = self.writer(holder)
+        body = ProgramEnded(program, PARTITION, self.epoch(late), "done")
+        if self.apply(writer, body).accepted:
+            assert self.holds(writer, late)
+            self.ended.add(program)
+
+    @precondition(lambda self: self.offset % 4 == 1)
+    @rule(holder=holders, before=st.sampled_from([10, 20, 150]))
+    def forget(self, holder: bool, before: int) -> None:
+        writer = self.writer(holder)
+        accepted = self.apply(writer, Forgotten(before)).accepted
+        assert accepted == (before > self.forgotten)
+        self.forgotten = max(before, self.forgotten)
+
+    @rule()
+    def checkpoint(self) -> None:
+        state = cbor2.loads(cbor2.dumps(self.ledger.dump()))
+        self.ledger = self.ledger_class()
+        self.ledger.load(state)
+        assert cbor2.loads(cbor2.dumps(self.ledger.dump())) == state
+
+    @invariant()
+    def never_reverts(self) -> None:
+        assert self.ledger.forgotten_before_ms == self.forgotten
+
+
+class _AnyEpoch(Ledger):
+    """Breaks the rule on epochs: any epoch of the holder will do."""
+
+    def apply(
+        self,
+        offset: Offset,
+        writer: SessionId,
+        body: CellRecord,
+        claims: Claims,
+    ) -> Verdict:
+        claim = claims.current(PARTITION)
+        if claim is not None and isinstance(body, IntentRecorded):
+            body = IntentRecorded(
+                body.program,
+                body.partition,
+                claim.offset,
+                body.key,
+                body.body_digest,
+                body.target,
+                body.number,
+            )
+        return super().apply(offset, writer, body, claims)
+
+
+class _AnyVoid(Ledger):
+    """Breaks the rule on voids: another session's word will do."""
+
+    def _void(
+        self, writer: SessionId, body: IntentVoided, claims: Claims
+    ) -> Verdict:
+        intent = self.intent(body.program, body.key)
+        if intent is not None:
+            intent.session = writer
+        return super()._void(writer, body, claims)
+
+
+class _Unforgetting(Ledger):
+    """Breaks the rule on forgotten programs: their ids open again."""
+
+    def _open(self, body: ProgramOpened) -> Verdict:
+        kept, self.forgotten_before_ms = self.forgotten_before_ms, 0
+        verdict = super()._open(body)
+        self.forgotten_before_ms = kept
+        return verdict
+
+
+def _run(ledger: type[Ledger]) -> None:
+    machine = type("Machine", (_LedgerMachine,), {"ledger_class": ledger})
+    run_state_machine_as_test(
+        machine,
+        settings=settings(
+            max_examples=150,
+            stateful_step_count=40,
+            phases=(Phase.generate,),
+        ),
+    )
+
+
+def test_ledger_keeps_its_rules() -> None:
+    _run(Ledger)
+
+
+@pytest.mark.parametrize("broken", [_AnyEpoch, _AnyVoid, _Unforgetting])
+def test_broken_ledger_is_found(broken: type[Ledger]) -> None:
+    with pytest.raises(AssertionError):
+        _run(broken)
+
+
+def test_intent_needs_an_issued_id() -> None:
+    ledger, claims = Ledger(), _Claims()
+    claims.claim = _Claim(SessionId("s1"), Offset(1))
+    program = ledger_id(ACCOUNT, ProgramId("chosen"))
+    opened = ProgramOpened(program, ACCOUNT, "", PARTITION, Offset(1), 5)
+    intent = IntentRecorded(
+        program,
+        PARTITION,
+        Offset(1),
+        IdempotencyKey("k"),
+        b"d",
+        TargetId("t"),
+        1,
+    )
+    writer = SessionId("s1")
+    assert ledger.apply(Offset(2), writer, opened, claims).accepted
+    assert not ledger.apply(Offset(3), writer, intent, claims).accepted
