Bench scheduling policies on modelled engines in virtual time

Cause: placement, order and limits have to be judged in figures, against baselines, with late load reports and gappy cache events.

--- /dev/null
+++ b/lycheestall/bench_report.py
@@ -0,0 +1,221 @@
+"""Sums up runs of the policy bench, for people and for scripts."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import asdict, dataclass
+
+import orjson
+
+from ._bench_programs import BenchTally, ProgramRecord
+from .bench_plans import ProgramPlan, lower_bound_s, work_s
+from .engine_model import EngineCosts
+
+__all__ = [
+    "LOWER_BOUND",
+    "PolicyRow",
+    "lower_bound_row",
+    "mean_row",
+    "policy_row",
+    "rows_as_json",
+    "rows_as_table",
+]
+
+LOWER_BOUND = "lower_bound"
+
+
+@dataclass(frozen=True, slots=True)
+class PolicyRow:
+    """One policy over one workload; times are in seconds.
+
+    Attributes:
+        policy: Its name.
+        workload: The workload's name.
+        load: Offered work as a share of capacity.
+        seeds: How many runs the row stands for.
+        programs: Top-level programs that ended.
+        completed: Share of programs that got all their answers.
+        mean_s: Mean program latency.
+        p50_s: Median program latency.
+        p95_s: 95th percentile.
+        p99_s: 99th percentile.
+        bound_ratio: Mean latency over the lower bound's.
+        wasted: Share of reusable prompt tokens computed again.
+        goodput: Work of programs completed within the horizon, as a
+            share of capacity.
+        refused: Refusals that callers got.
+        failed: Failures that callers got.
+        sent: Dispatches to engines per answered call.
+        worst_account: Highest ratio of an account's mean latency to its
+            own lower bound, over the ratio of all programs.
+        p95_by_account: 95th percentile by account.
+    """
+
+    policy: str
+    workload: str
+    load: float
+    seeds: int
+    programs: float
+    completed: float
+    mean_s: float
+    p50_s: float
+    p95_s: float
+    p99_s: float
+    bound_ratio: float
+    wasted: float
+    goodput: float
+    refused: float
+    failed: float
+    sent: float
+    worst_account: float
+    p95_by_account: dict[str, float]
+
+
+def policy_row(
+    policy: str,
+    tally: BenchTally,
+    *,
+    workload: str,
+    load: float,
+    costs: EngineCosts,
+    engines: int,
+    horizon_s: float,
+) -> PolicyRow:
+    """Returns the row of one run."""
+    records = tally.records
+    latencies = [record.latency_s for record in records]
+    bounds = [lower_bound_s(record.plan, costs) for record in records]
+    done = [r for r in records if r.completed]
+    useful = sum(work_s(r.plan, costs) for r in done if r.ended_s <= horizon_s)
+    return PolicyRow(
+        policy=policy,
+        workload=workload,
+        load=load,
+        seeds=1,
+        programs=len(records),
+        completed=len(done) / max(len(records), 1),
+        mean_s=_mean(latencies),
+        p50_s=_quantile(latencies, 0.50),
+        p95_s=_quantile(latencies, 0.95),
+        p99_s=_quantile(latencies, 0.99),
+        bound_ratio=_mean(latencies) / max(_mean(bounds), 1e-9),
+        wasted=tally.wasted_tokens / max(tally.reusable_tokens, 1),
+        goodput=useful / horizon_s / engines,
+        refused=tally.refused,
+        failed=tally.failed,
+        sent=tally.sent / max(tally.calls, 1),
+        worst_account=_worst_account(records, costs),
+        p95_by_account=_p95_by_account(records),
+    )
+
+
+def lower_bound_row(
+    plans: Sequence[ProgramPlan],
+    *,
+    workload: str,
+    load: float,
+    costs: EngineCosts,
+) -> PolicyRow:
+    """Returns the row that no policy can beat."""
+    records = [
+        ProgramRecord(plan, plan.arrival_s + lower_bound_s(plan, costs), True)
+        for plan in plans
+    ]
+    tally = BenchTally(records=records)
+    return policy_row(
+        LOWER_BOUND,
+        tally,
+        workload=workload,
+        load=load,
+        costs=costs,
+        engines=1,
+        horizon_s=float("inf"),
+    )
+
+
+def mean_row(rows: Sequence[PolicyRow]) -> PolicyRow:
+    """Returns the mean of one policy's rows over seeds."""
+    first = rows[0]
+    values: dict[str, float] = {}
+    for name, value in asdict(first).items():
+        if isinstance(value, float | int) and name not in ("load", "seeds"):
+            values[name] = _mean([getattr(row, name) for row in rows])
+    accounts = {name for row in rows for name in row.p95_by_account}
+    p95_by_account = {
+        name: _mean([row.p95_by_account.get(name, 0.0) for row in rows])
+        for name in sorted(accounts)
+    }
+    return PolicyRow(
+        policy=first.policy,
+        workload=first.workload,
+        load=first.load,
+        seeds=len(rows),
+        p95_by_account=p95_by_account,
+        **values,
+    )
+
+
+def rows_as_json(rows: Sequence[PolicyRow]) -> str:
+    """Returns rows as one JSON document with sorted keys."""
+    options = orjson.OPT_INDENT_2 | orjson.OPT_SORT_KEYS
+    document = {"rows": [asdict(row) for row in rows]}
+    return orjson.dumps(document, option=options).decode()
+
+
+def rows_as_table(rows: Sequence[PolicyRow]) -> str:
+    """Returns rows as a table for people."""
+    lines = [
+        f"{'workload':<11}{'load':>5} {'policy':<18}{'mean':>8}{'p50':>8}"
+        f"{'p95':>8}{'p99':>8}{'/bound':>7}{'wasted':>8}{'goodput':>8}"
+        f"{'done':>6}{'refused':>8}{'failed':>7}{'sent':>6}{'worst':>6}"
+    ]
+    for row in rows:
+        lines.append(
+            f"{row.workload:<11}{row.load:>5.2f} {row.policy:<18}"
+            f"{row.mean_s:>8.2f}{row.p50_s:>8.2f}{row.p95_s:>8.2f}"
+            f"{row.p99_s:>8.2f}{row.bound_ratio:>7.2f}{row.wasted:>8.2%}"
+            f"{row.goodput:>8.3f}{row.completed:>6.0%}{row.refused:>8.1f}"
+            f"{row.failed:>7.1f}{row.sent:>6.2f}{row.worst_account:>6.2f}"
+        )
+    return "\n".join(lines)
+
+
+def _mean(values: Sequence[float]) -> float:
+    return sum(values) / len(values) if values else 0.0
+
+
+def _quantile(values: Sequence[float], share: float) -> float:
+    if not values:
+        return 0.0
+    ordered = sorted(values)
+    return ordered[min(int(share * len(ordered)), len(ordered) - 1)]
+
+
+def _worst_account(
+    records: Sequence[ProgramRecord], costs: EngineCosts
+) -> float:
+    overall = _ratio(records, costs)
+    if not overall:
+        return 0.0
+    accounts = {record.plan.account for record in records}
+    ratios: list[float] = []
+    for account in accounts:
+        own = [r for r in records if r.plan.account == account]
+        ratios.append(_ratio(own, costs))
+    return max(ratios) / overall
+
+
+def _ratio(records: Sequence[ProgramRecord], costs: EngineCosts) -> float:
+    bound = sum(lower_bound_s(record.plan, costs) for record in records)
+    return sum(record.latency_s for record in records) / max(bound, 1e-9)
+
+
+def _p95_by_account(records: Sequence[ProgramRecord]) -> dict[str, float]:
+    by_account: dict[str, list[float]] = {}
+    for record in records:
+        latencies = by_account.setdefault(record.plan.account, [])
+        latencies.append(record.latency_s)
+    return {
+        account: _quantile(latencies, 0.95)
+        for account, latencies in sorted(by_account.items())
+    }
--- a/lycheestall/engine_scheduler.py
+++ b/lycheestall/engine_scheduler.py
@@ -117,6 +117,9 @@
         """The engine has the job."""
         self._job_by_key[key].accepted = True
 
+    def started(self, key: JobKey, now: float) -> None:
+        """The first chunk of the answer has come."""
+
     def done(
         self, key: JobKey, result: EngineDone, now: float
     ) -> list[DispatchCommand]:
