--- a/lycheestall/_engine_dispatch.py
+++ b/lycheestall/_engine_dispatch.py
@@ -7,11 +7,9 @@
 from typing import Any
 
 from twisted.internet import defer
-from twisted.internet.interfaces import IReactorTime
-from twisted.internet.task import deferLater
 from twisted.python.failure import Failure
 
-from ._timer import timer_of
+from .clock import Clock, sleep
 from .dispatch import ChatJob, ChatListener, JobHandle
 from .dispatch_commands import JobKey
 from .ids import RequestId, TargetId
@@ -68,7 +66,7 @@
         listener: ChatListener,
         *,
         owner: StreamOwner,
-        clock: IReactorTime,
+        clock: Clock,
         delivered: int = 0,
     ) -> None:
         """Holds a job that no engine has yet.
@@ -89,7 +87,7 @@
         self.target = TargetId("")
         self._owner = owner
         self._clock = clock
-        self._timer = timer_of(clock)
+        self._timer = clock
         self._delivered = delivered
         self._request = RequestId("")
         self._engine: Engine | None = None
@@ -223,9 +221,9 @@
             self._stream = None
 
 
-async def _pause(clock: IReactorTime, seconds: float) -> None:
+async def _pause(clock: Clock, seconds: float) -> None:
     if seconds:
-        await deferLater(clock, seconds)
+        await sleep(clock, seconds)
 
 
 def _ignore(deferred: defer.Deferred[Any]) -> None:
--- a/lycheestall/clock.py
+++ b/lycheestall/clock.py
@@ -5,7 +5,9 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
-__all__ = ["Clock", "Timer"]
+from twisted.internet.defer import Deferred
+
+__all__ = ["Clock", "Timer", "sleep"]
 
 
 class Timer(Protocol):
@@ -31,3 +33,21 @@
         self, delay: float, call: Callable[..., Any], *args: Any
     ) -> Any:
         """Calls back after ``delay`` seconds; returns a ``Timer``."""
+
+
+def sleep(clock: Clock, seconds: float) -> Deferred[None]:
+    """Returns a Deferred that fires after a while; cancelling drops it.
+
+    Args:
+        clock: Times the wait.
+        seconds: How long to wait.
+    """
+    timer: Timer | None = None
+
+    def cancel(_: Deferred[None]) -> None:
+        if timer is not None and timer.active():
+            timer.cancel()
+
+    done: Deferred[None] = Deferred(cancel)
+    timer = clock.callLater(seconds, done.callback, None)
+    return done
--- a/lycheestall/engine_dispatcher.py
+++ b/lycheestall/engine_dispatcher.py
@@ -7,11 +7,10 @@
 from typing import Any, cast
 
 from twisted.internet import defer
-from twisted.internet.interfaces import IDelayedCall, IReactorTime
 from twisted.python.failure import Failure
 
 from ._engine_dispatch import EngineDispatch, StreamOwner
-from ._timer import timer_of
+from .clock import Clock, Timer
 from .dispatch import ChatDispatcher, ChatJob, ChatListener, JobHandle
 from .dispatch_commands import (
     DispatchCommand,
@@ -50,7 +49,7 @@
         *,
         engines: EngineDirectory,
         rules: Callable[[], RuleBook],
-        clock: IReactorTime,
+        clock: Clock,
         wall_ms: Callable[[], int],
         random: Random,
         vm: VmId,
@@ -79,7 +78,7 @@
         self._session = session
         self._engines = engines
         self._clock = clock
-        self._timer = timer_of(clock)
+        self._timer = clock
         self._crash_reporter = crash_reporter
         self._scheduler = EngineScheduler(
             vm=vm,
@@ -91,10 +90,10 @@
         )
         self._dispatch_by_key: dict[JobKey, EngineDispatch] = {}
         self._keys = 0
-        self._turn: IDelayedCall | None = None
-        self._wake: IDelayedCall | None = None
+        self._turn: Timer | None = None
+        self._wake: Timer | None = None
         self._wake_at: float | None = None
-        self._watch: IDelayedCall | None = None
+        self._watch: Timer | None = None
         self._submitted: list[JobKey] = []
         self.engines_changed()
 
--- a/lycheestall/node.py
+++ b/lycheestall/node.py
@@ -5,14 +5,12 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
-from typing import cast
 
 from twisted.internet.defer import Deferred, ensureDeferred
-from twisted.internet.interfaces import IReactorTime
 
 from .application_directory import ApplicationDirectory
 from .calls import Call, CallHandle, CallHandler, CallSink, ResponseHead
-from .clock import Clock
+from .clock import Clock, sleep
 from .engine_directory import EngineDirectory
 from .engine_dispatcher import EngineDispatcher
 from .ids import AccountId, ProgramId, SessionId, TargetId, VmId
@@ -91,14 +89,13 @@
         ]
         self._draining = False
         self._calls = 0
-        reactor_time = cast(IReactorTime, ports.clock)
         self.supervisor = Supervisor(clock=ports.clock, logger=ports.logger)
         self.cell = StaticCell(settings.vm, [settings.vm])
         self.engines = EngineDirectory(factory=ports.targets.engine)
         self.dispatcher = EngineDispatcher(
             engines=self.engines,
             rules=self.rules,
-            clock=reactor_time,
+            clock=ports.clock,
             wall_ms=ports.wall_ms,
             random=ports.random,
             vm=settings.vm,
@@ -116,7 +113,7 @@
             dispatcher=self.dispatcher,
             applications=self.applications,
             rules=self.rules,
-            clock=reactor_time,
+            clock=ports.clock,
             wall_ms=ports.wall_ms,
             receipt_keys=self._receipt_keys,
             settings=settings.tuning,
@@ -231,12 +228,7 @@
     async def _drain(self) -> None:
         end = self.now() + self.settings.tuning.drain_limit_s
         while self.calls_in_progress() and self.now() < end:
-            await self._sleep(DRAIN_CHECK_S)
-
-    def _sleep(self, seconds: float) -> Deferred[None]:
-        done: Deferred[None] = Deferred()
-        self._ports.clock.callLater(seconds, done.callback, None)
-        return done
+            await sleep(self._ports.clock, DRAIN_CHECK_S)
 
     def _on_message(self, peer: VmId, message: MeshMessage) -> None:
         self.router.on_message(peer, message)
