Ask for authority right before a request is written

Cause: the owner's authority was checked before the connection to a target was opened; a VM that paused while connecting could write a call after another VM had taken its program over. Change: engines and applications ask a gate when the request's body is written; a closed gate drops the connection with the request incomplete and the outcome is "not sent". Chat requests get a connection of their own, so that a kept one that has gone silent cannot swallow them.

--- a/lycheestall/_engine_dispatch.py
+++ b/lycheestall/_engine_dispatch.py
@@ -143,6 +143,10 @@
         self.stop()
         self._owner.cancelled(self)
 
+    def may_send(self) -> bool:
+        """Returns whether the owner still lets the request go out."""
+        return not self.ended and self.job.may_send() is None
+
     def accepted(self) -> None:
         """The engine has the request."""
         if self.ended:
--- a/lycheestall/_http_client.py
+++ b/lycheestall/_http_client.py
@@ -8,7 +8,7 @@
 from urllib.parse import urlencode
 
 from treq.client import HTTPClient
-from twisted.internet.defer import CancelledError, Deferred
+from twisted.internet.defer import CancelledError, Deferred, fail, succeed
 from twisted.internet.endpoints import (
     TCP4ClientEndpoint,
     TCP6ClientEndpoint,
@@ -16,14 +16,18 @@
 from twisted.internet.error import ConnectError, ConnectingCancelledError
 from twisted.internet.protocol import Protocol
 from twisted.python.failure import Failure
-from twisted.web._newclient import RequestNotSent, ResponseDone
+from twisted.web._newclient import (
+    RequestGenerationFailed,
+    RequestNotSent,
+    ResponseDone,
+)
 from twisted.web.client import (
     URI,
     Agent,
     HTTPConnectionPool,
 )
 from twisted.web.http_headers import Headers
-from twisted.web.iweb import IAgentEndpointFactory
+from twisted.web.iweb import IAgentEndpointFactory, IBodyProducer
 from zope.interface import implementer
 
 __all__ = [
@@ -103,6 +107,41 @@
 _DONE = Failure(ResponseDone())
 
 
+class SendStoppedError(Exception):
+    """The gate was closed when the request was about to be written."""
+
+
+@implementer(IBodyProducer)
+class _GatedBody:
+    """A body that asks its gate right before it is written.
+
+    The head is written in the same turn of the loop; a closed gate
+    drops the connection with the request incomplete.
+    """
+
+    def __init__(self, body: bytes, may_send: Callable[[], bool]) -> None:
+        self.length = len(body)
+        self._body = body
+        self._may_send = may_send
+
+    def startProducing(self, consumer: Any) -> Deferred[None]:  # noqa: N802
+        """Writes the whole body, or fails at a closed gate."""
+        if not self._may_send():
+            return fail(SendStoppedError())
+        if self._body:
+            consumer.write(self._body)
+        return succeed(None)
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Has nothing to stop."""
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Has nothing to pause."""
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Has nothing to resume."""
+
+
 class BodyReader(Protocol):
     """Hands on a body's bytes and watches for a stall.
 
@@ -202,6 +241,7 @@
         body: bytes | None = None,
         timeout_s: float = REQUEST_TIMEOUT_S,
         fresh: bool = False,
+        may_send: Callable[[], bool] | None = None,
     ) -> Any:
         """Sends a request and waits for the head of its answer.
 
@@ -214,6 +254,8 @@
             timeout_s: Seconds until the head must be there.
             fresh: Whether to use a connection of its own, so that a
                 kept one that has gone silent cannot swallow it.
+            may_send: Asked right before the request is written; False
+                makes the result ``NotSent``.
 
         Returns:
             The answer (``IResponse``), its body not yet read, or
@@ -222,13 +264,16 @@
         if params:
             url = f"{url}?{urlencode(params)}"
         client = self._fresh if fresh else self._kept
+        data: Any = body
+        if may_send is not None:
+            data = _GatedBody(body or b"", may_send)
         sent = client.request(
             method,
             url,
             headers=Headers(
                 {name: [value] for name, value in (headers or {}).items()}
             ),
-            data=body,
+            data=data,
             allow_redirects=False,
             unbuffered=True,
         )
@@ -237,6 +282,10 @@
             return await sent
         except (ConnectError, ConnectingCancelledError, RequestNotSent) as e:
             return NotSent(f"{type(e).__name__}: {e}")
+        except RequestGenerationFailed as error:
+            if error.reasons[0].check(SendStoppedError):
+                return NotSent("stopped right before sending")
+            return NoAnswer(f"{type(error).__name__}: {error}")
         except CancelledError:
             raise
         except Exception as error:
@@ -272,6 +321,7 @@
         body: bytes | None = None,
         timeout_s: float = REQUEST_TIMEOUT_S,
         fresh: bool = False,
+        may_send: Callable[[], bool] | None = None,
     ) -> HttpResult:
         """Sends a request and reads the whole answer.
 
@@ -286,6 +336,7 @@
             body=body,
             timeout_s=timeout_s,
             fresh=fresh,
+            may_send=may_send,
         )
         if isinstance(response, (NotSent, NoAnswer)):
             return response
--- a/lycheestall/application_http.py
+++ b/lycheestall/application_http.py
@@ -18,6 +18,8 @@
     LoadReport,
     LookupAnswer,
     LookupState,
+    SendGate,
+    always,
 )
 
 __all__ = ["HttpApplication"]
@@ -44,7 +46,9 @@
         self._target = target
         self._base_url = base_url
 
-    async def call(self, request: ActionRequest) -> ActionAnswer:
+    async def call(
+        self, request: ActionRequest, *, may_send: SendGate = always
+    ) -> ActionAnswer:
         """Sends one call, once; never repeats it by itself."""
         headers = {
             "content-type": request.content_type,
@@ -61,6 +65,7 @@
             body=request.body,
             timeout_s=request.deadline_s,
             fresh=bool(request.key),
+            may_send=may_send,
         )
         if isinstance(result, NotSent):
             return ActionNotSent(result.detail)
--- a/lycheestall/engine_http.py
+++ b/lycheestall/engine_http.py
@@ -76,6 +76,8 @@
             headers=_request_headers(request),
             body=request.body,
             timeout_s=request.deadline_s,
+            fresh=True,
+            may_send=sink.may_send,
         )
         body_bytes = len(request.body)
         _, result = await self._stream(response, sink, body_bytes, False)
--- a/lycheestall/targets.py
+++ b/lycheestall/targets.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 from typing import TypeAlias
@@ -40,6 +41,8 @@
     "OrderAnswer",
     "OrderKind",
     "OrderResult",
+    "SendGate",
+    "always",
 ]
 
 
@@ -118,9 +121,22 @@
 EngineResult: TypeAlias = EngineDone | EngineRefused | EngineBroken
 
 
+SendGate = Callable[[], bool]
+"""Asked right before a request is written to a socket; False stops it."""
+
+
+def always() -> bool:
+    """The gate that is always open."""
+    return True
+
+
 class EngineSink(ABC):
     """Receives the stream of one engine request."""
 
+    def may_send(self) -> bool:
+        """Asked right before the request is written; False stops it."""
+        return True
+
     @abstractmethod
     def accepted(self) -> None:
         """The engine has the request; later calls cannot overtake it."""
@@ -368,8 +384,16 @@
     """An application runner or tool service that plain calls go to."""
 
     @abstractmethod
-    async def call(self, request: ActionRequest) -> ActionAnswer:
-        """Sends one call, once; never repeats it by itself."""
+    async def call(
+        self, request: ActionRequest, *, may_send: SendGate = always
+    ) -> ActionAnswer:
+        """Sends one call, once; never repeats it by itself.
+
+        Args:
+            request: The call.
+            may_send: Asked right before the call is written to a
+                socket; False makes the answer ``ActionNotSent``.
+        """
 
     @abstractmethod
     async def look_up(self, key: IdempotencyKey) -> LookupAnswer | None:
--- a/tests/fake_targets.py
+++ b/tests/fake_targets.py
@@ -47,6 +47,8 @@
     LookupState,
     OrderAnswer,
     OrderResult,
+    SendGate,
+    always,
 )
 from tests.fakes import NodeClock, World
 
@@ -223,9 +225,8 @@
         if refused is not None:
             return refused
         life = self._engine.clock
-        await self._travel()
-        if not life.alive:
-            return EngineBroken(False, 0, "connection reset")
+        if not sink.may_send():
+            return EngineRefused(0, "stopped right before sending")
         opened: Deferred[_Stream] = Deferred()
 
         def arrive() -> None:
@@ -234,7 +235,7 @@
                 LATENCY_S, lambda: opened.callback(stream), self._clock
             )
 
-        self._world.later(0.0, arrive, life)
+        self._world.later(LATENCY_S, arrive, life)
         self._watch(life, opened)
         stream = await opened
         if stream is None:
@@ -442,14 +443,17 @@
         self._vm = vm
         self._world = application.world
 
-    async def call(self, request: ActionRequest) -> ActionAnswer:
+    async def call(
+        self, request: ActionRequest, *, may_send: SendGate = always
+    ) -> ActionAnswer:
         """Sends one call."""
         await self._travel()
         application = self._application
         life = application.clock
         if not life.alive:
             return ActionNotSent("connection refused")
-        await self._travel()
+        if not may_send():
+            return ActionNotSent("stopped right before sending")
         done: Deferred[ActionAnswer] = Deferred()
 
         def answer(result: ActionAnswer) -> None:
--- /dev/null
+++ b/tests/test_http_client.py
@@ -0,0 +1,50 @@
+"""Tests of the HTTP client's gate right before sending."""
+
+from __future__ import annotations
+
+from twisted.internet.defer import ensureDeferred
+from twisted.internet.testing import (
+    MemoryReactorClock,
+    StringTransportWithDisconnection,
+)
+from twisted.web.client import HTTPConnectionPool
+
+from lycheestall._http_client import HttpClient, NotSent
+
+
+def sent_bytes(may_send: bool) -> tuple[bytes, list[object], bool]:
+    """Runs one POST up to its writing; returns bytes, results, abort."""
+    reactor = MemoryReactorClock()
+    pool = HTTPConnectionPool(reactor, persistent=False)
+    client = HttpClient(reactor, pool)
+    results: list[object] = []
+    done = ensureDeferred(
+        client.open(
+            "POST",
+            "http://127.0.0.1:8000/orders",
+            body=b'{"poles":3}',
+            fresh=True,
+            may_send=lambda: may_send,
+        )
+    )
+    done.addBoth(results.append)
+    factory = reactor.tcpClients[0][2]
+    protocol = factory.buildProtocol(None)
+    transport = StringTransportWithDisconnection()
+    transport.protocol = protocol
+    protocol.makeConnection(transport)
+    return transport.value(), results, not transport.connected
+
+
+def test_open_gate_sends_the_whole_request() -> None:
+    written, results, aborted = sent_bytes(may_send=True)
+    assert written.endswith(b'\r\n\r\n{"poles":3}')
+    assert results == []
+    assert not aborted
+
+
+def test_closed_gate_sends_no_body_and_drops_the_connection() -> None:
+    written, results, aborted = sent_bytes(may_send=False)
+    assert b"poles" not in written
+    assert results == [NotSent("stopped right before sending")]
+    assert aborted
