--- /dev/null
+++ b/lycheestall/publication.py
@@ -0,0 +1,268 @@
+"""Which rules are in force: the fold of the rules stream.
+
+Every VM folds the same records, so every VM accepts the same proposals.
+The version in force is the offset of the proposal accepted last; it only
+grows.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import replace
+
+from ._publication_state import (
+    PublicationState,
+    Reader,
+    StaleStateError,
+    decode_state,
+    encode_state,
+)
+from .fold import Fold, Verdict
+from .ids import Offset, OperatorName, SessionId
+from .publication_history import (
+    Decision,
+    FileChange,
+    History,
+    compare_files,
+)
+from .records import (
+    NO_OFFSET,
+    ReaderJoined,
+    ReaderLeft,
+    Record,
+    RulesApplied,
+    RulesCheckpoint,
+    RulesProposed,
+)
+from .rules_parser import RULES_FORMAT, parse_rules
+from .rules_text import RuleFile
+
+__all__ = ["Publication", "Reader", "StaleStateError"]
+
+MAX_TEXT_BYTES = 4 * 1024 * 1024
+MAX_WRITERS = 4096
+MAX_BLOCKERS_NAMED = 5
+
+
+class Publication(Fold):
+    """The rules in force, who reads them, and the audit trail.
+
+    Attributes:
+        as_of: The newest offset taken into the state.
+        version: The version in force, -1 before the first.
+        base: The version that the one in force was made from.
+        text: Its text.
+        text_format: The text's format.
+        operator: Who published it.
+        file: Its rules.
+        readable: False when a format was accepted that this release
+            cannot read; it must not serve then.
+        history: The audit trail.
+    """
+
+    def __init__(self, *, newest_format: int = RULES_FORMAT) -> None:
+        self._newest_format = newest_format
+        self.as_of = NO_OFFSET
+        self.version = NO_OFFSET
+        self.base = NO_OFFSET
+        self.text = ""
+        self.text_format = RULES_FORMAT
+        self.operator = OperatorName("")
+        self.file = RuleFile()
+        self.readable = True
+        self.history = History()
+        self._reader_by_session: dict[SessionId, Reader] = {}
+        self._newest_by_writer: OrderedDict[SessionId, int] = OrderedDict()
+
+    def readers(self) -> tuple[Reader, ...]:
+        """Returns the live readers, in order of their session ids."""
+        found = sorted(self._reader_by_session.items())
+        return tuple(reader for _, reader in found)
+
+    def newest_sequence(self, writer: SessionId) -> int:
+        """Returns the newest sequence taken from a writer, 0 for none.
+
+        Args:
+            writer: The writer's session.
+        """
+        return self._newest_by_writer.get(writer, 0)
+
+    def apply(self, offset: Offset, record: Record) -> Verdict:
+        """Takes the next record into the state."""
+        if offset <= self.as_of:
+            return Verdict(False, "already folded")
+        self.as_of = offset
+        if record.sequence <= self.newest_sequence(record.writer):
+            return Verdict(False, "duplicate")
+        self._newest_by_writer[record.writer] = record.sequence
+        self._newest_by_writer.move_to_end(record.writer)
+        self._forget_old_writers()
+        return self._apply(offset, record)
+
+    def skip(self, offset: Offset, *, unreadable: bool = False) -> None:
+        """Passes over an entry that is no record of this release.
+
+        Args:
+            offset: Where it is.
+            unreadable: Whether it is a record of a newer format, after
+                which this release cannot know the state.
+        """
+        self.as_of = max(self.as_of, offset)
+        if unreadable:
+            self.readable = False
+
+    def _apply(self, offset: Offset, record: Record) -> Verdict:
+        match record.body:
+            case RulesProposed() as proposal:
+                return self._propose(offset, proposal)
+            case ReaderJoined(vm, newest_format):
+                return self._join(Reader(record.writer, vm, newest_format))
+            case ReaderLeft(session):
+                found = self._reader_by_session.pop(session, None)
+                return _verdict(found is not None, "no such reader")
+            case RulesApplied(vm, version, at_ms):
+                new = self.history.applied(version, vm, at_ms)
+                return _verdict(new, "no accepted version, or known")
+            case RulesCheckpoint(version=version):
+                same = version == self.version
+                return _verdict(same, "not the version in force")
+        return Verdict(False, "not a record of the rules stream")
+
+    def _forget_old_writers(self) -> None:
+        if len(self._newest_by_writer) <= MAX_WRITERS:
+            return
+        for writer in self._newest_by_writer:
+            if writer not in self._reader_by_session:
+                del self._newest_by_writer[writer]
+                return
+
+    def _join(self, reader: Reader) -> Verdict:
+        if reader.newest_format < self.text_format:
+            why = f"cannot read format {self.text_format}, which is in force"
+            return Verdict(False, why)
+        for session, other in list(self._reader_by_session.items()):
+            if other.vm == reader.vm:
+                del self._reader_by_session[session]
+        self._reader_by_session[reader.session] = reader
+        return Verdict(True)
+
+    def _propose(self, offset: Offset, proposal: RulesProposed) -> Verdict:
+        known = self.history.by_nonce(proposal.nonce)
+        if known is not None:
+            return Verdict(False, f"decided at offset {known.offset}")
+        decision, why, file = self._judge(proposal)
+        change = FileChange()
+        if file is not None:
+            change = compare_files(self.file, file)
+        self.history.add(offset, proposal, decision, why, change)
+        if decision is not Decision.ACCEPTED:
+            return Verdict(False, why)
+        self.version = offset
+        self.base = proposal.base
+        self.text = proposal.text
+        self.text_format = proposal.text_format
+        self.operator = proposal.operator
+        self.readable = file is not None
+        self.file = file or RuleFile()
+        return Verdict(True)
+
+    def _judge(
+        self, proposal: RulesProposed
+    ) -> tuple[Decision, str, RuleFile | None]:
+        """Returns decision, reason and, when readable, the rules."""
+        blockers = self._blockers(proposal.text_format)
+        if proposal.base != self.version:
+            why = f"version {self.version} is in force, not {proposal.base}"
+            return Decision.CONFLICT, why, None
+        if blockers:
+            return Decision.BLOCKED, blockers, None
+        if len(proposal.text.encode()) > MAX_TEXT_BYTES:
+            why = f"the text is over {MAX_TEXT_BYTES} bytes"
+            return Decision.INVALID, why, None
+        if proposal.text_format > self._newest_format:
+            return Decision.ACCEPTED, "", None
+        found = parse_rules(proposal.text, file="proposal")
+        if not isinstance(found, RuleFile):
+            why = f"{len(found)} errors, first {found[0]}"
+            return Decision.INVALID, why, None
+        return Decision.ACCEPTED, "", found
+
+    def _blockers(self, text_format: int) -> str:
+        names: list[str] = []
+        for reader in self.readers():
+            if reader.newest_format < text_format:
+                names.append(reader.vm)
+        if not names:
+            return ""
+        shown = ", ".join(names[:MAX_BLOCKERS_NAMED])
+        return f"{len(names)} VMs cannot read format {text_format}: {shown}"
+
+    def dump(self) -> bytes:
+        """Returns the whole state, for a checkpoint."""
+        return encode_state(self._state())
+
+    def load(self, data: bytes) -> None:
+        """Replaces the state by a newer one that ``dump`` made.
+
+        Raises:
+            StaleStateError: The state is older than the one held.
+        """
+        self._restore(decode_state(data))
+
+    def checkpoint(self) -> RulesCheckpoint:
+        """Returns the record that lets readers start from here."""
+        rest = replace(self._state(), text="")
+        return RulesCheckpoint(
+            self.as_of,
+            self.version,
+            self.text,
+            self.text_format,
+            encode_state(rest),
+        )
+
+    def adopt(self, checkpoint: RulesCheckpoint) -> None:
+        """Starts from a checkpoint; go on at ``as_of`` plus 1.
+
+        Args:
+            checkpoint: A checkpoint record of this stream.
+
+        Raises:
+            StaleStateError: It is older than the state held.
+        """
+        rest = decode_state(checkpoint.data)
+        self._restore(replace(rest, text=checkpoint.text))
+
+    def _state(self) -> PublicationState:
+        return PublicationState(
+            self.as_of,
+            self.version,
+            self.text,
+            self.text_format,
+            self.base,
+            self.operator,
+            self.readable,
+            self.readers(),
+            tuple(self._newest_by_writer.items()),
+            self.history.entries(),
+        )
+
+    def _restore(self, state: PublicationState) -> None:
+        if state.as_of < self.as_of or state.version < self.version:
+            raise StaleStateError(f"{state.as_of} is before {self.as_of}")
+        found = parse_rules(state.text, file="checkpoint")
+        readable = isinstance(found, RuleFile)
+        self.readable = readable and state.text_format <= self._newest_format
+        self.file = found if isinstance(found, RuleFile) else RuleFile()
+        self.as_of = state.as_of
+        self.version = state.version
+        self.base = state.base
+        self.text = state.text
+        self.text_format = state.text_format
+        self.operator = state.operator
+        self.history = History(state.history)
+        self._reader_by_session = {r.session: r for r in state.readers}
+        self._newest_by_writer = OrderedDict(state.writers)
+
+
+def _verdict(accepted: bool, why: str) -> Verdict:
+    return Verdict(True) if accepted else Verdict(False, why)
--- /dev/null
+++ b/lycheestall/publication_history.py
@@ -0,0 +1,275 @@
+"""The audit trail of rule publications."""
+
+from __future__ import annotations
+
+import hashlib
+from collections import Counter
+from dataclasses import dataclass, replace
+from enum import Enum
+
+from .ids import Offset, OperatorName, VmId
+from .records import RulesProposed
+from .rules_printing import print_statement
+from .rules_text import RuleFile
+
+__all__ = [
+    "Applied",
+    "ChangedLine",
+    "Decision",
+    "FileChange",
+    "History",
+    "HistoryEntry",
+    "compare_files",
+    "text_digest",
+]
+
+MAX_ENTRIES = 500
+MAX_ENTRIES_WITH_VMS = 50
+MAX_LINES_PER_ENTRY = 400
+
+
+class Decision(Enum):
+    """What became of a proposal."""
+
+    ACCEPTED = "accepted"
+    CONFLICT = "conflict"
+    BLOCKED = "blocked"
+    INVALID = "invalid"
+
+
+@dataclass(frozen=True, slots=True)
+class ChangedLine:
+    """A rule that a proposal adds to or removes from those in force.
+
+    Attributes:
+        number: Its line number in the file it stands in.
+        text: The rule without its comment.
+        member: Who asked for it.
+    """
+
+    number: int
+    text: str
+    member: str
+
+
+@dataclass(frozen=True, slots=True)
+class Applied:
+    """When a VM put a version in force, by its own wall clock."""
+
+    vm: VmId
+    applied_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class HistoryEntry:
+    """One proposal and what became of it.
+
+    Attributes:
+        offset: The proposal's offset; the version, when accepted.
+        base: The version it was made from.
+        operator: Who published it.
+        proposed_ms: When, by the publishing VM's wall clock.
+        nonce: Names the publication.
+        digest: Hex SHA-256 of the text.
+        decision: Accepted, or why not.
+        why: A sentence for people, empty when accepted.
+        added: Rules that were not in force before.
+        removed: Rules that are no longer in force.
+        more_lines: How many changed lines are left out.
+        reordered: Whether the same rules stand in another order.
+        applied: When each VM put it in force; recent entries only.
+        applied_count: How many VMs did.
+        last_applied_ms: When the last of them did.
+    """
+
+    offset: Offset
+    base: Offset
+    operator: OperatorName
+    proposed_ms: int
+    nonce: str
+    digest: str
+    decision: Decision
+    why: str = ""
+    added: tuple[ChangedLine, ...] = ()
+    removed: tuple[ChangedLine, ...] = ()
+    more_lines: int = 0
+    reordered: bool = False
+    applied: tuple[Applied, ...] = ()
+    applied_count: int = 0
+    last_applied_ms: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class FileChange:
+    """How one rule file differs from another."""
+
+    added: tuple[ChangedLine, ...] = ()
+    removed: tuple[ChangedLine, ...] = ()
+    reordered: bool = False
+
+
+def _lines(file: RuleFile) -> list[ChangedLine]:
+    return [
+        ChangedLine(rule.number, print_statement(rule.statement), rule.member)
+        for rule in file.rules
+    ]
+
+
+def _missing(
+    lines: list[ChangedLine], others: list[ChangedLine]
+) -> tuple[ChangedLine, ...]:
+    spare = Counter((line.text, line.member) for line in others)
+    found: list[ChangedLine] = []
+    for line in lines:
+        key = (line.text, line.member)
+        if spare[key] > 0:
+            spare[key] -= 1
+            continue
+        found.append(line)
+    return tuple(found)
+
+
+def compare_files(old: RuleFile, new: RuleFile) -> FileChange:
+    """Returns the rules that are only in one of two files.
+
+    Args:
+        old: The file before.
+        new: The file after.
+    """
+    before, after = _lines(old), _lines(new)
+    added = _missing(after, before)
+    removed = _missing(before, after)
+    reordered = False
+    if not added and not removed:
+        keys = [(line.text, line.member) for line in before]
+        reordered = keys != [(line.text, line.member) for line in after]
+    return FileChange(added, removed, reordered)
+
+
+def text_digest(text: str) -> str:
+    """Returns the hex SHA-256 of a rule file's text.
+
+    Args:
+        text: The text.
+    """
+    return hashlib.sha256(text.encode()).hexdigest()
+
+
+class History:
+    """Proposals in log order, bounded; the oldest are dropped.
+
+    Args:
+        entries: What a checkpoint held.
+    """
+
+    def __init__(self, entries: tuple[HistoryEntry, ...] = ()) -> None:
+        self._entry_by_offset = {entry.offset: entry for entry in entries}
+        self._offset_by_nonce = {
+            entry.nonce: entry.offset for entry in entries
+        }
+
+    def entries(self) -> tuple[HistoryEntry, ...]:
+        """Returns all entries, oldest first."""
+        return tuple(self._entry_by_offset.values())
+
+    def by_nonce(self, nonce: str) -> HistoryEntry | None:
+        """Returns what became of a publication, None when unknown.
+
+        Args:
+            nonce: Names the publication.
+        """
+        offset = self._offset_by_nonce.get(nonce)
+        return None if offset is None else self._entry_by_offset[offset]
+
+    def accepted(
+        self, base: Offset, operator: OperatorName, digest: str
+    ) -> HistoryEntry | None:
+        """Returns the accepted publication of a text on a base, if any.
+
+        Args:
+            base: The base it named.
+            operator: Who published it.
+            digest: The text's digest.
+        """
+        for entry in reversed(self._entry_by_offset.values()):
+            if entry.decision is not Decision.ACCEPTED:
+                continue
+            if (entry.base, entry.operator) != (base, operator):
+                continue
+            if entry.digest == digest:
+                return entry
+        return None
+
+    def add(
+        self,
+        offset: Offset,
+        proposal: RulesProposed,
+        decision: Decision,
+        why: str,
+        change: FileChange,
+    ) -> None:
+        """Takes a decided proposal.
+
+        Args:
+            offset: Where it is in the log.
+            proposal: What was proposed.
+            decision: What became of it.
+            why: Why it was not accepted, else empty.
+            change: What it changes against the version then in force.
+        """
+        added = change.added[:MAX_LINES_PER_ENTRY]
+        removed = change.removed[:MAX_LINES_PER_ENTRY]
+        kept = len(added) + len(removed)
+        entry = HistoryEntry(
+            offset,
+            proposal.base,
+            proposal.operator,
+            proposal.proposed_ms,
+            proposal.nonce,
+            text_digest(proposal.text),
+            decision,
+            why,
+            added,
+            removed,
+            len(change.added) + len(change.removed) - kept,
+            change.reordered,
+        )
+        self._entry_by_offset[offset] = entry
+        self._offset_by_nonce.setdefault(proposal.nonce, offset)
+        self._prune()
+
+    def applied(self, version: Offset, vm: VmId, at_ms: int) -> bool:
+        """Notes that a VM put a version in force; the first time counts.
+
+        Args:
+            version: The version.
+            vm: The VM.
+            at_ms: When, by its wall clock.
+
+        Returns:
+            False when the version or the VM's word for it is not new.
+        """
+        entry = self._entry_by_offset.get(version)
+        if entry is None or entry.decision is not Decision.ACCEPTED:
+            return False
+        if any(known.vm == vm for known in entry.applied):
+            return False
+        self._entry_by_offset[version] = replace(
+            entry,
+            applied=(*entry.applied, Applied(vm, at_ms)),
+            applied_count=entry.applied_count + 1,
+            last_applied_ms=max(entry.last_applied_ms, at_ms),
+        )
+        return True
+
+    def _prune(self) -> None:
+        offsets = list(self._entry_by_offset)
+        if len(offsets) > MAX_ENTRIES_WITH_VMS:
+            offset = offsets[-MAX_ENTRIES_WITH_VMS - 1]
+            entry = self._entry_by_offset[offset]
+            self._entry_by_offset[offset] = replace(entry, applied=())
+        if len(offsets) <= MAX_ENTRIES:
+            return
+        dropped = self._entry_by_offset.pop(offsets[0])
+        if self._offset_by_nonce.get(dropped.nonce) == dropped.offset:
+            del self._offset_by_nonce[dropped.nonce]
