Run a VM's part in its cell: lease, ownership, handover

Cause: an owner of programs needs a CellView that keeps its authority through log outages and gives it up before anyone else can take it. A session that joins at the address of an older one supersedes it, so that a cell restarted as a whole does not wait for its dead members.

--- /dev/null
+++ b/lycheestall/cell_agent.py
@@ -0,0 +1,450 @@
+"""This VM's part in its cell: the ``CellView`` that daemons run."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from twisted.internet.defer import Deferred, succeed
+
+from .cell_fold import CellFold
+from .cell_session import CellIdentity, CellSession, SessionState
+from .cell_status import CellStatus
+from .cell_view import CellView, Folded, PartitionWatcher
+from .checkpoints import CheckpointAssembler, CheckpointSchedule
+from .claims import NO_SESSION
+from .clock import Clock, Timer
+from .fold import Fold, Verdict
+from .heartbeats import Heartbeats
+from .ids import Offset, PartitionId, SessionId, StreamName, VmId
+from .log_reader import FoldedHandler, LogReader
+from .log_streams import LogStreams
+from .log_writer import LogWriter
+from .membership import Membership
+from .mesh import Mesh, MessageHandler, PeerLostHandler
+from .messages import (
+    Heartbeat,
+    HeartbeatReply,
+    Hello,
+    MeshMessage,
+    PartitionGiven,
+    PartitionTaken,
+)
+from .outcomes import Reason, Refused, Step
+from .platform import LogService, VmListing, VmRole
+from .records import NO_OFFSET, CellRecord, Record
+from .settings import TuningSettings
+from .targets import LoadReport
+
+__all__ = ["CellAgent", "CellPorts"]
+
+TICK_INTERVAL_S = 0.25
+MAX_LISTED_PEERS = 16
+
+
+@dataclass(frozen=True, slots=True)
+class CellPorts:
+    """What an agent is plugged into.
+
+    Attributes:
+        clock: Monotonic time.
+        log: The platform's log service.
+        mesh: The other daemons.
+        new_session: Makes a session id that was never used before.
+    """
+
+    clock: Clock
+    log: LogService
+    mesh: Mesh
+    new_session: Callable[[], SessionId]
+
+
+class CellAgent(CellView):
+    """Joins the cell, keeps the lease, owns partitions, hands them over.
+
+    A session that another member ended is followed by a new one; what
+    the old one owned is lost first. The agent takes the mesh's messages
+    and passes on those that are not its own.
+
+    Args:
+        identity: What this daemon says of itself.
+        stream: The cell's log stream.
+        fold: The cell's state.
+        watcher: Hears of partitions gained and lost.
+        ports: What the agent is plugged into.
+        tuning: Times and sizes.
+    """
+
+    def __init__(
+        self,
+        identity: CellIdentity,
+        stream: StreamName,
+        fold: CellFold,
+        watcher: PartitionWatcher,
+        ports: CellPorts,
+        *,
+        tuning: TuningSettings,
+    ) -> None:
+        self.fold = fold
+        self._identity = identity
+        self._watcher = watcher
+        self._ports = ports
+        self._tuning = tuning
+        self._clock = ports.clock
+        self._mesh = ports.mesh
+        self._streams = LogStreams(ports.log, ports.clock, ports.mesh)
+        self._reader = self._streams.follow(
+            stream, fold, on_folded=self._folded, on_loaded=self._loaded
+        )
+        self._heartbeats = Heartbeats(ports.mesh)
+        self._schedule = CheckpointSchedule()
+        self._session = SessionId("")
+        self._cell_session: CellSession | None = None
+        self._listed: dict[VmId, tuple[str, int]] = {}
+        self._peers: dict[VmId, tuple[str, int]] = {}
+        self._listing: VmListing | None = None
+        self._load_source: Callable[[], tuple[LoadReport, ...]] = tuple
+        self._on_loads: Callable[[VmId, tuple[LoadReport, ...]], None] | None
+        self._on_loads = None
+        self._on_other_message: MessageHandler | None = None
+        self._on_peer_lost: PeerLostHandler | None = None
+        self._drained: Deferred[None] | None = None
+        self._timers: list[Timer] = []
+        self._running = False
+
+    def follow(
+        self,
+        stream: StreamName,
+        fold: Fold,
+        *,
+        on_folded: FoldedHandler,
+        on_loaded: Callable[[], None],
+        assembler: CheckpointAssembler | None = None,
+    ) -> LogReader:
+        """Follows another stream; call it before ``start``.
+
+        Authority then needs this VM to be up to date with it as well.
+        """
+        return self._streams.follow(
+            stream,
+            fold,
+            on_folded=on_folded,
+            on_loaded=on_loaded,
+            assembler=assembler,
+        )
+
+    def open_writer(self, stream: StreamName, session: SessionId) -> LogWriter:
+        """Returns a writer to another followed stream."""
+        return self._streams.open_writer(
+            stream, session, flush_s=self._tuning.log_flush_s
+        )
+
+    def on_other_message(self, handler: MessageHandler) -> None:
+        """Sets who gets messages that are not the agent's own."""
+        self._on_other_message = handler
+
+    def on_peer_lost(self, handler: PeerLostHandler) -> None:
+        """Sets who else is told of a peer's lost connection."""
+        self._on_peer_lost = handler
+
+    def pass_loads(
+        self,
+        source: Callable[[], tuple[LoadReport, ...]],
+        on_loads: Callable[[VmId, tuple[LoadReport, ...]], None],
+    ) -> None:
+        """Sets what heartbeats say of targets, and who hears of it."""
+        self._load_source = source
+        self._on_loads = on_loads
+
+    def start(self) -> None:
+        """Starts to follow the log; joins once the state is whole."""
+        self._running = True
+        self._mesh.on_message(self._on_message)
+        self._mesh.on_lost(self._lost)
+        self._streams.start()
+        self._beat()
+        self._tick()
+
+    def stop(self) -> None:
+        """Stops at once, as a crash would, but with timers ended."""
+        self._running = False
+        for timer in self._timers:
+            if timer.active():
+                timer.cancel()
+        if self._cell_session is not None:
+            self._cell_session.end("the daemon stops")
+        self._streams.stop()
+
+    def drain(self) -> Deferred[None]:
+        """Hands everything over, leaves the cell and stops.
+
+        Returns:
+            Fires when the session has ended.
+        """
+        if self._drained is None:
+            self._drained = Deferred()
+            if self._cell_session is None:
+                self._finish()
+            else:
+                self._cell_session.drain()
+        done: Deferred[None] = Deferred()
+        self._drained.chainDeferred(done)
+        return done
+
+    def observe_vms(self, listing: VmListing) -> None:
+        """Takes a snapshot of the platform's VM list."""
+        self._listing = listing
+        self._listed = {
+            entry.vm: (entry.host, entry.port)
+            for entry in listing.entries
+            if entry.role is VmRole.ENTRY
+        }
+        if self._cell_session is not None:
+            now = self._clock.seconds()
+            self._cell_session.membership.listed(listing, now)
+        self._set_peers()
+
+    def status(self) -> CellStatus:
+        """Returns a snapshot for operators."""
+        now = self._clock.seconds()
+        current = self._cell_session
+        sessions = self.fold.sessions
+        holdings = {} if current is None else current.holdings.by_partition
+        acting = [p for p, held in holdings.items() if held.acting]
+        waiting = [
+            p
+            for p, held in holdings.items()
+            if not held.acting and not held.released
+        ]
+        return CellStatus(
+            session=self._session,
+            state="reading" if current is None else current.state.value,
+            members=tuple(sorted(s.vm for s in sessions.by_id.values())),
+            connected=tuple(sorted(self._mesh.connected())),
+            newest=self._reader.newest,
+            folded=self._reader.folded,
+            unreadable_format=self._reader.unreadable_format,
+            lease_left_s=(
+                float("-inf")
+                if current is None
+                else current.authority.valid_until - now
+            ),
+            acting=tuple(sorted(acting)),
+            waiting=tuple(sorted(waiting)),
+            handing=() if current is None else tuple(sorted(current.handing)),
+            pending_records=0 if current is None else current.pending_records,
+            log_silent=self.log_silent(),
+            open_configurations=len(sessions.configurations),
+        )
+
+    @property
+    def session(self) -> SessionId:
+        """This daemon's newest session, empty before the first."""
+        return self._session
+
+    @property
+    def reader(self) -> LogReader:
+        """The reader of the cell's stream."""
+        return self._reader
+
+    def owner_of(self, partition: PartitionId) -> VmId | None:
+        """Returns the VM that owns a partition, None while nobody does."""
+        claim = self.fold.claims.by_key.get(partition)
+        if claim is None:
+            return None
+        name = claim.owner
+        if claim.successor != NO_SESSION:
+            name = claim.successor
+        session = self.fold.sessions.by_id.get(name)
+        return None if session is None else session.vm
+
+    def epoch_of(self, partition: PartitionId) -> Offset:
+        """Returns the partition's newest claim, -1 when there is none."""
+        return self.fold.claims.epoch(partition)
+
+    def refusal(self, partition: PartitionId) -> Refused | None:
+        """Returns why this VM may not act on a partition right now."""
+        if self._cell_session is None:
+            return Refused(
+                Step.ROUTE,
+                Reason.NO_AUTHORITY,
+                peer=self._identity.vm,
+                retry_after_s=1.0,
+                detail="this VM has not joined its cell",
+            )
+        now = self._clock.seconds()
+        return self._cell_session.refusal(partition, now)
+
+    def log_silent(self) -> bool:
+        """Returns whether records are not coming back from the log."""
+        if self._cell_session is None:
+            return True
+        return self._cell_session.log_silent()
+
+    def submit(self, body: CellRecord) -> Deferred[Folded]:
+        """Writes a record and waits until it is read back.
+
+        Without a session the answer comes at once, with offset -1 and
+        not accepted: the record is not in the log.
+        """
+        if self._cell_session is None:
+            return succeed(Folded(NO_OFFSET, Verdict(False, "no session")))
+        return self._cell_session.submit(body)
+
+    def _tick(self) -> None:
+        self._set_timer(TICK_INTERVAL_S, self._tick)
+        if self._cell_session is None:
+            self._begin_session()
+            return
+        self._cell_session.tick()
+
+    def _begin_session(self) -> None:
+        if self._drained is not None or not self._reader.ready:
+            return
+        self._session = self._ports.new_session()
+        now = self._clock.seconds()
+        membership = Membership(
+            self._session,
+            self._identity.vm,
+            lease_s=self._tuning.lease_s,
+            lease_margin_s=self._tuning.lease_margin_s,
+        )
+        if self._listing is not None:
+            membership.listed(self._listing, now)
+        current = CellSession(
+            self._session,
+            self._identity,
+            tuning=self._tuning,
+            fold=self.fold,
+            reader=self._reader,
+            streams=self._streams,
+            mesh=self._mesh,
+            clock=self._clock,
+            watcher=self._watcher,
+            membership=membership,
+            schedule=self._schedule,
+            on_ended=self._session_ended,
+        )
+        self._cell_session = current
+        current.sessions_changed()
+        current.join()
+
+    def _session_ended(self, why: str) -> None:
+        self._cell_session = None
+        if self._drained is not None:
+            self._finish()
+
+    def _finish(self) -> None:
+        assert self._drained is not None
+        self.stop()
+        if not self._drained.called:
+            self._drained.callback(None)
+
+    def _folded(
+        self, offset: Offset, record: Record, verdict: Verdict
+    ) -> None:
+        if self._cell_session is not None:
+            self._cell_session.on_folded(offset, record, verdict)
+        self._set_peers()
+
+    def _loaded(self) -> None:
+        if self._cell_session is not None:
+            self._cell_session.end("the state was replaced by a checkpoint")
+        self._set_peers()
+
+    def _set_peers(self) -> None:
+        peers: dict[VmId, tuple[str, int]] = {}
+        if self._cell_session is None:
+            for vm, address in sorted(self._listed.items()):
+                if len(peers) < MAX_LISTED_PEERS:
+                    peers[vm] = address
+        for session in self.fold.sessions.by_id.values():
+            peers[session.vm] = (session.host, session.port)
+        peers.pop(self._identity.vm, None)
+        if peers != self._peers:
+            self._peers = peers
+            self._mesh.set_peers(peers)
+
+    def _beat(self) -> None:
+        self._set_timer(self._tuning.heartbeat_interval_s, self._beat)
+        current = self._cell_session
+        if current is None or current.state is SessionState.LEAVING:
+            return
+        self._heartbeats.send(
+            self._clock.seconds(),
+            self._mesh.connected(),
+            session=self._session,
+            streams=self._streams.newest(),
+            loads=self._load_source(),
+            draining=current.state is SessionState.DRAINING,
+        )
+
+    def _set_timer(self, delay_s: float, run: Callable[[], None]) -> None:
+        if not self._running:
+            return
+        self._timers = [timer for timer in self._timers if timer.active()]
+        self._timers.append(self._clock.callLater(delay_s, run))
+
+    def _on_message(self, peer: VmId, message: MeshMessage) -> None:
+        if self._streams.on_message(peer, message):
+            return
+        match message:
+            case Heartbeat():
+                self._on_heartbeat(peer, message)
+            case HeartbeatReply():
+                self._on_reply(peer, message)
+            case PartitionGiven():
+                if self._cell_session is not None:
+                    self._cell_session.on_given(peer, message)
+            case Hello() | PartitionTaken():
+                return
+            case _:
+                if self._on_other_message is not None:
+                    self._on_other_message(peer, message)
+
+    def _on_heartbeat(self, peer: VmId, message: Heartbeat) -> None:
+        self._streams.hear(peer, message.streams)
+        if self._on_loads is not None and message.loads:
+            self._on_loads(peer, message.loads)
+        current = self._cell_session
+        if current is None or current.state is SessionState.LEAVING:
+            return
+        newest = _newest(self._reader.stream, message)
+        current.membership.heard(
+            message.session,
+            newest,
+            self._clock.seconds(),
+            draining=message.draining,
+        )
+        self._heartbeats.answer(
+            peer,
+            message,
+            session=self._session,
+            streams=self._streams.newest(),
+        )
+
+    def _on_reply(self, peer: VmId, message: HeartbeatReply) -> None:
+        self._streams.hear(peer, message.streams)
+        sent_at = self._heartbeats.sent_at(message)
+        current = self._cell_session
+        if current is None or sent_at is None:
+            return
+        newest = _newest(self._reader.stream, message)
+        now = self._clock.seconds()
+        current.membership.heard(message.session, newest, now)
+        newest_by_stream = {
+            known.stream: known.newest for known in message.streams
+        }
+        current.authority.replied(message.session, sent_at, newest_by_stream)
+
+    def _lost(self, peer: VmId) -> None:
+        self._streams.lost(peer)
+        if self._on_peer_lost is not None:
+            self._on_peer_lost(peer)
+
+
+def _newest(stream: StreamName, message: Heartbeat | HeartbeatReply) -> Offset:
+    for known in message.streams:
+        if known.stream == stream:
+            return known.newest
+    return NO_OFFSET
--- a/lycheestall/cell_fold.py
+++ b/lycheestall/cell_fold.py
@@ -81,7 +81,8 @@
             return REPEATED
         self._sequence_by_writer[writer] = record.sequence
         verdict = self._route(offset, writer, record.body)
-        self._drop_sequences(writer, record.body)
+        if isinstance(record.body, SessionLeft | SessionDeposed):
+            self._drop_sequences()
         return verdict
 
     def dump(self) -> bytes:
@@ -124,14 +125,13 @@
         verdict = self.sessions.join(offset, record.writer, body)
         if verdict.accepted:
             self._sequence_by_writer[record.writer] = record.sequence
+            self._drop_sequences()
         return verdict
 
-    def _drop_sequences(self, writer: SessionId, body: RecordBody) -> None:
-        ended = writer
-        if isinstance(body, SessionDeposed):
-            ended = body.session
-        if not self.sessions.is_live(ended):
-            self._sequence_by_writer.pop(ended, None)
+    def _drop_sequences(self) -> None:
+        for writer in list(self._sequence_by_writer):
+            if not self.sessions.is_live(writer):
+                del self._sequence_by_writer[writer]
 
     def _route(
         self, offset: Offset, writer: SessionId, body: RecordBody
--- /dev/null
+++ b/lycheestall/cell_session.py
@@ -0,0 +1,518 @@
+"""One session of a daemon in its cell: lease, ownership, handover."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+
+import structlog
+from twisted.internet.defer import Deferred, succeed
+
+from .authority import Authority
+from .cell_fold import CellFold
+from .cell_view import Folded, PartitionWatcher
+from .checkpoints import CheckpointSchedule, split_checkpoint
+from .claims import Claim
+from .clock import Clock, Timer
+from .fold import Verdict
+from .handover import HandoverGiver, HandoverTaker
+from .ids import Offset, PartitionId, SessionId, VmId, ZoneId
+from .log_reader import LogReader
+from .log_streams import LogStreams
+from .membership import Membership
+from .mesh import Mesh
+from .messages import PartitionGiven
+from .outcomes import Reason, Refused, Step
+from .ownership import Holding, Holdings, Ownership
+from .records import (
+    NO_OFFSET,
+    CellRecord,
+    CheckpointPart,
+    PartitionClaimed,
+    PartitionReleased,
+    Record,
+    SessionDeposed,
+    SessionJoined,
+    SessionLeft,
+    SessionRenewed,
+)
+from .settings import TuningSettings
+
+__all__ = ["CellIdentity", "CellSession", "SessionState"]
+
+LOG_SILENT_S = 1.5
+LEAVE_LIMIT_S = 5.0
+
+_log = structlog.get_logger(__name__)
+
+
+class SessionState(Enum):
+    """How far a session has come."""
+
+    JOINING = "joining"
+    JOINED = "joined"
+    DRAINING = "draining"
+    LEAVING = "leaving"
+    ENDED = "ended"
+
+
+_ACTIVE = frozenset({SessionState.JOINED, SessionState.DRAINING})
+
+
+@dataclass(frozen=True, slots=True)
+class CellIdentity:
+    """What a daemon says of itself when it joins.
+
+    Attributes:
+        vm: The VM it runs on.
+        zone: The VM's availability zone.
+        host: Mesh address.
+        port: Mesh port.
+        release: The daemon's version.
+    """
+
+    vm: VmId
+    zone: ZoneId
+    host: str
+    port: int
+    release: str
+
+
+class CellSession:
+    """Runs one session from its join to its end.
+
+    Args:
+        session: Its id.
+        identity: What it says of itself.
+        tuning: Times and sizes.
+        fold: The cell's state.
+        reader: The reader that feeds the fold.
+        streams: The streams this VM follows.
+        mesh: Reaches the peers.
+        clock: Monotonic time.
+        watcher: Hears of partitions gained and lost.
+        membership: What is known of the members.
+        schedule: When checkpoints are due.
+        on_ended: Told once when the session is over, with the reason.
+    """
+
+    def __init__(
+        self,
+        session: SessionId,
+        identity: CellIdentity,
+        *,
+        tuning: TuningSettings,
+        fold: CellFold,
+        reader: LogReader,
+        streams: LogStreams,
+        mesh: Mesh,
+        clock: Clock,
+        watcher: PartitionWatcher,
+        membership: Membership,
+        schedule: CheckpointSchedule,
+        on_ended: Callable[[str], None],
+    ) -> None:
+        self.session = session
+        self.state = SessionState.JOINING
+        self.membership = membership
+        self.holdings = Holdings(
+            lease_s=tuning.lease_s, lease_margin_s=tuning.lease_margin_s
+        )
+        others = [r.stream for r in streams.readers() if r is not reader]
+        self.authority = Authority(
+            session, reader.stream, others, lease_s=tuning.lease_s
+        )
+        self._identity = identity
+        self._tuning = tuning
+        self._fold = fold
+        self._reader = reader
+        self._streams = streams
+        self._clock = clock
+        self._watcher = watcher
+        self._schedule = schedule
+        self._on_ended = on_ended
+        self._ownership = Ownership(session, tuning.partitions)
+        self._writer = streams.open_writer(
+            reader.stream, session, flush_s=tuning.log_flush_s
+        )
+        self._giver = HandoverGiver(
+            mesh,
+            submit=self.submit,
+            quiesce=watcher.quiesce,
+            stop_acting=self.holdings.stop_acting,
+            vm_of=self._live_vm,
+        )
+        self._taker = HandoverTaker(mesh)
+        self._claiming: set[PartitionId] = set()
+        self._gain_by_partition: dict[PartitionId, _Gain] = {}
+        self._candidates: tuple[SessionId, ...] = ()
+        self._stable_since = clock.seconds()
+        self._renewing = False
+        self._renewed_at = float("-inf")
+        self._deposing: set[SessionId] = set()
+        self._checkpointing = False
+        self._log_back_at = clock.seconds()
+        self._alone: dict[PartitionId, bool] = {}
+        self._acting_soon: Timer | None = None
+        self._deadline: Timer | None = None
+
+    @property
+    def pending_records(self) -> int:
+        """How many own records are not read back yet."""
+        return self._writer.pending
+
+    @property
+    def handing(self) -> frozenset[PartitionId]:
+        """The partitions being given away."""
+        return self._giver.under_way()
+
+    def log_silent(self) -> bool:
+        """Returns whether own records are not coming back."""
+        if self.state not in _ACTIVE:
+            return True
+        return self._writer.oldest_age_s() > LOG_SILENT_S
+
+    def join(self) -> None:
+        """Writes the join record."""
+        identity = self._identity
+        body = SessionJoined(
+            vm=identity.vm,
+            zone=identity.zone,
+            host=identity.host,
+            port=identity.port,
+            release=identity.release,
+            after=self._reader.newest,
+        )
+        sent_at = self._clock.seconds()
+        self._writer.submit(body).addCallback(self._joined, sent_at)
+
+    def submit(self, body: CellRecord) -> Deferred[Folded]:
+        """Writes a record and waits until it is read back."""
+        if self.state not in _ACTIVE:
+            return succeed(Folded(NO_OFFSET, Verdict(False, "no session")))
+        return self._writer.submit(body)
+
+    def refusal(self, partition: PartitionId, now: float) -> Refused | None:
+        """Returns why the session may not act on a partition now."""
+        holding = self.holdings.by_partition.get(partition)
+        if holding is None or holding.released:
+            return self._refused(Reason.NOT_OWNER, "another VM owns this")
+        if self.state not in _ACTIVE or not self._reader.ready:
+            return self._refused(Reason.NO_AUTHORITY, "no session in the cell")
+        if not holding.acting:
+            detail = "the former owner's lease may not have run out"
+            return self._refused(Reason.NO_AUTHORITY, detail)
+        if not self.authority.holds(now):
+            return self._refused(Reason.NO_AUTHORITY, "the lease has run out")
+        return None
+
+    def on_folded(
+        self, offset: Offset, record: Record, verdict: Verdict
+    ) -> None:
+        """Takes a record that the fold has taken."""
+        self.authority.folded(self._reader.stream, offset)
+        if not verdict.accepted:
+            return
+        now = self._clock.seconds()
+        match record.body:
+            case SessionJoined() | SessionRenewed():
+                self.membership.renewal_read(record.writer, now)
+            case PartitionClaimed():
+                self._claim_folded(record.writer, record.body)
+            case PartitionReleased() as release:
+                if release.successor == self.session:
+                    self._taker.released(release.partition, now)
+            case CheckpointPart():
+                self._schedule.folded(offset, record.body, now)
+        match record.body:
+            case SessionJoined() | SessionLeft() | SessionDeposed():
+                self.sessions_changed()
+        self._act_soon()
+
+    def on_given(self, peer: VmId, message: PartitionGiven) -> None:
+        """Takes live state of a partition that a peer hands over."""
+        self._taker.on_given(peer, message)
+        self._act_soon()
+
+    def sessions_changed(self) -> None:
+        """Takes over the members from the fold."""
+        sessions = self._fold.sessions
+        self.authority.configure(frozenset(sessions.by_id))
+        self.membership.forget(sessions)
+        for member in sessions.by_id.values():
+            self.membership.expect_listed(member.vm)
+        if self.state not in _ACTIVE and self.state is not (
+            SessionState.LEAVING
+        ):
+            return
+        if not sessions.is_live(self.session):
+            self.end("the session was ended by another")
+
+    def tick(self) -> None:
+        """Does what is due by time."""
+        now = self._clock.seconds()
+        for reader in self._streams.readers():
+            if reader is self._reader:
+                continue
+            self.authority.folded(reader.stream, reader.folded)
+            if reader.fresh_at is not None:
+                self.authority.up_to_date(reader.stream, reader.fresh_at)
+        if self.state not in _ACTIVE:
+            return
+        self._renew(now)
+        self._depose(now)
+        self._checkpoint(now)
+        self._act()
+
+    def drain(self) -> None:
+        """Starts to give everything away; the session ends after it."""
+        if self.state is SessionState.JOINING:
+            self.end("the daemon stops")
+            return
+        self.state = SessionState.DRAINING
+        self._deadline = self._clock.callLater(
+            self._tuning.drain_limit_s, self._leave
+        )
+        self._act()
+
+    def end(self, why: str) -> None:
+        """Ends the session; what it owned is lost."""
+        if self.state is SessionState.ENDED:
+            return
+        _log.info("cell.session_ended", session=self.session, why=why)
+        self.state = SessionState.ENDED
+        for timer in (self._acting_soon, self._deadline):
+            if timer is not None and timer.active():
+                timer.cancel()
+        self._writer.close(why)
+        self._taker.clear()
+        for partition in list(self.holdings.by_partition):
+            self._lose(partition)
+        self._on_ended(why)
+
+    def _joined(self, folded: Folded, sent_at: float) -> None:
+        if self.state is not SessionState.JOINING:
+            return
+        if not folded.verdict.accepted:
+            self.end(f"join refused: {folded.verdict.why}")
+            return
+        self.state = SessionState.JOINED
+        self.authority.renewed(sent_at)
+        self.authority.folded(self._reader.stream, self._reader.folded)
+        self.sessions_changed()
+        self._renewed_at = sent_at
+        _log.info("cell.joined", session=self.session, offset=folded.offset)
+
+    def _renew(self, now: float) -> None:
+        if self._renewing:
+            return
+        if now - self._renewed_at < self._tuning.renewal_interval_s:
+            return
+        self._renewing = True
+        self._renewed_at = now
+        body = SessionRenewed(self._reader.folded)
+        self._writer.submit(body).addCallback(self._renewal_folded, now)
+
+    def _renewal_folded(self, folded: Folded, sent_at: float) -> None:
+        self._renewing = False
+        if self._clock.seconds() - sent_at > LOG_SILENT_S:
+            self._log_back_at = self._clock.seconds()
+        if folded.verdict.accepted:
+            self.authority.renewed(sent_at)
+
+    def _depose(self, now: float) -> None:
+        if self.log_silent():
+            return
+        back_at = max(self._log_back_at, self._reader.back_at)
+        silent = self.membership.silent(self._fold.sessions, now, back_at)
+        for body in silent:
+            if body.session in self._deposing:
+                continue
+            self._deposing.add(body.session)
+            written = self._writer.submit(body)
+            written.addCallback(self._deposed, body.session)
+
+    def _deposed(self, folded: Folded, session: SessionId) -> None:
+        self._deposing.discard(session)
+
+    def _checkpoint(self, now: float) -> None:
+        if self._checkpointing or self.log_silent():
+            return
+        members = sorted(self._fold.sessions.by_id)
+        due = self._schedule.due(
+            now,
+            folded=self._reader.folded,
+            first_retained=self._reader.first_retained,
+            rank=members.index(self.session),
+        )
+        if not due:
+            return
+        self._checkpointing = True
+        parts = split_checkpoint(self._reader.folded, self._fold.dump())
+        for part in parts:
+            written = self._writer.submit(part)
+        written.addCallback(self._checkpointed)
+
+    def _checkpointed(self, folded: Folded) -> None:
+        self._checkpointing = False
+
+    def _act_soon(self) -> None:
+        if self._acting_soon is None and self.state in _ACTIVE:
+            self._acting_soon = self._clock.callLater(0.0, self._act)
+
+    def _act(self) -> None:
+        self._acting_soon = None
+        if self.state not in _ACTIVE:
+            return
+        now = self._clock.seconds()
+        self._claim_released(now)
+        self._gain(now)
+        self._plan(now)
+        if self.state is SessionState.DRAINING:
+            self._finish_drain(now)
+
+    def _claim_released(self, now: float) -> None:
+        for partition in self._taker.ready(now):
+            claim = self._fold.claims.by_key.get(partition)
+            if claim is None or claim.successor != self.session:
+                self._taker.take(partition, NO_OFFSET)
+                continue
+            self._claim(PartitionClaimed(partition, claim.epoch))
+
+    def _gain(self, now: float) -> None:
+        def majority_knows(offset: Offset) -> bool:
+            sessions = self._fold.sessions
+            return self.membership.majority_knows(sessions, offset)
+
+        for partition in self.holdings.ready(now, majority_knows):
+            holding = self.holdings.by_partition[partition]
+            gain = self._gain_by_partition.pop(partition, _Gain({}, True))
+            self._watcher.gained(
+                partition,
+                holding.epoch,
+                handed=gain.handed,
+                unproven=gain.unproven,
+            )
+
+    def _plan(self, now: float) -> None:
+        sessions = self._fold.sessions
+        candidates = self.membership.candidates(sessions)
+        names = tuple(candidate.session for candidate in candidates)
+        if names != self._candidates:
+            self._candidates = names
+            self._stable_since = now
+        plan = self._ownership.plan(
+            now,
+            claims=self._fold.claims,
+            is_live=sessions.is_live,
+            candidates=candidates,
+            responsive=lambda name: self.membership.responsive(name, now),
+            holdings=self.holdings,
+            claiming=frozenset(self._claiming),
+            handing=self._giver.under_way(),
+            stable_since=self._stable_since,
+            draining=self.state is SessionState.DRAINING,
+        )
+        for body in plan.claims:
+            self._claim(body)
+        if self.log_silent():
+            return
+        for partition, successor in plan.handovers:
+            holding = self.holdings.by_partition[partition]
+            self._giver.begin(partition, holding.epoch, successor)
+
+    def _claim(self, body: PartitionClaimed) -> None:
+        if body.partition in self._claiming:
+            return
+        self._claiming.add(body.partition)
+        written = self._writer.submit(body)
+        written.addCallback(self._claimed, body.partition)
+
+    def _claimed(self, folded: Folded, partition: PartitionId) -> None:
+        self._claiming.discard(partition)
+
+    def _claim_folded(self, writer: SessionId, body: PartitionClaimed) -> None:
+        partition = body.partition
+        if partition in self.holdings.by_partition:
+            self._lose(partition)
+        if writer != self.session:
+            self._taker.take(partition, NO_OFFSET)
+            return
+        claim: Claim = self._fold.claims.by_key[partition]
+        given = self._taker.take(partition, body.previous)
+        unproven = given is None and body.previous != NO_OFFSET
+        handed = {} if given is None else given.programs
+        self._gain_by_partition[partition] = _Gain(handed, unproven)
+        self.holdings.claimed(partition, claim)
+        self._taker.confirm(partition, claim)
+
+    def _lose(self, partition: PartitionId) -> None:
+        holding: Holding | None = self.holdings.lost(partition)
+        self._giver.ended(partition)
+        self._gain_by_partition.pop(partition, None)
+        if holding is not None and (holding.acting or holding.released):
+            self._watcher.lost(partition)
+
+    def _finish_drain(self, now: float) -> None:
+        held = [
+            partition
+            for partition, holding in self.holdings.by_partition.items()
+            if holding.acting or holding.released
+        ]
+        if not held:
+            self._leave()
+            return
+        others = [name for name in self._candidates if name != self.session]
+        if others:
+            return
+        for partition in held:
+            if partition not in self._alone:
+                self._quiesce_alone(partition)
+        if all(self._alone.get(partition) for partition in held):
+            self._leave()
+
+    def _quiesce_alone(self, partition: PartitionId) -> None:
+        """Quiesces a partition that nobody is there to take."""
+        self._alone[partition] = False
+
+        def quiesced(_: object) -> None:
+            self._alone[partition] = True
+            self._act_soon()
+
+        self._watcher.quiesce(partition).addCallback(quiesced)
+
+    def _leave(self) -> None:
+        if self.state is not SessionState.DRAINING:
+            return
+        left = self._writer.submit(SessionLeft())
+        self.state = SessionState.LEAVING
+        left.addCallback(lambda _: self.end("left"))
+        if self.state is not SessionState.LEAVING:
+            return
+        if self._deadline is not None and self._deadline.active():
+            self._deadline.cancel()
+        self._deadline = self._clock.callLater(
+            LEAVE_LIMIT_S, self.end, "left without the log's answer"
+        )
+
+    def _live_vm(self, session: SessionId) -> VmId | None:
+        found = self._fold.sessions.by_id.get(session)
+        return None if found is None else found.vm
+
+    def _refused(self, reason: Reason, detail: str) -> Refused:
+        return Refused(
+            Step.ROUTE,
+            reason,
+            peer=self._identity.vm,
+            retry_after_s=1.0,
+            detail=detail,
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class _Gain:
+    """What the watcher is told when a claim comes into effect."""
+
+    handed: dict[str, bytes]
+    unproven: bool
--- a/lycheestall/sessions.py
+++ b/lycheestall/sessions.py
@@ -58,10 +58,16 @@
 
 
 class SessionEnd(Enum):
-    """How a session ended."""
+    """How a session ended.
+
+    ``LEFT`` and ``SUPERSEDED`` sessions answer no heartbeat any more: a
+    newer session at the same address has its port, so the older one's
+    process has gone. A ``DEPOSED`` one may still believe it is live.
+    """
 
     LEFT = "left"
     DEPOSED = "deposed"
+    SUPERSEDED = "superseded"
 
 
 @dataclass(frozen=True, slots=True)
@@ -143,6 +149,8 @@
             return Verdict(False, "session has ended")
         if offset - body.after > JOIN_HORIZON_RECORDS:
             return Verdict(False, "join is too old")
+        for former in self._superseded(body):
+            self._remember_end(offset, former, SessionEnd.SUPERSEDED)
         self._by_id[writer] = Session(
             session=writer,
             vm=body.vm,
@@ -214,14 +222,33 @@
             for start, members in configurations
         ]
 
+    def _superseded(self, body: SessionJoined) -> list[SessionId]:
+        """Returns the older sessions that had the joiner's address."""
+        found: list[SessionId] = []
+        for session in self._by_id.values():
+            if (session.vm, session.host, session.port) != (
+                body.vm,
+                body.host,
+                body.port,
+            ):
+                continue
+            if session.joined <= body.after:
+                found.append(session.session)
+        return found
+
     def _end(
         self, offset: Offset, session: SessionId, how: SessionEnd
+    ) -> None:
+        self._remember_end(offset, session, how)
+        self._configure(offset)
+
+    def _remember_end(
+        self, offset: Offset, session: SessionId, how: SessionEnd
     ) -> None:
         known = self._by_id.pop(session)
         self._ended_by_id[session] = EndedSession(
             known.vm, offset, how, known.acknowledged
         )
-        self._configure(offset)
 
     def _configure(self, offset: Offset) -> None:
         members = frozenset(self._by_id)
@@ -252,7 +279,7 @@
         if live is not None:
             return live.acknowledged >= offset
         ended = self._ended_by_id[session]
-        if ended.how is SessionEnd.LEFT:
+        if ended.how is not SessionEnd.DEPOSED:
             return True
         return ended.acknowledged >= offset
 
--- /dev/null
+++ b/tests/cell_world.py
@@ -0,0 +1,222 @@
+"""A cell of agents in virtual time, and the checker of its owners."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import replace
+
+from fakes import FakeLog, FakeNetwork, FakeVmList, NodeClock, World
+from fakes_cell import KeepingLedger, KeepingPortions
+from twisted.internet.defer import Deferred, ensureDeferred
+
+from lycheestall.cell_agent import CellAgent, CellPorts
+from lycheestall.cell_fold import CellFold
+from lycheestall.cell_session import CellIdentity
+from lycheestall.cell_view import PartitionWatcher
+from lycheestall.ids import (
+    Offset,
+    PartitionId,
+    SessionId,
+    StreamName,
+    VmId,
+    ZoneId,
+)
+from lycheestall.platform import VmEntry, VmListing, VmRole
+from lycheestall.settings import TuningSettings
+
+STREAM = StreamName("cell")
+TUNING = TuningSettings(partitions=6)
+
+
+class RecordingWatcher(PartitionWatcher):
+    """Keeps what it hears; gives state after a delay."""
+
+    def __init__(self, clock: NodeClock) -> None:
+        self.clock = clock
+        self.quiesce_s = 0.0
+        self.owned: dict[int, int] = {}
+        self.gains: list[tuple[float, int, dict[str, bytes], bool]] = []
+        self.losses: list[tuple[float, int]] = []
+
+    def gained(
+        self,
+        partition: PartitionId,
+        epoch: Offset,
+        *,
+        handed: dict[str, bytes],
+        unproven: bool,
+    ) -> None:
+        """Takes a gain."""
+        assert partition not in self.owned
+        self.owned[partition] = epoch
+        now = self.clock.world.now
+        self.gains.append((now, partition, handed, unproven))
+
+    def lost(self, partition: PartitionId) -> None:
+        """Takes a loss."""
+        assert partition in self.owned
+        del self.owned[partition]
+        self.losses.append((self.clock.world.now, partition))
+
+    def quiesce(self, partition: PartitionId) -> Deferred[dict[str, bytes]]:
+        """Gives one program's state."""
+        done: Deferred[dict[str, bytes]] = Deferred()
+        state = {f"program-{partition}": b"state"}
+        self.clock.callLater(self.quiesce_s, done.callback, state)
+        return done
+
+
+class CellNode:
+    """One daemon's agent in the world."""
+
+    def __init__(
+        self, cell: CellWorld, vm: str, zone: str, *, rate: float = 1.0
+    ) -> None:
+        self.cell = cell
+        self.vm = VmId(vm)
+        self.clock = cell.world.boot(vm, rate=rate)
+        self.watcher = RecordingWatcher(self.clock)
+        self.vm_list = cell.vm_list.client(vm)
+        self.mesh = cell.network.mesh(self.vm, ZoneId(zone))
+        fold = CellFold(KeepingLedger(), KeepingPortions())
+        self.agent = CellAgent(
+            CellIdentity(self.vm, ZoneId(zone), "127.0.0.1", 1, "0"),
+            STREAM,
+            fold,
+            self.watcher,
+            CellPorts(
+                clock=self.clock,
+                log=cell.log.client(vm),
+                mesh=self.mesh,
+                new_session=cell.new_session(vm),
+            ),
+            tuning=cell.tuning,
+        )
+        self.agent.start()
+        self._poll()
+
+    def _poll(self) -> None:
+        listed = ensureDeferred(self.vm_list.fetch())
+        listed.addCallback(self._observe)
+        self.clock.callLater(1.0, self._poll)
+
+    def _observe(self, result: object) -> None:
+        if isinstance(result, VmListing):
+            self.agent.observe_vms(result)
+
+    def acting(self) -> list[int]:
+        """Returns the partitions it would act on right now."""
+        if not self.clock.alive:
+            return []
+        return [
+            number
+            for number in range(self.cell.tuning.partitions)
+            if self.agent.refusal(PartitionId(number)) is None
+        ]
+
+
+class CellWorld:
+    """Nodes of one cell with log, network and VM list.
+
+    Attributes:
+        violations: Moments at which two nodes would act on one
+            partition: true time, partition, the nodes.
+    """
+
+    def __init__(
+        self,
+        seed: int = 0,
+        *,
+        tuning: TuningSettings = TUNING,
+        retention_s: float = float("inf"),
+        list_lag_s: float = 2.0,
+    ) -> None:
+        self.world = World(seed)
+        self.tuning = tuning
+        self.log = FakeLog(self.world, retention_s=retention_s)
+        self.network = FakeNetwork(self.world)
+        self.vm_list = FakeVmList(self.world, lag_s=list_lag_s)
+        self.node_by_vm: dict[str, CellNode] = {}
+        self.violations: list[tuple[float, int, tuple[str, ...]]] = []
+        self._sessions = 0
+        self.world.after_event.append(self._check)
+
+    def new_session(self, vm: str) -> Callable[[], SessionId]:
+        """Returns a maker of session ids."""
+
+        def make() -> SessionId:
+            self._sessions += 1
+            return SessionId(f"{vm}-{self._sessions:04}")
+
+        return make
+
+    def boot(
+        self, vm: str, zone: str = "z1", *, rate: float = 1.0
+    ) -> CellNode:
+        """Starts a daemon on a VM, which the list shows from now on."""
+        self.vm_list.put(
+            VmEntry(VmId(vm), VmRole.ENTRY, ZoneId(zone), "127.0.0.1", 1)
+        )
+        node = CellNode(self, vm, zone, rate=rate)
+        self.node_by_vm[vm] = node
+        return node
+
+    def boot_all(self, count: int, zones: int = 3) -> None:
+        """Starts daemons over zones and waits until they have settled."""
+        for number in range(count):
+            self.boot(f"vm{number:02}", f"z{number % zones}")
+        self.settle()
+
+    def settle(self, limit_s: float = 60.0) -> None:
+        """Runs until every partition has one acting owner for a while."""
+        assert self.world.run_while(lambda: not self.all_owned(), limit_s)
+        self.world.run_for(8.0)
+        assert self.world.run_while(lambda: not self.all_owned(), limit_s)
+
+    def owners(self) -> dict[int, list[str]]:
+        """Returns who would act on each partition right now."""
+        found: dict[int, list[str]] = {}
+        for vm, node in self.node_by_vm.items():
+            for partition in node.acting():
+                found.setdefault(partition, []).append(vm)
+        return found
+
+    def all_owned(self) -> bool:
+        """Returns whether each partition has an acting owner."""
+        return len(self.owners()) == self.tuning.partitions
+
+    def owned_by(self, vm: str) -> list[int]:
+        """Returns the partitions a node would act on."""
+        return self.node_by_vm[vm].acting()
+
+    def others(self, *vms: str) -> list[str]:
+        """Returns the other nodes."""
+        return [vm for vm in self.node_by_vm if vm not in vms]
+
+    def kill(self, vm: str, *, drop: bool = False) -> None:
+        """Kills a VM; the list may drop it."""
+        self.world.kill(vm)
+        if drop:
+            self.vm_list.drop(vm)
+
+    def isolate(self, vms: Iterable[str]) -> None:
+        """Cuts some nodes, together, off from the others."""
+        inside = list(vms)
+        for vm in inside:
+            self.network.isolate(vm, self.others(*inside))
+
+    def rejoin(self, vms: Iterable[str]) -> None:
+        """Undoes ``isolate``."""
+        for vm in vms:
+            self.network.rejoin(vm, self.others(vm))
+
+    def _check(self) -> None:
+        for partition, vms in self.owners().items():
+            if len(vms) > 1:
+                found = (self.world.now, partition, tuple(vms))
+                self.violations.append(found)
+
+
+def tuned(**changes: float) -> TuningSettings:
+    """Returns the tests' tuning with changes."""
+    return replace(TUNING, **changes)
--- a/tests/test_cell_fold.py
+++ b/tests/test_cell_fold.py
@@ -224,8 +224,10 @@
     monkeypatch: Any,
 ) -> None:
     class Forgetful(CellFold):
-        def _drop_sequences(self, writer: Any, body: Any) -> None:
-            self._sequence_by_writer[writer] = 0
+        def apply(self, offset: Offset, record: Record) -> Verdict:
+            if record.writer in self._sequence_by_writer:
+                self._sequence_by_writer[record.writer] = 0
+            return super().apply(offset, record)
 
     monkeypatch.setitem(globals(), "CellFold", Forgetful)
     quick = settings(phases=[Phase.generate], max_examples=20)
@@ -263,6 +265,19 @@
     assert len(writer.fold.sessions.configurations) == 1
 
 
+def test_newer_session_at_an_address_ends_the_older_one() -> None:
+    writer = Writer(new_fold())
+    writer.write("a1", joined("a"))
+    writer.write("a2", joined("a", after=0))
+    ended = writer.fold.sessions.ended(SessionId("a1"))
+    assert ended is not None
+    assert ended.how is SessionEnd.SUPERSEDED
+    assert len(writer.fold.sessions.configurations) == 1
+    late = Record(SessionId("a0"), 1, joined("a", after=0))
+    assert writer.append(late).accepted
+    assert writer.fold.sessions.is_live(SessionId("a2"))
+
+
 def test_deposed_member_does_not_close_a_configuration() -> None:
     writer = Writer(new_fold())
     writer.write("a", joined("a"))
