--- a/lycheestall/caller_api.py
+++ b/lycheestall/caller_api.py
@@ -42,7 +42,6 @@
     Args:
         accounts: Whose keys are accepted.
         handler: Runs the calls.
-        issue_program: Makes a new program id for an account.
         ready: Whether new calls are taken.
     """
 
@@ -51,12 +50,10 @@
         *,
         accounts: Accounts,
         handler: CallHandler,
-        issue_program: Callable[[AccountId], ProgramId],
         ready: Callable[[], bool],
     ) -> None:
         self._accounts = accounts
         self._handler = handler
-        self._issue_program = issue_program
         self._ready = ready
         self.app = Klein()
         self._add_routes()
@@ -82,8 +79,7 @@
 
     def _open(self, request: Request) -> Deferred[None]:
         def parse(request: Request, account: AccountId) -> Call:
-            program = self._issue_program(account)
-            return _call(request, CallKind.OPEN, account, program)
+            return _call(request, CallKind.OPEN, account, ProgramId(""))
 
         return self._run(request, parse)
 
--- a/lycheestall/calls.py
+++ b/lycheestall/calls.py
@@ -45,7 +45,8 @@
     Attributes:
         kind: What is asked for.
         account: The caller's account.
-        program: The program's id, with its parents' path.
+        program: The program's id, with its parents' path; empty in a
+            caller's ``OPEN``, which gets an issued one.
         number: The call's position in its program, from 1; 0 when the
             caller sent none and the owner numbers it on arrival.
         idempotency_key: The caller's key, or empty.
--- a/lycheestall/checkpoints.py
+++ b/lycheestall/checkpoints.py
@@ -95,9 +95,19 @@
         *,
         records: int = MAX_RECORDS_BETWEEN,
         interval_s: float = MAX_INTERVAL_S,
+        rewrite_idle: bool = False,
     ) -> None:
+        """Starts without a checkpoint.
+
+        Args:
+            records: Most records between two checkpoints.
+            interval_s: Most seconds between two checkpoints.
+            rewrite_idle: Whether to write one again when nothing has
+                come since, so that retention cannot reach it.
+        """
         self._records = records
         self._interval_s = interval_s
+        self._rewrite_idle = rewrite_idle
         self._as_of = NO_OFFSET
         self._read_at: float | None = None
 
@@ -108,8 +118,18 @@
 
     def folded(self, offset: Offset, part: CheckpointPart, now: float) -> None:
         """Takes a checkpoint part that was read from the stream."""
-        if part.index == part.total - 1 and part.as_of > self._as_of:
-            self._as_of = part.as_of
+        if part.index == part.total - 1:
+            self.seen(part.as_of, now)
+
+    def seen(self, as_of: Offset, now: float) -> None:
+        """Takes a whole checkpoint that was read from the stream.
+
+        Args:
+            as_of: The newest offset in its state.
+            now: Monotonic time in seconds.
+        """
+        if as_of > self._as_of:
+            self._as_of = as_of
             self._read_at = now
 
     def due(
@@ -135,6 +155,6 @@
             return waited_s >= rank * URGENT_RANK_DELAY_S
         if folded - self._as_of >= self._records:
             return waited_s >= rank * RANK_DELAY_S
-        if folded <= self._as_of + 1:
+        if folded <= self._as_of + 1 and not self._rewrite_idle:
             return False
         return waited_s >= self._interval_s + rank * RANK_DELAY_S
--- a/lycheestall/daemon.py
+++ b/lycheestall/daemon.py
@@ -73,7 +73,6 @@
         self._callers = CallerApi(
             accounts=accounts,
             handler=self.node,
-            issue_program=self.node.issue_program,
             ready=self.node.ready,
         )
         self._admin = AdminApi(
--- a/lycheestall/log_writer.py
+++ b/lycheestall/log_writer.py
@@ -119,6 +119,14 @@
         self._schedule_flush()
         return pending.done
 
+    def sent(self, done: Deferred[Folded]) -> bool:
+        """Returns whether a submitted record may be in the log.
+
+        Args:
+            done: What ``submit`` returned; not fired, not cancelled.
+        """
+        return all(pending.done is not done for pending in self._queue)
+
     def folded(self, offset: Offset, record: Record, verdict: Verdict) -> None:
         """Takes a record of this writer that was read back."""
         pending = self._batch_by_sequence.pop(record.sequence, None)
--- a/lycheestall/node.py
+++ b/lycheestall/node.py
@@ -3,34 +3,66 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
+from typing import Any, cast
 
-from twisted.internet.defer import Deferred, ensureDeferred
+import xxhash
+from twisted.internet.defer import (
+    Deferred,
+    DeferredList,
+    TimeoutError,
+    ensureDeferred,
+)
 
+from . import __version__
 from .application_directory import ApplicationDirectory
-from .calls import Call, CallHandle, CallHandler, CallSink, ResponseHead
+from .calls import (
+    Call,
+    CallHandle,
+    CallHandler,
+    CallKind,
+    CallSink,
+    ResponseHead,
+)
+from .cell_agent import CellAgent, CellPorts
+from .cell_fold import CellFold
+from .cell_session import CellIdentity
+from .cell_view import PartitionWatcher
 from .clock import Clock, sleep
 from .engine_directory import EngineDirectory
 from .engine_dispatcher import EngineDispatcher
-from .ids import AccountId, ProgramId, SessionId, TargetId, VmId
+from .ids import (
+    AccountId,
+    Offset,
+    OperatorName,
+    PartitionId,
+    ProgramId,
+    SessionId,
+    StreamName,
+    TargetId,
+    VmId,
+)
+from .ledger import Ledger
 from .logs import Logger
 from .mesh import Mesh
-from .messages import MeshMessage
 from .metrics import Metrics
 from .outcomes import Outcome
 from .partitions import partition_of
-from .platform import LogService, VmList, VmListing, VmRole
-from .polling import Poller
+from .platform import LogService, VmList, VmListing
+from .polling import Poller, PollStep
+from .portions import Portions
 from .program_ids import NONCE_BYTES, issue_program_id
 from .program_owner import ProgramOwner
+from .records import CrashReported
 from .router import Router
-from .rule_book import RuleBook
-from .rules_match import EMPTY_RULES
+from .rules_match import MatchedRules
+from .rules_publisher import PublishOutcome, RulesPublisher
+from .rules_stream import RulesStream
 from .settings import Settings
-from .static_cell import StaticCell
 from .supervisor import Supervisor
 from .target_factory import TargetFactory
+from .targets import LoadReport
 
 __all__ = ["Node", "NodePorts"]
 
@@ -38,6 +70,8 @@
 LOAD_POLL_INTERVAL_S = 0.5
 ISSUE_TRIES = 64
 DRAIN_CHECK_S = 0.02
+RULES_INTERVAL_S = 0.25
+LEAVE_RULES_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,8 +123,46 @@
         ]
         self._draining = False
         self._calls = 0
+        self._sessions = 0
+        self._load_by_target: dict[TargetId, LoadReport] = {}
         self.supervisor = Supervisor(clock=ports.clock, logger=ports.logger)
-        self.cell = StaticCell(settings.vm, [settings.vm])
+        self.ledger = Ledger()
+        self.portions = Portions()
+        self.fold = CellFold(self.ledger, self.portions)
+        self.cell = CellAgent(
+            CellIdentity(
+                vm=settings.vm,
+                zone=settings.zone,
+                host=settings.listen.host,
+                port=settings.listen.mesh_port,
+                release=__version__,
+            ),
+            StreamName(settings.platform.cell_stream),
+            self.fold,
+            _OwnerWatcher(self),
+            CellPorts(
+                clock=ports.clock,
+                log=ports.log,
+                mesh=ports.mesh,
+                new_session=self._new_session,
+            ),
+            tuning=settings.tuning,
+        )
+        self.rules_stream = RulesStream(
+            host=self.cell,
+            stream=StreamName(settings.platform.rules_stream),
+            session=session,
+            vm=settings.vm,
+            members=self._members,
+            clock=ports.clock,
+            wall_ms=ports.wall_ms,
+        )
+        self.publisher = RulesPublisher(
+            stream=self.rules_stream,
+            clock=ports.clock,
+            wall_ms=ports.wall_ms,
+            new_nonce=lambda: ports.random.randbytes(16).hex(),
+        )
         self.engines = EngineDirectory(factory=ports.targets.engine)
         self.dispatcher = EngineDispatcher(
             engines=self.engines,
@@ -127,34 +199,33 @@
             partitions=self._partitions,
             clock=ports.clock,
         )
-        ports.mesh.on_message(self._on_message)
-        ports.mesh.on_lost(self.router.on_lost)
+        self.cell.on_other_message(self.router.on_message)
+        self.cell.on_peer_lost(self.router.on_lost)
+        self.cell.pass_loads(self._fresh_loads, self._hear_loads)
 
     def start(self) -> None:
         """Starts the loops."""
-        clock = self._ports.clock
-        self.supervisor.add(
-            Poller(
-                "vm-list",
-                self._poll_vms,
-                interval_s=VM_POLL_INTERVAL_S,
-                clock=clock,
-            )
-        )
+        self.cell.start()
+        self._poll("vm-list", self._poll_vms, VM_POLL_INTERVAL_S)
+        self._poll("loads", self._poll_loads, LOAD_POLL_INTERVAL_S)
+        self._poll("rules", self._keep_rules, RULES_INTERVAL_S)
+
+    def _poll(self, name: str, step: PollStep, interval_s: float) -> None:
         self.supervisor.add(
-            Poller(
-                "loads",
-                self._poll_loads,
-                interval_s=LOAD_POLL_INTERVAL_S,
-                clock=clock,
-            )
+            Poller(name, step, interval_s=interval_s, clock=self._ports.clock)
         )
 
-    def rules(self) -> RuleBook:
+    def rules(self) -> MatchedRules:
         """Returns the rules in force on this VM."""
-        return EMPTY_RULES
+        return self.rules_stream.rules
 
-    def issue_program(self, account: AccountId) -> ProgramId:
+    def publish_rules(
+        self, base: Offset, text: str, operator: OperatorName
+    ) -> Deferred[PublishOutcome]:
+        """Publishes a rule file against a base version."""
+        return ensureDeferred(self.publisher.publish(base, text, operator))
+
+    def _issue_program(self, account: AccountId) -> ProgramId:
         """Returns a new program id, of a partition owned here if any."""
         for _ in range(ISSUE_TRIES):
             program = self._new_program(account)
@@ -173,12 +244,14 @@
 
     def ready(self) -> bool:
         """Returns whether the node takes new calls."""
-        return not self._draining
+        return not self._draining and self.cell.session != ""
 
     def handle(self, call: Call, sink: CallSink) -> CallHandle:
         """Runs a caller's call and counts it."""
         counted = _CountedSink(self, call, sink)
         self._calls += 1
+        if call.kind is CallKind.OPEN:
+            call = replace(call, program=self._issue_program(call.account))
         return self.router.handle(call, counted)
 
     def calls_in_progress(self) -> int:
@@ -221,6 +294,7 @@
 
     def stop(self) -> Deferred[object]:
         """Stops the loops."""
+        self.cell.stop()
         done: Deferred[object] = Deferred()
         self.supervisor.stop().addBoth(done.callback)
         return done
@@ -229,9 +303,11 @@
         end = self.now() + self.settings.tuning.drain_limit_s
         while self.calls_in_progress() and self.now() < end:
             await sleep(self._ports.clock, DRAIN_CHECK_S)
-
-    def _on_message(self, peer: VmId, message: MeshMessage) -> None:
-        self.router.on_message(peer, message)
+        left: Deferred[Any] = self.rules_stream.leave()
+        left.addTimeout(LEAVE_RULES_S, cast(Any, self._ports.clock))
+        left.addErrback(lambda failure: failure.trap(TimeoutError))
+        await left
+        await self.cell.drain()
 
     async def _poll_vms(self) -> None:
         listing = await self._ports.vm_list.fetch()
@@ -240,32 +316,64 @@
         if self.engines.update(listing):
             self.dispatcher.engines_changed()
         self.applications.update(listing)
-        peers = {
-            entry.vm: (entry.host, entry.port)
-            for entry in listing.entries
-            if entry.role is VmRole.ENTRY
-        }
-        self.cell.set_members(sorted(peers))
-        peers.pop(self._vm, None)
-        self._ports.mesh.set_peers(peers)
+        self.cell.observe_vms(listing)
 
     async def _poll_loads(self) -> None:
+        polls: list[Deferred[None]] = []
         for entry in self.engines.entries():
-            engine = self.engines.engine(entry.target)
-            if engine is None:
+            if not self._polls(entry.target):
                 continue
-            report = await engine.load()
-            if report is not None:
-                self.dispatcher.observe(report)
+            polls.append(ensureDeferred(self._poll_engine(entry.target)))
+        await DeferredList(polls, consumeErrors=True)
+
+    async def _poll_engine(self, target: TargetId) -> None:
+        engine = self.engines.engine(target)
+        if engine is None:
+            return
+        report = await engine.load()
+        if report is None:
+            return
+        self._load_by_target[target] = report
+        self.dispatcher.observe(report)
+
+    def _polls(self, target: TargetId) -> bool:
+        """Whether this VM is the one that polls a target."""
+        members = self._members() | {self._vm}
+
+        def weight(vm: VmId) -> int:
+            return xxhash.xxh64_intdigest(f"{vm} {target}".encode())
+
+        return max(members, key=weight) == self._vm
+
+    def _fresh_loads(self) -> tuple[LoadReport, ...]:
+        loads = tuple(self._load_by_target.values())
+        self._load_by_target.clear()
+        return loads
+
+    def _hear_loads(self, peer: VmId, loads: tuple[LoadReport, ...]) -> None:
+        for report in loads:
+            self.dispatcher.observe(report)
+
+    async def _keep_rules(self) -> None:
+        self.rules_stream.step()
+
+    def _members(self) -> frozenset[VmId]:
+        sessions = self.fold.sessions.by_id.values()
+        return frozenset(session.vm for session in sessions)
+
+    def _new_session(self) -> SessionId:
+        self._sessions += 1
+        return SessionId(f"{self.session}.{self._sessions}")
 
     def _report_crash(self, fingerprint: bytes, target: TargetId) -> None:
         self._ports.logger.warning("target crashed", peer=target)
+        self.cell.submit(CrashReported(fingerprint, target))
 
     def _quarantined(self, fingerprint: bytes) -> bool:
-        return False
+        return self.fold.crashes.quarantined(fingerprint)
 
     def _cell_size(self) -> int:
-        return 1
+        return max(1, len(self._members()))
 
     def _kept_from_work(
         self, target: TargetId, group: str, error_share: float
@@ -282,6 +390,31 @@
         return f"line {line.number}, asked for by {line.member}"
 
 
+class _OwnerWatcher(PartitionWatcher):
+    """Passes gained and lost partitions on to the node's owner."""
+
+    def __init__(self, node: Node) -> None:
+        self._node = node
+
+    def gained(
+        self,
+        partition: PartitionId,
+        epoch: Offset,
+        *,
+        handed: dict[str, bytes],
+        unproven: bool,
+    ) -> None:
+        self._node.owner.gained(
+            partition, epoch, handed=handed, unproven=unproven
+        )
+
+    def lost(self, partition: PartitionId) -> None:
+        self._node.owner.lost(partition)
+
+    def quiesce(self, partition: PartitionId) -> Deferred[dict[str, bytes]]:
+        return self._node.owner.quiesce(partition)
+
+
 class _CountedSink(CallSink):
     """Passes an answer through and counts its outcome."""
 
--- a/lycheestall/polling.py
+++ b/lycheestall/polling.py
@@ -11,7 +11,7 @@
 from .clock import Clock, Timer
 from .supervisor import Child
 
-__all__ = ["Poller"]
+__all__ = ["PollStep", "Poller"]
 
 PollStep = Callable[[], Coroutine[Deferred[Any], Any, None]]
 
--- a/lycheestall/rules_publisher.py
+++ b/lycheestall/rules_publisher.py
@@ -165,7 +165,7 @@
         if not isinstance(file, RuleFile):
             return PublishInvalid(file)
         deadline = self._clock.seconds() + self._timeout_s
-        while not await self._stream.step():
+        while not self._stream.answering():
             if self._clock.seconds() >= deadline:
                 return PublishUnreachable("the log service does not answer")
             await self._sleep()
@@ -211,10 +211,7 @@
         )
         done = self._stream.submit(proposal)
         done.addErrback(lambda failure: failure.trap(CancelledError))
-        while not done.called:
-            await self._stream.step()
-            if done.called or self._clock.seconds() >= deadline:
-                break
+        while not done.called and self._clock.seconds() < deadline:
             await self._sleep()
         entry = self._stream.publication.history.by_nonce(nonce)
         if entry is not None:
--- a/lycheestall/rules_stream.py
+++ b/lycheestall/rules_stream.py
@@ -1,32 +1,31 @@
 """A VM's hold on the rules stream: reads it, folds it, writes to it.
 
-What an append did is learned by reading alone. A record whose append
-went unanswered is appended again under the same sequence until it is
-read back; the fold ignores the second copy.
+What an append did is learned by reading alone. Reading and writing are
+those of the cell's stream, so a VM that the log does not answer gets
+rules from its peers, and has no authority while it knows of newer ones.
 """
 
 from __future__ import annotations
 
-from collections import deque
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Protocol
 
-from twisted.internet.defer import Deferred, DeferredLock
+from twisted.internet.defer import Deferred
 
-from ._checkpoint_policy import CheckpointPolicy
-from ._pending_records import PendingRecords
+from ._publication_state import decode_state, encode_state
 from .cell_view import Folded
+from .checkpoints import Checkpoint, CheckpointAssembler, CheckpointSchedule
 from .clock import Clock
-from .codec import (
-    CodecError,
-    UnreadableRecord,
-    decode_record,
-)
+from .fold import Fold, Verdict
 from .ids import Offset, SessionId, StreamName, VmId
-from .platform import LogEntry, LogService, ReadBatch, ReadGone
-from .publication import Publication, StaleStateError
+from .log_reader import FoldedHandler, LogReader
+from .log_writer import LogWriter
+from .publication import Publication, Reader
 from .records import (
     NO_OFFSET,
     ReaderJoined,
+    ReaderLeft,
     Record,
     RulesApplied,
     RulesCheckpoint,
@@ -35,10 +34,39 @@
 from .rules_match import EMPTY_RULES, MatchedRules
 from .rules_parser import RULES_FORMAT
 
-__all__ = ["RulesStream"]
+__all__ = ["RulesCheckpoints", "RulesStream", "StreamHost"]
+
+READER_GONE_S = 10.0
+
+
+class StreamHost(Protocol):
+    """Follows streams and writes to them."""
+
+    def follow(
+        self,
+        stream: StreamName,
+        fold: Fold,
+        *,
+        on_folded: FoldedHandler,
+        on_loaded: Callable[[], None],
+        assembler: CheckpointAssembler | None = None,
+    ) -> LogReader:
+        """Returns a reader that folds the stream once the host starts."""
+
+    def open_writer(self, stream: StreamName, session: SessionId) -> LogWriter:
+        """Returns a writer to a followed stream."""
+
 
-READ_LIMIT = 500
-KEPT_ENTRIES = 1_000
+class RulesCheckpoints(CheckpointAssembler):
+    """Finds the rules stream's own kind of checkpoint."""
+
+    def add(self, offset: Offset, record: Record) -> Checkpoint | None:
+        """Returns the state that a checkpoint record holds."""
+        body = record.body
+        if not isinstance(body, RulesCheckpoint):
+            return None
+        state = replace(decode_state(body.data), text=body.text)
+        return Checkpoint(body.as_of, encode_state(state))
 
 
 class RulesStream:
@@ -47,113 +75,83 @@
     Call ``step`` at a steady interval; ``rules`` is the version in force.
 
     Args:
-        log: The platform's log service.
+        host: Follows the stream.
         stream: The rules stream's name.
         session: This daemon's session.
         vm: This VM.
+        members: Returns the VMs of the cell, to tell dead readers.
         clock: Monotonic time.
         wall_ms: Wall-clock time, milliseconds since 1970.
         newest_format: The newest rule format this release reads.
 
     Attributes:
         publication: The folded state.
-        fresh_at: When the log last showed that nothing newer exists, on
-            the clock; None before it has.
     """
 
     def __init__(
         self,
         *,
-        log: LogService,
+        host: StreamHost,
         stream: StreamName,
         session: SessionId,
         vm: VmId,
+        members: Callable[[], frozenset[VmId]],
         clock: Clock,
         wall_ms: Callable[[], int],
         newest_format: int = RULES_FORMAT,
     ) -> None:
-        self._log = log
-        self._stream = stream
         self._session = session
         self._vm = vm
+        self._members = members
         self._clock = clock
         self._wall_ms = wall_ms
         self._newest_format = newest_format
         self.publication = Publication(newest_format=newest_format)
-        self.fresh_at: float | None = None
         self._rules = EMPTY_RULES
-        self._heard = NO_OFFSET
-        self._pending = PendingRecords(session)
-        self._kept: deque[LogEntry] = deque(maxlen=KEPT_ENTRIES)
-        self._lock = DeferredLock()
+        self._reader = host.follow(
+            stream,
+            self.publication,
+            on_folded=self._folded,
+            on_loaded=lambda: None,
+            assembler=RulesCheckpoints(),
+        )
+        self._writer = host.open_writer(stream, session)
+        self._schedule = CheckpointSchedule(rewrite_idle=True)
         self._leaving = False
         self._applied = NO_OFFSET
-        self._checkpoints = CheckpointPolicy(clock.seconds())
+        self._gone_since_by_session: dict[SessionId, float] = {}
 
     @property
     def rules(self) -> MatchedRules:
         """Returns the version in force on this VM."""
-        if self._rules.version != self.publication.version:
-            publication = self.publication
+        publication = self.publication
+        if self._rules.version != publication.version:
             self._rules = MatchedRules(
                 publication.file, version=publication.version
             )
         return self._rules
 
-    @property
-    def newest(self) -> Offset:
-        """Returns the newest offset known to exist."""
-        return max(self._heard, self.publication.as_of)
-
     @property
     def folded(self) -> Offset:
         """Returns the newest offset taken into the state."""
-        return self.publication.as_of
+        return self._reader.folded
 
     def current(self) -> bool:
         """Returns whether this VM may serve by its state.
 
-        False while it has read nothing, knows of a newer record or holds
-        rules in a format that it cannot read.
+        False while its state is not whole, while it knows of a newer
+        record, or when it cannot read the rules' format.
         """
-        known = self.fresh_at is not None and self.folded >= self._heard
+        reader = self._reader
+        known = reader.ready and reader.folded >= reader.newest
         return known and self.publication.readable
 
-    def hear(self, newest: Offset) -> None:
-        """Notes an offset that a peer knows of.
-
-        Args:
-            newest: The highest offset the peer has heard of.
-        """
-        self._heard = max(self._heard, newest)
-
-    def tail(self, start: Offset) -> tuple[LogEntry, ...]:
-        """Returns consecutive entries from ``start``, none if not kept.
-
-        Args:
-            start: The first offset wanted.
-        """
-        if not self._kept or start < self._kept[0].offset:
-            return ()
-        return tuple(entry for entry in self._kept if entry.offset >= start)
-
-    def take(self, entries: Sequence[LogEntry]) -> None:
-        """Folds consecutive entries, from the log or a peer.
-
-        Args:
-            entries: Entries in offset order; known ones are passed over
-                and a gap ends the reading.
-        """
-        for entry in entries:
-            if entry.offset <= self.folded:
-                continue
-            if entry.offset != self.folded + 1:
-                self.hear(entry.offset)
-                return
-            self._fold(entry)
+    def answering(self) -> bool:
+        """Returns whether the log answers this VM."""
+        return self._reader.ready and not self._reader.failing
 
     def submit(self, body: RulesRecord) -> Deferred[Folded]:
-        """Writes a record with the next steps; fires once read back.
+        """Writes a record; fires once it is read back.
 
         Cancelling drops the record if it has not been sent; a sent one
         may still take effect.
@@ -161,7 +159,7 @@
         Args:
             body: What to write.
         """
-        return self._pending.add(body)
+        return self._writer.submit(body)
 
     def sent(self, done: Deferred[Folded]) -> bool:
         """Returns whether a submitted record may be in the log.
@@ -169,95 +167,16 @@
         Args:
             done: What ``submit`` returned; not fired, not cancelled.
         """
-        return self._pending.sent(done)
+        return self._writer.sent(done)
 
-    def leave(self) -> None:
-        """Stops the upkeep of this VM's entry among the readers."""
+    def leave(self) -> Deferred[Folded]:
+        """Takes this VM off the readers; ends its upkeep."""
         self._leaving = True
+        return self._writer.submit(ReaderLeft(self._session))
 
-    async def step(self) -> bool:
-        """Reads what is new, keeps the entry up, writes what waits.
-
-        Returns:
-            Whether the log answered.
-        """
-        await self._lock.acquire()
-        try:
-            return await self._step()
-        finally:
-            self._lock.release()
-
-    async def _step(self) -> bool:
-        if not await self._read():
-            return False
-        self._upkeep()
-        if not self._pending:
-            return True
-        await self._log.append(self._stream, self._pending.send())
-        return await self._read()
-
-    async def _read(self) -> bool:
-        """Reads to the stream's end; False when the log does not answer."""
-        while True:
-            start = Offset(self.folded + 1)
-            asked_at = self._clock.seconds()
-            found = await self._log.read(self._stream, start, limit=READ_LIMIT)
-            if isinstance(found, ReadGone):
-                if not await self._read_checkpoint(found.first_retained):
-                    return False
-                continue
-            if not isinstance(found, ReadBatch):
-                return False
-            self.take(found.entries)
-            self.hear(Offset(found.end - 1))
-            if self.folded >= found.end - 1:
-                self.fresh_at = asked_at
-                return True
-            if not found.entries:
-                return False
-
-    async def _read_checkpoint(self, start: Offset) -> bool:
-        """Adopts a retained checkpoint that the tail can continue."""
-        first = start
-        while True:
-            found = await self._log.read(self._stream, start, limit=READ_LIMIT)
-            if not isinstance(found, ReadBatch) or not found.entries:
-                return False
-            for entry in found.entries:
-                if self._adopt(entry, first):
-                    return True
-            start = Offset(found.entries[-1].offset + 1)
-
-    def _adopt(self, entry: LogEntry, first: Offset) -> bool:
-        record = _decode(entry)
-        if not isinstance(record, Record):
-            return False
-        if not isinstance(record.body, RulesCheckpoint):
-            return False
-        if record.body.as_of < first - 1:
-            return False
-        try:
-            self.publication.adopt(record.body)
-        except StaleStateError:
-            return False
-        self._kept.clear()
-        return True
-
-    def _fold(self, entry: LogEntry) -> None:
-        self._kept.append(entry)
-        record = _decode(entry)
-        if not isinstance(record, Record):
-            unreadable = isinstance(record, UnreadableRecord)
-            self.publication.skip(entry.offset, unreadable=unreadable)
-            return
-        verdict = self.publication.apply(entry.offset, record)
-        if isinstance(record.body, RulesCheckpoint):
-            self._checkpoints.seen(entry.offset, self._clock.seconds())
-        if record.writer == self._session:
-            self._pending.settle(entry.offset, record.sequence, verdict)
-
-    def _upkeep(self) -> None:
-        if self._leaving or self._pending or not self.publication.readable:
+    def step(self) -> None:
+        """Keeps this VM's entry, and checkpoints, up to date."""
+        if self._leaving or not self.current() or self._writer.pending:
             return
         readers = self.publication.readers()
         sessions = [reader.session for reader in readers]
@@ -269,15 +188,36 @@
             at_ms = self._wall_ms()
             self._write(RulesApplied(self._vm, self._applied, at_ms))
         rank = sessions.index(self._session)
-        if self._checkpoints.due(self.folded, rank, self._clock.seconds()):
+        if rank == 0:
+            self._drop_gone(readers)
+        due = self._schedule.due(
+            self._clock.seconds(),
+            folded=self.folded,
+            first_retained=self._reader.first_retained,
+            rank=rank,
+        )
+        if due and self.folded != NO_OFFSET:
             self._write(self.publication.checkpoint())
 
+    def _folded(
+        self, offset: Offset, record: Record, verdict: Verdict
+    ) -> None:
+        if isinstance(record.body, RulesCheckpoint):
+            self._schedule.seen(record.body.as_of, self._clock.seconds())
+
+    def _drop_gone(self, readers: tuple[Reader, ...]) -> None:
+        """Takes readers off whose VMs have long left the cell."""
+        now = self._clock.seconds()
+        members = self._members() | {self._vm}
+        gone = {r.session for r in readers if r.vm not in members}
+        since = self._gone_since_by_session
+        for session in list(since):
+            if session not in gone:
+                del since[session]
+        for session in gone:
+            if now - since.setdefault(session, now) < READER_GONE_S:
+                continue
+            self._write(ReaderLeft(session))
+
     def _write(self, body: RulesRecord) -> None:
         self.submit(body).addErrback(lambda _: None)
-
-
-def _decode(entry: LogEntry) -> Record | UnreadableRecord | None:
-    try:
-        return decode_record(entry.payload)
-    except CodecError:
-        return None
--- a/tests/system.py
+++ b/tests/system.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import random
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
@@ -41,7 +42,7 @@
 
 def no_logger() -> structlog.typing.FilteringBoundLogger:
     """Returns a logger that writes nothing."""
-    wrapper = structlog.make_filtering_bound_logger(60)
+    wrapper = structlog.make_filtering_bound_logger(logging.CRITICAL)
     logger: structlog.typing.FilteringBoundLogger = structlog.wrap_logger(
         None, processors=[], wrapper_class=wrapper
     )
