--- a/lycheestall/cell_agent.py
+++ b/lycheestall/cell_agent.py
@@ -32,7 +32,14 @@
 )
 from .outcomes import Reason, Refused, Step
 from .platform import LogService, VmListing, VmRole
-from .records import NO_OFFSET, CellRecord, Record
+from .records import (
+    NO_OFFSET,
+    CellRecord,
+    Record,
+    SessionDeposed,
+    SessionJoined,
+    SessionLeft,
+)
 from .settings import TuningSettings
 from .targets import LoadReport
 
@@ -41,6 +48,8 @@
 TICK_INTERVAL_S = 0.25
 MAX_LISTED_PEERS = 16
 
+_MEMBERSHIP_RECORDS = (SessionJoined, SessionLeft, SessionDeposed)
+
 
 @dataclass(frozen=True, slots=True)
 class CellPorts:
@@ -187,6 +196,7 @@
                 self._finish()
             else:
                 self._cell_session.drain()
+                self._send_heartbeats()
         done: Deferred[None] = Deferred()
         self._drained.chainDeferred(done)
         return done
@@ -345,7 +355,10 @@
     ) -> None:
         if self._cell_session is not None:
             self._cell_session.on_folded(offset, record, verdict)
-        self._set_peers()
+        if isinstance(
+            record.body, SessionJoined | SessionLeft | SessionDeposed
+        ):
+            self._set_peers()
 
     def _loaded(self) -> None:
         if self._cell_session is not None:
@@ -367,6 +380,9 @@
 
     def _beat(self) -> None:
         self._set_timer(self._tuning.heartbeat_interval_s, self._beat)
+        self._send_heartbeats()
+
+    def _send_heartbeats(self) -> None:
         current = self._cell_session
         if current is None or current.state is SessionState.LEAVING:
             return
--- a/lycheestall/cell_session.py
+++ b/lycheestall/cell_session.py
@@ -274,7 +274,7 @@
         self._deadline = self._clock.callLater(
             self._tuning.drain_limit_s, self._leave
         )
-        self._act()
+        self._act_soon()
 
     def end(self, why: str) -> None:
         """Ends the session; what it owned is lost."""
--- a/lycheestall/log_reader.py
+++ b/lycheestall/log_reader.py
@@ -297,9 +297,9 @@
         self._timer = self._clock.callLater(CATCH_UP_INTERVAL_S, self._nudge)
         stuck = self._folded == self._folded_before
         self._folded_before = self._folded
-        if self._seek is not None or self._newest <= self._folded:
+        if self._seek is not None or not stuck:
             return
-        if stuck:
+        if self._failing or self._newest > self._folded:
             self._ask_peer(self.stream, Offset(self._folded + 1))
 
     def _sleep(self, seconds: float) -> Deferred[None]:
--- a/lycheestall/log_streams.py
+++ b/lycheestall/log_streams.py
@@ -188,11 +188,14 @@
         self._mesh.send(peer, given)
 
     def _ask_peer(self, stream: StreamName, start: Offset) -> None:
-        for peer in self._peers_in_turn():
+        peers = self._peers_in_turn()
+        for peer in peers:
             folded = self._folded_by_peer.get((peer, stream))
             if folded is not None and folded >= start:
                 self._mesh.send(peer, TailWanted(stream, start))
                 return
+        if peers:
+            self._mesh.send(peers[0], TailWanted(stream, start))
 
     def _relay(self, stream: StreamName, payloads: tuple[bytes, ...]) -> bool:
         for peer in self._peers_in_turn():
