--- /dev/null
+++ b/lycheestall/receipts.py
@@ -0,0 +1,125 @@
+"""Signed receipts: what a program can prove after its owner is lost."""
+
+from __future__ import annotations
+
+import hmac
+from base64 import urlsafe_b64decode, urlsafe_b64encode
+from collections.abc import Sequence
+from dataclasses import astuple, dataclass
+from hashlib import sha256
+from typing import Any
+
+import cbor2
+
+from .history import ChainPoint
+from .ids import AccountId, Offset, ProgramId
+from .ledger import Spend
+
+__all__ = ["BadReceipt", "Receipt", "ReceiptSigner"]
+
+RECEIPT_FORMAT = 1
+SIGNATURE_BYTES = 16
+MAX_RECEIPT_CHARACTERS = 4096
+
+
+@dataclass(frozen=True, slots=True)
+class Receipt:
+    """Where a program stood when an answer was given.
+
+    Attributes:
+        account: Who pays.
+        program: The program, with its parents' path.
+        turn: Chat calls of the whole program so far.
+        point: The point of its history.
+        spend: What the whole program had spent or reserved.
+        epoch: The owner's claim offset.
+    """
+
+    account: AccountId
+    program: ProgramId
+    turn: int
+    point: ChainPoint
+    spend: Spend
+    epoch: Offset
+
+
+@dataclass(frozen=True, slots=True)
+class BadReceipt:
+    """A text that is no receipt of this deployment.
+
+    Attributes:
+        why: What is wrong, for people.
+    """
+
+    why: str
+
+
+class ReceiptSigner:
+    """Signs receipts with the newest key; any key verifies.
+
+    Args:
+        keys: At least one key, newest first.
+
+    Raises:
+        ValueError: There is no key.
+    """
+
+    def __init__(self, keys: Sequence[bytes]) -> None:
+        if not keys:
+            raise ValueError("expected at least one key")
+        self._keys = tuple(keys)
+
+    def sign(self, receipt: Receipt) -> str:
+        """Returns a receipt as base64url text."""
+        payload = cbor2.dumps(
+            [
+                RECEIPT_FORMAT,
+                receipt.account,
+                receipt.program,
+                receipt.turn,
+                list(astuple(receipt.point)),
+                list(astuple(receipt.spend)),
+                receipt.epoch,
+            ]
+        )
+        signed = _signature(self._keys[0], payload) + payload
+        return urlsafe_b64encode(signed).rstrip(b"=").decode()
+
+    def verify(self, text: str) -> Receipt | BadReceipt:
+        """Returns the receipt in a text, if a key signed it.
+
+        Args:
+            text: What the caller sent.
+        """
+        if len(text) > MAX_RECEIPT_CHARACTERS:
+            return BadReceipt("the receipt is too long")
+        try:
+            signed = urlsafe_b64decode(text + "=" * (-len(text) % 4))
+        except ValueError:
+            return BadReceipt("the receipt is no base64url text")
+        signature = signed[:SIGNATURE_BYTES]
+        payload = signed[SIGNATURE_BYTES:]
+        for key in self._keys:
+            if hmac.compare_digest(signature, _signature(key, payload)):
+                return _decode(payload)
+        return BadReceipt("no key of this deployment signed the receipt")
+
+
+def _signature(key: bytes, payload: bytes) -> bytes:
+    digest = hmac.new(key, b"receipt\0" + payload, sha256).digest()
+    return digest[:SIGNATURE_BYTES]
+
+
+def _decode(payload: bytes) -> Receipt | BadReceipt:
+    document: Any = cbor2.loads(payload)
+    if document[0] != RECEIPT_FORMAT:
+        return BadReceipt(f"the receipt has format {document[0]}")
+    _, account, program, turn, point, spend, epoch = document
+    return Receipt(
+        account=account,
+        program=program,
+        turn=turn,
+        point=ChainPoint(*point),
+        spend=Spend(*spend),
+        epoch=epoch,
+    )
