Fit ledger and shared limits into the cell's fold

Cause: the cell's fold defines its parts' interfaces and the claims. Change: Ledger and Portions are a LedgerPart and a PortionsPart; the ledger asks the cell's Claims who holds a partition. The fold tells the portions of sessions that left or were deposed, so that concurrency they held comes back.

--- a/lycheestall/cell_fold.py
+++ b/lycheestall/cell_fold.py
@@ -133,6 +133,11 @@
             if not self.sessions.is_live(writer):
                 del self._sequence_by_writer[writer]
 
+    def _end(self, session: SessionId, verdict: Verdict) -> Verdict:
+        if verdict.accepted:
+            self.portions.session_ended(session)
+        return verdict
+
     def _route(
         self, offset: Offset, writer: SessionId, body: RecordBody
     ) -> Verdict:
@@ -140,9 +145,10 @@
             case SessionRenewed():
                 return self.sessions.renew(offset, writer, body)
             case SessionLeft():
-                return self.sessions.leave(offset, writer)
+                return self._end(writer, self.sessions.leave(offset, writer))
             case SessionDeposed():
-                return self.sessions.depose(offset, writer, body)
+                verdict = self.sessions.depose(offset, writer, body)
+                return self._end(body.session, verdict)
             case PartitionClaimed():
                 return self.claims.claim(
                     offset,
--- a/lycheestall/fold.py
+++ b/lycheestall/fold.py
@@ -89,3 +89,10 @@
         self, offset: Offset, writer: SessionId, body: CellRecord
     ) -> Verdict:
         """Takes a record of a live session."""
+
+    def session_ended(self, session: SessionId) -> None:
+        """Hears that a session left or was deposed.
+
+        Args:
+            session: Whose portions without a time window come back.
+        """
--- a/lycheestall/ledger.py
+++ b/lycheestall/ledger.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import Any, Protocol
+from typing import Any, cast
 
-from .fold import Verdict
+from .claims import Claims
+from .fold import LedgerPart, Verdict
 from .ids import (
     AccountId,
     IdempotencyKey,
@@ -28,8 +29,6 @@
 )
 
 __all__ = [
-    "Claim",
-    "Claims",
     "Intent",
     "KeptAnswer",
     "Ledger",
@@ -40,25 +39,6 @@
 ACCEPTED = Verdict(True)
 
 
-class Claim(Protocol):
-    """The newest valid claim of a partition."""
-
-    @property
-    def session(self) -> SessionId:
-        """Returns the claimant."""
-
-    @property
-    def offset(self) -> Offset:
-        """Returns the claim's offset, the partition's epoch."""
-
-
-class Claims(Protocol):
-    """Who holds which partition, as of the record being folded."""
-
-    def current(self, partition: PartitionId) -> Claim | None:
-        """Returns a partition's newest valid claim, None without one."""
-
-
 @dataclass(frozen=True, slots=True)
 class Spend:
     """Amounts of a program's budget.
@@ -157,7 +137,7 @@
     intent_by_key: dict[IdempotencyKey, Intent] = field(default_factory=dict)
 
 
-class Ledger:
+class Ledger(LedgerPart):
     """The part of the cell's fold that concerns programs.
 
     Attributes:
@@ -175,7 +155,7 @@
         offset: Offset,
         writer: SessionId,
         body: CellRecord,
-        claims: Claims,
+        claims: Claims[PartitionId],
     ) -> Verdict:
         """Takes a record; one of another kind is not accepted.
 
@@ -195,11 +175,8 @@
             body, ProgramOpened | BudgetDrawn | ProgramEnded | IntentRecorded
         ):
             return Verdict(False, "no record of programs")
-        claim = claims.current(body.partition)
-        if claim is None or claim.session != writer:
+        if not claims.holds(body.partition, writer, body.epoch):
             return Verdict(False, "the writer does not hold the partition")
-        if claim.offset != body.epoch:
-            return Verdict(False, "the epoch is not the newest claim")
         if isinstance(body, ProgramOpened):
             return self._open(body)
         program = self.program_by_id.get(body.program)
@@ -234,9 +211,9 @@
         ]
         return [self.forgotten_before_ms, programs]
 
-    def load(self, state: Any) -> None:
+    def load(self, state: object) -> None:
         """Replaces the state by one that ``dump`` made."""
-        self.forgotten_before_ms, programs = state
+        self.forgotten_before_ms, programs = cast(list[Any], state)
         self.program_by_id = dict(_load_program(item) for item in programs)
 
     def _open(self, body: ProgramOpened) -> Verdict:
@@ -280,7 +257,10 @@
         return ACCEPTED
 
     def _void(
-        self, writer: SessionId, body: IntentVoided, claims: Claims
+        self,
+        writer: SessionId,
+        body: IntentVoided,
+        claims: Claims[PartitionId],
     ) -> Verdict:
         program = self.program_by_id.get(body.program)
         intent = self.intent(body.program, body.key)
@@ -289,8 +269,8 @@
         if intent.answer is not None or intent.closed:
             return Verdict(False, "the intent is settled")
         if body.closed:
-            claim = claims.current(program.partition)
-            if claim is None or claim.session != writer:
+            epoch = claims.epoch(program.partition)
+            if not claims.holds(program.partition, writer, epoch):
                 return Verdict(False, "the writer does not hold the program")
             intent.closed = True
             return ACCEPTED
--- a/lycheestall/portions.py
+++ b/lycheestall/portions.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import Any, TypeAlias
+from typing import Any, TypeAlias, cast
 
-from .fold import Verdict
+from .fold import PortionsPart, Verdict
 from .ids import AccountId, Offset, SessionId
 from .records import CellRecord, PortionReturned, PortionTaken
 
@@ -35,7 +35,7 @@
 _BySession: TypeAlias = dict[SessionId, int]
 
 
-class Portions:
+class Portions(PortionsPart):
     """The part of the cell's fold that concerns shared limits.
 
     A portion stays out until its taker returns it or its window is no
@@ -89,10 +89,10 @@
             for window, by_session in by_window.items()
         ]
 
-    def load(self, state: Any) -> None:
+    def load(self, state: object) -> None:
         """Replaces the state by one that ``dump`` made."""
         self._out_by_limit = {}
-        for account, name, window, pairs in state:
+        for account, name, window, pairs in cast(list[Any], state):
             by_window = self._out_by_limit.setdefault((account, name), {})
             by_window[window] = dict(pairs)
 
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import replace
 
 import cbor2
 import pytest
@@ -16,6 +16,7 @@
     run_state_machine_as_test,
 )
 
+from lycheestall.claims import Claims
 from lycheestall.fold import Verdict
 from lycheestall.ids import (
     AccountId,
@@ -26,7 +27,7 @@
     SessionId,
     TargetId,
 )
-from lycheestall.ledger import Claim, Claims, Ledger
+from lycheestall.ledger import Ledger
 from lycheestall.program_ids import issue_program_id, ledger_id
 from lycheestall.records import (
     BudgetDrawn,
@@ -59,18 +60,17 @@
 stale = st.sampled_from([0, 0, 0, 1])
 
 
-@dataclass(frozen=True)
-class _Claim:
-    session: SessionId
-    offset: Offset
-
-
-class _Claims(Claims):
-    def __init__(self) -> None:
-        self.claim: _Claim | None = None
-
-    def current(self, partition: PartitionId) -> Claim | None:
-        return self.claim
+def _claimed(
+    claims: Claims[PartitionId], session: SessionId, offset: int
+) -> None:
+    verdict = claims.claim(
+        Offset(offset),
+        session,
+        PARTITION,
+        claims.epoch(PARTITION),
+        lambda _: False,
+    )
+    assert verdict.accepted
 
 
 class _LedgerMachine(RuleBasedStateMachine):
@@ -81,8 +81,8 @@
     def __init__(self) -> None:
         super().__init__()
         self.ledger = self.ledger_class()
-        self.claims = _Claims()
-        self.claims.claim = _Claim(SESSIONS[0], Offset(1))
+        self.claims = Claims[PartitionId]()
+        _claimed(self.claims, SESSIONS[0], 1)
         self.offset = 1
         self.allowed: dict[tuple[ProgramId, IdempotencyKey], SessionId] = {}
         self.ended: set[ProgramId] = set()
@@ -95,24 +95,20 @@
         )
 
     def holds(self, writer: SessionId, late: int) -> bool:
-        claim = self.claims.claim
-        return claim is not None and claim.session == writer and not late
+        return self.claims.by_key[PARTITION].owner == writer and not late
 
     def writer(self, holder: bool) -> SessionId:
-        claim = self.claims.claim
-        if claim is None:
-            return SESSIONS[0]
-        return SESSIONS[holder == (claim.session == SESSIONS[1])]
+        owner = self.claims.by_key[PARTITION].owner
+        return SESSIONS[holder == (owner == SESSIONS[1])]
 
     def epoch(self, late: int) -> Offset:
-        claim = self.claims.claim
-        return Offset(0 if claim is None else claim.offset - late)
+        return Offset(self.claims.epoch(PARTITION) - late)
 
     @precondition(lambda self: self.offset % 4 == 2)
     @rule(session=sessions)
     def claim(self, session: SessionId) -> None:
         self.offset += 1
-        self.claims.claim = _Claim(session, Offset(self.offset))
+        _claimed(self.claims, session, self.offset)
 
     @rule(holder=holders, program=programs, late=stale)
     def open(self, holder: bool, program: ProgramId, late: int) -> None:
@@ -216,19 +212,10 @@
         offset: Offset,
         writer: SessionId,
         body: CellRecord,
-        claims: Claims,
+        claims: Claims[PartitionId],
     ) -> Verdict:
-        claim = claims.current(PARTITION)
-        if claim is not None and isinstance(body, IntentRecorded):
-            body = IntentRecorded(
-                body.program,
-                body.partition,
-                claim.offset,
-                body.key,
-                body.body_digest,
-                body.target,
-                body.number,
-            )
+        if isinstance(body, IntentRecorded):
+            body = replace(body, epoch=claims.epoch(PARTITION))
         return super().apply(offset, writer, body, claims)
 
 
@@ -236,7 +223,10 @@
     """Breaks the rule on voids: another session's word will do."""
 
     def _void(
-        self, writer: SessionId, body: IntentVoided, claims: Claims
+        self,
+        writer: SessionId,
+        body: IntentVoided,
+        claims: Claims[PartitionId],
     ) -> Verdict:
         intent = self.intent(body.program, body.key)
         if intent is not None:
@@ -277,8 +267,8 @@
 
 
 def test_intent_needs_an_issued_id() -> None:
-    ledger, claims = Ledger(), _Claims()
-    claims.claim = _Claim(SessionId("s1"), Offset(1))
+    ledger, claims = Ledger(), Claims[PartitionId]()
+    _claimed(claims, SessionId("s1"), 1)
     program = ledger_id(ACCOUNT, ProgramId("chosen"))
     opened = ProgramOpened(program, ACCOUNT, "", PARTITION, Offset(1), 5)
     intent = IntentRecorded(
