--- a/lycheestall/publication.py
+++ b/lycheestall/publication.py
@@ -249,10 +249,12 @@
     def _restore(self, state: PublicationState) -> None:
         if state.as_of < self.as_of or state.version < self.version:
             raise StaleStateError(f"{state.as_of} is before {self.as_of}")
-        found = parse_rules(state.text, file="checkpoint")
-        readable = isinstance(found, RuleFile)
-        self.readable = readable and state.text_format <= self._newest_format
-        self.file = found if isinstance(found, RuleFile) else RuleFile()
+        file: RuleFile | None = None
+        if state.readable and state.text_format <= self._newest_format:
+            found = parse_rules(state.text, file="checkpoint")
+            file = found if isinstance(found, RuleFile) else None
+        self.readable = file is not None
+        self.file = file or RuleFile()
         self.as_of = state.as_of
         self.version = state.version
         self.base = state.base
