Test publishing over a log that loses answers

Cause: the log goes away, keeps answers to itself and lets records land twice; an operator must never be told that a change did not happen when it did. Change: tests of the publisher and of the stream in virtual time: racing operators, lost answers, repeats, outages before and after the append, asking again, retention, checkpoints, a VM cut off from the log.

--- /dev/null
+++ b/tests/test_rules_publisher.py
@@ -0,0 +1,278 @@
+"""Tests of publishing over a log that fails."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+from fakes import FakeLog, World
+from twisted.internet.defer import Deferred, ensureDeferred
+
+from lycheestall._checkpoint_policy import CheckpointPolicy
+from lycheestall.clock import Clock
+from lycheestall.ids import Offset, OperatorName, SessionId, StreamName, VmId
+from lycheestall.records import ReaderLeft
+from lycheestall.rules_publisher import (
+    PublishBlocked,
+    PublishConflict,
+    Published,
+    PublishInvalid,
+    PublishUnknown,
+    PublishUnreachable,
+    RulesPublisher,
+)
+from lycheestall.rules_stream import RulesStream
+
+RULES = StreamName("rules")
+NONE = Offset(-1)
+ONE = "weight of everyone is 1 # assembly\n"
+TWO = "weight of everyone is 2 # crew\n"
+
+
+class Vm:
+    """A VM that follows and publishes rules."""
+
+    def __init__(
+        self, world: World, log: FakeLog, name: str, *, newest_format: int = 1
+    ) -> None:
+        self.world = world
+        self.clock: Clock = world.boot(name)
+        self.stream = RulesStream(
+            log=log.client(name),
+            stream=RULES,
+            session=SessionId(f"{name}.{world.now}"),
+            vm=VmId(name),
+            clock=self.clock,
+            wall_ms=self._wall_ms,
+            newest_format=newest_format,
+        )
+        self._nonce = 0
+        self.publisher = RulesPublisher(
+            stream=self.stream,
+            clock=self.clock,
+            wall_ms=self._wall_ms,
+            new_nonce=lambda: self._next_nonce(name),
+        )
+        self._turn()
+
+    def _wall_ms(self) -> int:
+        return int(self.world.now * 1000)
+
+    def _next_nonce(self, name: str) -> str:
+        self._nonce += 1
+        return f"{name}-{self.world.now}-{self._nonce}"
+
+    def _turn(self) -> None:
+        done = ensureDeferred(self.stream.step())
+        done.addCallback(lambda _: self.clock.callLater(0.5, self._turn))
+
+    def publish(self, base: int, text: str, operator: str = "op") -> Any:
+        """Publishes and returns the outcome."""
+        done = self.start(base, text, operator)
+        return self.wait(done)
+
+    def start(self, base: int, text: str, operator: str = "op") -> Any:
+        """Begins to publish."""
+        return ensureDeferred(
+            self.publisher.publish(Offset(base), text, OperatorName(operator))
+        )
+
+    def wait(self, done: Deferred[Any]) -> Any:
+        """Returns the outcome of a publication."""
+        found: list[Any] = []
+        done.addBoth(found.append)
+        assert self.world.run_while(lambda: not found, 60.0)
+        return found[0]
+
+
+@pytest.fixture
+def world() -> World:
+    return World(seed=5)
+
+
+@pytest.fixture
+def log(world: World) -> FakeLog:
+    return FakeLog(world)
+
+
+def accepted_count(vm: Vm) -> int:
+    entries = vm.stream.publication.history.entries()
+    return sum(entry.decision.value == "accepted" for entry in entries)
+
+
+def test_publication_is_in_force_on_every_vm(
+    world: World, log: FakeLog
+) -> None:
+    vms = [Vm(world, log, name) for name in ("a", "b", "c")]
+    world.run_for(2.0)
+    outcome = vms[0].publish(-1, ONE)
+    assert isinstance(outcome, Published)
+    world.run_for(3.0)
+    for vm in vms:
+        assert vm.stream.rules.version == outcome.version
+        assert vm.stream.current()
+    entry = vms[1].stream.publication.history.entries()[0]
+    assert [applied.vm for applied in entry.applied] == ["a", "b", "c"]
+
+
+def test_racing_operators_get_one_winner_and_a_diff(
+    world: World, log: FakeLog
+) -> None:
+    one, two = Vm(world, log, "a"), Vm(world, log, "b")
+    world.run_for(2.0)
+    first, second = one.start(-1, ONE, "x"), two.start(-1, TWO, "y")
+    outcomes = [one.wait(first), two.wait(second)]
+    kinds = {type(outcome) for outcome in outcomes}
+    assert kinds == {Published, PublishConflict}
+    conflict = next(o for o in outcomes if isinstance(o, PublishConflict))
+    assert len(conflict.added) == len(conflict.removed) == 1
+    assert conflict.base == -1 and conflict.version >= 0
+
+
+def test_mistakes_never_reach_the_log(world: World, log: FakeLog) -> None:
+    vm = Vm(world, log, "a")
+    world.run_for(2.0)
+    before = log.end(RULES)
+    assert isinstance(vm.publish(-1, "weight of"), PublishInvalid)
+    assert log.end(RULES) == before
+
+
+def test_lost_answer_is_found_by_reading(world: World, log: FakeLog) -> None:
+    vm = Vm(world, log, "a")
+    world.run_for(2.0)
+    log.lose_answers(world.now, world.now + 30)
+    outcome = vm.publish(-1, ONE)
+    assert isinstance(outcome, Published) and not outcome.already
+    world.run_for(30)
+    assert accepted_count(vm) == 1
+    assert len(vm.stream.publication.history.entries()) == 1
+
+
+def test_append_that_lands_twice_counts_once(
+    world: World, log: FakeLog
+) -> None:
+    vm = Vm(world, log, "a")
+    world.run_for(2.0)
+    log.repeat_late(world.now, world.now + 5, 1.0)
+    assert isinstance(vm.publish(-1, ONE), Published)
+    world.run_for(10)
+    assert len(vm.stream.publication.history.entries()) == 1
+
+
+def test_asking_again_learns_the_truth(world: World, log: FakeLog) -> None:
+    vm = Vm(world, log, "a")
+    world.run_for(2.0)
+    done = vm.start(-1, ONE)
+    world.run_while(lambda: not accepted_in(log, RULES), 5.0)
+    log.outage(world.now, world.now + 40)
+    outcome = vm.wait(done)
+    assert isinstance(outcome, PublishUnknown)
+    world.run_for(45)
+    again = vm.publish(-1, ONE)
+    assert isinstance(again, Published) and again.already
+    assert accepted_count(vm) == 1
+    other = Vm(world, log, "b")
+    world.run_for(2.0)
+    assert isinstance(other.publish(again.version, TWO), Published)
+    late = vm.publish(-1, ONE)
+    assert isinstance(late, Published)
+    assert late.already and late.in_force > late.version
+
+
+def accepted_in(log: FakeLog, stream: str) -> bool:
+    return any(b"RulesProposed" in e.payload for e in log.entries(stream))
+
+
+def test_log_that_is_away_means_nothing_was_sent(
+    world: World, log: FakeLog
+) -> None:
+    vm = Vm(world, log, "a")
+    world.run_for(2.0)
+    log.outage(world.now)
+    assert isinstance(vm.publish(-1, ONE), PublishUnreachable)
+
+
+def test_old_release_blocks_until_it_has_left(
+    world: World, log: FakeLog, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    Vm(world, log, "old")
+    new = Vm(world, log, "new", newest_format=2)
+    world.run_for(2.0)
+    monkeypatch.setattr("lycheestall.rules_publisher.RULES_FORMAT", 2)
+    assert isinstance(new.publish(-1, ONE), PublishBlocked)
+    world.kill("old")
+    new.stream.submit(ReaderLeft(SessionId("old.0.0")))
+    world.run_for(2.0)
+    assert isinstance(new.publish(-1, ONE), Published)
+
+
+def test_restarted_vm_starts_from_a_checkpoint(
+    world: World, log: FakeLog, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("lycheestall._checkpoint_policy.INTERVAL_S", 5.0)
+    vm = Vm(world, log, "a")
+    world.run_for(2.0)
+    version = vm.publish(-1, ONE).version
+    world.run_for(20.0)
+    entries = log.entries(RULES)
+    kept = max(
+        entry.offset
+        for entry in entries
+        if b"RulesCheckpoint" in entry.payload
+    )
+    log.retain_from(RULES, kept)
+    late = Vm(world, log, "b")
+    world.run_for(3.0)
+    assert late.stream.rules.version == version
+    assert late.stream.rules.share("x", "y").weight == 1.0
+    assert late.stream.publication.history.entries()
+
+
+def test_start_without_checkpoint_is_not_current(
+    world: World, log: FakeLog
+) -> None:
+    vm = Vm(world, log, "a")
+    world.run_for(2.0)
+    vm.publish(-1, ONE)
+    world.kill("a")
+    log.retain_from(RULES, log.end(RULES))
+    late = Vm(world, log, "b")
+    world.run_for(10.0)
+    assert not late.stream.current()
+    assert late.stream.publication.version == NONE
+
+
+def test_peer_gives_what_the_log_does_not(world: World, log: FakeLog) -> None:
+    vm, cut = Vm(world, log, "a"), Vm(world, log, "cut")
+    world.run_for(2.0)
+    log.outage(world.now, nodes=["cut"])
+    version = vm.publish(-1, ONE).version
+    cut.stream.hear(vm.stream.newest)
+    assert not cut.stream.current()
+    cut.stream.take(vm.stream.tail(Offset(cut.stream.folded + 1)))
+    assert cut.stream.current()
+    assert cut.stream.rules.version == version
+
+
+def test_gap_in_what_a_peer_gives_is_not_taken(
+    world: World, log: FakeLog
+) -> None:
+    vm, cut = Vm(world, log, "a"), Vm(world, log, "cut")
+    world.run_for(2.0)
+    log.outage(world.now, nodes=["cut"])
+    vm.publish(-1, ONE)
+    world.run_for(2.0)
+    tail = vm.stream.tail(Offset(cut.stream.folded + 1))
+    folded = cut.stream.folded
+    cut.stream.take(tail[1:])
+    assert cut.stream.folded == folded
+    assert not cut.stream.current()
+
+
+def test_one_reader_of_many_writes_the_checkpoint() -> None:
+    policies = [CheckpointPolicy(0.0) for _ in range(12)]
+    due = [p.due(Offset(9), rank, 301.0) for rank, p in enumerate(policies)]
+    assert due == [True] + [False] * 11
+    policies[0].seen(Offset(9), 301.0)
+    assert not policies[0].due(Offset(9), 0, 9_999.0)
+    assert policies[0].due(Offset(3_000), 0, 302.0)
