--- a/lycheestall/publication.py
+++ b/lycheestall/publication.py
@@ -99,18 +99,6 @@
         self._forget_old_writers()
         return self._apply(offset, record)
 
-    def skip(self, offset: Offset, *, unreadable: bool = False) -> None:
-        """Passes over an entry that is no record of this release.
-
-        Args:
-            offset: Where it is.
-            unreadable: Whether it is a record of a newer format, after
-                which this release cannot know the state.
-        """
-        self.as_of = max(self.as_of, offset)
-        if unreadable:
-            self.readable = False
-
     def _apply(self, offset: Offset, record: Record) -> Verdict:
         match record.body:
             case RulesProposed() as proposal:
--- a/lycheestall/rules_publisher.py
+++ b/lycheestall/rules_publisher.py
@@ -8,7 +8,6 @@
 
 from twisted.internet.defer import CancelledError, Deferred
 
-from .cell_view import Folded
 from .clock import Clock
 from .ids import Offset, OperatorName
 from .publication_history import (
@@ -36,7 +35,8 @@
 ]
 
 PUBLISH_TIMEOUT_S = 8.0
-RETRY_INTERVAL_S = 0.25
+RECENT_S = 3.0
+POLL_INTERVAL_S = 0.05
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,7 +101,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PublishUnknown:
-    """The proposal was sent and its outcome is not known yet.
+    """The outcome is not known; the rules may still come into force.
 
     Attributes:
         nonce: Names the publication in the history.
@@ -127,7 +127,7 @@
 
     Args:
         stream: This VM's hold on the rules stream.
-        clock: Times the retries.
+        clock: Times the waits.
         wall_ms: Wall-clock time, milliseconds since 1970.
         new_nonce: Returns a fresh name for a publication.
         timeout_s: How long to seek the outcome.
@@ -164,8 +164,9 @@
         file = parse_rules(text, file="rules")
         if not isinstance(file, RuleFile):
             return PublishInvalid(file)
-        deadline = self._clock.seconds() + self._timeout_s
-        while not await self._stream.step():
+        started = self._clock.seconds()
+        deadline = started + self._timeout_s
+        while not self._fresh(started - RECENT_S):
             if self._clock.seconds() >= deadline:
                 return PublishUnreachable("the log service does not answer")
             await self._sleep()
@@ -174,6 +175,11 @@
             return decided
         return await self._propose(base, text, operator, file, deadline)
 
+    def _fresh(self, since: float) -> bool:
+        """Returns whether the log has shown its end since a time."""
+        fresh_at = self._stream.reader.fresh_at
+        return fresh_at is not None and fresh_at >= since
+
     def _decided(
         self, base: Offset, text: str, operator: OperatorName, file: RuleFile
     ) -> PublishOutcome | None:
@@ -211,21 +217,12 @@
         )
         done = self._stream.submit(proposal)
         done.addErrback(lambda failure: failure.trap(CancelledError))
-        while not done.called:
-            await self._stream.step()
-            if done.called or self._clock.seconds() >= deadline:
-                break
+        while not done.called and self._clock.seconds() < deadline:
             await self._sleep()
         entry = self._stream.publication.history.by_nonce(nonce)
         if entry is not None:
             return self._outcome(entry, file)
-        return self._given_up(done, nonce)
-
-    def _given_up(self, done: Deferred[Folded], nonce: str) -> PublishOutcome:
-        sent = self._stream.sent(done)
         done.cancel()
-        if not sent:
-            return PublishUnreachable("the log service does not answer")
         detail = "publish the same file on the same base again to learn it"
         return PublishUnknown(nonce, detail)
 
@@ -251,5 +248,5 @@
 
     def _sleep(self) -> Deferred[None]:
         woken: Deferred[None] = Deferred()
-        self._clock.callLater(RETRY_INTERVAL_S, woken.callback, None)
+        self._clock.callLater(POLL_INTERVAL_S, woken.callback, None)
         return woken
--- a/lycheestall/rules_stream.py
+++ b/lycheestall/rules_stream.py
@@ -1,283 +1,217 @@
-"""A VM's hold on the rules stream: reads it, folds it, writes to it.
-
-What an append did is learned by reading alone. A record whose append
-went unanswered is appended again under the same sequence until it is
-read back; the fold ignores the second copy.
-"""
+"""A VM's hold on the rules stream: its fold, and its entry as a reader."""
 
 from __future__ import annotations
 
-from collections import deque
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Protocol
 
-from twisted.internet.defer import Deferred, DeferredLock
+from twisted.internet.defer import Deferred
 
-from ._checkpoint_policy import CheckpointPolicy
-from ._pending_records import PendingRecords
+from ._publication_state import decode_state, encode_state
 from .cell_view import Folded
+from .checkpoints import Checkpoint, CheckpointAssembler, CheckpointSchedule
 from .clock import Clock
-from .codec import (
-    CodecError,
-    UnreadableRecord,
-    decode_record,
-)
+from .fold import Fold, Verdict
 from .ids import Offset, SessionId, StreamName, VmId
-from .platform import LogEntry, LogService, ReadBatch, ReadGone
-from .publication import Publication, StaleStateError
+from .log_reader import FoldedHandler, LogReader
+from .log_writer import LogWriter
+from .publication import Publication
 from .records import (
     NO_OFFSET,
+    CheckpointPart,
     ReaderJoined,
+    ReaderLeft,
     Record,
     RulesApplied,
     RulesCheckpoint,
+    RulesProposed,
     RulesRecord,
 )
 from .rules_match import EMPTY_RULES, MatchedRules
 from .rules_parser import RULES_FORMAT
 
-__all__ = ["RulesStream"]
+__all__ = ["RulesCheckpoints", "RulesStream", "StreamHost"]
+
+READER_GRACE_S = 30.0
+
 
-READ_LIMIT = 500
-KEPT_ENTRIES = 1_000
+class StreamHost(Protocol):
+    """Follows streams; a ``CellAgent`` or a ``LogStreams``."""
+
+    def follow(
+        self,
+        stream: StreamName,
+        fold: Fold,
+        *,
+        on_folded: FoldedHandler,
+        on_loaded: Callable[[], None],
+        assembler: CheckpointAssembler | None = None,
+    ) -> LogReader:
+        """Makes the reader of a stream."""
+
+    def open_writer(self, stream: StreamName, session: SessionId) -> LogWriter:
+        """Returns a writer to a followed stream."""
+
+
+class RulesCheckpoints(CheckpointAssembler):
+    """Finds the rules stream's checkpoints, one record each."""
+
+    def add(self, offset: Offset, record: Record) -> Checkpoint | None:
+        """Takes the next record of the stream."""
+        body = record.body
+        if not isinstance(body, RulesCheckpoint):
+            return None
+        state = replace(decode_state(body.data), text=body.text)
+        return Checkpoint(body.as_of, encode_state(state))
 
 
 class RulesStream:
     """Follows the rules stream and keeps this VM listed as a reader.
 
-    Call ``step`` at a steady interval; ``rules`` is the version in force.
+    Make it before the host starts, then call ``step`` at a steady
+    interval; ``rules`` is the version in force on this VM.
 
     Args:
-        log: The platform's log service.
+        host: Reads and writes streams.
         stream: The rules stream's name.
         session: This daemon's session.
         vm: This VM.
         clock: Monotonic time.
         wall_ms: Wall-clock time, milliseconds since 1970.
+        live_vms: Returns the system's VMs, None when unknown; readers
+            on VMs that stay missing are taken off.
         newest_format: The newest rule format this release reads.
 
     Attributes:
         publication: The folded state.
-        fresh_at: When the log last showed that nothing newer exists, on
-            the clock; None before it has.
+        reader: The stream's reader.
     """
 
     def __init__(
         self,
         *,
-        log: LogService,
+        host: StreamHost,
         stream: StreamName,
         session: SessionId,
         vm: VmId,
         clock: Clock,
         wall_ms: Callable[[], int],
+        live_vms: Callable[[], frozenset[VmId] | None] = lambda: None,
         newest_format: int = RULES_FORMAT,
     ) -> None:
-        self._log = log
-        self._stream = stream
         self._session = session
         self._vm = vm
         self._clock = clock
         self._wall_ms = wall_ms
+        self._live_vms = live_vms
         self._newest_format = newest_format
         self.publication = Publication(newest_format=newest_format)
-        self.fresh_at: float | None = None
+        self.reader = host.follow(
+            stream,
+            self.publication,
+            on_folded=self._folded,
+            on_loaded=lambda: None,
+            assembler=RulesCheckpoints(),
+        )
+        self._writer = host.open_writer(stream, session)
+        self._schedule = CheckpointSchedule()
         self._rules = EMPTY_RULES
-        self._heard = NO_OFFSET
-        self._pending = PendingRecords(session)
-        self._kept: deque[LogEntry] = deque(maxlen=KEPT_ENTRIES)
-        self._lock = DeferredLock()
-        self._leaving = False
         self._applied = NO_OFFSET
-        self._checkpoints = CheckpointPolicy(clock.seconds())
+        self._leaving = False
+        self._missing_since: dict[SessionId, float] = {}
 
     @property
     def rules(self) -> MatchedRules:
         """Returns the version in force on this VM."""
-        if self._rules.version != self.publication.version:
-            publication = self.publication
+        publication = self.publication
+        if self._rules.version != publication.version:
             self._rules = MatchedRules(
                 publication.file, version=publication.version
             )
         return self._rules
 
-    @property
-    def newest(self) -> Offset:
-        """Returns the newest offset known to exist."""
-        return max(self._heard, self.publication.as_of)
-
-    @property
-    def folded(self) -> Offset:
-        """Returns the newest offset taken into the state."""
-        return self.publication.as_of
-
     def current(self) -> bool:
         """Returns whether this VM may serve by its state.
 
-        False while it has read nothing, knows of a newer record or holds
-        rules in a format that it cannot read.
-        """
-        known = self.fresh_at is not None and self.folded >= self._heard
-        return known and self.publication.readable
-
-    def hear(self, newest: Offset) -> None:
-        """Notes an offset that a peer knows of.
-
-        Args:
-            newest: The highest offset the peer has heard of.
-        """
-        self._heard = max(self._heard, newest)
-
-    def tail(self, start: Offset) -> tuple[LogEntry, ...]:
-        """Returns consecutive entries from ``start``, none if not kept.
-
-        Args:
-            start: The first offset wanted.
-        """
-        if not self._kept or start < self._kept[0].offset:
-            return ()
-        return tuple(entry for entry in self._kept if entry.offset >= start)
-
-    def take(self, entries: Sequence[LogEntry]) -> None:
-        """Folds consecutive entries, from the log or a peer.
-
-        Args:
-            entries: Entries in offset order; known ones are passed over
-                and a gap ends the reading.
+        False while it has no whole state, knows of a newer record or
+        holds rules in a format that it cannot read.
         """
-        for entry in entries:
-            if entry.offset <= self.folded:
-                continue
-            if entry.offset != self.folded + 1:
-                self.hear(entry.offset)
-                return
-            self._fold(entry)
+        reader = self.reader
+        if not reader.ready or reader.folded < reader.newest:
+            return False
+        return self.publication.readable
 
     def submit(self, body: RulesRecord) -> Deferred[Folded]:
-        """Writes a record with the next steps; fires once read back.
-
-        Cancelling drops the record if it has not been sent; a sent one
-        may still take effect.
+        """Writes a record; the result fires once it is read back.
 
         Args:
             body: What to write.
         """
-        return self._pending.add(body)
-
-    def sent(self, done: Deferred[Folded]) -> bool:
-        """Returns whether a submitted record may be in the log.
-
-        Args:
-            done: What ``submit`` returned; not fired, not cancelled.
-        """
-        return self._pending.sent(done)
+        return self._writer.submit(body)
 
-    def leave(self) -> None:
-        """Stops the upkeep of this VM's entry among the readers."""
+    def leave(self) -> Deferred[Folded]:
+        """Takes this VM off the readers, at a graceful shutdown."""
         self._leaving = True
+        return self.submit(ReaderLeft(self._session))
 
-    async def step(self) -> bool:
-        """Reads what is new, keeps the entry up, writes what waits.
-
-        Returns:
-            Whether the log answered.
-        """
-        await self._lock.acquire()
-        try:
-            return await self._step()
-        finally:
-            self._lock.release()
-
-    async def _step(self) -> bool:
-        if not await self._read():
-            return False
-        self._upkeep()
-        if not self._pending:
-            return True
-        await self._log.append(self._stream, self._pending.send())
-        return await self._read()
-
-    async def _read(self) -> bool:
-        """Reads to the stream's end; False when the log does not answer."""
-        while True:
-            start = Offset(self.folded + 1)
-            asked_at = self._clock.seconds()
-            found = await self._log.read(self._stream, start, limit=READ_LIMIT)
-            if isinstance(found, ReadGone):
-                if not await self._read_checkpoint(found.first_retained):
-                    return False
-                continue
-            if not isinstance(found, ReadBatch):
-                return False
-            self.take(found.entries)
-            self.hear(Offset(found.end - 1))
-            if self.folded >= found.end - 1:
-                self.fresh_at = asked_at
-                return True
-            if not found.entries:
-                return False
-
-    async def _read_checkpoint(self, start: Offset) -> bool:
-        """Adopts a retained checkpoint that the tail can continue."""
-        first = start
-        while True:
-            found = await self._log.read(self._stream, start, limit=READ_LIMIT)
-            if not isinstance(found, ReadBatch) or not found.entries:
-                return False
-            for entry in found.entries:
-                if self._adopt(entry, first):
-                    return True
-            start = Offset(found.entries[-1].offset + 1)
-
-    def _adopt(self, entry: LogEntry, first: Offset) -> bool:
-        record = _decode(entry)
-        if not isinstance(record, Record):
-            return False
-        if not isinstance(record.body, RulesCheckpoint):
-            return False
-        if record.body.as_of < first - 1:
-            return False
-        try:
-            self.publication.adopt(record.body)
-        except StaleStateError:
-            return False
-        self._kept.clear()
-        return True
-
-    def _fold(self, entry: LogEntry) -> None:
-        self._kept.append(entry)
-        record = _decode(entry)
-        if not isinstance(record, Record):
-            unreadable = isinstance(record, UnreadableRecord)
-            self.publication.skip(entry.offset, unreadable=unreadable)
-            return
-        verdict = self.publication.apply(entry.offset, record)
-        if isinstance(record.body, RulesCheckpoint):
-            self._checkpoints.seen(entry.offset, self._clock.seconds())
-        if record.writer == self._session:
-            self._pending.settle(entry.offset, record.sequence, verdict)
-
-    def _upkeep(self) -> None:
-        if self._leaving or self._pending or not self.publication.readable:
+    async def step(self) -> None:
+        """Joins the readers, reports what is in force, checkpoints."""
+        if not self.current() or self._leaving or self._writer.pending:
             return
         readers = self.publication.readers()
         sessions = [reader.session for reader in readers]
         if self._session not in sessions:
             self._write(ReaderJoined(self._vm, self._newest_format))
             return
-        if self._applied != self.publication.version:
-            self._applied = self.rules.version
-            at_ms = self._wall_ms()
-            self._write(RulesApplied(self._vm, self._applied, at_ms))
+        self._report()
         rank = sessions.index(self._session)
-        if self._checkpoints.due(self.folded, rank, self._clock.seconds()):
+        self._remove_missing(rank)
+        if self._checkpoint_due(rank):
             self._write(self.publication.checkpoint())
 
+    def _folded(
+        self, offset: Offset, record: Record, verdict: Verdict
+    ) -> None:
+        body = record.body
+        if isinstance(body, RulesCheckpoint):
+            seen = CheckpointPart(body.as_of, 0, 1, b"")
+            self._schedule.folded(offset, seen, self._clock.seconds())
+        if isinstance(body, RulesProposed) and self.current():
+            self._report()
+
+    def _report(self) -> None:
+        version = self.rules.version
+        if self._applied == version or self._leaving:
+            return
+        self._applied = version
+        self._write(RulesApplied(self._vm, version, self._wall_ms()))
+
+    def _checkpoint_due(self, rank: int) -> bool:
+        return self._schedule.due(
+            self._clock.seconds(),
+            folded=self.reader.folded,
+            first_retained=self.reader.first_retained,
+            rank=rank,
+        )
+
+    def _remove_missing(self, rank: int) -> None:
+        """Takes readers off whose VMs are gone; low ranks go first."""
+        live = self._live_vms()
+        if live is None or self._vm not in live:
+            self._missing_since.clear()
+            return
+        now = self._clock.seconds()
+        missing_since: dict[SessionId, float] = {}
+        for reader in self.publication.readers():
+            if reader.vm in live:
+                continue
+            since = self._missing_since.get(reader.session, now)
+            missing_since[reader.session] = since
+            if now - since >= READER_GRACE_S * (1 + rank):
+                self._write(ReaderLeft(reader.session))
+                missing_since[reader.session] = now
+        self._missing_since = missing_since
+
     def _write(self, body: RulesRecord) -> None:
         self.submit(body).addErrback(lambda _: None)
-
-
-def _decode(entry: LogEntry) -> Record | UnreadableRecord | None:
-    try:
-        return decode_record(entry.payload)
-    except CodecError:
-        return None
