--- a/lycheestall/rules_stream.py
+++ b/lycheestall/rules_stream.py
@@ -1,9 +1,4 @@
-"""A VM's hold on the rules stream: reads it, folds it, writes to it.
-
-What an append did is learned by reading alone. Reading and writing are
-those of the cell's stream, so a VM that the log does not answer gets
-rules from its peers, and has no authority while it knows of newer ones.
-"""
+"""A VM's hold on the rules stream: its fold, and its entry as a reader."""
 
 from __future__ import annotations
 
@@ -21,7 +16,7 @@
 from .ids import Offset, SessionId, StreamName, VmId
 from .log_reader import FoldedHandler, LogReader
 from .log_writer import LogWriter
-from .publication import Publication, Reader
+from .publication import Publication
 from .records import (
     NO_OFFSET,
     ReaderJoined,
@@ -29,6 +24,7 @@
     Record,
     RulesApplied,
     RulesCheckpoint,
+    RulesProposed,
     RulesRecord,
 )
 from .rules_match import EMPTY_RULES, MatchedRules
@@ -36,11 +32,11 @@
 
 __all__ = ["RulesCheckpoints", "RulesStream", "StreamHost"]
 
-READER_GONE_S = 10.0
+READER_GRACE_S = 30.0
 
 
 class StreamHost(Protocol):
-    """Follows streams and writes to them."""
+    """Follows streams; a ``CellAgent`` or a ``LogStreams``."""
 
     def follow(
         self,
@@ -51,17 +47,17 @@
         on_loaded: Callable[[], None],
         assembler: CheckpointAssembler | None = None,
     ) -> LogReader:
-        """Returns a reader that folds the stream once the host starts."""
+        """Makes the reader of a stream."""
 
     def open_writer(self, stream: StreamName, session: SessionId) -> LogWriter:
         """Returns a writer to a followed stream."""
 
 
 class RulesCheckpoints(CheckpointAssembler):
-    """Finds the rules stream's own kind of checkpoint."""
+    """Finds the rules stream's checkpoints, one record each."""
 
     def add(self, offset: Offset, record: Record) -> Checkpoint | None:
-        """Returns the state that a checkpoint record holds."""
+        """Takes the next record of the stream."""
         body = record.body
         if not isinstance(body, RulesCheckpoint):
             return None
@@ -72,20 +68,23 @@
 class RulesStream:
     """Follows the rules stream and keeps this VM listed as a reader.
 
-    Call ``step`` at a steady interval; ``rules`` is the version in force.
+    Make it before the host starts, then call ``step`` at a steady
+    interval; ``rules`` is the version in force on this VM.
 
     Args:
-        host: Follows the stream.
+        host: Reads and writes streams.
         stream: The rules stream's name.
         session: This daemon's session.
         vm: This VM.
-        members: Returns the VMs of the cell, to tell dead readers.
         clock: Monotonic time.
         wall_ms: Wall-clock time, milliseconds since 1970.
+        live_vms: Returns the system's VMs, None when unknown; readers
+            on VMs that stay missing are taken off.
         newest_format: The newest rule format this release reads.
 
     Attributes:
         publication: The folded state.
+        reader: The stream's reader.
     """
 
     def __init__(
@@ -95,20 +94,19 @@
         stream: StreamName,
         session: SessionId,
         vm: VmId,
-        members: Callable[[], frozenset[VmId]],
         clock: Clock,
         wall_ms: Callable[[], int],
+        live_vms: Callable[[], frozenset[VmId] | None] = lambda: None,
         newest_format: int = RULES_FORMAT,
     ) -> None:
         self._session = session
         self._vm = vm
-        self._members = members
         self._clock = clock
         self._wall_ms = wall_ms
+        self._live_vms = live_vms
         self._newest_format = newest_format
         self.publication = Publication(newest_format=newest_format)
-        self._rules = EMPTY_RULES
-        self._reader = host.follow(
+        self.reader = host.follow(
             stream,
             self.publication,
             on_folded=self._folded,
@@ -117,9 +115,10 @@
         )
         self._writer = host.open_writer(stream, session)
         self._schedule = CheckpointSchedule(rewrite_idle=True)
-        self._leaving = False
+        self._rules = EMPTY_RULES
         self._applied = NO_OFFSET
-        self._gone_since_by_session: dict[SessionId, float] = {}
+        self._leaving = False
+        self._missing_since: dict[SessionId, float] = {}
 
     @property
     def rules(self) -> MatchedRules:
@@ -131,93 +130,86 @@
             )
         return self._rules
 
-    @property
-    def folded(self) -> Offset:
-        """Returns the newest offset taken into the state."""
-        return self._reader.folded
-
     def current(self) -> bool:
         """Returns whether this VM may serve by its state.
 
-        False while its state is not whole, while it knows of a newer
-        record, or when it cannot read the rules' format.
+        False while it has no whole state, knows of a newer record or
+        holds rules in a format that it cannot read.
         """
-        reader = self._reader
-        known = reader.ready and reader.folded >= reader.newest
-        return known and self.publication.readable
-
-    def answering(self) -> bool:
-        """Returns whether the log answers this VM."""
-        return self._reader.ready and not self._reader.failing
+        reader = self.reader
+        if not reader.ready or reader.folded < reader.newest:
+            return False
+        return self.publication.readable
 
     def submit(self, body: RulesRecord) -> Deferred[Folded]:
-        """Writes a record; fires once it is read back.
-
-        Cancelling drops the record if it has not been sent; a sent one
-        may still take effect.
+        """Writes a record; the result fires once it is read back.
 
         Args:
             body: What to write.
         """
         return self._writer.submit(body)
 
-    def sent(self, done: Deferred[Folded]) -> bool:
-        """Returns whether a submitted record may be in the log.
-
-        Args:
-            done: What ``submit`` returned; not fired, not cancelled.
-        """
-        return self._writer.sent(done)
-
     def leave(self) -> Deferred[Folded]:
-        """Takes this VM off the readers; ends its upkeep."""
+        """Takes this VM off the readers, at a graceful shutdown."""
         self._leaving = True
-        return self._writer.submit(ReaderLeft(self._session))
+        return self.submit(ReaderLeft(self._session))
 
-    def step(self) -> None:
-        """Keeps this VM's entry, and checkpoints, up to date."""
-        if self._leaving or not self.current() or self._writer.pending:
+    async def step(self) -> None:
+        """Joins the readers, reports what is in force, checkpoints."""
+        if not self.current() or self._leaving or self._writer.pending:
             return
         readers = self.publication.readers()
         sessions = [reader.session for reader in readers]
         if self._session not in sessions:
             self._write(ReaderJoined(self._vm, self._newest_format))
             return
-        if self._applied != self.publication.version:
-            self._applied = self.rules.version
-            at_ms = self._wall_ms()
-            self._write(RulesApplied(self._vm, self._applied, at_ms))
+        self._report()
         rank = sessions.index(self._session)
-        if rank == 0:
-            self._drop_gone(readers)
-        due = self._schedule.due(
-            self._clock.seconds(),
-            folded=self.folded,
-            first_retained=self._reader.first_retained,
-            rank=rank,
-        )
-        if due and self.folded != NO_OFFSET:
+        self._remove_missing(rank)
+        if self._checkpoint_due(rank):
             self._write(self.publication.checkpoint())
 
     def _folded(
         self, offset: Offset, record: Record, verdict: Verdict
     ) -> None:
-        if isinstance(record.body, RulesCheckpoint):
-            self._schedule.seen(record.body.as_of, self._clock.seconds())
+        body = record.body
+        if isinstance(body, RulesCheckpoint):
+            self._schedule.seen(body.as_of, self._clock.seconds())
+        if isinstance(body, RulesProposed) and self.current():
+            self._report()
+
+    def _report(self) -> None:
+        version = self.rules.version
+        if self._applied == version or self._leaving:
+            return
+        self._applied = version
+        self._write(RulesApplied(self._vm, version, self._wall_ms()))
 
-    def _drop_gone(self, readers: tuple[Reader, ...]) -> None:
-        """Takes readers off whose VMs have long left the cell."""
+    def _checkpoint_due(self, rank: int) -> bool:
+        return self._schedule.due(
+            self._clock.seconds(),
+            folded=self.reader.folded,
+            first_retained=self.reader.first_retained,
+            rank=rank,
+        )
+
+    def _remove_missing(self, rank: int) -> None:
+        """Takes readers off whose VMs are gone; low ranks go first."""
+        live = self._live_vms()
+        if live is None or self._vm not in live:
+            self._missing_since.clear()
+            return
         now = self._clock.seconds()
-        members = self._members() | {self._vm}
-        gone = {r.session for r in readers if r.vm not in members}
-        since = self._gone_since_by_session
-        for session in list(since):
-            if session not in gone:
-                del since[session]
-        for session in gone:
-            if now - since.setdefault(session, now) < READER_GONE_S:
+        missing_since: dict[SessionId, float] = {}
+        for reader in self.publication.readers():
+            if reader.vm in live:
                 continue
-            self._write(ReaderLeft(session))
+            since = self._missing_since.get(reader.session, now)
+            missing_since[reader.session] = since
+            if now - since >= READER_GRACE_S * (1 + rank):
+                self._write(ReaderLeft(reader.session))
+                missing_since[reader.session] = now
+        self._missing_since = missing_since
 
     def _write(self, body: RulesRecord) -> None:
         self.submit(body).addErrback(lambda _: None)
