Storm a cell with random faults and look for second owners

Change: test_cell_owners draws pauses, kills, cuts, outages, lost and repeated answers; a join ends not only live but also deposed sessions at its address, whose process has moved on.

--- a/lycheestall/sessions.py
+++ b/lycheestall/sessions.py
@@ -75,16 +75,14 @@
     """What is kept of a session after its end.
 
     Attributes:
-        vm: The VM it ran on.
+        last: The session as it was.
         ended: Offset of the record that ended it.
-        how: Whether it left or was deposed.
-        acknowledged: Newest offset it had said to have folded.
+        how: How it ended.
     """
 
-    vm: VmId
+    last: Session
     ended: Offset
     how: SessionEnd
-    acknowledged: Offset
 
 
 @dataclass(frozen=True, slots=True)
@@ -136,8 +134,11 @@
 
     def vm_of(self, session: SessionId) -> VmId | None:
         """Returns the VM of a session that is live or remembered."""
-        found = self._by_id.get(session) or self._ended_by_id.get(session)
-        return None if found is None else found.vm
+        live = self._by_id.get(session)
+        if live is not None:
+            return live.vm
+        ended = self._ended_by_id.get(session)
+        return None if ended is None else ended.last.vm
 
     def join(
         self, offset: Offset, writer: SessionId, body: SessionJoined
@@ -149,8 +150,7 @@
             return Verdict(False, "session has ended")
         if offset - body.after > JOIN_HORIZON_RECORDS:
             return Verdict(False, "join is too old")
-        for former in self._superseded(body):
-            self._remember_end(offset, former, SessionEnd.SUPERSEDED)
+        self._supersede(offset, body)
         self._by_id[writer] = Session(
             session=writer,
             vm=body.vm,
@@ -201,7 +201,10 @@
         """Returns the state as primitives."""
         return [
             [_session_row(session) for session in self._by_id.values()],
-            [_ended_row(*item) for item in self._ended_by_id.items()],
+            [
+                [_session_row(ended.last), ended.ended, ended.how.value]
+                for ended in self._ended_by_id.values()
+            ],
             [[c.start, sorted(c.members)] for c in self._configurations],
         ]
 
@@ -213,28 +216,28 @@
             session = Session(*row)
             self._by_id[session.session] = session
         self._ended_by_id = {}
-        for name, vm, offset, how, acknowledged in ended:
-            self._ended_by_id[name] = EndedSession(
-                vm, offset, SessionEnd(how), acknowledged
+        for row, offset, how in ended:
+            last = Session(*row)
+            self._ended_by_id[last.session] = EndedSession(
+                last, offset, SessionEnd(how)
             )
         self._configurations = [
             Configuration(start, frozenset(members))
             for start, members in configurations
         ]
 
-    def _superseded(self, body: SessionJoined) -> list[SessionId]:
-        """Returns the older sessions that had the joiner's address."""
-        found: list[SessionId] = []
-        for session in self._by_id.values():
-            if (session.vm, session.host, session.port) != (
-                body.vm,
-                body.host,
-                body.port,
-            ):
-                continue
-            if session.joined <= body.after:
-                found.append(session.session)
-        return found
+    def _supersede(self, offset: Offset, body: SessionJoined) -> None:
+        """Ends the older sessions that had the joiner's address."""
+        for session in list(self._by_id.values()):
+            if _precedes(session, body):
+                self._remember_end(
+                    offset, session.session, SessionEnd.SUPERSEDED
+                )
+        for name, ended in self._ended_by_id.items():
+            if ended.how is SessionEnd.DEPOSED and _precedes(ended.last, body):
+                self._ended_by_id[name] = replace(
+                    ended, how=SessionEnd.SUPERSEDED
+                )
 
     def _end(
         self, offset: Offset, session: SessionId, how: SessionEnd
@@ -246,9 +249,7 @@
         self, offset: Offset, session: SessionId, how: SessionEnd
     ) -> None:
         known = self._by_id.pop(session)
-        self._ended_by_id[session] = EndedSession(
-            known.vm, offset, how, known.acknowledged
-        )
+        self._ended_by_id[session] = EndedSession(known, offset, how)
 
     def _configure(self, offset: Offset) -> None:
         members = frozenset(self._by_id)
@@ -281,7 +282,7 @@
         ended = self._ended_by_id[session]
         if ended.how is not SessionEnd.DEPOSED:
             return True
-        return ended.acknowledged >= offset
+        return ended.last.acknowledged >= offset
 
     def _forget_ended(self, offset: Offset) -> None:
         needed: set[SessionId] = set()
@@ -308,11 +309,12 @@
     ]
 
 
-def _ended_row(session: SessionId, ended: EndedSession) -> list[object]:
-    return [
-        session,
-        ended.vm,
-        ended.ended,
-        ended.how.value,
-        ended.acknowledged,
-    ]
+def _precedes(session: Session, body: SessionJoined) -> bool:
+    """Returns whether a joiner started after a session, in its place."""
+    if (session.vm, session.host, session.port) != (
+        body.vm,
+        body.host,
+        body.port,
+    ):
+        return False
+    return session.joined <= body.after
--- /dev/null
+++ b/tests/test_cell_owners.py
@@ -0,0 +1,152 @@
+"""Random faults on a cell; no partition may ever have two owners."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+from cell_world import CellWorld, tuned
+
+NODES = 5
+RUN_S = 90.0
+QUIET_S = 45.0
+
+
+class Storm:
+    """Draws faults, lets them pass, and heals everything at the end."""
+
+    def __init__(self, cell: CellWorld, seed: int) -> None:
+        self.cell = cell
+        self.rng = Random(seed)
+        self.paused: set[str] = set()
+        self.dead: set[str] = set()
+        self.blocked: list[tuple[str, str]] = []
+
+    def run(self) -> None:
+        """Runs the faults, then a quiet time."""
+        world = self.cell.world
+        end = world.now + RUN_S
+        while world.now < end:
+            self._draw()
+            world.run_for(self.rng.uniform(0.1, 6.0))
+        self._heal()
+        world.run_for(QUIET_S)
+
+    def _draw(self) -> None:
+        faults = (
+            self._pause,
+            self._resume,
+            self._kill,
+            self._boot,
+            self._cut,
+            self._block,
+            self._reconnect,
+            self._outage,
+            self._lose_answers,
+            self._slow,
+            self._silence,
+            self._drain,
+        )
+        self.rng.choice(faults)()
+
+    def _up(self) -> list[str]:
+        vms = sorted(self.cell.node_by_vm)
+        return [vm for vm in vms if vm not in self.paused | self.dead]
+
+    def _some(self) -> list[str]:
+        up = self._up()
+        return self.rng.sample(up, self.rng.randint(1, max(1, len(up) // 2)))
+
+    def _pause(self) -> None:
+        if len(self._up()) > 1:
+            vm = self.rng.choice(self._up())
+            self.paused.add(vm)
+            self.cell.world.pause(vm)
+
+    def _resume(self) -> None:
+        if self.paused:
+            vm = self.rng.choice(sorted(self.paused))
+            self.paused.remove(vm)
+            self.cell.world.resume(vm)
+
+    def _kill(self) -> None:
+        if len(self._up()) > 2:
+            vm = self.rng.choice(self._up())
+            self.dead.add(vm)
+            self.cell.kill(vm)
+
+    def _boot(self) -> None:
+        if self.dead:
+            vm = self.rng.choice(sorted(self.dead))
+            self.dead.remove(vm)
+            self.cell.boot(vm, f"z{int(vm[2:]) % 3}", rate=self._rate())
+
+    def _rate(self) -> float:
+        return self.rng.uniform(0.95, 1.05)
+
+    def _cut(self) -> None:
+        if self._up():
+            self.cell.isolate(self._some())
+
+    def _block(self) -> None:
+        if len(self._up()) > 1:
+            sender, receiver = self.rng.sample(self._up(), 2)
+            self.cell.network.block(sender, receiver)
+
+    def _reconnect(self) -> None:
+        self.cell.rejoin(list(self.cell.node_by_vm))
+
+    def _outage(self) -> None:
+        now = self.cell.world.now
+        nodes = None if self.rng.random() < 0.4 else self._some()
+        self.cell.log.outage(now, now + self.rng.uniform(1, 25), nodes)
+
+    def _lose_answers(self) -> None:
+        now = self.cell.world.now
+        end = now + self.rng.uniform(1, 15)
+        self.cell.log.lose_answers(now, end, self._some())
+        self.cell.log.repeat_late(now, end, self.rng.uniform(0.1, 9))
+
+    def _slow(self) -> None:
+        now = self.cell.world.now
+        extra_s = self.rng.uniform(0.1, 3)
+        self.cell.log.slow(now, now + 10, extra_s, self._some())
+
+    def _silence(self) -> None:
+        if len(self._up()) > 1:
+            self.cell.network.silence(*self.rng.sample(self._up(), 2))
+
+    def _drain(self) -> None:
+        if len(self._up()) > 2:
+            vm = self.rng.choice(self._up())
+            self.cell.node_by_vm[vm].agent.drain()
+            self.cell.world.run_for(1.5)
+            self.cell.kill(vm)
+            self.dead.add(vm)
+
+    def _heal(self) -> None:
+        for vm in sorted(self.paused):
+            self.cell.world.resume(vm)
+        self.paused.clear()
+        for vm in sorted(self.dead):
+            self.cell.boot(vm, f"z{int(vm[2:]) % 3}")
+        self.dead.clear()
+        self._reconnect()
+
+
+def storm(seed: int, **tuning: float) -> CellWorld:
+    cell = CellWorld(seed, tuning=tuned(**tuning))
+    rng = Random(seed + 1000)
+    for number in range(NODES):
+        rate = rng.uniform(0.95, 1.05)
+        cell.boot(f"vm{number:02}", f"z{number % 3}", rate=rate)
+        cell.world.run_for(rng.uniform(0.0, 2.0))
+    Storm(cell, seed).run()
+    return cell
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_no_partition_has_two_owners(seed: int) -> None:
+    cell = storm(seed)
+    assert cell.violations == []
+    assert cell.all_owned(), cell.owners()
