--- a/tests/test_cell_owners.py
+++ b/tests/test_cell_owners.py
@@ -7,6 +7,12 @@
 import pytest
 from cell_world import CellWorld, tuned
 
+from lycheestall.authority import Authority
+from lycheestall.ids import VmId
+from lycheestall.log_streams import LogStreams
+from lycheestall.messages import AppendWanted, TailWanted
+from lycheestall.sessions import Sessions
+
 NODES = 5
 RUN_S = 90.0
 QUIET_S = 45.0
@@ -150,3 +156,94 @@
     cell = storm(seed)
     assert cell.violations == []
     assert cell.all_owned(), cell.owners()
+
+
+def cell_with_a_stale_majority() -> CellWorld:
+    """Returns a cell of seven of which an old majority of three is cut.
+
+    Two of the first three members can reach each other alone; the third
+    goes on with four that joined later and that the two never heard of.
+    """
+    cell = CellWorld()
+    cell.boot_all(3)
+    stale = ["vm00", "vm01"]
+    cell.log.outage(cell.world.now, nodes=stale)
+    for vm in stale:
+        cell.network.cut(vm, "vm02")
+    for number in range(3, 7):
+        cell.boot(f"vm{number:02}", f"z{number % 3}")
+        cell.isolate(stale)
+    cell.world.run_for(60.0)
+    return cell
+
+
+def test_stale_majority_keeps_its_partitions_until_it_is_dropped() -> None:
+    cell = cell_with_a_stale_majority()
+    assert cell.owned_by("vm00") or cell.owned_by("vm01")
+    for vm in ("vm00", "vm01"):
+        cell.kill(vm, drop=True)
+    cell.world.run_for(20.0)
+    assert cell.all_owned()
+    assert cell.violations == []
+
+
+def test_checker_sees_a_takeover_that_asks_only_the_newest_members(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    newest = property(lambda sessions: tuple(sessions._configurations[-1:]))
+    monkeypatch.setattr(Sessions, "configurations", newest)
+    assert cell_with_a_stale_majority().violations
+
+
+def test_checker_sees_a_lease_that_never_ends(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(Authority, "holds", lambda authority, now: True)
+    cell = CellWorld()
+    cell.boot_all(3)
+    owner = max(sorted(cell.node_by_vm), key=lambda vm: len(cell.owned_by(vm)))
+    cell.world.pause(owner)
+    cell.world.run_for(20.0)
+    assert cell.violations
+
+
+def test_checker_sees_a_successor_that_does_not_wait() -> None:
+    waits = [storm(seed, lease_margin_s=-3.0) for seed in range(3)]
+    assert any(cell.violations for cell in waits)
+
+
+def cell_without_help(monkeypatch: pytest.MonkeyPatch) -> CellWorld:
+    """Returns a cell in which a VM lost the log and gets no help.
+
+    Its heartbeats go on; its peers neither append for it nor give it
+    entries.
+    """
+    original = LogStreams.on_message
+
+    def unhelpful(streams: LogStreams, peer: VmId, message: object) -> bool:
+        if isinstance(message, AppendWanted | TailWanted):
+            return True
+        return original(streams, peer, message)
+
+    cell = CellWorld()
+    cell.boot_all(4)
+    monkeypatch.setattr(LogStreams, "on_message", unhelpful)
+    owner = max(sorted(cell.node_by_vm), key=lambda vm: len(cell.owned_by(vm)))
+    cell.log.outage(cell.world.now, nodes=[owner])
+    cell.world.run_for(30.0)
+    return cell
+
+
+def test_peers_that_know_more_give_no_lease(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    cell = cell_without_help(monkeypatch)
+    assert cell.all_owned()
+    assert cell.violations == []
+
+
+def test_checker_sees_replies_counted_that_know_more(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(Authority, "_covers", lambda authority, reply: True)
+    assert cell_without_help(monkeypatch).violations
