Split the engine policy into pure decisions

Change: cache_estimate, engine_load, service_estimate, placement, fair_queue, admission, retries, ejection, quarantine, engine_memory, each pure; EngineScheduler feeds them and turns them into commands; engine memory is leased per program and released at its end.

--- a/lycheestall/_bench_engine.py
+++ b/lycheestall/_bench_engine.py
@@ -15,7 +15,7 @@
     ModelEvent,
     ModelRequest,
 )
-from .ids import RequestId, TargetId, VmId
+from .ids import ProgramId, RequestId, TargetId, VmId
 from .targets import CacheEvent, CacheEvents, LoadReport
 
 __all__ = ["BenchEngine", "SentJob"]
@@ -80,6 +80,11 @@
         self.model.cancel(request, self._timeline.now)
         self._handle_events()
 
+    def release(self, root: ProgramId) -> None:
+        """Frees what is held for a program."""
+        self.model.release(root, self._timeline.now)
+        self._handle_events()
+
     def crash(self) -> list[SentJob]:
         """Loses everything and goes down; returns the jobs lost."""
         self._handle_events()
--- a/lycheestall/_bench_scheduler.py
+++ b/lycheestall/_bench_scheduler.py
@@ -71,6 +71,9 @@
     ) -> list[DispatchCommand]:
         """The program ended."""
 
+    def released(self, target: TargetId, root: ProgramId) -> None:
+        """An engine has released a program's memory."""
+
     def poll(self, now: float) -> list[DispatchCommand]:
         """Sends what can be sent."""
 
--- a/lycheestall/_prefix_cache.py
+++ b/lycheestall/_prefix_cache.py
@@ -5,7 +5,7 @@
 from collections import OrderedDict
 from dataclasses import dataclass
 
-from .ids import ProgramId
+from .ids import ProgramId, root_of
 
 __all__ = ["PrefixCache"]
 
@@ -99,6 +99,21 @@
             prefix.tokens = tokens
         self._prefix_by_program.move_to_end(program)
 
+    def drop(self, root: ProgramId) -> list[ProgramId]:
+        """Frees what no request uses of a program and its sub-agents.
+
+        Returns:
+            The programs whose prefix was dropped.
+        """
+        dropped = [
+            program
+            for program, prefix in self._prefix_by_program.items()
+            if root_of(program) == root and not prefix.users
+        ]
+        for program in dropped:
+            self._used -= self._prefix_by_program.pop(program).tokens
+        return dropped
+
     def make_room(self, tokens: int) -> list[ProgramId] | None:
         """Evicts what was used longest ago until ``tokens`` are free.
 
--- /dev/null
+++ b/lycheestall/_scheduled_jobs.py
@@ -0,0 +1,99 @@
+"""The jobs of one VM's engine scheduler, queued and at engines."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+from .dispatch import ChatJob
+from .dispatch_commands import JobKey
+from .engine_load import EngineLoad
+from .fair_queue import Rank
+from .ids import AccountId, TargetId
+
+__all__ = ["ScheduledJob", "ScheduledJobs"]
+
+
+@dataclass(slots=True)
+class ScheduledJob:
+    """One job and how far it has come.
+
+    Attributes:
+        key: Its key.
+        job: The job.
+        rank: Its place in the order.
+        target: The engine that has it, None while queued.
+        attempts: Dispatches so far.
+        sent_s: When the newest one was sent.
+        started_s: When its first chunk came, 0 before.
+        idle_target: Whether the engine had no queue when it was sent.
+        cold_tokens: Prompt tokens expected to be computed.
+        may_have_run: Whether an earlier dispatch may have run.
+        tried: Engines that failed or refused it.
+    """
+
+    key: JobKey
+    job: ChatJob
+    rank: Rank
+    target: TargetId | None = None
+    attempts: int = 0
+    sent_s: float = 0.0
+    started_s: float = 0.0
+    idle_target: bool = False
+    cold_tokens: float = 0.0
+    may_have_run: bool = False
+    tried: set[TargetId] = field(default_factory=set)
+
+
+class ScheduledJobs:
+    """Jobs by key, with counts by engine and by account."""
+
+    def __init__(self, load: EngineLoad) -> None:
+        """Starts empty.
+
+        Args:
+            load: Where own requests at engines are counted.
+        """
+        self._load = load
+        self._job_by_key: dict[JobKey, ScheduledJob] = {}
+        self._at_engines_by_account: Counter[AccountId] = Counter()
+        self.at_engines = 0
+
+    def add(self, job: ScheduledJob) -> None:
+        """Adds a job that no engine has."""
+        self._job_by_key[job.key] = job
+
+    def get(self, key: JobKey) -> ScheduledJob | None:
+        """Returns a job, None when it has ended."""
+        return self._job_by_key.get(key)
+
+    def __getitem__(self, key: JobKey) -> ScheduledJob:
+        return self._job_by_key[key]
+
+    def remove(self, job: ScheduledJob) -> None:
+        """Drops a job that has ended."""
+        del self._job_by_key[job.key]
+
+    def running(self, account: AccountId) -> int:
+        """Returns the account's calls at engines."""
+        return self._at_engines_by_account[account]
+
+    def enter(self, job: ScheduledJob, target: TargetId, now: float) -> None:
+        """Counts a job that goes to an engine."""
+        job.target = target
+        job.sent_s = now
+        job.started_s = 0.0
+        self.at_engines += 1
+        self._at_engines_by_account[job.job.account] += 1
+        self._load.sent(target, now)
+
+    def leave(self, job: ScheduledJob, now: float) -> TargetId:
+        """Counts a job that left its engine; returns the engine."""
+        target = job.target
+        if target is None:
+            return TargetId("")
+        job.target = None
+        self.at_engines -= 1
+        self._at_engines_by_account[job.job.account] -= 1
+        self._load.left(target, now)
+        return target
--- a/lycheestall/bench_baselines.py
+++ b/lycheestall/bench_baselines.py
@@ -119,6 +119,9 @@
         self._target_by_root.pop(root, None)
         return []
 
+    def released(self, target: TargetId, root: ProgramId) -> None:
+        """Changes nothing."""
+
     def poll(self, now: float) -> list[DispatchCommand]:
         """Has nothing queued."""
         return []
--- a/lycheestall/bench_policy.py
+++ b/lycheestall/bench_policy.py
@@ -25,6 +25,7 @@
     EndFailed,
     EndRefused,
     JobKey,
+    ReleaseMemory,
     SendJob,
 )
 from .engine_directory import EngineEntry
@@ -215,8 +216,17 @@
             elif isinstance(command, EndFailed):
                 program = self._program_by_key.pop(command.key)
                 program.failed(command.outcome)
+            elif isinstance(command, ReleaseMemory):
+                self._release(vm, command)
         self._plan_wake(vm)
 
+    def _release(self, vm: _Vm, command: ReleaseMemory) -> None:
+        engine = self._engine_by_target[command.target]
+        if engine.down:
+            return
+        engine.release(command.program)
+        vm.scheduler.released(command.target, command.program)
+
     def _plan_wake(self, vm: _Vm) -> None:
         wake_at = vm.scheduler.next_wake(self._timeline.now)
         if wake_at is None or wake_at == vm.wake_at:
--- a/lycheestall/engine_model.py
+++ b/lycheestall/engine_model.py
@@ -191,6 +191,13 @@
         """Lets a program's prefix be evicted again."""
         self.cache.unpin(program)
 
+    def release(self, root: ProgramId, now: float) -> None:
+        """Frees what is held for a program and its sub-agents."""
+        self._run_until(now)
+        for program in self.cache.drop(root):
+            self._events.append(CacheChanged(self._now, program, 0))
+        self._fill_batch()
+
     def import_prefix(
         self, program: ProgramId, tokens: int, now: float
     ) -> bool:
--- a/lycheestall/engine_scheduler.py
+++ b/lycheestall/engine_scheduler.py
@@ -3,43 +3,34 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
 
+from ._engine_choice import EngineChoice
+from ._scheduled_jobs import ScheduledJob, ScheduledJobs
+from ._scheduler_parts import SchedulerParts
 from .dispatch import ChatJob
 from .dispatch_commands import (
     DispatchCommand,
     EndFailed,
     EndRefused,
     JobKey,
-    ReleaseMemory,
     ReportCrash,
     SendJob,
 )
 from .engine_directory import EngineEntry
+from .fair_queue import Rank
 from .ids import ProgramId, RequestId, TargetId, VmId
 from .outcomes import Failed, Reason, Refused, Step
+from .placement import Choice
 from .rule_book import RuleBook
 from .targets import CacheEvents, EngineDone, EngineRefused, LoadReport
 
 __all__ = ["EngineScheduler"]
 
-TARGET_CONCURRENCY = 32
-ATTEMPTS = 3
-QUEUE_LIMIT = 1024
 NO_TARGET_RETRY_S = 2.0
 CLIENT_ERRORS = frozenset({400, 401, 403, 404, 413, 415, 422})
-
-
-@dataclass(slots=True)
-class _Job:
-    key: JobKey
-    job: ChatJob
-    submitted: float
-    target: TargetId | None = None
-    attempts: int = 0
-    accepted: bool = False
-    may_have_run: bool = False
-    tried: set[TargetId] = field(default_factory=set)
+POLL_S = 0.5
+MOST_BLOCKED = 32
+LEAST_RUN_SHARE = 0.5
 
 
 class EngineScheduler:
@@ -69,83 +60,84 @@
             cell_size: VMs that share the engines.
             wall_ms: Wall-clock time, for rules with time windows.
         """
-        self._vm = vm
-        self._seed = seed
         self._rules = rules
-        self._quarantined = quarantined
-        self._cell_size = cell_size
         self._wall_ms = wall_ms
-        self._entry_by_target: dict[TargetId, EngineEntry] = {}
-        self._in_flight_by_target: dict[TargetId, int] = {}
-        self._job_by_key: dict[JobKey, _Job] = {}
-        self._queue: list[JobKey] = []
-        self._targets_by_root: dict[ProgramId, list[TargetId]] = {}
+        self._parts = SchedulerParts(vm=vm, seed=seed, quarantined=quarantined)
+        self._jobs = ScheduledJobs(self._parts.load)
+        self._choice = EngineChoice(
+            self._parts, rules=rules, wall_ms=wall_ms, cell_size=cell_size
+        )
         self._serial = 0
 
     def set_engines(
         self, entries: Iterable[EngineEntry], now: float
     ) -> list[DispatchCommand]:
         """Takes the engines as the directory has them."""
-        self._entry_by_target = {entry.target: entry for entry in entries}
+        self._choice.set_engines(entries, now)
         return self.poll(now)
 
     def submit(
         self, key: JobKey, job: ChatJob, now: float
     ) -> list[DispatchCommand]:
         """Takes a new job."""
-        if self._quarantined(job.fingerprint):
-            refused = Refused(Step.PLACE, Reason.QUARANTINED)
-            return [EndRefused(key, refused)]
-        if len(self._queue) >= QUEUE_LIMIT:
-            refused = Refused(
-                Step.PLACE, Reason.OVERLOADED, retry_after_s=NO_TARGET_RETRY_S
-            )
+        refused = self._refusal(job, now)
+        if refused is not None:
             return [EndRefused(key, refused)]
-        self._job_by_key[key] = _Job(key, job, now)
-        self._queue.append(key)
+        scheduled = ScheduledJob(key, job, self._rank(job))
+        self._jobs.add(scheduled)
+        self._parts.queue.push(key, scheduled.rank)
+        self._parts.retries.first_attempt()
         return self.poll(now)
 
     def adopt(
         self, key: JobKey, job: ChatJob, target: TargetId, now: float
     ) -> None:
         """Takes a job that an earlier owner had sent to an engine."""
-        taken = _Job(key, job, now, target=target, accepted=True)
-        self._job_by_key[key] = taken
-        self._count(target, 1)
+        adopted = ScheduledJob(key, job, self._rank(job), may_have_run=True)
+        self._jobs.add(adopted)
+        self._jobs.enter(adopted, target, now)
+        self._parts.memory.lease(job.root, target)
 
     def accepted(self, key: JobKey, now: float) -> None:
         """The engine has the job."""
-        self._job_by_key[key].accepted = True
 
     def started(self, key: JobKey, now: float) -> None:
         """The first chunk of the answer has come."""
+        job = self._jobs[key]
+        if job.started_s:
+            return
+        job.started_s = now
+        if job.idle_target:
+            took_s = now - job.sent_s
+            self._parts.service.prefilled(int(job.cold_tokens), took_s)
 
     def done(
         self, key: JobKey, result: EngineDone, now: float
     ) -> list[DispatchCommand]:
         """The job's answer is whole."""
-        job = self._job_by_key.pop(key)
-        self._leave_target(job)
+        job = self._jobs[key]
+        target = self._jobs.leave(job, now)
+        self._jobs.remove(job)
+        self._parts.answered(job, target, result, now)
         return self.poll(now)
 
     def turned_away(
         self, key: JobKey, result: EngineRefused, now: float
     ) -> list[DispatchCommand]:
         """The engine said that it did not run the job and will not."""
-        job = self._job_by_key[key]
-        peer = job.target or ""
-        self._leave_target(job)
+        job = self._jobs[key]
+        target = self._jobs.leave(job, now)
+        self._parts.turned_away(job, target, result, now)
         final = result.status in CLIENT_ERRORS
-        if not final and job.attempts < ATTEMPTS:
-            self._queue.insert(0, key)
+        if not final and self._may_try_again(job):
+            self._requeue(job, target)
             return self.poll(now)
+        wait_s = max(result.retry_after_s, NO_TARGET_RETRY_S)
         refused = Refused(
             Step.DISPATCH,
             Reason.BAD_REQUEST if final else Reason.NO_TARGET,
-            peer=peer,
-            retry_after_s=0.0
-            if final
-            else max(result.retry_after_s, NO_TARGET_RETRY_S),
+            peer=target,
+            retry_after_s=0.0 if final else wait_s,
             detail=result.detail,
         )
         return [self._end(job, refused), *self.poll(now)]
@@ -170,58 +162,62 @@
             detail: What broke.
             now: The time.
         """
-        job = self._job_by_key[key]
-        peer = job.target or TargetId("")
+        job = self._jobs[key]
+        target = self._jobs.leave(job, now)
+        job.may_have_run = True
         commands: list[DispatchCommand] = []
         if crashed:
-            commands.append(ReportCrash(job.job.fingerprint, peer))
-        self._leave_target(job)
-        job.may_have_run = True
-        repeat = may_repeat and chunks == 0 and job.attempts < ATTEMPTS
-        if repeat and not self._quarantined(job.job.fingerprint):
-            self._queue.insert(0, key)
+            commands.append(ReportCrash(job.job.fingerprint, target))
+        self._parts.broken(job, target, crashed=crashed, now=now)
+        reason = Reason.TARGET_FAILED
+        if self._parts.quarantine.holds(job.job.fingerprint):
+            reason = Reason.QUARANTINED
+        elif may_repeat and not chunks and self._may_try_again(job):
+            self._requeue(job, target)
             return [*commands, *self.poll(now)]
-        del self._job_by_key[key]
-        failed = Failed(
-            Step.RELAY, Reason.TARGET_FAILED, peer=peer, detail=detail
-        )
+        self._jobs.remove(job)
+        failed = Failed(Step.RELAY, reason, peer=target, detail=detail)
         return [*commands, EndFailed(key, failed), *self.poll(now)]
 
     def send_refused(
         self, key: JobKey, refusal: Refused, now: float
     ) -> list[DispatchCommand]:
         """The job could not be sent; nothing reached the engine."""
-        job = self._job_by_key[key]
-        self._leave_target(job)
+        job = self._jobs[key]
+        self._parts.unsent(job, self._jobs.leave(job, now))
         return [self._end(job, refusal)]
 
     def expired(self, key: JobKey, now: float) -> list[DispatchCommand]:
         """The deadline of a job in flight has passed."""
-        job = self._job_by_key.pop(key)
-        peer = job.target or ""
-        self._leave_target(job)
-        failed = Failed(Step.RELAY, Reason.DEADLINE, peer=peer)
+        job = self._jobs[key]
+        target = self._jobs.leave(job, now)
+        self._parts.timed_out(job, target, now)
+        self._jobs.remove(job)
+        failed = Failed(Step.RELAY, Reason.DEADLINE, peer=target)
         return [EndFailed(key, failed), *self.poll(now)]
 
     def cancel(self, key: JobKey, now: float) -> list[DispatchCommand]:
         """The job is no longer wanted; the I/O stops the engine."""
-        job = self._job_by_key.pop(key, None)
+        job = self._jobs.get(key)
         if job is None:
             return []
         if job.target is None:
-            self._queue.remove(key)
-            return []
-        self._leave_target(job)
+            self._parts.queue.remove(key)
+        else:
+            self._parts.unsent(job, self._jobs.leave(job, now))
+        self._jobs.remove(job)
         return self.poll(now)
 
     def observe(self, report: LoadReport, now: float) -> list[DispatchCommand]:
         """Takes a load report, own or from another VM."""
+        self._parts.observe(report, now)
         return self.poll(now)
 
     def cache_events(
         self, target: TargetId, page: CacheEvents, now: float
     ) -> None:
         """Takes a page of an engine's cache events."""
+        self._parts.cache.observe(target, page, now)
 
     def program_paused(self, root: ProgramId, now: float) -> None:
         """The program waits for a tool."""
@@ -230,70 +226,113 @@
         self, root: ProgramId, now: float
     ) -> list[DispatchCommand]:
         """The program ended or vanished."""
-        targets = self._targets_by_root.pop(root, [])
-        return [ReleaseMemory(target, root) for target in targets]
+        self._parts.queue.forget(root)
+        return list(self._parts.memory.ended(root, now))
+
+    def released(self, target: TargetId, root: ProgramId) -> None:
+        """An engine has confirmed a release."""
+        self._parts.memory.confirmed(target, root)
 
     def poll(self, now: float) -> list[DispatchCommand]:
         """Sends what can be sent and gives up what cannot be met."""
-        commands: list[DispatchCommand] = []
-        waiting: list[JobKey] = []
-        for key in self._queue:
-            job = self._job_by_key[key]
-            if now >= job.job.deadline_s:
+        commands: list[DispatchCommand] = list(self._parts.memory.due(now))
+        blocked = 0
+        for key in self._parts.queue:
+            job = self._jobs[key]
+            if self._hopeless(job, now):
+                self._parts.queue.remove(key)
                 commands.append(self._end(job, self._late()))
                 continue
-            target = self._place(job)
-            if target is None:
-                waiting.append(key)
+            if blocked >= MOST_BLOCKED:
+                continue
+            choice = self._choice.choose(job, self._jobs, now)
+            if choice is None:
+                blocked += 1
                 continue
-            commands.append(self._send(job, target))
-        self._queue = waiting
+            self._parts.queue.remove(key)
+            commands.append(self._send(job, choice, now))
         return commands
 
     def next_wake(self, now: float) -> float | None:
         """Returns when ``poll`` is next worth calling, None for never."""
-        deadlines = [self._job_by_key[k].job.deadline_s for k in self._queue]
-        return min(deadlines, default=None)
-
-    def _place(self, job: _Job) -> TargetId | None:
-        open_targets: list[TargetId] = []
-        for target, entry in self._entry_by_target.items():
-            if entry.leaving or not entry.serves(job.job.model):
-                continue
-            if self._in_flight_by_target.get(target, 0) >= TARGET_CONCURRENCY:
-                continue
-            open_targets.append(target)
-        fresh = [t for t in open_targets if t not in job.tried]
-        if not fresh and not open_targets:
+        times = [self._parts.memory.next_due()]
+        if len(self._parts.queue):
+            times.append(now + POLL_S)
+        return min((t for t in times if t is not None), default=None)
+
+    def _refusal(self, job: ChatJob, now: float) -> Refused | None:
+        if self._parts.quarantine.holds(job.fingerprint):
+            detail = "the request crashed the targets that ran it"
+            return Refused(Step.PLACE, Reason.QUARANTINED, detail=detail)
+        refused = self._choice.refusal(job, now)
+        if refused is not None:
+            return refused
+        queued = len(self._parts.queue)
+        wait_s = self._parts.admission.wait_s(
+            queued,
+            in_flight=self._jobs.at_engines,
+            stay_s=self._parts.service.stay_s(),
+            now=now,
+        )
+        run_s = self._parts.run_s(job)
+        retry_s = self._parts.admission.refusal_s(
+            wait_s, run_s, queued=queued, left_s=job.deadline_s - now
+        )
+        if retry_s is None:
             return None
-        warm = self._targets_by_root.get(job.job.root, [])
-        return min(
-            fresh or open_targets,
-            key=lambda t: (
-                self._in_flight_by_target.get(t, 0) - (4 if t in warm else 0),
-                t,
-            ),
+        detail = f"the queue takes about {wait_s:.0f} s"
+        return Refused(
+            Step.PLACE,
+            Reason.OVERLOADED,
+            retry_after_s=retry_s,
+            detail=detail,
+        )
+
+    def _rank(self, job: ChatJob) -> Rank:
+        share = self._rules().share(job.account, job.program_class)
+        return self._parts.queue.rank(
+            job,
+            share,
+            service_s=self._parts.run_s(job),
+            warm_s=self._choice.warm_s(job),
+            slots=self._choice.own_slots(),
+            wall_s=self._wall_ms() / 1000.0,
         )
 
-    def _send(self, job: _Job, target: TargetId) -> SendJob:
-        job.target = target
+    def _may_try_again(self, job: ScheduledJob) -> bool:
+        rule = self._rules().retries(job.job.account, job.job.model)
+        if job.attempts >= rule.attempts:
+            return False
+        return self._parts.retries.take()
+
+    def _requeue(self, job: ScheduledJob, failed_on: TargetId) -> None:
+        job.tried.add(failed_on)
+        self._parts.queue.push(job.key, job.rank)
+
+    def _hopeless(self, job: ScheduledJob, now: float) -> bool:
+        least_s = LEAST_RUN_SHARE * self._parts.run_s(job.job)
+        return now + least_s >= job.job.deadline_s
+
+    def _send(self, job: ScheduledJob, choice: Choice, now: float) -> SendJob:
+        target = choice.target
         job.attempts += 1
-        job.accepted = False
-        job.tried.add(target)
+        job.idle_target = self._parts.load.queue_ahead(target) <= 0
+        job.cold_tokens = job.job.prompt_tokens - choice.cached_tokens
+        self._jobs.enter(job, target, now)
+        self._parts.sent(job, target)
         self._serial += 1
-        self._count(target, 1)
-        targets = self._targets_by_root.setdefault(job.job.root, [])
-        if target not in targets:
-            targets.append(target)
         request = RequestId(
             f"{job.job.account}/{job.job.program}#{job.job.number}"
             f".{job.job.epoch}.{self._serial}"
         )
-        return SendJob(job.key, target, request, 0)
+        priority = job.rank.engine_priority()
+        return SendJob(job.key, target, request, priority)
 
-    def _end(self, job: _Job, refused: Refused) -> EndRefused | EndFailed:
+    def _end(
+        self, job: ScheduledJob, refused: Refused
+    ) -> EndRefused | EndFailed:
         """Ends a job as not run, unless an engine may have run it."""
-        del self._job_by_key[job.key]
+        self._jobs.remove(job)
         if not job.may_have_run:
             return EndRefused(job.key, refused)
         failed = Failed(
@@ -305,16 +344,10 @@
         )
         return EndFailed(job.key, failed)
 
-    def _leave_target(self, job: _Job) -> None:
-        if job.target is not None:
-            self._count(job.target, -1)
-        job.target = None
-
-    def _count(self, target: TargetId, change: int) -> None:
-        count = self._in_flight_by_target.get(target, 0) + change
-        self._in_flight_by_target[target] = count
-
     def _late(self) -> Refused:
         return Refused(
-            Step.PLACE, Reason.DEADLINE, retry_after_s=NO_TARGET_RETRY_S
+            Step.PLACE,
+            Reason.DEADLINE,
+            retry_after_s=NO_TARGET_RETRY_S,
+            detail="the deadline cannot be met",
         )
--- /dev/null
+++ b/lycheestall/fair_queue.py
@@ -0,0 +1,134 @@
+"""The order of waiting jobs: fair between accounts, then by program.
+
+Every job gets a rank, a time on the wall clock, when it is queued; the
+lowest rank goes first. A rank only depends on the past, so a job that
+waits is overtaken by fewer and fewer newer ones: nobody starves. Ranks
+of different VMs compare, so engines can order by them as well.
+"""
+
+from __future__ import annotations
+
+from bisect import insort
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from .dispatch import ChatJob
+from .dispatch_commands import JobKey
+from .ids import AccountId, ProgramId
+from .rule_book import ShareRule
+
+__all__ = ["FairQueue", "Rank"]
+
+ATTAINED_WEIGHT = 1.0
+ATTAINED_LIMIT_S = 60.0
+AHEAD_LIMIT_S = 60.0
+WARM_BONUS = 1.0
+ACTIVE_S = 30.0
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class Rank:
+    """Where a job stands; lower goes first.
+
+    Attributes:
+        priority: The account's strict class.
+        at_s: Wall-clock time from which the job is due.
+    """
+
+    priority: int
+    at_s: float
+
+    def engine_priority(self) -> int:
+        """Returns the rank as an engine's priority number."""
+        return self.priority * ENGINE_PRIORITY_STEP + int(self.at_s * 10)
+
+
+ENGINE_PRIORITY_STEP = 10**12
+
+
+@dataclass(slots=True)
+class _Account:
+    due_s: float = 0.0
+    active_s: float = 0.0
+    weight: float = 1.0
+
+
+class FairQueue:
+    """Jobs that wait on one VM."""
+
+    def __init__(self) -> None:
+        """Starts empty."""
+        self._order: list[tuple[Rank, JobKey]] = []
+        self._rank_by_key: dict[JobKey, Rank] = {}
+        self._account_by_id: dict[AccountId, _Account] = {}
+        self._attained_by_root: dict[ProgramId, float] = {}
+
+    def __len__(self) -> int:
+        return len(self._order)
+
+    def __iter__(self) -> Iterator[JobKey]:
+        """Goes through the jobs in order."""
+        return iter([key for _, key in self._order])
+
+    def rank(
+        self,
+        job: ChatJob,
+        share: ShareRule,
+        *,
+        service_s: float,
+        warm_s: float,
+        slots: float,
+        wall_s: float,
+    ) -> Rank:
+        """Returns a new job's rank and charges its account.
+
+        Args:
+            job: The job.
+            share: Its account's weight and priority.
+            service_s: Time it is expected to run.
+            warm_s: Prefill time that a warm cache would save now.
+            slots: Requests that this VM's part of the engines can run
+                at once.
+            wall_s: Wall-clock time in seconds.
+        """
+        account = self._account_by_id.setdefault(job.account, _Account())
+        account.weight = share.weight
+        account.active_s = wall_s
+        rate = max(slots * self._share_of(account, wall_s), 1e-6)
+        due_s = min(max(account.due_s, wall_s), wall_s + AHEAD_LIMIT_S)
+        account.due_s = due_s + service_s / rate
+        attained = self._attained_by_root.get(job.root, 0.0)
+        behind_s = min(ATTAINED_WEIGHT * attained, ATTAINED_LIMIT_S)
+        at_s = due_s + behind_s - WARM_BONUS * warm_s
+        return Rank(share.priority, at_s)
+
+    def push(self, key: JobKey, rank: Rank) -> None:
+        """Adds a job."""
+        self._rank_by_key[key] = rank
+        insort(self._order, (rank, key))
+
+    def remove(self, key: JobKey) -> Rank:
+        """Takes a job out and returns its rank."""
+        rank = self._rank_by_key.pop(key)
+        self._order.remove((rank, key))
+        return rank
+
+    def attained(self, root: ProgramId) -> float:
+        """Returns the service a program and its sub-agents have had."""
+        return self._attained_by_root.get(root, 0.0)
+
+    def charge(self, root: ProgramId, service_s: float) -> None:
+        """Counts service that a program or a sub-agent of it has had."""
+        had = self._attained_by_root.get(root, 0.0)
+        self._attained_by_root[root] = had + service_s
+
+    def forget(self, root: ProgramId) -> None:
+        """Drops a program that has ended."""
+        self._attained_by_root.pop(root, None)
+
+    def _share_of(self, account: _Account, wall_s: float) -> float:
+        total = 0.0
+        for other in self._account_by_id.values():
+            if wall_s - other.active_s <= ACTIVE_S:
+                total += other.weight
+        return account.weight / max(total, account.weight)
--- /dev/null
+++ b/lycheestall/service_estimate.py
@@ -0,0 +1,75 @@
+"""How long calls take, learned from the VM's own answers."""
+
+from __future__ import annotations
+
+from .ids import AccountId
+
+__all__ = ["ServiceEstimate"]
+
+SMOOTHING = 0.1
+DEFAULT_SERVICE_S = 5.0
+DEFAULT_PREFILL_TOKENS_PER_S = 5000.0
+LEAST_PREFILL_TOKENS_PER_S = 200.0
+LEAST_SAMPLE_TOKENS = 500
+
+
+class ServiceEstimate:
+    """Smoothed times of calls and the rate of prefills."""
+
+    def __init__(self) -> None:
+        """Starts from defaults."""
+        self._service_by_class: dict[tuple[AccountId, str], float] = {}
+        self._stay_s = DEFAULT_SERVICE_S
+        self._prefill_tokens_per_s = DEFAULT_PREFILL_TOKENS_PER_S
+
+    def answered(
+        self,
+        account: AccountId,
+        program_class: str,
+        *,
+        service_s: float,
+        stay_s: float,
+    ) -> None:
+        """Takes an answer's times.
+
+        Args:
+            account: Whose call.
+            program_class: Its program's class.
+            service_s: Time in the engine's batch.
+            stay_s: Time at the engine, its queue included.
+        """
+        key = (account, program_class)
+        known = self._service_by_class.get(key, service_s)
+        self._service_by_class[key] = _smoothed(known, service_s)
+        self._stay_s = _smoothed(self._stay_s, stay_s)
+
+    def prefilled(self, tokens: int, took_s: float) -> None:
+        """Takes the time to a first chunk on an engine without a queue.
+
+        Args:
+            tokens: Prompt tokens that were not cached.
+            took_s: Time from dispatch to the first chunk.
+        """
+        if tokens < LEAST_SAMPLE_TOKENS or took_s <= 0:
+            return
+        rate = max(tokens / took_s, LEAST_PREFILL_TOKENS_PER_S)
+        self._prefill_tokens_per_s = _smoothed(
+            self._prefill_tokens_per_s, rate
+        )
+
+    def service_s(self, account: AccountId, program_class: str) -> float:
+        """Returns the time a call is expected to run."""
+        known = self._service_by_class.get((account, program_class))
+        return known if known is not None else self._stay_s
+
+    def stay_s(self) -> float:
+        """Returns the time a call spends at an engine."""
+        return self._stay_s
+
+    def prefill_s(self, tokens: float) -> float:
+        """Returns the time to compute prompt tokens."""
+        return max(tokens, 0.0) / self._prefill_tokens_per_s
+
+
+def _smoothed(known: float, sample: float) -> float:
+    return known + SMOOTHING * (sample - known)
