Admit a new program only where its prefix has room

Change: an engine's size is learned when it evicts an own live program; a program cached nowhere waits up to 60 s for an engine with room; warm returns may exceed the VM's limit on an engine by four.

--- a/lycheestall/_engine_choice.py
+++ b/lycheestall/_engine_choice.py
@@ -17,6 +17,8 @@
 
 NO_TARGET_RETRY_S = 2.0
 ALONE_RETRY_S = 10.0
+HOLD_S = 60.0
+WARM_EXTRA = 4.0
 
 
 class EngineChoice:
@@ -96,8 +98,8 @@
         """Returns the engine a job goes to now, None when it waits."""
         if self._account_full(job.job.account, jobs):
             return None
-        targets = self._usable(job, now)
-        open_targets = [t for t in targets if not self._full(t, now)]
+        targets = self._with_room(job, self._usable(job, now), now)
+        open_targets = [t for t in targets if not self._full(job, t, now)]
         if not open_targets:
             return None
         placement = self._parts.placement
@@ -113,6 +115,18 @@
             return second
         return None
 
+    def _with_room(
+        self, job: ScheduledJob, targets: list[TargetId], now: float
+    ) -> list[TargetId]:
+        """Keeps a program that is cached nowhere from evicting others."""
+        if now - job.submitted_s > HOLD_S:
+            return targets
+        placement = self._parts.placement
+        if placement.warm_s(job.job, targets):
+            return targets
+        has_room = placement.has_room
+        return [t for t in targets if has_room(job.key, job.job, t)]
+
     def _live(self, job: ChatJob) -> list[TargetId]:
         return [
             target
@@ -131,9 +145,11 @@
         fresh = [t for t in usable if t not in job.tried]
         return fresh or usable
 
-    def _full(self, target: TargetId, now: float) -> bool:
+    def _full(self, job: ScheduledJob, target: TargetId, now: float) -> bool:
         own = self._parts.load.own(target)
         limit = self._parts.admission.limit(target).at(now)
+        if self._parts.placement.cached_tokens(job.job, target):
+            limit += WARM_EXTRA
         entry = self._entry_by_target[target]
         rule = self._rules().target(target, entry.group)
         if rule.concurrency is not None:
--- a/lycheestall/_scheduled_jobs.py
+++ b/lycheestall/_scheduled_jobs.py
@@ -22,6 +22,7 @@
         key: Its key.
         job: The job.
         rank: Its place in the order.
+        submitted_s: When it came.
         target: The engine that has it, None while queued.
         attempts: Dispatches so far.
         sent_s: When the newest one was sent.
@@ -35,6 +36,7 @@
     key: JobKey
     job: ChatJob
     rank: Rank
+    submitted_s: float = 0.0
     target: TargetId | None = None
     attempts: int = 0
     sent_s: float = 0.0
--- a/lycheestall/cache_estimate.py
+++ b/lycheestall/cache_estimate.py
@@ -10,7 +10,7 @@
 
 from dataclasses import dataclass, field
 
-from .ids import ProgramId, TargetId
+from .ids import ProgramId, TargetId, root_of
 from .targets import CacheEvents
 
 __all__ = ["CacheEstimate"]
@@ -20,6 +20,7 @@
 MISS_CONFIDENCE = 0.5
 SMOOTHING = 0.2
 FORGET_BELOW = 0.05
+FADE_S = 120.0
 
 
 @dataclass(slots=True)
@@ -32,12 +33,16 @@
         used_s: When it was last known to be used or stored.
         own_until: Until when events about it may be older than what an
             own answer has said.
+        counted: Whether it counts towards the engine's resident tokens.
+        own: Whether the program is this VM's and has not ended.
     """
 
     tokens: int
     confidence: float
     used_s: float
     own_until: float = 0.0
+    counted: bool = True
+    own: bool = False
 
 
 @dataclass(slots=True)
@@ -54,6 +59,7 @@
     def __init__(self) -> None:
         """Starts with nothing known."""
         self._cache_by_target: dict[TargetId, _EngineCache] = {}
+        self._programs_by_root: dict[ProgramId, set[ProgramId]] = {}
 
     def answered(
         self,
@@ -78,7 +84,11 @@
         if known is not None and cached_tokens < known.tokens // 2:
             self._distrust(cache, older_than=known.used_s)
         self._set(cache, program, tokens, now)
-        cache.prefix_by_program[program].own_until = now + DISTRUST_S
+        prefix = cache.prefix_by_program[program]
+        prefix.own_until = now + DISTRUST_S
+        prefix.own = True
+        programs = self._programs_by_root.setdefault(root_of(program), set())
+        programs.add(program)
 
     def observe(self, target: TargetId, page: CacheEvents, now: float) -> None:
         """Takes a page of cache events."""
@@ -91,6 +101,7 @@
                 self._weaken(cache, GAP_CONFIDENCE**lost)
             cache.next_sequence = event.sequence + 1
             self._take_event(cache, event.program, event.tokens, now)
+        self._fade(cache, now)
 
     def tokens(
         self, target: TargetId, program: ProgramId, prompt_tokens: int
@@ -118,9 +129,23 @@
         return cache.resident if cache is not None else 0
 
     def capacity_tokens(self, target: TargetId) -> float:
-        """Returns the engine's size as learned at evictions; 0 unknown."""
+        """Returns the engine's size as learned at evictions; 0 unknown.
+
+        While an engine has evicted nothing of this VM's live programs,
+        the mean of the other engines stands for it.
+        """
         cache = self._cache_by_target.get(target)
-        return cache.capacity if cache is not None else 0.0
+        if cache is not None and cache.capacity:
+            return max(cache.capacity, float(cache.resident))
+        caches = self._cache_by_target.values()
+        known = [c.capacity for c in caches if c.capacity]
+        return sum(known) / len(known) if known else 0.0
+
+    def ended(self, root: ProgramId) -> None:
+        """Drops an own program and its sub-agents, whose memory is freed."""
+        for program in self._programs_by_root.pop(root, ()):
+            for cache in self._cache_by_target.values():
+                self._remove(cache, program)
 
     def drop(self, target: TargetId, program: ProgramId) -> None:
         """Takes a program's prefix as gone from an engine."""
@@ -153,9 +178,11 @@
         if tokens:
             self._set(cache, program, tokens, now)
             return
-        if prefix is not None:
+        if prefix is None:
+            return
+        if prefix.own:
             self._learn_capacity(cache)
-            self._remove(cache, program)
+        self._remove(cache, program)
 
     def _learn_capacity(self, cache: _EngineCache) -> None:
         if not cache.capacity:
@@ -185,6 +212,13 @@
         for program in faint:
             self._remove(cache, program)
 
+    def _fade(self, cache: _EngineCache, now: float) -> None:
+        """Stops counting what nobody has used for long."""
+        for prefix in cache.prefix_by_program.values():
+            if prefix.counted and now - prefix.used_s > FADE_S:
+                prefix.counted = False
+                cache.resident -= prefix.tokens
+
     def _set(
         self,
         cache: _EngineCache,
@@ -197,12 +231,15 @@
             cache.prefix_by_program[program] = _Prefix(tokens, 1.0, now)
             cache.resident += tokens
             return
-        cache.resident += tokens - prefix.tokens
+        cache.resident += tokens
+        if prefix.counted:
+            cache.resident -= prefix.tokens
+        prefix.counted = True
         prefix.tokens = tokens
         prefix.confidence = 1.0
         prefix.used_s = now
 
     def _remove(self, cache: _EngineCache, program: ProgramId) -> None:
         prefix = cache.prefix_by_program.pop(program, None)
-        if prefix is not None:
+        if prefix is not None and prefix.counted:
             cache.resident -= prefix.tokens
--- a/lycheestall/engine_scheduler.py
+++ b/lycheestall/engine_scheduler.py
@@ -83,7 +83,7 @@
         refused = self._refusal(job, now)
         if refused is not None:
             return [EndRefused(key, refused)]
-        scheduled = ScheduledJob(key, job, self._rank(job))
+        scheduled = ScheduledJob(key, job, self._rank(job), now)
         self._jobs.add(scheduled)
         self._parts.queue.push(key, scheduled.rank)
         self._parts.retries.first_attempt()
@@ -227,6 +227,7 @@
     ) -> list[DispatchCommand]:
         """The program ended or vanished."""
         self._parts.queue.forget(root)
+        self._parts.cache.ended(root)
         return list(self._parts.memory.ended(root, now))
 
     def released(self, target: TargetId, root: ProgramId) -> None:
--- a/lycheestall/placement.py
+++ b/lycheestall/placement.py
@@ -27,6 +27,8 @@
 EVICTION_WEIGHT = 1.0
 GROWTH = 1.2
 COLD_CHOICES = 2
+ROOM_SHARE = 0.9
+ROOM_CAUTION = 3.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,6 +106,24 @@
         shared = job.prompt_tokens // 2
         return self._cache.tokens(target, parent, shared)
 
+    def has_room(self, key: JobKey, job: ChatJob, target: TargetId) -> bool:
+        """Returns whether a job's prompt fits beside what is cached.
+
+        VMs that see the same free memory ask for different amounts, so
+        that they do not all fill it at once.
+
+        Args:
+            key: The job's key.
+            job: The job.
+            target: The engine.
+        """
+        capacity = self._cache.capacity_tokens(target)
+        if not capacity or self.cached_tokens(job, target):
+            return True
+        free = ROOM_SHARE * capacity - self._cache.resident_tokens(target)
+        caution = 1.0 + ROOM_CAUTION * self._tie(key, target) / 2**32
+        return free >= caution * job.prompt_tokens
+
     def _choice(self, job: ChatJob, target: TargetId) -> Choice:
         load, service = self._load, self._service
         cached = self.cached_tokens(job, target)
