End a planned stop in bounded time while the log is away

Cause: a draining VM releases its partitions to a successor and waits until the successor's claim is read; with the log away nothing is ever read, so the stop lasted the whole drain limit of 600 s. Change: after 5 s of a silent log nobody can take over; the VM leaves once each partition is quiesced, and the others claim after its lease.

--- a/lycheestall/cell_session.py
+++ b/lycheestall/cell_session.py
@@ -43,6 +43,7 @@
 
 LOG_SILENT_S = 1.5
 LEAVE_LIMIT_S = 5.0
+HANDOVER_WAIT_S = 5.0
 
 _log = structlog.get_logger(__name__)
 
@@ -154,6 +155,7 @@
         self._checkpointing = False
         self._log_back_at = clock.seconds()
         self._alone: dict[PartitionId, bool] = {}
+        self._drain_began = 0.0
         self._acting_soon: Timer | None = None
         self._deadline: Timer | None = None
 
@@ -271,6 +273,7 @@
             self.end("the daemon stops")
             return
         self.state = SessionState.DRAINING
+        self._drain_began = self._clock.seconds()
         self._deadline = self._clock.callLater(
             self._tuning.drain_limit_s, self._leave
         )
@@ -464,14 +467,20 @@
             self._leave()
             return
         others = [name for name in self._candidates if name != self.session]
-        if others:
+        if others and not self._handover_hopeless(now):
             return
+        released = self._giver.released
         for partition in held:
-            if partition not in self._alone:
+            if partition not in self._alone and partition not in released:
                 self._quiesce_alone(partition)
-        if all(self._alone.get(partition) for partition in held):
+        if all(self._alone.get(p) or p in released for p in held):
             self._leave()
 
+    def _handover_hopeless(self, now: float) -> bool:
+        """Whether releases stay unread, so that nobody can take over."""
+        waited_s = now - self._drain_began
+        return self.log_silent() and waited_s >= HANDOVER_WAIT_S
+
     def _quiesce_alone(self, partition: PartitionId) -> None:
         """Quiesces a partition that nobody is there to take."""
         self._alone[partition] = False
--- a/lycheestall/handover.py
+++ b/lycheestall/handover.py
@@ -52,6 +52,11 @@
         self._quiescing: dict[PartitionId, Deferred[None]] = {}
         self._released: set[PartitionId] = set()
 
+    @property
+    def released(self) -> frozenset[PartitionId]:
+        """The partitions whose release was written, read back or not."""
+        return frozenset(self._released)
+
     def under_way(self) -> frozenset[PartitionId]:
         """Returns the partitions being given away."""
         return frozenset(self._quiescing) | frozenset(self._released)
--- a/tests/system.py
+++ b/tests/system.py
@@ -292,10 +292,12 @@
                     self.evidence.cut_by_drain.append(attempt)
         self.kill_vm(name)
 
-    def _note_rules(self) -> None:
-        for running in self.vm_by_name.values():
-            version = running.node.rules().version
-            session = running.node.session
-            applied = self.evidence.rules_applied.setdefault(session, [])
-            if not applied or applied[-1][1] != version:
-                applied.append((self.world.now, version))
+    def _note_rules(self, clock: NodeClock | None) -> None:
+        running = None if clock is None else self.vm_by_name.get(clock.name)
+        if running is None:
+            return
+        version = running.node.rules().version
+        session = running.node.session
+        applied = self.evidence.rules_applied.setdefault(session, [])
+        if not applied or applied[-1][1] != version:
+            applied.append((self.world.now, version))
--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,53 @@
+"""Tests of a whole node among others, in virtual time."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.fake_callers import Action, Chat, Pause
+from tests.promises import broken_promises
+from tests.system import System
+
+POLE_RUN = (
+    Chat("plan the run"),
+    Pause(0.5),
+    Chat("explain the spacing"),
+    Action("poles"),
+    Chat("close the run"),
+)
+
+
+@pytest.fixture
+def system() -> System:
+    """Returns a settled deployment of three VMs."""
+    made = System(seed=1, vms=3)
+    assert made.settle()
+    made.world.run_for(3.0)
+    return made
+
+
+def test_programs_finish_and_every_promise_holds(system: System) -> None:
+    for _ in range(4):
+        system.add_caller("trust", POLE_RUN[:3])
+    system.add_caller("trust", POLE_RUN)
+    assert system.run_to_end(60.0)
+    assert all(caller.finished for caller in system.crowd.callers)
+    assert broken_promises(system.judge()) == {}
+
+
+def test_planned_stop_ends_while_the_log_is_away(system: System) -> None:
+    system.log.outage(system.world.now)
+    for name in list(system.vm_by_name):
+        system.drain_vm(name)
+        system.world.run_for(0.3)
+    system.world.run_for(30.0)
+    assert system.vm_by_name == {}
+
+
+def test_planned_stop_of_one_vm_ends_while_the_log_is_away(
+    system: System,
+) -> None:
+    system.log.outage(system.world.now)
+    system.drain_vm("vm-00")
+    system.world.run_for(30.0)
+    assert "vm-00" not in system.vm_by_name
