--- a/tests/fake_callers.py
+++ b/tests/fake_callers.py
@@ -74,12 +74,14 @@
         ended_at: True time of the end, None while open.
         outcome: The final outcome; None when the connection was lost.
         vm: The VM the balancer picked.
+        position: The step it belongs to.
     """
 
     number: int
     key: str
     sent_at: float
     vm: str
+    position: int
     ended_at: float | None = None
     outcome: Outcome | None = None
 
@@ -177,6 +179,11 @@
         """Stops for good without a word."""
         self.vanished = True
 
+    def resend(self) -> None:
+        """Sends the call in progress once more, beside the first."""
+        if self._step() is not None and not isinstance(self._step(), Pause):
+            self._send_step()
+
     def vm_lost(self, vm: str) -> None:
         """The VM's connections are gone."""
         for sink in self._open.pop(vm, []):
@@ -191,6 +198,8 @@
             open_sinks.remove(sink)
         if self.vanished or self.finished or self.gave_up:
             return
+        if attempt.position != self._position:
+            return
         if isinstance(outcome, Completed):
             self._tries = 0
             self._take_answer(sink)
@@ -207,7 +216,8 @@
             wait_s = min(outcome.retry_after_s, LONGEST_WAIT_S)
         if isinstance(outcome, Failed) and self._is_settled(outcome):
             return
-        self.world.later(wait_s, self._again)
+        position = self._position
+        self.world.later(wait_s, lambda: self._again(position))
 
     def _is_settled(self, outcome: Failed) -> bool:
         step = self._step()
@@ -225,8 +235,8 @@
             return self._steps[self._position]
         return None
 
-    def _again(self) -> None:
-        if self.vanished or self.finished:
+    def _again(self, position: int) -> None:
+        if self.vanished or self.finished or position != self._position:
             return
         if self._position < 0:
             self._send_open()
@@ -317,12 +327,13 @@
     ) -> None:
         picked = self._balancer()
         if picked is None:
-            self.world.later(LOST_RETRY_S, self._again)
+            position = self._position
+            self.world.later(LOST_RETRY_S, lambda: self._again(position))
             return
         vm, handler = picked
         key = "" if action is None else action.key
         number = self._number if kind in _NUMBERED else 0
-        attempt = Attempt(number, key, self.world.now, vm)
+        attempt = Attempt(number, key, self.world.now, vm, self._position)
         self.attempts.append(attempt)
         sink = _AttemptSink(self, attempt)
         self._open.setdefault(vm, []).append(sink)
