--- /dev/null
+++ b/lycheestall/_refusals.py
@@ -0,0 +1,163 @@
+"""The refusals of the owner's side, typed and with their rule lines."""
+
+from __future__ import annotations
+
+from .account_portions import LimitReached
+from .calls import Call, CallKind
+from .history import Mismatch
+from .outcomes import Reason, Refused, Step
+from .rule_book import ProgramLimits, RuleLine
+from .sequencer import Clash, Offer, Superseded
+
+__all__ = [
+    "account_limit_reached",
+    "budget_spent",
+    "history_mismatch",
+    "limit_reached",
+    "log_unavailable",
+    "order_refusal",
+    "program_ended",
+    "receipt_required",
+    "rule_text",
+    "unproven",
+]
+
+LOG_RETRY_S = 2.0
+
+
+def rule_text(line: RuleLine | None) -> str:
+    """Returns how a refusal names the rule line that decided.
+
+    Args:
+        line: The line; None when no rule decided.
+    """
+    if line is None:
+        return ""
+    if line.number == 0:
+        return "built-in default"
+    return f"line {line.number} asked by {line.member}"
+
+
+def log_unavailable(step: Step, detail: str) -> Refused:
+    """Returns the refusal of what has to wait for the log.
+
+    Args:
+        step: The step that needs the log.
+        detail: What it needs it for.
+    """
+    return Refused(
+        step,
+        Reason.LOG_UNAVAILABLE,
+        retry_after_s=LOG_RETRY_S,
+        detail=detail,
+    )
+
+
+def program_ended(reason: str) -> Refused:
+    """Returns the refusal of calls of an ended program.
+
+    Args:
+        reason: Why it ended.
+    """
+    return Refused(
+        Step.OPEN,
+        Reason.PROGRAM_ENDED,
+        detail=f"the program has ended: {reason}",
+    )
+
+
+def unproven(call: Call) -> Refused:
+    """Returns the refusal of a program older than the kept state."""
+    action = call.kind is CallKind.ACTION
+    return Refused(
+        Step.OPEN,
+        Reason.KEY_UNPROVEN if action else Reason.PROGRAM_UNKNOWN,
+        detail="the program is older than what is kept of programs",
+        needs="a program opened anew",
+    )
+
+
+def limit_reached(reason: Reason, limits: ProgramLimits, name: str) -> Refused:
+    """Returns the refusal that ends a program for its limits.
+
+    Args:
+        reason: Turn or time limit.
+        limits: The limits in force.
+        name: The limit's field name.
+    """
+    return Refused(
+        Step.ADMIT,
+        reason,
+        rule=rule_text(limits.lines.get(name)),
+        detail=f"the program's limit {name} is reached; it has ended",
+    )
+
+
+def budget_spent(name: str, line: RuleLine | None) -> Refused:
+    """Returns the refusal of a call that the budget does not hold.
+
+    Args:
+        name: The limit's field name.
+        line: The deciding line.
+    """
+    return Refused(
+        Step.RESERVE,
+        Reason.BUDGET_SPENT,
+        rule=rule_text(line),
+        detail=f"the program's budget of {name} does not hold the most "
+        "this call may cost",
+    )
+
+
+def account_limit_reached(reached: LimitReached) -> Refused:
+    """Returns the refusal of a call over an account's limit."""
+    limit = reached.limit
+    return Refused(
+        Step.ADMIT,
+        Reason.ACCOUNT_LIMIT,
+        retry_after_s=reached.retry_after_s,
+        rule=rule_text(limit.line),
+        detail=f"the account's limit on {limit.kind.value} is used up",
+    )
+
+
+def order_refusal(offer: Offer) -> Refused | None:
+    """Returns the refusal of a call that its order does not let on.
+
+    Args:
+        offer: What the sequencer said.
+    """
+    if not isinstance(offer, Clash | Superseded):
+        return None
+    why = "a later call has gone on"
+    if isinstance(offer, Clash):
+        why = "its number has another body"
+    return Refused(
+        Step.ORDER,
+        Reason.CALL_SUPERSEDED,
+        detail=f"call {offer.number} is not run: {why}",
+        needs="a number above all that were sent",
+    )
+
+
+def history_mismatch(mismatch: Mismatch) -> Refused:
+    """Returns the refusal of messages that do not extend a history."""
+    return Refused(
+        Step.HISTORY,
+        Reason.HISTORY_MISMATCH,
+        detail="the messages do not extend the program's history of "
+        f"{mismatch.messages} messages: {mismatch.fault.value}",
+        needs=f"the first {mismatch.messages} messages unchanged, or the "
+        "header lycheestall-history: branch",
+    )
+
+
+def receipt_required(why: str) -> Refused:
+    """Returns the refusal of a call that has to prove its history.
+
+    Args:
+        why: What is not known, or wrong with the receipt that came.
+    """
+    return Refused(
+        Step.HISTORY, Reason.RECEIPT_REQUIRED, detail=why, needs="receipt"
+    )
--- a/lycheestall/account_portions.py
+++ b/lycheestall/account_portions.py
@@ -192,6 +192,13 @@
         share.refused_at = now
         share.refused_amount = record.amount
 
+    def unasked(self, record: PortionTaken) -> None:
+        """Takes note that a portion was not asked for after all."""
+        shared = SharedLimit(record.account, record.limit_name, record.window)
+        share = self._share_by_limit.get(shared)
+        if share is not None:
+            share.asked = max(0, share.asked - record.amount)
+
     def settle(
         self, use: Use, actual_by_kind: Mapping[LimitKind, int]
     ) -> None:
--- /dev/null
+++ b/lycheestall/action_calls.py
@@ -0,0 +1,215 @@
+"""Plain calls on the owner's side: keys, order, runners."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from hashlib import sha256
+
+from ._refusals import order_refusal
+from .action_run import ActionParts, ActionRun
+from .admission import Admission
+from .answers import AnswerKey
+from .call_order import NoHandle
+from .calls import Call, CallHandle, CallSink, ResponseHead
+from .ids import CallNumber, TargetId
+from .ledger import Intent, KeptAnswer
+from .outcomes import Completed, Failed, Outcome, Reason, Refused, Step
+from .owner_ports import OwnerPorts
+from .program import Program
+from .program_ids import IdOrigin, origin_of
+from .program_table import ProgramTable
+from .safe_action_run import SafeActionRun
+from .sequencer import Attach, Go
+
+__all__ = ["ActionCalls"]
+
+
+class ActionCalls:
+    """Starts calls of application runners and tool services.
+
+    Args:
+        ports: What the owner's side is plugged into.
+        admission: Clears calls against budgets and limits.
+        table: The live programs.
+    """
+
+    def __init__(
+        self, ports: OwnerPorts, admission: Admission, table: ProgramTable
+    ) -> None:
+        self._ports = ports
+        self._parts = ActionParts(ports, admission, table)
+
+    def start(
+        self, call: Call, program: Program, sink: CallSink
+    ) -> CallHandle:
+        """Starts a plain call of a live program.
+
+        Args:
+            call: The call.
+            program: Its top-level program.
+            sink: Where the answer goes.
+        """
+        method, _, path = call.operation.partition(" ")
+        operation = f"{method} {path.partition('?')[0]}"
+        rule = self._ports.rules().action(call.application, operation)
+        digest = _body_digest(call)
+        if rule.idempotent:
+            return self._ordered(call, program, digest, sink, unique=False)
+        refused = self._unusable_key(call)
+        if refused is not None:
+            return _finish(sink, refused)
+        known = program.action_by_key.get(call.idempotency_key)
+        if known is not None:
+            if known.digest != digest:
+                return _finish(sink, _key_reused())
+            return known.join(sink)
+        intent = self._ports.ledger().intent(
+            program.name, call.idempotency_key
+        )
+        if intent is not None:
+            return self._replay(call, program, intent, digest, sink)
+        return self._ordered(call, program, digest, sink, unique=True)
+
+    def _unusable_key(self, call: Call) -> Refused | None:
+        if not call.idempotency_key:
+            return Refused(
+                Step.INTENT,
+                Reason.KEY_MISSING,
+                detail="the call must not be repeated and has no key",
+                needs="header idempotency-key",
+            )
+        origin = origin_of(call.account, call.program, self._ports.keys)
+        if origin is IdOrigin.ISSUED:
+            return None
+        return Refused(
+            Step.INTENT,
+            Reason.KEY_UNPROVEN,
+            detail="nothing proves that the program's id is new",
+            needs="a program id that the system issued",
+        )
+
+    def _replay(
+        self,
+        call: Call,
+        program: Program,
+        intent: Intent,
+        digest: bytes,
+        sink: CallSink,
+    ) -> CallHandle:
+        if intent.body_digest != digest:
+            return _finish(sink, _key_reused())
+        if intent.answer is not None:
+            return self._replay_answer(call, intent, intent.answer, sink)
+        if intent.closed:
+            return _finish(sink, _key_closed(intent.target))
+        run = ActionRun(
+            self._parts,
+            replace(call, number=CallNumber(intent.number)),
+            program,
+            digest,
+            adopted=call.idempotency_key,
+        )
+        reader = run.answer.attach(sink)
+        run.adopt(intent.target)
+        return reader
+
+    def _replay_answer(
+        self, call: Call, intent: Intent, kept: KeptAnswer, sink: CallSink
+    ) -> CallHandle:
+        key = AnswerKey(call.account, call.program, CallNumber(intent.number))
+        answer = self._ports.answers.find(key)
+        if answer is not None and isinstance(answer.outcome, Completed):
+            return answer.attach(sink)
+        if not kept.whole:
+            gone = Failed(
+                Step.RECORD,
+                Reason.ANSWER_GONE,
+                peer=intent.target,
+                detail=f"the call ran and was answered with status "
+                f"{kept.status}; the answer was too large to keep",
+            )
+            return _finish(sink, gone)
+        headers = (
+            ("content-type", kept.content_type),
+            ("lycheestall-program", call.program),
+            ("lycheestall-call", str(intent.number)),
+            ("lycheestall-outcome", "completed"),
+        )
+        sink.start(ResponseHead(kept.status, headers))
+        sink.chunk(kept.body)
+        return _finish(sink, Completed(peer=intent.target))
+
+    def _ordered(
+        self,
+        call: Call,
+        program: Program,
+        digest: bytes,
+        sink: CallSink,
+        *,
+        unique: bool,
+    ) -> CallHandle:
+        order = program.agent(call.program).order
+        offer = order.offer(call.number, digest)
+        if isinstance(offer, Attach):
+            return self._attach(call, program, offer.number, sink)
+        refused = order_refusal(offer)
+        if refused is not None:
+            return _finish(sink, refused)
+        call = replace(call, number=offer.number)
+        kind = ActionRun if unique else SafeActionRun
+        run = kind(self._parts, call, program, digest)
+        reader = run.answer.attach(sink)
+        if isinstance(offer, Go):
+            run.go()
+        else:
+            order.hold(offer.number, run)
+        return reader
+
+    def _attach(
+        self,
+        call: Call,
+        program: Program,
+        number: CallNumber,
+        sink: CallSink,
+    ) -> CallHandle:
+        key = AnswerKey(call.account, call.program, number)
+        answer = self._ports.answers.find(key)
+        if answer is not None:
+            return answer.attach(sink)
+        return _finish(
+            sink,
+            Failed(
+                Step.RELAY,
+                Reason.ANSWER_GONE,
+                detail=f"call {number} ran; its answer is kept no longer",
+            ),
+        )
+
+
+def _body_digest(call: Call) -> bytes:
+    head = f"{call.application}\0{call.operation}\0".encode()
+    return sha256(head + call.body).digest()
+
+
+def _finish(sink: CallSink, outcome: Outcome) -> CallHandle:
+    sink.finish(outcome)
+    return NoHandle()
+
+
+def _key_reused() -> Refused:
+    return Refused(
+        Step.INTENT,
+        Reason.KEY_REUSED,
+        detail="the key names a call with another body or operation",
+        needs="a new idempotency key",
+    )
+
+
+def _key_closed(target: TargetId) -> Refused:
+    return Refused(
+        Step.INTENT,
+        Reason.TARGET_FAILED,
+        peer=target,
+        detail="the target closed the key without running the call",
+        needs="a new idempotency key",
+    )
--- a/lycheestall/answers.py
+++ b/lycheestall/answers.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import NewType
 
 from .calls import CallHandle, CallSink, ResponseHead
-from .ids import AccountId, CallNumber, ProgramId
+from .clock import Clock
+from .ids import AccountId, CallNumber, IdempotencyKey, ProgramId
 from .outcomes import Failed, Outcome, Reason, Step
 
 __all__ = ["Answer", "AnswerKey", "AnswerStore", "Reader", "ReaderId"]
@@ -17,15 +19,25 @@
 
 RETAINED_BYTES = 64 * 1024 * 1024
 SLICE_BYTES = 64 * 1024
+PUMP_INTERVAL_S = 0.05
 
 
 @dataclass(frozen=True, slots=True)
 class AnswerKey:
-    """Names an answer: one call of one program of one account."""
+    """Names an answer: one call of one program of one account.
+
+    Attributes:
+        account: Who pays.
+        program: The program, with its parents' path.
+        number: The call's number.
+        adopted: The idempotency key of a call that a lost owner had
+            numbered; empty for calls numbered here.
+    """
 
     account: AccountId
     program: ProgramId
     number: CallNumber
+    adopted: IdempotencyKey = IdempotencyKey("")
 
 
 class Reader(CallHandle):
@@ -56,6 +68,7 @@
             self._sink.start(answer.head)
         while self._position < answer.size:
             if self._sink.congested():
+                answer.lagging()
                 return
             data = answer.slice(self._position)
             self._position += len(data)
@@ -75,9 +88,14 @@
     Attributes:
         head: Status and headers, None until known.
         outcome: The final outcome, None while the call is under way.
+        lagging: Called when a reader has no room.
+
+    Args:
+        lagging: Hears that a reader has no room.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, lagging: Callable[[], None]) -> None:
+        self.lagging = lagging
         self.head: ResponseHead | None = None
         self.outcome: Outcome | None = None
         self._body = bytearray()
@@ -149,15 +167,22 @@
 
     Args:
         retention_s: How long a finished answer can be fetched.
+        clock: Tells when readers that had no room are tried again.
         max_bytes: Most bytes of finished answers; the oldest go first.
     """
 
     def __init__(
-        self, *, retention_s: float, max_bytes: int = RETAINED_BYTES
+        self,
+        *,
+        retention_s: float,
+        clock: Clock,
+        max_bytes: int = RETAINED_BYTES,
     ) -> None:
         self._retention_s = retention_s
+        self._clock = clock
         self._max_bytes = max_bytes
         self._bytes = 0
+        self._lagging: set[Answer] = set()
         self._open_by_key: dict[AnswerKey, Answer] = {}
         self._finished_by_key: OrderedDict[AnswerKey, tuple[float, Answer]]
         self._finished_by_key = OrderedDict()
@@ -178,41 +203,50 @@
     def open(self, key: AnswerKey) -> Answer:
         """Begins an answer in place of an earlier one of the key."""
         self._forget(key)
-        answer = Answer()
+        answer = Answer(lambda: self._lags(answer))
         self._open_by_key[key] = answer
         return answer
 
-    def finished(self, key: AnswerKey, now: float) -> None:
+    def finished(self, key: AnswerKey) -> None:
         """Starts an answer's retention; evicts what is over the bound."""
         answer = self._open_by_key.pop(key, None)
         if answer is None:
             return
-        self._finished_by_key[key] = (now + self._retention_s, answer)
+        until = self._clock.seconds() + self._retention_s
+        self._finished_by_key[key] = (until, answer)
         self._bytes += answer.size
         while self._bytes > self._max_bytes and self._finished_by_key:
             self._forget(next(iter(self._finished_by_key)))
 
+    def discard(self, key: AnswerKey) -> None:
+        """Drops the answer of a call that was not run."""
+        self._open_by_key.pop(key, None)
+        self._forget(key)
+
     def acknowledge(self, key: AnswerKey) -> None:
         """Drops a finished answer that the caller is known to have."""
         kept = self._finished_by_key.get(key)
         if kept is not None and not kept[1].readers:
             self._forget(key)
 
-    def expire(self, now: float) -> None:
+    def expire(self) -> None:
         """Drops answers whose retention is over."""
+        now = self._clock.seconds()
         while self._finished_by_key:
             key, (until, _) = next(iter(self._finished_by_key.items()))
             if until > now:
                 return
             self._forget(key)
 
-    def pump(self) -> None:
-        """Lets readers that were congested go on."""
-        for answer in list(self._open_by_key.values()):
+    def _lags(self, answer: Answer) -> None:
+        if not self._lagging:
+            self._clock.callLater(PUMP_INTERVAL_S, self._pump)
+        self._lagging.add(answer)
+
+    def _pump(self) -> None:
+        lagging, self._lagging = self._lagging, set()
+        for answer in lagging:
             answer.pump()
-        for _, answer in list(self._finished_by_key.values()):
-            if answer.readers:
-                answer.pump()
 
     def _forget(self, key: AnswerKey) -> None:
         kept = self._finished_by_key.pop(key, None)
--- a/lycheestall/caller_api.py
+++ b/lycheestall/caller_api.py
@@ -211,6 +211,7 @@
         deadline_s=_deadline_s(request),
         receipt=_header(request, "lycheestall-receipt"),
         program_class=_bounded(request, "lycheestall-class"),
+        new_branch=_header(request, "lycheestall-history") == "branch",
         **fields,
     )
 
--- a/lycheestall/calls.py
+++ b/lycheestall/calls.py
@@ -58,6 +58,8 @@
         receipt: The last receipt the caller holds, or empty.
         resume_from: Bytes of the answer body the caller already has.
         program_class: The class the caller declares, for rule matching.
+        new_branch: Whether the caller says that its messages drop or
+            rewrite history on purpose.
     """
 
     kind: CallKind
@@ -74,6 +76,7 @@
     receipt: str = ""
     resume_from: int = 0
     program_class: str = ""
+    new_branch: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/lycheestall/chat_body.py
+++ b/lycheestall/chat_body.py
@@ -6,6 +6,7 @@
 from typing import Any, TypeAlias
 
 import orjson
+import xxhash
 
 __all__ = ["BadBody", "ChatAssembler", "ChatBody", "Message", "parse_chat"]
 
@@ -14,6 +15,7 @@
 
 BYTES_PER_TOKEN = 4
 DEFAULT_MAX_TOKENS = 1024
+MESSAGE_OVERHEAD_TOKENS = 16
 DONE_EVENT = b"[DONE]"
 
 
@@ -37,12 +39,30 @@
         max_tokens: Most tokens the answer may have.
         prompt_tokens: Estimate of the prompt's length.
         engine_body: The request for the engine, always streamed.
+        frame: Digest of what is round the messages, such as tools.
+        frame_bytes: Length of what is round the messages.
     """
 
     messages: tuple[Message, ...]
     max_tokens: int
     prompt_tokens: int
     engine_body: bytes
+    frame: bytes = b""
+    frame_bytes: int = 0
+
+    def prompt_bound(self, known: int = 0, start: int = 0) -> int:
+        """Returns the most tokens that the prompt can have.
+
+        A token stands for at least one byte.
+
+        Args:
+            known: Tokens of the first messages, as an engine counted.
+            start: How many messages these are.
+        """
+        added = self.messages[start:]
+        size = len(orjson.dumps(added)) if added else 0
+        overhead = MESSAGE_OVERHEAD_TOKENS * (len(added) + 1)
+        return known + size + overhead
 
 
 def parse_chat(body: bytes) -> ChatBody | BadBody:
@@ -70,14 +90,19 @@
         limit = DEFAULT_MAX_TOKENS
     if type(limit) is not int or limit < 1:
         return BadBody("max_tokens: expected a whole number over 0")
+    if document.get("n") not in (None, 1):
+        return BadBody("n: expected 1, as a history has one answer a turn")
     document["stream"] = True
     document["max_tokens"] = limit
-    size = len(orjson.dumps(messages))
+    engine_body = orjson.dumps(document)
+    frame = orjson.dumps({**document, "messages": [], "max_tokens": 0})
     return ChatBody(
         messages=tuple(messages),
         max_tokens=limit,
-        prompt_tokens=size // BYTES_PER_TOKEN + 1,
-        engine_body=orjson.dumps(document),
+        prompt_tokens=len(engine_body) // BYTES_PER_TOKEN + 1,
+        engine_body=engine_body,
+        frame=xxhash.xxh3_64_digest(frame),
+        frame_bytes=len(frame),
     )
 
 
--- /dev/null
+++ b/lycheestall/chat_calls.py
@@ -0,0 +1,151 @@
+"""Chat calls on the owner's side: order, history, budget, dispatch."""
+
+from __future__ import annotations
+
+from hashlib import sha256
+
+from ._refusals import order_refusal, receipt_required
+from .admission import Admission
+from .answers import AnswerKey
+from .call_order import NoHandle
+from .calls import Call, CallHandle, CallSink
+from .chat_body import BadBody, ChatBody, parse_chat
+from .chat_run import ChatParts, ChatRun
+from .history import ASSISTANT
+from .ids import CallNumber
+from .outcomes import Failed, Reason, Refused, Step
+from .owner_ports import OwnerPorts
+from .program import Agent, Program
+from .program_table import ProgramTable
+from .receipts import BadReceipt, Receipt
+from .sequencer import Attach, Go, Offer
+
+__all__ = ["ChatCalls"]
+
+
+class ChatCalls:
+    """Starts chat calls.
+
+    Args:
+        ports: What the owner's side is plugged into.
+        admission: Clears calls against budgets and limits.
+        table: The live programs.
+    """
+
+    def __init__(
+        self, ports: OwnerPorts, admission: Admission, table: ProgramTable
+    ) -> None:
+        self._ports = ports
+        self._parts = ChatParts(ports, admission, table)
+
+    def start(
+        self, call: Call, program: Program, sink: CallSink
+    ) -> CallHandle:
+        """Starts a chat call of a live program.
+
+        Args:
+            call: The call.
+            program: Its top-level program.
+            sink: Where the answer goes.
+        """
+        body = parse_chat(call.body)
+        if isinstance(body, BadBody):
+            return _refuse(
+                sink,
+                Refused(Step.PARSE, Reason.BAD_REQUEST, detail=body.found),
+            )
+        agent = program.agent(call.program)
+        refused = self._prove(call, program, agent, body)
+        if refused is not None:
+            return _refuse(sink, refused)
+        digest = sha256(body.engine_body).digest()
+        offer = agent.order.offer(call.number, digest)
+        if isinstance(offer, Attach):
+            return self._attach(call, program, agent, offer.number, sink)
+        refused = order_refusal(offer)
+        if refused is not None:
+            return _refuse(sink, refused)
+        return self._begin(call, program, agent, body, offer, sink)
+
+    def _begin(
+        self,
+        call: Call,
+        program: Program,
+        agent: Agent,
+        body: ChatBody,
+        offer: Offer,
+        sink: CallSink,
+    ) -> CallHandle:
+        run = ChatRun(self._parts, call, program, agent, body, offer.number)
+        reader = run.answer.attach(sink)
+        if isinstance(offer, Go):
+            run.go()
+        else:
+            agent.order.hold(offer.number, run)
+        return reader
+
+    def _attach(
+        self,
+        call: Call,
+        program: Program,
+        agent: Agent,
+        number: CallNumber,
+        sink: CallSink,
+    ) -> CallHandle:
+        key = AnswerKey(call.account, call.program, number)
+        answer = self._ports.answers.find(key)
+        broken = answer is not None and isinstance(
+            answer.outcome, Failed | Refused
+        )
+        if broken and agent.order.sequencer.reopen(number):
+            self._ports.answers.discard(key)
+            return self.start(call, program, sink)
+        if answer is not None:
+            return answer.attach(sink)
+        sink.finish(
+            Failed(
+                Step.RELAY,
+                Reason.ANSWER_GONE,
+                detail=f"call {number} ran; its answer is kept no longer",
+            )
+        )
+        return NoHandle()
+
+    def _prove(
+        self, call: Call, program: Program, agent: Agent, body: ChatBody
+    ) -> Refused | None:
+        """Takes a receipt in where the program's past is not known."""
+        if program.proven or agent.history.points:
+            return None
+        if not call.receipt:
+            fresh = call.number <= 1 and not _has_answer(body)
+            if fresh or call.new_branch:
+                return None
+            return receipt_required("the program's owner was lost")
+        receipt = self._ports.signer.verify(call.receipt)
+        if isinstance(receipt, BadReceipt):
+            return receipt_required(receipt.why)
+        return self._adopt(receipt, call, program, agent)
+
+    def _adopt(
+        self, receipt: Receipt, call: Call, program: Program, agent: Agent
+    ) -> Refused | None:
+        owner = (receipt.account, receipt.program)
+        if owner != (call.account, call.program):
+            return receipt_required("the receipt is another program's")
+        agent.history.adopt(receipt.point)
+        sequencer = agent.order.sequencer
+        sequencer.expected = max(sequencer.expected, receipt.point.number + 1)
+        program.turns = max(program.turns, receipt.turn)
+        budget = program.budget
+        budget.spent = budget.spent.at_least(receipt.spend)
+        return None
+
+
+def _refuse(sink: CallSink, refused: Refused) -> CallHandle:
+    sink.finish(refused)
+    return NoHandle()
+
+
+def _has_answer(body: ChatBody) -> bool:
+    return any(message["role"] == ASSISTANT for message in body.messages)
--- /dev/null
+++ b/lycheestall/chat_run.py
@@ -0,0 +1,310 @@
+"""One chat call from its release to its outcome."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from hashlib import sha256
+
+from twisted.internet.defer import ensureDeferred
+
+from ._refusals import history_mismatch
+from .admission import Admission, Admitted
+from .answers import AnswerKey
+from .call_order import RunningCall
+from .calls import Call, ResponseHead
+from .chat_body import ChatAssembler, ChatBody
+from .dispatch import ChatJob, ChatListener, JobHandle
+from .history import ChainPoint, Extension, Mismatch
+from .ids import CallNumber, RequestId, TargetId
+from .ledger import Spend
+from .outcomes import Completed, Failed, Outcome, Refused, Step
+from .owner_ports import OwnerPorts
+from .program import Agent, Program, call_fact
+from .program_table import ProgramTable
+from .receipts import Receipt
+from .targets import EngineDone
+
+__all__ = ["ChatParts", "ChatRun"]
+
+JSON_TYPE = "application/json"
+SSE_TYPE = "text/event-stream"
+
+
+@dataclass(frozen=True, slots=True)
+class ChatParts:
+    """What all chat calls share."""
+
+    ports: OwnerPorts
+    admission: Admission
+    table: ProgramTable
+
+
+class ChatRun(ChatListener, RunningCall):
+    """A chat call that its program's order knows.
+
+    Args:
+        parts: What all chat calls share.
+        call: The call.
+        program: Its top-level program.
+        agent: Its program path.
+        body: Its parsed body.
+        number: Its number.
+    """
+
+    def __init__(
+        self,
+        parts: ChatParts,
+        call: Call,
+        program: Program,
+        agent: Agent,
+        body: ChatBody,
+        number: CallNumber,
+    ) -> None:
+        self._parts = parts
+        self._ports = parts.ports
+        self._call = call
+        self._program = program
+        self._agent = agent
+        self._body = body
+        self._number = number
+        self._key = AnswerKey(call.account, call.program, number)
+        self._deadline = self._ports.clock.seconds() + call.deadline_s
+        self._assembler = ChatAssembler()
+        self._extension: Extension | None = None
+        self._admitted: Admitted | None = None
+        self._job: JobHandle | None = None
+        self._passed = False
+        self._ended = False
+        self.answer = self._ports.answers.open(self._key)
+        program.run_by_key[self._key] = self
+
+    @property
+    def passed(self) -> bool:
+        """Whether an engine has the call."""
+        return self._passed
+
+    def pending_point(self) -> ChainPoint | None:
+        """Returns the point its answer completes, once dispatched."""
+        if self._extension is None or not self._passed:
+            return None
+        return ChainPoint(
+            number=self._number,
+            messages=self._extension.messages,
+            digest=self._extension.digest,
+            answered=False,
+        )
+
+    def go(self) -> None:
+        """Checks the history, then asks for budget and dispatches."""
+        checked = self._agent.history.check(
+            self._body.messages, new_branch=self._call.new_branch
+        )
+        if isinstance(checked, Mismatch):
+            self._end(history_mismatch(checked))
+            return
+        self._extension = checked
+        table = self._parts.table
+        refused = table.out_of_time(self._program)
+        refused = refused or table.out_of_turns(self._program)
+        if refused is not None:
+            self._end(refused)
+            table.end(self._program, refused.reason.value, refused)
+            return
+        ensureDeferred(self._admit(checked))
+
+    def stop(self, refused: Refused) -> None:
+        """Cancels the call; fails it if an engine has it."""
+        if self._ended:
+            return
+        if self._job is not None:
+            self._job.cancel()
+        if not self._passed:
+            self._end(refused)
+            return
+        self.failed(
+            Failed(Step.DISPATCH, refused.reason, detail=refused.detail)
+        )
+
+    def accepted(self, target: TargetId, request: RequestId) -> None:
+        """Lets the next call go on; sends the head of a stream."""
+        if self._passed or self._ended:
+            return
+        self._passed = True
+        point = self.pending_point()
+        assert point is not None
+        if self._call.streamed:
+            self.answer.start(self._head(SSE_TYPE, point))
+        self._acknowledge()
+        self._agent.order.passed(self._number)
+
+    def chunk(self, data: bytes) -> None:
+        """Relays or collects the answer."""
+        if self._ended:
+            return
+        self._assembler.feed(data)
+        if self._call.streamed:
+            self.answer.chunk(data)
+
+    def done(self, result: EngineDone, target: TargetId) -> None:
+        """Takes the answer into the history and settles the cost."""
+        if self._ended:
+            return
+        self.accepted(target, RequestId(""))
+        self._assembler.close()
+        tokens = result.tokens_in + result.tokens_out
+        point = self._commit(tokens)
+        if self._admitted is not None:
+            self._parts.admission.settle(
+                self._program, self._admitted, Spend(tokens, 1)
+            )
+        self._deliver(result, point)
+        self._end(
+            Completed(
+                result.tokens_in,
+                result.tokens_out,
+                result.cached_tokens,
+                target,
+            )
+        )
+
+    def refused(self, outcome: Refused) -> None:
+        """Gives the reservation back."""
+        if not self._ended:
+            self._end(outcome)
+
+    def failed(self, outcome: Failed) -> None:
+        """Keeps the whole reservation: the cost is unknown."""
+        if self._ended:
+            return
+        self._passed = True
+        if self._admitted is not None:
+            self._parts.admission.keep(self._program, self._admitted)
+            self._admitted = None
+        self._end(outcome)
+
+    async def _admit(self, extension: Extension) -> None:
+        bound = Spend(self._prompt_bound(extension) + self._body.max_tokens, 1)
+        result = await self._parts.admission.admit(self._program, bound)
+        if isinstance(result, Refused):
+            if not self._ended:
+                self._end(result)
+            return
+        if self._ended:
+            self._parts.admission.release(self._program, result)
+            return
+        self._admitted = result
+        self._program.turns += 1
+        job = self._ports.dispatcher.submit(self._chat_job(), self)
+        if not self._ended:
+            self._job = job
+
+    def _prompt_bound(self, extension: Extension) -> int:
+        body, base = self._body, extension.base
+        if base is None or not base.tokens or base.model != self._call.model:
+            return body.frame_bytes + body.prompt_bound()
+        known = body.prompt_bound(base.tokens, base.messages)
+        if self._agent.frame != body.frame:
+            known += body.frame_bytes
+        return known
+
+    def _chat_job(self) -> ChatJob:
+        call, program = self._call, self._program
+        cell = self._ports.cell
+        fingerprint = sha256(call.account.encode() + b"\0" + call.body)
+        sequencer = self._agent.order.sequencer
+        return ChatJob(
+            program=call.program,
+            root=program.root,
+            account=call.account,
+            program_class=program.program_class,
+            number=self._number,
+            model=call.model,
+            body=self._body.engine_body,
+            prompt_tokens=self._body.prompt_tokens,
+            max_tokens=self._body.max_tokens,
+            fingerprint=fingerprint.digest(),
+            deadline_s=self._deadline,
+            epoch=cell.epoch_of(program.partition),
+            may_send=lambda: cell.refusal(program.partition),
+            may_repeat=lambda: sequencer.may_repeat(self._number),
+        )
+
+    def _acknowledge(self) -> None:
+        extension = self._extension
+        if extension is None or extension.base is None:
+            return
+        number = extension.base.number
+        self._ports.answers.acknowledge(
+            AnswerKey(self._call.account, self._call.program, number)
+        )
+
+    def _commit(self, tokens: int) -> ChainPoint:
+        assert self._extension is not None
+        self._agent.frame = self._body.frame
+        return self._agent.history.commit(
+            self._extension,
+            self._assembler.message(),
+            number=self._number,
+            tokens=tokens,
+            model=self._call.model,
+        )
+
+    def _deliver(self, result: EngineDone, point: ChainPoint) -> None:
+        if self._call.streamed:
+            receipt = self._receipt(point).encode()
+            self.answer.chunk(b": lycheestall-receipt " + receipt + b"\n\n")
+            return
+        self.answer.start(self._head(JSON_TYPE, point))
+        self.answer.chunk(
+            self._assembler.document(
+                name=f"{self._call.program}.{self._number}",
+                model=self._call.model,
+                tokens_in=result.tokens_in,
+                tokens_out=result.tokens_out,
+            )
+        )
+
+    def _head(self, content_type: str, point: ChainPoint) -> ResponseHead:
+        headers = [
+            ("content-type", content_type),
+            ("lycheestall-program", self._call.program),
+            ("lycheestall-call", str(self._number)),
+            ("lycheestall-receipt", self._receipt(point)),
+        ]
+        if point.answered:
+            headers.append(("lycheestall-outcome", "completed"))
+        return ResponseHead(200, tuple(headers))
+
+    def _receipt(self, point: ChainPoint) -> str:
+        program = self._program
+        return self._ports.signer.sign(
+            Receipt(
+                account=self._call.account,
+                program=self._call.program,
+                turn=program.turns,
+                point=point,
+                spend=program.budget.committed,
+                epoch=self._ports.cell.epoch_of(program.partition),
+            )
+        )
+
+    def _end(self, outcome: Outcome) -> None:
+        self._ended = True
+        self._job = None
+        program, order = self._program, self._agent.order
+        program.run_by_key.pop(self._key, None)
+        program.touch()
+        program.facts.append(call_fact(self._key, "chat", outcome))
+        order.drop(self._number)
+        if isinstance(outcome, Refused) and self._admitted is not None:
+            program.turns -= 1
+            self._parts.admission.release(program, self._admitted)
+        self.answer.finish(outcome)
+        if isinstance(outcome, Refused):
+            self._ports.answers.discard(self._key)
+            order.refused(self._number)
+        else:
+            self._ports.answers.finished(self._key)
+            order.passed(self._number)
+        if not program.run_by_key and not program.ended:
+            self._ports.dispatcher.program_paused(program.root)
--- a/lycheestall/history.py
+++ b/lycheestall/history.py
@@ -21,7 +21,7 @@
 from dataclasses import dataclass
 from enum import Enum
 from hashlib import sha256
-from typing import Any
+from typing import Any, cast
 
 import orjson
 
@@ -170,6 +170,10 @@
         del self._points[:-MAX_POINTS]
         return point
 
+    def add(self, point: ChainPoint) -> None:
+        """Takes a point that an answer under way will complete."""
+        self._points.append(point)
+
     def adopt(self, point: ChainPoint) -> None:
         """Takes the only point that is known, from a receipt."""
         self._points = [point]
@@ -188,9 +192,10 @@
             for point in self._points
         ]
 
-    def load(self, state: Any) -> None:
+    def load(self, state: object) -> None:
         """Replaces the points by those that ``dump`` made."""
-        self._points = [ChainPoint(*item) for item in state]
+        items = cast(list[Any], state)
+        self._points = [ChainPoint(*item) for item in items]
 
     def _digests(self, messages: Sequence[Message]) -> list[bytes]:
         digests = [self._seed]
--- /dev/null
+++ b/lycheestall/owner_ports.py
@@ -0,0 +1,54 @@
+"""What the owner's side of calls is plugged into."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from .account_portions import AccountPortions
+from .answers import AnswerStore
+from .application_picker import ApplicationPicker
+from .cell_view import CellView
+from .clock import Clock
+from .dispatch import ChatDispatcher
+from .ledger import Ledger
+from .receipts import ReceiptSigner
+from .rule_book import RuleBook
+from .settings import TuningSettings
+
+__all__ = ["LOG_WAIT_S", "OwnerPorts"]
+
+LOG_WAIT_S = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class OwnerPorts:
+    """The parts that the owner's modules share.
+
+    Attributes:
+        cell: The VM's view of its cell.
+        ledger: Returns the folded state of programs.
+        dispatcher: Where chat calls go.
+        applications: Chooses runners for plain calls.
+        rules: Returns the rules in force.
+        clock: Monotonic time.
+        wall_ms: Wall-clock time, milliseconds since 1970.
+        keys: Keys that sign receipts and ids, newest first.
+        signer: Signs and verifies receipts.
+        settings: Times and sizes.
+        answers: Answers under way and kept.
+        shares: This VM's portions of accounts' limits.
+    """
+
+    cell: CellView
+    ledger: Callable[[], Ledger]
+    dispatcher: ChatDispatcher
+    applications: ApplicationPicker
+    rules: Callable[[], RuleBook]
+    clock: Clock
+    wall_ms: Callable[[], int]
+    keys: tuple[bytes, ...]
+    signer: ReceiptSigner
+    settings: TuningSettings
+    answers: AnswerStore
+    shares: AccountPortions
--- /dev/null
+++ b/lycheestall/program_control.py
@@ -0,0 +1,119 @@
+"""Opening, ending, cancelling and showing programs."""
+
+from __future__ import annotations
+
+from dataclasses import asdict
+
+import orjson
+from twisted.internet.defer import ensureDeferred
+
+from ._refusals import program_ended, rule_text
+from .call_order import NoHandle
+from .calls import Call, CallHandle, CallKind, CallSink, ResponseHead
+from .outcomes import Completed, Reason, Refused, Step
+from .owner_ports import OwnerPorts
+from .program import Program
+from .program_table import ProgramTable
+
+__all__ = ["ProgramControl"]
+
+
+class ProgramControl:
+    """Answers the calls that concern a program as a whole.
+
+    Args:
+        ports: What the owner's side is plugged into.
+        table: The live programs.
+    """
+
+    def __init__(self, ports: OwnerPorts, table: ProgramTable) -> None:
+        self._ports = ports
+        self._table = table
+
+    def start(
+        self, call: Call, program: Program, sink: CallSink
+    ) -> CallHandle:
+        """Answers a call of a live program.
+
+        Args:
+            call: An open, end, cancel or show call.
+            program: Its top-level program.
+            sink: Where the answer goes.
+        """
+        if call.kind is CallKind.OPEN:
+            ensureDeferred(self._open(call, program, sink))
+        elif call.kind is CallKind.SHOW:
+            self._answer(call, sink, 200, self._document(program))
+        else:
+            self._end(call, program, sink)
+        return NoHandle()
+
+    async def _open(
+        self, call: Call, program: Program, sink: CallSink
+    ) -> None:
+        """Says whether the log knows of the program yet.
+
+        While it does not, only idempotent calls are taken.
+        """
+        await self._table.recorded(program)
+        document = {
+            "program": call.program,
+            "class": program.program_class,
+            "opened_ms": program.opened_ms,
+            "recorded": program.recorded,
+        }
+        self._answer(call, sink, 201, document)
+
+    def _end(self, call: Call, program: Program, sink: CallSink) -> None:
+        reason, refused = "ended", program_ended("ended by its caller")
+        if call.kind is CallKind.CANCEL:
+            reason = "cancelled"
+            refused = Refused(
+                Step.DISPATCH, Reason.CANCELLED, detail="cancelled"
+            )
+        self._table.end(program, reason, refused)
+        self._answer(call, sink, 200, self._document(program))
+
+    def _document(self, program: Program) -> dict[str, object]:
+        limits = self._table.limits(program)
+        budget = program.budget
+        return {
+            "program": program.root,
+            "account": program.account,
+            "class": program.program_class,
+            "opened_ms": program.opened_ms,
+            "ended": program.ended,
+            "recorded": program.recorded,
+            "turns": program.turns,
+            "in_flight": len(program.run_by_key),
+            "spent": asdict(budget.spent),
+            "reserved": asdict(budget.reserved),
+            "drawn": asdict(budget.drawn),
+            "limits": {
+                "tokens": limits.tokens,
+                "calls": limits.calls,
+                "money_micros": limits.money_micros,
+                "turns": limits.turns,
+                "time_s": limits.time_s,
+            },
+            "rules": {
+                name: rule_text(line) for name, line in limits.lines.items()
+            },
+            "calls": [asdict(fact) for fact in program.facts],
+        }
+
+    def _answer(
+        self,
+        call: Call,
+        sink: CallSink,
+        status: int,
+        document: dict[str, object],
+    ) -> None:
+        headers = (
+            ("content-type", "application/json"),
+            ("lycheestall-program", call.program),
+            ("lycheestall-outcome", "completed"),
+        )
+        sink.start(ResponseHead(status, headers))
+        sink.chunk(orjson.dumps(document))
+        sink.finish(Completed())
--- /dev/null
+++ b/lycheestall/program_table.py
@@ -0,0 +1,314 @@
+"""The live programs of this VM: found, opened, ended, handed over."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import cbor2
+from twisted.internet.defer import Deferred
+
+from ._refusals import (
+    limit_reached,
+    log_unavailable,
+    program_ended,
+    unproven,
+)
+from ._waiting import first_within
+from .admission import Admission
+from .budget import Budget
+from .calls import Call
+from .cell_view import Folded
+from .ids import PartitionId, ProgramId, root_of
+from .ledger import Ledger, LedgerProgram
+from .outcomes import Reason, Refused, Step
+from .owner_ports import LOG_WAIT_S, OwnerPorts
+from .program import Program
+from .program_ids import IdOrigin, issued_ms_of, ledger_id, origin_of
+from .records import ProgramEnded, ProgramOpened
+from .rule_book import ProgramLimits
+
+__all__ = ["ProgramTable"]
+
+
+class ProgramTable:
+    """Programs by their form in the log.
+
+    Args:
+        ports: What the owner's side is plugged into.
+        admission: Draws a new program's first portion.
+    """
+
+    def __init__(self, ports: OwnerPorts, admission: Admission) -> None:
+        self._ports = ports
+        self._admission = admission
+        self._program_by_name: dict[ProgramId, Program] = {}
+        self._opening_by_name: dict[ProgramId, Deferred[Folded]] = {}
+        self._unproven: set[PartitionId] = set()
+
+    def __iter__(self) -> Iterator[Program]:
+        """Yields the programs that are live here."""
+        yield from list(self._program_by_name.values())
+
+    def take(
+        self,
+        partition: PartitionId,
+        handed: dict[str, bytes],
+        *,
+        unproven: bool,
+    ) -> None:
+        """Takes a partition's programs over.
+
+        Args:
+            partition: Which.
+            handed: Live state by program, from a graceful handover.
+            unproven: Whether programs may exist that nobody recorded.
+        """
+        self.drop(partition)
+        if unproven:
+            self._unproven.add(partition)
+        for data in handed.values():
+            program = Program.restored(
+                cbor2.loads(data),
+                partition=partition,
+                clock=self._ports.clock,
+                gap_hold_s=self._ports.settings.gap_hold_s,
+            )
+            self._program_by_name[program.name] = program
+
+    def drop(self, partition: PartitionId) -> None:
+        """Forgets a partition's programs; calls under way go on."""
+        self._unproven.discard(partition)
+        for program in self.of(partition):
+            del self._program_by_name[program.name]
+            self._opening_by_name.pop(program.name, None)
+
+    def of(self, partition: PartitionId) -> list[Program]:
+        """Returns the live programs of a partition."""
+        return [
+            program
+            for program in self._program_by_name.values()
+            if program.partition == partition
+        ]
+
+    def dump(self, partition: PartitionId) -> dict[str, bytes]:
+        """Returns the live state by program, for a handover."""
+        return {
+            program.name: cbor2.dumps(program.dump())
+            for program in self.of(partition)
+            if not program.ended
+        }
+
+    def find(self, call: Call) -> Program | None:
+        """Returns a call's program if it is live here."""
+        name = ledger_id(call.account, call.program)
+        return self._program_by_name.get(name)
+
+    def knows(self, call: Call) -> bool:
+        """Returns whether a call's program is live or in the log."""
+        name = ledger_id(call.account, call.program)
+        if name in self._program_by_name:
+            return True
+        return name in self._ports.ledger().program_by_id
+
+    def get(self, call: Call, partition: PartitionId) -> Program | Refused:
+        """Returns a call's program, opened if it is new.
+
+        Args:
+            call: A call of the program.
+            partition: Where the program belongs.
+        """
+        name = ledger_id(call.account, call.program)
+        ledger = self._ports.ledger()
+        known = ledger.program_by_id.get(name)
+        program = self._program_by_name.get(name)
+        ended = (program and program.ended) or (known and known.ended)
+        if ended:
+            return program_ended(ended)
+        if program is not None:
+            program.touch()
+            return program
+        refused = self._unopenable(call, known, ledger)
+        if refused is not None:
+            return refused
+        return self._open(call, partition, name, known)
+
+    async def recorded(self, program: Program) -> Refused | None:
+        """Waits until the log knows that a program is open.
+
+        Returns:
+            Why it does not, None once it does.
+        """
+        ports = self._ports
+        if program.recorded or self._is_open(program):
+            program.recorded = True
+            return None
+        waiting = log_unavailable(
+            Step.OPEN, "the log has to record the program first"
+        )
+        if ports.cell.log_silent():
+            return waiting
+        opening = self._opening_by_name.get(program.name)
+        if opening is None:
+            opening = self._record(program)
+        folded = await first_within(opening, LOG_WAIT_S, ports.clock)
+        if folded is None or not self._is_open(program):
+            return waiting
+        program.recorded = True
+        return None
+
+    def end(self, program: Program, reason: str, refused: Refused) -> None:
+        """Ends a program: its calls, its engines' memory, its record.
+
+        Args:
+            program: The program, with its sub-agents.
+            reason: Why it ends.
+            refused: What callers of calls under way are told.
+        """
+        if program.ended:
+            return
+        program.ended = reason
+        program.stop_calls(refused)
+        ports = self._ports
+        ports.dispatcher.program_ended(program.root)
+        record = ProgramEnded(
+            program=program.name,
+            partition=program.partition,
+            epoch=ports.cell.epoch_of(program.partition),
+            reason=reason,
+        )
+        ports.cell.submit(record).addErrback(lambda _: None)
+
+    def sweep(self) -> None:
+        """Ends programs that vanished or ran out of time."""
+        ports = self._ports
+        now = ports.clock.seconds()
+        for program in self:
+            idle_s = now - program.active_at
+            if program.ended:
+                if idle_s > ports.settings.answer_retention_s:
+                    del self._program_by_name[program.name]
+                continue
+            refused = self.out_of_time(program)
+            if refused is not None:
+                self.end(program, "time limit", refused)
+                continue
+            if program.run_by_key or idle_s < ports.settings.program_idle_s:
+                continue
+            self.end(program, "vanished", program_ended("vanished"))
+
+    def out_of_time(self, program: Program) -> Refused | None:
+        """Returns the refusal of a program past its time limit."""
+        limits = self.limits(program)
+        if limits.time_s is None:
+            return None
+        age_s = (self._ports.wall_ms() - program.opened_ms) / 1000
+        if age_s < limits.time_s:
+            return None
+        return limit_reached(Reason.TIME_LIMIT, limits, "time_s")
+
+    def out_of_turns(self, program: Program) -> Refused | None:
+        """Returns the refusal of a program past its turn limit."""
+        limits = self.limits(program)
+        if limits.turns is None or program.turns < limits.turns:
+            return None
+        return limit_reached(Reason.TURN_LIMIT, limits, "turns")
+
+    def limits(self, program: Program) -> ProgramLimits:
+        """Returns a program's limits under the rules in force."""
+        return self._ports.rules().program_limits(
+            program.account, program.program_class
+        )
+
+    def _unopenable(
+        self, call: Call, known: LedgerProgram | None, ledger: Ledger
+    ) -> Refused | None:
+        origin = origin_of(call.account, call.program, self._ports.keys)
+        if origin is IdOrigin.FORGED:
+            return Refused(
+                Step.OPEN,
+                Reason.PROGRAM_UNKNOWN,
+                detail="the program id was not issued to this account",
+            )
+        issued_ms = issued_ms_of(call.program)
+        if known is not None or issued_ms is None:
+            return None
+        if issued_ms < ledger.forgotten_before_ms:
+            return unproven(call)
+        return None
+
+    def _open(
+        self,
+        call: Call,
+        partition: PartitionId,
+        name: ProgramId,
+        known: LedgerProgram | None,
+    ) -> Program:
+        ports = self._ports
+        program_class = call.program_class
+        opened_ms = max(ports.wall_ms(), issued_ms_of(call.program) or 0)
+        if known is not None:
+            program_class, opened_ms = known.program_class, known.opened_ms
+        limits = ports.rules().program_limits(call.account, program_class)
+        at_risk = partition in self._unproven
+        program = Program(
+            account=call.account,
+            root=root_of(call.program),
+            name=name,
+            program_class=program_class,
+            partition=partition,
+            opened_ms=opened_ms,
+            budget=Budget.taken_over(
+                known.drawn if known is not None else None,
+                limits,
+                unproven=at_risk or known is not None,
+            ),
+            clock=ports.clock,
+            gap_hold_s=ports.settings.gap_hold_s,
+            proven=known is None and not at_risk,
+            recorded=known is not None,
+            active_at=ports.clock.seconds(),
+        )
+        self._program_by_name[name] = program
+        if known is None:
+            self._record(program)
+            self._draw_first(program, limits)
+        return program
+
+    def _draw_first(self, program: Program, limits: ProgramLimits) -> None:
+        limited = (limits.tokens, limits.calls, limits.money_micros)
+        if any(limit is not None for limit in limited):
+            totals = program.budget.first_draw(limits)
+            drawn = self._admission.draw(program, totals)
+            drawn.addErrback(lambda _: None)
+
+    def _record(self, program: Program) -> Deferred[Folded]:
+        ports = self._ports
+        record = ProgramOpened(
+            program=program.name,
+            account=program.account,
+            program_class=program.program_class,
+            partition=program.partition,
+            epoch=ports.cell.epoch_of(program.partition),
+            opened_ms=program.opened_ms,
+        )
+        opening = ports.cell.submit(record)
+        self._opening_by_name[program.name] = opening
+
+        def read_back(folded: Folded) -> Folded:
+            program.recorded = program.recorded or folded.verdict.accepted
+            self._opening_by_name.pop(program.name, None)
+            return folded
+
+        opening.addCallback(read_back)
+        opening.addErrback(self._not_recorded, program.name)
+        return opening
+
+    def _not_recorded(self, _: object, name: ProgramId) -> Folded | None:
+        self._opening_by_name.pop(name, None)
+        return None
+
+    def _is_open(self, program: Program) -> bool:
+        if program.recorded:
+            return True
+        known = self._ports.ledger().program_by_id.get(program.name)
+        return known is not None and not known.ended
--- /dev/null
+++ b/lycheestall/safe_action_run.py
@@ -0,0 +1,89 @@
+"""An idempotent plain call: repeated where that can help."""
+
+from __future__ import annotations
+
+from twisted.internet.defer import ensureDeferred
+
+from .action_base import ActionBase
+from .application_picker import Runner
+from .outcomes import Completed, Failed, Outcome, Reason, Refused, Step
+from .targets import ActionAnswer, ActionDone, ActionNotSent
+
+__all__ = ["SafeActionRun"]
+
+RETRY_AFTER_S = 1.0
+
+
+class SafeActionRun(ActionBase):
+    """A plain call that may run more than once."""
+
+    def go(self) -> None:
+        """Starts the call."""
+        ensureDeferred(self._run())
+
+    def stop(self, refused: Refused) -> None:
+        """Ends the call; an answer that still comes is dropped."""
+        if not self.passed:
+            self.end(refused)
+            return
+        self.end(Failed(Step.DISPATCH, refused.reason, detail=refused.detail))
+
+    async def _run(self) -> None:
+        refused = await self.admit()
+        if self.ended:
+            self.give_back()
+            return
+        if refused is not None:
+            self.end(refused)
+            return
+        await self._attempts()
+
+    async def _attempts(self) -> None:
+        rule = self.ports.rules().retries(
+            self.call.account, self.call.application
+        )
+        sent: Outcome | None = None
+        last: Outcome | None = None
+        while len(self.tried) < max(1, rule.attempts) and not self.ended:
+            picked = self._next_runner()
+            if isinstance(picked, Refused):
+                last = last or picked
+                break
+            self.pass_on()
+            answer = await self.send_to(picked, self.call.idempotency_key)
+            if isinstance(answer, ActionDone):
+                self.end(Completed(peer=picked.target), answer)
+                return
+            last = _outcome(answer, picked.target)
+            sent = last if isinstance(last, Failed) else sent
+            if self.ports.clock.seconds() >= self.deadline:
+                break
+        if not self.ended:
+            assert last is not None
+            self.end(sent or last)
+
+    def _next_runner(self) -> Runner | Refused:
+        picked = self.pick()
+        if isinstance(picked, Refused):
+            return picked
+        refused = self.ports.cell.refusal(self.program.partition)
+        return picked if refused is None else refused
+
+
+def _outcome(answer: ActionAnswer, peer: str) -> Outcome:
+    if isinstance(answer, ActionNotSent):
+        return Refused(
+            Step.DISPATCH,
+            Reason.UNREACHABLE,
+            peer=peer,
+            retry_after_s=RETRY_AFTER_S,
+            detail=answer.detail,
+        )
+    assert not isinstance(answer, ActionDone)
+    return Failed(
+        Step.DISPATCH,
+        Reason.TARGET_FAILED,
+        peer=peer,
+        retry_after_s=RETRY_AFTER_S,
+        detail=answer.detail,
+    )
--- a/lycheestall/sequencer.py
+++ b/lycheestall/sequencer.py
@@ -18,6 +18,8 @@
     "Superseded",
 ]
 
+KEPT_NUMBERS = 32
+
 
 @dataclass(frozen=True, slots=True)
 class Go:
@@ -107,7 +109,7 @@
         """
         if number == 0:
             highest = max(self._entry_by_number, default=0)
-            number = max(self.expected - 1, highest) + 1
+            number = max(self.expected - 1, highest, self._top) + 1
         call = CallNumber(number)
         entry = self._entry_by_number.get(call)
         if entry is not None:
@@ -130,6 +132,7 @@
         if entry is not None:
             entry.state = _State.PASSED
         self._top = max(self._top, number)
+        self._prune()
         return self._next()
 
     def refused(self, number: CallNumber) -> list[CallNumber]:
@@ -139,6 +142,8 @@
             The calls that go on now.
         """
         self._entry_by_number.pop(number, None)
+        if number == self._top and self.expected == number + 1:
+            self._top = number - 1
         return self._next()
 
     def forget(self, number: CallNumber) -> None:
@@ -210,6 +215,12 @@
         expected, exact, top = state
         return cls(gap_hold_s, expected, exact, top)
 
+    def _prune(self) -> None:
+        for number, entry in list(self._entry_by_number.items()):
+            old = number <= self._top - KEPT_NUMBERS
+            if old and entry.state is _State.PASSED:
+                del self._entry_by_number[number]
+
     def _blocking(self) -> CallNumber | None:
         for number, entry in self._entry_by_number.items():
             if entry.state is _State.GOING:
--- a/lycheestall/settings.py
+++ b/lycheestall/settings.py
@@ -109,6 +109,7 @@
         gap_hold_s: How long a call waits for the calls before it.
         answer_retention_s: How long a finished answer can be fetched.
         rules_stale_s: Without news for this long, no new work is taken.
+        program_idle_s: A program without a call for this long is ended.
     """
 
     __pydantic_config__ = _STRICT
@@ -123,6 +124,7 @@
     gap_hold_s: float = 2.0
     answer_retention_s: float = 300.0
     rules_stale_s: float = 5.0
+    program_idle_s: float = 1800.0
 
 
 @dataclass(frozen=True, slots=True)
