--- a/lycheestall/action_base.py
+++ b/lycheestall/action_base.py
@@ -5,7 +5,6 @@
 from abc import abstractmethod
 from dataclasses import dataclass
 
-from .admission import Admission, Admitted
 from .answers import AnswerKey
 from .application_picker import Runner
 from .call_order import RunningCall
@@ -16,6 +15,7 @@
 from .owner_ports import OwnerPorts
 from .program import Program, call_fact
 from .program_table import ProgramTable
+from .reservations import Admitted, Reservations
 from .rule_book import ActionRule
 from .targets import (
     ActionAnswer,
@@ -34,7 +34,7 @@
     """What all plain calls share."""
 
     ports: OwnerPorts
-    admission: Admission
+    reservations: Reservations
     table: ProgramTable
 
 
@@ -104,7 +104,7 @@
             table.end(self.program, refused.reason.value, refused)
             return refused
         bound = Spend(0, 1, self.rule.price_micros)
-        result = await self.parts.admission.admit(self.program, bound)
+        result = await self.parts.reservations.admit(self.program, bound)
         if isinstance(result, Refused):
             return result
         self.admitted = result
@@ -159,7 +159,7 @@
     def give_back(self) -> None:
         """Releases what a call that has ended still holds."""
         if self.admitted is not None:
-            self.parts.admission.release(self.program, self.admitted)
+            self.parts.reservations.release(self.program, self.admitted)
             self.admitted = None
 
     async def send_to(
@@ -184,14 +184,16 @@
     def _settle(self, outcome: Outcome) -> None:
         if self.admitted is None:
             return
-        admission = self.parts.admission
+        reservations = self.parts.reservations
         if isinstance(outcome, Refused):
-            admission.release(self.program, self.admitted)
+            reservations.release(self.program, self.admitted)
         elif isinstance(outcome, Failed):
-            admission.keep(self.program, self.admitted)
+            reservations.keep(self.program, self.admitted)
         else:
             assert isinstance(outcome, Completed)
-            admission.settle(self.program, self.admitted, self.admitted.bound)
+            reservations.settle(
+                self.program, self.admitted, self.admitted.bound
+            )
         self.admitted = None
 
     def _head(self, answer: ActionDone) -> ResponseHead:
--- a/lycheestall/action_calls.py
+++ b/lycheestall/action_calls.py
@@ -7,7 +7,6 @@
 
 from ._refusals import order_refusal
 from .action_run import ActionParts, ActionRun
-from .admission import Admission
 from .answers import AnswerKey
 from .call_order import NoHandle
 from .calls import Call, CallHandle, CallSink, ResponseHead
@@ -18,6 +17,7 @@
 from .program import Program
 from .program_ids import IdOrigin, origin_of
 from .program_table import ProgramTable
+from .reservations import Reservations
 from .safe_action_run import SafeActionRun
 from .sequencer import Attach, Go
 
@@ -29,15 +29,18 @@
 
     Args:
         ports: What the owner's side is plugged into.
-        admission: Clears calls against budgets and limits.
+        reservations: Clears calls against budgets and limits.
         table: The live programs.
     """
 
     def __init__(
-        self, ports: OwnerPorts, admission: Admission, table: ProgramTable
+        self,
+        ports: OwnerPorts,
+        reservations: Reservations,
+        table: ProgramTable,
     ) -> None:
         self._ports = ports
-        self._parts = ActionParts(ports, admission, table)
+        self._parts = ActionParts(ports, reservations, table)
 
     def start(
         self, call: Call, program: Program, sink: CallSink
--- a/lycheestall/admission.py
+++ b/lycheestall/admission.py
@@ -1,214 +1,120 @@
-"""Clears a call against its program's budget and its account's limits."""
+"""How many calls an engine gets at once, and which calls to refuse early."""
 
 from __future__ import annotations
 
 from dataclasses import dataclass
 
-from twisted.internet.defer import Deferred
-
-from ._refusals import (
-    account_limit_reached,
-    budget_spent,
-    log_unavailable,
-)
-from ._waiting import first_within
-from .account_portions import LimitReached, PortionNeeded, Use
-from .budget import (
-    DrawNeeded,
-    Exhausted,
-    ReservationId,
-    Reserved,
-)
-from .cell_view import Folded
-from .ledger import Spend
-from .outcomes import Refused, Step
-from .owner_ports import LOG_WAIT_S, OwnerPorts
-from .program import Program
-from .records import BudgetDrawn, PortionTaken
-from .rule_book import LimitKind
-
-__all__ = ["Admission", "Admitted"]
-
-MAX_ROUNDS = 4
-
-
-@dataclass(frozen=True, slots=True)
-class Admitted:
-    """What a call holds until it is settled.
-
-    Attributes:
-        reservation: Its part of the program's budget.
-        use: Its part of the account's limits.
-        bound: The most it may cost.
+from .ids import TargetId
+from .targets import LoadReport
+
+__all__ = ["Admission", "ConcurrencyLimit"]
+
+FIRST_LIMIT = 6.0
+LEAST_LIMIT = 1.0
+MOST_LIMIT = 256.0
+INCREASE = 1.0
+DECREASE = 0.8
+WAITING_SHARE = 0.5
+LEAST_WAITING = 4
+SLOW_START_S = 20.0
+QUEUE_LIMIT = 1024
+LEAST_RETRY_S = 1.0
+MOST_RETRY_S = 60.0
+RATE_WINDOW_S = 20.0
+
+
+@dataclass(slots=True)
+class ConcurrencyLimit:
+    """A VM's limit on its own calls at one engine, found by trying.
+
+    It grows by one while it is used up and the engine's queue is short,
+    and shrinks by a fifth for each report of a long queue.
     """
 
-    reservation: ReservationId
-    use: Use
-    bound: Spend
+    limit: float = FIRST_LIMIT
+    slow_until: float = 0.0
+
+    def observe(self, report: LoadReport, own: int) -> None:
+        """Takes a load report.
+
+        Args:
+            report: The report.
+            own: The VM's own calls at the engine.
+        """
+        high = max(LEAST_WAITING, WAITING_SHARE * report.running)
+        if report.waiting > high:
+            self.limit = max(self.limit * DECREASE, LEAST_LIMIT)
+        elif own >= self.limit - 1:
+            self.limit = min(self.limit + INCREASE, MOST_LIMIT)
+
+    def turned_away(self) -> None:
+        """Takes an engine's refusal for being full."""
+        self.limit = max(self.limit * DECREASE, LEAST_LIMIT)
+
+    def start_slowly(self, now: float) -> None:
+        """Makes the limit grow from its least value over some time."""
+        self.slow_until = now + SLOW_START_S
+
+    def at(self, now: float) -> float:
+        """Returns the limit now."""
+        left_s = self.slow_until - now
+        if left_s <= 0:
+            return self.limit
+        share = 1.0 - left_s / SLOW_START_S
+        return max(self.limit * share, LEAST_LIMIT)
 
 
 class Admission:
-    """Reserves before dispatch and settles after the answer.
+    """Bounds the queue and refuses at once what cannot be met in time."""
 
-    Args:
-        ports: What the owner's side is plugged into.
-    """
+    def __init__(self) -> None:
+        """Starts with no calls seen."""
+        self._limit_by_target: dict[TargetId, ConcurrencyLimit] = {}
+        self._rate_per_s = 0.0
+        self._rate_at = 0.0
 
-    def __init__(self, ports: OwnerPorts) -> None:
-        self._ports = ports
+    def limit(self, target: TargetId) -> ConcurrencyLimit:
+        """Returns an engine's limit."""
+        return self._limit_by_target.setdefault(target, ConcurrencyLimit())
 
-    async def admit(
-        self, program: Program, bound: Spend
-    ) -> Admitted | Refused:
-        """Reserves the most a call may cost.
+    def answered(self, now: float) -> None:
+        """Counts an answer towards the VM's rate of answers."""
+        self._rate_per_s = self._rate(now) + 1.0 / RATE_WINDOW_S
+        self._rate_at = now
 
-        Waits for the log only where a grant has to be read back first.
+    def wait_s(
+        self, ahead: int, *, in_flight: int, stay_s: float, now: float
+    ) -> float:
+        """Returns how long a job waits on this VM before it is sent.
 
         Args:
-            program: The program that pays.
-            bound: The most the call may cost.
+            ahead: Jobs of this VM that go before it.
+            in_flight: The VM's calls at engines.
+            stay_s: How long a call stays at an engine.
+            now: The time.
         """
-        reservation = await self._reserve(program, bound)
-        if isinstance(reservation, Refused):
-            return reservation
-        use = await self._use(program, bound)
-        if isinstance(use, Refused):
-            program.budget.release(reservation)
-            return use
-        return Admitted(reservation, use, bound)
-
-    def settle(
-        self, program: Program, admitted: Admitted, actual: Spend
-    ) -> None:
-        """Replaces the reservation by the actual cost."""
-        program.budget.settle(admitted.reservation, actual)
-        self._settle_use(admitted, actual)
-
-    def keep(self, program: Program, admitted: Admitted) -> None:
-        """Keeps the whole reservation: the cost is unknown."""
-        program.budget.keep(admitted.reservation)
-        self._settle_use(admitted, admitted.bound)
-
-    def release(self, program: Program, admitted: Admitted) -> None:
-        """Gives the reservation back: the call was not run."""
-        program.budget.release(admitted.reservation)
-        self._settle_use(admitted, Spend())
-
-    def draw(self, program: Program, totals: Spend) -> Deferred[Folded]:
-        """Asks the log to grant a program's budget up to totals."""
-        ports = self._ports
-        record = BudgetDrawn(
-            program=program.name,
-            partition=program.partition,
-            epoch=ports.cell.epoch_of(program.partition),
-            tokens=totals.tokens,
-            calls=totals.calls,
-            money_micros=totals.money_micros,
-        )
-
-        def read_back(folded: Folded) -> Folded:
-            if folded.verdict.accepted:
-                program.budget.granted(totals)
-            return folded
-
-        return ports.cell.submit(record).addCallback(read_back)
-
-    async def _reserve(
-        self, program: Program, bound: Spend
-    ) -> ReservationId | Refused:
-        ports = self._ports
-        for _ in range(MAX_ROUNDS):
-            limits = ports.rules().program_limits(
-                program.account, program.program_class
-            )
-            result = program.budget.reserve(bound, limits)
-            if isinstance(result, Reserved):
-                return result.reservation
-            if isinstance(result, Exhausted):
-                line = limits.lines.get(result.field.value)
-                return budget_spent(result.field.value, line)
-            if not await self._drawn(program, result):
-                break
-        return log_unavailable(
-            Step.RESERVE, "the log has to grant more of the budget first"
-        )
-
-    async def _drawn(self, program: Program, need: DrawNeeded) -> bool:
-        ports = self._ports
-        if ports.cell.log_silent():
-            return False
-        drawn = self.draw(program, need.totals)
-        folded = await first_within(drawn, LOG_WAIT_S, ports.clock)
-        return folded is not None and folded.verdict.accepted
-
-    async def _use(self, program: Program, bound: Spend) -> Use | Refused:
-        ports = self._ports
-        need_by_kind = {**_use_of(bound), LimitKind.CONCURRENCY: 1}
-        for _ in range(MAX_ROUNDS):
-            limits = ports.rules().account_limits(program.account)
-            result = ports.shares.use(
-                program.account,
-                limits,
-                need_by_kind,
-                now=ports.clock.seconds(),
-                now_ms=ports.wall_ms(),
-            )
-            if isinstance(result, Use):
-                self._take_ahead(program)
-                return result
-            if isinstance(result, LimitReached):
-                return account_limit_reached(result)
-            if not await self._taken(result):
-                break
-        return log_unavailable(
-            Step.ADMIT, "the log has to grant more of the account's limit"
-        )
-
-    async def _taken(self, need: PortionNeeded) -> bool:
-        ports = self._ports
-        if ports.cell.log_silent():
-            for record in need.records:
-                ports.shares.unasked(record)
-            return False
-        waits = [self._take(record) for record in need.records]
-        for wait in waits:
-            if await first_within(wait, LOG_WAIT_S, ports.clock) is None:
-                return False
-        return True
-
-    def _take(self, record: PortionTaken) -> Deferred[Folded]:
-        ports = self._ports
-
-        def read_back(folded: Folded) -> Folded:
-            ports.shares.asked_for(
-                record,
-                accepted=folded.verdict.accepted,
-                now=ports.clock.seconds(),
-            )
-            return folded
-
-        return ports.cell.submit(record).addCallback(read_back)
-
-    def _take_ahead(self, program: Program) -> None:
-        ports = self._ports
-        if ports.cell.log_silent():
-            return
-        records = ports.shares.ahead(
-            program.account,
-            ports.rules().account_limits(program.account),
-            now=ports.clock.seconds(),
-            now_ms=ports.wall_ms(),
-        )
-        for record in records:
-            self._take(record).addErrback(lambda _: None)
-
-    def _settle_use(self, admitted: Admitted, actual: Spend) -> None:
-        self._ports.shares.settle(admitted.use, _use_of(actual))
-
-
-def _use_of(spend: Spend) -> dict[LimitKind, int]:
-    return {
-        LimitKind.CALLS: spend.calls,
-        LimitKind.TOKENS: spend.tokens,
-        LimitKind.MONEY: spend.money_micros,
-    }
+        if not ahead:
+            return 0.0
+        rate = max(self._rate(now), in_flight / max(stay_s, 1e-3))
+        if rate <= 0:
+            return 0.0
+        return ahead / rate
+
+    def refusal_s(
+        self, wait_s: float, run_s: float, *, queued: int, left_s: float
+    ) -> float | None:
+        """Returns when to come back if a new job is refused, else None.
+
+        Args:
+            wait_s: How long it would wait.
+            run_s: How long it would run.
+            queued: Jobs in the queue.
+            left_s: Time to its deadline.
+        """
+        if queued < QUEUE_LIMIT and wait_s + run_s <= left_s:
+            return None
+        return min(max(wait_s, LEAST_RETRY_S), MOST_RETRY_S)
+
+    def _rate(self, now: float) -> float:
+        passed = max(now - self._rate_at, 0.0)
+        return float(self._rate_per_s * 0.5 ** (passed / RATE_WINDOW_S))
--- a/lycheestall/chat_calls.py
+++ b/lycheestall/chat_calls.py
@@ -5,7 +5,6 @@
 from hashlib import sha256
 
 from ._refusals import order_refusal, receipt_required
-from .admission import Admission
 from .answers import AnswerKey
 from .call_order import NoHandle
 from .calls import Call, CallHandle, CallSink
@@ -18,6 +17,7 @@
 from .program import Agent, Program
 from .program_table import ProgramTable
 from .receipts import BadReceipt, Receipt
+from .reservations import Reservations
 from .sequencer import Attach, Go, Offer
 
 __all__ = ["ChatCalls"]
@@ -28,15 +28,18 @@
 
     Args:
         ports: What the owner's side is plugged into.
-        admission: Clears calls against budgets and limits.
+        reservations: Clears calls against budgets and limits.
         table: The live programs.
     """
 
     def __init__(
-        self, ports: OwnerPorts, admission: Admission, table: ProgramTable
+        self,
+        ports: OwnerPorts,
+        reservations: Reservations,
+        table: ProgramTable,
     ) -> None:
         self._ports = ports
-        self._parts = ChatParts(ports, admission, table)
+        self._parts = ChatParts(ports, reservations, table)
 
     def start(
         self, call: Call, program: Program, sink: CallSink
--- a/lycheestall/chat_run.py
+++ b/lycheestall/chat_run.py
@@ -8,7 +8,6 @@
 from twisted.internet.defer import ensureDeferred
 
 from ._refusals import history_mismatch
-from .admission import Admission, Admitted
 from .answers import AnswerKey
 from .call_order import RunningCall
 from .calls import Call, ResponseHead
@@ -22,6 +21,7 @@
 from .program import Agent, Program, call_fact
 from .program_table import ProgramTable
 from .receipts import Receipt
+from .reservations import Admitted, Reservations
 from .targets import EngineDone
 
 __all__ = ["ChatParts", "ChatRun"]
@@ -35,7 +35,7 @@
     """What all chat calls share."""
 
     ports: OwnerPorts
-    admission: Admission
+    reservations: Reservations
     table: ProgramTable
 
 
@@ -154,7 +154,7 @@
         tokens = result.tokens_in + result.tokens_out
         point = self._commit(tokens)
         if self._admitted is not None:
-            self._parts.admission.settle(
+            self._parts.reservations.settle(
                 self._program, self._admitted, Spend(tokens, 1)
             )
         self._deliver(result, point)
@@ -178,19 +178,19 @@
             return
         self._passed = True
         if self._admitted is not None:
-            self._parts.admission.keep(self._program, self._admitted)
+            self._parts.reservations.keep(self._program, self._admitted)
             self._admitted = None
         self._end(outcome)
 
     async def _admit(self, extension: Extension) -> None:
         bound = Spend(self._prompt_bound(extension) + self._body.max_tokens, 1)
-        result = await self._parts.admission.admit(self._program, bound)
+        result = await self._parts.reservations.admit(self._program, bound)
         if isinstance(result, Refused):
             if not self._ended:
                 self._end(result)
             return
         if self._ended:
-            self._parts.admission.release(self._program, result)
+            self._parts.reservations.release(self._program, result)
             return
         self._admitted = result
         self._program.turns += 1
@@ -298,7 +298,7 @@
         order.drop(self._number)
         if isinstance(outcome, Refused) and self._admitted is not None:
             program.turns -= 1
-            self._parts.admission.release(program, self._admitted)
+            self._parts.reservations.release(program, self._admitted)
         self.answer.finish(outcome)
         if isinstance(outcome, Refused):
             self._ports.answers.discard(self._key)
--- a/lycheestall/program_owner.py
+++ b/lycheestall/program_owner.py
@@ -8,7 +8,6 @@
 
 from .account_portions import AccountPortions
 from .action_calls import ActionCalls
-from .admission import Admission
 from .answers import AnswerKey, AnswerStore
 from .application_picker import ApplicationPicker
 from .call_order import NoHandle
@@ -25,6 +24,7 @@
 from .program_control import ProgramControl
 from .program_table import ProgramTable
 from .receipts import ReceiptSigner
+from .reservations import Reservations
 from .rule_book import RuleBook
 from .settings import TuningSettings
 
@@ -83,10 +83,10 @@
             shares=AccountPortions(),
         )
         self._partitions = partitions
-        admission = Admission(ports)
-        self._table = table = ProgramTable(ports, admission)
-        self._chats = ChatCalls(ports, admission, table)
-        self._actions = ActionCalls(ports, admission, table)
+        reservations = Reservations(ports)
+        self._table = table = ProgramTable(ports, reservations)
+        self._chats = ChatCalls(ports, reservations, table)
+        self._actions = ActionCalls(ports, reservations, table)
         self._control = ProgramControl(ports, table)
         self._quiescing: set[PartitionId] = set()
         self._sweeping: Timer = clock.callLater(SWEEP_INTERVAL_S, self._sweep)
--- a/lycheestall/program_table.py
+++ b/lycheestall/program_table.py
@@ -14,7 +14,6 @@
     unproven,
 )
 from ._waiting import first_within
-from .admission import Admission
 from .budget import Budget
 from .calls import Call
 from .cell_view import Folded
@@ -25,6 +24,7 @@
 from .program import Program
 from .program_ids import IdOrigin, issued_ms_of, ledger_id, origin_of
 from .records import ProgramEnded, ProgramOpened
+from .reservations import Reservations
 from .rule_book import ProgramLimits
 
 __all__ = ["ProgramTable"]
@@ -35,12 +35,12 @@
 
     Args:
         ports: What the owner's side is plugged into.
-        admission: Draws a new program's first portion.
+        reservations: Draws a new program's first portion.
     """
 
-    def __init__(self, ports: OwnerPorts, admission: Admission) -> None:
+    def __init__(self, ports: OwnerPorts, reservations: Reservations) -> None:
         self._ports = ports
-        self._admission = admission
+        self._reservations = reservations
         self._program_by_name: dict[ProgramId, Program] = {}
         self._opening_by_name: dict[ProgramId, Deferred[Folded]] = {}
         self._unproven: set[PartitionId] = set()
@@ -167,6 +167,7 @@
         if program.ended:
             return
         program.ended = reason
+        program.touch()
         program.stop_calls(refused)
         ports = self._ports
         ports.dispatcher.program_ended(program.root)
@@ -278,7 +279,7 @@
         limited = (limits.tokens, limits.calls, limits.money_micros)
         if any(limit is not None for limit in limited):
             totals = program.budget.first_draw(limits)
-            drawn = self._admission.draw(program, totals)
+            drawn = self._reservations.draw(program, totals)
             drawn.addErrback(lambda _: None)
 
     def _record(self, program: Program) -> Deferred[Folded]:
