--- a/lycheestall/rules_stream.py
+++ b/lycheestall/rules_stream.py
@@ -19,7 +19,6 @@
 from .publication import Publication
 from .records import (
     NO_OFFSET,
-    CheckpointPart,
     ReaderJoined,
     ReaderLeft,
     Record,
@@ -115,7 +114,7 @@
             assembler=RulesCheckpoints(),
         )
         self._writer = host.open_writer(stream, session)
-        self._schedule = CheckpointSchedule()
+        self._schedule = CheckpointSchedule(rewrite_idle=True)
         self._rules = EMPTY_RULES
         self._applied = NO_OFFSET
         self._leaving = False
@@ -175,8 +174,7 @@
     ) -> None:
         body = record.body
         if isinstance(body, RulesCheckpoint):
-            seen = CheckpointPart(body.as_of, 0, 1, b"")
-            self._schedule.folded(offset, seen, self._clock.seconds())
+            self._schedule.seen(body.as_of, self._clock.seconds())
         if isinstance(body, RulesProposed) and self.current():
             self._report()
 
