--- a/lycheestall/node.py
+++ b/lycheestall/node.py
@@ -153,7 +153,7 @@
             stream=StreamName(settings.platform.rules_stream),
             session=session,
             vm=settings.vm,
-            members=self._members,
+            live_vms=self._members,
             clock=ports.clock,
             wall_ms=ports.wall_ms,
         )
@@ -355,7 +355,7 @@
             self.dispatcher.observe(report)
 
     async def _keep_rules(self) -> None:
-        self.rules_stream.step()
+        await self.rules_stream.step()
 
     def _members(self) -> frozenset[VmId]:
         sessions = self.fold.sessions.by_id.values()
--- a/tests/test_rules_publisher.py
+++ b/tests/test_rules_publisher.py
@@ -165,7 +165,7 @@
 ) -> None:
     monkeypatch.setattr(
         "lycheestall.rules_stream.CheckpointSchedule",
-        lambda: CheckpointSchedule(interval_s=5.0),
+        lambda **options: CheckpointSchedule(interval_s=5.0, **options),
     )
     vm = Vm(world, log, "a")
     world.run_for(2.0)
