Weigh a prefill by what it costs everybody

Cause: placement counted a prefill's seconds for the job alone, though it slows every answer in the batch and evicts others' prefixes; jobs moved away from warm engines for small gains. Change: PREFILL_WEIGHT 2 -> 8.

--- a/lycheestall/placement.py
+++ b/lycheestall/placement.py
@@ -22,7 +22,7 @@
 
 __all__ = ["Choice", "Placement"]
 
-PREFILL_WEIGHT = 2.0
+PREFILL_WEIGHT = 8.0
 BATCH_SLOWDOWN = 1.0
 EVICTION_WEIGHT = 1.0
 GROWTH = 1.2
