--- a/lycheestall/_http_client.py
+++ b/lycheestall/_http_client.py
@@ -8,30 +8,25 @@
 from urllib.parse import urlencode
 
 from treq.client import HTTPClient
-from twisted.internet.defer import CancelledError, Deferred, fail, succeed
+from twisted.internet.defer import CancelledError
 from twisted.internet.endpoints import (
     TCP4ClientEndpoint,
     TCP6ClientEndpoint,
 )
 from twisted.internet.error import ConnectError, ConnectingCancelledError
-from twisted.internet.protocol import Protocol
-from twisted.python.failure import Failure
-from twisted.web._newclient import (
-    RequestGenerationFailed,
-    RequestNotSent,
-    ResponseDone,
-)
+from twisted.web._newclient import RequestGenerationFailed, RequestNotSent
 from twisted.web.client import (
     URI,
     Agent,
     HTTPConnectionPool,
 )
 from twisted.web.http_headers import Headers
-from twisted.web.iweb import IAgentEndpointFactory, IBodyProducer
+from twisted.web.iweb import IAgentEndpointFactory
 from zope.interface import implementer
 
+from ._http_body import BodyReader, GatedBody, SendStoppedError
+
 __all__ = [
-    "BodyReader",
     "HttpAnswer",
     "HttpClient",
     "HttpResult",
@@ -104,107 +99,6 @@
         return kind(self._reactor, host, uri.port, self._timeout_s)
 
 
-_DONE = Failure(ResponseDone())
-
-
-class SendStoppedError(Exception):
-    """The gate was closed when the request was about to be written."""
-
-
-@implementer(IBodyProducer)
-class _GatedBody:
-    """A body that asks its gate right before it is written.
-
-    The head is written in the same turn of the loop; a closed gate
-    drops the connection with the request incomplete.
-    """
-
-    def __init__(self, body: bytes, may_send: Callable[[], bool]) -> None:
-        self.length = len(body)
-        self._body = body
-        self._may_send = may_send
-
-    def startProducing(self, consumer: Any) -> Deferred[None]:  # noqa: N802
-        """Writes the whole body, or fails at a closed gate."""
-        if not self._may_send():
-            return fail(SendStoppedError())
-        if self._body:
-            consumer.write(self._body)
-        return succeed(None)
-
-    def stopProducing(self) -> None:  # noqa: N802
-        """Has nothing to stop."""
-
-    def pauseProducing(self) -> None:  # noqa: N802
-        """Has nothing to pause."""
-
-    def resumeProducing(self) -> None:  # noqa: N802
-        """Has nothing to resume."""
-
-
-class BodyReader(Protocol):
-    """Hands on a body's bytes and watches for a stall.
-
-    Attributes:
-        done: Fires with an empty string when the body is whole, else
-            with what went wrong. Cancelling it drops the connection.
-    """
-
-    def __init__(
-        self, clock: Any, take: Callable[[bytes], None], stall_s: float
-    ) -> None:
-        self.done: Deferred[str] = Deferred(self._cancelled)
-        self._clock = clock
-        self._take = take
-        self._stall_s = stall_s
-        self._wire: Any = None
-        self._timer = clock.callLater(stall_s, self._stalled)
-
-    def connectionMade(self) -> None:  # noqa: N802
-        """Takes the connection."""
-        self._wire = self.transport
-
-    def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        """Takes the next bytes."""
-        if self.done.called:
-            return
-        self._timer.reset(self._stall_s)
-        self._take(data)
-
-    def connectionLost(  # noqa: N802
-        self,
-        reason: Failure = Failure(ResponseDone()),  # noqa: B008
-    ) -> None:
-        """Takes the end of the body."""
-        whole = reason.check(ResponseDone) is not None
-        self._end("" if whole else f"body cut: {reason.value!r}")
-
-    def abort(self, why: str) -> None:
-        """Drops the connection.
-
-        Args:
-            why: What ``done`` says.
-        """
-        self._end(why)
-        if self._wire is not None:
-            self._wire.loseConnection()
-
-    def _stalled(self) -> None:
-        self.abort(f"no byte for {self._stall_s} s")
-
-    def _cancelled(self, _: Deferred[str]) -> None:
-        if self._timer.active():
-            self._timer.cancel()
-        if self._wire is not None:
-            self._wire.loseConnection()
-
-    def _end(self, why: str) -> None:
-        if self._timer.active():
-            self._timer.cancel()
-        if not self.done.called:
-            self.done.callback(why)
-
-
 class HttpClient:
     """Sends requests over a connection pool, each of them once.
 
@@ -268,7 +162,7 @@
         client = self._fresh if fresh else self._kept
         data: Any = body
         if may_send is not None:
-            data = _GatedBody(body or b"", may_send)
+            data = GatedBody(body or b"", may_send)
         sent = client.request(
             method,
             url,
--- a/scripts/_cluster.py
+++ b/scripts/_cluster.py
@@ -26,6 +26,15 @@
 POLL_S = 0.1
 OPERATOR_KEY = "operator-key"
 KEY_BY_ACCOUNT = {"snowline": "snowline-key", "bronze": "bronze-key"}
+BUDGET_TOKENS = 60_000
+RULES = f"""\
+budget of everyone is {BUDGET_TOKENS} tokens  # Meena, planning crew
+operation POST /orders of application poles is non-idempotent  # Harsh
+operation POST /placements of application poles is non-idempotent  # Harsh
+operation POST /metal-orders of application foundry is non-idempotent  # Aigul
+operation POST /invoices of application foundry is non-idempotent  # Aigul
+operation POST /check of application survey is idempotent  # Meena
+"""
 ZONES = ("bhuj-a", "bhuj-b", "anjar-c")
 
 
@@ -61,8 +70,15 @@
         plan: What it consists of.
         directory: Where settings and output are kept.
         client: Sends requests.
+
+    Attributes:
+        rules: The rules to start with.
+        budget_tokens: What they grant each program.
     """
 
+    rules = RULES
+    budget_tokens = BUDGET_TOKENS
+
     def __init__(
         self, plan: ClusterPlan, directory: Path, client: HttpClient
     ) -> None:
@@ -164,6 +180,11 @@
         url = f"{self.url('vm-list')}/admin/vms?vm={name}"
         await self.send("DELETE", url)
 
+    async def add_vm(self, name: str) -> None:
+        """Puts a VM on the platform's list."""
+        url = f"{self.url('vm-list')}/admin/vms"
+        await self.send("PUT", url, self._entry(name, "entry", "", MESH_PORT))
+
     async def publish(self, vm: str, base: int, text: str) -> tuple[int, Any]:
         """Publishes rules through a VM; returns status and answer."""
         url = f"{self.url(vm, ADMIN_PORT)}/admin/rules"
