Compare a cut and resumed answer with the whole one in the demo

Change: scripts/_resume.py cuts a streamed answer after 500 bytes and fetches the rest and the whole through a second VM; make tour keeps the deployment running on fixed addresses. After it two of three VMs no longer end on SIGTERM within 15 s: calls whose caller has left stay counted.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: setup test lint demo binary clean
+.PHONY: setup test lint demo tour binary clean
 
 setup: $(STAMP)
 
@@ -26,6 +26,9 @@
 demo: setup
 	$(BIN)/python scripts/demo.py
 
+tour: setup
+	$(BIN)/python scripts/demo.py --hold
+
 binary: setup
 	$(BIN)/python scripts/build_binary.py
 
--- a/scripts/_cluster.py
+++ b/scripts/_cluster.py
@@ -70,6 +70,9 @@
         plan: What it consists of.
         directory: Where settings and output are kept.
         client: Sends requests.
+        network: The first three numbers of all addresses; drawn from
+            the process id by default, so that two runs can share a
+            machine.
 
     Attributes:
         rules: The rules to start with.
@@ -80,15 +83,18 @@
     budget_tokens = BUDGET_TOKENS
 
     def __init__(
-        self, plan: ClusterPlan, directory: Path, client: HttpClient
+        self,
+        plan: ClusterPlan,
+        directory: Path,
+        client: HttpClient,
+        *,
+        network: str = "",
     ) -> None:
         self._plan = plan
         self._directory = directory
         self._client = client
         self._receipt_key = secrets.token_hex(32)
-        self._network = (
-            f"127.{os.getpid() % 250 + 1}.{os.getpid() // 250 % 250}"
-        )
+        self._network = network or _own_network()
         self._addresses = self._numbered_addresses()
         self.processes = ProcessGroup(directory)
         self.host_by_name: dict[str, str] = {}
@@ -296,6 +302,11 @@
         return {"authorization": f"Bearer {OPERATOR_KEY}"}
 
 
+def _own_network() -> str:
+    high, low = divmod(os.getpid(), 250)
+    return f"127.{low + 1}.{high % 250}"
+
+
 def _object(result: Any) -> dict[str, Any]:
     if not isinstance(result, HttpAnswer):
         return {}
--- a/scripts/_trial.py
+++ b/scripts/_trial.py
@@ -102,6 +102,13 @@
         self.fault("rules take hold everywhere", f"{version}: {versions}")
         return version
 
+    async def publish_first(self) -> int:
+        """Publishes the deployment's rules over what is in force."""
+        base = await self.cluster.rules_version(self.cluster.vms[0])
+        return await self.publish(
+            -1 if base is None else base, self.cluster.rules
+        )
+
     async def until_done(self, share: float, load: Deferred[Any]) -> None:
         """Waits until a share of the programs has ended."""
         while self.done() < share * self.planned and not load.called:
--- a/scripts/cluster_run.py
+++ b/scripts/cluster_run.py
@@ -181,8 +181,7 @@
     cluster = trial.cluster
     await cluster.start()
     trial.say("all processes are ready")
-    base = await cluster.rules_version(cluster.vms[0])
-    first = await trial.publish(-1 if base is None else base, cluster.rules)
+    first = await trial.publish_first()
     load = await trial.start_load()
     driving = ensureDeferred(faults.run())
     await publish_rules(trial, faults, first, load)
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import argparse
 import os
 import signal
 import sys
@@ -19,9 +20,10 @@
 install_reactor()
 
 from _cluster import KEY_BY_ACCOUNT, Cluster, ClusterPlan  # noqa: E402
+from _resume import check_resume  # noqa: E402
 from _trial import Trial, run_on_reactor  # noqa: E402
 from twisted.internet import reactor as _installed  # noqa: E402
-from twisted.internet.defer import ensureDeferred  # noqa: E402
+from twisted.internet.defer import Deferred, ensureDeferred  # noqa: E402
 from twisted.web.client import HTTPConnectionPool  # noqa: E402
 
 from lycheestall._http_client import HttpClient  # noqa: E402
@@ -33,6 +35,7 @@
 
 VICTIM = "vm-3"
 LIST_LAG_S = 1.0
+HOLD_NETWORK = "127.0.7"
 PLAN = ClusterPlan(
     vms=4,
     engine={"decode_base_s": 0.006, "decode_sequence_s": 0.0004},
@@ -65,22 +68,36 @@
     )
 
 
-async def run_demo(trial: Trial, reactor: Any) -> None:
+async def hold(trial: Trial) -> None:
+    """Runs the deployment until it is interrupted.
+
+    Args:
+        trial: The trial.
+    """
+    cluster = trial.cluster
+    await cluster.start()
+    await trial.publish_first()
+    print(f"entry VMs: {' '.join(cluster.callers_urls())}")
+    print(f"keys: {' '.join(KEY_BY_ACCOUNT.values())}; Ctrl-C stops all")
+    await Deferred()
+
+
+async def run_demo(trial: Trial, client: HttpClient) -> None:
     """Runs the deployment, the load, both events and the checks.
 
     Args:
         trial: The trial.
-        reactor: The running reactor.
+        client: Sends requests.
     """
     cluster = trial.cluster
     await cluster.start()
     trial.say("all processes are ready")
-    base = await cluster.rules_version(cluster.vms[0])
-    first = await trial.publish(-1 if base is None else base, cluster.rules)
+    first = await trial.publish_first()
+    trial.checks.append(await check_resume(cluster, client))
     load = await trial.start_load()
     await trial.until_done(0.3, load)
     cluster.processes.by_name[VICTIM].signal(signal.SIGKILL)
-    reactor.callLater(
+    client.clock.callLater(
         LIST_LAG_S, lambda: ensureDeferred(cluster.drop_vm(VICTIM))
     )
     trial.say(f"{VICTIM} killed")
@@ -95,15 +112,26 @@
 
 def main() -> int:
     """Runs the demo; returns its exit code."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument(
+        "--hold",
+        action="store_true",
+        help=f"serve on {HOLD_NETWORK}.* until interrupted, run no load",
+    )
+    options = parser.parse_args()
     reactor: Any = _installed
     client = HttpClient(reactor, HTTPConnectionPool(reactor, persistent=False))
+    network = HOLD_NETWORK if options.hold else ""
     with tempfile.TemporaryDirectory(prefix="lycheestall-demo-") as name:
-        cluster = Cluster(PLAN, Path(name), client)
+        cluster = Cluster(PLAN, Path(name), client, network=network)
         trial = Trial(cluster, client, load_of(cluster))
+        work = hold(trial) if options.hold else run_demo(trial, client)
         try:
-            whole = run_on_reactor(run_demo(trial, reactor))
+            whole = run_on_reactor(work)
         finally:
             cluster.processes.stop_all()
+    if options.hold:
+        return 0
     print("\n".join(["", *trial.table()]))
     return 0 if whole and trial.held() else 1
 
