Stop counting calls whose caller has left

Cause: a caller that left in the middle of an answer kept its call counted on the entry VM and on the owner for ever, so a planned stop waited for its whole limit; the demo saw two of three VMs still running 15 s after SIGTERM. Change: leaving ends the count on both sides; the owner still finishes and keeps the answer. Two engine streams of a killed VM stay held; open.

--- a/lycheestall/node.py
+++ b/lycheestall/node.py
@@ -248,11 +248,12 @@
 
     def handle(self, call: Call, sink: CallSink) -> CallHandle:
         """Runs a caller's call and counts it."""
-        counted = _CountedSink(self, call, sink)
+        counted = _CountedCall(self, call, sink)
         self._calls += 1
         if call.kind is CallKind.OPEN:
             call = replace(call, program=self._issue_program(call.account))
-        return self.router.handle(call, counted)
+        counted.inner = self.router.handle(call, counted)
+        return counted
 
     def calls_in_progress(self) -> int:
         """Returns how many calls of callers and peers are under way."""
@@ -266,10 +267,14 @@
             outcome: How it ended.
             since: When it arrived, on the node's clock.
         """
-        self._calls -= 1
+        self.call_left()
         duration_s = self._ports.clock.seconds() - since
         self._ports.metrics.call_ended(call, outcome, duration_s)
 
+    def call_left(self) -> None:
+        """Counts a caller's call that nobody waits for any more."""
+        self._calls -= 1
+
     @property
     def draining(self) -> bool:
         """Whether a planned stop has begun."""
@@ -415,14 +420,16 @@
         return self._node.owner.quiesce(partition)
 
 
-class _CountedSink(CallSink):
-    """Passes an answer through and counts its outcome."""
+class _CountedCall(CallSink, CallHandle):
+    """Passes a call through; counts it until it ends or is left."""
 
     def __init__(self, node: Node, call: Call, sink: CallSink) -> None:
         self._node = node
         self._call = call
         self._sink = sink
         self._arrived = node.now()
+        self._open = True
+        self.inner: CallHandle | None = None
 
     def start(self, head: ResponseHead) -> None:
         self._sink.start(head)
@@ -431,8 +438,17 @@
         self._sink.chunk(data)
 
     def finish(self, outcome: Outcome) -> None:
-        self._node.call_ended(self._call, outcome, self._arrived)
+        if self._open:
+            self._open = False
+            self._node.call_ended(self._call, outcome, self._arrived)
         self._sink.finish(outcome)
 
     def congested(self) -> bool:
         return self._sink.congested()
+
+    def detach(self) -> None:
+        if self._open:
+            self._open = False
+            self._node.call_left()
+        if self.inner is not None:
+            self.inner.detach()
--- a/lycheestall/router.py
+++ b/lycheestall/router.py
@@ -82,7 +82,8 @@
             self._serve(peer, message)
             return
         if isinstance(message, CallDetached):
-            served = self._served_by_id.get((peer, message.exchange))
+            key = (peer, message.exchange)
+            served = self._served_by_id.pop(key, None)
             if served is not None:
                 served.detach()
             return
