Split the cell's agent and session by job

Change: CellOwnership runs claims, takeovers and handovers; Heartbeats sends, answers and dates heartbeats; describe_agent builds the status, now AgentStatus beside the admin interface's CellStatus.

--- a/lycheestall/cell_agent.py
+++ b/lycheestall/cell_agent.py
@@ -8,14 +8,14 @@
 from twisted.internet.defer import Deferred, succeed
 
 from .cell_fold import CellFold
-from .cell_session import CellIdentity, CellSession, SessionState
-from .cell_status import CellStatus
+from .cell_session import CellIdentity, CellSession
+from .cell_status import AgentStatus, describe_agent
 from .cell_view import CellView, Folded, PartitionWatcher
 from .checkpoints import CheckpointAssembler, CheckpointSchedule
 from .claims import NO_SESSION
 from .clock import Clock, Timer
 from .fold import Fold, Verdict
-from .heartbeats import Heartbeats
+from .heartbeats import Heartbeats, LoadHandler, LoadSource
 from .ids import Offset, PartitionId, SessionId, StreamName, VmId
 from .log_reader import FoldedHandler, LogReader
 from .log_streams import LogStreams
@@ -23,8 +23,6 @@
 from .membership import Membership
 from .mesh import Mesh, MessageHandler, PeerLostHandler
 from .messages import (
-    Heartbeat,
-    HeartbeatReply,
     Hello,
     MeshMessage,
     PartitionGiven,
@@ -41,7 +39,6 @@
     SessionLeft,
 )
 from .settings import TuningSettings
-from .targets import LoadReport
 
 __all__ = ["CellAgent", "CellPorts"]
 
@@ -105,16 +102,19 @@
         self._reader = self._streams.follow(
             stream, fold, on_folded=self._folded, on_loaded=self._loaded
         )
-        self._heartbeats = Heartbeats(ports.mesh)
+        self._heartbeats = Heartbeats(
+            ports.mesh,
+            self._streams,
+            ports.clock,
+            stream=stream,
+            current=lambda: self._cell_session,
+        )
         self._schedule = CheckpointSchedule()
         self._session = SessionId("")
         self._cell_session: CellSession | None = None
         self._listed: dict[VmId, tuple[str, int]] = {}
         self._peers: dict[VmId, tuple[str, int]] = {}
         self._listing: VmListing | None = None
-        self._load_source: Callable[[], tuple[LoadReport, ...]] = tuple
-        self._on_loads: Callable[[VmId, tuple[LoadReport, ...]], None] | None
-        self._on_loads = None
         self._on_other_message: MessageHandler | None = None
         self._on_peer_lost: PeerLostHandler | None = None
         self._drained: Deferred[None] | None = None
@@ -158,12 +158,11 @@
 
     def pass_loads(
         self,
-        source: Callable[[], tuple[LoadReport, ...]],
-        on_loads: Callable[[VmId, tuple[LoadReport, ...]], None],
+        source: LoadSource,
+        on_loads: LoadHandler,
     ) -> None:
         """Sets what heartbeats say of targets, and who hears of it."""
-        self._load_source = source
-        self._on_loads = on_loads
+        self._heartbeats.pass_loads(source, on_loads)
 
     def start(self) -> None:
         """Starts to follow the log; joins once the state is whole."""
@@ -196,7 +195,7 @@
                 self._finish()
             else:
                 self._cell_session.drain()
-                self._send_heartbeats()
+                self._heartbeats.send()
         done: Deferred[None] = Deferred()
         self._drained.chainDeferred(done)
         return done
@@ -214,37 +213,15 @@
             self._cell_session.membership.listed(listing, now)
         self._set_peers()
 
-    def status(self) -> CellStatus:
+    def status(self) -> AgentStatus:
         """Returns a snapshot for operators."""
-        now = self._clock.seconds()
-        current = self._cell_session
-        sessions = self.fold.sessions
-        holdings = {} if current is None else current.holdings.by_partition
-        acting = [p for p, held in holdings.items() if held.acting]
-        waiting = [
-            p
-            for p, held in holdings.items()
-            if not held.acting and not held.released
-        ]
-        return CellStatus(
+        return describe_agent(
             session=self._session,
-            state="reading" if current is None else current.state.value,
-            members=tuple(sorted(s.vm for s in sessions.by_id.values())),
-            connected=tuple(sorted(self._mesh.connected())),
-            newest=self._reader.newest,
-            folded=self._reader.folded,
-            unreadable_format=self._reader.unreadable_format,
-            lease_left_s=(
-                float("-inf")
-                if current is None
-                else current.authority.valid_until - now
-            ),
-            acting=tuple(sorted(acting)),
-            waiting=tuple(sorted(waiting)),
-            handing=() if current is None else tuple(sorted(current.handing)),
-            pending_records=0 if current is None else current.pending_records,
-            log_silent=self.log_silent(),
-            open_configurations=len(sessions.configurations),
+            fold=self.fold,
+            reader=self._reader,
+            current=self._cell_session,
+            connected=self._mesh.connected(),
+            now=self._clock.seconds(),
         )
 
     @property
@@ -380,20 +357,7 @@
 
     def _beat(self) -> None:
         self._set_timer(self._tuning.heartbeat_interval_s, self._beat)
-        self._send_heartbeats()
-
-    def _send_heartbeats(self) -> None:
-        current = self._cell_session
-        if current is None or current.state is SessionState.LEAVING:
-            return
-        self._heartbeats.send(
-            self._clock.seconds(),
-            self._mesh.connected(),
-            session=self._session,
-            streams=self._streams.newest(),
-            loads=self._load_source(),
-            draining=current.state is SessionState.DRAINING,
-        )
+        self._heartbeats.send()
 
     def _set_timer(self, delay_s: float, run: Callable[[], None]) -> None:
         if not self._running:
@@ -404,11 +368,9 @@
     def _on_message(self, peer: VmId, message: MeshMessage) -> None:
         if self._streams.on_message(peer, message):
             return
+        if self._heartbeats.on_message(peer, message):
+            return
         match message:
-            case Heartbeat():
-                self._on_heartbeat(peer, message)
-            case HeartbeatReply():
-                self._on_reply(peer, message)
             case PartitionGiven():
                 if self._cell_session is not None:
                     self._cell_session.on_given(peer, message)
@@ -418,49 +380,7 @@
                 if self._on_other_message is not None:
                     self._on_other_message(peer, message)
 
-    def _on_heartbeat(self, peer: VmId, message: Heartbeat) -> None:
-        self._streams.hear(peer, message.streams)
-        if self._on_loads is not None and message.loads:
-            self._on_loads(peer, message.loads)
-        current = self._cell_session
-        if current is None or current.state is SessionState.LEAVING:
-            return
-        newest = _newest(self._reader.stream, message)
-        current.membership.heard(
-            message.session,
-            newest,
-            self._clock.seconds(),
-            draining=message.draining,
-        )
-        self._heartbeats.answer(
-            peer,
-            message,
-            session=self._session,
-            streams=self._streams.newest(),
-        )
-
-    def _on_reply(self, peer: VmId, message: HeartbeatReply) -> None:
-        self._streams.hear(peer, message.streams)
-        sent_at = self._heartbeats.sent_at(message)
-        current = self._cell_session
-        if current is None or sent_at is None:
-            return
-        newest = _newest(self._reader.stream, message)
-        now = self._clock.seconds()
-        current.membership.heard(message.session, newest, now)
-        newest_by_stream = {
-            known.stream: known.newest for known in message.streams
-        }
-        current.authority.replied(message.session, sent_at, newest_by_stream)
-
     def _lost(self, peer: VmId) -> None:
         self._streams.lost(peer)
         if self._on_peer_lost is not None:
             self._on_peer_lost(peer)
-
-
-def _newest(stream: StreamName, message: Heartbeat | HeartbeatReply) -> Offset:
-    for known in message.streams:
-        if known.stream == stream:
-            return known.newest
-    return NO_OFFSET
--- a/lycheestall/cell_session.py
+++ b/lycheestall/cell_session.py
@@ -11,12 +11,11 @@
 
 from .authority import Authority
 from .cell_fold import CellFold
+from .cell_ownership import CellOwnership
 from .cell_view import Folded, PartitionWatcher
 from .checkpoints import CheckpointSchedule, split_checkpoint
-from .claims import Claim
 from .clock import Clock, Timer
 from .fold import Verdict
-from .handover import HandoverGiver, HandoverTaker
 from .ids import Offset, PartitionId, SessionId, VmId, ZoneId
 from .log_reader import LogReader
 from .log_streams import LogStreams
@@ -24,7 +23,6 @@
 from .mesh import Mesh
 from .messages import PartitionGiven
 from .outcomes import Reason, Refused, Step
-from .ownership import Holding, Holdings, Ownership
 from .records import (
     NO_OFFSET,
     CellRecord,
@@ -116,9 +114,6 @@
         self.session = session
         self.state = SessionState.JOINING
         self.membership = membership
-        self.holdings = Holdings(
-            lease_s=tuning.lease_s, lease_margin_s=tuning.lease_margin_s
-        )
         others = [r.stream for r in streams.readers() if r is not reader]
         self.authority = Authority(
             session, reader.stream, others, lease_s=tuning.lease_s
@@ -129,31 +124,27 @@
         self._reader = reader
         self._streams = streams
         self._clock = clock
-        self._watcher = watcher
         self._schedule = schedule
         self._on_ended = on_ended
-        self._ownership = Ownership(session, tuning.partitions)
         self._writer = streams.open_writer(
             reader.stream, session, flush_s=tuning.log_flush_s
         )
-        self._giver = HandoverGiver(
-            mesh,
+        self._ownership = CellOwnership(
+            session,
+            tuning=tuning,
+            fold=fold,
+            mesh=mesh,
+            clock=clock,
+            watcher=watcher,
+            membership=membership,
             submit=self.submit,
-            quiesce=watcher.quiesce,
-            stop_acting=self.holdings.stop_acting,
-            vm_of=self._live_vm,
         )
-        self._taker = HandoverTaker(mesh)
-        self._claiming: set[PartitionId] = set()
-        self._gain_by_partition: dict[PartitionId, _Gain] = {}
-        self._candidates: tuple[SessionId, ...] = ()
-        self._stable_since = clock.seconds()
+        self.holdings = self._ownership.holdings
         self._renewing = False
         self._renewed_at = float("-inf")
         self._deposing: set[SessionId] = set()
         self._checkpointing = False
         self._log_back_at = clock.seconds()
-        self._alone: dict[PartitionId, bool] = {}
         self._acting_soon: Timer | None = None
         self._deadline: Timer | None = None
 
@@ -165,7 +156,7 @@
     @property
     def handing(self) -> frozenset[PartitionId]:
         """The partitions being given away."""
-        return self._giver.under_way()
+        return self._ownership.handing
 
     def log_silent(self) -> bool:
         """Returns whether own records are not coming back."""
@@ -219,10 +210,9 @@
             case SessionJoined() | SessionRenewed():
                 self.membership.renewal_read(record.writer, now)
             case PartitionClaimed():
-                self._claim_folded(record.writer, record.body)
-            case PartitionReleased() as release:
-                if release.successor == self.session:
-                    self._taker.released(release.partition, now)
+                self._ownership.on_claimed(record.writer, record.body)
+            case PartitionReleased():
+                self._ownership.on_released(record.body)
             case CheckpointPart():
                 self._schedule.folded(offset, record.body, now)
         match record.body:
@@ -232,7 +222,7 @@
 
     def on_given(self, peer: VmId, message: PartitionGiven) -> None:
         """Takes live state of a partition that a peer hands over."""
-        self._taker.on_given(peer, message)
+        self._ownership.on_given(peer, message)
         self._act_soon()
 
     def sessions_changed(self) -> None:
@@ -286,9 +276,7 @@
             if timer is not None and timer.active():
                 timer.cancel()
         self._writer.close(why)
-        self._taker.clear()
-        for partition in list(self.holdings.by_partition):
-            self._lose(partition)
+        self._ownership.end()
         self._on_ended(why)
 
     def _joined(self, folded: Folded, sent_at: float) -> None:
@@ -365,122 +353,10 @@
         self._acting_soon = None
         if self.state not in _ACTIVE:
             return
-        now = self._clock.seconds()
-        self._claim_released(now)
-        self._gain(now)
-        self._plan(now)
-        if self.state is SessionState.DRAINING:
-            self._finish_drain(now)
-
-    def _claim_released(self, now: float) -> None:
-        for partition in self._taker.ready(now):
-            claim = self._fold.claims.by_key.get(partition)
-            if claim is None or claim.successor != self.session:
-                self._taker.take(partition, NO_OFFSET)
-                continue
-            self._claim(PartitionClaimed(partition, claim.epoch))
-
-    def _gain(self, now: float) -> None:
-        def majority_knows(offset: Offset) -> bool:
-            sessions = self._fold.sessions
-            return self.membership.majority_knows(sessions, offset)
-
-        for partition in self.holdings.ready(now, majority_knows):
-            holding = self.holdings.by_partition[partition]
-            gain = self._gain_by_partition.pop(partition, _Gain({}, True))
-            self._watcher.gained(
-                partition,
-                holding.epoch,
-                handed=gain.handed,
-                unproven=gain.unproven,
-            )
-
-    def _plan(self, now: float) -> None:
-        sessions = self._fold.sessions
-        candidates = self.membership.candidates(sessions)
-        names = tuple(candidate.session for candidate in candidates)
-        if names != self._candidates:
-            self._candidates = names
-            self._stable_since = now
-        plan = self._ownership.plan(
-            now,
-            claims=self._fold.claims,
-            is_live=sessions.is_live,
-            candidates=candidates,
-            responsive=lambda name: self.membership.responsive(name, now),
-            holdings=self.holdings,
-            claiming=frozenset(self._claiming),
-            handing=self._giver.under_way(),
-            stable_since=self._stable_since,
-            draining=self.state is SessionState.DRAINING,
-        )
-        for body in plan.claims:
-            self._claim(body)
-        if self.log_silent():
-            return
-        for partition, successor in plan.handovers:
-            holding = self.holdings.by_partition[partition]
-            self._giver.begin(partition, holding.epoch, successor)
-
-    def _claim(self, body: PartitionClaimed) -> None:
-        if body.partition in self._claiming:
-            return
-        self._claiming.add(body.partition)
-        written = self._writer.submit(body)
-        written.addCallback(self._claimed, body.partition)
-
-    def _claimed(self, folded: Folded, partition: PartitionId) -> None:
-        self._claiming.discard(partition)
-
-    def _claim_folded(self, writer: SessionId, body: PartitionClaimed) -> None:
-        partition = body.partition
-        if partition in self.holdings.by_partition:
-            self._lose(partition)
-        if writer != self.session:
-            self._taker.take(partition, NO_OFFSET)
-            return
-        claim: Claim = self._fold.claims.by_key[partition]
-        given = self._taker.take(partition, body.previous)
-        unproven = given is None and body.previous != NO_OFFSET
-        handed = {} if given is None else given.programs
-        self._gain_by_partition[partition] = _Gain(handed, unproven)
-        self.holdings.claimed(partition, claim)
-        self._taker.confirm(partition, claim)
-
-    def _lose(self, partition: PartitionId) -> None:
-        holding: Holding | None = self.holdings.lost(partition)
-        self._giver.ended(partition)
-        self._gain_by_partition.pop(partition, None)
-        if holding is not None and (holding.acting or holding.released):
-            self._watcher.lost(partition)
-
-    def _finish_drain(self, now: float) -> None:
-        held = [
-            partition
-            for partition, holding in self.holdings.by_partition.items()
-            if holding.acting or holding.released
-        ]
-        if not held:
+        draining = self.state is SessionState.DRAINING
+        self._ownership.act(draining=draining, log_silent=self.log_silent())
+        if draining and self._ownership.drained():
             self._leave()
-            return
-        others = [name for name in self._candidates if name != self.session]
-        if others:
-            return
-        for partition in held:
-            if partition not in self._alone:
-                self._quiesce_alone(partition)
-        if all(self._alone.get(partition) for partition in held):
-            self._leave()
-
-    def _quiesce_alone(self, partition: PartitionId) -> None:
-        """Quiesces a partition that nobody is there to take."""
-        self._alone[partition] = False
-
-        def quiesced(_: object) -> None:
-            self._alone[partition] = True
-            self._act_soon()
-
-        self._watcher.quiesce(partition).addCallback(quiesced)
 
     def _leave(self) -> None:
         if self.state is not SessionState.DRAINING:
@@ -496,10 +372,6 @@
             LEAVE_LIMIT_S, self.end, "left without the log's answer"
         )
 
-    def _live_vm(self, session: SessionId) -> VmId | None:
-        found = self._fold.sessions.by_id.get(session)
-        return None if found is None else found.vm
-
     def _refused(self, reason: Reason, detail: str) -> Refused:
         return Refused(
             Step.ROUTE,
@@ -508,11 +380,3 @@
             retry_after_s=1.0,
             detail=detail,
         )
-
-
-@dataclass(frozen=True, slots=True)
-class _Gain:
-    """What the watcher is told when a claim comes into effect."""
-
-    handed: dict[str, bytes]
-    unproven: bool
--- a/lycheestall/handover.py
+++ b/lycheestall/handover.py
@@ -192,11 +192,11 @@
         if giver is not None:
             self._mesh.send(giver, PartitionTaken(partition, claim.epoch))
 
-    def clear(self) -> None:
-        """Forgets everything, at the end of the session."""
-        self._given_by_partition.clear()
-        self._released_at.clear()
-        self._giver_by_partition.clear()
+    def forget(self, partition: PartitionId) -> None:
+        """Drops a handover that came to nothing."""
+        self._released_at.pop(partition, None)
+        self._given_by_partition.pop(partition, None)
+        self._giver_by_partition.pop(partition, None)
 
 
 def _frames(
--- a/lycheestall/heartbeats.py
+++ b/lycheestall/heartbeats.py
@@ -1,70 +1,132 @@
-"""Heartbeats: when they were sent, and which replies count."""
+"""Heartbeats between the members of a cell."""
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable
 
-from .ids import SessionId, VmId
+from .cell_session import CellSession, SessionState
+from .clock import Clock
+from .ids import Offset, StreamName, VmId
+from .log_streams import LogStreams
 from .mesh import Mesh
-from .messages import Heartbeat, HeartbeatReply, NewestOffset
+from .messages import Heartbeat, HeartbeatReply, MeshMessage
+from .records import NO_OFFSET
 from .targets import LoadReport
 
-__all__ = ["Heartbeats"]
+__all__ = ["Heartbeats", "LoadHandler", "LoadSource"]
 
 KEPT_SENDING_TIMES = 64
 
+LoadSource = Callable[[], tuple[LoadReport, ...]]
+LoadHandler = Callable[[VmId, tuple[LoadReport, ...]], None]
+
 
 class Heartbeats:
-    """Sends heartbeats to all peers and dates their replies.
+    """Sends heartbeats to all peers, answers theirs, dates the replies.
+
+    A leaving session neither sends nor answers: from its leave record
+    on, others count on its silence.
 
     Args:
         mesh: Reaches the peers.
+        streams: What is known of each stream.
+        clock: Monotonic time.
+        stream: The cell's stream.
+        current: Returns the present session, if any.
     """
 
-    def __init__(self, mesh: Mesh) -> None:
+    def __init__(
+        self,
+        mesh: Mesh,
+        streams: LogStreams,
+        clock: Clock,
+        *,
+        stream: StreamName,
+        current: Callable[[], CellSession | None],
+    ) -> None:
         self._mesh = mesh
+        self._streams = streams
+        self._clock = clock
+        self._stream = stream
+        self._current = current
+        self._load_source: LoadSource = tuple
+        self._on_loads: LoadHandler | None = None
         self._number = 0
         self._sent_at_by_number: dict[int, float] = {}
 
-    def send(
-        self,
-        now: float,
-        peers: Iterable[VmId],
-        *,
-        session: SessionId,
-        streams: tuple[NewestOffset, ...],
-        loads: tuple[LoadReport, ...],
-        draining: bool,
-    ) -> None:
-        """Sends one heartbeat to each peer.
-
-        Args:
-            now: Monotonic time in seconds.
-            peers: Whom to send to.
-            session: The sender's session.
-            streams: What the sender knows of each stream.
-            loads: Load reports to pass on.
-            draining: Whether the sender is shutting down.
-        """
+    def pass_loads(self, source: LoadSource, on_loads: LoadHandler) -> None:
+        """Sets what heartbeats say of targets, and who hears of it."""
+        self._load_source = source
+        self._on_loads = on_loads
+
+    def send(self) -> None:
+        """Sends one heartbeat to each connected peer."""
+        current = self._speaker()
+        if current is None:
+            return
         self._number += 1
-        self._sent_at_by_number[self._number] = now
+        self._sent_at_by_number[self._number] = self._clock.seconds()
         self._sent_at_by_number.pop(self._number - KEPT_SENDING_TIMES, None)
-        heartbeat = Heartbeat(self._number, session, streams, loads, draining)
-        for peer in peers:
+        heartbeat = Heartbeat(
+            self._number,
+            current.session,
+            self._streams.newest(),
+            self._load_source(),
+            current.state is SessionState.DRAINING,
+        )
+        for peer in self._mesh.connected():
             self._mesh.send(peer, heartbeat)
 
-    def answer(
-        self,
-        peer: VmId,
-        heartbeat: Heartbeat,
-        *,
-        session: SessionId,
-        streams: tuple[NewestOffset, ...],
-    ) -> None:
-        """Answers a peer's heartbeat."""
-        reply = HeartbeatReply(heartbeat.number, session, streams)
+    def on_message(self, peer: VmId, message: MeshMessage) -> bool:
+        """Takes a message; False when it is no heartbeat or reply."""
+        if isinstance(message, Heartbeat):
+            self._on_heartbeat(peer, message)
+            return True
+        if isinstance(message, HeartbeatReply):
+            self._on_reply(peer, message)
+            return True
+        return False
+
+    def _speaker(self) -> CellSession | None:
+        current = self._current()
+        if current is None or current.state is SessionState.LEAVING:
+            return None
+        return current
+
+    def _on_heartbeat(self, peer: VmId, message: Heartbeat) -> None:
+        self._streams.hear(peer, message.streams)
+        if self._on_loads is not None and message.loads:
+            self._on_loads(peer, message.loads)
+        current = self._speaker()
+        if current is None:
+            return
+        current.membership.heard(
+            message.session,
+            self._newest(message),
+            self._clock.seconds(),
+            draining=message.draining,
+        )
+        reply = HeartbeatReply(
+            message.number, current.session, self._streams.newest()
+        )
         self._mesh.send(peer, reply)
 
-    def sent_at(self, reply: HeartbeatReply) -> float | None:
-        """Returns when the heartbeat of a reply was sent, if known."""
-        return self._sent_at_by_number.get(reply.number)
+    def _on_reply(self, peer: VmId, message: HeartbeatReply) -> None:
+        self._streams.hear(peer, message.streams)
+        sent_at = self._sent_at_by_number.get(message.number)
+        current = self._current()
+        if current is None or sent_at is None:
+            return
+        current.membership.heard(
+            message.session, self._newest(message), self._clock.seconds()
+        )
+        newest_by_stream = {
+            known.stream: known.newest for known in message.streams
+        }
+        current.authority.replied(message.session, sent_at, newest_by_stream)
+
+    def _newest(self, message: Heartbeat | HeartbeatReply) -> Offset:
+        for known in message.streams:
+            if known.stream == self._stream:
+                return known.newest
+        return NO_OFFSET
