--- a/lycheestall/cell_agent.py
+++ b/lycheestall/cell_agent.py
@@ -262,6 +262,13 @@
         now = self._clock.seconds()
         return self._cell_session.refusal(partition, now)
 
+    def has_authority(self) -> bool:
+        """Returns whether this VM may act on what it owns right now."""
+        current = self._cell_session
+        if current is None:
+            return False
+        return current.authority.valid_until > self._clock.seconds()
+
     def log_silent(self) -> bool:
         """Returns whether records are not coming back from the log."""
         if self._cell_session is None:
--- a/lycheestall/chat_run.py
+++ b/lycheestall/chat_run.py
@@ -19,6 +19,7 @@
 from .outcomes import Completed, Failed, Outcome, Refused, Step
 from .owner_ports import OwnerPorts
 from .program import Agent, Program, call_fact
+from .program_ids import engine_id
 from .program_table import ProgramTable
 from .receipts import Receipt
 from .reservations import Admitted, Reservations
@@ -213,8 +214,8 @@
         fingerprint = sha256(call.account.encode() + b"\0" + call.body)
         sequencer = self._agent.order.sequencer
         return ChatJob(
-            program=call.program,
-            root=program.root,
+            program=engine_id(call.account, call.program),
+            root=program.name,
             account=call.account,
             program_class=program.program_class,
             number=self._number,
@@ -307,4 +308,4 @@
             self._ports.answers.finished(self._key)
             order.passed(self._number)
         if not program.run_by_key and not program.ended:
-            self._ports.dispatcher.program_paused(program.root)
+            self._ports.dispatcher.program_paused(program.name)
--- /dev/null
+++ b/lycheestall/engine_polls.py
@@ -0,0 +1,113 @@
+"""Asks engines for their load and for the memory that they hold."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import xxhash
+from twisted.internet.defer import Deferred, DeferredList, ensureDeferred
+
+from .engine_directory import EngineDirectory
+from .engine_dispatcher import EngineDispatcher
+from .ids import ProgramId, TargetId, VmId
+from .targets import LoadReport
+
+__all__ = ["EnginePolls", "PollDuty"]
+
+
+@dataclass(frozen=True, slots=True)
+class PollDuty:
+    """What decides which engines this VM polls, and what is live.
+
+    Attributes:
+        vm: This VM.
+        members: Returns the VMs of the cell.
+        up_to_date: Whether this VM's state of programs is.
+        live: Whether a top-level program is open in the cell.
+    """
+
+    vm: VmId
+    members: Callable[[], frozenset[VmId]]
+    up_to_date: Callable[[], bool]
+    live: Callable[[ProgramId], bool]
+
+
+class EnginePolls:
+    """Polls each engine from one VM of the cell; peers hear of it.
+
+    Args:
+        engines: The cell's engines.
+        dispatcher: Takes what they say.
+        duty: Which engines this VM polls.
+    """
+
+    def __init__(
+        self,
+        *,
+        engines: EngineDirectory,
+        dispatcher: EngineDispatcher,
+        duty: PollDuty,
+    ) -> None:
+        self._engines = engines
+        self._dispatcher = dispatcher
+        self._duty = duty
+        self._load_by_target: dict[TargetId, LoadReport] = {}
+
+    async def poll_loads(self) -> None:
+        """Asks the engines of this VM's duty for their load."""
+        await self._each(self._poll_load)
+
+    async def sweep_memory(self) -> None:
+        """Has engines release what belongs to no open program.
+
+        VMs that died cannot release what they had engines hold.
+        """
+        if self._duty.up_to_date():
+            await self._each(self._sweep)
+
+    def fresh_loads(self) -> tuple[LoadReport, ...]:
+        """Returns the reports since the last call, for the peers."""
+        loads = tuple(self._load_by_target.values())
+        self._load_by_target.clear()
+        return loads
+
+    def hear(self, peer: VmId, loads: tuple[LoadReport, ...]) -> None:
+        """Takes the reports that a peer polled."""
+        for report in loads:
+            self._dispatcher.observe(report)
+
+    async def _each(self, ask: Callable[[TargetId], Deferred[None]]) -> None:
+        asked: list[Deferred[None]] = []
+        for entry in self._engines.entries():
+            if self._is_mine(entry.target):
+                asked.append(ask(entry.target))
+        await DeferredList(asked, consumeErrors=True)
+
+    def _is_mine(self, target: TargetId) -> bool:
+        members = self._duty.members() | {self._duty.vm}
+
+        def weight(vm: VmId) -> int:
+            return xxhash.xxh64_intdigest(f"{vm} {target}".encode())
+
+        return max(members, key=weight) == self._duty.vm
+
+    def _poll_load(self, target: TargetId) -> Deferred[None]:
+        return ensureDeferred(self._take_load(target))
+
+    def _sweep(self, target: TargetId) -> Deferred[None]:
+        return ensureDeferred(self._take_held(target))
+
+    async def _take_load(self, target: TargetId) -> None:
+        engine = self._engines.engine(target)
+        report = None if engine is None else await engine.load()
+        if report is None:
+            return
+        self._load_by_target[target] = report
+        self._dispatcher.observe(report)
+
+    async def _take_held(self, target: TargetId) -> None:
+        engine = self._engines.engine(target)
+        held = None if engine is None else await engine.held()
+        if held is not None and self._duty.up_to_date():
+            self._dispatcher.found(target, held, live=self._duty.live)
--- a/lycheestall/node.py
+++ b/lycheestall/node.py
@@ -7,10 +7,8 @@
 from random import Random
 from typing import Any, cast
 
-import xxhash
 from twisted.internet.defer import (
     Deferred,
-    DeferredList,
     TimeoutError,
     ensureDeferred,
 )
@@ -32,6 +30,7 @@
 from .clock import Clock, sleep
 from .engine_directory import EngineDirectory
 from .engine_dispatcher import EngineDispatcher
+from .engine_polls import EnginePolls, PollDuty
 from .ids import (
     AccountId,
     Offset,
@@ -62,12 +61,12 @@
 from .settings import Settings
 from .supervisor import Supervisor
 from .target_factory import TargetFactory
-from .targets import LoadReport
 
 __all__ = ["Node", "NodePorts"]
 
 VM_POLL_INTERVAL_S = 1.0
 LOAD_POLL_INTERVAL_S = 0.5
+MEMORY_INTERVAL_S = 10.0
 ISSUE_TRIES = 64
 DRAIN_CHECK_S = 0.02
 RULES_INTERVAL_S = 0.25
@@ -124,7 +123,6 @@
         self._draining = False
         self._calls = 0
         self._sessions = 0
-        self._load_by_target: dict[TargetId, LoadReport] = {}
         self.supervisor = Supervisor(clock=ports.clock, logger=ports.logger)
         self.ledger = Ledger()
         self.portions = Portions()
@@ -202,13 +200,24 @@
         )
         self.cell.on_other_message(self.router.on_message)
         self.cell.on_peer_lost(self.router.on_lost)
-        self.cell.pass_loads(self._fresh_loads, self._hear_loads)
+        self.polls = EnginePolls(
+            engines=self.engines,
+            dispatcher=self.dispatcher,
+            duty=PollDuty(
+                vm=settings.vm,
+                members=self._members,
+                up_to_date=self._up_to_date,
+                live=self._is_live,
+            ),
+        )
+        self.cell.pass_loads(self.polls.fresh_loads, self.polls.hear)
 
     def start(self) -> None:
         """Starts the loops."""
         self.cell.start()
         self._poll("vm-list", self._poll_vms, VM_POLL_INTERVAL_S)
-        self._poll("loads", self._poll_loads, LOAD_POLL_INTERVAL_S)
+        self._poll("loads", self.polls.poll_loads, LOAD_POLL_INTERVAL_S)
+        self._poll("memory", self.polls.sweep_memory, MEMORY_INTERVAL_S)
         self._poll("rules", self._keep_rules, RULES_INTERVAL_S)
 
     def _poll(self, name: str, step: PollStep, interval_s: float) -> None:
@@ -324,41 +333,12 @@
         self.applications.update(listing)
         self.cell.observe_vms(listing)
 
-    async def _poll_loads(self) -> None:
-        polls: list[Deferred[None]] = []
-        for entry in self.engines.entries():
-            if not self._polls(entry.target):
-                continue
-            polls.append(ensureDeferred(self._poll_engine(entry.target)))
-        await DeferredList(polls, consumeErrors=True)
-
-    async def _poll_engine(self, target: TargetId) -> None:
-        engine = self.engines.engine(target)
-        if engine is None:
-            return
-        report = await engine.load()
-        if report is None:
-            return
-        self._load_by_target[target] = report
-        self.dispatcher.observe(report)
-
-    def _polls(self, target: TargetId) -> bool:
-        """Whether this VM is the one that polls a target."""
-        members = self._members() | {self._vm}
-
-        def weight(vm: VmId) -> int:
-            return xxhash.xxh64_intdigest(f"{vm} {target}".encode())
-
-        return max(members, key=weight) == self._vm
-
-    def _fresh_loads(self) -> tuple[LoadReport, ...]:
-        loads = tuple(self._load_by_target.values())
-        self._load_by_target.clear()
-        return loads
+    def _is_live(self, root: ProgramId) -> bool:
+        program = self.ledger.program_by_id.get(root)
+        return program is not None and not program.ended
 
-    def _hear_loads(self, peer: VmId, loads: tuple[LoadReport, ...]) -> None:
-        for report in loads:
-            self.dispatcher.observe(report)
+    def _up_to_date(self) -> bool:
+        return self.cell.has_authority() and not self.cell.log_silent()
 
     async def _keep_rules(self) -> None:
         await self.rules_stream.step()
--- a/lycheestall/program_ids.py
+++ b/lycheestall/program_ids.py
@@ -18,6 +18,7 @@
 
 __all__ = [
     "IdOrigin",
+    "engine_id",
     "issue_program_id",
     "issued_ms_of",
     "ledger_id",
@@ -104,6 +105,19 @@
     return ProgramId(f"{quote(account, safe='')}:{root_of(program)}")
 
 
+def engine_id(account: AccountId, program: ProgramId) -> ProgramId:
+    """Returns a program's name towards engines, sub-agent's path included.
+
+    Its top level is the program's name in the log, so that programs of
+    two accounts never share what an engine holds.
+
+    Args:
+        account: Who pays.
+        program: A program id.
+    """
+    return ProgramId(f"{quote(account, safe='')}:{program}")
+
+
 def _signature(account: AccountId, stem: str, key: bytes) -> str:
     signed = f"program\0{account}\0{stem}".encode()
     digest = hmac.new(key, signed, sha256).hexdigest()
--- a/lycheestall/program_table.py
+++ b/lycheestall/program_table.py
@@ -170,7 +170,7 @@
         program.touch()
         program.stop_calls(refused)
         ports = self._ports
-        ports.dispatcher.program_ended(program.root)
+        ports.dispatcher.program_ended(program.name)
         record = ProgramEnded(
             program=program.name,
             partition=program.partition,
