Hold a program's calls while one may still reach a hung engine

Ruled out: dropping the connection, since the bytes stay readable for the engine. Change: a request that was written and neither accepted nor refused keeps its program's further calls back until the engine's process has ended or says twice that it does not have the request; after 5 s the caller gets its final answer at once, with when to come back. The accept timeout is 5 s instead of 10 s. The wait lasts as long as the engine hangs; a program whose owner dies meanwhile is not covered.

--- a/lycheestall/_engine_dispatch.py
+++ b/lycheestall/_engine_dispatch.py
@@ -25,7 +25,10 @@
 
 __all__ = ["EngineDispatch", "StreamOwner"]
 
-ACCEPT_TIMEOUT_S = 10.0
+ACCEPT_TIMEOUT_S = 5.0
+SETTLE_INTERVAL_S = 0.5
+SETTLE_ANSWER_S = 2.0
+SETTLED_LOOKS = 2
 STALL_TIMEOUT_S = 30.0
 RESUME_PAUSES_S = (0.0, 0.25, 1.0)
 NOT_FOUND = 404
@@ -92,6 +95,7 @@
         self._request = RequestId("")
         self._engine: Engine | None = None
         self._accepted = False
+        self._written = False
         self._active_at = 0.0
         self._stream: defer.Deferred[EngineResult] | None = None
         self._run: defer.Deferred[None] | None = None
@@ -145,7 +149,52 @@
 
     def may_send(self) -> bool:
         """Returns whether the owner still lets the request go out."""
-        return not self.ended and self.job.may_send() is None
+        if self.ended or self.job.may_send() is not None:
+            return False
+        self._written = True
+        return True
+
+    @property
+    def unsettled(self) -> bool:
+        """Whether the engine may still come to run the request.
+
+        True after a request was written that the engine neither accepted
+        nor refused: a process that hangs has it waiting in its socket.
+        """
+        return self._written and not self._accepted
+
+    async def settle(self) -> None:
+        """Waits until the engine cannot run an unsettled request.
+
+        That is when its process has ended, or when it answers and says,
+        twice in a row, that it does not have the request.
+        """
+        engine = self._engine
+        looks = 0
+        while engine is not None and looks < SETTLED_LOOKS:
+            result = await self._within(
+                engine.resume(self._request, 0, _IgnoringSink())
+            )
+            if isinstance(result, EngineRefused) and not result.status:
+                return
+            if isinstance(result, EngineRefused):
+                looks += 1
+            else:
+                looks = 0
+                await self._within(engine.cancel(self._request))
+            await sleep(self._clock, SETTLE_INTERVAL_S)
+
+    async def _within(self, asked: Coroutine[Any, Any, Any]) -> Any:
+        """Returns an engine's answer, None when none comes in time."""
+        answer = defer.ensureDeferred(asked)
+        timer = self._clock.callLater(SETTLE_ANSWER_S, answer.cancel)
+        try:
+            return await answer
+        except Exception:
+            return None
+        finally:
+            if timer.active():
+                timer.cancel()
 
     def accepted(self) -> None:
         """The engine has the request."""
@@ -172,6 +221,7 @@
         self._engine = engine
         self._request = request
         self._accepted = False
+        self._written = False
         self._active_at = self._timer.seconds()
 
     def _start(self, first: Coroutine[Any, Any, EngineResult]) -> None:
@@ -183,7 +233,7 @@
     async def _follow(self, first: Coroutine[Any, Any, EngineResult]) -> None:
         result = await self._await_stream(first)
         lost = False
-        if isinstance(result, EngineBroken):
+        if isinstance(result, EngineBroken) and not self.unsettled:
             result, lost = await self._recover(result)
         if self.ended:
             return
@@ -225,6 +275,16 @@
             self._stream = None
 
 
+class _IgnoringSink(EngineSink):
+    """Takes a stream that nobody wants."""
+
+    def accepted(self) -> None:
+        """Does nothing."""
+
+    def chunk(self, data: bytes) -> None:
+        """Does nothing."""
+
+
 async def _pause(clock: Clock, seconds: float) -> None:
     if seconds:
         await sleep(clock, seconds)
--- a/lycheestall/engine_dispatcher.py
+++ b/lycheestall/engine_dispatcher.py
@@ -28,6 +28,7 @@
 from .rule_book import RuleBook
 from .targets import (
     CacheEvents,
+    EngineBroken,
     EngineDone,
     EngineRefused,
     EngineRequest,
@@ -40,6 +41,14 @@
 
 WATCH_INTERVAL_S = 1.0
 MIN_WAKE_S = 0.001
+SETTLE_LIMIT_S = 5.0
+
+_UNSETTLED = Refused(
+    Step.PLACE,
+    Reason.NO_TARGET,
+    retry_after_s=2.0,
+    detail="an earlier call of the program may still reach its engine",
+)
 
 
 class EngineDispatcher(ChatDispatcher, StreamOwner):
@@ -96,6 +105,7 @@
         self._wake_at: float | None = None
         self._watch: Timer | None = None
         self._submitted: list[JobKey] = []
+        self._unsettled_by_program: dict[ProgramId, int] = {}
         self.engines_changed()
 
     def submit(self, job: ChatJob, listener: ChatListener) -> JobHandle:
@@ -175,6 +185,15 @@
         if isinstance(result, EngineRefused):
             self._execute(self._scheduler.turned_away(key, result, now))
             return
+        if dispatch.unsettled:
+            self._await_settled(dispatch, result)
+            return
+        self._broken(dispatch, result, lost=lost)
+
+    def _broken(
+        self, dispatch: EngineDispatch, result: EngineBroken, *, lost: bool
+    ) -> None:
+        key, now = dispatch.key, self._clock.seconds()
         dispatch.cancel_at_engine()
         self._execute(
             self._scheduler.broken(
@@ -187,6 +206,38 @@
             )
         )
 
+    def _await_settled(
+        self, dispatch: EngineDispatch, result: EngineBroken
+    ) -> None:
+        """Holds the program's calls until the engine cannot run this one.
+
+        Another dispatch before that could be overtaken: the first would
+        reach its engine after later calls had reached others.
+        """
+        waiting = self._unsettled_by_program
+        program = dispatch.job.program
+        waiting[program] = waiting.get(program, 0) + 1
+        limit = self._clock.callLater(
+            SETTLE_LIMIT_S, self._not_settled, dispatch
+        )
+
+        def settled(_: object) -> None:
+            if limit.active():
+                limit.cancel()
+            waiting[program] -= 1
+            if not waiting[program]:
+                del waiting[program]
+            if not dispatch.ended:
+                self._broken(dispatch, result, lost=False)
+
+        defer.ensureDeferred(dispatch.settle()).addBoth(settled)
+
+    def _not_settled(self, dispatch: EngineDispatch) -> None:
+        if dispatch.ended:
+            return
+        now = self._clock.seconds()
+        self._execute(self._scheduler.unsettled(dispatch.key, now))
+
     def cancelled(self, dispatch: EngineDispatch) -> None:
         """The job is no longer wanted."""
         self._drop(dispatch)
@@ -220,6 +271,9 @@
             dispatch = self._dispatch_by_key.get(key)
             if dispatch is None:
                 continue
+            if dispatch.job.program in self._unsettled_by_program:
+                self._end_refused(EndRefused(key, _UNSETTLED))
+                continue
             self._execute(self._scheduler.submit(key, dispatch.job, now))
 
     def _take_up(
--- a/lycheestall/engine_scheduler.py
+++ b/lycheestall/engine_scheduler.py
@@ -202,6 +202,21 @@
         failed = Failed(Step.RELAY, Reason.DEADLINE, peer=target)
         return [EndFailed(key, failed), *self.poll(now)]
 
+    def unsettled(self, key: JobKey, now: float) -> list[DispatchCommand]:
+        """An engine neither took nor refused the job for too long."""
+        job = self._jobs[key]
+        target = self._jobs.leave(job, now)
+        self._parts.timed_out(job, target, now)
+        self._jobs.remove(job)
+        failed = Failed(
+            Step.DISPATCH,
+            Reason.TARGET_TIMEOUT,
+            peer=target,
+            retry_after_s=NO_TARGET_RETRY_S,
+            detail="the engine does not answer; the call may still reach it",
+        )
+        return [EndFailed(key, failed), *self.poll(now)]
+
     def cancel(self, key: JobKey, now: float) -> list[DispatchCommand]:
         """The job is no longer wanted; the I/O stops the engine."""
         job = self._jobs.get(key)
--- a/tests/fake_targets.py
+++ b/tests/fake_targets.py
@@ -218,6 +218,11 @@
         self.world.later(CHUNK_S * self.slow, make, self.clock)
 
 
+def _fire(waiting: Deferred[_Stream | None], stream: _Stream | None) -> None:
+    if not waiting.called:
+        waiting.callback(stream)
+
+
 class FakeEngineClient(Engine):
     """One VM's connection to an engine."""
 
@@ -237,12 +242,12 @@
         life = self._engine.clock
         if not sink.may_send():
             return EngineRefused(0, "stopped right before sending")
-        opened: Deferred[_Stream] = Deferred()
+        opened: Deferred[_Stream | None] = Deferred()
 
         def arrive() -> None:
             stream = self._engine.arrive(self._vm, request)
             self._world.later(
-                LATENCY_S, lambda: opened.callback(stream), self._clock
+                LATENCY_S, lambda: _fire(opened, stream), self._clock
             )
 
         self._world.later(LATENCY_S, arrive, life)
@@ -261,10 +266,19 @@
         if refused is not None:
             return refused
         life = self._engine.clock
-        await self._travel()
-        stream = self._engine.stream_by_request.get(request)
-        if stream is None or not life.alive:
-            return EngineRefused(404, "no such request")
+        found: Deferred[_Stream | None] = Deferred()
+
+        def look() -> None:
+            stream = self._engine.stream_by_request.get(request)
+            self._world.later(
+                LATENCY_S, lambda: _fire(found, stream), self._clock
+            )
+
+        self._world.later(LATENCY_S, look, life)
+        self._watch(life, found)
+        stream = await found
+        if stream is None:
+            return EngineRefused(404 if life.alive else 0, "not here")
         sink.accepted()
         return await self._follow(stream, life, start, sink)
 
@@ -331,12 +345,14 @@
     def _travel(self) -> Deferred[None]:
         return self._world.sleep(LATENCY_S, self._clock)
 
-    def _watch(self, life: NodeClock, opened: Deferred[_Stream]) -> None:
+    def _watch(
+        self, life: NodeClock, opened: Deferred[_Stream | None]
+    ) -> None:
         def look() -> None:
             if opened.called:
                 return
             if not life.alive:
-                opened.callback(None)  # type: ignore[arg-type]
+                opened.callback(None)
                 return
             self._world.later(RESET_S, look, self._clock)
 
