Resume streams and repeat calls after an owner's loss by receipt

Cause: after a takeover nothing led a caller back to its stream, a call sent again with the receipt from its own head was refused as shortened, and a program whose first call was no chat had no receipt at all. Change: receipts name the newest call, and the engine and dispatch of an answer under way; RESUME with one takes the stream up at the engine; the same call sent again goes on. Opening and plain calls give receipts too. After a handover the newest chat call may be sent once more, so that a caller whose entry VM dies is not stuck; before, it was superseded.

--- a/lycheestall/action_base.py
+++ b/lycheestall/action_base.py
@@ -197,12 +197,17 @@
         self.admitted = None
 
     def _head(self, answer: ActionDone) -> ResponseHead:
+        receipt = self.program.receipt(
+            self.call.program,
+            epoch=self.ports.cell.epoch_of(self.program.partition),
+        )
         return ResponseHead(
             answer.status,
             (
                 ("content-type", answer.content_type),
                 ("lycheestall-program", self.call.program),
                 ("lycheestall-call", str(self.call.number)),
+                ("lycheestall-receipt", self.ports.signer.sign(receipt)),
                 ("lycheestall-outcome", "completed"),
             ),
         )
--- a/lycheestall/chat_calls.py
+++ b/lycheestall/chat_calls.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from hashlib import sha256
 
 from ._refusals import order_refusal, receipt_required
 from .answers import AnswerKey
 from .call_order import NoHandle
-from .calls import Call, CallHandle, CallSink
+from .calls import Call, CallHandle, CallKind, CallSink
 from .chat_body import BadBody, ChatBody, parse_chat
 from .chat_run import ChatParts, ChatRun
 from .history import ASSISTANT
@@ -22,6 +23,8 @@
 
 __all__ = ["ChatCalls"]
 
+NO_BODY = ChatBody((), 1, 1, b"")
+
 
 class ChatCalls:
     """Starts chat calls.
@@ -70,6 +73,38 @@
             return _refuse(sink, refused)
         return self._begin(call, program, agent, body, offer, sink)
 
+    def take_up(
+        self, call: Call, program: Program, sink: CallSink
+    ) -> CallHandle | None:
+        """Goes on with the stream of a call whose owner was lost.
+
+        Args:
+            call: A resume call with the receipt from the stream's head.
+            program: Its top-level program.
+            sink: Where the rest of the answer goes.
+
+        Returns:
+            None when the receipt names no stream to take up.
+        """
+        receipt = self._ports.signer.verify(call.receipt)
+        agent = program.agent(call.program)
+        if isinstance(receipt, BadReceipt) or not receipt.request:
+            return None
+        owner = (receipt.account, receipt.program, receipt.point.number)
+        if owner != (call.account, call.program, call.number):
+            return None
+        if program.proven or agent.history.points:
+            return None
+        agent.order.sequencer.expected = call.number
+        offer = agent.order.offer(call.number, receipt.point.digest)
+        if not isinstance(offer, Go):
+            return None
+        call = replace(call, kind=CallKind.CHAT, streamed=True)
+        run = ChatRun(self._parts, call, program, agent, NO_BODY, call.number)
+        reader = run.answer.attach(sink, call.resume_from)
+        run.take_up(receipt)
+        return reader
+
     def _begin(
         self,
         call: Call,
@@ -128,22 +163,41 @@
         receipt = self._ports.signer.verify(call.receipt)
         if isinstance(receipt, BadReceipt):
             return receipt_required(receipt.why)
-        return self._adopt(receipt, call, program, agent)
+        return self._adopt(receipt, call, program, agent, body)
 
     def _adopt(
-        self, receipt: Receipt, call: Call, program: Program, agent: Agent
+        self,
+        receipt: Receipt,
+        call: Call,
+        program: Program,
+        agent: Agent,
+        body: ChatBody,
     ) -> Refused | None:
         owner = (receipt.account, receipt.program)
         if owner != (call.account, call.program):
             return receipt_required("the receipt is another program's")
-        agent.history.adopt(receipt.point)
+        point = receipt.point
+        first_number = receipt.number + 1
+        if self._is_repeat(receipt, call, agent, body):
+            first_number = point.number
+        elif point.messages:
+            agent.history.adopt(point)
         sequencer = agent.order.sequencer
-        sequencer.expected = max(sequencer.expected, receipt.point.number + 1)
+        sequencer.expected = max(sequencer.expected, first_number)
         program.turns = max(program.turns, receipt.turn)
         budget = program.budget
         budget.spent = budget.spent.at_least(receipt.spend)
         return None
 
+    def _is_repeat(
+        self, receipt: Receipt, call: Call, agent: Agent, body: ChatBody
+    ) -> bool:
+        """Returns whether a call is the one the receipt was given for."""
+        point = receipt.point
+        if point.answered or call.number not in (0, point.number):
+            return False
+        return agent.history.digest_of(body.messages) == point.digest
+
 
 def _refuse(sink: CallSink, refused: Refused) -> CallHandle:
     sink.finish(refused)
--- a/lycheestall/chat_run.py
+++ b/lycheestall/chat_run.py
@@ -18,7 +18,7 @@
 from .ledger import Spend
 from .outcomes import Completed, Failed, Outcome, Refused, Step
 from .owner_ports import OwnerPorts
-from .program import Agent, Program, call_fact
+from .program import NO_REQUEST, NO_TARGET, Agent, Program, call_fact
 from .program_table import ProgramTable
 from .receipts import Receipt
 from .reservations import Admitted, Reservations
@@ -73,6 +73,8 @@
         self._extension: Extension | None = None
         self._admitted: Admitted | None = None
         self._job: JobHandle | None = None
+        self._target = NO_TARGET
+        self._request = NO_REQUEST
         self._passed = False
         self._ended = False
         self.answer = self._ports.answers.open(self._key)
@@ -112,6 +114,19 @@
             return
         ensureDeferred(self._admit(checked))
 
+    def take_up(self, receipt: Receipt) -> None:
+        """Goes on with a stream that a lost owner had begun.
+
+        Args:
+            receipt: The receipt from the head of the stream.
+        """
+        point = receipt.point
+        self._extension = Extension(None, point.messages, point.digest)
+        self._job = self._ports.dispatcher.resume(
+            self._chat_job(), receipt.target, receipt.request, 0, self
+        )
+        self.accepted(receipt.target, receipt.request)
+
     def stop(self, refused: Refused) -> None:
         """Cancels the call; fails it if an engine has it."""
         if self._ended:
@@ -130,8 +145,10 @@
         if self._passed or self._ended:
             return
         self._passed = True
+        self._target, self._request = target, request
         point = self.pending_point()
         assert point is not None
+        self._agent.order.sequencer.note(self._number)
         if self._call.streamed:
             self.answer.start(self._head(SSE_TYPE, point))
         self._acknowledge()
@@ -277,16 +294,14 @@
 
     def _receipt(self, point: ChainPoint) -> str:
         program = self._program
-        return self._ports.signer.sign(
-            Receipt(
-                account=self._call.account,
-                program=self._call.program,
-                turn=program.turns,
-                point=point,
-                spend=program.budget.committed,
-                epoch=self._ports.cell.epoch_of(program.partition),
-            )
+        receipt = program.receipt(
+            self._call.program,
+            epoch=self._ports.cell.epoch_of(program.partition),
+            point=point,
+            target=NO_TARGET if point.answered else self._target,
+            request=NO_REQUEST if point.answered else self._request,
         )
+        return self._ports.signer.sign(receipt)
 
     def _end(self, outcome: Outcome) -> None:
         self._ended = True
--- a/lycheestall/history.py
+++ b/lycheestall/history.py
@@ -112,6 +112,17 @@
         """Returns the points a call may start from, oldest first."""
         return tuple(self._points)
 
+    @property
+    def newest(self) -> ChainPoint:
+        """Returns the newest point; one of no messages at the start."""
+        if self._points:
+            return self._points[-1]
+        return ChainPoint(CallNumber(0), 0, self._seed)
+
+    def digest_of(self, messages: Sequence[Message]) -> bytes:
+        """Returns the digest that a history of these messages has."""
+        return self._digests(messages)[-1]
+
     def check(
         self, messages: Sequence[Message], *, new_branch: bool = False
     ) -> Extension | Mismatch:
--- a/lycheestall/program.py
+++ b/lycheestall/program.py
@@ -10,15 +10,27 @@
 from .budget import Budget
 from .call_order import CallOrder, KeyedCall, RunningCall
 from .clock import Clock
-from .history import History
-from .ids import AccountId, IdempotencyKey, PartitionId, ProgramId
+from .history import ChainPoint, History
+from .ids import (
+    AccountId,
+    CallNumber,
+    IdempotencyKey,
+    Offset,
+    PartitionId,
+    ProgramId,
+    RequestId,
+    TargetId,
+)
 from .outcomes import Completed, Outcome, Refused, describe
+from .receipts import Receipt
 from .sequencer import Sequencer
 
 __all__ = ["Agent", "CallFact", "Program", "call_fact"]
 
 STATE_FORMAT = 1
 KEPT_FACTS = 64
+NO_TARGET = TargetId("")
+NO_REQUEST = RequestId("")
 
 
 @dataclass(frozen=True, slots=True)
@@ -144,8 +156,11 @@
         """
         agents: list[object] = []
         for program, agent in self.agent_by_id.items():
-            points = self._points(program, agent)
-            agents.append([program, agent.order.sequencer.dump(), points])
+            sequencer = agent.order.sequencer
+            order = sequencer.dump(
+                repeatable=self._is_chatting(program, sequencer.newest)
+            )
+            agents.append([program, order, self._points(program, agent)])
         return [
             STATE_FORMAT,
             self.account,
@@ -204,6 +219,42 @@
             program._add(path, sequencer).history.load(points)
         return program
 
+    def receipt(
+        self,
+        program: ProgramId,
+        *,
+        epoch: Offset,
+        point: ChainPoint | None = None,
+        target: TargetId = NO_TARGET,
+        request: RequestId = NO_REQUEST,
+    ) -> Receipt:
+        """Returns where a program path stands.
+
+        Args:
+            program: The program path.
+            epoch: The owner's claim offset.
+            point: The history point to prove, the newest by default.
+            target: The engine whose answer will complete the point.
+            request: That dispatch.
+        """
+        agent = self.agent(program)
+        return Receipt(
+            account=self.account,
+            program=program,
+            number=agent.order.sequencer.newest,
+            turn=self.turns,
+            point=point or agent.history.newest,
+            spend=self.budget.committed,
+            epoch=epoch,
+            target=target,
+            request=request,
+        )
+
+    def _is_chatting(self, program: ProgramId, number: int) -> bool:
+        key = AnswerKey(self.account, program, CallNumber(number))
+        run = self.run_by_key.get(key)
+        return run is not None and run.pending_point() is not None
+
     def _points(self, program: ProgramId, agent: Agent) -> object:
         history = History(self.account, program)
         history.load(agent.history.dump())
--- a/lycheestall/program_control.py
+++ b/lycheestall/program_control.py
@@ -62,7 +62,10 @@
             "opened_ms": program.opened_ms,
             "recorded": program.recorded,
         }
-        self._answer(call, sink, 201, document)
+        epoch = self._ports.cell.epoch_of(program.partition)
+        receipt = program.receipt(call.program, epoch=epoch)
+        text = self._ports.signer.sign(receipt)
+        self._answer(call, sink, 201, document, receipt=text)
 
     def _end(self, call: Call, program: Program, sink: CallSink) -> None:
         reason, refused = "ended", program_ended("ended by its caller")
@@ -108,12 +111,16 @@
         sink: CallSink,
         status: int,
         document: dict[str, object],
+        *,
+        receipt: str = "",
     ) -> None:
-        headers = (
+        headers = [
             ("content-type", "application/json"),
             ("lycheestall-program", call.program),
             ("lycheestall-outcome", "completed"),
-        )
-        sink.start(ResponseHead(status, headers))
+        ]
+        if receipt:
+            headers.append(("lycheestall-receipt", receipt))
+        sink.start(ResponseHead(status, tuple(headers)))
         sink.chunk(orjson.dumps(document))
         sink.finish(Completed())
--- a/lycheestall/program_owner.py
+++ b/lycheestall/program_owner.py
@@ -192,15 +192,20 @@
         answer = self._ports.answers.find(key)
         if answer is not None:
             return answer.attach(sink, call.resume_from)
-        return _finish(
-            sink,
-            Refused(
-                Step.RESUME,
-                Reason.ANSWER_GONE,
-                detail="no answer of this call is kept here",
-                needs="the call again, under its number",
-            ),
-        )
+        return self._take_up(call, sink) or _finish(sink, _answer_gone())
+
+    def _take_up(self, call: Call, sink: CallSink) -> CallHandle | None:
+        """Asks the engine for a stream that a lost owner had begun."""
+        partition = partition_of(call.account, call.program, self._partitions)
+        refused = self._refusal(partition)
+        if refused is not None:
+            return _finish(sink, refused)
+        if not call.receipt or not self._table.knows(call):
+            return None
+        program = self._table.get(call, partition)
+        if isinstance(program, Refused):
+            return _finish(sink, program)
+        return self._chats.take_up(call, program, sink)
 
     def _ended(
         self, call: Call, refused: Refused, sink: CallSink
@@ -242,3 +247,13 @@
         Reason.PROGRAM_UNKNOWN,
         detail="no program of this id is open or kept",
     )
+
+
+def _answer_gone() -> Refused:
+    return Refused(
+        Step.RESUME,
+        Reason.ANSWER_GONE,
+        detail="no answer of this call is kept here",
+        needs="the call again under its number, or the receipt from the "
+        "head of its stream",
+    )
--- a/lycheestall/program_table.py
+++ b/lycheestall/program_table.py
@@ -104,11 +104,14 @@
         return self._program_by_name.get(name)
 
     def knows(self, call: Call) -> bool:
-        """Returns whether a call's program is live or in the log."""
+        """Returns whether a call's program exists, or may exist."""
         name = ledger_id(call.account, call.program)
         if name in self._program_by_name:
             return True
-        return name in self._ports.ledger().program_by_id
+        if name in self._ports.ledger().program_by_id:
+            return True
+        origin = origin_of(call.account, call.program, self._ports.keys)
+        return origin is IdOrigin.ISSUED and bool(self._unproven)
 
     def get(self, call: Call, partition: PartitionId) -> Program | Refused:
         """Returns a call's program, opened if it is new.
--- a/lycheestall/receipts.py
+++ b/lycheestall/receipts.py
@@ -12,7 +12,7 @@
 import cbor2
 
 from .history import ChainPoint
-from .ids import AccountId, Offset, ProgramId
+from .ids import AccountId, Offset, ProgramId, RequestId, TargetId
 from .ledger import Spend
 
 __all__ = ["BadReceipt", "Receipt", "ReceiptSigner"]
@@ -29,18 +29,25 @@
     Attributes:
         account: Who pays.
         program: The program, with its parents' path.
+        number: The newest call that had gone on.
         turn: Chat calls of the whole program so far.
         point: The point of its history.
         spend: What the whole program had spent or reserved.
         epoch: The owner's claim offset.
+        target: The engine that has call ``point.number``, if its answer
+            was under way.
+        request: That dispatch.
     """
 
     account: AccountId
     program: ProgramId
+    number: int
     turn: int
     point: ChainPoint
     spend: Spend
     epoch: Offset
+    target: TargetId = TargetId("")
+    request: RequestId = RequestId("")
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,10 +83,13 @@
                 RECEIPT_FORMAT,
                 receipt.account,
                 receipt.program,
+                receipt.number,
                 receipt.turn,
                 list(astuple(receipt.point)),
                 list(astuple(receipt.spend)),
                 receipt.epoch,
+                receipt.target,
+                receipt.request,
             ]
         )
         signed = _signature(self._keys[0], payload) + payload
@@ -114,12 +124,16 @@
     document: Any = cbor2.loads(payload)
     if document[0] != RECEIPT_FORMAT:
         return BadReceipt(f"the receipt has format {document[0]}")
-    _, account, program, turn, point, spend, epoch = document
+    _, account, program, number, turn, point, spend, *rest = document
+    epoch, target, request = rest
     return Receipt(
         account=account,
         program=program,
+        number=number,
         turn=turn,
         point=ChainPoint(*point),
         spend=Spend(*spend),
         epoch=epoch,
+        target=target,
+        request=request,
     )
--- a/lycheestall/sequencer.py
+++ b/lycheestall/sequencer.py
@@ -135,6 +135,10 @@
         self._prune()
         return self._next()
 
+    def note(self, number: CallNumber) -> None:
+        """Notes that a target has a call, without releasing others."""
+        self._top = max(self._top, number)
+
     def refused(self, number: CallNumber) -> list[CallNumber]:
         """The call ended without a target; its number is free again.
 
@@ -205,9 +209,20 @@
         ]
         return min(held, default=None)
 
-    def dump(self) -> object:
-        """Returns the state for a handover with nothing under way."""
-        return [self.expected, self.exact, self._top]
+    @property
+    def newest(self) -> int:
+        """Returns the newest number that a target has had."""
+        return self._top
+
+    def dump(self, *, repeatable: bool = False) -> object:
+        """Returns the state for a handover.
+
+        Args:
+            repeatable: Whether the newest call, still under way here,
+                may go on once more at the successor.
+        """
+        top = self._top - 1 if repeatable else self._top
+        return [self.expected, self.exact, top]
 
     @classmethod
     def restored(cls, state: Any, gap_hold_s: float) -> Sequencer:
