Hand over the newest answer and what may be repeated

Change: a point whose answer is not known lets the same messages go again; the handed state says whether the newest call was answered whole and takes its answer along, up to 64 KiB.

--- a/lycheestall/answers.py
+++ b/lycheestall/answers.py
@@ -4,13 +4,13 @@
 
 from collections import OrderedDict
 from collections.abc import Callable
-from dataclasses import dataclass
-from typing import NewType
+from dataclasses import astuple, dataclass
+from typing import Any, NewType
 
 from .calls import CallHandle, CallSink, ResponseHead
 from .clock import Clock
 from .ids import AccountId, CallNumber, IdempotencyKey, ProgramId
-from .outcomes import Failed, Outcome, Reason, Step
+from .outcomes import Completed, Failed, Outcome, Reason, Step
 
 __all__ = ["Answer", "AnswerKey", "AnswerStore", "Reader", "ReaderId"]
 
@@ -20,6 +20,7 @@
 RETAINED_BYTES = 64 * 1024 * 1024
 SLICE_BYTES = 64 * 1024
 PUMP_INTERVAL_S = 0.05
+HANDED_BYTES = 64 * 1024
 
 
 @dataclass(frozen=True, slots=True)
@@ -107,6 +108,11 @@
         """Returns the bytes of the body so far."""
         return len(self._body)
 
+    @property
+    def body(self) -> bytes:
+        """Returns the body so far."""
+        return bytes(self._body)
+
     @property
     def readers(self) -> int:
         """Returns how many readers are attached."""
@@ -238,6 +244,31 @@
                 return
             self._forget(key)
 
+    def export(self, key: AnswerKey) -> list[object] | None:
+        """Returns a whole kept answer for a handover.
+
+        Returns:
+            None when there is none, or it is over ``HANDED_BYTES``.
+        """
+        kept = self._finished_by_key.get(key)
+        if kept is None or kept[1].size > HANDED_BYTES:
+            return None
+        head, outcome = kept[1].head, kept[1].outcome
+        if head is None or not isinstance(outcome, Completed):
+            return None
+        headers = [list(pair) for pair in head.headers]
+        return [head.status, headers, kept[1].body, list(astuple(outcome))]
+
+    def restore(self, key: AnswerKey, state: Any) -> None:
+        """Keeps an answer that ``export`` made elsewhere."""
+        status, headers, body, outcome = state
+        answer = self.open(key)
+        pairs = tuple((name, value) for name, value in headers)
+        answer.start(ResponseHead(status, pairs))
+        answer.chunk(body)
+        answer.finish(Completed(*outcome))
+        self.finished(key)
+
     def _lags(self, answer: Answer) -> None:
         if not self._lagging:
             self._clock.callLater(PUMP_INTERVAL_S, self._pump)
--- a/lycheestall/chat_calls.py
+++ b/lycheestall/chat_calls.py
@@ -163,41 +163,26 @@
         receipt = self._ports.signer.verify(call.receipt)
         if isinstance(receipt, BadReceipt):
             return receipt_required(receipt.why)
-        return self._adopt(receipt, call, program, agent, body)
+        return self._adopt(receipt, call, program, agent)
 
     def _adopt(
-        self,
-        receipt: Receipt,
-        call: Call,
-        program: Program,
-        agent: Agent,
-        body: ChatBody,
+        self, receipt: Receipt, call: Call, program: Program, agent: Agent
     ) -> Refused | None:
         owner = (receipt.account, receipt.program)
         if owner != (call.account, call.program):
             return receipt_required("the receipt is another program's")
         point = receipt.point
-        first_number = receipt.number + 1
-        if self._is_repeat(receipt, call, agent, body):
-            first_number = point.number
-        elif point.messages:
+        if point.messages:
             agent.history.adopt(point)
         sequencer = agent.order.sequencer
-        sequencer.expected = max(sequencer.expected, first_number)
+        again = not point.answered and call.number == point.number
+        first = point.number if again else receipt.number + 1
+        sequencer.expected = max(sequencer.expected, first)
         program.turns = max(program.turns, receipt.turn)
         budget = program.budget
         budget.spent = budget.spent.at_least(receipt.spend)
         return None
 
-    def _is_repeat(
-        self, receipt: Receipt, call: Call, agent: Agent, body: ChatBody
-    ) -> bool:
-        """Returns whether a call is the one the receipt was given for."""
-        point = receipt.point
-        if point.answered or call.number not in (0, point.number):
-            return False
-        return agent.history.digest_of(body.messages) == point.digest
-
 
 def _refuse(sink: CallSink, refused: Refused) -> CallHandle:
     sink.finish(refused)
--- a/lycheestall/program.py
+++ b/lycheestall/program.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from .answers import AnswerKey
+from .answers import AnswerKey, AnswerStore
 from .budget import Budget
 from .call_order import CallOrder, KeyedCall, RunningCall
 from .clock import Clock
@@ -148,19 +148,32 @@
         runs = {*self.run_by_key.values(), *self.action_by_key.values()}
         return any(run.blocks_handover() for run in runs)
 
-    def dump(self) -> list[object]:
+    def dump(self, answers: AnswerStore) -> list[object]:
         """Returns the live state for a handover.
 
         Calls under way go on here; their reservations count as spent
         and their answers are points that later calls may start from.
+        The newest answer goes along, in case it did not arrive.
+
+        Args:
+            answers: Answers under way and kept.
         """
         agents: list[object] = []
         for program, agent in self.agent_by_id.items():
             sequencer = agent.order.sequencer
-            order = sequencer.dump(
-                repeatable=self._is_chatting(program, sequencer.newest)
+            key = self._key(program, sequencer.newest)
+            answer = answers.find(key)
+            unanswered = answer is not None and not isinstance(
+                answer.outcome, Completed
+            )
+            agents.append(
+                [
+                    program,
+                    sequencer.dump(repeatable=unanswered),
+                    self._points(program, agent),
+                    answers.export(key),
+                ]
             )
-            agents.append([program, order, self._points(program, agent)])
         return [
             STATE_FORMAT,
             self.account,
@@ -183,6 +196,7 @@
         partition: PartitionId,
         clock: Clock,
         gap_hold_s: float,
+        answers: AnswerStore,
     ) -> Program:
         """Returns a program from what ``dump`` made.
 
@@ -191,6 +205,7 @@
             partition: Where the program belongs.
             clock: Monotonic time.
             gap_hold_s: How long gaps are waited out.
+            answers: Takes the newest answers.
 
         Raises:
             ValueError: The state has another format.
@@ -214,9 +229,12 @@
             turns=turns,
             active_at=clock.seconds(),
         )
-        for path, order, points in agents:
+        for path, order, points, answer in agents:
             sequencer = Sequencer.restored(order, gap_hold_s)
             program._add(path, sequencer).history.load(points)
+            if answer is not None:
+                key = program._key(path, sequencer.newest)
+                answers.restore(key, answer)
         return program
 
     def receipt(
@@ -250,10 +268,8 @@
             request=request,
         )
 
-    def _is_chatting(self, program: ProgramId, number: int) -> bool:
-        key = AnswerKey(self.account, program, CallNumber(number))
-        run = self.run_by_key.get(key)
-        return run is not None and run.pending_point() is not None
+    def _key(self, program: ProgramId, number: int) -> AnswerKey:
+        return AnswerKey(self.account, program, CallNumber(number))
 
     def _points(self, program: ProgramId, agent: Agent) -> object:
         history = History(self.account, program)
--- a/lycheestall/program_table.py
+++ b/lycheestall/program_table.py
@@ -72,6 +72,7 @@
                 partition=partition,
                 clock=self._ports.clock,
                 gap_hold_s=self._ports.settings.gap_hold_s,
+                answers=self._ports.answers,
             )
             self._program_by_name[program.name] = program
 
@@ -93,7 +94,7 @@
     def dump(self, partition: PartitionId) -> dict[str, bytes]:
         """Returns the live state by program, for a handover."""
         return {
-            program.name: cbor2.dumps(program.dump())
+            program.name: cbor2.dumps(program.dump(self._ports.answers))
             for program in self.of(partition)
             if not program.ended
         }
--- a/lycheestall/sequencer.py
+++ b/lycheestall/sequencer.py
@@ -218,17 +218,24 @@
         """Returns the state for a handover.
 
         Args:
-            repeatable: Whether the newest call, still under way here,
-                may go on once more at the successor.
+            repeatable: Whether the newest call, which was not answered
+                whole, may go on once more at the successor.
         """
-        top = self._top - 1 if repeatable else self._top
-        return [self.expected, self.exact, top]
+        entry = self._entry_by_number.get(CallNumber(self._top))
+        if repeatable or entry is None:
+            top = self._top - 1 if repeatable else self._top
+            return [self.expected, self.exact, top, b""]
+        return [self.expected, self.exact, self._top, entry.digest]
 
     @classmethod
     def restored(cls, state: Any, gap_hold_s: float) -> Sequencer:
         """Returns a sequencer from what ``dump`` made."""
-        expected, exact, top = state
-        return cls(gap_hold_s, expected, exact, top)
+        expected, exact, top, digest = state
+        sequencer = cls(gap_hold_s, expected, exact, top)
+        if digest:
+            entry = _Entry(digest, 0.0, _State.PASSED)
+            sequencer._entry_by_number[CallNumber(top)] = entry
+        return sequencer
 
     def _prune(self) -> None:
         for number, entry in list(self._entry_by_number.items()):
