--- a/lycheestall/engine_dispatcher.py
+++ b/lycheestall/engine_dispatcher.py
@@ -32,6 +32,7 @@
     EngineRefused,
     EngineRequest,
     EngineResult,
+    HeldMemory,
     LoadReport,
 )
 
@@ -142,6 +143,24 @@
         now = self._timer.seconds()
         self._execute(self._scheduler.observe(report, now))
 
+    def observe_held(
+        self,
+        target: TargetId,
+        held: Iterable[HeldMemory],
+        live: Callable[[ProgramId], bool],
+    ) -> None:
+        """Takes what an engine holds; orphans are released.
+
+        Args:
+            target: The engine.
+            held: What it says it holds.
+            live: Whether a top-level program lives in the cell.
+        """
+        now = self._timer.seconds()
+        self._execute(
+            self._scheduler.found_held(target, held, live=live, now=now)
+        )
+
     def observe_cache(self, target: TargetId, page: CacheEvents) -> None:
         """Takes a page of an engine's cache events."""
         self._scheduler.cache_events(target, page, self._timer.seconds())
--- a/lycheestall/engine_scheduler.py
+++ b/lycheestall/engine_scheduler.py
@@ -22,7 +22,13 @@
 from .outcomes import Failed, Reason, Refused, Step
 from .placement import Choice
 from .rule_book import RuleBook
-from .targets import CacheEvents, EngineDone, EngineRefused, LoadReport
+from .targets import (
+    CacheEvents,
+    EngineDone,
+    EngineRefused,
+    HeldMemory,
+    LoadReport,
+)
 
 __all__ = ["EngineScheduler"]
 
@@ -230,6 +236,18 @@
         self._parts.cache.ended(root)
         return list(self._parts.memory.ended(root, now))
 
+    def found_held(
+        self,
+        target: TargetId,
+        held: Iterable[HeldMemory],
+        *,
+        live: Callable[[ProgramId], bool],
+        now: float,
+    ) -> list[DispatchCommand]:
+        """Compares what an engine holds with the programs that live."""
+        found = self._parts.memory.found(target, held, live=live, now=now)
+        return list(found)
+
     def released(self, target: TargetId, root: ProgramId) -> None:
         """An engine has confirmed a release."""
         self._parts.memory.confirmed(target, root)
--- a/lycheestall/ledger.py
+++ b/lycheestall/ledger.py
@@ -16,7 +16,7 @@
     SessionId,
     TargetId,
 )
-from .program_ids import issued_ms_of
+from .program_ids import issued_ms_of, root_in_ledger
 from .records import (
     BudgetDrawn,
     CellRecord,
@@ -149,6 +149,15 @@
     def __init__(self) -> None:
         self.program_by_id: dict[ProgramId, LedgerProgram] = {}
         self.forgotten_before_ms = 0
+        self._open_by_root: dict[ProgramId, int] = {}
+
+    def lives(self, root: ProgramId) -> bool:
+        """Returns whether any account has an open program of this id.
+
+        Args:
+            root: A top-level program's id, without its account.
+        """
+        return root in self._open_by_root
 
     def apply(
         self,
@@ -186,6 +195,7 @@
             return Verdict(False, "the program has ended")
         if isinstance(body, ProgramEnded):
             program.ended = body.reason or "ended"
+            self._count(body.program, -1)
             return ACCEPTED
         if isinstance(body, BudgetDrawn):
             drawn = Spend(body.tokens, body.calls, body.money_micros)
@@ -215,6 +225,10 @@
         """Replaces the state by one that ``dump`` made."""
         self.forgotten_before_ms, programs = cast(list[Any], state)
         self.program_by_id = dict(_load_program(item) for item in programs)
+        self._open_by_root = {}
+        for name, program in self.program_by_id.items():
+            if not program.ended:
+                self._count(name, 1)
 
     def _open(self, body: ProgramOpened) -> Verdict:
         if body.program in self.program_by_id:
@@ -228,6 +242,7 @@
             partition=body.partition,
             opened_ms=opened_ms,
         )
+        self._count(body.program, 1)
         return ACCEPTED
 
     def _intend(
@@ -284,10 +299,20 @@
             return Verdict(False, "what is forgotten only grows")
         self.forgotten_before_ms = body.before_ms
         for name, program in list(self.program_by_id.items()):
-            if program.opened_ms < body.before_ms:
-                del self.program_by_id[name]
+            if program.opened_ms >= body.before_ms:
+                continue
+            del self.program_by_id[name]
+            if not program.ended:
+                self._count(name, -1)
         return ACCEPTED
 
+    def _count(self, name: ProgramId, change: int) -> None:
+        root = root_in_ledger(name)
+        count = self._open_by_root.get(root, 0) + change
+        self._open_by_root[root] = count
+        if count == 0:
+            del self._open_by_root[root]
+
 
 def _dump_program(name: ProgramId, program: LedgerProgram) -> list[object]:
     intents = [
--- a/lycheestall/node.py
+++ b/lycheestall/node.py
@@ -68,6 +68,7 @@
 
 VM_POLL_INTERVAL_S = 1.0
 LOAD_POLL_INTERVAL_S = 0.5
+MEMORY_POLL_INTERVAL_S = 5.0
 ISSUE_TRIES = 64
 DRAIN_CHECK_S = 0.02
 RULES_INTERVAL_S = 0.25
@@ -209,6 +210,7 @@
         self.cell.start()
         self._poll("vm-list", self._poll_vms, VM_POLL_INTERVAL_S)
         self._poll("loads", self._poll_loads, LOAD_POLL_INTERVAL_S)
+        self._poll("memory", self._poll_memory, MEMORY_POLL_INTERVAL_S)
         self._poll("rules", self._keep_rules, RULES_INTERVAL_S)
 
     def _poll(self, name: str, step: PollStep, interval_s: float) -> None:
@@ -342,6 +344,24 @@
         self._load_by_target[target] = report
         self.dispatcher.observe(report)
 
+    async def _poll_memory(self) -> None:
+        """Asks engines what they hold for programs of lost owners.
+
+        While the log is silent, a live program may not be in the state
+        yet, and nothing is taken for dead.
+        """
+        for entry in self.engines.entries():
+            engine = self.engines.engine(entry.target)
+            if engine is None or not self._polls(entry.target):
+                continue
+            held = await engine.held()
+            if held is None or self.cell.log_silent():
+                continue
+            self.dispatcher.observe_held(entry.target, held, self._lives)
+
+    def _lives(self, root: ProgramId) -> bool:
+        return self.ledger.lives(root) or self.owner.lives(root)
+
     def _polls(self, target: TargetId) -> bool:
         """Whether this VM is the one that polls a target."""
         members = self._members() | {self._vm}
--- a/lycheestall/program_ids.py
+++ b/lycheestall/program_ids.py
@@ -22,6 +22,7 @@
     "issued_ms_of",
     "ledger_id",
     "origin_of",
+    "root_in_ledger",
 ]
 
 NONCE_BYTES = 8
@@ -104,6 +105,15 @@
     return ProgramId(f"{quote(account, safe='')}:{root_of(program)}")
 
 
+def root_in_ledger(name: ProgramId) -> ProgramId:
+    """Returns the top-level program's id in its form in the log.
+
+    Args:
+        name: What ``ledger_id`` returned.
+    """
+    return ProgramId(name.partition(":")[2])
+
+
 def _signature(account: AccountId, stem: str, key: bytes) -> str:
     signed = f"program\0{account}\0{stem}".encode()
     digest = hmac.new(key, signed, sha256).hexdigest()
--- a/lycheestall/program_owner.py
+++ b/lycheestall/program_owner.py
@@ -16,7 +16,7 @@
 from .chat_calls import ChatCalls
 from .clock import Clock, Timer
 from .dispatch import ChatDispatcher
-from .ids import Offset, PartitionId
+from .ids import Offset, PartitionId, ProgramId
 from .ledger import Ledger
 from .outcomes import Outcome, Reason, Refused, Step
 from .owner_ports import OwnerPorts
@@ -100,6 +100,13 @@
         """Returns how many programs are live here."""
         return sum(1 for _ in self._table)
 
+    def lives(self, root: ProgramId) -> bool:
+        """Returns whether a top-level program of this id is live here."""
+        return any(
+            program.root == root and not program.ended
+            for program in self._table
+        )
+
     def in_flight(self) -> int:
         """Returns how many calls are held or under way here."""
         return sum(len(program.run_by_key) for program in self._table)
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -28,7 +28,11 @@
     TargetId,
 )
 from lycheestall.ledger import Ledger
-from lycheestall.program_ids import issue_program_id, ledger_id
+from lycheestall.program_ids import (
+    issue_program_id,
+    ledger_id,
+    root_in_ledger,
+)
 from lycheestall.records import (
     BudgetDrawn,
     CellRecord,
@@ -203,6 +207,13 @@
     def never_reverts(self) -> None:
         assert self.ledger.forgotten_before_ms == self.forgotten
 
+    @invariant()
+    def open_programs_live(self) -> None:
+        for name in PROGRAMS:
+            known = self.ledger.program_by_id.get(name)
+            live = known is not None and not known.ended
+            assert self.ledger.lives(root_in_ledger(name)) == live
+
 
 class _AnyEpoch(Ledger):
     """Breaks the rule on epochs: any epoch of the holder will do."""
