--- a/lycheestall/action_base.py
+++ b/lycheestall/action_base.py
@@ -7,13 +7,15 @@
 
 from .answers import AnswerKey
 from .application_picker import Runner
+from .call_facts import call_fact
 from .call_order import RunningCall
 from .calls import Call, ResponseHead
 from .ids import IdempotencyKey, RequestId, TargetId
-from .ledger import Spend
+from .ledger_program import Spend
+from .lifetimes import Lifetimes
 from .outcomes import Completed, Failed, Outcome, Refused
 from .owner_ports import OwnerPorts
-from .program import Program, call_fact
+from .program import Program
 from .program_table import ProgramTable
 from .reservations import Admitted, Reservations
 from .rule_book import ActionRule
@@ -36,6 +38,7 @@
     ports: OwnerPorts
     reservations: Reservations
     table: ProgramTable
+    lifetimes: Lifetimes
 
 
 class ActionBase(RunningCall):
@@ -98,10 +101,10 @@
 
     async def admit(self) -> Refused | None:
         """Reserves the call's price; returns why that fails."""
-        table = self.parts.table
-        refused = table.out_of_time(self.program)
+        lifetimes = self.parts.lifetimes
+        refused = lifetimes.out_of_time(self.program)
         if refused is not None:
-            table.end(self.program, refused.reason.value, refused)
+            lifetimes.end(self.program, refused.reason.value, refused)
             return refused
         bound = Spend(0, 1, self.rule.price_micros)
         result = await self.parts.reservations.admit(self.program, bound)
--- a/lycheestall/action_calls.py
+++ b/lycheestall/action_calls.py
@@ -11,7 +11,8 @@
 from .call_order import NoHandle
 from .calls import Call, CallHandle, CallSink, ResponseHead
 from .ids import CallNumber, TargetId
-from .ledger import Intent, KeptAnswer
+from .ledger_program import Intent, KeptAnswer
+from .lifetimes import Lifetimes
 from .outcomes import Completed, Failed, Outcome, Reason, Refused, Step
 from .owner_ports import OwnerPorts
 from .program import Program
@@ -31,6 +32,7 @@
         ports: What the owner's side is plugged into.
         reservations: Clears calls against budgets and limits.
         table: The live programs.
+        lifetimes: Ends programs at their limits.
     """
 
     def __init__(
@@ -38,9 +40,10 @@
         ports: OwnerPorts,
         reservations: Reservations,
         table: ProgramTable,
+        lifetimes: Lifetimes,
     ) -> None:
         self._ports = ports
-        self._parts = ActionParts(ports, reservations, table)
+        self._parts = ActionParts(ports, reservations, table, lifetimes)
 
     def start(
         self, call: Call, program: Program, sink: CallSink
--- a/lycheestall/actions.py
+++ b/lycheestall/actions.py
@@ -210,7 +210,6 @@
     core.effects.finish(failed, None)
 
 
-_recording.upon(_Inputs.start).loop().returns(None)
 _given_up.upon(_Inputs.gave_up).loop().returns(None)
 _sent.upon(_Inputs.gave_up).loop().returns(None)
 _asking.upon(_Inputs.gave_up).loop().returns(None)
--- a/lycheestall/budget.py
+++ b/lycheestall/budget.py
@@ -6,7 +6,7 @@
 from enum import Enum
 from typing import Any, NewType, TypeAlias
 
-from .ledger import Spend
+from .ledger_program import Spend
 from .rule_book import ProgramLimits
 
 __all__ = [
--- a/lycheestall/chat_calls.py
+++ b/lycheestall/chat_calls.py
@@ -13,10 +13,10 @@
 from .chat_run import ChatParts, ChatRun
 from .history import ASSISTANT
 from .ids import CallNumber
+from .lifetimes import Lifetimes
 from .outcomes import Failed, Reason, Refused, Step
 from .owner_ports import OwnerPorts
 from .program import Agent, Program
-from .program_table import ProgramTable
 from .receipts import BadReceipt, Receipt
 from .reservations import Reservations
 from .sequencer import Attach, Go, Offer
@@ -32,17 +32,17 @@
     Args:
         ports: What the owner's side is plugged into.
         reservations: Clears calls against budgets and limits.
-        table: The live programs.
+        lifetimes: Ends programs at their limits.
     """
 
     def __init__(
         self,
         ports: OwnerPorts,
         reservations: Reservations,
-        table: ProgramTable,
+        lifetimes: Lifetimes,
     ) -> None:
         self._ports = ports
-        self._parts = ChatParts(ports, reservations, table)
+        self._parts = ChatParts(ports, reservations, lifetimes)
 
     def start(
         self, call: Call, program: Program, sink: CallSink
--- /dev/null
+++ b/lycheestall/chat_response.py
@@ -0,0 +1,119 @@
+"""What a caller gets of a chat call: head, stream or document, receipt."""
+
+from __future__ import annotations
+
+from .answers import Answer
+from .calls import Call, ResponseHead
+from .chat_body import ChatAssembler, Message
+from .history import ChainPoint
+from .ids import CallNumber, RequestId, TargetId
+from .owner_ports import OwnerPorts
+from .program import NO_REQUEST, NO_TARGET, Program
+from .targets import EngineDone
+
+__all__ = ["ChatResponse"]
+
+JSON_TYPE = "application/json"
+SSE_TYPE = "text/event-stream"
+
+
+class ChatResponse:
+    """Relays a stream, or puts it together for callers that want that.
+
+    The head of a stream carries a receipt for the messages sent; the
+    receipt that covers the answer follows the stream as an SSE comment.
+
+    Args:
+        ports: What the owner's side is plugged into.
+        call: The call.
+        program: Its top-level program.
+        number: Its number.
+        answer: Where the response goes.
+    """
+
+    def __init__(
+        self,
+        ports: OwnerPorts,
+        call: Call,
+        program: Program,
+        number: CallNumber,
+        answer: Answer,
+    ) -> None:
+        self._ports = ports
+        self._call = call
+        self._program = program
+        self._number = number
+        self._answer = answer
+        self._assembler = ChatAssembler()
+
+    def accepted(
+        self, point: ChainPoint, target: TargetId, request: RequestId
+    ) -> None:
+        """Sends the head of a stream once an engine has the call.
+
+        Args:
+            point: The messages sent.
+            target: The engine.
+            request: The dispatch.
+        """
+        if self._call.streamed:
+            receipt = self._receipt(point, target, request)
+            self._answer.start(self._head(SSE_TYPE, receipt))
+
+    def chunk(self, data: bytes) -> None:
+        """Relays or collects the next bytes of the stream."""
+        self._assembler.feed(data)
+        if self._call.streamed:
+            self._answer.chunk(data)
+
+    def message(self) -> Message:
+        """Returns the whole answer as a message of the history."""
+        self._assembler.close()
+        return self._assembler.message()
+
+    def deliver(self, result: EngineDone, point: ChainPoint) -> None:
+        """Sends what is left once the answer is whole.
+
+        Args:
+            result: What the engine counted.
+            point: The history with the answer.
+        """
+        receipt = self._receipt(point, NO_TARGET, NO_REQUEST)
+        if self._call.streamed:
+            comment = f": lycheestall-receipt {receipt}\n\n"
+            self._answer.chunk(comment.encode())
+            return
+        done = ("lycheestall-outcome", "completed")
+        self._answer.start(self._head(JSON_TYPE, receipt, done))
+        self._answer.chunk(
+            self._assembler.document(
+                name=f"{self._call.program}.{self._number}",
+                model=self._call.model,
+                tokens_in=result.tokens_in,
+                tokens_out=result.tokens_out,
+            )
+        )
+
+    def _head(
+        self, content_type: str, receipt: str, *more: tuple[str, str]
+    ) -> ResponseHead:
+        headers = (
+            ("content-type", content_type),
+            ("lycheestall-program", self._call.program),
+            ("lycheestall-call", str(self._number)),
+            ("lycheestall-receipt", receipt),
+        )
+        return ResponseHead(200, headers + more)
+
+    def _receipt(
+        self, point: ChainPoint, target: TargetId, request: RequestId
+    ) -> str:
+        program = self._program
+        receipt = program.receipt(
+            self._call.program,
+            epoch=self._ports.cell.epoch_of(program.partition),
+            point=point,
+            target=target,
+            request=request,
+        )
+        return self._ports.signer.sign(receipt)
--- a/lycheestall/chat_run.py
+++ b/lycheestall/chat_run.py
@@ -9,26 +9,25 @@
 
 from ._refusals import history_mismatch
 from .answers import AnswerKey
+from .call_facts import call_fact
 from .call_order import RunningCall
-from .calls import Call, ResponseHead
-from .chat_body import ChatAssembler, ChatBody
+from .calls import Call
+from .chat_body import ChatBody
+from .chat_response import ChatResponse
 from .dispatch import ChatJob, ChatListener, JobHandle
 from .history import ChainPoint, Extension, Mismatch
 from .ids import CallNumber, RequestId, TargetId
-from .ledger import Spend
+from .ledger_program import Spend
+from .lifetimes import Lifetimes
 from .outcomes import Completed, Failed, Outcome, Refused, Step
 from .owner_ports import OwnerPorts
-from .program import NO_REQUEST, NO_TARGET, Agent, Program, call_fact
-from .program_table import ProgramTable
+from .program import Agent, Program
 from .receipts import Receipt
 from .reservations import Admitted, Reservations
 from .targets import EngineDone
 
 __all__ = ["ChatParts", "ChatRun"]
 
-JSON_TYPE = "application/json"
-SSE_TYPE = "text/event-stream"
-
 
 @dataclass(frozen=True, slots=True)
 class ChatParts:
@@ -36,7 +35,7 @@
 
     ports: OwnerPorts
     reservations: Reservations
-    table: ProgramTable
+    lifetimes: Lifetimes
 
 
 class ChatRun(ChatListener, RunningCall):
@@ -69,15 +68,15 @@
         self._number = number
         self._key = AnswerKey(call.account, call.program, number)
         self._deadline = self._ports.clock.seconds() + call.deadline_s
-        self._assembler = ChatAssembler()
         self._extension: Extension | None = None
         self._admitted: Admitted | None = None
         self._job: JobHandle | None = None
-        self._target = NO_TARGET
-        self._request = NO_REQUEST
         self._passed = False
         self._ended = False
         self.answer = self._ports.answers.open(self._key)
+        self._response = ChatResponse(
+            self._ports, call, program, number, self.answer
+        )
         program.run_by_key[self._key] = self
 
     @property
@@ -105,12 +104,12 @@
             self._end(history_mismatch(checked))
             return
         self._extension = checked
-        table = self._parts.table
-        refused = table.out_of_time(self._program)
-        refused = refused or table.out_of_turns(self._program)
+        lifetimes = self._parts.lifetimes
+        refused = lifetimes.out_of_time(self._program)
+        refused = refused or lifetimes.out_of_turns(self._program)
         if refused is not None:
             self._end(refused)
-            table.end(self._program, refused.reason.value, refused)
+            lifetimes.end(self._program, refused.reason.value, refused)
             return
         ensureDeferred(self._admit(checked))
 
@@ -145,36 +144,30 @@
         if self._passed or self._ended:
             return
         self._passed = True
-        self._target, self._request = target, request
         point = self.pending_point()
         assert point is not None
         self._agent.order.sequencer.note(self._number)
-        if self._call.streamed:
-            self.answer.start(self._head(SSE_TYPE, point))
+        self._response.accepted(point, target, request)
         self._acknowledge()
         self._agent.order.passed(self._number)
 
     def chunk(self, data: bytes) -> None:
         """Relays or collects the answer."""
-        if self._ended:
-            return
-        self._assembler.feed(data)
-        if self._call.streamed:
-            self.answer.chunk(data)
+        if not self._ended:
+            self._response.chunk(data)
 
     def done(self, result: EngineDone, target: TargetId) -> None:
         """Takes the answer into the history and settles the cost."""
         if self._ended:
             return
         self.accepted(target, RequestId(""))
-        self._assembler.close()
         tokens = result.tokens_in + result.tokens_out
         point = self._commit(tokens)
         if self._admitted is not None:
             self._parts.reservations.settle(
                 self._program, self._admitted, Spend(tokens, 1)
             )
-        self._deliver(result, point)
+        self._response.deliver(result, point)
         self._end(
             Completed(
                 result.tokens_in,
@@ -260,49 +253,12 @@
         self._agent.frame = self._body.frame
         return self._agent.history.commit(
             self._extension,
-            self._assembler.message(),
+            self._response.message(),
             number=self._number,
             tokens=tokens,
             model=self._call.model,
         )
 
-    def _deliver(self, result: EngineDone, point: ChainPoint) -> None:
-        if self._call.streamed:
-            receipt = self._receipt(point).encode()
-            self.answer.chunk(b": lycheestall-receipt " + receipt + b"\n\n")
-            return
-        self.answer.start(self._head(JSON_TYPE, point))
-        self.answer.chunk(
-            self._assembler.document(
-                name=f"{self._call.program}.{self._number}",
-                model=self._call.model,
-                tokens_in=result.tokens_in,
-                tokens_out=result.tokens_out,
-            )
-        )
-
-    def _head(self, content_type: str, point: ChainPoint) -> ResponseHead:
-        headers = [
-            ("content-type", content_type),
-            ("lycheestall-program", self._call.program),
-            ("lycheestall-call", str(self._number)),
-            ("lycheestall-receipt", self._receipt(point)),
-        ]
-        if point.answered:
-            headers.append(("lycheestall-outcome", "completed"))
-        return ResponseHead(200, tuple(headers))
-
-    def _receipt(self, point: ChainPoint) -> str:
-        program = self._program
-        receipt = program.receipt(
-            self._call.program,
-            epoch=self._ports.cell.epoch_of(program.partition),
-            point=point,
-            target=NO_TARGET if point.answered else self._target,
-            request=NO_REQUEST if point.answered else self._request,
-        )
-        return self._ports.signer.sign(receipt)
-
     def _end(self, outcome: Outcome) -> None:
         self._ended = True
         self._job = None
--- /dev/null
+++ b/lycheestall/lifetimes.py
@@ -0,0 +1,90 @@
+"""Ends programs: at their caller's wish, at a limit, or when vanished."""
+
+from __future__ import annotations
+
+from ._refusals import limit_reached, program_ended
+from .outcomes import Reason, Refused
+from .owner_ports import OwnerPorts
+from .program import Program
+from .program_table import ProgramTable
+from .records import ProgramEnded
+from .rule_book import ProgramLimits
+
+__all__ = ["Lifetimes"]
+
+
+class Lifetimes:
+    """Decides and carries out the end of programs.
+
+    Args:
+        ports: What the owner's side is plugged into.
+        table: The live programs.
+    """
+
+    def __init__(self, ports: OwnerPorts, table: ProgramTable) -> None:
+        self._ports = ports
+        self._table = table
+
+    def end(self, program: Program, reason: str, refused: Refused) -> None:
+        """Ends a program: its calls, its engines' memory, its record.
+
+        Args:
+            program: The program, with its sub-agents.
+            reason: Why it ends.
+            refused: What callers of calls under way are told.
+        """
+        if program.ended:
+            return
+        program.ended = reason
+        program.touch()
+        program.stop_calls(refused)
+        ports = self._ports
+        ports.dispatcher.program_ended(program.root)
+        record = ProgramEnded(
+            program=program.name,
+            partition=program.partition,
+            epoch=ports.cell.epoch_of(program.partition),
+            reason=reason,
+        )
+        ports.cell.submit(record).addErrback(lambda _: None)
+
+    def sweep(self) -> None:
+        """Ends programs that vanished or ran out of time."""
+        ports = self._ports
+        now = ports.clock.seconds()
+        for program in self._table:
+            idle_s = now - program.active_at
+            if program.ended:
+                if idle_s > ports.settings.answer_retention_s:
+                    self._table.remove(program)
+                continue
+            refused = self.out_of_time(program)
+            if refused is not None:
+                self.end(program, "time limit", refused)
+                continue
+            if program.run_by_key or idle_s < ports.settings.program_idle_s:
+                continue
+            self.end(program, "vanished", program_ended("vanished"))
+
+    def out_of_time(self, program: Program) -> Refused | None:
+        """Returns the refusal of a program past its time limit."""
+        limits = self.limits(program)
+        if limits.time_s is None:
+            return None
+        age_s = (self._ports.wall_ms() - program.opened_ms) / 1000
+        if age_s < limits.time_s:
+            return None
+        return limit_reached(Reason.TIME_LIMIT, limits, "time_s")
+
+    def out_of_turns(self, program: Program) -> Refused | None:
+        """Returns the refusal of a program past its turn limit."""
+        limits = self.limits(program)
+        if limits.turns is None or program.turns < limits.turns:
+            return None
+        return limit_reached(Reason.TURN_LIMIT, limits, "turns")
+
+    def limits(self, program: Program) -> ProgramLimits:
+        """Returns a program's limits under the rules in force."""
+        return self._ports.rules().program_limits(
+            program.account, program.program_class
+        )
--- a/lycheestall/program.py
+++ b/lycheestall/program.py
@@ -8,6 +8,7 @@
 
 from .answers import AnswerKey, AnswerStore
 from .budget import Budget
+from .call_facts import CallFact
 from .call_order import CallOrder, KeyedCall, RunningCall
 from .clock import Clock
 from .history import ChainPoint, History
@@ -21,11 +22,11 @@
     RequestId,
     TargetId,
 )
-from .outcomes import Completed, Outcome, Refused, describe
+from .outcomes import Completed, Refused
 from .receipts import Receipt
 from .sequencer import Sequencer
 
-__all__ = ["Agent", "CallFact", "Program", "call_fact"]
+__all__ = ["Agent", "Program"]
 
 STATE_FORMAT = 1
 KEPT_FACTS = 64
@@ -33,29 +34,6 @@
 NO_REQUEST = RequestId("")
 
 
-@dataclass(frozen=True, slots=True)
-class CallFact:
-    """Where a call ran and how it ended, for ``program show``.
-
-    Attributes:
-        program: The program, with its parents' path.
-        number: The call's number.
-        kind: What it asked for.
-        peer: The target, or empty.
-        outcome: The typed word of its outcome.
-        reason: Why it did not complete, or empty.
-        tokens: Prompt and answer tokens.
-    """
-
-    program: ProgramId
-    number: int
-    kind: str
-    peer: str
-    outcome: str
-    reason: str
-    tokens: int
-
-
 @dataclass(slots=True)
 class Agent:
     """A program path: the top-level program or one sub-agent.
@@ -285,27 +263,3 @@
         agent = Agent(order, History(self.account, program))
         self.agent_by_id[program] = agent
         return agent
-
-
-def call_fact(key: AnswerKey, kind: str, outcome: Outcome) -> CallFact:
-    """Returns the fact that remains of an ended call.
-
-    Args:
-        key: Names the call.
-        kind: What it asked for.
-        outcome: Its final outcome.
-    """
-    tokens, reason = 0, ""
-    if isinstance(outcome, Completed):
-        tokens = outcome.tokens_in + outcome.tokens_out
-    else:
-        reason = outcome.reason.value
-    return CallFact(
-        program=key.program,
-        number=key.number,
-        kind=kind,
-        peer=outcome.peer,
-        outcome=describe(outcome),
-        reason=reason,
-        tokens=tokens,
-    )
--- a/lycheestall/program_control.py
+++ b/lycheestall/program_control.py
@@ -10,6 +10,7 @@
 from ._refusals import program_ended, rule_text
 from .call_order import NoHandle
 from .calls import Call, CallHandle, CallKind, CallSink, ResponseHead
+from .lifetimes import Lifetimes
 from .outcomes import Completed, Reason, Refused, Step
 from .owner_ports import OwnerPorts
 from .program import Program
@@ -24,11 +25,15 @@
     Args:
         ports: What the owner's side is plugged into.
         table: The live programs.
+        lifetimes: Ends programs.
     """
 
-    def __init__(self, ports: OwnerPorts, table: ProgramTable) -> None:
+    def __init__(
+        self, ports: OwnerPorts, table: ProgramTable, lifetimes: Lifetimes
+    ) -> None:
         self._ports = ports
         self._table = table
+        self._lifetimes = lifetimes
 
     def start(
         self, call: Call, program: Program, sink: CallSink
@@ -74,11 +79,11 @@
             refused = Refused(
                 Step.DISPATCH, Reason.CANCELLED, detail="cancelled"
             )
-        self._table.end(program, reason, refused)
+        self._lifetimes.end(program, reason, refused)
         self._answer(call, sink, 200, self._document(program))
 
     def _document(self, program: Program) -> dict[str, object]:
-        limits = self._table.limits(program)
+        limits = self._lifetimes.limits(program)
         budget = program.budget
         return {
             "program": program.root,
--- a/lycheestall/program_owner.py
+++ b/lycheestall/program_owner.py
@@ -18,6 +18,7 @@
 from .dispatch import ChatDispatcher
 from .ids import Offset, PartitionId, ProgramId
 from .ledger import Ledger
+from .lifetimes import Lifetimes
 from .outcomes import Outcome, Reason, Refused, Step
 from .owner_ports import OwnerPorts
 from .partitions import partition_of
@@ -85,9 +86,10 @@
         self._partitions = partitions
         reservations = Reservations(ports)
         self._table = table = ProgramTable(ports, reservations)
-        self._chats = ChatCalls(ports, reservations, table)
-        self._actions = ActionCalls(ports, reservations, table)
-        self._control = ProgramControl(ports, table)
+        self._lifetimes = lifetimes = Lifetimes(ports, table)
+        self._chats = ChatCalls(ports, reservations, lifetimes)
+        self._actions = ActionCalls(ports, reservations, table, lifetimes)
+        self._control = ProgramControl(ports, table, lifetimes)
         self._quiescing: set[PartitionId] = set()
         self._sweeping: Timer = clock.callLater(SWEEP_INTERVAL_S, self._sweep)
 
@@ -227,7 +229,7 @@
         ports = self._ports
         self._sweeping = ports.clock.callLater(SWEEP_INTERVAL_S, self._sweep)
         ports.answers.expire()
-        self._table.sweep()
+        self._lifetimes.sweep()
         if ports.cell.log_silent():
             return
         for record in ports.shares.idle(ports.clock.seconds()):
--- a/lycheestall/program_table.py
+++ b/lycheestall/program_table.py
@@ -8,7 +8,6 @@
 from twisted.internet.defer import Deferred
 
 from ._refusals import (
-    limit_reached,
     log_unavailable,
     program_ended,
     unproven,
@@ -18,12 +17,13 @@
 from .calls import Call
 from .cell_view import Folded
 from .ids import PartitionId, ProgramId, root_of
-from .ledger import Ledger, LedgerProgram
+from .ledger import Ledger
+from .ledger_program import LedgerProgram
 from .outcomes import Reason, Refused, Step
 from .owner_ports import LOG_WAIT_S, OwnerPorts
 from .program import Program
 from .program_ids import IdOrigin, issued_ms_of, ledger_id, origin_of
-from .records import ProgramEnded, ProgramOpened
+from .records import ProgramOpened
 from .reservations import Reservations
 from .rule_book import ProgramLimits
 
@@ -99,6 +99,10 @@
             if not program.ended
         }
 
+    def remove(self, program: Program) -> None:
+        """Forgets a program that has ended."""
+        self._program_by_name.pop(program.name, None)
+
     def find(self, call: Call) -> Program | None:
         """Returns a call's program if it is live here."""
         name = ledger_id(call.account, call.program)
@@ -160,70 +164,6 @@
         program.recorded = True
         return None
 
-    def end(self, program: Program, reason: str, refused: Refused) -> None:
-        """Ends a program: its calls, its engines' memory, its record.
-
-        Args:
-            program: The program, with its sub-agents.
-            reason: Why it ends.
-            refused: What callers of calls under way are told.
-        """
-        if program.ended:
-            return
-        program.ended = reason
-        program.touch()
-        program.stop_calls(refused)
-        ports = self._ports
-        ports.dispatcher.program_ended(program.root)
-        record = ProgramEnded(
-            program=program.name,
-            partition=program.partition,
-            epoch=ports.cell.epoch_of(program.partition),
-            reason=reason,
-        )
-        ports.cell.submit(record).addErrback(lambda _: None)
-
-    def sweep(self) -> None:
-        """Ends programs that vanished or ran out of time."""
-        ports = self._ports
-        now = ports.clock.seconds()
-        for program in self:
-            idle_s = now - program.active_at
-            if program.ended:
-                if idle_s > ports.settings.answer_retention_s:
-                    del self._program_by_name[program.name]
-                continue
-            refused = self.out_of_time(program)
-            if refused is not None:
-                self.end(program, "time limit", refused)
-                continue
-            if program.run_by_key or idle_s < ports.settings.program_idle_s:
-                continue
-            self.end(program, "vanished", program_ended("vanished"))
-
-    def out_of_time(self, program: Program) -> Refused | None:
-        """Returns the refusal of a program past its time limit."""
-        limits = self.limits(program)
-        if limits.time_s is None:
-            return None
-        age_s = (self._ports.wall_ms() - program.opened_ms) / 1000
-        if age_s < limits.time_s:
-            return None
-        return limit_reached(Reason.TIME_LIMIT, limits, "time_s")
-
-    def out_of_turns(self, program: Program) -> Refused | None:
-        """Returns the refusal of a program past its turn limit."""
-        limits = self.limits(program)
-        if limits.turns is None or program.turns < limits.turns:
-            return None
-        return limit_reached(Reason.TURN_LIMIT, limits, "turns")
-
-    def limits(self, program: Program) -> ProgramLimits:
-        """Returns a program's limits under the rules in force."""
-        return self._ports.rules().program_limits(
-            program.account, program.program_class
-        )
-
     def _unopenable(
         self, call: Call, known: LedgerProgram | None, ledger: Ledger
     ) -> Refused | None:
--- a/lycheestall/receipts.py
+++ b/lycheestall/receipts.py
@@ -13,7 +13,7 @@
 
 from .history import ChainPoint
 from .ids import AccountId, Offset, ProgramId, RequestId, TargetId
-from .ledger import Spend
+from .ledger_program import Spend
 
 __all__ = ["BadReceipt", "Receipt", "ReceiptSigner"]
 
--- a/lycheestall/reservations.py
+++ b/lycheestall/reservations.py
@@ -20,7 +20,7 @@
     Reserved,
 )
 from .cell_view import Folded
-from .ledger import Spend
+from .ledger_program import Spend
 from .outcomes import Refused, Step
 from .owner_ports import LOG_WAIT_S, OwnerPorts
 from .program import Program
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -19,7 +19,7 @@
     ReservationId,
     Reserved,
 )
-from lycheestall.ledger import Spend
+from lycheestall.ledger_program import Spend
 from lycheestall.rule_book import ProgramLimits
 
 LIMIT = 400
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -12,7 +12,7 @@
 from lycheestall.chat_body import Message
 from lycheestall.history import Extension, Fault, History, Mismatch
 from lycheestall.ids import AccountId, CallNumber, Offset, ProgramId
-from lycheestall.ledger import Spend
+from lycheestall.ledger_program import Spend
 from lycheestall.receipts import BadReceipt, Receipt, ReceiptSigner
 
 ACCOUNT = AccountId("snowline")
