Forget programs that are older than they are kept

Cause: nobody wrote Forgotten, so the folded state grew without end. Change: the VM that owns partition 0 writes it every five minutes when it moves by ten minutes or more; the time counts as far as the middle of the 101 newest programs bears it out, so that one clock ahead drops nothing. A live program older than that ends typed (time_limit).

--- a/lycheestall/_refusals.py
+++ b/lycheestall/_refusals.py
@@ -19,6 +19,7 @@
     "program_ended",
     "receipt_required",
     "rule_text",
+    "too_old",
     "unproven",
 ]
 
@@ -66,6 +67,16 @@
     )
 
 
+def too_old() -> Refused:
+    """Returns the refusal that ends a program older than is kept."""
+    return Refused(
+        Step.ADMIT,
+        Reason.TIME_LIMIT,
+        detail="the program is older than programs are kept; it has ended",
+        needs="a program opened anew",
+    )
+
+
 def unproven(call: Call) -> Refused:
     """Returns the refusal of a program older than the kept state."""
     action = call.kind is CallKind.ACTION
--- a/lycheestall/lifetimes.py
+++ b/lycheestall/lifetimes.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from ._refusals import limit_reached, program_ended
+from ._refusals import limit_reached, program_ended, too_old
+from .forgetting import due_forgetting
+from .ids import PartitionId
 from .outcomes import Reason, Refused
 from .owner_ports import OwnerPorts
 from .program import Program
@@ -12,6 +14,8 @@
 
 __all__ = ["Lifetimes"]
 
+FORGETTING_PARTITION = PartitionId(0)
+
 
 class Lifetimes:
     """Decides and carries out the end of programs.
@@ -66,8 +70,23 @@
                 continue
             self.end(program, "vanished", program_ended("vanished"))
 
+    def forget(self) -> None:
+        """Drops old programs from the state; one VM of the cell does."""
+        ports = self._ports
+        if ports.cell.refusal(FORGETTING_PARTITION) is not None:
+            return
+        record = due_forgetting(
+            ports.ledger(),
+            wall_ms=ports.wall_ms(),
+            keep_s=ports.settings.program_keep_s,
+        )
+        if record is not None and not ports.cell.log_silent():
+            ports.cell.submit(record).addErrback(lambda _: None)
+
     def out_of_time(self, program: Program) -> Refused | None:
         """Returns the refusal of a program past its time limit."""
+        if program.opened_ms < self._ports.ledger().forgotten_before_ms:
+            return too_old()
         limits = self.limits(program)
         if limits.time_s is None:
             return None
--- a/lycheestall/program_owner.py
+++ b/lycheestall/program_owner.py
@@ -32,6 +32,7 @@
 __all__ = ["ProgramOwner"]
 
 SWEEP_INTERVAL_S = 2.0
+SWEEPS_PER_FORGETTING = 150
 QUIESCE_CHECK_S = 0.02
 MOVING_RETRY_S = 0.2
 _ABOUT_PROGRAM = (CallKind.END, CallKind.CANCEL, CallKind.SHOW)
@@ -91,6 +92,7 @@
         self._actions = ActionCalls(ports, reservations, table, lifetimes)
         self._control = ProgramControl(ports, table, lifetimes)
         self._quiescing: set[PartitionId] = set()
+        self._sweeps = 0
         self._sweeping: Timer = clock.callLater(SWEEP_INTERVAL_S, self._sweep)
 
     def close(self) -> None:
@@ -230,6 +232,9 @@
         self._sweeping = ports.clock.callLater(SWEEP_INTERVAL_S, self._sweep)
         ports.answers.expire()
         self._lifetimes.sweep()
+        self._sweeps += 1
+        if self._sweeps % SWEEPS_PER_FORGETTING == 0:
+            self._lifetimes.forget()
         if ports.cell.log_silent():
             return
         for record in ports.shares.idle(ports.clock.seconds()):
--- a/lycheestall/settings.py
+++ b/lycheestall/settings.py
@@ -110,6 +110,8 @@
         answer_retention_s: How long a finished answer can be fetched.
         rules_stale_s: Without news for this long, no new work is taken.
         program_idle_s: A program without a call for this long is ended.
+        program_keep_s: How long programs and idempotency keys are kept;
+            a program that is older is ended.
     """
 
     __pydantic_config__ = _STRICT
@@ -125,6 +127,7 @@
     answer_retention_s: float = 300.0
     rules_stale_s: float = 5.0
     program_idle_s: float = 1800.0
+    program_keep_s: float = 86400.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_program_owner.py
+++ b/tests/test_program_owner.py
@@ -638,6 +638,23 @@
     assert reason(sink.outcome) is Reason.PROGRAM_ENDED
 
 
+def test_old_programs_are_forgotten_and_ended(world: _World) -> None:
+    world.chat("a")
+    world.job.run()
+    for hour in range(1, 26):
+        world.clock.advance(3600.0)
+        world.chat("a", program=ProgramId(f"later-{hour}"))
+        world.job.run()
+    for _ in range(60):
+        world.chat("a", program=ProgramId(f"now-{_}"))
+        world.job.run()
+    world.clock.pump([2.0] * 200)
+    assert world.cell.ledger.forgotten_before_ms > NOW_MS
+    sink = world.order()
+    assert reason(sink.outcome) is Reason.KEY_UNPROVEN
+    assert not world.first.requests
+
+
 def test_cancel_ends_calls_at_once(world: _World) -> None:
     running = world.chat("a", number=CallNumber(1))
     world.job.accept()
