Check authority when an application's connection is open

Cause: between the check and the first byte of a plain call lay the time that opening the connection takes. Change: the owner passes a gate that clients ask right before they write; a closed gate means not sent, and the intent is voided.

--- a/lycheestall/action_base.py
+++ b/lycheestall/action_base.py
@@ -170,12 +170,18 @@
     ) -> ActionAnswer:
         """Sends the call to a runner, once."""
         try:
-            answer = await runner.application.call(self.request(key))
+            answer = await runner.application.call(
+                self.request(key), may_send=self._may_send
+            )
         except Exception as error:
             answer = ActionUnknown(f"the client failed: {error!r}")
         self.ports.applications.answered(runner.target, answer)
         return answer
 
+    def _may_send(self) -> bool:
+        """Asked by the client when the connection is open."""
+        return self.ports.cell.refusal(self.program.partition) is None
+
     def _leave_order(self, outcome: Outcome) -> None:
         number = self.call.number
         self.order.drop(number)
--- a/tests/_program_fakes.py
+++ b/tests/_program_fakes.py
@@ -43,11 +43,14 @@
 )
 from lycheestall.targets import (
     ActionAnswer,
+    ActionNotSent,
     ActionRequest,
     Application,
     EngineDone,
     LoadReport,
     LookupAnswer,
+    SendGate,
+    always,
 )
 
 LINE = RuleLine(7, "program * tokens 400", "pass crew")
@@ -226,9 +229,16 @@
     requests: list[ActionRequest] = field(default_factory=list)
     answers: list[Deferred[ActionAnswer]] = field(default_factory=list)
     record: LookupAnswer | None = None
+    connecting: Deferred[None] | None = None
     looked_up: list[IdempotencyKey] = field(default_factory=list)
 
-    async def call(self, request: ActionRequest) -> ActionAnswer:
+    async def call(
+        self, request: ActionRequest, *, may_send: SendGate = always
+    ) -> ActionAnswer:
+        if self.connecting is not None:
+            await self.connecting
+        if not may_send():
+            return ActionNotSent("stopped right before sending")
         self.requests.append(request)
         answer: Deferred[ActionAnswer] = Deferred()
         self.answers.append(answer)
--- a/tests/test_program_owner.py
+++ b/tests/test_program_owner.py
@@ -15,6 +15,7 @@
     FakeRules,
     FakeSink,
 )
+from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
 from lycheestall.application_picker import RotatingPicker, Runner
@@ -548,6 +549,16 @@
     assert isinstance(world.cell.written[-1], IntentVoided)
 
 
+def test_authority_lost_while_connecting_is_not_run(world: _World) -> None:
+    world.first.connecting = opened = Deferred()
+    sink = world.order()
+    world.cell.refused = MOVED
+    opened.callback(None)
+    assert isinstance(sink.outcome, Refused)
+    assert not world.first.requests and not world.second.requests
+    assert isinstance(world.cell.written[-1], IntentVoided)
+
+
 def test_a_runner_out_of_reach_is_replaced(world: _World) -> None:
     world.rules.attempts = 2
     sink = world.order()
