--- a/lycheestall/action_base.py
+++ b/lycheestall/action_base.py
@@ -7,13 +7,15 @@
 
 from .answers import AnswerKey
 from .application_picker import Runner
+from .call_facts import call_fact
 from .call_order import RunningCall
 from .calls import Call, ResponseHead
 from .ids import IdempotencyKey, RequestId, TargetId
-from .ledger import Spend
+from .ledger_program import Spend
+from .lifetimes import Lifetimes
 from .outcomes import Completed, Failed, Outcome, Refused
 from .owner_ports import OwnerPorts
-from .program import Program, call_fact
+from .program import Program
 from .program_table import ProgramTable
 from .reservations import Admitted, Reservations
 from .rule_book import ActionRule
@@ -36,6 +38,7 @@
     ports: OwnerPorts
     reservations: Reservations
     table: ProgramTable
+    lifetimes: Lifetimes
 
 
 class ActionBase(RunningCall):
@@ -98,10 +101,10 @@
 
     async def admit(self) -> Refused | None:
         """Reserves the call's price; returns why that fails."""
-        table = self.parts.table
-        refused = table.out_of_time(self.program)
+        lifetimes = self.parts.lifetimes
+        refused = lifetimes.out_of_time(self.program)
         if refused is not None:
-            table.end(self.program, refused.reason.value, refused)
+            lifetimes.end(self.program, refused.reason.value, refused)
             return refused
         bound = Spend(0, 1, self.rule.price_micros)
         result = await self.parts.reservations.admit(self.program, bound)
@@ -167,12 +170,18 @@
     ) -> ActionAnswer:
         """Sends the call to a runner, once."""
         try:
-            answer = await runner.application.call(self.request(key))
+            answer = await runner.application.call(
+                self.request(key), may_send=self._may_send
+            )
         except Exception as error:
             answer = ActionUnknown(f"the client failed: {error!r}")
         self.ports.applications.answered(runner.target, answer)
         return answer
 
+    def _may_send(self) -> bool:
+        """Asked by the client when the connection is open."""
+        return self.ports.cell.refusal(self.program.partition) is None
+
     def _leave_order(self, outcome: Outcome) -> None:
         number = self.call.number
         self.order.drop(number)
@@ -197,12 +206,17 @@
         self.admitted = None
 
     def _head(self, answer: ActionDone) -> ResponseHead:
+        receipt = self.program.receipt(
+            self.call.program,
+            epoch=self.ports.cell.epoch_of(self.program.partition),
+        )
         return ResponseHead(
             answer.status,
             (
                 ("content-type", answer.content_type),
                 ("lycheestall-program", self.call.program),
                 ("lycheestall-call", str(self.call.number)),
+                ("lycheestall-receipt", self.ports.signer.sign(receipt)),
                 ("lycheestall-outcome", "completed"),
             ),
         )
--- a/lycheestall/chat_calls.py
+++ b/lycheestall/chat_calls.py
@@ -2,26 +2,29 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from hashlib import sha256
 
 from ._refusals import order_refusal, receipt_required
 from .answers import AnswerKey
 from .call_order import NoHandle
-from .calls import Call, CallHandle, CallSink
+from .calls import Call, CallHandle, CallKind, CallSink
 from .chat_body import BadBody, ChatBody, parse_chat
 from .chat_run import ChatParts, ChatRun
 from .history import ASSISTANT
 from .ids import CallNumber
+from .lifetimes import Lifetimes
 from .outcomes import Failed, Reason, Refused, Step
 from .owner_ports import OwnerPorts
 from .program import Agent, Program
-from .program_table import ProgramTable
 from .receipts import BadReceipt, Receipt
 from .reservations import Reservations
 from .sequencer import Attach, Go, Offer
 
 __all__ = ["ChatCalls"]
 
+NO_BODY = ChatBody((), 1, 1, b"")
+
 
 class ChatCalls:
     """Starts chat calls.
@@ -29,17 +32,17 @@
     Args:
         ports: What the owner's side is plugged into.
         reservations: Clears calls against budgets and limits.
-        table: The live programs.
+        lifetimes: Ends programs at their limits.
     """
 
     def __init__(
         self,
         ports: OwnerPorts,
         reservations: Reservations,
-        table: ProgramTable,
+        lifetimes: Lifetimes,
     ) -> None:
         self._ports = ports
-        self._parts = ChatParts(ports, reservations, table)
+        self._parts = ChatParts(ports, reservations, lifetimes)
 
     def start(
         self, call: Call, program: Program, sink: CallSink
@@ -70,6 +73,38 @@
             return _refuse(sink, refused)
         return self._begin(call, program, agent, body, offer, sink)
 
+    def take_up(
+        self, call: Call, program: Program, sink: CallSink
+    ) -> CallHandle | None:
+        """Goes on with the stream of a call whose owner was lost.
+
+        Args:
+            call: A resume call with the receipt from the stream's head.
+            program: Its top-level program.
+            sink: Where the rest of the answer goes.
+
+        Returns:
+            None when the receipt names no stream to take up.
+        """
+        receipt = self._ports.signer.verify(call.receipt)
+        agent = program.agent(call.program)
+        if isinstance(receipt, BadReceipt) or not receipt.request:
+            return None
+        owner = (receipt.account, receipt.program, receipt.point.number)
+        if owner != (call.account, call.program, call.number):
+            return None
+        if program.proven or agent.history.points:
+            return None
+        agent.order.sequencer.expected = call.number
+        offer = agent.order.offer(call.number, receipt.point.digest)
+        if not isinstance(offer, Go):
+            return None
+        call = replace(call, kind=CallKind.CHAT, streamed=True)
+        run = ChatRun(self._parts, call, program, agent, NO_BODY, call.number)
+        reader = run.answer.attach(sink, call.resume_from)
+        run.take_up(receipt)
+        return reader
+
     def _begin(
         self,
         call: Call,
@@ -136,9 +171,13 @@
         owner = (receipt.account, receipt.program)
         if owner != (call.account, call.program):
             return receipt_required("the receipt is another program's")
-        agent.history.adopt(receipt.point)
+        point = receipt.point
+        if point.messages:
+            agent.history.adopt(point)
         sequencer = agent.order.sequencer
-        sequencer.expected = max(sequencer.expected, receipt.point.number + 1)
+        again = not point.answered and call.number == point.number
+        first = point.number if again else receipt.number + 1
+        sequencer.expected = max(sequencer.expected, first)
         program.turns = max(program.turns, receipt.turn)
         budget = program.budget
         budget.spent = budget.spent.at_least(receipt.spend)
--- a/lycheestall/node.py
+++ b/lycheestall/node.py
@@ -333,9 +333,8 @@
         self.applications.update(listing)
         self.cell.observe_vms(listing)
 
-    def _is_live(self, root: ProgramId) -> bool:
-        program = self.ledger.program_by_id.get(root)
-        return program is not None and not program.ended
+    def _is_live(self, name: ProgramId) -> bool:
+        return self.ledger.lives(name) or self.owner.lives(name)
 
     def _up_to_date(self) -> bool:
         return self.cell.has_authority() and not self.cell.log_silent()
--- a/lycheestall/program_ids.py
+++ b/lycheestall/program_ids.py
@@ -23,6 +23,7 @@
     "issued_ms_of",
     "ledger_id",
     "origin_of",
+    "root_in_ledger",
 ]
 
 NONCE_BYTES = 8
@@ -62,14 +63,12 @@
     """Returns when an id says it was issued, unchecked.
 
     Args:
-        program: A program id, or its form in the log.
+        program: A program id; only its top level counts.
 
     Returns:
         Milliseconds since 1970; None for a chosen id.
     """
-    _, separator, name = program.partition(":")
-    match = _ISSUED.fullmatch(root_of(ProgramId(name)) if separator else "")
-    match = match or _ISSUED.fullmatch(root_of(program))
+    match = _ISSUED.fullmatch(root_of(program))
     return None if match is None else int(match.group(1), 16)
 
 
@@ -105,6 +104,15 @@
     return ProgramId(f"{quote(account, safe='')}:{root_of(program)}")
 
 
+def root_in_ledger(name: ProgramId) -> ProgramId:
+    """Returns the top-level program's id in its form in the log.
+
+    Args:
+        name: What ``ledger_id`` returned.
+    """
+    return ProgramId(name.partition(":")[2])
+
+
 def engine_id(account: AccountId, program: ProgramId) -> ProgramId:
     """Returns a program's name towards engines, sub-agent's path included.
 
--- a/lycheestall/program_owner.py
+++ b/lycheestall/program_owner.py
@@ -16,8 +16,9 @@
 from .chat_calls import ChatCalls
 from .clock import Clock, Timer
 from .dispatch import ChatDispatcher
-from .ids import Offset, PartitionId
+from .ids import Offset, PartitionId, ProgramId
 from .ledger import Ledger
+from .lifetimes import Lifetimes
 from .outcomes import Outcome, Reason, Refused, Step
 from .owner_ports import OwnerPorts
 from .partitions import partition_of
@@ -31,6 +32,7 @@
 __all__ = ["ProgramOwner"]
 
 SWEEP_INTERVAL_S = 2.0
+SWEEPS_PER_FORGETTING = 150
 QUIESCE_CHECK_S = 0.02
 MOVING_RETRY_S = 0.2
 _ABOUT_PROGRAM = (CallKind.END, CallKind.CANCEL, CallKind.SHOW)
@@ -85,10 +87,12 @@
         self._partitions = partitions
         reservations = Reservations(ports)
         self._table = table = ProgramTable(ports, reservations)
-        self._chats = ChatCalls(ports, reservations, table)
-        self._actions = ActionCalls(ports, reservations, table)
-        self._control = ProgramControl(ports, table)
+        self._lifetimes = lifetimes = Lifetimes(ports, table)
+        self._chats = ChatCalls(ports, reservations, lifetimes)
+        self._actions = ActionCalls(ports, reservations, table, lifetimes)
+        self._control = ProgramControl(ports, table, lifetimes)
         self._quiescing: set[PartitionId] = set()
+        self._sweeps = 0
         self._sweeping: Timer = clock.callLater(SWEEP_INTERVAL_S, self._sweep)
 
     def close(self) -> None:
@@ -100,6 +104,14 @@
         """Returns how many programs are live here."""
         return sum(1 for _ in self._table)
 
+    def lives(self, name: ProgramId) -> bool:
+        """Returns whether a top-level program is live here.
+
+        Args:
+            name: Its form in the log.
+        """
+        return self._table.lives(name)
+
     def in_flight(self) -> int:
         """Returns how many calls are held or under way here."""
         return sum(len(program.run_by_key) for program in self._table)
@@ -192,15 +204,20 @@
         answer = self._ports.answers.find(key)
         if answer is not None:
             return answer.attach(sink, call.resume_from)
-        return _finish(
-            sink,
-            Refused(
-                Step.RESUME,
-                Reason.ANSWER_GONE,
-                detail="no answer of this call is kept here",
-                needs="the call again, under its number",
-            ),
-        )
+        return self._take_up(call, sink) or _finish(sink, _answer_gone())
+
+    def _take_up(self, call: Call, sink: CallSink) -> CallHandle | None:
+        """Asks the engine for a stream that a lost owner had begun."""
+        partition = partition_of(call.account, call.program, self._partitions)
+        refused = self._refusal(partition)
+        if refused is not None:
+            return _finish(sink, refused)
+        if not call.receipt or not self._table.knows(call):
+            return None
+        program = self._table.get(call, partition)
+        if isinstance(program, Refused):
+            return _finish(sink, program)
+        return self._chats.take_up(call, program, sink)
 
     def _ended(
         self, call: Call, refused: Refused, sink: CallSink
@@ -215,7 +232,10 @@
         ports = self._ports
         self._sweeping = ports.clock.callLater(SWEEP_INTERVAL_S, self._sweep)
         ports.answers.expire()
-        self._table.sweep()
+        self._lifetimes.sweep()
+        self._sweeps += 1
+        if self._sweeps % SWEEPS_PER_FORGETTING == 0:
+            self._lifetimes.forget()
         if ports.cell.log_silent():
             return
         for record in ports.shares.idle(ports.clock.seconds()):
@@ -242,3 +262,13 @@
         Reason.PROGRAM_UNKNOWN,
         detail="no program of this id is open or kept",
     )
+
+
+def _answer_gone() -> Refused:
+    return Refused(
+        Step.RESUME,
+        Reason.ANSWER_GONE,
+        detail="no answer of this call is kept here",
+        needs="the call again under its number, or the receipt from the "
+        "head of its stream",
+    )
