--- /dev/null
+++ b/lycheestall/_slopes_state.py
@@ -0,0 +1,210 @@
+"""Costs of the folded state, by programs and by accounts."""
+
+from __future__ import annotations
+
+from ._slopes_probe import Reading, cpu_us, resident_bytes
+from .cell_fold import CellFold
+from .codec import decode_record, encode_record
+from .ids import (
+    AccountId,
+    IdempotencyKey,
+    Offset,
+    PartitionId,
+    ProgramId,
+    SessionId,
+    TargetId,
+    VmId,
+    ZoneId,
+)
+from .ledger import Ledger
+from .portions import Portions
+from .program_ids import issue_program_id, ledger_id
+from .records import (
+    BudgetDrawn,
+    IntentRecorded,
+    OutcomeRecorded,
+    PartitionClaimed,
+    PortionReturned,
+    PortionTaken,
+    ProgramEnded,
+    ProgramOpened,
+    Record,
+    RecordBody,
+    SessionJoined,
+)
+
+__all__ = [
+    "RECORDS_PER_PROGRAM",
+    "measure_checkpoint",
+    "measure_fold",
+    "measure_portions",
+    "measure_programs",
+]
+
+SESSION = SessionId("vm-00000.1700000000000.abcd1234")
+PARTITION = PartitionId(0)
+EPOCH = Offset(1)
+DRAWS_PER_PROGRAM = 4
+RECORDS_PER_PROGRAM = DRAWS_PER_PROGRAM + 4
+ANSWER = b'{"order": "0123456789", "state": "placed"}'
+WINDOWS = 3
+ACCOUNTS_NAME = "account-{:04}"
+
+
+class _Folded:
+    """A cell's fold with one member that owns one partition."""
+
+    def __init__(self) -> None:
+        self.fold = CellFold(Ledger(), Portions())
+        self._sequence = 0
+        joined = SessionJoined(
+            VmId("vm-00000"), ZoneId("z"), "10.0.0.1", 1, "0"
+        )
+        self.write(joined)
+        self.write(PartitionClaimed(PARTITION, Offset(-1)))
+
+    def record(self, body: RecordBody) -> Record:
+        """Returns the member's next record."""
+        self._sequence += 1
+        return Record(SESSION, self._sequence, body)
+
+    def write(self, body: RecordBody) -> None:
+        """Folds the member's next record."""
+        record = self.record(body)
+        offset = Offset(self._sequence - 1)
+        assert self.fold.apply(offset, record).accepted, body
+
+    def read(self, payloads: list[bytes]) -> None:
+        """Decodes and folds records, as a reader does."""
+        offset = self.fold.as_of
+        for payload in payloads:
+            offset = Offset(offset + 1)
+            record = decode_record(payload)
+            assert isinstance(record, Record)
+            assert self.fold.apply(offset, record).accepted, record
+
+
+def _bodies(number: int, *, ended: bool) -> list[RecordBody]:
+    """Returns all records of one program's life."""
+    program = _program(number)
+    key = IdempotencyKey(f"order-{number}")
+    account = AccountId(ACCOUNTS_NAME.format(number % 310))
+    bodies: list[RecordBody] = [
+        ProgramOpened(program, account, "planning", PARTITION, EPOCH, 1)
+    ]
+    for draw in range(1, DRAWS_PER_PROGRAM + 1):
+        tokens, calls = 150_000 * draw, 20 * draw
+        bodies.append(
+            BudgetDrawn(program, PARTITION, EPOCH, tokens, calls, 3_000_000)
+        )
+    bodies.append(
+        IntentRecorded(
+            program,
+            PARTITION,
+            EPOCH,
+            key,
+            bytes(32),
+            TargetId("orders-1"),
+            7,
+        )
+    )
+    bodies.append(
+        OutcomeRecorded(program, key, 201, "application/json", ANSWER, True)
+    )
+    if ended:
+        bodies.append(ProgramEnded(program, PARTITION, EPOCH, "ended"))
+    return bodies
+
+
+def _program(number: int) -> ProgramId:
+    account = AccountId(ACCOUNTS_NAME.format(number % 310))
+    issued = issue_program_id(
+        account=account,
+        issued_ms=1_700_000_000_000 + number,
+        nonce=number.to_bytes(8),
+        key=b"k" * 16,
+    )
+    return ledger_id(account, issued)
+
+
+def _filled(programs: int) -> CellFold:
+    state = _Folded()
+    for number in range(programs):
+        for body in _bodies(number, ended=False):
+            state.write(body)
+    return state.fold
+
+
+def measure_programs(programs: int) -> Reading:
+    """Returns what the folded state of live programs keeps in memory.
+
+    Args:
+        programs: Live top-level programs of the cell, each with one
+            non-idempotent call.
+    """
+    return Reading(resident_bytes=resident_bytes(lambda: _filled(programs)))
+
+
+def measure_fold(programs: int) -> Reading:
+    """Returns what reading all records of whole programs costs.
+
+    Args:
+        programs: Programs, ``RECORDS_PER_PROGRAM`` records each.
+    """
+    source = _Folded()
+    payloads: list[bytes] = []
+    for number in range(programs):
+        for body in _bodies(number, ended=True):
+            payloads.append(encode_record(source.record(body)))
+    states = [_Folded() for _ in range(3)]
+    cost = cpu_us(lambda: states.pop().read(payloads), repeats=len(states))
+    return Reading(cpu_us=cost, wire_bytes=sum(map(len, payloads)))
+
+
+def measure_checkpoint(programs: int) -> Reading:
+    """Returns what writing and loading a checkpoint costs.
+
+    Args:
+        programs: Live programs in the state.
+    """
+    fold = _filled(programs)
+    data = fold.dump()
+    other = CellFold(Ledger(), Portions())
+
+    def run() -> None:
+        fold.dump()
+        other.load(data)
+
+    return Reading(cpu_us=cpu_us(run, repeats=2), wire_bytes=len(data))
+
+
+def measure_portions(accounts: int) -> Reading:
+    """Returns what taking and returning budget portions costs.
+
+    Args:
+        accounts: Accounts, each with one portion taken and returned in
+            each of some time windows.
+    """
+    payloads: list[bytes] = []
+    source = _Folded()
+    for window in range(1, WINDOWS + 1):
+        for number in range(accounts):
+            account = AccountId(ACCOUNTS_NAME.format(number))
+            name = "calls-per-60000ms"
+            taken = PortionTaken(account, name, window, 100, 600)
+            back = PortionReturned(account, name, window, 40)
+            for body in (taken, back):
+                payloads.append(encode_record(source.record(body)))
+    states = [_Folded() for _ in range(3)]
+    cost = cpu_us(lambda: states.pop().read(payloads), repeats=len(states))
+    state = _Folded()
+
+    def build() -> object:
+        state.read(payloads)
+        return state
+
+    return Reading(
+        cpu_us=cost / WINDOWS,
+        wire_bytes=sum(map(len, payloads)) / WINDOWS,
+        resident_bytes=resident_bytes(build),
+    )
