--- a/lycheestall/_scope_index.py
+++ b/lycheestall/_scope_index.py
@@ -10,6 +10,8 @@
 
 RuleT = TypeVar("RuleT")
 
+_CACHE_ENTRIES = 65_536
+
 
 def _candidates(scope: Scope) -> list[Scope]:
     """Lists the scopes that cover one, the most specific first.
@@ -85,10 +87,15 @@
 
 
 class TargetIndex(Generic[RuleT]):
-    """Rules by target, by group and about every target."""
+    """Rules by target, by group and about every target.
+
+    What is found for a target is kept, since schedulers ask about every
+    target for every call.
+    """
 
     def __init__(self) -> None:
         self._rules_by_scope: dict[TargetScope, list[RuleT]] = {}
+        self._found_by_target: dict[tuple[str, str], tuple[RuleT, ...]] = {}
 
     def add(self, scope: TargetScope, rule: RuleT) -> None:
         """Takes a rule.
@@ -98,6 +105,7 @@
             rule: The rule.
         """
         self._rules_by_scope.setdefault(scope, []).append(rule)
+        self._found_by_target.clear()
 
     def find(self, target: str, group: str) -> RuleT | None:
         """Returns the last rule of the most specific scope, or None.
@@ -106,20 +114,30 @@
             target: The target.
             group: Its group.
         """
-        for rule in self.find_all(target, group):
-            return rule
-        return None
+        found = self.find_all(target, group)
+        return found[0] if found else None
 
-    def find_all(self, target: str, group: str) -> list[RuleT]:
+    def find_all(self, target: str, group: str) -> tuple[RuleT, ...]:
         """Returns all rules about a target, the most specific first.
 
         Args:
             target: The target.
             group: Its group.
         """
+        if not self._rules_by_scope:
+            return ()
+        key = (target, group)
+        found = self._found_by_target.get(key)
+        if found is None:
+            if len(self._found_by_target) >= _CACHE_ENTRIES:
+                self._found_by_target.clear()
+            found = self._found_by_target[key] = self._search(target, group)
+        return found
+
+    def _search(self, target: str, group: str) -> tuple[RuleT, ...]:
         scopes = [TargetScope(target=target), TargetScope(group=group)]
         scopes.append(TargetScope())
         found: list[RuleT] = []
         for scope in dict.fromkeys(scopes):
             found.extend(reversed(self._rules_by_scope.get(scope, [])))
-        return found
+        return tuple(found)
--- a/lycheestall/_slopes_rules.py
+++ b/lycheestall/_slopes_rules.py
@@ -27,6 +27,7 @@
 ]
 
 ACCOUNTS = 310
+ACCOUNT_RULES = 3_000
 LOOKUPS = 2_000
 PUBLICATIONS = 3
 _PATTERNS = (
@@ -143,9 +144,11 @@
     """Returns what all lookups of one call cost.
 
     Args:
-        accounts: Accounts that the 3,000 rules of the file are about.
+        accounts: Accounts that the file's rules are about.
     """
-    rules = MatchedRules(_parsed(_text(3_000, seed=0, accounts=accounts)))
+    rules = MatchedRules(
+        _parsed(_text(ACCOUNT_RULES, seed=0, accounts=accounts))
+    )
     serials = iter(range(10))
     return Reading(
         cpu_us=cpu_us(
--- a/lycheestall/_slopes_state.py
+++ b/lycheestall/_slopes_state.py
@@ -18,7 +18,7 @@
 )
 from .ledger import Ledger
 from .portions import Portions
-from .program_ids import issue_program_id, ledger_id
+from .program_ids import ledger_id
 from .records import (
     BudgetDrawn,
     IntentRecorded,
@@ -84,7 +84,9 @@
             assert self.fold.apply(offset, record).accepted, record
 
 
-def _bodies(number: int, *, ended: bool) -> list[RecordBody]:
+def _bodies(
+    number: int, *, ended: bool, draws: int = DRAWS_PER_PROGRAM
+) -> list[RecordBody]:
     """Returns all records of one program's life."""
     program = _program(number)
     key = IdempotencyKey(f"order-{number}")
@@ -92,7 +94,7 @@
     bodies: list[RecordBody] = [
         ProgramOpened(program, account, "planning", PARTITION, EPOCH, 1)
     ]
-    for draw in range(1, DRAWS_PER_PROGRAM + 1):
+    for draw in range(1, draws + 1):
         tokens, calls = 150_000 * draw, 20 * draw
         bodies.append(
             BudgetDrawn(program, PARTITION, EPOCH, tokens, calls, 3_000_000)
@@ -118,19 +120,14 @@
 
 def _program(number: int) -> ProgramId:
     account = AccountId(ACCOUNTS_NAME.format(number % 310))
-    issued = issue_program_id(
-        account=account,
-        issued_ms=1_700_000_000_000 + number,
-        nonce=number.to_bytes(8),
-        key=b"k" * 16,
-    )
-    return ledger_id(account, issued)
+    issued = f"pr-{number + 1_700_000_000_000:012x}-{number:016x}-{0:024x}"
+    return ledger_id(account, ProgramId(issued))
 
 
 def _filled(programs: int) -> CellFold:
     state = _Folded()
     for number in range(programs):
-        for body in _bodies(number, ended=False):
+        for body in _bodies(number, ended=False, draws=1):
             state.write(body)
     return state.fold
 
--- a/lycheestall/bench_slopes.py
+++ b/lycheestall/bench_slopes.py
@@ -19,10 +19,11 @@
     measure_append,
     measure_chunk_frame,
     measure_forward_frame,
+    measure_load_frame,
     measure_placement,
-    measure_relay,
 )
 from ._slopes_probe import Reading
+from ._slopes_relay import measure_relay
 from ._slopes_rules import (
     measure_lookup,
     measure_publication,
@@ -119,6 +120,7 @@
         (1_000, 10_000, 100_000),
         measure_forward_frame,
     ),
+    Measure("load_frame", "report", (1, 10, 100), measure_load_frame),
     Measure("relay", "chunk", (1, 10, 100), measure_relay),
 )
 
@@ -197,15 +199,19 @@
 @json_option
 def slopes_command(only: tuple[str, ...], as_json_output: bool) -> None:
     """Measures costs per member, program, record, rule, target, chunk."""
-    structlog.configure(
-        wrapper_class=structlog.make_filtering_bound_logger(logging.ERROR)
-    )
     names = {measure.name for measure in MEASURES}
     for name in only:
         if name not in names:
             raise click.BadParameter(f"no measure {name}; one of {names}")
     wanted = [m for m in MEASURES if not only or m.name in only]
-    slopes = run_slopes(wanted)
+    before = structlog.get_config()
+    structlog.configure(
+        wrapper_class=structlog.make_filtering_bound_logger(logging.ERROR)
+    )
+    try:
+        slopes = run_slopes(wanted)
+    finally:
+        structlog.configure(**before)
     if as_json_output:
         click.echo(as_json({"slopes": [asdict(slope) for slope in slopes]}))
         return
--- a/lycheestall/rules_match.py
+++ b/lycheestall/rules_match.py
@@ -2,11 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-from typing import Generic, TypeVar
-
 from . import rules_text as text
 from ._account_limits import AccountLimits
+from ._answer_cache import AnswerCache
 from ._operation_index import OperationIndex
 from ._quiet_times import QuietTimes
 from ._rule_defaults import (
@@ -35,28 +33,10 @@
 __all__ = ["EMPTY_RULES", "MatchedRules"]
 
 _MS_PER_S = 1000
-_CACHE_ENTRIES = 16_384
 _NO_APPLICATION = TargetId("")
 
-KeyT = TypeVar("KeyT")
-ValueT = TypeVar("ValueT")
 _Found = tuple[RuleLine, int]
-
-
-class _Cache(Generic[KeyT, ValueT]):
-    """Answers by question; emptied when it has grown too large."""
-
-    def __init__(self) -> None:
-        self._value_by_key: dict[KeyT, ValueT] = {}
-
-    def get(self, key: KeyT, make: Callable[[], ValueT]) -> ValueT:
-        value = self._value_by_key.get(key)
-        if value is not None:
-            return value
-        if len(self._value_by_key) >= _CACHE_ENTRIES:
-            self._value_by_key.clear()
-        value = self._value_by_key[key] = make()
-        return value
+_Pair = tuple[str, str]
 
 
 class MatchedRules(RuleBook):
@@ -82,9 +62,14 @@
             words = print_statement(rule.statement)
             line = RuleLine(rule.number, words, rule.member)
             self._add(rule.statement, line)
-        self._program_cache: _Cache[Scope, ProgramLimits] = _Cache()
-        self._share_cache: _Cache[Scope, ShareRule] = _Cache()
-        self._action_cache: _Cache[tuple[str, str], ActionRule] = _Cache()
+        self._program_cache: AnswerCache[Scope, ProgramLimits] = AnswerCache()
+        self._share_cache: AnswerCache[Scope, ShareRule] = AnswerCache()
+        self._action_cache: AnswerCache[tuple[str, str], ActionRule] = (
+            AnswerCache()
+        )
+        self._target_cache: AnswerCache[tuple[str, str], TargetRule] = (
+            AnswerCache()
+        )
 
     def _add(self, statement: Statement, line: RuleLine) -> None:
         self._quiet.add(statement, line)
@@ -248,6 +233,11 @@
 
     def target(self, target: TargetId, group: str) -> TargetRule:
         """Returns how a target is treated; its line is fencing's if any."""
+        return self._target_cache.get(
+            (target, group), lambda: self._target(target, group)
+        )
+
+    def _target(self, target: TargetId, group: str) -> TargetRule:
         concurrency = self._concurrency.find(target, group)
         fencing = self._fencing.find(target, group)
         line = default_line("every target ignores fencing numbers")
--- a/lycheestall/rules_printing.py
+++ b/lycheestall/rules_printing.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from decimal import Decimal
+from functools import lru_cache
 
 from . import rules_text as text
 from .rules_text import Money, RuleFile, Scope, Statement, TargetScope
@@ -20,6 +21,7 @@
     "s": 1_000,
     "ms": 1,
 }
+_CACHE_ENTRIES = 65_536
 _MICROS = 1_000_000
 _MINUTES_PER_HOUR = 60
 
@@ -108,6 +110,7 @@
     )
 
 
+@lru_cache(maxsize=_CACHE_ENTRIES)
 def print_statement(rule: Statement) -> str:
     """Returns a rule in the rules language, without its comment.
 
