--- a/lycheestall/_slopes_path.py
+++ b/lycheestall/_slopes_path.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+import json
 from typing import Any
 
+from twisted.internet.defer import ensureDeferred
 from twisted.internet.task import Clock
+from twisted.web.http_headers import Headers
 
+from ._http_client import HttpAnswer, HttpClient
 from ._slopes_probe import MemoryLog, Reading, cpu_us
 from .calls import (
     Call,
@@ -32,9 +36,11 @@
 )
 from .log_writer import LogWriter
 from .messages import CallChunk, CallForwarded, Heartbeat, NewestOffset
+from .platform import VmEntry, VmListing, VmRole
 from .records import IntentRecorded, Record
 from .rules_match import EMPTY_RULES
 from .targets import EngineDone, LoadReport
+from .vm_list_http import HttpVmList, vm_fields
 
 __all__ = [
     "forwarded_call",
@@ -43,6 +49,7 @@
     "measure_forward_frame",
     "measure_load_frame",
     "measure_placement",
+    "measure_vm_list",
 ]
 
 MOST_JOBS = 20
@@ -151,6 +158,46 @@
     return Reading(cpu_us=cost, wire_bytes=wire)
 
 
+class _ListClient(HttpClient):
+    """Answers each request with one body."""
+
+    def __init__(self, body: bytes) -> None:
+        self._body = body
+
+    async def request(self, *_: Any, **__: Any) -> HttpAnswer:
+        """Answers."""
+        return HttpAnswer(200, Headers(), self._body)
+
+
+def measure_vm_list(entries: int) -> Reading:
+    """Returns what one fetch of the platform's VM list costs.
+
+    Args:
+        entries: VMs and targets on the list.
+    """
+    items = [
+        vm_fields(
+            VmEntry(
+                VmId(f"engine-{number:05}"),
+                VmRole.ENGINE,
+                ZoneId("guj-west-bhuj-a"),
+                "10.120.130.140",
+                8_080,
+                group="planning",
+            )
+        )
+        for number in range(entries)
+    ]
+    body = json.dumps({"version": 7, "vms": items}).encode()
+    vm_list = HttpVmList(_ListClient(body), "http://10.0.0.1")
+
+    def run() -> None:
+        done = ensureDeferred(vm_list.fetch())
+        assert isinstance(done.result, VmListing)
+
+    return Reading(cpu_us=cpu_us(run), wire_bytes=len(body))
+
+
 def measure_chunk_frame(size: int) -> Reading:
     """Returns what one chunk's frame costs, encoded and decoded.
 
--- a/lycheestall/bench_slopes.py
+++ b/lycheestall/bench_slopes.py
@@ -21,6 +21,7 @@
     measure_forward_frame,
     measure_load_frame,
     measure_placement,
+    measure_vm_list,
 )
 from ._slopes_probe import Reading
 from ._slopes_relay import measure_relay
@@ -112,6 +113,7 @@
     Measure(
         "placement", "target", (10, 100, 1_000, 10_000), measure_placement
     ),
+    Measure("vm_list", "entry", (10, 1_000, 10_000), measure_vm_list),
     Measure("append", "record", (1, 10, 100, 500), measure_append),
     Measure("chunk_frame", "byte", (64, 512, 4_096), measure_chunk_frame),
     Measure(
