--- a/lycheestall/cache_estimate.py
+++ b/lycheestall/cache_estimate.py
@@ -143,7 +143,7 @@
 
     def ended(self, root: ProgramId) -> None:
         """Drops an own program and its sub-agents, whose memory is freed."""
-        for program in self._programs_by_root.pop(root, ()):
+        for program in sorted(self._programs_by_root.pop(root, ())):
             for cache in self._cache_by_target.values():
                 self._remove(cache, program)
 
--- a/lycheestall/engine_memory.py
+++ b/lycheestall/engine_memory.py
@@ -41,7 +41,7 @@
 
     def ended(self, root: ProgramId, now: float) -> list[ReleaseMemory]:
         """Ends a program's leases and returns the releases to ask for."""
-        for target in self._targets_by_root.pop(root, ()):
+        for target in sorted(self._targets_by_root.pop(root, ())):
             self._due_by_release[(target, root)] = now
         return self.due(now)
 
@@ -50,7 +50,7 @@
     ) -> list[ReleaseMemory]:
         """Ends the leases on all engines but the one it moved to."""
         held = self._targets_by_root.get(root, set())
-        for other in held - {target}:
+        for other in sorted(held - {target}):
             held.discard(other)
             self._due_by_release[(other, root)] = now
         return self.due(now)
