Keep the last of the memory for accounts below their share

Change: accounts that hold more than the mean by weight may fill 80 per cent of an engine, others 95; a cold job that found no room is not overtaken by larger ones or by accounts that hold more; the hold lasts up to 120 s; workload 'shared' is 'greedy' with a fair offer.

--- a/lycheestall/_engine_choice.py
+++ b/lycheestall/_engine_choice.py
@@ -17,8 +17,11 @@
 
 NO_TARGET_RETRY_S = 2.0
 ALONE_RETRY_S = 10.0
-HOLD_S = 60.0
+HOLD_S = 120.0
 WARM_EXTRA = 4.0
+ROOM_SHARE = 0.95
+GREEDY_ROOM_SHARE = 0.8
+ACTIVE_S = 60.0
 
 
 class EngineChoice:
@@ -45,6 +48,9 @@
         self._wall_ms = wall_ms
         self._cell_size = cell_size
         self._entry_by_target: dict[TargetId, EngineEntry] = {}
+        self._blocked_tokens: int | None = None
+        self._blocked_use = 0.0
+        self._weight_by_account: dict[AccountId, tuple[float, float]] = {}
 
     def set_engines(self, entries: Iterable[EngineEntry], now: float) -> None:
         """Takes the engines; new and returning ones start slowly."""
@@ -115,17 +121,59 @@
             return second
         return None
 
+    def begin_poll(self) -> None:
+        """Forgets which cold jobs found no room in the last poll."""
+        self._blocked_tokens = None
+        self._blocked_use = 0.0
+
     def _with_room(
         self, job: ScheduledJob, targets: list[TargetId], now: float
     ) -> list[TargetId]:
-        """Keeps a program that is cached nowhere from evicting others."""
+        """Keeps a program that is cached nowhere from evicting others.
+
+        Once a cold job has found no room, no larger one and none of an
+        account that holds more memory for its weight may overtake it.
+        """
+        placement = self._parts.placement
         if now - job.submitted_s > HOLD_S:
             return targets
-        placement = self._parts.placement
         if placement.warm_s(job.job, targets):
             return targets
-        has_room = placement.has_room
-        return [t for t in targets if has_room(job.key, job.job, t)]
+        use = self._memory_use(job.job, now)
+        tokens = job.job.prompt_tokens
+        if self._blocked_tokens is not None and (
+            tokens >= self._blocked_tokens or use > self._blocked_use
+        ):
+            return []
+        part = ROOM_SHARE
+        if use > self._mean_memory_use(now):
+            part = GREEDY_ROOM_SHARE
+        roomy = [
+            target
+            for target in targets
+            if placement.has_room(job.key, job.job, target, share=part)
+        ]
+        if not roomy:
+            self._blocked_tokens = tokens
+            self._blocked_use = use
+        return roomy
+
+    def _memory_use(self, job: ChatJob, now: float) -> float:
+        """Returns the memory an account's programs hold, by weight."""
+        share = self._rules().share(job.account, job.program_class)
+        self._weight_by_account[job.account] = (share.weight, now)
+        held = self._parts.cache.account_tokens(job.account)
+        return held / share.weight
+
+    def _mean_memory_use(self, now: float) -> float:
+        """Returns the memory use by weight over the active accounts."""
+        held, weights = 0.0, 0.0
+        for account, (weight, seen_s) in self._weight_by_account.items():
+            if now - seen_s > ACTIVE_S:
+                continue
+            held += self._parts.cache.account_tokens(account)
+            weights += weight
+        return held / weights if weights else 0.0
 
     def _live(self, job: ChatJob) -> list[TargetId]:
         return [
--- a/lycheestall/_scheduler_parts.py
+++ b/lycheestall/_scheduler_parts.py
@@ -83,6 +83,7 @@
         self.cache.answered(
             target,
             job.job.program,
+            account=job.job.account,
             tokens=result.tokens_in + result.tokens_out,
             cached_tokens=result.cached_tokens,
             now=now,
--- a/lycheestall/bench_workloads.py
+++ b/lycheestall/bench_workloads.py
@@ -121,7 +121,7 @@
     },
 }
 
-WORKLOAD_NAMES = (*_SHARE_BY_KIND, "greedy")
+WORKLOAD_NAMES = (*_SHARE_BY_KIND, "shared", "greedy")
 MEAN_SAMPLE = 200
 BURST_MEAN = 4.0
 GREEDY_FACTOR = 3.0
@@ -139,9 +139,10 @@
     """Draws the programs of one run, in order of arrival.
 
     Args:
-        name: One of ``WORKLOAD_NAMES``. ``greedy`` is the mixed load at
-            half of ``load`` beside an account that offers quotations at
-            ``GREEDY_FACTOR`` times the other half.
+        name: One of ``WORKLOAD_NAMES``. ``shared`` is the mixed load
+            at half of ``load`` beside an account that offers quotations
+            at the other half; in ``greedy`` that account offers
+            ``GREEDY_FACTOR`` times as much.
         seed: Decides everything drawn.
         load: Offered work as a share of what the engines can do: of
             their time at full batches, or of the memory that keeps every
@@ -150,7 +151,7 @@
         engines: How many engines.
         costs: What each engine can do.
     """
-    if name == "greedy":
+    if name in ("shared", "greedy"):
         half = load / 2
         fair = draw_workload(
             "mixed",
@@ -162,7 +163,7 @@
         )
         extra = draw_greedy(
             seed=seed,
-            load=half * GREEDY_FACTOR,
+            load=half * (GREEDY_FACTOR if name == "greedy" else 1.0),
             horizon_s=horizon_s,
             engines=engines,
             costs=costs,
--- a/lycheestall/cache_estimate.py
+++ b/lycheestall/cache_estimate.py
@@ -8,9 +8,10 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass, field
 
-from .ids import ProgramId, TargetId, root_of
+from .ids import AccountId, ProgramId, TargetId, root_of
 from .targets import CacheEvents
 
 __all__ = ["CacheEstimate"]
@@ -59,13 +60,16 @@
     def __init__(self) -> None:
         """Starts with nothing known."""
         self._cache_by_target: dict[TargetId, _EngineCache] = {}
-        self._programs_by_root: dict[ProgramId, set[ProgramId]] = {}
+        self._programs_by_root: dict[ProgramId, dict[ProgramId, int]] = {}
+        self._account_by_root: dict[ProgramId, AccountId] = {}
+        self._tokens_by_account: Counter[AccountId] = Counter()
 
     def answered(
         self,
         target: TargetId,
         program: ProgramId,
         *,
+        account: AccountId,
         tokens: int,
         cached_tokens: int,
         now: float,
@@ -75,6 +79,7 @@
         Args:
             target: The engine.
             program: The program.
+            account: Who pays for it.
             tokens: Prompt and answer tokens.
             cached_tokens: Prompt tokens it found cached.
             now: The time.
@@ -87,8 +92,10 @@
         prefix = cache.prefix_by_program[program]
         prefix.own_until = now + DISTRUST_S
         prefix.own = True
-        programs = self._programs_by_root.setdefault(root_of(program), set())
-        programs.add(program)
+        programs = self._programs_by_root.setdefault(root_of(program), {})
+        self._tokens_by_account[account] += tokens - programs.get(program, 0)
+        programs[program] = tokens
+        self._account_by_root[root_of(program)] = account
 
     def observe(self, target: TargetId, page: CacheEvents, now: float) -> None:
         """Takes a page of cache events."""
@@ -128,6 +135,10 @@
         cache = self._cache_by_target.get(target)
         return cache.resident if cache is not None else 0
 
+    def account_tokens(self, account: AccountId) -> int:
+        """Returns the prefix tokens of an account's live own programs."""
+        return self._tokens_by_account[account]
+
     def capacity_tokens(self, target: TargetId) -> float:
         """Returns the engine's size as learned at evictions; 0 unknown.
 
@@ -143,7 +154,11 @@
 
     def ended(self, root: ProgramId) -> None:
         """Drops an own program and its sub-agents, whose memory is freed."""
-        for program in sorted(self._programs_by_root.pop(root, ())):
+        programs = self._programs_by_root.pop(root, {})
+        account = self._account_by_root.pop(root, None)
+        if account is not None:
+            self._tokens_by_account[account] -= sum(programs.values())
+        for program in programs:
             for cache in self._cache_by_target.values():
                 self._remove(cache, program)
 
--- a/lycheestall/engine_scheduler.py
+++ b/lycheestall/engine_scheduler.py
@@ -238,6 +238,7 @@
         """Sends what can be sent and gives up what cannot be met."""
         commands: list[DispatchCommand] = list(self._parts.memory.due(now))
         blocked = 0
+        self._choice.begin_poll()
         for key in self._parts.queue:
             job = self._jobs[key]
             if self._hopeless(job, now):
--- a/lycheestall/placement.py
+++ b/lycheestall/placement.py
@@ -106,7 +106,14 @@
         shared = job.prompt_tokens // 2
         return self._cache.tokens(target, parent, shared)
 
-    def has_room(self, key: JobKey, job: ChatJob, target: TargetId) -> bool:
+    def has_room(
+        self,
+        key: JobKey,
+        job: ChatJob,
+        target: TargetId,
+        *,
+        share: float = ROOM_SHARE,
+    ) -> bool:
         """Returns whether a job's prompt fits beside what is cached.
 
         VMs that see the same free memory ask for different amounts, so
@@ -116,11 +123,12 @@
             key: The job's key.
             job: The job.
             target: The engine.
+            share: Share of the engine's memory that may be filled.
         """
         capacity = self._cache.capacity_tokens(target)
         if not capacity or self.cached_tokens(job, target):
             return True
-        free = ROOM_SHARE * capacity - self._cache.resident_tokens(target)
+        free = share * capacity - self._cache.resident_tokens(target)
         caution = 1.0 + ROOM_CAUTION * self._tie(key, target) / 2**32
         return free >= caution * job.prompt_tokens
 
