Release engine memory until confirmed and find what was left behind

Cause: releases went out once and unconfirmed; memory of programs whose VM died stayed on engines; the parts had no tests of their own.

--- a/lycheestall/_engine_dispatch.py
+++ b/lycheestall/_engine_dispatch.py
@@ -38,6 +38,10 @@
     def stream_accepted(self, dispatch: EngineDispatch) -> None:
         """The engine has the request."""
 
+    @abstractmethod
+    def stream_started(self, dispatch: EngineDispatch) -> None:
+        """The first chunk of an attempt has come."""
+
     @abstractmethod
     def stream_ended(
         self, dispatch: EngineDispatch, result: EngineResult, *, lost: bool
@@ -92,6 +96,7 @@
         self._request = RequestId("")
         self._engine: Engine | None = None
         self._accepted = False
+        self._started = False
         self._active_at = 0.0
         self._stream: defer.Deferred[EngineResult] | None = None
         self._run: defer.Deferred[None] | None = None
@@ -161,6 +166,9 @@
         if self.ended:
             return
         self._active_at = self._timer.seconds()
+        if not self._started:
+            self._started = True
+            self._owner.stream_started(self)
         self.chunks += 1
         self._delivered += len(data)
         self.listener.chunk(data)
@@ -172,6 +180,7 @@
         self._engine = engine
         self._request = request
         self._accepted = False
+        self._started = False
         self._active_at = self._timer.seconds()
 
     def _start(self, first: Coroutine[Any, Any, EngineResult]) -> None:
--- a/lycheestall/engine_dispatcher.py
+++ b/lycheestall/engine_dispatcher.py
@@ -10,6 +10,7 @@
 from twisted.python.failure import Failure
 
 from ._engine_dispatch import EngineDispatch, StreamOwner
+from ._memory_release import MemoryRelease, MemoryWatcher
 from .clock import Clock, Timer
 from .dispatch import ChatDispatcher, ChatJob, ChatListener, JobHandle
 from .dispatch_commands import (
@@ -32,6 +33,7 @@
     EngineRefused,
     EngineRequest,
     EngineResult,
+    HeldMemory,
     LoadReport,
 )
 
@@ -41,7 +43,7 @@
 MIN_WAKE_S = 0.001
 
 
-class EngineDispatcher(ChatDispatcher, StreamOwner):
+class EngineDispatcher(ChatDispatcher, StreamOwner, MemoryWatcher):
     """Queues jobs, places them on engines and repeats what is safe."""
 
     def __init__(
@@ -77,6 +79,7 @@
         """
         self._session = session
         self._engines = engines
+        self._memory = MemoryRelease(engines, self)
         self._clock = clock
         self._timer = clock
         self._crash_reporter = crash_reporter
@@ -146,10 +149,41 @@
         """Takes a page of an engine's cache events."""
         self._scheduler.cache_events(target, page, self._timer.seconds())
 
+    def audit_memory(
+        self, live: Callable[[ProgramId], bool]
+    ) -> defer.Deferred[None]:
+        """Asks engines what they hold and frees what nobody lives for.
+
+        Call it every half minute or so; memory of a program is freed
+        when two audits in a row have found the program dead.
+
+        Args:
+            live: Whether a top-level program lives in the cell.
+        """
+        return defer.ensureDeferred(self._memory.audit(live))
+
+    def released(self, target: TargetId, root: ProgramId) -> None:
+        """An engine has confirmed a release."""
+        self._scheduler.released(target, root)
+
+    def found(
+        self,
+        target: TargetId,
+        held: tuple[HeldMemory, ...],
+        live: Callable[[ProgramId], bool],
+    ) -> None:
+        """An engine has listed what it holds."""
+        now = self._timer.seconds()
+        self._execute(self._scheduler.memory_found(target, held, live, now))
+
     def stream_accepted(self, dispatch: EngineDispatch) -> None:
         """The engine has the request."""
         self._scheduler.accepted(dispatch.key, self._timer.seconds())
 
+    def stream_started(self, dispatch: EngineDispatch) -> None:
+        """The first chunk of an attempt has come."""
+        self._scheduler.started(dispatch.key, self._timer.seconds())
+
     def stream_ended(
         self, dispatch: EngineDispatch, result: EngineResult, *, lost: bool
     ) -> None:
@@ -232,7 +266,8 @@
             elif isinstance(command, EndFailed):
                 self._end_failed(command)
             elif isinstance(command, ReleaseMemory):
-                self._release(command)
+                release = self._memory.release(command)
+                defer.ensureDeferred(release).addErrback(_drop)
             elif isinstance(command, ReportCrash):
                 self._crash_reporter(command.fingerprint, command.target)
         self._set_wake()
@@ -282,12 +317,6 @@
         dispatch.stop()
         dispatch.listener.failed(command.outcome)
 
-    def _release(self, command: ReleaseMemory) -> None:
-        engine = self._engines.engine(command.target)
-        if engine is not None:
-            release = engine.release(command.program)
-            defer.ensureDeferred(release).addErrback(_drop)
-
     def _drop(self, dispatch: EngineDispatch) -> None:
         dispatch.ended = True
         self._dispatch_by_key.pop(dispatch.key, None)
--- a/lycheestall/engine_scheduler.py
+++ b/lycheestall/engine_scheduler.py
@@ -22,7 +22,13 @@
 from .outcomes import Failed, Reason, Refused, Step
 from .placement import Choice
 from .rule_book import RuleBook
-from .targets import CacheEvents, EngineDone, EngineRefused, LoadReport
+from .targets import (
+    CacheEvents,
+    EngineDone,
+    EngineRefused,
+    HeldMemory,
+    LoadReport,
+)
 
 __all__ = ["EngineScheduler"]
 
@@ -234,6 +240,24 @@
         """An engine has confirmed a release."""
         self._parts.memory.confirmed(target, root)
 
+    def memory_found(
+        self,
+        target: TargetId,
+        held: Iterable[HeldMemory],
+        live: Callable[[ProgramId], bool],
+        now: float,
+    ) -> list[DispatchCommand]:
+        """An engine has listed what it holds.
+
+        Args:
+            target: The engine.
+            held: What it holds.
+            live: Whether a top-level program lives in the cell.
+            now: The time.
+        """
+        memory = self._parts.memory
+        return list(memory.found(target, held, live=live, now=now))
+
     def poll(self, now: float) -> list[DispatchCommand]:
         """Sends what can be sent and gives up what cannot be met."""
         commands: list[DispatchCommand] = list(self._parts.memory.due(now))
--- a/tests/test_engine_dispatcher.py
+++ b/tests/test_engine_dispatcher.py
@@ -18,9 +18,9 @@
 
 from lycheestall.engine_directory import EngineDirectory
 from lycheestall.engine_dispatcher import EngineDispatcher
-from lycheestall.ids import TargetId, VmId
+from lycheestall.ids import ProgramId, TargetId, VmId
 from lycheestall.outcomes import Failed, Reason, Refused, Step
-from lycheestall.targets import EngineDone, EngineRefused
+from lycheestall.targets import EngineDone, EngineRefused, HeldMemory
 
 
 class World:
@@ -207,3 +207,114 @@
     assert adopted.data == b"456789"
     assert isinstance(adopted.ending, EngineDone)
     assert listener.events == []
+
+
+def test_an_ended_programs_memory_is_released_until_confirmed(world):
+    world.submit()
+    (stream,) = world.streams()
+    engine = next(e for e in world.engine_by_name.values() if e.streams)
+    stream.accept()
+    stream.finish()
+    engine.down = True
+    world.dispatcher.program_ended(ProgramId("p1"))
+    assert engine.released == []
+    engine.down = False
+    world.clock.pump([1.0, 1.0, 1.0])
+    assert engine.released == ["p1"]
+    world.clock.pump([5.0, 5.0])
+    assert engine.released == ["p1"]
+
+
+def test_memory_of_a_vanished_vms_programs_is_found_and_released(world):
+    engine = world.engine_by_name["e2"]
+    engine.memory = (
+        HeldMemory(ProgramId("gone/a"), "export", "x", 10),
+        HeldMemory(ProgramId("p1"), "pin", "y", 10),
+    )
+    for _ in range(2):
+        world.dispatcher.audit_memory(lambda root: root == "p1")
+    assert engine.released == ["gone"]
+
+
+def test_a_request_that_crashes_two_engines_is_quarantined(world):
+    """The third engine never sees it and another program goes on."""
+    listener = world.submit(program="poison", fingerprint=b"poison")
+    for _ in range(2):
+        (stream,) = [s for s in world.streams() if not s.result.called]
+        engine = next(
+            e for e in world.engine_by_name.values() if stream in e.streams
+        )
+        stream.accept()
+        engine.down = True
+        stream.break_off()
+        world.clock.pump([0.25, 1.0, 0.0])
+    assert isinstance(listener.ending, Failed)
+    assert listener.ending.reason is Reason.QUARANTINED
+    again = world.submit(program="poison2", fingerprint=b"poison")
+    assert isinstance(again.ending, Refused)
+    assert again.ending.reason is Reason.QUARANTINED
+    assert len(world.streams()) == 2
+    other = world.submit(program="p2")
+    (stream,) = [s for s in world.streams() if not s.result.called]
+    stream.accept()
+    stream.finish()
+    assert isinstance(other.ending, EngineDone)
+
+
+def test_without_quarantine_the_poison_reaches_every_engine(world):
+    """Proves the check above: the rule is broken here on purpose."""
+    world.dispatcher._scheduler._parts.quarantine.holds = lambda f: False
+    world.submit(program="poison", fingerprint=b"poison")
+    for _ in range(3):
+        open_streams = [s for s in world.streams() if not s.result.called]
+        if not open_streams:
+            break
+        (stream,) = open_streams
+        engine = next(
+            e for e in world.engine_by_name.values() if stream in e.streams
+        )
+        stream.accept()
+        engine.down = True
+        stream.break_off()
+        world.clock.pump([0.25, 1.0, 0.0])
+    assert len(world.streams()) == 3
+
+
+def test_without_live_engines_a_job_is_refused_at_once(world):
+    world.leave("e1", "e2", "e3")
+    listener = world.submit()
+    assert isinstance(listener.ending, Refused)
+    assert listener.ending.reason is Reason.NO_TARGET
+    assert listener.ending.retry_after_s > 0
+
+
+def test_a_queue_that_cannot_be_met_refuses_at_once(world):
+    for number in range(60):
+        world.submit(program=f"p{number}")
+    late = world.submit(program="late", deadline_s=10.0)
+    assert isinstance(late.ending, Refused)
+    assert late.ending.reason is Reason.OVERLOADED
+    assert late.ending.retry_after_s > 0
+
+
+def test_a_stalled_stream_is_resumed(world):
+    listener = world.submit()
+    (stream,) = world.streams()
+    engine = next(e for e in world.engine_by_name.values() if e.streams)
+    stream.accept()
+    stream.send(b"half ")
+    engine.kept[stream.request.request] = stream
+    world.clock.pump([1.0] * 32)
+    assert len(engine.resumed) == 1
+    engine.resumed[0][2].send(b"rest")
+    engine.resumed[0][2].finish()
+    assert listener.data == b"half rest"
+    assert isinstance(listener.ending, EngineDone)
+
+
+def test_left_alone_by_rule_names_the_line(world):
+    world.rules.alone = {"e1", "e2", "e3"}
+    listener = world.submit()
+    assert isinstance(listener.ending, Refused)
+    assert listener.ending.reason is Reason.TARGET_ALONE
+    assert listener.ending.rule == "rules:0"
