--- a/lycheestall/_engine_dispatch.py
+++ b/lycheestall/_engine_dispatch.py
@@ -41,6 +41,10 @@
     def stream_accepted(self, dispatch: EngineDispatch) -> None:
         """The engine has the request."""
 
+    @abstractmethod
+    def stream_started(self, dispatch: EngineDispatch) -> None:
+        """The first chunk of an attempt has come."""
+
     @abstractmethod
     def stream_ended(
         self, dispatch: EngineDispatch, result: EngineResult, *, lost: bool
@@ -96,6 +100,7 @@
         self._engine: Engine | None = None
         self._accepted = False
         self._written = False
+        self._started = False
         self._active_at = 0.0
         self._stream: defer.Deferred[EngineResult] | None = None
         self._run: defer.Deferred[None] | None = None
@@ -210,6 +215,9 @@
         if self.ended:
             return
         self._active_at = self._timer.seconds()
+        if not self._started:
+            self._started = True
+            self._owner.stream_started(self)
         self.chunks += 1
         self._delivered += len(data)
         self.listener.chunk(data)
@@ -222,6 +230,7 @@
         self._request = request
         self._accepted = False
         self._written = False
+        self._started = False
         self._active_at = self._timer.seconds()
 
     def _start(self, first: Coroutine[Any, Any, EngineResult]) -> None:
