--- a/lycheestall/_load_answer.py
+++ b/lycheestall/_load_answer.py
@@ -9,6 +9,7 @@
 __all__ = ["ReadAnswer", "read_answer"]
 
 _DONE = "[DONE]"
+_RECEIPT_COMMENT = ": lycheestall-receipt "
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,6 +57,9 @@
     whole = False
     error: dict[str, Any] | None = None
     for block in body.decode("utf-8", "replace").split("\n\n"):
+        if block.startswith(_RECEIPT_COMMENT):
+            receipt = block.removeprefix(_RECEIPT_COMMENT)
+            continue
         kind, data = _event(block)
         if data == _DONE:
             whole = True
@@ -64,9 +68,7 @@
             document = json.loads(data)
         except ValueError:
             continue
-        if kind == "lycheestall":
-            receipt = document.get("receipt") or ""
-        elif kind == "error":
+        if kind == "error":
             error = _error(document)
         else:
             text.append(_delta(document))
--- a/tests/test_bench_load.py
+++ b/tests/test_bench_load.py
@@ -37,9 +37,8 @@
     events = [
         answer_chunks(prompt, at, 4) for at in range(0, len(prompt.words), 4)
     ]
-    receipt = b'event: lycheestall\ndata: {"receipt": "rc-1"}\n\n'
-    tail = usage_events(prompt, 0).partition(b"data: [DONE]")
-    return b"".join([*events, tail[0], receipt, tail[1], tail[2]])
+    receipt = b": lycheestall-receipt rc-1\n\n"
+    return b"".join([*events, usage_events(prompt, 0), receipt])
 
 
 class EntryScript:
