Ask again for a publication whose outcome is open

Cause: the trials took a publication's version from the wrong field and gave up at the first answer that left the outcome open.

--- a/scripts/_cluster.py
+++ b/scripts/_cluster.py
@@ -201,12 +201,9 @@
 
     async def rules_version(self, vm: str) -> int | None:
         """Returns the version in force on a VM, None without answer."""
-        url = f"{self.url(vm, ADMIN_PORT)}/admin/status"
-        status = await self.get(url)
-        for view in status.get("vms", ()):
-            if view.get("vm") == vm:
-                return int(view["rules_version"])
-        return None
+        rules = await self.get(f"{self.url(vm, ADMIN_PORT)}/admin/rules")
+        version = rules.get("version")
+        return None if version is None else int(version)
 
     def sleep(self, delay_s: float) -> Deferred[None]:
         """Returns a Deferred that fires after some seconds."""
--- a/scripts/_trial.py
+++ b/scripts/_trial.py
@@ -25,6 +25,9 @@
 
 IN_FORCE_LIMIT_S = 10.0
 PROGRESS_S = 0.5
+PUBLISH_TRIES = 5
+PUBLISH_RETRY_S = 0.3
+_OPEN_STATUSES = (0, 503, 504)
 HELD_LIMIT_S = 10.0
 POLL_S = 0.05
 _LOG_COUNTS = ("appends", "records", "longest_wait_s")
@@ -63,6 +66,7 @@
         self.log_record: dict[str, Any] = {}
         self._limit_s = limit_s
         self._publications = 0
+        self._next_publisher = 0
         self._started = self.clock.seconds()
         self._event = "starting"
         self._shown = ""
@@ -91,12 +95,11 @@
         """
         self._publications += 1
         started = self.clock.seconds()
-        vm = next(name for name in self.live() if name not in away())
-        status, answer = await self.cluster.publish(vm, base, text)
+        status, answer = await self._publish(base, text, away)
         if status != 200:
             self.fault("rules are published", f"status {status}: {answer}")
             return base
-        version = int(answer["version"])
+        version = int(answer["detail"]["version"])
         versions: dict[str, int | None] = {}
         while self.clock.seconds() - started < IN_FORCE_LIMIT_S:
             versions = {
@@ -112,6 +115,20 @@
         self.fault("rules take hold everywhere", f"{version}: {versions}")
         return version
 
+    async def _publish(
+        self, base: int, text: str, away: Callable[[], set[str]]
+    ) -> tuple[int, Any]:
+        """Publishes; asks again elsewhere while the outcome is open."""
+        for _ in range(PUBLISH_TRIES):
+            here = [name for name in self.live() if name not in away()]
+            self._next_publisher += 1
+            vm = here[self._next_publisher % len(here)]
+            status, answer = await self.cluster.publish(vm, base, text)
+            if status not in _OPEN_STATUSES:
+                break
+            await self.cluster.sleep(PUBLISH_RETRY_S)
+        return status, answer
+
     async def publish_first(self) -> int:
         """Publishes the deployment's rules over what is in force."""
         base = await self.cluster.rules_version(self.cluster.vms[0])
