--- /dev/null
+++ b/tests/test_authority.py
@@ -0,0 +1,84 @@
+"""Tests of the lease's arithmetic."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lycheestall.authority import Authority
+from lycheestall.ids import Offset, SessionId, StreamName
+
+CELL, RULES = StreamName("cell"), StreamName("rules")
+MEMBERS = [SessionId(name) for name in "abcde"]
+LEASE_S = 4.0
+
+
+def authority(members: int) -> Authority:
+    made = Authority(MEMBERS[0], CELL, [RULES], lease_s=LEASE_S)
+    made.configure(frozenset(MEMBERS[:members]))
+    made.folded(CELL, Offset(9))
+    made.folded(RULES, Offset(3))
+    return made
+
+
+def knows(cell: int, rules: int = 3) -> dict[StreamName, Offset]:
+    return {CELL: Offset(cell), RULES: Offset(rules)}
+
+
+def test_log_lease_needs_every_stream() -> None:
+    lease = authority(1)
+    lease.renewed(10.0)
+    assert not lease.holds(10.1)
+    lease.up_to_date(RULES, 8.0)
+    assert lease.holds(11.9)
+    assert not lease.holds(12.0)
+
+
+def test_peer_lease_needs_a_majority_of_at_least_three() -> None:
+    lease = authority(5)
+    lease.replied(MEMBERS[1], 10.0, knows(9))
+    assert not lease.holds(10.1)
+    lease.replied(MEMBERS[2], 11.0, knows(9))
+    assert lease.holds(13.9)
+    assert not lease.holds(14.0)
+    pair = authority(2)
+    pair.replied(MEMBERS[1], 10.0, knows(9))
+    assert not pair.holds(10.1)
+
+
+def test_reply_that_knows_more_counts_once_that_is_folded() -> None:
+    lease = authority(3)
+    lease.replied(MEMBERS[1], 10.0, knows(10, 4))
+    assert not lease.holds(10.1)
+    lease.folded(CELL, Offset(10))
+    assert not lease.holds(10.1)
+    lease.folded(RULES, Offset(4))
+    assert lease.holds(10.1)
+
+
+def test_replies_of_strangers_do_not_count() -> None:
+    lease = authority(3)
+    lease.replied(SessionId("x"), 10.0, knows(9))
+    lease.replied(SessionId("y"), 10.0, knows(9))
+    assert not lease.holds(10.1)
+
+
+@given(
+    replies=st.lists(
+        st.tuples(st.sampled_from(MEMBERS[1:]), st.integers(0, 100)),
+        max_size=40,
+    )
+)
+def test_lease_runs_from_the_time_a_majority_had_been_asked(
+    replies: list[tuple[SessionId, int]],
+) -> None:
+    lease = authority(5)
+    newest: dict[SessionId, int] = {}
+    for member, sent_at in replies:
+        lease.replied(member, float(sent_at), knows(9))
+        newest[member] = max(newest.get(member, -1), sent_at)
+    asked_at = sorted(newest.values(), reverse=True)
+    if len(asked_at) < 2:
+        assert not lease.holds(0.0)
+        return
+    assert lease.valid_until == asked_at[1] + LEASE_S
--- /dev/null
+++ b/tests/test_log_streams.py
@@ -0,0 +1,158 @@
+"""Tests of following and writing log streams."""
+
+from __future__ import annotations
+
+from fakes import FakeLog, FakeNetwork, World
+from fakes_cell import KeepingLedger, KeepingPortions
+
+from lycheestall.cell_fold import CellFold
+from lycheestall.cell_view import Folded
+from lycheestall.checkpoints import CheckpointAssembler, split_checkpoint
+from lycheestall.codec import decode_record, encode_record
+from lycheestall.ids import Offset, SessionId, StreamName, VmId, ZoneId
+from lycheestall.log_reader import LogReader
+from lycheestall.log_streams import LogStreams
+from lycheestall.log_writer import LogWriter
+from lycheestall.records import (
+    NO_OFFSET,
+    Record,
+    SessionJoined,
+    SessionRenewed,
+)
+
+STREAM = StreamName("cell")
+SESSION = SessionId("a-1")
+
+
+class Follower:
+    """One VM's streams, without an agent."""
+
+    def __init__(self, world: World, log: FakeLog, net: FakeNetwork, vm: str):
+        world.boot(vm)
+        self.mesh = net.mesh(VmId(vm), ZoneId("z"))
+        self.streams = LogStreams(
+            log.client(vm), world.clock_by_node[vm], self.mesh
+        )
+        self.fold = CellFold(KeepingLedger(), KeepingPortions())
+        self.offsets: list[int] = []
+        self.reader: LogReader = self.streams.follow(
+            STREAM,
+            self.fold,
+            on_folded=lambda offset, record, verdict: self.offsets.append(
+                offset
+            ),
+            on_loaded=lambda: None,
+        )
+        self.mesh.on_message(self.streams.on_message)
+        self.streams.start()
+
+    def writer(self) -> LogWriter:
+        """Returns a writer whose session has joined."""
+        made = self.streams.open_writer(STREAM, SESSION)
+        made.submit(SessionJoined(VmId("a"), ZoneId("z"), "127.0.0.1", 1, "0"))
+        return made
+
+
+def setting(*vms: str) -> tuple[World, FakeLog, FakeNetwork, list[Follower]]:
+    world = World(1)
+    log, net = FakeLog(world), FakeNetwork(world)
+    followers = [Follower(world, log, net, vm) for vm in vms]
+    for follower in followers:
+        follower.mesh.set_peers({VmId(vm): ("", 1) for vm in vms})
+    world.run_for(1.0)
+    return world, log, net, followers
+
+
+def test_records_keep_their_order_through_lost_and_late_answers() -> None:
+    world, log, _, (follower,) = setting("a")
+    log.lose_answers(0.0, 20.0)
+    log.repeat_late(0.0, 20.0, 2.5)
+    writer = follower.writer()
+    results: list[Folded] = []
+    for number in range(40):
+        body = SessionRenewed(Offset(number))
+        writer.submit(body).addCallback(results.append)
+        world.run_for(0.3)
+    world.run_for(10.0)
+    assert [found.verdict.accepted for found in results] == [True] * 40
+    offsets = [found.offset for found in results]
+    assert offsets == sorted(offsets)
+    session = follower.fold.sessions.by_id[SESSION]
+    assert session.acknowledged == 39
+
+
+def test_record_is_not_done_before_it_is_read_back() -> None:
+    world, log, _, (follower,) = setting("a")
+    writer = follower.writer()
+    world.run_for(1.0)
+    log.outage(world.now, world.now + 5.0)
+    results: list[Folded] = []
+    writer.submit(SessionRenewed()).addCallback(results.append)
+    world.run_for(4.0)
+    assert results == []
+    assert writer.oldest_age_s() > 3.9
+    world.run_for(6.0)
+    assert len(results) == 1
+
+
+def test_closed_or_full_writer_refuses_at_once() -> None:
+    world, log, _, (follower,) = setting("a")
+    log.outage(world.now)
+    writer = LogWriter(
+        STREAM,
+        SESSION,
+        log.client("a"),
+        world.clock_by_node["a"],
+        relay=lambda stream, payloads: False,
+        max_pending=2,
+    )
+    results: list[Folded] = []
+    for _ in range(3):
+        writer.submit(SessionRenewed()).addCallback(results.append)
+    assert [found.offset for found in results] == [NO_OFFSET]
+    writer.close("ended")
+    assert [found.verdict.why for found in results[1:]] == ["ended"] * 2
+
+
+def test_peer_gives_what_the_log_does_not() -> None:
+    world, log, _, (lone, other) = setting("a", "b")
+    log.outage(world.now, nodes=["a"])
+    writer = lone.writer()
+    world.run_for(5.0)
+    results: list[Folded] = []
+    writer.submit(SessionRenewed()).addCallback(results.append)
+    world.run_for(3.0)
+    assert [found.verdict.accepted for found in results] == [True]
+    assert lone.offsets == other.offsets
+
+
+def test_reader_stops_at_a_record_it_cannot_read() -> None:
+    world, log, _, (follower,) = setting("a")
+    newer = Record(SESSION, 1, SessionRenewed(), 99)
+    log.write(STREAM, [b"no record", encode_record(newer), b"later"])
+    world.run_for(2.0)
+    assert follower.reader.unreadable_format == 99
+    assert follower.reader.folded == 0
+    assert follower.reader.newest == 2
+
+
+def test_checkpoint_is_found_among_incomplete_ones() -> None:
+    data = bytes(range(256)) * 3000
+    parts = split_checkpoint(Offset(7), data)
+    assert len(parts) == 3
+    assembler = CheckpointAssembler()
+    found = []
+    for writer, part in [
+        ("x", parts[0]),
+        ("y", parts[0]),
+        ("x", parts[2]),
+        ("y", parts[1]),
+        ("y", parts[2]),
+    ]:
+        record = Record(SessionId(writer), 1, part)
+        decoded = decode_record(encode_record(record))
+        assert isinstance(decoded, Record)
+        found.append(assembler.add(Offset(9), decoded))
+    assert found[:4] == [None] * 4
+    assert found[4] is not None
+    assert found[4].data == data
