--- a/lycheestall/cell_ownership.py
+++ b/lycheestall/cell_ownership.py
@@ -127,10 +127,14 @@
         self._gain(now)
         self._plan(now, draining=draining, log_silent=log_silent)
 
-    def drained(self) -> bool:
+    def drained(self, *, hopeless: bool) -> bool:
         """Returns whether nothing is left to give away.
 
         Without another member to give to, partitions are only quiesced.
+
+        Args:
+            hopeless: Whether nobody can take over, since releases are
+                not read back.
         """
         held = [
             partition
@@ -139,12 +143,18 @@
         ]
         if not held:
             return True
-        if any(name != self._session for name in self._candidates):
+        others = any(name != self._session for name in self._candidates)
+        if others and not hopeless:
             return False
+        released = self._giver.released
         for partition in held:
-            if partition not in self._quiet_by_partition:
-                self._quiesce_alone(partition)
-        return all(self._quiet_by_partition.get(p, False) for p in held)
+            if partition in released or partition in self._quiet_by_partition:
+                continue
+            self._quiesce_alone(partition)
+        return all(
+            partition in released or self._quiet_by_partition[partition]
+            for partition in held
+        )
 
     def end(self) -> None:
         """Loses everything, at the end of the session."""
--- a/lycheestall/cell_session.py
+++ b/lycheestall/cell_session.py
@@ -41,6 +41,7 @@
 
 LOG_SILENT_S = 1.5
 LEAVE_LIMIT_S = 5.0
+HANDOVER_WAIT_S = 5.0
 
 _log = structlog.get_logger(__name__)
 
@@ -146,6 +147,7 @@
         self._checkpointing = False
         self._log_back_at = clock.seconds()
         self._acting_soon: Timer | None = None
+        self._drain_began = 0.0
         self._deadline: Timer | None = None
 
     @property
@@ -261,6 +263,7 @@
             self.end("the daemon stops")
             return
         self.state = SessionState.DRAINING
+        self._drain_began = self._clock.seconds()
         self._deadline = self._clock.callLater(
             self._tuning.drain_limit_s, self._leave
         )
@@ -355,9 +358,16 @@
             return
         draining = self.state is SessionState.DRAINING
         self._ownership.act(draining=draining, log_silent=self.log_silent())
-        if draining and self._ownership.drained():
+        if not draining:
+            return
+        if self._ownership.drained(hopeless=self._handover_hopeless()):
             self._leave()
 
+    def _handover_hopeless(self) -> bool:
+        """Whether releases stay unread, so that nobody can take over."""
+        waited_s = self._clock.seconds() - self._drain_began
+        return self.log_silent() and waited_s >= HANDOVER_WAIT_S
+
     def _leave(self) -> None:
         if self.state is not SessionState.DRAINING:
             return
--- /dev/null
+++ b/tests/test_rules_publisher.py
@@ -0,0 +1,237 @@
+"""Tests of publishing over a log that fails."""
+
+from __future__ import annotations
+
+import pytest
+from fakes import FakeLog, World
+from rules_world import NONE, ONE, RULES, TWO, Vm
+
+from lycheestall.checkpoints import CheckpointSchedule
+from lycheestall.ids import (
+    Offset,
+    SessionId,
+    VmId,
+)
+from lycheestall.records import ReaderLeft
+from lycheestall.rules_publisher import (
+    PublishBlocked,
+    PublishConflict,
+    Published,
+    PublishInvalid,
+    PublishUnknown,
+    PublishUnreachable,
+)
+
+
+@pytest.fixture
+def world() -> World:
+    return World(seed=5)
+
+
+@pytest.fixture
+def log(world: World) -> FakeLog:
+    return FakeLog(world)
+
+
+def accepted_count(vm: Vm) -> int:
+    entries = vm.stream.publication.history.entries()
+    return sum(entry.decision.value == "accepted" for entry in entries)
+
+
+def test_publication_is_in_force_on_every_vm(
+    world: World, log: FakeLog
+) -> None:
+    vms = [Vm(world, log, name) for name in ("a", "b", "c")]
+    world.run_for(2.0)
+    outcome = vms[0].publish(-1, ONE)
+    assert isinstance(outcome, Published)
+    world.run_for(3.0)
+    for vm in vms:
+        assert vm.stream.rules.version == outcome.version
+        assert vm.stream.current()
+    entry = vms[1].stream.publication.history.entries()[0]
+    assert [applied.vm for applied in entry.applied] == ["a", "b", "c"]
+
+
+def test_racing_operators_get_one_winner_and_a_diff(
+    world: World, log: FakeLog
+) -> None:
+    one, two = Vm(world, log, "a"), Vm(world, log, "b")
+    world.run_for(2.0)
+    first, second = one.start(-1, ONE, "x"), two.start(-1, TWO, "y")
+    outcomes = [one.wait(first), two.wait(second)]
+    kinds = {type(outcome) for outcome in outcomes}
+    assert kinds == {Published, PublishConflict}
+    conflict = next(o for o in outcomes if isinstance(o, PublishConflict))
+    assert len(conflict.added) == len(conflict.removed) == 1
+    assert conflict.base == -1 and conflict.version >= 0
+
+
+def test_mistakes_never_reach_the_log(world: World, log: FakeLog) -> None:
+    vm = Vm(world, log, "a")
+    world.run_for(2.0)
+    before = log.end(RULES)
+    assert isinstance(vm.publish(-1, "weight of"), PublishInvalid)
+    assert log.end(RULES) == before
+
+
+def test_lost_answer_is_found_by_reading(world: World, log: FakeLog) -> None:
+    vm = Vm(world, log, "a")
+    world.run_for(2.0)
+    log.lose_answers(world.now, world.now + 30)
+    outcome = vm.publish(-1, ONE)
+    assert isinstance(outcome, Published) and not outcome.already
+    world.run_for(30)
+    assert accepted_count(vm) == 1
+    assert len(vm.stream.publication.history.entries()) == 1
+
+
+def test_append_that_lands_twice_counts_once(
+    world: World, log: FakeLog
+) -> None:
+    vm = Vm(world, log, "a")
+    world.run_for(2.0)
+    log.repeat_late(world.now, world.now + 5, 1.0)
+    assert isinstance(vm.publish(-1, ONE), Published)
+    world.run_for(10)
+    assert len(vm.stream.publication.history.entries()) == 1
+
+
+def test_asking_again_learns_the_truth(world: World, log: FakeLog) -> None:
+    vm = Vm(world, log, "a")
+    world.run_for(2.0)
+    done = vm.start(-1, ONE)
+    world.run_while(lambda: not accepted_in(log, RULES), 5.0)
+    log.outage(world.now, world.now + 40)
+    outcome = vm.wait(done)
+    assert isinstance(outcome, PublishUnknown)
+    world.run_for(45)
+    again = vm.publish(-1, ONE)
+    assert isinstance(again, Published) and again.already
+    assert accepted_count(vm) == 1
+    other = Vm(world, log, "b")
+    world.run_for(2.0)
+    assert isinstance(other.publish(again.version, TWO), Published)
+    late = vm.publish(-1, ONE)
+    assert isinstance(late, Published)
+    assert late.already and late.in_force > late.version
+
+
+def accepted_in(log: FakeLog, stream: str) -> bool:
+    return any(b"RulesProposed" in e.payload for e in log.entries(stream))
+
+
+def test_log_that_is_away_means_nothing_was_sent(
+    world: World, log: FakeLog
+) -> None:
+    vm = Vm(world, log, "a")
+    world.run_for(2.0)
+    log.outage(world.now, world.now + 30.0)
+    world.run_for(5.0)
+    assert isinstance(vm.publish(-1, ONE), PublishUnreachable)
+    world.run_for(40.0)
+    assert vm.stream.publication.history.entries() == ()
+
+
+def test_log_that_has_just_gone_leaves_the_outcome_open(
+    world: World, log: FakeLog
+) -> None:
+    vm = Vm(world, log, "a")
+    world.run_for(2.0)
+    log.outage(world.now, world.now + 30.0)
+    assert isinstance(vm.publish(-1, ONE), PublishUnknown)
+    world.run_for(40.0)
+    again = vm.publish(-1, ONE)
+    assert isinstance(again, Published) and again.already
+    assert accepted_count(vm) == 1
+
+
+def test_old_release_blocks_until_it_has_left(
+    world: World, log: FakeLog, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    Vm(world, log, "old")
+    new = Vm(world, log, "new", newest_format=2)
+    world.run_for(2.0)
+    monkeypatch.setattr("lycheestall.rules_publisher.RULES_FORMAT", 2)
+    assert isinstance(new.publish(-1, ONE), PublishBlocked)
+    world.kill("old")
+    new.stream.submit(ReaderLeft(SessionId("old.0.0")))
+    world.run_for(2.0)
+    assert isinstance(new.publish(-1, ONE), Published)
+
+
+def test_restarted_vm_starts_from_a_checkpoint(
+    world: World, log: FakeLog, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(
+        "lycheestall.rules_stream.CheckpointSchedule",
+        lambda **options: CheckpointSchedule(interval_s=5.0, **options),
+    )
+    vm = Vm(world, log, "a")
+    world.run_for(2.0)
+    version = vm.publish(-1, ONE).version
+    world.run_for(20.0)
+    entries = log.entries(RULES)
+    kept = max(
+        entry.offset
+        for entry in entries
+        if b"RulesCheckpoint" in entry.payload
+    )
+    log.retain_from(RULES, kept)
+    late = Vm(world, log, "b")
+    world.run_for(3.0)
+    assert late.stream.rules.version == version
+    assert late.stream.rules.share("x", "y").weight == 1.0
+    assert late.stream.publication.history.entries()
+
+
+def test_start_without_checkpoint_is_not_current(
+    world: World, log: FakeLog
+) -> None:
+    vm = Vm(world, log, "a")
+    world.run_for(2.0)
+    vm.publish(-1, ONE)
+    world.kill("a")
+    log.retain_from(RULES, log.end(RULES))
+    late = Vm(world, log, "b")
+    world.run_for(10.0)
+    assert not late.stream.current()
+    assert late.stream.publication.version == NONE
+
+
+def test_readers_on_missing_vms_are_taken_off(
+    world: World, log: FakeLog
+) -> None:
+    vms = [Vm(world, log, name) for name in ("a", "b", "gone")]
+    world.run_for(2.0)
+    world.kill("gone")
+    for vm in vms:
+        vm.live_vms = frozenset({VmId("a"), VmId("b")})
+    world.run_for(20.0)
+    assert len(vms[0].stream.publication.readers()) == 3
+    world.run_for(20.0)
+    left = [reader.vm for reader in vms[1].stream.publication.readers()]
+    assert left == ["a", "b"]
+
+
+def test_vm_that_leaves_is_no_reader(world: World, log: FakeLog) -> None:
+    vm = Vm(world, log, "a")
+    world.run_for(2.0)
+    assert len(vm.stream.publication.readers()) == 1
+    vm.stream.leave()
+    world.run_for(5.0)
+    assert vm.stream.publication.readers() == ()
+
+
+def test_vm_that_lags_is_not_current(world: World, log: FakeLog) -> None:
+    vm, cut = Vm(world, log, "a"), Vm(world, log, "cut")
+    world.run_for(2.0)
+    log.outage(world.now, nodes=["cut"])
+    vm.publish(-1, ONE)
+    cut.stream.reader.hear(vm.stream.reader.newest)
+    assert not cut.stream.current()
+    assert cut.stream.rules.version == NONE
+    tail = vm.stream.reader.tail(Offset(cut.stream.reader.folded + 1))
+    cut.stream.reader.take(tail)
+    assert cut.stream.current()
+    assert cut.stream.rules.version == vm.stream.rules.version
