Depose a member that answers nobody sooner; bound what is kept

Cause: a killed owner's partitions stood still for 10 to 14 s, half of it waiting to depose it, which adds nothing to safety. The entries kept for peers and an append's batch were bounded by count, not by bytes. Change: a member with no renewal read for 2.5 s that answers no heartbeat is deposed; one that answers keeps its whole lease. Windows, tails and batches are bounded in bytes; a log client that raises counts as a log that does not answer; a checkpoint in an unknown format is passed over.

--- a/lycheestall/log_reader.py
+++ b/lycheestall/log_reader.py
@@ -4,16 +4,12 @@
 
 from collections import deque
 from collections.abc import Callable, Sequence
+from itertools import islice
 
 import structlog
-from twisted.internet.defer import (
-    CancelledError,
-    Deferred,
-    TimeoutError,
-    ensureDeferred,
-)
+from twisted.internet.defer import CancelledError, Deferred, ensureDeferred
 
-from .checkpoints import CheckpointAssembler
+from .checkpoints import Checkpoint, CheckpointAssembler
 from .clock import Clock, Timer
 from .codec import CodecError, UnreadableRecord, decode_record
 from .fold import Fold, Verdict
@@ -34,8 +30,8 @@
 READ_TIMEOUT_S = 3.0
 RETRY_INTERVAL_S = 0.25
 CATCH_UP_INTERVAL_S = 0.1
-WINDOW_ENTRIES = 8192
-TAIL_ENTRIES = 500
+WINDOW_BYTES = 8 * 1024 * 1024
+TAIL_BYTES = 1024 * 1024
 READ_LIMIT = 1000
 
 FoldedHandler = Callable[[Offset, Record, Verdict], None]
@@ -84,7 +80,8 @@
         self._ask_peer = ask_peer
         self._assembler = assembler or CheckpointAssembler()
         self._poll_wait_s = poll_wait_s
-        self._window: deque[LogEntry] = deque(maxlen=WINDOW_ENTRIES)
+        self._window: deque[LogEntry] = deque()
+        self._window_bytes = 0
         self._newest = NO_OFFSET
         self._folded = NO_OFFSET
         self._first_retained = NO_OFFSET
@@ -179,8 +176,14 @@
         if not self._window or start < self._window[0].offset:
             return ()
         first = start - self._window[0].offset
-        last = min(first + TAIL_ENTRIES, len(self._window))
-        return tuple(self._window[index] for index in range(first, last))
+        found: list[LogEntry] = []
+        size = 0
+        for entry in islice(self._window, first, None):
+            size += len(entry.payload)
+            if found and size > TAIL_BYTES:
+                break
+            found.append(entry)
+        return tuple(found)
 
     async def _follow(self) -> None:
         while self._running:
@@ -220,9 +223,11 @@
         timer = self._clock.callLater(timeout_s, read.cancel)
         try:
             return await read
-        except (CancelledError, TimeoutError) as error:
+        except CancelledError:
             if not self._running:
                 raise
+            return ReadFailed("timeout")
+        except Exception as error:
             return ReadFailed(repr(error))
         finally:
             if timer.active():
@@ -266,13 +271,30 @@
                 continue
             if found.as_of < self._folded:
                 continue
+            if self._load(found):
+                return
+
+    def _load(self, found: Checkpoint) -> bool:
+        try:
             self._fold.load(found.data)
-            self._folded = found.as_of
-            self._seek = None
-            self._window.clear()
-            self._assembler.clear()
-            self._on_loaded()
-            return
+        except ValueError as error:
+            _log.error("log.checkpoint_unreadable", error=repr(error))
+            return False
+        self._folded = found.as_of
+        self._seek = None
+        self._window.clear()
+        self._window_bytes = 0
+        self._assembler.clear()
+        self._on_loaded()
+        return True
+
+    def _keep(self, entry: LogEntry) -> None:
+        """Keeps an entry for peers, within a bound on bytes."""
+        self._window.append(entry)
+        self._window_bytes += len(entry.payload)
+        while self._window_bytes > WINDOW_BYTES:
+            oldest = self._window.popleft()
+            self._window_bytes -= len(oldest.payload)
 
     def _fold_entries(self, entries: Sequence[LogEntry]) -> None:
         for entry in entries:
@@ -287,7 +309,7 @@
                 return
             self._folded = entry.offset
             self.hear(entry.offset)
-            self._window.append(entry)
+            self._keep(entry)
             if record is None:
                 continue
             verdict = self._fold.apply(entry.offset, record)
--- a/lycheestall/log_writer.py
+++ b/lycheestall/log_writer.py
@@ -25,6 +25,7 @@
 READ_BACK_LIMIT_S = 2.0
 MAX_PENDING_RECORDS = 10_000
 MAX_BATCH_RECORDS = 500
+MAX_BATCH_BYTES = 1024 * 1024
 
 Relay = Callable[[StreamName, tuple[bytes, ...]], bool]
 
@@ -150,9 +151,13 @@
 
     def _flush(self) -> None:
         self._timer = None
+        size = 0
         while self._queue and len(self._batch_by_sequence) < (
             MAX_BATCH_RECORDS
         ):
+            size += len(self._queue[0].payload)
+            if self._batch_by_sequence and size > MAX_BATCH_BYTES:
+                break
             pending = self._queue.popleft()
             if pending.done.called:
                 continue
--- a/lycheestall/membership.py
+++ b/lycheestall/membership.py
@@ -16,6 +16,7 @@
 
 NEVER = float("-inf")
 RESPONSIVE_S = 2.0
+SUSPECT_S = 2.5
 DEPOSE_RANK_DELAY_S = 0.5
 ABSENT_LIMIT_S = 30.0
 
@@ -151,6 +152,9 @@
     ) -> list[SessionDeposed]:
         """Returns the records that depose members gone silent.
 
+        A member that answers heartbeats may miss renewals for as long
+        as a lease lasts; one that does not is deposed sooner. Safety
+        doesn't depend on it: the successor waits out the lease anyway.
         Members take turns: each waits longer by its rank, so that one
         record is written and not one per member.
 
@@ -160,24 +164,27 @@
             log_back_at: When the log last came back after not having
                 answered; no one could renew before that.
         """
-        quiet: list[Session] = []
+        overdue_s: dict[SessionId, float] = {}
         for session in sessions.by_id.values():
             if session.session == self._session:
                 continue
-            if self._quiet_s(session, now, log_back_at) > self._silence_s:
-                quiet.append(session)
-        quiet_ids = {session.session for session in quiet}
-        judges = [name for name in sessions.by_id if name not in quiet_ids]
-        deposed: list[SessionDeposed] = []
-        for session in quiet:
-            delay_s = DEPOSE_RANK_DELAY_S * self._rank(session, judges)
             quiet_s = self._quiet_s(session, now, log_back_at)
-            if quiet_s > self._silence_s + delay_s:
-                deposed.append(
-                    SessionDeposed(session.session, session.last_seen)
-                )
+            late_s = quiet_s - self._patience_s(session.session, now)
+            if late_s > 0.0:
+                overdue_s[session.session] = late_s
+        judges = [name for name in sessions.by_id if name not in overdue_s]
+        deposed: list[SessionDeposed] = []
+        for name, late_s in overdue_s.items():
+            session = sessions.by_id[name]
+            if late_s > DEPOSE_RANK_DELAY_S * self._rank(session, judges):
+                deposed.append(SessionDeposed(name, session.last_seen))
         return deposed
 
+    def _patience_s(self, session: SessionId, now: float) -> float:
+        if self.responsive(session, now):
+            return self._silence_s
+        return min(SUSPECT_S, self._silence_s)
+
     def majority_knows(self, sessions: Sessions, offset: Offset) -> bool:
         """Returns whether no stale majority can back a lease any more.
 
