Let one member append for the whole cell

Cause: each VM appended its own renewals: 16 appends a second in a cell of 16, 1,700 at the size we build for, against several hundred. Change: CellRelay collects the payloads of several writers; relay_of chooses the member; LogWriter tries it first and goes on directly when its records don't come back in 0.5 s. The first renewal read starts a cycle for all members, so renewals come in step. Killing, pausing or cutting off the relay ends no other member's lease (3 tests). Entries are not fanned out by the relay: every VM still reads the log itself.

--- a/lycheestall/cell_agent.py
+++ b/lycheestall/cell_agent.py
@@ -8,6 +8,7 @@
 from twisted.internet.defer import Deferred, succeed
 
 from .cell_fold import CellFold
+from .cell_relay import relay_of
 from .cell_session import CellIdentity, CellSession
 from .cell_status import AgentStatus, describe_agent
 from .cell_view import CellView, Folded, PartitionWatcher
@@ -109,6 +110,7 @@
             stream=stream,
             current=lambda: self._cell_session,
         )
+        self._streams.share_appends(identity.vm, self._relay)
         self._schedule = CheckpointSchedule()
         self._session = SessionId("")
         self._cell_session: CellSession | None = None
@@ -380,6 +382,14 @@
                 if self._on_other_message is not None:
                     self._on_other_message(peer, message)
 
+    def _relay(self, stream: StreamName) -> VmId | None:
+        current = self._cell_session
+        if current is None:
+            return None
+        now = self._clock.seconds()
+        relays = current.membership.relays(self.fold.sessions, now)
+        return relay_of(stream, relays)
+
     def _lost(self, peer: VmId) -> None:
         self._streams.lost(peer)
         if self._on_peer_lost is not None:
--- /dev/null
+++ b/lycheestall/cell_relay.py
@@ -0,0 +1,144 @@
+"""Shares the log's appends among the VMs of a cell.
+
+One member, chosen by rendezvous hashing, appends for all: the log then
+sees a cell's appends instead of each VM's. What the relay does is a hint
+like any append; a writer that doesn't read its records back goes on
+without it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+import xxhash
+from twisted.internet.defer import ensureDeferred
+
+from .clock import Clock, Timer
+from .ids import StreamName, VmId
+from .platform import LogService
+
+__all__ = ["CellRelay", "relay_of"]
+
+RELAY_FLUSH_S = 0.005
+APPEND_LIMIT_S = 2.0
+MAX_BATCH_BYTES = 1024 * 1024
+MAX_QUEUED_BYTES = 8 * 1024 * 1024
+
+
+def relay_of(stream: StreamName, members: Iterable[VmId]) -> VmId | None:
+    """Returns the member that appends to a stream for the others.
+
+    Args:
+        stream: The stream.
+        members: VMs that answer heartbeats and are not leaving.
+    """
+
+    def weight(vm: VmId) -> int:
+        return xxhash.xxh3_64_intdigest(f"{stream}:{vm}".encode())
+
+    return max(members, key=weight, default=None)
+
+
+@dataclass(slots=True)
+class _Queue:
+    """What waits for the next append to one stream."""
+
+    groups: list[tuple[bytes, ...]] = field(default_factory=list)
+    size: int = 0
+    due_at: float = float("inf")
+    timer: Timer | None = None
+    append: int = 0
+    in_flight: bool = False
+
+
+class CellRelay:
+    """Collects payloads of several writers and appends them together.
+
+    One append per stream is in flight. Payloads that a writer gave
+    together stay together and in order.
+
+    Args:
+        log: The platform's log service.
+        clock: Times the collecting.
+    """
+
+    def __init__(self, log: LogService, clock: Clock) -> None:
+        self._log = log
+        self._clock = clock
+        self._queue_by_stream: dict[StreamName, _Queue] = {}
+
+    def add(
+        self,
+        stream: StreamName,
+        payloads: tuple[bytes, ...],
+        *,
+        hold_s: float = 0.0,
+    ) -> bool:
+        """Takes payloads for the next append.
+
+        Args:
+            stream: The stream.
+            payloads: One writer's records, in order.
+            hold_s: How long they may wait for others.
+
+        Returns:
+            False when too much is waiting.
+        """
+        queue = self._queue_by_stream.setdefault(stream, _Queue())
+        size = sum(len(payload) for payload in payloads)
+        if queue.size + size > MAX_QUEUED_BYTES:
+            return False
+        queue.groups.append(payloads)
+        queue.size += size
+        wait_s = max(hold_s, RELAY_FLUSH_S)
+        queue.due_at = min(queue.due_at, self._clock.seconds() + wait_s)
+        self._schedule(stream, queue)
+        return True
+
+    def stop(self) -> None:
+        """Drops what is waiting."""
+        for queue in self._queue_by_stream.values():
+            if queue.timer is not None and queue.timer.active():
+                queue.timer.cancel()
+        self._queue_by_stream.clear()
+
+    def _schedule(self, stream: StreamName, queue: _Queue) -> None:
+        if queue.in_flight:
+            return
+        if queue.timer is not None and queue.timer.active():
+            queue.timer.cancel()
+        wait_s = max(queue.due_at - self._clock.seconds(), 0.0)
+        queue.timer = self._clock.callLater(wait_s, self._flush, stream, queue)
+
+    def _flush(self, stream: StreamName, queue: _Queue) -> None:
+        batch: list[bytes] = []
+        size = 0
+        while queue.groups:
+            group = queue.groups[0]
+            group_size = sum(len(payload) for payload in group)
+            if batch and size + group_size > MAX_BATCH_BYTES:
+                break
+            batch.extend(queue.groups.pop(0))
+            size += group_size
+        queue.size -= size
+        if not queue.groups:
+            queue.due_at = float("inf")
+        queue.in_flight = True
+        queue.append += 1
+        queue.timer = self._clock.callLater(
+            APPEND_LIMIT_S, self._answered, None, stream, queue, queue.append
+        )
+        answer = ensureDeferred(self._log.append(stream, batch))
+        answer.addBoth(self._answered, stream, queue, queue.append)
+
+    def _answered(
+        self, result: object, stream: StreamName, queue: _Queue, append: int
+    ) -> None:
+        if not queue.in_flight or append != queue.append:
+            return
+        queue.in_flight = False
+        if queue.timer is not None and queue.timer.active():
+            queue.timer.cancel()
+        if queue.groups:
+            self._schedule(stream, queue)
--- a/lycheestall/cell_session.py
+++ b/lycheestall/cell_session.py
@@ -142,7 +142,8 @@
         )
         self.holdings = self._ownership.holdings
         self._renewing = False
-        self._renewed_at = float("-inf")
+        self._cycle_at = float("-inf")
+        self._renewal: Timer | None = None
         self._deposing: set[SessionId] = set()
         self._checkpointing = False
         self._log_back_at = clock.seconds()
@@ -211,6 +212,8 @@
         match record.body:
             case SessionJoined() | SessionRenewed():
                 self.membership.renewal_read(record.writer, now)
+                if self._starts_cycle(now):
+                    self._renew()
             case PartitionClaimed():
                 self._ownership.on_claimed(record.writer, record.body)
             case PartitionReleased():
@@ -252,7 +255,6 @@
                 self.authority.up_to_date(reader.stream, reader.fresh_at)
         if self.state not in _ACTIVE:
             return
-        self._renew(now)
         self._depose(now)
         self._checkpoint(now)
         self._act()
@@ -275,7 +277,7 @@
             return
         _log.info("cell.session_ended", session=self.session, why=why)
         self.state = SessionState.ENDED
-        for timer in (self._acting_soon, self._deadline):
+        for timer in (self._acting_soon, self._deadline, self._renewal):
             if timer is not None and timer.active():
                 timer.cancel()
         self._writer.close(why)
@@ -292,26 +294,49 @@
         self.authority.renewed(sent_at)
         self.authority.folded(self._reader.stream, self._reader.folded)
         self.sessions_changed()
-        self._renewed_at = sent_at
+        self._renew()
         _log.info("cell.joined", session=self.session, offset=folded.offset)
 
-    def _renew(self, now: float) -> None:
-        if self._renewing:
-            return
-        if now - self._renewed_at < self._tuning.renewal_interval_s:
+    def _renew(self) -> None:
+        """Writes a renewal, unless one is on its way.
+
+        The first renewal that is read starts a cycle for all members, so
+        that the cell renews in step and its renewals share an append.
+        """
+        if self._renewing or self.state not in _ACTIVE:
             return
         self._renewing = True
-        self._renewed_at = now
+        now = self._clock.seconds()
         body = SessionRenewed(self._reader.folded)
-        self._writer.submit(body).addCallback(self._renewal_folded, now)
+        written = self._writer.submit(body, patient=True)
+        written.addCallback(self._renewal_folded, now)
+
+    def _renew_after(self, seconds: float) -> None:
+        if self._renewal is not None and self._renewal.active():
+            self._renewal.cancel()
+        self._renewal = self._clock.callLater(seconds, self._renew)
 
     def _renewal_folded(self, folded: Folded, sent_at: float) -> None:
         self._renewing = False
-        if self._clock.seconds() - sent_at > LOG_SILENT_S:
-            self._log_back_at = self._clock.seconds()
+        if self.state not in _ACTIVE:
+            return
+        now = self._clock.seconds()
+        self._starts_cycle(now)
+        self._renew_after(
+            max(self._cycle_at + self._tuning.renewal_interval_s - now, 0.0)
+        )
+        if now - sent_at > LOG_SILENT_S:
+            self._log_back_at = now
         if folded.verdict.accepted:
             self.authority.renewed(sent_at)
 
+    def _starts_cycle(self, now: float) -> bool:
+        """Takes a renewal that was read; True for a cycle's first."""
+        if now - self._cycle_at < self._tuning.renewal_interval_s / 2:
+            return False
+        self._cycle_at = now
+        return True
+
     def _depose(self, now: float) -> None:
         if self.log_silent():
             return
--- a/lycheestall/log_streams.py
+++ b/lycheestall/log_streams.py
@@ -3,10 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Any
-
-from twisted.internet.defer import ensureDeferred
 
+from .cell_relay import CellRelay
 from .checkpoints import CheckpointAssembler
 from .clock import Clock
 from .fold import Fold, Verdict
@@ -25,9 +23,9 @@
 from .platform import LogService
 from .records import Record
 
-__all__ = ["LogStreams"]
+__all__ = ["LogStreams", "RelayChoice"]
 
-MAX_RELAYED_APPENDS = 16
+RelayChoice = Callable[[StreamName], VmId | None]
 
 
 class LogStreams:
@@ -46,10 +44,12 @@
         self._log = log
         self._clock = clock
         self._mesh = mesh
+        self._own = VmId("")
         self._reader_by_stream: dict[StreamName, LogReader] = {}
         self._writer_by_stream: dict[StreamName, LogWriter] = {}
         self._folded_by_peer: dict[tuple[VmId, StreamName], Offset] = {}
-        self._relayed = 0
+        self._cell_relay = CellRelay(log, clock)
+        self._choose_relay: RelayChoice | None = None
         self._turn = 0
 
     def follow(
@@ -109,11 +109,22 @@
             self._log,
             self._clock,
             relay=self._relay,
+            preferred=self._append_by_relay,
             flush_s=flush_s,
         )
         self._writer_by_stream[stream] = writer
         return writer
 
+    def share_appends(self, own: VmId, choose: RelayChoice) -> None:
+        """Lets one member append for all.
+
+        Args:
+            own: This VM.
+            choose: Returns the member for a stream, or None.
+        """
+        self._own = own
+        self._choose_relay = choose
+
     def start(self) -> None:
         """Starts all readers."""
         for reader in self._reader_by_stream.values():
@@ -125,6 +136,7 @@
             reader.stop()
         for writer in self._writer_by_stream.values():
             writer.close("the daemon stops")
+        self._cell_relay.stop()
 
     def readers(self) -> tuple[LogReader, ...]:
         """Returns the readers."""
@@ -172,20 +184,24 @@
     def _append_for(self, peer: VmId, message: AppendWanted) -> None:
         if message.stream not in self._reader_by_stream:
             return
-        if self._relayed >= MAX_RELAYED_APPENDS:
-            return
-        self._relayed += 1
-        answer = ensureDeferred(
-            self._log.append(message.stream, message.payloads)
-        )
-        answer.addBoth(self._appended_for, peer, message)
-
-    def _appended_for(
-        self, result: Any, peer: VmId, message: AppendWanted
-    ) -> None:
-        self._relayed -= 1
-        given = AppendGiven(message.stream, len(message.payloads))
-        self._mesh.send(peer, given)
+        if self._cell_relay.add(
+            message.stream, message.payloads, hold_s=message.hold_s
+        ):
+            given = AppendGiven(message.stream, len(message.payloads))
+            self._mesh.send(peer, given)
+
+    def _append_by_relay(
+        self, stream: StreamName, payloads: tuple[bytes, ...], hold_s: float
+    ) -> bool:
+        if self._choose_relay is None:
+            return False
+        relay = self._choose_relay(stream)
+        if relay is None:
+            return False
+        if relay == self._own:
+            return self._cell_relay.add(stream, payloads, hold_s=hold_s)
+        wanted = AppendWanted(stream, payloads, hold_s)
+        return self._mesh.send(relay, wanted)
 
     def _ask_peer(self, stream: StreamName, start: Offset) -> None:
         peers = self._peers_in_turn()
--- a/lycheestall/log_writer.py
+++ b/lycheestall/log_writer.py
@@ -17,17 +17,21 @@
 from .platform import Appended, AppendResult, LogService
 from .records import NO_OFFSET, Record, RecordBody
 
-__all__ = ["LogWriter", "Relay"]
+__all__ = ["LogWriter", "PreferredRelay", "Relay"]
 
 FLUSH_S = 0.02
 FIRST_RETRY_S = 0.25
 MAX_RETRY_S = 1.0
 READ_BACK_LIMIT_S = 2.0
+PATIENT_HOLD_S = 0.1
+PREFERRED_LIMIT_S = 0.5
+PREFERRED_PAUSE_S = 5.0
 MAX_PENDING_RECORDS = 10_000
 MAX_BATCH_RECORDS = 500
 MAX_BATCH_BYTES = 1024 * 1024
 
 Relay = Callable[[StreamName, tuple[bytes, ...]], bool]
+PreferredRelay = Callable[[StreamName, tuple[bytes, ...], float], bool]
 
 
 @dataclass(slots=True)
@@ -35,6 +39,7 @@
     sequence: int
     payload: bytes
     submitted_at: float
+    patient: bool
     done: Deferred[Folded]
 
 
@@ -53,6 +58,9 @@
         clock: Times flushes and retries.
         relay: Passes payloads to a connected peer that appends them;
             returns False when there is none.
+        preferred: Passes payloads, with how long they may be held, to
+            the member that appends for all; returns False when there is
+            none. Left out for a while after it has failed.
         flush_s: How long records wait to share an append.
     """
 
@@ -64,6 +72,7 @@
         clock: Clock,
         *,
         relay: Relay,
+        preferred: PreferredRelay | None = None,
         flush_s: float = FLUSH_S,
         max_pending: int = MAX_PENDING_RECORDS,
     ) -> None:
@@ -72,6 +81,9 @@
         self._log = log
         self._clock = clock
         self._relay = relay
+        self._preferred = preferred
+        self._preferred_from = float("-inf")
+        self._used_preferred = False
         self._flush_s = flush_s
         self._max_pending = max_pending
         self._next_sequence = 1
@@ -96,9 +108,16 @@
             return 0.0
         return self._clock.seconds() - oldest.submitted_at
 
-    def submit(self, body: RecordBody) -> Deferred[Folded]:
+    def submit(
+        self, body: RecordBody, *, patient: bool = False
+    ) -> Deferred[Folded]:
         """Writes a record.
 
+        Args:
+            body: What it says.
+            patient: Whether it may be held for a moment to share an
+                append with other writers' records.
+
         Returns:
             What became of it, once read back. A full queue or a closed
             writer answers at once with offset -1 and no acceptance: the
@@ -113,6 +132,7 @@
             sequence=record.sequence,
             payload=encode_record(record),
             submitted_at=self._clock.seconds(),
+            patient=patient,
             done=Deferred(self._cancelled),
         )
         self._next_sequence += 1
@@ -172,13 +192,38 @@
         payloads = tuple(
             pending.payload for pending in self._batch_by_sequence.values()
         )
+        if attempt == 1 and self._append_preferred(payloads):
+            return
+        if self._used_preferred:
+            self._preferred_failed(attempt)
+            attempt -= 1
         if attempt % 2 == 0 and self._relay(self._stream, payloads):
             self._retry_after(_retry_s(attempt))
             return
         self._retry_after(READ_BACK_LIMIT_S)
         first = next(iter(self._batch_by_sequence))
         answer = ensureDeferred(self._log.append(self._stream, payloads))
-        answer.addBoth(self._answered, first, attempt)
+        answer.addBoth(self._answered, first, self._attempt)
+
+    def _append_preferred(self, payloads: tuple[bytes, ...]) -> bool:
+        self._used_preferred = False
+        if self._preferred is None:
+            return False
+        if self._clock.seconds() < self._preferred_from:
+            return False
+        batch = self._batch_by_sequence.values()
+        patient = all(pending.patient for pending in batch)
+        hold_s = PATIENT_HOLD_S if patient else 0.0
+        if not self._preferred(self._stream, payloads, hold_s):
+            return False
+        self._used_preferred = True
+        self._retry_after(PREFERRED_LIMIT_S + hold_s)
+        return True
+
+    def _preferred_failed(self, attempt: int) -> None:
+        if attempt == 2:
+            now = self._clock.seconds()
+            self._preferred_from = now + PREFERRED_PAUSE_S
 
     def _answered(
         self, result: AppendResult | Failure, first: int, attempt: int
--- a/lycheestall/membership.py
+++ b/lycheestall/membership.py
@@ -135,6 +135,14 @@
         peer = self._peer_by_session.get(session)
         return peer is not None and now - peer.heard_at < RESPONSIVE_S
 
+    def relays(self, sessions: Sessions, now: float) -> list[VmId]:
+        """Returns the VMs that may append for others just now."""
+        return [
+            session.vm
+            for session in self.candidates(sessions)
+            if self.responsive(session.session, now)
+        ]
+
     def candidates(self, sessions: Sessions) -> list[Session]:
         """Returns the live sessions that may own partitions."""
         found: list[Session] = []
--- a/lycheestall/messages.py
+++ b/lycheestall/messages.py
@@ -105,10 +105,17 @@
 
 @dataclass(frozen=True, slots=True)
 class AppendWanted:
-    """Asks a peer to append on the sender's behalf."""
+    """Asks a peer to append on the sender's behalf.
+
+    Attributes:
+        stream: The stream.
+        payloads: The sender's records, in order.
+        hold_s: How long the peer may wait for others' records.
+    """
 
     stream: StreamName
     payloads: tuple[bytes, ...]
+    hold_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_cell_agent.py
+++ b/tests/test_cell_agent.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import pytest
-from cell_world import CellWorld
+from cell_world import STREAM, CellWorld
 
-from lycheestall.ids import PartitionId
+from lycheestall.cell_relay import relay_of
+from lycheestall.ids import PartitionId, VmId
 from lycheestall.outcomes import Reason
 from lycheestall.records import NO_OFFSET, ProgramEnded
 
@@ -315,3 +316,34 @@
     cell.world.run_for(0.1)
     assert found == [True] * 50
     assert cell.log.appends["cell"] - before <= 3
+
+
+def test_one_member_appends_for_all() -> None:
+    cell = CellWorld()
+    cell.boot_all(8)
+    cell.world.run_for(10.0)
+    appends = cell.log.appends["cell"]
+    records = cell.log.payload_count["cell"]
+    cell.world.run_for(20.0)
+    assert cell.log.appends["cell"] - appends <= 22
+    assert cell.log.payload_count["cell"] - records >= 8 * 16
+
+
+@pytest.mark.parametrize("fault", ["kill", "pause", "silent log"])
+def test_lost_relay_ends_no_other_lease(fault: str) -> None:
+    cell = CellWorld()
+    cell.boot_all(5)
+    relay = relay_of(STREAM, [VmId(vm) for vm in cell.node_by_vm])
+    assert relay is not None
+    kept = {p: vms for p, vms in cell.owners().items() if vms != [relay]}
+    if fault == "kill":
+        cell.kill(relay)
+    elif fault == "pause":
+        cell.world.pause(relay)
+    else:
+        cell.log.outage(cell.world.now, nodes=[relay])
+    for _ in range(60):
+        cell.world.run_for(0.1)
+        owners = cell.owners()
+        assert kept == {p: owners.get(p) for p in kept}
+    assert cell.violations == []
