Listen with new certificates also while dialling

Cause: the listener asked whether the TLS files had changed; a dial that read them first made that answer no, and the listener kept its old certificate for good. A failed listen ended the watch. Change: the listener compares the context it serves with the newest one and tries again after an error; a dial that fails in an unforeseen way is logged and tried again. Measured: the rotation test, now with a peer being dialled, failed after its 20 s limit before the change and passes after; 7 mesh tests in 2.5 s.

--- a/lycheestall/mesh_websocket.py
+++ b/lycheestall/mesh_websocket.py
@@ -118,6 +118,7 @@
         self._ping_interval_s = ping_interval_s
         self._ping_timeout_s = ping_timeout_s
         self._server: Server | None = None
+        self._served_context: ssl.SSLContext | None = None
         self._link_by_vm: dict[VmId, _Link] = {}
         self._address_by_vm: dict[VmId, tuple[str, int]] = {}
         self._dialler_by_vm: dict[VmId, asyncio.Task[None]] = {}
@@ -204,11 +205,12 @@
             self._spawn(self._watch_tls(self._tls))
 
     async def _listen(self) -> None:
+        context = None if self._tls is None else self._tls.server()
         self._server = await serve(
             self._accept,
             self._host,
             self._port,
-            ssl=None if self._tls is None else self._tls.server(),
+            ssl=context,
             compression=None,
             max_size=MAX_FRAME_BYTES,
             open_timeout=OPEN_TIMEOUT_S,
@@ -216,6 +218,7 @@
             ping_timeout=self._ping_timeout_s,
             close_timeout=CLOSE_TIMEOUT_S,
         )
+        self._served_context = context
         for socket in self._server.sockets:
             self._port = socket.getsockname()[1]
 
@@ -231,18 +234,17 @@
             await self._server.wait_closed()
 
     async def _watch_tls(self, tls: TlsContexts) -> None:
+        """Listens anew whenever the files have changed."""
         while True:
             await asyncio.sleep(TLS_CHECK_INTERVAL_S)
             try:
-                if not tls.changed():
+                if tls.server() is self._served_context:
                     continue
-                tls.server()
+                if self._server is not None:
+                    self._server.close(close_connections=False)
+                await self._listen()
             except (OSError, ssl.SSLError) as error:
                 _log.error("mesh.tls_files", error=repr(error))
-                continue
-            if self._server is not None:
-                self._server.close(close_connections=False)
-            await self._listen()
 
     async def _accept(self, connection: ServerConnection) -> None:
         if self._unnamed >= MAX_UNNAMED_CONNECTIONS:
@@ -286,6 +288,9 @@
         except (OSError, TimeoutError, WebSocketException) as error:
             _log.debug("mesh.dial_failed", peer=vm, error=repr(error))
             return False
+        except Exception:
+            _log.exception("mesh.dial_broke", peer=vm)
+            return False
 
     async def _greet(self, connection: Connection) -> VmId | None:
         """Exchanges ``Hello``; None when the peer is not acceptable."""
--- a/tests/test_mesh_websocket.py
+++ b/tests/test_mesh_websocket.py
@@ -261,6 +261,7 @@
 
     async def scenario() -> None:
         assert await _refused(node, settings)
+        node.mesh.set_peers({VmId("z"): ("127.0.0.1", 1)})
         second.issue("b", "b")
         first.file.write_bytes(second.file.read_bytes())
         async with asyncio.timeout(20):
