Give the session's states to a machine and its renewals to a class

Cause: CellSession set its state in six places, and had grown past 400 lines with the renewals in step. Change: SessionLifecycle (automat) holds the states from join to end and calls the session's effects; Renewals writes renewals in the cell's cycle. Two tests more: a VM paused past retention starts again from a checkpoint, short returns of the log depose nobody alive.

--- a/lycheestall/cell_session.py
+++ b/lycheestall/cell_session.py
@@ -4,7 +4,6 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from enum import Enum
 
 import structlog
 from twisted.internet.defer import Deferred, succeed
@@ -35,9 +34,15 @@
     SessionLeft,
     SessionRenewed,
 )
+from .renewals import Renewals
+from .session_lifecycle import (
+    SessionEffects,
+    SessionLifecycle,
+    SessionState,
+)
 from .settings import TuningSettings
 
-__all__ = ["CellIdentity", "CellSession", "SessionState"]
+__all__ = ["CellIdentity", "CellSession"]
 
 LOG_SILENT_S = 1.5
 LEAVE_LIMIT_S = 5.0
@@ -46,19 +51,6 @@
 _log = structlog.get_logger(__name__)
 
 
-class SessionState(Enum):
-    """How far a session has come."""
-
-    JOINING = "joining"
-    JOINED = "joined"
-    DRAINING = "draining"
-    LEAVING = "leaving"
-    ENDED = "ended"
-
-
-_ACTIVE = frozenset({SessionState.JOINED, SessionState.DRAINING})
-
-
 @dataclass(frozen=True, slots=True)
 class CellIdentity:
     """What a daemon says of itself when it joins.
@@ -78,7 +70,7 @@
     release: str
 
 
-class CellSession:
+class CellSession(SessionEffects):
     """Runs one session from its join to its end.
 
     Args:
@@ -113,7 +105,7 @@
         on_ended: Callable[[str], None],
     ) -> None:
         self.session = session
-        self.state = SessionState.JOINING
+        self._lifecycle = SessionLifecycle(self)
         self.membership = membership
         others = [r.stream for r in streams.readers() if r is not reader]
         self.authority = Authority(
@@ -141,16 +133,24 @@
             submit=self.submit,
         )
         self.holdings = self._ownership.holdings
-        self._renewing = False
-        self._cycle_at = float("-inf")
-        self._renewal: Timer | None = None
+        self._renewals = Renewals(
+            self._writer,
+            clock,
+            interval_s=tuning.renewal_interval_s,
+            folded=lambda: reader.folded,
+            on_renewed=self.authority.renewed,
+        )
         self._deposing: set[SessionId] = set()
         self._checkpointing = False
-        self._log_back_at = clock.seconds()
         self._acting_soon: Timer | None = None
         self._drain_began = 0.0
         self._deadline: Timer | None = None
 
+    @property
+    def state(self) -> SessionState:
+        """How far the session has come."""
+        return self._lifecycle.state
+
     @property
     def pending_records(self) -> int:
         """How many own records are not read back yet."""
@@ -163,7 +163,7 @@
 
     def log_silent(self) -> bool:
         """Returns whether own records are not coming back."""
-        if self.state not in _ACTIVE:
+        if not self._lifecycle.active:
             return True
         return self._writer.oldest_age_s() > LOG_SILENT_S
 
@@ -183,7 +183,7 @@
 
     def submit(self, body: CellRecord) -> Deferred[Folded]:
         """Writes a record and waits until it is read back."""
-        if self.state not in _ACTIVE:
+        if not self._lifecycle.active:
             return succeed(Folded(NO_OFFSET, Verdict(False, "no session")))
         return self._writer.submit(body)
 
@@ -192,7 +192,7 @@
         holding = self.holdings.by_partition.get(partition)
         if holding is None or holding.released:
             return self._refused(Reason.NOT_OWNER, "another VM owns this")
-        if self.state not in _ACTIVE or not self._reader.ready:
+        if not self._lifecycle.active or not self._reader.ready:
             return self._refused(Reason.NO_AUTHORITY, "no session in the cell")
         if not holding.acting:
             detail = "the former owner's lease may not have run out"
@@ -212,8 +212,7 @@
         match record.body:
             case SessionJoined() | SessionRenewed():
                 self.membership.renewal_read(record.writer, now)
-                if self._starts_cycle(now):
-                    self._renew()
+                self._renewals.read()
             case PartitionClaimed():
                 self._ownership.on_claimed(record.writer, record.body)
             case PartitionReleased():
@@ -237,9 +236,7 @@
         self.membership.forget(sessions)
         for member in sessions.by_id.values():
             self.membership.expect_listed(member.vm)
-        if self.state not in _ACTIVE and self.state is not (
-            SessionState.LEAVING
-        ):
+        if self.state in (SessionState.JOINING, SessionState.ENDED):
             return
         if not sessions.is_live(self.session):
             self.end("the session was ended by another")
@@ -253,7 +250,7 @@
             self.authority.folded(reader.stream, reader.folded)
             if reader.fresh_at is not None:
                 self.authority.up_to_date(reader.stream, reader.fresh_at)
-        if self.state not in _ACTIVE:
+        if not self._lifecycle.active:
             return
         self._depose(now)
         self._checkpoint(now)
@@ -261,25 +258,43 @@
 
     def drain(self) -> None:
         """Starts to give everything away; the session ends after it."""
-        if self.state is SessionState.JOINING:
-            self.end("the daemon stops")
-            return
-        self.state = SessionState.DRAINING
+        self._lifecycle.drain()
+
+    def end(self, why: str) -> None:
+        """Ends the session; what it owned is lost."""
+        self._lifecycle.end(why)
+
+    def begin_service(self) -> None:
+        """Starts to renew and to take part."""
+        self.authority.folded(self._reader.stream, self._reader.folded)
+        self.sessions_changed()
+        self._renewals.start()
+
+    def begin_drain(self) -> None:
+        """Starts to give everything away, within the drain's limit."""
         self._drain_began = self._clock.seconds()
         self._deadline = self._clock.callLater(
-            self._tuning.drain_limit_s, self._leave
+            self._tuning.drain_limit_s, self._lifecycle.emptied
         )
         self._act_soon()
 
-    def end(self, why: str) -> None:
-        """Ends the session; what it owned is lost."""
-        if self.state is SessionState.ENDED:
-            return
+    def write_leave(self) -> None:
+        """Writes the leave record and waits a while for it."""
+        if self._deadline is not None and self._deadline.active():
+            self._deadline.cancel()
+        self._deadline = self._clock.callLater(
+            LEAVE_LIMIT_S, self.end, "left without the log's answer"
+        )
+        left = self._writer.submit(SessionLeft())
+        left.addCallback(lambda _: self.end("left"))
+
+    def close(self, why: str) -> None:
+        """Loses everything and tells the agent."""
         _log.info("cell.session_ended", session=self.session, why=why)
-        self.state = SessionState.ENDED
-        for timer in (self._acting_soon, self._deadline, self._renewal):
+        for timer in (self._acting_soon, self._deadline):
             if timer is not None and timer.active():
                 timer.cancel()
+        self._renewals.stop()
         self._writer.close(why)
         self._ownership.end()
         self._on_ended(why)
@@ -290,57 +305,14 @@
         if not folded.verdict.accepted:
             self.end(f"join refused: {folded.verdict.why}")
             return
-        self.state = SessionState.JOINED
-        self.authority.renewed(sent_at)
-        self.authority.folded(self._reader.stream, self._reader.folded)
-        self.sessions_changed()
-        self._renew()
         _log.info("cell.joined", session=self.session, offset=folded.offset)
-
-    def _renew(self) -> None:
-        """Writes a renewal, unless one is on its way.
-
-        The first renewal that is read starts a cycle for all members, so
-        that the cell renews in step and its renewals share an append.
-        """
-        if self._renewing or self.state not in _ACTIVE:
-            return
-        self._renewing = True
-        now = self._clock.seconds()
-        body = SessionRenewed(self._reader.folded)
-        written = self._writer.submit(body, patient=True)
-        written.addCallback(self._renewal_folded, now)
-
-    def _renew_after(self, seconds: float) -> None:
-        if self._renewal is not None and self._renewal.active():
-            self._renewal.cancel()
-        self._renewal = self._clock.callLater(seconds, self._renew)
-
-    def _renewal_folded(self, folded: Folded, sent_at: float) -> None:
-        self._renewing = False
-        if self.state not in _ACTIVE:
-            return
-        now = self._clock.seconds()
-        self._starts_cycle(now)
-        self._renew_after(
-            max(self._cycle_at + self._tuning.renewal_interval_s - now, 0.0)
-        )
-        if now - sent_at > LOG_SILENT_S:
-            self._log_back_at = now
-        if folded.verdict.accepted:
-            self.authority.renewed(sent_at)
-
-    def _starts_cycle(self, now: float) -> bool:
-        """Takes a renewal that was read; True for a cycle's first."""
-        if now - self._cycle_at < self._tuning.renewal_interval_s / 2:
-            return False
-        self._cycle_at = now
-        return True
+        self.authority.renewed(sent_at)
+        self._lifecycle.joined()
 
     def _depose(self, now: float) -> None:
         if self.log_silent():
             return
-        back_at = max(self._log_back_at, self._reader.back_at)
+        back_at = max(self._renewals.back_at, self._reader.back_at)
         silent = self.membership.silent(self._fold.sessions, now, back_at)
         for body in silent:
             if body.session in self._deposing:
@@ -374,39 +346,25 @@
         self._checkpointing = False
 
     def _act_soon(self) -> None:
-        if self._acting_soon is None and self.state in _ACTIVE:
+        if self._acting_soon is None and self._lifecycle.active:
             self._acting_soon = self._clock.callLater(0.0, self._act)
 
     def _act(self) -> None:
         self._acting_soon = None
-        if self.state not in _ACTIVE:
+        if not self._lifecycle.active:
             return
         draining = self.state is SessionState.DRAINING
         self._ownership.act(draining=draining, log_silent=self.log_silent())
         if not draining:
             return
         if self._ownership.drained(hopeless=self._handover_hopeless()):
-            self._leave()
+            self._lifecycle.emptied()
 
     def _handover_hopeless(self) -> bool:
         """Whether releases stay unread, so that nobody can take over."""
         waited_s = self._clock.seconds() - self._drain_began
         return self.log_silent() and waited_s >= HANDOVER_WAIT_S
 
-    def _leave(self) -> None:
-        if self.state is not SessionState.DRAINING:
-            return
-        left = self._writer.submit(SessionLeft())
-        self.state = SessionState.LEAVING
-        left.addCallback(lambda _: self.end("left"))
-        if self.state is not SessionState.LEAVING:
-            return
-        if self._deadline is not None and self._deadline.active():
-            self._deadline.cancel()
-        self._deadline = self._clock.callLater(
-            LEAVE_LIMIT_S, self.end, "left without the log's answer"
-        )
-
     def _refused(self, reason: Reason, detail: str) -> Refused:
         return Refused(
             Step.ROUTE,
--- a/lycheestall/heartbeats.py
+++ b/lycheestall/heartbeats.py
@@ -4,13 +4,14 @@
 
 from collections.abc import Callable
 
-from .cell_session import CellSession, SessionState
+from .cell_session import CellSession
 from .clock import Clock
 from .ids import Offset, StreamName, VmId
 from .log_streams import LogStreams
 from .mesh import Mesh
 from .messages import Heartbeat, HeartbeatReply, MeshMessage
 from .records import NO_OFFSET
+from .session_lifecycle import SessionState
 from .targets import LoadReport
 
 __all__ = ["Heartbeats", "LoadHandler", "LoadSource"]
--- a/tests/test_cell_agent.py
+++ b/tests/test_cell_agent.py
@@ -347,3 +347,38 @@
         owners = cell.owners()
         assert kept == {p: owners.get(p) for p in kept}
     assert cell.violations == []
+
+
+def test_vm_paused_past_retention_starts_from_a_checkpoint() -> None:
+    cell = CellWorld(retention_s=60.0)
+    cell.boot_all(4)
+    cell.world.run_for(80.0)
+    victim = busiest(cell)
+    cell.world.pause(victim)
+    cell.world.run_for(200.0)
+    cell.world.resume(victim)
+    cell.world.run_for(20.0)
+    node = cell.node_by_vm[victim]
+    assert cell.owned_by(victim)
+    assert sorted(node.watcher.owned) == cell.owned_by(victim)
+    assert cell.all_owned()
+    assert cell.violations == []
+
+
+def test_log_back_for_a_moment_deposes_nobody_alive() -> None:
+    cell = CellWorld()
+    cell.boot_all(4)
+    owners = cell.owners()
+    for _ in range(5):
+        now = cell.world.now
+        cell.log.outage(now, now + 20.0)
+        cell.world.run_for(22.0)
+    cell.world.run_for(10.0)
+    assert cell.owners() == owners
+    assert len(cell.folded_log().sessions.by_id) == 4
+    assert {s.joined for s in cell.folded_log().sessions.by_id.values()} == {
+        0,
+        1,
+        2,
+        3,
+    }
