--- a/lycheestall/engine_dispatcher.py
+++ b/lycheestall/engine_dispatcher.py
@@ -155,17 +155,6 @@
         now = self._timer.seconds()
         self._execute(self._scheduler.observe(report, now))
 
-    def found(
-        self,
-        target: TargetId,
-        held: Iterable[HeldMemory],
-        *,
-        live: Callable[[ProgramId], bool],
-    ) -> None:
-        """Takes what an engine holds; releases what no program owns."""
-        now = self._clock.seconds()
-        self._execute(self._scheduler.found(target, held, live=live, now=now))
-
     def observe_cache(self, target: TargetId, page: CacheEvents) -> None:
         """Takes a page of an engine's cache events."""
         self._scheduler.cache_events(target, page, self._timer.seconds())
--- a/lycheestall/engine_polls.py
+++ b/lycheestall/engine_polls.py
@@ -110,4 +110,4 @@
         engine = self._engines.engine(target)
         held = None if engine is None else await engine.held()
         if held is not None and self._duty.up_to_date():
-            self._dispatcher.found(target, held, live=self._duty.live)
+            self._dispatcher.found(target, held, self._duty.live)
