--- a/lycheestall/_bench_programs.py
+++ b/lycheestall/_bench_programs.py
@@ -104,7 +104,7 @@
             tally: Where ends are counted.
             parent: The program that spawned it, None at the top.
         """
-        self._plan = plan
+        self.plan = plan
         self._sink = sink
         self._timeline = timeline
         self._tally = tally
@@ -112,43 +112,49 @@
         self._turn = 0
         self._children_left = 0
         self._asked_s = 0.0
+        self._ended = False
 
     def start(self) -> None:
         """Makes the first call."""
         self._ask_first()
 
+    def give_up(self) -> None:
+        """Counts a program that has not ended as not completed."""
+        if not self._ended:
+            self._end(completed=False)
+
     def model_request(self, request: RequestId, priority: int) -> ModelRequest:
         """Returns the engine's view of the current call."""
-        turn = self._plan.turns[self._turn]
+        turn = self.plan.turns[self._turn]
         parent = self._parent
         return ModelRequest(
             request=request,
-            program=self._plan.program,
+            program=self.plan.program,
             prompt_tokens=self._prompt_tokens(),
             output_tokens=turn.output_tokens,
             priority=priority,
-            parent=parent._plan.program if parent else None,
-            parent_tokens=self._plan.shared_tokens,
+            parent=parent.plan.program if parent else None,
+            parent_tokens=self.plan.shared_tokens,
         )
 
     def answered(self, result: EngineDone) -> None:
         """The current call's answer is whole."""
-        reusable = prefix_before(self._plan, self._turn)
+        reusable = prefix_before(self.plan, self._turn)
         if reusable:
-            reusable += self._plan.shared_tokens
+            reusable += self.plan.shared_tokens
         self._tally.calls += 1
         self._tally.reusable_tokens += reusable
         missed = reusable - result.cached_tokens
         self._tally.wasted_tokens += max(missed, 0)
-        turn = self._plan.turns[self._turn]
+        turn = self.plan.turns[self._turn]
         self._turn += 1
         if turn.children:
             self._spawn(turn.children)
             return
-        if self._turn >= len(self._plan.turns):
+        if self._turn >= len(self.plan.turns):
             self._end(completed=True)
             return
-        self._sink.program_paused(root_of(self._plan.program))
+        self._sink.program_paused(root_of(self.plan.program))
         self._timeline.after(turn.pause_s, self._ask_first)
 
     def refused(self, outcome: Refused) -> None:
@@ -173,7 +179,7 @@
         self._ask()
 
     def _ask(self) -> None:
-        plan = self._plan
+        plan = self.plan
         turn = plan.turns[self._turn]
         job = ChatJob(
             program=plan.program,
@@ -194,9 +200,9 @@
         self._sink.submit_job(self, job)
 
     def _prompt_tokens(self) -> int:
-        before = prefix_before(self._plan, self._turn)
-        new = self._plan.turns[self._turn].new_tokens
-        return self._plan.shared_tokens + before + new
+        before = prefix_before(self.plan, self._turn)
+        new = self.plan.turns[self._turn].new_tokens
+        return self.plan.shared_tokens + before + new
 
     def _spawn(self, children: tuple[ProgramPlan, ...]) -> None:
         self._children_left = len(children)
@@ -209,18 +215,19 @@
         self._children_left -= 1
         if self._children_left:
             return
-        if self._turn >= len(self._plan.turns):
+        if self._turn >= len(self.plan.turns):
             self._end(completed=True)
             return
         self._ask_first()
 
     def _end(self, *, completed: bool) -> None:
+        self._ended = True
         if self._parent is not None:
             self._parent._child_ended()
             return
         now = self._timeline.now
-        self._tally.records.append(ProgramRecord(self._plan, now, completed))
-        self._sink.program_ended(self._plan.program)
+        self._tally.records.append(ProgramRecord(self.plan, now, completed))
+        self._sink.program_ended(self.plan.program)
 
 
 def _nothing() -> None:
--- a/lycheestall/bench_policy.py
+++ b/lycheestall/bench_policy.py
@@ -43,7 +43,7 @@
 
 POLICY_NAMES = (*BASELINE_NAMES, "lycheestall")
 BROKEN_AFTER_S = 1.25
-DRAIN_FACTOR = 4.0
+DRAIN_S = 1800.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -142,18 +142,23 @@
         timeline, config = self._timeline, self._config
         for vm in self._vms:
             self._execute(vm, vm.scheduler.set_engines(self._entries, 0.0))
-        for plan in self._plans:
-            program = BenchProgram(plan, self, timeline, self.tally)
-            timeline.at(plan.arrival_s, program.start)
+        programs = [
+            BenchProgram(plan, self, timeline, self.tally)
+            for plan in self._plans
+        ]
+        for program in programs:
+            timeline.at(program.plan.arrival_s, program.start)
         for index, engine in enumerate(self._engine_by_target.values()):
             offset = index / len(self._engine_by_target)
             timeline.at(offset, self._report, engine)
             timeline.at(offset, self._publish_cache, engine)
         self._plan_faults()
         timeline.run(
-            config.horizon_s * DRAIN_FACTOR,
+            config.horizon_s + DRAIN_S,
             lambda: self.tally.ended >= len(self._plans),
         )
+        for program in programs:
+            program.give_up()
         return self.tally
 
     def submit_job(self, program: BenchProgram, job: ChatJob) -> None:
