Split the intake of jobs from the engine scheduler

Change: JobIntake refuses and ranks new jobs; a job knows its own end as not run or may have run. No behaviour changes.

--- a/lycheestall/_scheduled_jobs.py
+++ b/lycheestall/_scheduled_jobs.py
@@ -6,10 +6,11 @@
 from dataclasses import dataclass, field
 
 from .dispatch import ChatJob
-from .dispatch_commands import JobKey
+from .dispatch_commands import EndFailed, EndRefused, JobKey
 from .engine_load import EngineLoad
 from .fair_queue import Rank
 from .ids import AccountId, TargetId
+from .outcomes import Failed, Refused
 
 __all__ = ["ScheduledJob", "ScheduledJobs"]
 
@@ -46,6 +47,23 @@
     may_have_run: bool = False
     tried: set[TargetId] = field(default_factory=set)
 
+    def ending(self, refused: Refused) -> EndRefused | EndFailed:
+        """Returns the job's end as not run, or failed if it may have run.
+
+        Args:
+            refused: Why it is not sent now.
+        """
+        if not self.may_have_run:
+            return EndRefused(self.key, refused)
+        failed = Failed(
+            refused.step,
+            refused.reason,
+            peer=refused.peer,
+            retry_after_s=refused.retry_after_s,
+            detail=refused.detail,
+        )
+        return EndFailed(self.key, failed)
+
 
 class ScheduledJobs:
     """Jobs by key, with counts by engine and by account."""
--- a/lycheestall/engine_scheduler.py
+++ b/lycheestall/engine_scheduler.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Iterable
 
 from ._engine_choice import EngineChoice
+from ._job_intake import JobIntake
 from ._scheduled_jobs import ScheduledJob, ScheduledJobs
 from ._scheduler_parts import SchedulerParts
 from .dispatch import ChatJob
@@ -17,7 +18,6 @@
     SendJob,
 )
 from .engine_directory import EngineEntry
-from .fair_queue import Rank
 from .ids import ProgramId, RequestId, TargetId, VmId
 from .outcomes import Failed, Reason, Refused, Step
 from .placement import Choice
@@ -37,6 +37,12 @@
 POLL_S = 0.5
 MOST_BLOCKED = 32
 LEAST_RUN_SHARE = 0.5
+LATE = Refused(
+    Step.PLACE,
+    Reason.DEADLINE,
+    retry_after_s=NO_TARGET_RETRY_S,
+    detail="the deadline cannot be met",
+)
 
 
 class EngineScheduler:
@@ -67,12 +73,18 @@
             wall_ms: Wall-clock time, for rules with time windows.
         """
         self._rules = rules
-        self._wall_ms = wall_ms
         self._parts = SchedulerParts(vm=vm, seed=seed, quarantined=quarantined)
         self._jobs = ScheduledJobs(self._parts.load)
         self._choice = EngineChoice(
             self._parts, rules=rules, wall_ms=wall_ms, cell_size=cell_size
         )
+        self._intake = JobIntake(
+            self._parts,
+            self._choice,
+            self._jobs,
+            rules=rules,
+            wall_ms=wall_ms,
+        )
         self._serial = 0
 
     def set_engines(
@@ -86,10 +98,10 @@
         self, key: JobKey, job: ChatJob, now: float
     ) -> list[DispatchCommand]:
         """Takes a new job."""
-        refused = self._refusal(job, now)
+        refused = self._intake.refusal(job, now)
         if refused is not None:
             return [EndRefused(key, refused)]
-        scheduled = ScheduledJob(key, job, self._rank(job), now)
+        scheduled = ScheduledJob(key, job, self._intake.rank(job), now)
         self._jobs.add(scheduled)
         self._parts.queue.push(key, scheduled.rank)
         self._parts.retries.first_attempt()
@@ -99,7 +111,9 @@
         self, key: JobKey, job: ChatJob, target: TargetId, now: float
     ) -> None:
         """Takes a job that an earlier owner had sent to an engine."""
-        adopted = ScheduledJob(key, job, self._rank(job), may_have_run=True)
+        adopted = ScheduledJob(
+            key, job, self._intake.rank(job), may_have_run=True
+        )
         self._jobs.add(adopted)
         self._jobs.enter(adopted, target, now)
         self._parts.memory.lease(job.root, target)
@@ -267,7 +281,7 @@
             job = self._jobs[key]
             if self._hopeless(job, now):
                 self._parts.queue.remove(key)
-                commands.append(self._end(job, self._late()))
+                commands.append(self._end(job, LATE))
                 continue
             if blocked >= MOST_BLOCKED:
                 continue
@@ -286,45 +300,6 @@
             times.append(now + POLL_S)
         return min((t for t in times if t is not None), default=None)
 
-    def _refusal(self, job: ChatJob, now: float) -> Refused | None:
-        if self._parts.quarantine.holds(job.fingerprint):
-            detail = "the request crashed the targets that ran it"
-            return Refused(Step.PLACE, Reason.QUARANTINED, detail=detail)
-        refused = self._choice.refusal(job, now)
-        if refused is not None:
-            return refused
-        queued = len(self._parts.queue)
-        wait_s = self._parts.admission.wait_s(
-            queued,
-            in_flight=self._jobs.at_engines,
-            stay_s=self._parts.service.stay_s(),
-            now=now,
-        )
-        run_s = self._parts.run_s(job)
-        retry_s = self._parts.admission.refusal_s(
-            wait_s, run_s, queued=queued, left_s=job.deadline_s - now
-        )
-        if retry_s is None:
-            return None
-        detail = f"the queue takes about {wait_s:.0f} s"
-        return Refused(
-            Step.PLACE,
-            Reason.OVERLOADED,
-            retry_after_s=retry_s,
-            detail=detail,
-        )
-
-    def _rank(self, job: ChatJob) -> Rank:
-        share = self._rules().share(job.account, job.program_class)
-        return self._parts.queue.rank(
-            job,
-            share,
-            service_s=self._parts.run_s(job),
-            warm_s=self._choice.warm_s(job),
-            slots=self._choice.own_slots(),
-            wall_s=self._wall_ms() / 1000.0,
-        )
-
     def _may_try_again(self, job: ScheduledJob) -> bool:
         rule = self._rules().retries(job.job.account, job.job.model)
         if job.attempts >= rule.attempts:
@@ -357,23 +332,5 @@
     def _end(
         self, job: ScheduledJob, refused: Refused
     ) -> EndRefused | EndFailed:
-        """Ends a job as not run, unless an engine may have run it."""
         self._jobs.remove(job)
-        if not job.may_have_run:
-            return EndRefused(job.key, refused)
-        failed = Failed(
-            refused.step,
-            refused.reason,
-            peer=refused.peer,
-            retry_after_s=refused.retry_after_s,
-            detail=refused.detail,
-        )
-        return EndFailed(job.key, failed)
-
-    def _late(self) -> Refused:
-        return Refused(
-            Step.PLACE,
-            Reason.DEADLINE,
-            retry_after_s=NO_TARGET_RETRY_S,
-            detail="the deadline cannot be met",
-        )
+        return job.ending(refused)
