--- a/lycheestall/cell_session.py
+++ b/lycheestall/cell_session.py
@@ -4,19 +4,17 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from enum import Enum
 
 import structlog
 from twisted.internet.defer import Deferred, succeed
 
 from .authority import Authority
 from .cell_fold import CellFold
+from .cell_ownership import CellOwnership
 from .cell_view import Folded, PartitionWatcher
 from .checkpoints import CheckpointSchedule, split_checkpoint
-from .claims import Claim
 from .clock import Clock, Timer
 from .fold import Verdict
-from .handover import HandoverGiver, HandoverTaker
 from .ids import Offset, PartitionId, SessionId, VmId, ZoneId
 from .log_reader import LogReader
 from .log_streams import LogStreams
@@ -24,7 +22,6 @@
 from .mesh import Mesh
 from .messages import PartitionGiven
 from .outcomes import Reason, Refused, Step
-from .ownership import Holding, Holdings, Ownership
 from .records import (
     NO_OFFSET,
     CellRecord,
@@ -37,9 +34,15 @@
     SessionLeft,
     SessionRenewed,
 )
+from .renewals import Renewals
+from .session_lifecycle import (
+    SessionEffects,
+    SessionLifecycle,
+    SessionState,
+)
 from .settings import TuningSettings
 
-__all__ = ["CellIdentity", "CellSession", "SessionState"]
+__all__ = ["CellIdentity", "CellSession"]
 
 LOG_SILENT_S = 1.5
 LEAVE_LIMIT_S = 5.0
@@ -48,19 +51,6 @@
 _log = structlog.get_logger(__name__)
 
 
-class SessionState(Enum):
-    """How far a session has come."""
-
-    JOINING = "joining"
-    JOINED = "joined"
-    DRAINING = "draining"
-    LEAVING = "leaving"
-    ENDED = "ended"
-
-
-_ACTIVE = frozenset({SessionState.JOINED, SessionState.DRAINING})
-
-
 @dataclass(frozen=True, slots=True)
 class CellIdentity:
     """What a daemon says of itself when it joins.
@@ -80,7 +70,7 @@
     release: str
 
 
-class CellSession:
+class CellSession(SessionEffects):
     """Runs one session from its join to its end.
 
     Args:
@@ -115,11 +105,8 @@
         on_ended: Callable[[str], None],
     ) -> None:
         self.session = session
-        self.state = SessionState.JOINING
+        self._lifecycle = SessionLifecycle(self)
         self.membership = membership
-        self.holdings = Holdings(
-            lease_s=tuning.lease_s, lease_margin_s=tuning.lease_margin_s
-        )
         others = [r.stream for r in streams.readers() if r is not reader]
         self.authority = Authority(
             session, reader.stream, others, lease_s=tuning.lease_s
@@ -130,35 +117,40 @@
         self._reader = reader
         self._streams = streams
         self._clock = clock
-        self._watcher = watcher
         self._schedule = schedule
         self._on_ended = on_ended
-        self._ownership = Ownership(session, tuning.partitions)
         self._writer = streams.open_writer(
             reader.stream, session, flush_s=tuning.log_flush_s
         )
-        self._giver = HandoverGiver(
-            mesh,
+        self._ownership = CellOwnership(
+            session,
+            tuning=tuning,
+            fold=fold,
+            mesh=mesh,
+            clock=clock,
+            watcher=watcher,
+            membership=membership,
             submit=self.submit,
-            quiesce=watcher.quiesce,
-            stop_acting=self.holdings.stop_acting,
-            vm_of=self._live_vm,
         )
-        self._taker = HandoverTaker(mesh)
-        self._claiming: set[PartitionId] = set()
-        self._gain_by_partition: dict[PartitionId, _Gain] = {}
-        self._candidates: tuple[SessionId, ...] = ()
-        self._stable_since = clock.seconds()
-        self._renewing = False
-        self._renewed_at = float("-inf")
+        self.holdings = self._ownership.holdings
+        self._renewals = Renewals(
+            self._writer,
+            clock,
+            interval_s=tuning.renewal_interval_s,
+            folded=lambda: reader.folded,
+            on_renewed=self.authority.renewed,
+        )
         self._deposing: set[SessionId] = set()
         self._checkpointing = False
-        self._log_back_at = clock.seconds()
-        self._alone: dict[PartitionId, bool] = {}
-        self._drain_began = 0.0
         self._acting_soon: Timer | None = None
+        self._drain_began = 0.0
         self._deadline: Timer | None = None
 
+    @property
+    def state(self) -> SessionState:
+        """How far the session has come."""
+        return self._lifecycle.state
+
     @property
     def pending_records(self) -> int:
         """How many own records are not read back yet."""
@@ -167,11 +159,11 @@
     @property
     def handing(self) -> frozenset[PartitionId]:
         """The partitions being given away."""
-        return self._giver.under_way()
+        return self._ownership.handing
 
     def log_silent(self) -> bool:
         """Returns whether own records are not coming back."""
-        if self.state not in _ACTIVE:
+        if not self._lifecycle.active:
             return True
         return self._writer.oldest_age_s() > LOG_SILENT_S
 
@@ -191,7 +183,7 @@
 
     def submit(self, body: CellRecord) -> Deferred[Folded]:
         """Writes a record and waits until it is read back."""
-        if self.state not in _ACTIVE:
+        if not self._lifecycle.active:
             return succeed(Folded(NO_OFFSET, Verdict(False, "no session")))
         return self._writer.submit(body)
 
@@ -200,7 +192,7 @@
         holding = self.holdings.by_partition.get(partition)
         if holding is None or holding.released:
             return self._refused(Reason.NOT_OWNER, "another VM owns this")
-        if self.state not in _ACTIVE or not self._reader.ready:
+        if not self._lifecycle.active or not self._reader.ready:
             return self._refused(Reason.NO_AUTHORITY, "no session in the cell")
         if not holding.acting:
             detail = "the former owner's lease may not have run out"
@@ -220,11 +212,11 @@
         match record.body:
             case SessionJoined() | SessionRenewed():
                 self.membership.renewal_read(record.writer, now)
+                self._renewals.read()
             case PartitionClaimed():
-                self._claim_folded(record.writer, record.body)
-            case PartitionReleased() as release:
-                if release.successor == self.session:
-                    self._taker.released(release.partition, now)
+                self._ownership.on_claimed(record.writer, record.body)
+            case PartitionReleased():
+                self._ownership.on_released(record.body)
             case CheckpointPart():
                 self._schedule.folded(offset, record.body, now)
         match record.body:
@@ -234,7 +226,7 @@
 
     def on_given(self, peer: VmId, message: PartitionGiven) -> None:
         """Takes live state of a partition that a peer hands over."""
-        self._taker.on_given(peer, message)
+        self._ownership.on_given(peer, message)
         self._act_soon()
 
     def sessions_changed(self) -> None:
@@ -244,9 +236,7 @@
         self.membership.forget(sessions)
         for member in sessions.by_id.values():
             self.membership.expect_listed(member.vm)
-        if self.state not in _ACTIVE and self.state is not (
-            SessionState.LEAVING
-        ):
+        if self.state in (SessionState.JOINING, SessionState.ENDED):
             return
         if not sessions.is_live(self.session):
             self.end("the session was ended by another")
@@ -260,38 +250,53 @@
             self.authority.folded(reader.stream, reader.folded)
             if reader.fresh_at is not None:
                 self.authority.up_to_date(reader.stream, reader.fresh_at)
-        if self.state not in _ACTIVE:
+        if not self._lifecycle.active:
             return
-        self._renew(now)
         self._depose(now)
         self._checkpoint(now)
         self._act()
 
     def drain(self) -> None:
         """Starts to give everything away; the session ends after it."""
-        if self.state is SessionState.JOINING:
-            self.end("the daemon stops")
-            return
-        self.state = SessionState.DRAINING
+        self._lifecycle.drain()
+
+    def end(self, why: str) -> None:
+        """Ends the session; what it owned is lost."""
+        self._lifecycle.end(why)
+
+    def begin_service(self) -> None:
+        """Starts to renew and to take part."""
+        self.authority.folded(self._reader.stream, self._reader.folded)
+        self.sessions_changed()
+        self._renewals.start()
+
+    def begin_drain(self) -> None:
+        """Starts to give everything away, within the drain's limit."""
         self._drain_began = self._clock.seconds()
         self._deadline = self._clock.callLater(
-            self._tuning.drain_limit_s, self._leave
+            self._tuning.drain_limit_s, self._lifecycle.emptied
         )
         self._act_soon()
 
-    def end(self, why: str) -> None:
-        """Ends the session; what it owned is lost."""
-        if self.state is SessionState.ENDED:
-            return
+    def write_leave(self) -> None:
+        """Writes the leave record and waits a while for it."""
+        if self._deadline is not None and self._deadline.active():
+            self._deadline.cancel()
+        self._deadline = self._clock.callLater(
+            LEAVE_LIMIT_S, self.end, "left without the log's answer"
+        )
+        left = self._writer.submit(SessionLeft())
+        left.addCallback(lambda _: self.end("left"))
+
+    def close(self, why: str) -> None:
+        """Loses everything and tells the agent."""
         _log.info("cell.session_ended", session=self.session, why=why)
-        self.state = SessionState.ENDED
         for timer in (self._acting_soon, self._deadline):
             if timer is not None and timer.active():
                 timer.cancel()
+        self._renewals.stop()
         self._writer.close(why)
-        self._taker.clear()
-        for partition in list(self.holdings.by_partition):
-            self._lose(partition)
+        self._ownership.end()
         self._on_ended(why)
 
     def _joined(self, folded: Folded, sent_at: float) -> None:
@@ -300,34 +305,14 @@
         if not folded.verdict.accepted:
             self.end(f"join refused: {folded.verdict.why}")
             return
-        self.state = SessionState.JOINED
-        self.authority.renewed(sent_at)
-        self.authority.folded(self._reader.stream, self._reader.folded)
-        self.sessions_changed()
-        self._renewed_at = sent_at
         _log.info("cell.joined", session=self.session, offset=folded.offset)
-
-    def _renew(self, now: float) -> None:
-        if self._renewing:
-            return
-        if now - self._renewed_at < self._tuning.renewal_interval_s:
-            return
-        self._renewing = True
-        self._renewed_at = now
-        body = SessionRenewed(self._reader.folded)
-        self._writer.submit(body).addCallback(self._renewal_folded, now)
-
-    def _renewal_folded(self, folded: Folded, sent_at: float) -> None:
-        self._renewing = False
-        if self._clock.seconds() - sent_at > LOG_SILENT_S:
-            self._log_back_at = self._clock.seconds()
-        if folded.verdict.accepted:
-            self.authority.renewed(sent_at)
+        self.authority.renewed(sent_at)
+        self._lifecycle.joined()
 
     def _depose(self, now: float) -> None:
         if self.log_silent():
             return
-        back_at = max(self._log_back_at, self._reader.back_at)
+        back_at = max(self._renewals.back_at, self._reader.back_at)
         silent = self.membership.silent(self._fold.sessions, now, back_at)
         for body in silent:
             if body.session in self._deposing:
@@ -361,154 +346,25 @@
         self._checkpointing = False
 
     def _act_soon(self) -> None:
-        if self._acting_soon is None and self.state in _ACTIVE:
+        if self._acting_soon is None and self._lifecycle.active:
             self._acting_soon = self._clock.callLater(0.0, self._act)
 
     def _act(self) -> None:
         self._acting_soon = None
-        if self.state not in _ACTIVE:
+        if not self._lifecycle.active:
             return
-        now = self._clock.seconds()
-        self._claim_released(now)
-        self._gain(now)
-        self._plan(now)
-        if self.state is SessionState.DRAINING:
-            self._finish_drain(now)
-
-    def _claim_released(self, now: float) -> None:
-        for partition in self._taker.ready(now):
-            claim = self._fold.claims.by_key.get(partition)
-            if claim is None or claim.successor != self.session:
-                self._taker.take(partition, NO_OFFSET)
-                continue
-            self._claim(PartitionClaimed(partition, claim.epoch))
-
-    def _gain(self, now: float) -> None:
-        def majority_knows(offset: Offset) -> bool:
-            sessions = self._fold.sessions
-            return self.membership.majority_knows(sessions, offset)
-
-        for partition in self.holdings.ready(now, majority_knows):
-            holding = self.holdings.by_partition[partition]
-            gain = self._gain_by_partition.pop(partition, _Gain({}, True))
-            self._watcher.gained(
-                partition,
-                holding.epoch,
-                handed=gain.handed,
-                unproven=gain.unproven,
-            )
-
-    def _plan(self, now: float) -> None:
-        sessions = self._fold.sessions
-        candidates = self.membership.candidates(sessions)
-        names = tuple(candidate.session for candidate in candidates)
-        if names != self._candidates:
-            self._candidates = names
-            self._stable_since = now
-        plan = self._ownership.plan(
-            now,
-            claims=self._fold.claims,
-            is_live=sessions.is_live,
-            candidates=candidates,
-            responsive=lambda name: self.membership.responsive(name, now),
-            holdings=self.holdings,
-            claiming=frozenset(self._claiming),
-            handing=self._giver.under_way(),
-            stable_since=self._stable_since,
-            draining=self.state is SessionState.DRAINING,
-        )
-        for body in plan.claims:
-            self._claim(body)
-        if self.log_silent():
+        draining = self.state is SessionState.DRAINING
+        self._ownership.act(draining=draining, log_silent=self.log_silent())
+        if not draining:
             return
-        for partition, successor in plan.handovers:
-            holding = self.holdings.by_partition[partition]
-            self._giver.begin(partition, holding.epoch, successor)
+        if self._ownership.drained(hopeless=self._handover_hopeless()):
+            self._lifecycle.emptied()
 
-    def _claim(self, body: PartitionClaimed) -> None:
-        if body.partition in self._claiming:
-            return
-        self._claiming.add(body.partition)
-        written = self._writer.submit(body)
-        written.addCallback(self._claimed, body.partition)
-
-    def _claimed(self, folded: Folded, partition: PartitionId) -> None:
-        self._claiming.discard(partition)
-
-    def _claim_folded(self, writer: SessionId, body: PartitionClaimed) -> None:
-        partition = body.partition
-        if partition in self.holdings.by_partition:
-            self._lose(partition)
-        if writer != self.session:
-            self._taker.take(partition, NO_OFFSET)
-            return
-        claim: Claim = self._fold.claims.by_key[partition]
-        given = self._taker.take(partition, body.previous)
-        unproven = given is None and body.previous != NO_OFFSET
-        handed = {} if given is None else given.programs
-        self._gain_by_partition[partition] = _Gain(handed, unproven)
-        self.holdings.claimed(partition, claim)
-        self._taker.confirm(partition, claim)
-
-    def _lose(self, partition: PartitionId) -> None:
-        holding: Holding | None = self.holdings.lost(partition)
-        self._giver.ended(partition)
-        self._gain_by_partition.pop(partition, None)
-        if holding is not None and (holding.acting or holding.released):
-            self._watcher.lost(partition)
-
-    def _finish_drain(self, now: float) -> None:
-        held = [
-            partition
-            for partition, holding in self.holdings.by_partition.items()
-            if holding.acting or holding.released
-        ]
-        if not held:
-            self._leave()
-            return
-        others = [name for name in self._candidates if name != self.session]
-        if others and not self._handover_hopeless(now):
-            return
-        released = self._giver.released
-        for partition in held:
-            if partition not in self._alone and partition not in released:
-                self._quiesce_alone(partition)
-        if all(self._alone.get(p) or p in released for p in held):
-            self._leave()
-
-    def _handover_hopeless(self, now: float) -> bool:
+    def _handover_hopeless(self) -> bool:
         """Whether releases stay unread, so that nobody can take over."""
-        waited_s = now - self._drain_began
+        waited_s = self._clock.seconds() - self._drain_began
         return self.log_silent() and waited_s >= HANDOVER_WAIT_S
 
-    def _quiesce_alone(self, partition: PartitionId) -> None:
-        """Quiesces a partition that nobody is there to take."""
-        self._alone[partition] = False
-
-        def quiesced(_: object) -> None:
-            self._alone[partition] = True
-            self._act_soon()
-
-        self._watcher.quiesce(partition).addCallback(quiesced)
-
-    def _leave(self) -> None:
-        if self.state is not SessionState.DRAINING:
-            return
-        left = self._writer.submit(SessionLeft())
-        self.state = SessionState.LEAVING
-        left.addCallback(lambda _: self.end("left"))
-        if self.state is not SessionState.LEAVING:
-            return
-        if self._deadline is not None and self._deadline.active():
-            self._deadline.cancel()
-        self._deadline = self._clock.callLater(
-            LEAVE_LIMIT_S, self.end, "left without the log's answer"
-        )
-
-    def _live_vm(self, session: SessionId) -> VmId | None:
-        found = self._fold.sessions.by_id.get(session)
-        return None if found is None else found.vm
-
     def _refused(self, reason: Reason, detail: str) -> Refused:
         return Refused(
             Step.ROUTE,
@@ -517,11 +373,3 @@
             retry_after_s=1.0,
             detail=detail,
         )
-
-
-@dataclass(frozen=True, slots=True)
-class _Gain:
-    """What the watcher is told when a claim comes into effect."""
-
-    handed: dict[str, bytes]
-    unproven: bool
--- a/lycheestall/history.py
+++ b/lycheestall/history.py
@@ -11,7 +11,9 @@
 Calls that are under way at the same time may start from the same point;
 each answer is then a point that a later call may start from. A point is
 gone as soon as an answer that started from it is whole: a call from it
-would shorten the history. To drop or rewrite history on purpose, as
+would shorten the history. Where the answer to a point is not known,
+after an owner's loss or a handover, a call may send the same messages
+again or go on with any answer. To drop or rewrite history on purpose, as
 agents do that summarise, a call says that it starts a new branch.
 """
 
@@ -21,7 +23,7 @@
 from dataclasses import dataclass
 from enum import Enum
 from hashlib import sha256
-from typing import Any
+from typing import Any, cast
 
 import orjson
 
@@ -112,6 +114,13 @@
         """Returns the points a call may start from, oldest first."""
         return tuple(self._points)
 
+    @property
+    def newest(self) -> ChainPoint:
+        """Returns the newest point; one of no messages at the start."""
+        if self._points:
+            return self._points[-1]
+        return ChainPoint(CallNumber(0), 0, self._seed)
+
     def check(
         self, messages: Sequence[Message], *, new_branch: bool = False
     ) -> Extension | Mismatch:
@@ -170,6 +179,10 @@
         del self._points[:-MAX_POINTS]
         return point
 
+    def add(self, point: ChainPoint) -> None:
+        """Takes a point that an answer under way will complete."""
+        self._points.append(point)
+
     def adopt(self, point: ChainPoint) -> None:
         """Takes the only point that is known, from a receipt."""
         self._points = [point]
@@ -188,9 +201,10 @@
             for point in self._points
         ]
 
-    def load(self, state: Any) -> None:
+    def load(self, state: object) -> None:
         """Replaces the points by those that ``dump`` made."""
-        self._points = [ChainPoint(*item) for item in state]
+        items = cast(list[Any], state)
+        self._points = [ChainPoint(*item) for item in items]
 
     def _digests(self, messages: Sequence[Message]) -> list[bytes]:
         digests = [self._seed]
@@ -207,9 +221,11 @@
     if digests[point.messages] != point.digest:
         return Fault.DIFFERENT
     added = messages[point.messages :]
+    if not point.answered and not added:
+        return None
     if not point.answered:
-        if not added or added[0].get("role") != ASSISTANT:
-            return Fault.SHORTENED
+        if added[0].get("role") != ASSISTANT:
+            return Fault.DIFFERENT
         added = added[1:]
     for message in added:
         if message.get("role") == ASSISTANT:
--- a/lycheestall/sequencer.py
+++ b/lycheestall/sequencer.py
@@ -18,6 +18,8 @@
     "Superseded",
 ]
 
+KEPT_NUMBERS = 32
+
 
 @dataclass(frozen=True, slots=True)
 class Go:
@@ -107,7 +109,7 @@
         """
         if number == 0:
             highest = max(self._entry_by_number, default=0)
-            number = max(self.expected - 1, highest) + 1
+            number = max(self.expected - 1, highest, self._top) + 1
         call = CallNumber(number)
         entry = self._entry_by_number.get(call)
         if entry is not None:
@@ -130,8 +132,13 @@
         if entry is not None:
             entry.state = _State.PASSED
         self._top = max(self._top, number)
+        self._prune()
         return self._next()
 
+    def note(self, number: CallNumber) -> None:
+        """Notes that a target has a call, without releasing others."""
+        self._top = max(self._top, number)
+
     def refused(self, number: CallNumber) -> list[CallNumber]:
         """The call ended without a target; its number is free again.
 
@@ -139,6 +146,8 @@
             The calls that go on now.
         """
         self._entry_by_number.pop(number, None)
+        if number == self._top and self.expected == number + 1:
+            self._top = number - 1
         return self._next()
 
     def forget(self, number: CallNumber) -> None:
@@ -200,15 +209,39 @@
         ]
         return min(held, default=None)
 
-    def dump(self) -> object:
-        """Returns the state for a handover with nothing under way."""
-        return [self.expected, self.exact, self._top]
+    @property
+    def newest(self) -> int:
+        """Returns the newest number that a target has had."""
+        return self._top
+
+    def dump(self, *, repeatable: bool = False) -> object:
+        """Returns the state for a handover.
+
+        Args:
+            repeatable: Whether the newest call, which was not answered
+                whole, may go on once more at the successor.
+        """
+        entry = self._entry_by_number.get(CallNumber(self._top))
+        if repeatable or entry is None:
+            top = self._top - 1 if repeatable else self._top
+            return [self.expected, self.exact, top, b""]
+        return [self.expected, self.exact, self._top, entry.digest]
 
     @classmethod
     def restored(cls, state: Any, gap_hold_s: float) -> Sequencer:
         """Returns a sequencer from what ``dump`` made."""
-        expected, exact, top = state
-        return cls(gap_hold_s, expected, exact, top)
+        expected, exact, top, digest = state
+        sequencer = cls(gap_hold_s, expected, exact, top)
+        if digest:
+            entry = _Entry(digest, 0.0, _State.PASSED)
+            sequencer._entry_by_number[CallNumber(top)] = entry
+        return sequencer
+
+    def _prune(self) -> None:
+        for number, entry in list(self._entry_by_number.items()):
+            old = number <= self._top - KEPT_NUMBERS
+            if old and entry.state is _State.PASSED:
+                del self._entry_by_number[number]
 
     def _blocking(self) -> CallNumber | None:
         for number, entry in self._entry_by_number.items():
--- a/scripts/_cluster.py
+++ b/scripts/_cluster.py
@@ -10,22 +10,26 @@
 from pathlib import Path
 from typing import Any
 
+from _cluster_settings import (
+    ADMIN_PORT,
+    BUDGET_TOKENS,
+    KEY_BY_ACCOUNT,
+    MESH_PORT,
+    OPERATOR_KEY,
+    PORT,
+    RULES,
+    vm_settings,
+)
 from _processes import ProcessGroup
 from twisted.internet.defer import Deferred
 from twisted.internet.task import deferLater
 
 from lycheestall._http_client import HttpAnswer, HttpClient
-from lycheestall.accounts import key_digest
 
-__all__ = ["Cluster", "ClusterPlan", "OPERATOR_KEY", "KEY_BY_ACCOUNT"]
+__all__ = ["Cluster", "ClusterPlan", "KEY_BY_ACCOUNT"]
 
-PORT = 8080
-MESH_PORT = 8081
-ADMIN_PORT = 8082
 READY_LIMIT_S = 30.0
 POLL_S = 0.1
-OPERATOR_KEY = "operator-key"
-KEY_BY_ACCOUNT = {"snowline": "snowline-key", "bronze": "bronze-key"}
 ZONES = ("bhuj-a", "bhuj-b", "anjar-c")
 
 
@@ -61,18 +65,31 @@
         plan: What it consists of.
         directory: Where settings and output are kept.
         client: Sends requests.
+        network: The first three numbers of all addresses; drawn from
+            the process id by default, so that two runs can share a
+            machine.
+
+    Attributes:
+        rules: The rules to start with.
+        budget_tokens: What they grant each program.
     """
 
+    rules = RULES
+    budget_tokens = BUDGET_TOKENS
+
     def __init__(
-        self, plan: ClusterPlan, directory: Path, client: HttpClient
+        self,
+        plan: ClusterPlan,
+        directory: Path,
+        client: HttpClient,
+        *,
+        network: str = "",
     ) -> None:
         self._plan = plan
         self._directory = directory
         self._client = client
         self._receipt_key = secrets.token_hex(32)
-        self._network = (
-            f"127.{os.getpid() % 250 + 1}.{os.getpid() // 250 % 250}"
-        )
+        self._network = network or _own_network()
         self._addresses = self._numbered_addresses()
         self.processes = ProcessGroup(directory)
         self.host_by_name: dict[str, str] = {}
@@ -126,7 +143,14 @@
 
     def start_vm(self, name: str) -> None:
         """Starts one daemon."""
-        path = self._write(name, self._vm_settings(name))
+        settings = vm_settings(
+            name,
+            self._zone(name),
+            self.url,
+            receipt_key=self._receipt_key,
+            tuning=self._plan.tuning,
+        )
+        path = self._write(name, settings)
         arguments = ["serve", "--settings", str(path)]
         self.processes.start(name, arguments)
 
@@ -164,6 +188,11 @@
         url = f"{self.url('vm-list')}/admin/vms?vm={name}"
         await self.send("DELETE", url)
 
+    async def add_vm(self, name: str) -> None:
+        """Puts a VM on the platform's list."""
+        url = f"{self.url('vm-list')}/admin/vms"
+        await self.send("PUT", url, self._entry(name, "entry", "", MESH_PORT))
+
     async def publish(self, vm: str, base: int, text: str) -> tuple[int, Any]:
         """Publishes rules through a VM; returns status and answer."""
         url = f"{self.url(vm, ADMIN_PORT)}/admin/rules"
@@ -172,12 +201,9 @@
 
     async def rules_version(self, vm: str) -> int | None:
         """Returns the version in force on a VM, None without answer."""
-        url = f"{self.url(vm, ADMIN_PORT)}/admin/status"
-        status = await self.get(url)
-        for view in status.get("vms", ()):
-            if view.get("vm") == vm:
-                return int(view["rules_version"])
-        return None
+        rules = await self.get(f"{self.url(vm, ADMIN_PORT)}/admin/rules")
+        version = rules.get("version")
+        return None if version is None else int(version)
 
     def sleep(self, delay_s: float) -> Deferred[None]:
         """Returns a Deferred that fires after some seconds."""
@@ -213,35 +239,6 @@
         path.write_text(json.dumps(settings, indent=1))
         return path
 
-    def _vm_settings(self, name: str) -> dict[str, Any]:
-        accounts = [
-            {"account": account, "key_sha256": [key_digest(key)]}
-            for account, key in KEY_BY_ACCOUNT.items()
-        ]
-        operator = {
-            "account": "operators",
-            "key_sha256": [key_digest(OPERATOR_KEY)],
-            "operator": True,
-        }
-        return {
-            "vm": name,
-            "zone": self._zone(name),
-            "listen": {
-                "host": self.host_by_name[name],
-                "callers_port": PORT,
-                "mesh_port": MESH_PORT,
-                "admin_port": ADMIN_PORT,
-            },
-            "platform": {
-                "log_url": self.url("log"),
-                "vm_list_url": self.url("vm-list"),
-                "weight_store_url": self.url("weights"),
-            },
-            "accounts": [*accounts, operator],
-            "receipt_keys": [self._receipt_key],
-            "tuning": self._plan.tuning,
-        }
-
     def _zone(self, name: str) -> str:
         number = int(name.rsplit("-", 1)[1])
         return ZONES[number % len(ZONES)]
@@ -275,6 +272,11 @@
         return {"authorization": f"Bearer {OPERATOR_KEY}"}
 
 
+def _own_network() -> str:
+    high, low = divmod(os.getpid(), 250)
+    return f"127.{low + 1}.{high % 250}"
+
+
 def _object(result: Any) -> dict[str, Any]:
     if not isinstance(result, HttpAnswer):
         return {}
--- a/tests/_program_fakes.py
+++ b/tests/_program_fakes.py
@@ -8,6 +8,7 @@
 
 from lycheestall.calls import CallSink, ResponseHead
 from lycheestall.cell_view import CellView, Folded
+from lycheestall.claims import Claims
 from lycheestall.dispatch import (
     ChatDispatcher,
     ChatJob,
@@ -16,6 +17,7 @@
 )
 from lycheestall.fold import Verdict
 from lycheestall.ids import (
+    AccountId,
     IdempotencyKey,
     Offset,
     PartitionId,
@@ -25,17 +27,34 @@
     TargetId,
     VmId,
 )
+from lycheestall.ledger import Ledger
 from lycheestall.outcomes import Outcome, Refused
-from lycheestall.records import CellRecord
+from lycheestall.portions import Portions
+from lycheestall.records import CellRecord, PortionReturned, PortionTaken
+from lycheestall.rule_book import (
+    AccountLimit,
+    ActionRule,
+    ProgramLimits,
+    RetryRule,
+    RuleBook,
+    RuleLine,
+    ShareRule,
+    TargetRule,
+)
 from lycheestall.targets import (
     ActionAnswer,
+    ActionNotSent,
     ActionRequest,
     Application,
     EngineDone,
     LoadReport,
     LookupAnswer,
+    SendGate,
+    always,
 )
 
+LINE = RuleLine(7, "program * tokens 400", "pass crew")
+
 
 class FakeSink(CallSink):
     """Collects one answer."""
@@ -78,20 +97,35 @@
         self.silent = False
         self.automatic = True
         self.written: list[CellRecord] = []
-        self.waiting: list[tuple[CellRecord, Deferred[Folded]]] = []
-        self.epoch = Offset(1)
-        self.verdict = Verdict(True)
-        self.offset = 10
+        self.waiting: list[tuple[SessionId, CellRecord, Deferred[Folded]]] = []
+        self.ledger = Ledger()
+        self.portions = Portions()
+        self.claims = Claims[PartitionId]()
+        self.name = SessionId("s1")
+        self.offset = 0
 
     @property
     def session(self) -> SessionId:
-        return SessionId("s1")
+        return self.name
+
+    def own(self, name: str, partitions: int) -> None:
+        """Claims all partitions for a session, whoever has them."""
+        self.name = SessionId(name)
+        for number in range(partitions):
+            self.offset += 1
+            self.claims.claim(
+                Offset(self.offset),
+                self.name,
+                PartitionId(number),
+                self.claims.epoch(PartitionId(number)),
+                lambda _: False,
+            )
 
     def owner_of(self, partition: PartitionId) -> VmId | None:
         return VmId("vm1")
 
     def epoch_of(self, partition: PartitionId) -> Offset:
-        return self.epoch
+        return self.claims.epoch(partition)
 
     def refusal(self, partition: PartitionId) -> Refused | None:
         return self.refused
@@ -102,20 +136,29 @@
     def submit(self, body: CellRecord) -> Deferred[Folded]:
         result: Deferred[Folded] = Deferred()
         self.written.append(body)
-        self.waiting.append((body, result))
+        self.waiting.append((self.name, body, result))
         if self.automatic and not self.silent:
             self.read_back()
         return result
 
-    def read_back(self, verdict: Verdict | None = None) -> None:
-        waiting, self.waiting = self.waiting, []
-        for _, result in waiting:
+    def read_back(self) -> None:
+        """Folds what was written, in order, and tells the writers."""
+        for _ in range(len(self.waiting)):
+            if not self.waiting:
+                break
+            writer, body, result = self.waiting.pop(0)
             self.offset += 1
-            if result.called:
-                continue
-            result.callback(
-                Folded(Offset(self.offset), verdict or self.verdict)
-            )
+            offset = Offset(self.offset)
+            verdict = self.fold(offset, writer, body)
+            if not result.called:
+                result.callback(Folded(offset, verdict))
+
+    def fold(
+        self, offset: Offset, writer: SessionId, body: CellRecord
+    ) -> Verdict:
+        if isinstance(body, PortionTaken | PortionReturned):
+            return self.portions.apply(offset, writer, body)
+        return self.ledger.apply(offset, writer, body, self.claims)
 
 
 @dataclass
@@ -124,6 +167,7 @@
     listener: ChatListener
     cancelled: bool = False
     start: int = 0
+    target: str = ""
 
     def cancel(self) -> None:
         self.cancelled = True
@@ -167,7 +211,7 @@
         start: int,
         listener: ChatListener,
     ) -> JobHandle:
-        handle = FakeJob(job, listener, start=start)
+        handle = FakeJob(job, listener, start=start, target=target)
         self.jobs.append(handle)
         return handle
 
@@ -185,9 +229,16 @@
     requests: list[ActionRequest] = field(default_factory=list)
     answers: list[Deferred[ActionAnswer]] = field(default_factory=list)
     record: LookupAnswer | None = None
+    connecting: Deferred[None] | None = None
     looked_up: list[IdempotencyKey] = field(default_factory=list)
 
-    async def call(self, request: ActionRequest) -> ActionAnswer:
+    async def call(
+        self, request: ActionRequest, *, may_send: SendGate = always
+    ) -> ActionAnswer:
+        if self.connecting is not None:
+            await self.connecting
+        if not may_send():
+            return ActionNotSent("stopped right before sending")
         self.requests.append(request)
         answer: Deferred[ActionAnswer] = Deferred()
         self.answers.append(answer)
@@ -199,3 +250,43 @@
 
     async def load(self) -> LoadReport | None:
         return None
+
+
+class FakeRules(RuleBook):
+    """Rules whose limits the test sets."""
+
+    def __init__(self) -> None:
+        self.limits = ProgramLimits(None, None, None, None, None, {})
+        self.shared: tuple[AccountLimit, ...] = ()
+        self.attempts = 1
+
+    def program_limits(
+        self, account: AccountId, program_class: str
+    ) -> ProgramLimits:
+        return self.limits
+
+    def share(self, account: AccountId, program_class: str) -> ShareRule:
+        return ShareRule(1.0, 0, LINE)
+
+    def account_limits(self, account: AccountId) -> tuple[AccountLimit, ...]:
+        return self.shared
+
+    def action(self, application: TargetId, operation: str) -> ActionRule:
+        return ActionRule(operation.startswith("GET"), 5, LINE)
+
+    def target(self, target: TargetId, group: str) -> TargetRule:
+        return TargetRule(None, True, LINE)
+
+    def left_alone(
+        self,
+        target: TargetId,
+        group: str,
+        *,
+        at_ms: int,
+        load: float,
+        error_share: float,
+    ) -> RuleLine | None:
+        return None
+
+    def retries(self, account: AccountId, application: str) -> RetryRule:
+        return RetryRule(self.attempts, LINE)
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -12,7 +12,7 @@
 from lycheestall.chat_body import Message
 from lycheestall.history import Extension, Fault, History, Mismatch
 from lycheestall.ids import AccountId, CallNumber, Offset, ProgramId
-from lycheestall.ledger import Spend
+from lycheestall.ledger_program import Spend
 from lycheestall.receipts import BadReceipt, Receipt, ReceiptSigner
 
 ACCOUNT = AccountId("snowline")
@@ -148,7 +148,7 @@
 
 def receipt(history: History) -> Receipt:
     return Receipt(
-        ACCOUNT, PROGRAM, 3, history.points[-1], Spend(5, 1, 0), Offset(9)
+        ACCOUNT, PROGRAM, 1, 3, history.points[-1], Spend(5, 1), Offset(9)
     )
 
 
