Poll the engines' cache events on every VM

Cause: the dispatcher's cache estimate got no events, so it knew own answers alone, and an engine's size was never learned.

--- a/lycheestall/_memory_release.py
+++ b/lycheestall/_memory_release.py
@@ -1,40 +1,29 @@
-"""Asks engines to free memory, and what they hold."""
+"""Asks engines to free memory."""
 
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from collections.abc import Callable
 
 from .dispatch_commands import ReleaseMemory
 from .engine_directory import EngineDirectory
 from .ids import ProgramId, TargetId
-from .targets import HeldMemory
 
-__all__ = ["MemoryRelease", "MemoryWatcher"]
+__all__ = ["MemoryRelease", "ReleaseWatcher"]
 
 
-class MemoryWatcher(ABC):
-    """Hears what engines say about memory."""
+class ReleaseWatcher(ABC):
+    """Hears of confirmed releases."""
 
     @abstractmethod
     def released(self, target: TargetId, root: ProgramId) -> None:
         """An engine has confirmed a release."""
 
-    @abstractmethod
-    def found(
-        self,
-        target: TargetId,
-        held: tuple[HeldMemory, ...],
-        live: Callable[[ProgramId], bool],
-    ) -> None:
-        """An engine has listed what it holds."""
-
 
 class MemoryRelease:
     """Carries out releases; one that fails is asked for again later."""
 
     def __init__(
-        self, engines: EngineDirectory, watcher: MemoryWatcher
+        self, engines: EngineDirectory, watcher: ReleaseWatcher
     ) -> None:
         """Starts with nothing to do.
 
@@ -53,11 +42,3 @@
             return
         if await engine.release(command.program):
             self._watcher.released(command.target, command.program)
-
-    async def audit(self, live: Callable[[ProgramId], bool]) -> None:
-        """Asks every engine what it holds."""
-        for entry in self._engines.entries():
-            engine = self._engines.engine(entry.target)
-            held = await engine.held() if engine is not None else None
-            if held is not None:
-                self._watcher.found(entry.target, held, live)
--- a/lycheestall/cache_estimate.py
+++ b/lycheestall/cache_estimate.py
@@ -98,7 +98,13 @@
         self._account_by_root[root_of(program)] = account
 
     def observe(self, target: TargetId, page: CacheEvents, now: float) -> None:
-        """Takes a page of cache events."""
+        """Takes a page of cache events.
+
+        A counter that went back means that the engine has restarted with
+        an empty cache.
+        """
+        if page.next_sequence < self._cache(target).next_sequence:
+            self.forget_target(target)
         cache = self._cache(target)
         for event in page.events:
             if event.sequence < cache.next_sequence:
--- a/lycheestall/engine_dispatcher.py
+++ b/lycheestall/engine_dispatcher.py
@@ -10,7 +10,7 @@
 from twisted.python.failure import Failure
 
 from ._engine_dispatch import EngineDispatch, StreamOwner
-from ._memory_release import MemoryRelease, MemoryWatcher
+from ._memory_release import MemoryRelease, ReleaseWatcher
 from .clock import Clock, Timer
 from .dispatch import ChatDispatcher, ChatJob, ChatListener, JobHandle
 from .dispatch_commands import (
@@ -52,7 +52,7 @@
 )
 
 
-class EngineDispatcher(ChatDispatcher, StreamOwner, MemoryWatcher):
+class EngineDispatcher(ChatDispatcher, StreamOwner, ReleaseWatcher):
     """Queues jobs, places them on engines and repeats what is safe."""
 
     def __init__(
@@ -90,7 +90,6 @@
         self._engines = engines
         self._memory = MemoryRelease(engines, self)
         self._clock = clock
-        self._timer = clock
         self._crash_reporter = crash_reporter
         self._scheduler = EngineScheduler(
             vm=vm,
@@ -115,7 +114,7 @@
         dispatch = self._new(job, listener, 0)
         self._submitted.append(dispatch.key)
         if self._turn is None:
-            self._turn = self._timer.callLater(0, self._take_submitted)
+            self._turn = self._clock.callLater(0, self._take_submitted)
         return dispatch
 
     def resume(
@@ -128,23 +127,23 @@
     ) -> JobHandle:
         """Takes up a stream that an earlier owner had dispatched."""
         dispatch = self._new(job, listener, start)
-        now = self._timer.seconds()
+        now = self._clock.seconds()
         self._scheduler.adopt(dispatch.key, job, target, now)
-        self._timer.callLater(0, self._take_up, dispatch, target, request)
+        self._clock.callLater(0, self._take_up, dispatch, target, request)
         return dispatch
 
     def program_paused(self, root: ProgramId) -> None:
         """The program waits for a tool; its cache may soon be needed."""
-        self._scheduler.program_paused(root, self._timer.seconds())
+        self._scheduler.program_paused(root, self._clock.seconds())
 
     def program_ended(self, root: ProgramId) -> None:
         """The program ended or vanished; engines hold nothing for it."""
-        now = self._timer.seconds()
+        now = self._clock.seconds()
         self._execute(self._scheduler.program_ended(root, now))
 
     def engines_changed(self) -> None:
         """Takes the directory's engines after a change."""
-        now = self._timer.seconds()
+        now = self._clock.seconds()
         entries = self._engines.entries()
         self._execute(self._scheduler.set_engines(entries, now))
 
@@ -152,7 +151,7 @@
         """Takes a load report, polled here or by another VM."""
         if self._engines.observe(report):
             self.engines_changed()
-        now = self._timer.seconds()
+        now = self._clock.seconds()
         self._execute(self._scheduler.observe(report, now))
 
     def found(
@@ -168,48 +167,25 @@
 
     def observe_cache(self, target: TargetId, page: CacheEvents) -> None:
         """Takes a page of an engine's cache events."""
-        self._scheduler.cache_events(target, page, self._timer.seconds())
-
-    def audit_memory(
-        self, live: Callable[[ProgramId], bool]
-    ) -> defer.Deferred[None]:
-        """Asks engines what they hold and frees what nobody lives for.
-
-        Call it every half minute or so; memory of a program is freed
-        when two audits in a row have found the program dead.
-
-        Args:
-            live: Whether a top-level program lives in the cell.
-        """
-        return defer.ensureDeferred(self._memory.audit(live))
+        self._scheduler.cache_events(target, page, self._clock.seconds())
 
     def released(self, target: TargetId, root: ProgramId) -> None:
         """An engine has confirmed a release."""
         self._scheduler.released(target, root)
 
-    def found(
-        self,
-        target: TargetId,
-        held: tuple[HeldMemory, ...],
-        live: Callable[[ProgramId], bool],
-    ) -> None:
-        """An engine has listed what it holds."""
-        now = self._timer.seconds()
-        self._execute(self._scheduler.memory_found(target, held, live, now))
-
     def stream_accepted(self, dispatch: EngineDispatch) -> None:
         """The engine has the request."""
-        self._scheduler.accepted(dispatch.key, self._timer.seconds())
+        self._scheduler.accepted(dispatch.key, self._clock.seconds())
 
     def stream_started(self, dispatch: EngineDispatch) -> None:
         """The first chunk of an attempt has come."""
-        self._scheduler.started(dispatch.key, self._timer.seconds())
+        self._scheduler.started(dispatch.key, self._clock.seconds())
 
     def stream_ended(
         self, dispatch: EngineDispatch, result: EngineResult, *, lost: bool
     ) -> None:
         """The stream ended and cannot be taken up again."""
-        key, now = dispatch.key, self._timer.seconds()
+        key, now = dispatch.key, self._clock.seconds()
         if isinstance(result, EngineDone):
             self._drop(dispatch)
             dispatch.listener.done(result, dispatch.target)
@@ -274,7 +250,7 @@
     def cancelled(self, dispatch: EngineDispatch) -> None:
         """The job is no longer wanted."""
         self._drop(dispatch)
-        now = self._timer.seconds()
+        now = self._clock.seconds()
         self._execute(self._scheduler.cancel(dispatch.key, now))
 
     def _new(
@@ -291,7 +267,7 @@
         )
         self._dispatch_by_key[dispatch.key] = dispatch
         if self._watch is None:
-            self._watch = self._timer.callLater(
+            self._watch = self._clock.callLater(
                 WATCH_INTERVAL_S, self._watch_streams
             )
         return dispatch
@@ -299,7 +275,7 @@
     def _take_submitted(self) -> None:
         self._turn = None
         keys, self._submitted = self._submitted, []
-        now = self._timer.seconds()
+        now = self._clock.seconds()
         for key in keys:
             dispatch = self._dispatch_by_key.get(key)
             if dispatch is None:
@@ -317,7 +293,7 @@
         engine = self._engines.engine(target)
         if engine is None:
             outcome = Failed(Step.RESUME, Reason.TARGET_FAILED, peer=target)
-            self._scheduler.cancel(dispatch.key, self._timer.seconds())
+            self._scheduler.cancel(dispatch.key, self._clock.seconds())
             self._end_failed(EndFailed(dispatch.key, outcome))
             return
         dispatch.take_up(engine, target, request)
@@ -345,7 +321,7 @@
         refusal = dispatch.job.may_send()
         if engine is None:
             refusal = Refused(Step.DISPATCH, Reason.NO_TARGET)
-        now = self._timer.seconds()
+        now = self._clock.seconds()
         if refusal is not None or engine is None:
             assert refusal is not None
             self._execute(
@@ -388,7 +364,7 @@
 
     def _watch_streams(self) -> None:
         self._watch = None
-        now = self._timer.seconds()
+        now = self._clock.seconds()
         for dispatch in list(self._dispatch_by_key.values()):
             if dispatch.target and now >= dispatch.job.deadline_s:
                 self._execute(self._scheduler.expired(dispatch.key, now))
@@ -396,12 +372,12 @@
             dispatch.watch(now)
         self._execute(self._scheduler.poll(now))
         if self._dispatch_by_key and self._watch is None:
-            self._watch = self._timer.callLater(
+            self._watch = self._clock.callLater(
                 WATCH_INTERVAL_S, self._watch_streams
             )
 
     def _set_wake(self) -> None:
-        now = self._timer.seconds()
+        now = self._clock.seconds()
         wake_at = self._scheduler.next_wake(now)
         if wake_at == self._wake_at and self._wake is not None:
             return
@@ -411,11 +387,11 @@
         self._wake_at = wake_at
         if wake_at is not None:
             delay = max(wake_at - now, MIN_WAKE_S)
-            self._wake = self._timer.callLater(delay, self._poll)
+            self._wake = self._clock.callLater(delay, self._poll)
 
     def _poll(self) -> None:
         self._wake = None
-        self._execute(self._scheduler.poll(self._timer.seconds()))
+        self._execute(self._scheduler.poll(self._clock.seconds()))
 
 
 def _drop(failure: Failure) -> None:
--- a/lycheestall/engine_polls.py
+++ b/lycheestall/engine_polls.py
@@ -1,4 +1,4 @@
-"""Asks engines for their load and for the memory that they hold."""
+"""Asks engines for load, cache events and the memory that they hold."""
 
 from __future__ import annotations
 
@@ -53,11 +53,24 @@
         self._dispatcher = dispatcher
         self._duty = duty
         self._load_by_target: dict[TargetId, LoadReport] = {}
+        self._next_by_target: dict[TargetId, int] = {}
 
     async def poll_loads(self) -> None:
         """Asks the engines of this VM's duty for their load."""
         await self._each(self._poll_load)
 
+    async def poll_caches(self) -> None:
+        """Asks every engine for its cache events.
+
+        Each VM asks for itself: its estimate of a cache needs all events
+        in order, and gossip would lose some.
+        """
+        asked = [
+            ensureDeferred(self._take_events(entry.target))
+            for entry in self._engines.entries()
+        ]
+        await DeferredList(asked, consumeErrors=True)
+
     async def sweep_memory(self) -> None:
         """Has engines release what belongs to no open program.
 
@@ -106,6 +119,15 @@
         self._load_by_target[target] = report
         self._dispatcher.observe(report)
 
+    async def _take_events(self, target: TargetId) -> None:
+        engine = self._engines.engine(target)
+        since = self._next_by_target.get(target, 0)
+        page = None if engine is None else await engine.cache_events(since)
+        if page is None:
+            return
+        self._next_by_target[target] = page.next_sequence
+        self._dispatcher.observe_cache(target, page)
+
     async def _take_held(self, target: TargetId) -> None:
         engine = self._engines.engine(target)
         held = None if engine is None else await engine.held()
--- a/lycheestall/engine_scheduler.py
+++ b/lycheestall/engine_scheduler.py
@@ -281,24 +281,6 @@
         """An engine has confirmed a release."""
         self._parts.memory.confirmed(target, root)
 
-    def memory_found(
-        self,
-        target: TargetId,
-        held: Iterable[HeldMemory],
-        live: Callable[[ProgramId], bool],
-        now: float,
-    ) -> list[DispatchCommand]:
-        """An engine has listed what it holds.
-
-        Args:
-            target: The engine.
-            held: What it holds.
-            live: Whether a top-level program lives in the cell.
-            now: The time.
-        """
-        memory = self._parts.memory
-        return list(memory.found(target, held, live=live, now=now))
-
     def poll(self, now: float) -> list[DispatchCommand]:
         """Sends what can be sent and gives up what cannot be met."""
         commands: list[DispatchCommand] = list(self._parts.memory.due(now))
--- a/lycheestall/node.py
+++ b/lycheestall/node.py
@@ -66,6 +66,7 @@
 
 VM_POLL_INTERVAL_S = 1.0
 LOAD_POLL_INTERVAL_S = 0.5
+CACHE_POLL_INTERVAL_S = 2.0
 MEMORY_INTERVAL_S = 10.0
 ISSUE_TRIES = 64
 DRAIN_CHECK_S = 0.02
@@ -217,6 +218,7 @@
         self.cell.start()
         self._poll("vm-list", self._poll_vms, VM_POLL_INTERVAL_S)
         self._poll("loads", self.polls.poll_loads, LOAD_POLL_INTERVAL_S)
+        self._poll("caches", self.polls.poll_caches, CACHE_POLL_INTERVAL_S)
         self._poll("memory", self.polls.sweep_memory, MEMORY_INTERVAL_S)
         self._poll("rules", self._keep_rules, RULES_INTERVAL_S)
 
--- a/tests/test_engine_dispatcher.py
+++ b/tests/test_engine_dispatcher.py
@@ -232,7 +232,9 @@
         HeldMemory(ProgramId("p1"), "pin", "y", 10),
     )
     for _ in range(2):
-        world.dispatcher.audit_memory(lambda root: root == "p1")
+        world.dispatcher.found(
+            TargetId("e2"), engine.memory, live=lambda root: root == "p1"
+        )
     assert engine.released == ["gone"]
 
 
--- a/tests/test_policy_parts.py
+++ b/tests/test_policy_parts.py
@@ -95,6 +95,14 @@
     assert cache.tokens(E1, P2, 1100) == 1100
 
 
+def test_a_counter_that_went_back_means_an_empty_cache():
+    cache = CacheEstimate()
+    cache.observe(E1, page((90, "p1", 1000)), 0.0)
+    cache.observe(E1, page((1, "p2", 10), after=2), 1.0)
+    assert cache.tokens(E1, P1, 1200) == 0
+    assert cache.tokens(E1, P2, 1200) == 10
+
+
 def test_an_ended_program_no_longer_counts():
     cache = CacheEstimate()
     answer(cache, E1, P1, 1000, 0, 0.0)
