--- a/lycheestall/engine_dispatcher.py
+++ b/lycheestall/engine_dispatcher.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
+from functools import partial
 from random import Random
 from typing import Any, cast
 
@@ -11,6 +12,7 @@
 
 from ._engine_dispatch import EngineDispatch, StreamOwner
 from ._memory_release import MemoryRelease, ReleaseWatcher
+from ._settlement import Settlement
 from .clock import Clock, Timer
 from .dispatch import ChatDispatcher, ChatJob, ChatListener, JobHandle
 from .dispatch_commands import (
@@ -42,6 +44,7 @@
 
 WATCH_INTERVAL_S = 1.0
 MIN_WAKE_S = 0.001
+NO_ENGINE_RETRY_S = 2.0
 SETTLE_LIMIT_S = 5.0
 
 _UNSETTLED = Refused(
@@ -106,7 +109,7 @@
         self._wake_at: float | None = None
         self._watch: Timer | None = None
         self._submitted: list[JobKey] = []
-        self._unsettled_by_program: dict[ProgramId, int] = {}
+        self._settlement = Settlement(clock, limit_s=SETTLE_LIMIT_S)
         self.engines_changed()
 
     def submit(self, job: ChatJob, listener: ChatListener) -> JobHandle:
@@ -195,7 +198,11 @@
             self._execute(self._scheduler.turned_away(key, result, now))
             return
         if dispatch.unsettled:
-            self._await_settled(dispatch, result)
+            self._settlement.wait(
+                dispatch,
+                settled=partial(self._broken, dispatch, result, lost=False),
+                given_up=partial(self._not_settled, dispatch),
+            )
             return
         self._broken(dispatch, result, lost=lost)
 
@@ -215,32 +222,6 @@
             )
         )
 
-    def _await_settled(
-        self, dispatch: EngineDispatch, result: EngineBroken
-    ) -> None:
-        """Holds the program's calls until the engine cannot run this one.
-
-        Another dispatch before that could be overtaken: the first would
-        reach its engine after later calls had reached others.
-        """
-        waiting = self._unsettled_by_program
-        program = dispatch.job.program
-        waiting[program] = waiting.get(program, 0) + 1
-        limit = self._clock.callLater(
-            SETTLE_LIMIT_S, self._not_settled, dispatch
-        )
-
-        def settled(_: object) -> None:
-            if limit.active():
-                limit.cancel()
-            waiting[program] -= 1
-            if not waiting[program]:
-                del waiting[program]
-            if not dispatch.ended:
-                self._broken(dispatch, result, lost=False)
-
-        defer.ensureDeferred(dispatch.settle()).addBoth(settled)
-
     def _not_settled(self, dispatch: EngineDispatch) -> None:
         if dispatch.ended:
             return
@@ -280,7 +261,7 @@
             dispatch = self._dispatch_by_key.get(key)
             if dispatch is None:
                 continue
-            if dispatch.job.program in self._unsettled_by_program:
+            if self._settlement.holds(dispatch.job.program):
                 self._end_refused(EndRefused(key, _UNSETTLED))
                 continue
             self._execute(self._scheduler.submit(key, dispatch.job, now))
@@ -320,7 +301,12 @@
         engine = self._engines.engine(command.target)
         refusal = dispatch.job.may_send()
         if engine is None:
-            refusal = Refused(Step.DISPATCH, Reason.NO_TARGET)
+            refusal = Refused(
+                Step.DISPATCH,
+                Reason.NO_TARGET,
+                peer=command.target,
+                retry_after_s=NO_ENGINE_RETRY_S,
+            )
         now = self._clock.seconds()
         if refusal is not None or engine is None:
             assert refusal is not None
