Test zones that lose each other, with and without the log

Cause: a cut along an availability zone was not among the scenarios. Change: two scenarios with six agents in three zones.

--- a/tests/test_cell_agent.py
+++ b/tests/test_cell_agent.py
@@ -384,3 +384,34 @@
         2,
         3,
     }
+
+
+def test_zones_cut_from_each_other_keep_their_owners_by_the_log() -> None:
+    cell = CellWorld()
+    cell.boot_all(6)
+    owners = cell.owners()
+    cell.isolate(["vm00", "vm03"])
+    for _ in range(30):
+        cell.world.run_for(1.0)
+        assert cell.owners() == owners
+    cell.rejoin(["vm00", "vm03"])
+    cell.world.run_for(10.0)
+    assert cell.owners() == owners
+    assert cell.violations == []
+
+
+def test_zone_cut_from_all_is_taken_over_by_the_others() -> None:
+    cell = CellWorld()
+    cell.boot_all(6)
+    cut = ["vm00", "vm03"]
+    cell.log.outage(cell.world.now, cell.world.now + 40.0, nodes=cut)
+    cell.isolate(cut)
+    cell.world.run_for(cell.tuning.lease_s)
+    assert [cell.owned_by(vm) for vm in cut] == [[], []]
+    cell.world.run_for(16.0)
+    assert cell.all_owned()
+    cell.rejoin(cut)
+    cell.world.run_for(40.0)
+    assert cell.all_owned()
+    assert any(cell.owned_by(vm) for vm in cut)
+    assert cell.violations == []
