--- a/lycheestall/cell_agent.py
+++ b/lycheestall/cell_agent.py
@@ -30,7 +30,8 @@
     PartitionTaken,
 )
 from .outcomes import Reason, Refused, Step
-from .platform import LogService, VmListing, VmRole
+from .peer_addresses import PeerAddresses
+from .platform import LogService, VmListing
 from .records import (
     NO_OFFSET,
     CellRecord,
@@ -44,7 +45,6 @@
 __all__ = ["CellAgent", "CellPorts"]
 
 TICK_INTERVAL_S = 0.25
-MAX_LISTED_PEERS = 16
 
 _MEMBERSHIP_RECORDS = (SessionJoined, SessionLeft, SessionDeposed)
 
@@ -118,8 +118,7 @@
         self._schedule = CheckpointSchedule()
         self._session = SessionId("")
         self._cell_session: CellSession | None = None
-        self._listed: dict[VmId, tuple[str, int]] = {}
-        self._peers: dict[VmId, tuple[str, int]] = {}
+        self._peers = PeerAddresses(ports.mesh, identity.vm)
         self._listing: VmListing | None = None
         self._on_other_message: MessageHandler | None = None
         self._on_peer_lost: PeerLostHandler | None = None
@@ -209,11 +208,7 @@
     def observe_vms(self, listing: VmListing) -> None:
         """Takes a snapshot of the platform's VM list."""
         self._listing = listing
-        self._listed = {
-            entry.vm: (entry.host, entry.port)
-            for entry in listing.entries
-            if entry.role is VmRole.ENTRY
-        }
+        self._peers.listed(listing)
         if self._cell_session is not None:
             now = self._clock.seconds()
             self._cell_session.membership.listed(listing, now)
@@ -356,17 +351,8 @@
         self._set_peers()
 
     def _set_peers(self) -> None:
-        peers: dict[VmId, tuple[str, int]] = {}
-        if self._cell_session is None:
-            for vm, address in sorted(self._listed.items()):
-                if len(peers) < MAX_LISTED_PEERS:
-                    peers[vm] = address
-        for session in self.fold.sessions.by_id.values():
-            peers[session.vm] = (session.host, session.port)
-        peers.pop(self._identity.vm, None)
-        if peers != self._peers:
-            self._peers = peers
-            self._mesh.set_peers(peers)
+        joined = self._cell_session is not None
+        self._peers.update(self.fold.sessions, joined=joined)
 
     def _beat(self) -> None:
         self._set_timer(self._tuning.heartbeat_interval_s, self._beat)
