--- /dev/null
+++ b/tests/_owner_world.py
@@ -0,0 +1,145 @@
+"""One owner after another over the same log, engines and runners."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import orjson
+from _program_fakes import (
+    LINE,
+    FakeApplication,
+    FakeCell,
+    FakeDispatcher,
+    FakeJob,
+    FakeRules,
+    FakeSink,
+)
+from twisted.internet.task import Clock
+
+from lycheestall.application_picker import RotatingPicker, Runner
+from lycheestall.calls import Call, CallHandle, CallKind
+from lycheestall.ids import (
+    AccountId,
+    IdempotencyKey,
+    ModelName,
+    Offset,
+    PartitionId,
+    TargetId,
+)
+from lycheestall.outcomes import Reason, Refused, Step
+from lycheestall.partitions import partition_of
+from lycheestall.program_ids import issue_program_id
+from lycheestall.program_owner import ProgramOwner
+from lycheestall.rule_book import ProgramLimits
+from lycheestall.settings import TuningSettings
+from lycheestall.targets import ActionDone
+
+PARTITIONS = 8
+NOW_MS = 1_700_000_000_000
+KEY = b"key"
+ACCOUNT = AccountId("snowline")
+PROGRAM = issue_program_id(
+    account=ACCOUNT, issued_ms=NOW_MS - 5, nonce=bytes(8), key=KEY
+)
+PLACE = partition_of(ACCOUNT, PROGRAM, PARTITIONS)
+MOVED = Refused(Step.ROUTE, Reason.NO_AUTHORITY)
+
+
+class Owners:
+    """One owner after another over the same log and targets."""
+
+    def __init__(self) -> None:
+        self.clock = Clock()
+        self.cell = FakeCell()
+        self.rules = FakeRules()
+        self.dispatcher = FakeDispatcher()
+        self.first = FakeApplication()
+        self.second = FakeApplication()
+        self.handle: CallHandle | None = None
+        self.take_over("s1", unproven=False)
+
+    def take_over(self, session: str, *, unproven: bool = True) -> None:
+        self.cell = self.cell.successor(session, PARTITIONS)
+        self.owner = self._owner()
+        for number in range(PARTITIONS):
+            self.owner.gained(
+                PartitionId(number),
+                self.cell.epoch_of(PartitionId(number)),
+                handed={},
+                unproven=unproven,
+            )
+
+    def hand_over(self, session: str) -> None:
+        states: list[dict[str, bytes]] = []
+        self.owner.quiesce(PLACE).addCallback(states.append)
+        self.clock.advance(1.0)
+        former = self.cell
+        self.cell = former.successor(session, PARTITIONS, killed=False)
+        self.owner.lost(PLACE)
+        self.owner = self._owner()
+        self.owner.gained(PLACE, Offset(0), handed=states[0], unproven=False)
+
+    def call(self, **parts: object) -> FakeSink:
+        sink = FakeSink()
+        fields: dict[str, object] = {"account": ACCOUNT, "program": PROGRAM}
+        call = Call(**{**fields, **parts})  # type: ignore[arg-type]
+        self.handle = self.owner.handle(call, sink)
+        return sink
+
+    def chat(self, *texts: str, **parts: object) -> FakeSink:
+        parts = {"model": ModelName("m"), "body": chat_body(*texts), **parts}
+        return self.call(kind=CallKind.CHAT, **parts)
+
+    def order(self, key: str = "k1", **parts: object) -> FakeSink:
+        fields: dict[str, object] = {
+            "kind": CallKind.ACTION,
+            "application": TargetId("poles"),
+            "operation": "POST /orders",
+            "body": b"{}",
+            "idempotency_key": IdempotencyKey(key),
+        }
+        return self.call(**{**fields, **parts})
+
+    @property
+    def job(self) -> FakeJob:
+        return self.dispatcher.jobs[-1]
+
+    def answer_order(self, status: int = 201, runner: int = 0) -> None:
+        application = (self.first, self.second)[runner]
+        application.answers[-1].callback(
+            ActionDone(status, "application/json", b'{"order":1}')
+        )
+
+    def _owner(self) -> ProgramOwner:
+        runners = [
+            Runner(TargetId("runner-1"), self.first),
+            Runner(TargetId("runner-2"), self.second),
+        ]
+        return ProgramOwner(
+            cell=self.cell,
+            ledger=lambda: self.cell.ledger,
+            dispatcher=self.dispatcher,
+            applications=RotatingPicker({TargetId("poles"): runners}),
+            rules=lambda: self.rules,
+            clock=self.clock,
+            wall_ms=lambda: NOW_MS + int(self.clock.seconds() * 1000),
+            receipt_keys=[KEY],
+            settings=TuningSettings(),
+            partitions=PARTITIONS,
+        )
+
+
+def chat_body(*texts: str) -> bytes:
+    """Makes user and assistant messages by turns."""
+    roles = ("user", "assistant")
+    messages = [
+        {"role": roles[index % 2], "content": text}
+        for index, text in enumerate(texts)
+    ]
+    return orjson.dumps({"messages": messages, "max_tokens": 10})
+
+
+def limits(**parts: object) -> ProgramLimits:
+    empty = ProgramLimits(None, None, None, None, None, {})
+    lines = {name: LINE for name in parts}
+    return replace(empty, lines=lines, **parts)  # type: ignore[arg-type]
--- a/tests/_program_fakes.py
+++ b/tests/_program_fakes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from copy import copy
 from dataclasses import dataclass, field
 
 from twisted.internet.defer import Deferred
@@ -28,7 +29,7 @@
     VmId,
 )
 from lycheestall.ledger import Ledger
-from lycheestall.outcomes import Outcome, Refused
+from lycheestall.outcomes import Outcome, Reason, Refused, Step
 from lycheestall.portions import Portions
 from lycheestall.records import CellRecord, PortionReturned, PortionTaken
 from lycheestall.rule_book import (
@@ -96,6 +97,7 @@
         self.refused: Refused | None = None
         self.silent = False
         self.automatic = True
+        self.killed = False
         self.written: list[CellRecord] = []
         self.waiting: list[tuple[SessionId, CellRecord, Deferred[Folded]]] = []
         self.ledger = Ledger()
@@ -108,8 +110,22 @@
     def session(self) -> SessionId:
         return self.name
 
+    def successor(
+        self, name: str, partitions: int, *, killed: bool = True
+    ) -> FakeCell:
+        """Claims all partitions for another session on the same log.
+
+        The former session has no authority any more; a killed one that
+        wakes up cannot write either.
+        """
+        other = copy(self)
+        self.refused = Refused(Step.ROUTE, Reason.NO_AUTHORITY)
+        self.killed = killed
+        other.own(name, partitions)
+        return other
+
     def own(self, name: str, partitions: int) -> None:
-        """Claims all partitions for a session, whoever has them."""
+        """Claims all partitions, whoever has them."""
         self.name = SessionId(name)
         for number in range(partitions):
             self.offset += 1
@@ -135,6 +151,8 @@
 
     def submit(self, body: CellRecord) -> Deferred[Folded]:
         result: Deferred[Folded] = Deferred()
+        if self.killed:
+            return result
         self.written.append(body)
         self.waiting.append((self.name, body, result))
         if self.automatic and not self.silent:
--- a/tests/test_program_owner.py
+++ b/tests/test_program_owner.py
@@ -2,33 +2,26 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
-
 import orjson
 import pytest
+from _owner_world import (
+    MOVED,
+    NOW_MS,
+    PLACE,
+    PROGRAM,
+    Owners,
+    limits,
+)
 from _program_fakes import (
     LINE,
-    FakeApplication,
-    FakeCell,
-    FakeDispatcher,
-    FakeJob,
-    FakeRules,
-    FakeSink,
 )
 from twisted.internet.defer import Deferred
-from twisted.internet.task import Clock
 
-from lycheestall.application_picker import RotatingPicker, Runner
-from lycheestall.calls import Call, CallHandle, CallKind
+from lycheestall.calls import CallKind
 from lycheestall.ids import (
     AccountId,
     CallNumber,
-    IdempotencyKey,
-    ModelName,
-    Offset,
-    PartitionId,
     ProgramId,
-    TargetId,
 )
 from lycheestall.outcomes import (
     Completed,
@@ -38,11 +31,8 @@
     Refused,
     Step,
 )
-from lycheestall.partitions import partition_of
-from lycheestall.program_ids import issue_program_id
-from lycheestall.program_owner import ProgramOwner
 from lycheestall.records import IntentRecorded, IntentVoided
-from lycheestall.rule_book import AccountLimit, LimitKind, ProgramLimits
+from lycheestall.rule_book import AccountLimit, LimitKind
 from lycheestall.settings import TuningSettings
 from lycheestall.targets import (
     ActionDone,
@@ -52,113 +42,10 @@
     LookupState,
 )
 
-PARTITIONS = 8
-NOW_MS = 1_700_000_000_000
-KEY = b"key"
-ACCOUNT = AccountId("snowline")
-PROGRAM = issue_program_id(
-    account=ACCOUNT, issued_ms=NOW_MS - 5, nonce=bytes(8), key=KEY
-)
-PLACE = partition_of(ACCOUNT, PROGRAM, PARTITIONS)
-MOVED = Refused(Step.ROUTE, Reason.NO_AUTHORITY)
-
-
-class _World:
-    """One owner after another over the same log and targets."""
-
-    def __init__(self) -> None:
-        self.clock = Clock()
-        self.cell = FakeCell()
-        self.rules = FakeRules()
-        self.dispatcher = FakeDispatcher()
-        self.first = FakeApplication()
-        self.second = FakeApplication()
-        self.handle: CallHandle | None = None
-        self.take_over("s1", unproven=False)
-
-    def take_over(self, session: str, *, unproven: bool = True) -> None:
-        self.cell.own(session, PARTITIONS)
-        self.owner = self._owner()
-        for number in range(PARTITIONS):
-            self.owner.gained(
-                PartitionId(number),
-                self.cell.epoch_of(PartitionId(number)),
-                handed={},
-                unproven=unproven,
-            )
-
-    def hand_over(self, session: str) -> None:
-        states: list[dict[str, bytes]] = []
-        self.owner.quiesce(PLACE).addCallback(states.append)
-        self.clock.advance(1.0)
-        self.cell.own(session, PARTITIONS)
-        self.owner.lost(PLACE)
-        self.owner = self._owner()
-        self.owner.gained(PLACE, Offset(0), handed=states[0], unproven=False)
-
-    def call(self, **parts: object) -> FakeSink:
-        sink = FakeSink()
-        fields: dict[str, object] = {"account": ACCOUNT, "program": PROGRAM}
-        call = Call(**{**fields, **parts})  # type: ignore[arg-type]
-        self.handle = self.owner.handle(call, sink)
-        return sink
-
-    def chat(self, *texts: str, **parts: object) -> FakeSink:
-        parts = {"model": ModelName("m"), "body": chat_body(*texts), **parts}
-        return self.call(kind=CallKind.CHAT, **parts)
-
-    def order(self, key: str = "k1", **parts: object) -> FakeSink:
-        fields: dict[str, object] = {
-            "kind": CallKind.ACTION,
-            "application": TargetId("poles"),
-            "operation": "POST /orders",
-            "body": b"{}",
-            "idempotency_key": IdempotencyKey(key),
-        }
-        return self.call(**{**fields, **parts})
-
-    @property
-    def job(self) -> FakeJob:
-        return self.dispatcher.jobs[-1]
-
-    def answer_order(self, status: int = 201, runner: int = 0) -> None:
-        application = (self.first, self.second)[runner]
-        application.answers[-1].callback(
-            ActionDone(status, "application/json", b'{"order":1}')
-        )
-
-    def _owner(self) -> ProgramOwner:
-        runners = [
-            Runner(TargetId("runner-1"), self.first),
-            Runner(TargetId("runner-2"), self.second),
-        ]
-        return ProgramOwner(
-            cell=self.cell,
-            ledger=lambda: self.cell.ledger,
-            dispatcher=self.dispatcher,
-            applications=RotatingPicker({TargetId("poles"): runners}),
-            rules=lambda: self.rules,
-            clock=self.clock,
-            wall_ms=lambda: NOW_MS + int(self.clock.seconds() * 1000),
-            receipt_keys=[KEY],
-            settings=TuningSettings(),
-            partitions=PARTITIONS,
-        )
-
 
 @pytest.fixture
-def world() -> _World:
-    return _World()
-
-
-def chat_body(*texts: str) -> bytes:
-    """Makes user and assistant messages by turns."""
-    roles = ("user", "assistant")
-    messages = [
-        {"role": roles[index % 2], "content": text}
-        for index, text in enumerate(texts)
-    ]
-    return orjson.dumps({"messages": messages, "max_tokens": 10})
+def world() -> Owners:
+    return Owners()
 
 
 def reason(outcome: Outcome | None) -> Reason:
@@ -166,13 +53,7 @@
     return outcome.reason
 
 
-def limits(**parts: object) -> ProgramLimits:
-    empty = ProgramLimits(None, None, None, None, None, {})
-    lines = {name: LINE for name in parts}
-    return replace(empty, lines=lines, **parts)  # type: ignore[arg-type]
-
-
-def test_chat_answer_is_whole(world: _World) -> None:
+def test_chat_answer_is_whole(world: Owners) -> None:
     sink = world.chat("plan")
     world.job.run("hello")
     assert isinstance(sink.outcome, Completed)
@@ -182,7 +63,9 @@
     assert sink.header("lycheestall-outcome") == "completed"
 
 
-def test_streamed_answer_is_passed_through_and_resumed(world: _World) -> None:
+def test_streamed_answer_is_passed_through_and_resumed(
+    world: Owners,
+) -> None:
     sink = world.chat("plan", streamed=True)
     world.job.accept()
     world.job.listener.chunk(b'data: {"choices":[]}\n\n')
@@ -199,7 +82,7 @@
     assert (sink.body + resumed.body).count(b"data: [DONE]") == 1
 
 
-def test_a_slow_reader_gets_the_whole_answer_later(world: _World) -> None:
+def test_a_slow_reader_gets_the_whole_answer_later(world: Owners) -> None:
     sink = world.chat("plan")
     sink.full = True
     world.job.run("x" * 200_000)
@@ -211,7 +94,7 @@
 
 
 def test_next_call_waits_until_an_engine_has_the_one_before(
-    world: _World,
+    world: Owners,
 ) -> None:
     world.chat("b", number=CallNumber(2))
     assert not world.dispatcher.jobs
@@ -221,14 +104,14 @@
     assert [job.job.number for job in world.dispatcher.jobs] == [1, 2]
 
 
-def test_a_gap_is_refused_as_not_run(world: _World) -> None:
+def test_a_gap_is_refused_as_not_run(world: Owners) -> None:
     sink = world.chat("b", number=CallNumber(2))
     world.clock.advance(TuningSettings().gap_hold_s)
     assert reason(sink.outcome) is Reason.CALL_GAP
     assert not world.dispatcher.jobs
 
 
-def test_a_number_sent_again_gets_the_same_answer(world: _World) -> None:
+def test_a_number_sent_again_gets_the_same_answer(world: Owners) -> None:
     first = world.chat("a", number=CallNumber(1))
     second = world.chat("a", number=CallNumber(1))
     world.job.run("hello")
@@ -240,7 +123,7 @@
 
 
 def test_a_failed_call_runs_again_unless_a_later_one_went_on(
-    world: _World,
+    world: Owners,
 ) -> None:
     broken = Failed(Step.RELAY, Reason.TARGET_FAILED)
     world.chat("a", number=CallNumber(1))
@@ -255,7 +138,7 @@
     assert [job.job.number for job in world.dispatcher.jobs] == [1, 1, 2]
 
 
-def test_history_has_to_extend_the_answered_turns(world: _World) -> None:
+def test_history_has_to_extend_the_answered_turns(world: Owners) -> None:
     world.chat("a")
     world.job.run("hello")
     good = world.chat("a", "hello", "b")
@@ -274,7 +157,7 @@
 
 
 def test_sub_agents_run_beside_their_parent_on_its_budget(
-    world: _World,
+    world: Owners,
 ) -> None:
     world.rules.limits = limits(calls=2)
     world.chat("a")
@@ -287,7 +170,7 @@
     assert refused.rule == "line 7 asked by pass crew"
 
 
-def test_budget_is_reserved_whole_and_settled(world: _World) -> None:
+def test_budget_is_reserved_whole_and_settled(world: Owners) -> None:
     world.rules.limits = limits(tokens=400)
     held = [
         world.chat("a", program=ProgramId(f"{PROGRAM}/{name}"))
@@ -302,7 +185,9 @@
     assert isinstance(again.outcome, Completed)
 
 
-def test_silent_log_leaves_the_allowance_and_no_more(world: _World) -> None:
+def test_silent_log_leaves_the_allowance_and_no_more(
+    world: Owners,
+) -> None:
     world.rules.limits = limits(calls=16)
     world.cell.silent = True
     sinks = [world.chat("a", number=CallNumber(1))]
@@ -320,7 +205,9 @@
     assert not world.first.requests
 
 
-def test_a_takeover_counts_the_drawn_budget_as_spent(world: _World) -> None:
+def test_a_takeover_counts_the_drawn_budget_as_spent(
+    world: Owners,
+) -> None:
     world.rules.limits = limits(calls=8)
     first = world.chat("a", number=CallNumber(1))
     world.job.run()
@@ -345,7 +232,7 @@
 
 
 def test_the_head_of_a_stream_proves_the_history_up_to_its_answer(
-    world: _World,
+    world: Owners,
 ) -> None:
     first = world.chat("a", streamed=True)
     world.job.run()
@@ -360,7 +247,7 @@
     assert isinstance(proven.outcome, Completed)
 
 
-def test_another_programs_receipt_is_refused(world: _World) -> None:
+def test_another_programs_receipt_is_refused(world: Owners) -> None:
     other = ProgramId("chosen")
     first = world.chat("a", program=other)
     world.job.run()
@@ -370,7 +257,7 @@
     assert reason(sink.outcome) is Reason.RECEIPT_REQUIRED
 
 
-def test_a_handover_keeps_order_history_and_budget(world: _World) -> None:
+def test_a_handover_keeps_order_history_and_budget(world: Owners) -> None:
     world.rules.limits = limits(calls=8)
     world.chat("a", number=CallNumber(1))
     world.job.run()
@@ -394,7 +281,7 @@
     assert reason(late.outcome) is Reason.CALL_SUPERSEDED
 
 
-def test_a_handover_takes_the_newest_answer_along(world: _World) -> None:
+def test_a_handover_takes_the_newest_answer_along(world: Owners) -> None:
     first = world.chat("a", number=CallNumber(1))
     world.job.run()
     world.hand_over("s2")
@@ -403,7 +290,9 @@
     assert len(world.dispatcher.jobs) == 1
 
 
-def test_a_failed_call_may_run_again_after_a_handover(world: _World) -> None:
+def test_a_failed_call_may_run_again_after_a_handover(
+    world: Owners,
+) -> None:
     world.chat("a", number=CallNumber(1))
     world.job.listener.failed(Failed(Step.RELAY, Reason.TARGET_FAILED))
     world.hand_over("s2")
@@ -413,7 +302,7 @@
 
 
 def test_a_first_call_under_way_may_run_again_after_a_handover(
-    world: _World,
+    world: Owners,
 ) -> None:
     world.chat("a", number=CallNumber(1))
     world.job.accept()
@@ -423,7 +312,9 @@
     assert isinstance(again.outcome, Completed)
 
 
-def test_a_call_repeated_with_its_own_receipt_goes_on(world: _World) -> None:
+def test_a_call_repeated_with_its_own_receipt_goes_on(
+    world: Owners,
+) -> None:
     world.chat("a", streamed=True, number=CallNumber(1))
     world.job.run()
     cut = world.chat("a", "hello", "b", streamed=True, number=CallNumber(2))
@@ -440,7 +331,7 @@
     assert world.job.job.number == 3 and not on.outcomes
 
 
-def test_a_stream_is_taken_up_from_its_engine(world: _World) -> None:
+def test_a_stream_is_taken_up_from_its_engine(world: Owners) -> None:
     cut = world.chat("a", streamed=True)
     world.job.accept()
     first = b'data: {"choices":[{"delta":{"content":"he"}}]}\n\n'
@@ -466,7 +357,9 @@
     assert reason(other.outcome) is Reason.HISTORY_MISMATCH
 
 
-def test_a_handover_waits_for_the_record_of_an_action(world: _World) -> None:
+def test_a_handover_waits_for_the_record_of_an_action(
+    world: Owners,
+) -> None:
     world.cell.automatic = False
     sink = world.order()
     world.cell.read_back()
@@ -481,7 +374,7 @@
     assert isinstance(sink.outcome, Completed)
 
 
-def test_order_runs_once_whatever_is_sent_again(world: _World) -> None:
+def test_order_runs_once_whatever_is_sent_again(world: Owners) -> None:
     first, second = world.order(), world.order()
     world.answer_order()
     third = world.order()
@@ -495,7 +388,7 @@
     assert reason(world.order(body=b"[]").outcome) is Reason.KEY_REUSED
 
 
-def test_an_open_intent_is_never_sent_again(world: _World) -> None:
+def test_an_open_intent_is_never_sent_again(world: Owners) -> None:
     world.order()
     world.take_over("s2")
     sink = world.order()
@@ -509,7 +402,7 @@
     assert len(world.first.requests) == 1 and not world.second.requests
 
 
-def test_a_key_that_the_target_closed_is_not_run(world: _World) -> None:
+def test_a_key_that_the_target_closed_is_not_run(world: Owners) -> None:
     sink = world.order()
     world.first.record = LookupAnswer(LookupState.NOT_RUN)
     world.first.answers[0].callback(ActionUnknown("reset"))
@@ -520,7 +413,7 @@
     assert len(world.first.requests) == 1
 
 
-def test_a_late_record_is_voided_and_not_sent(world: _World) -> None:
+def test_a_late_record_is_voided_and_not_sent(world: Owners) -> None:
     world.order("k0")
     world.answer_order()
     world.cell.automatic = False
@@ -538,7 +431,7 @@
     assert len(world.first.requests) == 2 and not world.second.requests
 
 
-def test_authority_lost_before_the_send_is_not_run(world: _World) -> None:
+def test_authority_lost_before_the_send_is_not_run(world: Owners) -> None:
     world.cell.automatic = False
     sink = world.order()
     world.cell.read_back()
@@ -549,7 +442,7 @@
     assert isinstance(world.cell.written[-1], IntentVoided)
 
 
-def test_authority_lost_while_connecting_is_not_run(world: _World) -> None:
+def test_authority_lost_while_connecting_is_not_run(world: Owners) -> None:
     world.first.connecting = opened = Deferred()
     sink = world.order()
     world.cell.refused = MOVED
@@ -559,7 +452,7 @@
     assert isinstance(world.cell.written[-1], IntentVoided)
 
 
-def test_a_runner_out_of_reach_is_replaced(world: _World) -> None:
+def test_a_runner_out_of_reach_is_replaced(world: Owners) -> None:
     world.rules.attempts = 2
     sink = world.order()
     world.first.answers[0].callback(ActionNotSent("refused"))
@@ -574,7 +467,7 @@
 
 
 def test_an_unreachable_order_may_be_sent_again_under_its_number(
-    world: _World,
+    world: Owners,
 ) -> None:
     sink = world.order(number=CallNumber(1))
     world.first.answers[0].callback(ActionNotSent("refused"))
@@ -585,7 +478,7 @@
 
 
 def test_an_idempotent_call_is_repeated_and_needs_no_log(
-    world: _World,
+    world: Owners,
 ) -> None:
     world.rules.attempts = 2
     world.cell.silent = True
@@ -605,20 +498,20 @@
     ],
 )
 def test_orders_without_proof_are_refused(
-    world: _World, parts: dict[str, object], expected: Reason
+    world: Owners, parts: dict[str, object], expected: Reason
 ) -> None:
     sink = world.order(**parts)  # type: ignore[arg-type]
     assert reason(sink.outcome) is expected
     assert not world.first.requests
 
 
-def test_a_program_older_than_the_state_is_unproven(world: _World) -> None:
+def test_a_program_older_than_the_state_is_unproven(world: Owners) -> None:
     world.cell.ledger.forgotten_before_ms = NOW_MS
     assert reason(world.order().outcome) is Reason.KEY_UNPROVEN
     assert not world.first.requests
 
 
-def test_turn_and_time_limits_end_the_program(world: _World) -> None:
+def test_turn_and_time_limits_end_the_program(world: Owners) -> None:
     world.rules.limits = limits(turns=1, time_s=60.0)
     world.chat("a")
     world.job.run()
@@ -636,7 +529,7 @@
     assert world.job.cancelled and world.dispatcher.ended[-1] == slow
 
 
-def test_a_vanished_program_holds_nothing(world: _World) -> None:
+def test_a_vanished_program_holds_nothing(world: Owners) -> None:
     world.chat("a")
     world.job.run()
     assert world.dispatcher.paused == [PROGRAM]
@@ -649,7 +542,7 @@
     assert reason(sink.outcome) is Reason.PROGRAM_ENDED
 
 
-def test_old_programs_are_forgotten_and_ended(world: _World) -> None:
+def test_old_programs_are_forgotten_and_ended(world: Owners) -> None:
     world.chat("a")
     world.job.run()
     for hour in range(1, 26):
@@ -666,7 +559,7 @@
     assert not world.first.requests
 
 
-def test_cancel_ends_calls_at_once(world: _World) -> None:
+def test_cancel_ends_calls_at_once(world: Owners) -> None:
     running = world.chat("a", number=CallNumber(1))
     world.job.accept()
     queued = world.chat("b", number=CallNumber(2))
@@ -680,7 +573,7 @@
     assert world.dispatcher.ended == [PROGRAM]
 
 
-def test_open_says_whether_the_log_knows(world: _World) -> None:
+def test_open_says_whether_the_log_knows(world: Owners) -> None:
     sink = world.call(kind=CallKind.OPEN)
     assert sink.head is not None and sink.head.status == 201
     assert orjson.loads(sink.body)["recorded"] is True
@@ -688,7 +581,7 @@
     assert reason(unknown.outcome) is Reason.PROGRAM_UNKNOWN
 
 
-def test_concurrency_of_an_account_is_shared(world: _World) -> None:
+def test_concurrency_of_an_account_is_shared(world: Owners) -> None:
     limit = AccountLimit("c", LimitKind.CONCURRENCY, 1, 0.0, LINE)
     world.rules.shared = (limit,)
     world.chat("a")
@@ -700,14 +593,14 @@
     assert isinstance(third.outcome, Completed)
 
 
-def test_nothing_is_taken_without_authority(world: _World) -> None:
+def test_nothing_is_taken_without_authority(world: Owners) -> None:
     world.cell.refused = MOVED
     for sink in (world.chat("a"), world.order()):
         assert sink.outcome == MOVED
     assert not world.dispatcher.jobs and not world.cell.written
 
 
-def test_a_bad_body_is_refused_with_its_place(world: _World) -> None:
+def test_a_bad_body_is_refused_with_its_place(world: Owners) -> None:
     sink = world.call(kind=CallKind.CHAT, body=b'{"messages":[{}]}')
     assert isinstance(sink.outcome, Refused)
     assert "messages[0]" in sink.outcome.detail
