--- a/lycheestall/cell_agent.py
+++ b/lycheestall/cell_agent.py
@@ -8,6 +8,7 @@
 from twisted.internet.defer import Deferred, succeed
 
 from .cell_fold import CellFold
+from .cell_relay import relay_of
 from .cell_session import CellIdentity, CellSession
 from .cell_status import AgentStatus, describe_agent
 from .cell_view import CellView, Folded, PartitionWatcher
@@ -100,7 +101,11 @@
         self._mesh = ports.mesh
         self._streams = LogStreams(ports.log, ports.clock, ports.mesh)
         self._reader = self._streams.follow(
-            stream, fold, on_folded=self._folded, on_loaded=self._loaded
+            stream,
+            fold,
+            on_folded=self._folded,
+            on_loaded=self._loaded,
+            shared=True,
         )
         self._heartbeats = Heartbeats(
             ports.mesh,
@@ -109,6 +114,7 @@
             stream=stream,
             current=lambda: self._cell_session,
         )
+        self._streams.share_appends(identity.vm, self._relay)
         self._schedule = CheckpointSchedule()
         self._session = SessionId("")
         self._cell_session: CellSession | None = None
@@ -262,6 +268,13 @@
         now = self._clock.seconds()
         return self._cell_session.refusal(partition, now)
 
+    def has_authority(self) -> bool:
+        """Returns whether this VM may act on what it owns right now."""
+        current = self._cell_session
+        if current is None:
+            return False
+        return current.authority.valid_until > self._clock.seconds()
+
     def log_silent(self) -> bool:
         """Returns whether records are not coming back from the log."""
         if self._cell_session is None:
@@ -380,6 +393,14 @@
                 if self._on_other_message is not None:
                     self._on_other_message(peer, message)
 
+    def _relay(self, stream: StreamName) -> VmId | None:
+        current = self._cell_session
+        if current is None:
+            return None
+        now = self._clock.seconds()
+        relays = current.membership.relays(self.fold.sessions, now)
+        return relay_of(stream, relays)
+
     def _lost(self, peer: VmId) -> None:
         self._streams.lost(peer)
         if self._on_peer_lost is not None:
--- a/lycheestall/engine_dispatcher.py
+++ b/lycheestall/engine_dispatcher.py
@@ -10,6 +10,7 @@
 from twisted.python.failure import Failure
 
 from ._engine_dispatch import EngineDispatch, StreamOwner
+from ._memory_release import MemoryRelease, MemoryWatcher
 from .clock import Clock, Timer
 from .dispatch import ChatDispatcher, ChatJob, ChatListener, JobHandle
 from .dispatch_commands import (
@@ -28,6 +29,7 @@
 from .rule_book import RuleBook
 from .targets import (
     CacheEvents,
+    EngineBroken,
     EngineDone,
     EngineRefused,
     EngineRequest,
@@ -40,9 +42,17 @@
 
 WATCH_INTERVAL_S = 1.0
 MIN_WAKE_S = 0.001
+SETTLE_LIMIT_S = 5.0
+
+_UNSETTLED = Refused(
+    Step.PLACE,
+    Reason.NO_TARGET,
+    retry_after_s=2.0,
+    detail="an earlier call of the program may still reach its engine",
+)
 
 
-class EngineDispatcher(ChatDispatcher, StreamOwner):
+class EngineDispatcher(ChatDispatcher, StreamOwner, MemoryWatcher):
     """Queues jobs, places them on engines and repeats what is safe."""
 
     def __init__(
@@ -78,6 +88,7 @@
         """
         self._session = session
         self._engines = engines
+        self._memory = MemoryRelease(engines, self)
         self._clock = clock
         self._timer = clock
         self._crash_reporter = crash_reporter
@@ -96,6 +107,7 @@
         self._wake_at: float | None = None
         self._watch: Timer | None = None
         self._submitted: list[JobKey] = []
+        self._unsettled_by_program: dict[ProgramId, int] = {}
         self.engines_changed()
 
     def submit(self, job: ChatJob, listener: ChatListener) -> JobHandle:
@@ -143,32 +155,56 @@
         now = self._timer.seconds()
         self._execute(self._scheduler.observe(report, now))
 
-    def observe_held(
+    def found(
         self,
         target: TargetId,
         held: Iterable[HeldMemory],
+        *,
         live: Callable[[ProgramId], bool],
     ) -> None:
-        """Takes what an engine holds; orphans are released.
+        """Takes what an engine holds; releases what no program owns."""
+        now = self._clock.seconds()
+        self._execute(self._scheduler.found(target, held, live=live, now=now))
+
+    def observe_cache(self, target: TargetId, page: CacheEvents) -> None:
+        """Takes a page of an engine's cache events."""
+        self._scheduler.cache_events(target, page, self._timer.seconds())
+
+    def audit_memory(
+        self, live: Callable[[ProgramId], bool]
+    ) -> defer.Deferred[None]:
+        """Asks engines what they hold and frees what nobody lives for.
+
+        Call it every half minute or so; memory of a program is freed
+        when two audits in a row have found the program dead.
 
         Args:
-            target: The engine.
-            held: What it says it holds.
             live: Whether a top-level program lives in the cell.
         """
-        now = self._timer.seconds()
-        self._execute(
-            self._scheduler.found_held(target, held, live=live, now=now)
-        )
+        return defer.ensureDeferred(self._memory.audit(live))
 
-    def observe_cache(self, target: TargetId, page: CacheEvents) -> None:
-        """Takes a page of an engine's cache events."""
-        self._scheduler.cache_events(target, page, self._timer.seconds())
+    def released(self, target: TargetId, root: ProgramId) -> None:
+        """An engine has confirmed a release."""
+        self._scheduler.released(target, root)
+
+    def found(
+        self,
+        target: TargetId,
+        held: tuple[HeldMemory, ...],
+        live: Callable[[ProgramId], bool],
+    ) -> None:
+        """An engine has listed what it holds."""
+        now = self._timer.seconds()
+        self._execute(self._scheduler.memory_found(target, held, live, now))
 
     def stream_accepted(self, dispatch: EngineDispatch) -> None:
         """The engine has the request."""
         self._scheduler.accepted(dispatch.key, self._timer.seconds())
 
+    def stream_started(self, dispatch: EngineDispatch) -> None:
+        """The first chunk of an attempt has come."""
+        self._scheduler.started(dispatch.key, self._timer.seconds())
+
     def stream_ended(
         self, dispatch: EngineDispatch, result: EngineResult, *, lost: bool
     ) -> None:
@@ -182,6 +218,15 @@
         if isinstance(result, EngineRefused):
             self._execute(self._scheduler.turned_away(key, result, now))
             return
+        if dispatch.unsettled:
+            self._await_settled(dispatch, result)
+            return
+        self._broken(dispatch, result, lost=lost)
+
+    def _broken(
+        self, dispatch: EngineDispatch, result: EngineBroken, *, lost: bool
+    ) -> None:
+        key, now = dispatch.key, self._clock.seconds()
         dispatch.cancel_at_engine()
         self._execute(
             self._scheduler.broken(
@@ -194,6 +239,38 @@
             )
         )
 
+    def _await_settled(
+        self, dispatch: EngineDispatch, result: EngineBroken
+    ) -> None:
+        """Holds the program's calls until the engine cannot run this one.
+
+        Another dispatch before that could be overtaken: the first would
+        reach its engine after later calls had reached others.
+        """
+        waiting = self._unsettled_by_program
+        program = dispatch.job.program
+        waiting[program] = waiting.get(program, 0) + 1
+        limit = self._clock.callLater(
+            SETTLE_LIMIT_S, self._not_settled, dispatch
+        )
+
+        def settled(_: object) -> None:
+            if limit.active():
+                limit.cancel()
+            waiting[program] -= 1
+            if not waiting[program]:
+                del waiting[program]
+            if not dispatch.ended:
+                self._broken(dispatch, result, lost=False)
+
+        defer.ensureDeferred(dispatch.settle()).addBoth(settled)
+
+    def _not_settled(self, dispatch: EngineDispatch) -> None:
+        if dispatch.ended:
+            return
+        now = self._clock.seconds()
+        self._execute(self._scheduler.unsettled(dispatch.key, now))
+
     def cancelled(self, dispatch: EngineDispatch) -> None:
         """The job is no longer wanted."""
         self._drop(dispatch)
@@ -227,6 +304,9 @@
             dispatch = self._dispatch_by_key.get(key)
             if dispatch is None:
                 continue
+            if dispatch.job.program in self._unsettled_by_program:
+                self._end_refused(EndRefused(key, _UNSETTLED))
+                continue
             self._execute(self._scheduler.submit(key, dispatch.job, now))
 
     def _take_up(
@@ -251,7 +331,8 @@
             elif isinstance(command, EndFailed):
                 self._end_failed(command)
             elif isinstance(command, ReleaseMemory):
-                self._release(command)
+                release = self._memory.release(command)
+                defer.ensureDeferred(release).addErrback(_drop)
             elif isinstance(command, ReportCrash):
                 self._crash_reporter(command.fingerprint, command.target)
         self._set_wake()
@@ -301,12 +382,6 @@
         dispatch.stop()
         dispatch.listener.failed(command.outcome)
 
-    def _release(self, command: ReleaseMemory) -> None:
-        engine = self._engines.engine(command.target)
-        if engine is not None:
-            release = engine.release(command.program)
-            defer.ensureDeferred(release).addErrback(_drop)
-
     def _drop(self, dispatch: EngineDispatch) -> None:
         dispatch.ended = True
         self._dispatch_by_key.pop(dispatch.key, None)
--- a/lycheestall/engine_scheduler.py
+++ b/lycheestall/engine_scheduler.py
@@ -202,6 +202,21 @@
         failed = Failed(Step.RELAY, Reason.DEADLINE, peer=target)
         return [EndFailed(key, failed), *self.poll(now)]
 
+    def unsettled(self, key: JobKey, now: float) -> list[DispatchCommand]:
+        """An engine neither took nor refused the job for too long."""
+        job = self._jobs[key]
+        target = self._jobs.leave(job, now)
+        self._parts.timed_out(job, target, now)
+        self._jobs.remove(job)
+        failed = Failed(
+            Step.DISPATCH,
+            Reason.TARGET_TIMEOUT,
+            peer=target,
+            retry_after_s=NO_TARGET_RETRY_S,
+            detail="the engine does not answer; the call may still reach it",
+        )
+        return [EndFailed(key, failed), *self.poll(now)]
+
     def cancel(self, key: JobKey, now: float) -> list[DispatchCommand]:
         """The job is no longer wanted; the I/O stops the engine."""
         job = self._jobs.get(key)
@@ -236,7 +251,7 @@
         self._parts.cache.ended(root)
         return list(self._parts.memory.ended(root, now))
 
-    def found_held(
+    def found(
         self,
         target: TargetId,
         held: Iterable[HeldMemory],
@@ -245,17 +260,36 @@
         now: float,
     ) -> list[DispatchCommand]:
         """Compares what an engine holds with the programs that live."""
-        found = self._parts.memory.found(target, held, live=live, now=now)
-        return list(found)
+        releases = self._parts.memory.found(target, held, live=live, now=now)
+        return list(releases)
 
     def released(self, target: TargetId, root: ProgramId) -> None:
         """An engine has confirmed a release."""
         self._parts.memory.confirmed(target, root)
 
+    def memory_found(
+        self,
+        target: TargetId,
+        held: Iterable[HeldMemory],
+        live: Callable[[ProgramId], bool],
+        now: float,
+    ) -> list[DispatchCommand]:
+        """An engine has listed what it holds.
+
+        Args:
+            target: The engine.
+            held: What it holds.
+            live: Whether a top-level program lives in the cell.
+            now: The time.
+        """
+        memory = self._parts.memory
+        return list(memory.found(target, held, live=live, now=now))
+
     def poll(self, now: float) -> list[DispatchCommand]:
         """Sends what can be sent and gives up what cannot be met."""
         commands: list[DispatchCommand] = list(self._parts.memory.due(now))
         blocked = 0
+        self._choice.begin_poll()
         for key in self._parts.queue:
             job = self._jobs[key]
             if self._hopeless(job, now):
--- a/lycheestall/ledger.py
+++ b/lycheestall/ledger.py
@@ -50,15 +50,15 @@
     def __init__(self) -> None:
         self.program_by_id: dict[ProgramId, LedgerProgram] = {}
         self.forgotten_before_ms = 0
-        self._open_by_root: dict[ProgramId, int] = {}
 
-    def lives(self, root: ProgramId) -> bool:
-        """Returns whether any account has an open program of this id.
+    def lives(self, name: ProgramId) -> bool:
+        """Returns whether a top-level program is open.
 
         Args:
-            root: A top-level program's id, without its account.
+            name: Its form in the log.
         """
-        return root in self._open_by_root
+        program = self.program_by_id.get(name)
+        return program is not None and not program.ended
 
     def apply(
         self,
@@ -96,7 +96,6 @@
             return Verdict(False, "the program has ended")
         if isinstance(body, ProgramEnded):
             program.ended = body.reason or "ended"
-            self._count(body.program, -1)
             return ACCEPTED
         if isinstance(body, BudgetDrawn):
             drawn = Spend(body.tokens, body.calls, body.money_micros)
@@ -126,10 +125,6 @@
         """Replaces the state by one that ``dump`` made."""
         self.forgotten_before_ms, programs = cast(list[Any], state)
         self.program_by_id = dict(load_program(item) for item in programs)
-        self._open_by_root = {}
-        for name, program in self.program_by_id.items():
-            if not program.ended:
-                self._count(name, 1)
 
     def _open(self, body: ProgramOpened) -> Verdict:
         if body.program in self.program_by_id:
@@ -145,7 +140,6 @@
             partition=body.partition,
             opened_ms=opened_ms,
         )
-        self._count(body.program, 1)
         return ACCEPTED
 
     def _intend(
@@ -205,13 +199,4 @@
             if program.opened_ms >= body.before_ms:
                 continue
             del self.program_by_id[name]
-            if not program.ended:
-                self._count(name, -1)
         return ACCEPTED
-
-    def _count(self, name: ProgramId, change: int) -> None:
-        root = root_in_ledger(name)
-        count = self._open_by_root.get(root, 0) + change
-        self._open_by_root[root] = count
-        if count == 0:
-            del self._open_by_root[root]
--- a/lycheestall/lifetimes.py
+++ b/lycheestall/lifetimes.py
@@ -43,7 +43,7 @@
         program.touch()
         program.stop_calls(refused)
         ports = self._ports
-        ports.dispatcher.program_ended(program.root)
+        ports.dispatcher.program_ended(program.name)
         record = ProgramEnded(
             program=program.name,
             partition=program.partition,
--- a/lycheestall/log_reader.py
+++ b/lycheestall/log_reader.py
@@ -4,16 +4,12 @@
 
 from collections import deque
 from collections.abc import Callable, Sequence
+from itertools import islice
 
 import structlog
-from twisted.internet.defer import (
-    CancelledError,
-    Deferred,
-    TimeoutError,
-    ensureDeferred,
-)
+from twisted.internet.defer import CancelledError, Deferred, ensureDeferred
 
-from .checkpoints import CheckpointAssembler
+from .checkpoints import Checkpoint, CheckpointAssembler
 from .clock import Clock, Timer
 from .codec import CodecError, UnreadableRecord, decode_record
 from .fold import Fold, Verdict
@@ -34,8 +30,10 @@
 READ_TIMEOUT_S = 3.0
 RETRY_INTERVAL_S = 0.25
 CATCH_UP_INTERVAL_S = 0.1
-WINDOW_ENTRIES = 8192
-TAIL_ENTRIES = 500
+WINDOW_BYTES = 8 * 1024 * 1024
+TAIL_BYTES = 1024 * 1024
+FEED_LIMIT_S = 2.0
+FEED_CHECK_S = 0.1
 READ_LIMIT = 1000
 
 FoldedHandler = Callable[[Offset, Record, Verdict], None]
@@ -58,6 +56,8 @@
         on_folded: Hears of each folded record, after the fold.
         on_loaded: Hears that a checkpoint has replaced the state.
         ask_peer: Asks some peer for entries from an offset on.
+        on_read: Hears of entries that were folded from the log itself,
+            so that they can be passed on.
         assembler: Collects checkpoints; a stream with its own kind of
             checkpoint brings its own.
     """
@@ -72,6 +72,8 @@
         on_folded: FoldedHandler,
         on_loaded: Callable[[], None],
         ask_peer: Callable[[StreamName, Offset], None],
+        on_read: Callable[[StreamName, Sequence[LogEntry]], None]
+        | None = None,
         assembler: CheckpointAssembler | None = None,
         poll_wait_s: float = POLL_WAIT_S,
     ) -> None:
@@ -82,9 +84,12 @@
         self._on_folded = on_folded
         self._on_loaded = on_loaded
         self._ask_peer = ask_peer
+        self._on_read = on_read
+        self._fed_at = float("-inf")
         self._assembler = assembler or CheckpointAssembler()
         self._poll_wait_s = poll_wait_s
-        self._window: deque[LogEntry] = deque(maxlen=WINDOW_ENTRIES)
+        self._window: deque[LogEntry] = deque()
+        self._window_bytes = 0
         self._newest = NO_OFFSET
         self._folded = NO_OFFSET
         self._first_retained = NO_OFFSET
@@ -164,11 +169,19 @@
         """Takes a peer's word that an offset exists."""
         self._newest = max(self._newest, newest)
 
-    def take(self, entries: Sequence[LogEntry]) -> None:
-        """Takes entries that a peer gave."""
+    def take(self, entries: Sequence[LogEntry], *, fed: bool = False) -> None:
+        """Takes entries that a peer gave.
+
+        Args:
+            entries: Consecutive entries.
+            fed: Whether the peer sends all new entries unasked; the log
+                is not read while it does.
+        """
         if not self._running or self._seek is not None:
             return
         self._fold_entries(entries)
+        if fed:
+            self._fed_at = self._clock.seconds()
 
     def tail(self, start: Offset) -> tuple[LogEntry, ...]:
         """Returns recent folded entries from ``start`` on, for a peer.
@@ -179,11 +192,20 @@
         if not self._window or start < self._window[0].offset:
             return ()
         first = start - self._window[0].offset
-        last = min(first + TAIL_ENTRIES, len(self._window))
-        return tuple(self._window[index] for index in range(first, last))
+        found: list[LogEntry] = []
+        size = 0
+        for entry in islice(self._window, first, None):
+            size += len(entry.payload)
+            if found and size > TAIL_BYTES:
+                break
+            found.append(entry)
+        return tuple(found)
 
     async def _follow(self) -> None:
         while self._running:
+            if self._fed():
+                await self._sleep(FEED_CHECK_S)
+                continue
             sent_at = self._clock.seconds()
             result = await self._read(self._position())
             if isinstance(result, ReadFailed):
@@ -198,10 +220,18 @@
                 self._collect(result)
             else:
                 self._fold_entries(result.entries)
+                if result.entries and self._on_read is not None:
+                    self._on_read(self.stream, result.entries)
             self._note_progress(result, sent_at)
             if self._unreadable:
                 await self._sleep(POLL_WAIT_S)
 
+    def _fed(self) -> bool:
+        """Returns whether a peer keeps this reader up to date."""
+        if not self._caught_up or self._newest > self._folded:
+            return False
+        return self._clock.seconds() - self._fed_at < FEED_LIMIT_S
+
     def _position(self) -> Offset:
         if self._seek is not None:
             return self._seek
@@ -220,9 +250,11 @@
         timer = self._clock.callLater(timeout_s, read.cancel)
         try:
             return await read
-        except (CancelledError, TimeoutError) as error:
+        except CancelledError:
             if not self._running:
                 raise
+            return ReadFailed("timeout")
+        except Exception as error:
             return ReadFailed(repr(error))
         finally:
             if timer.active():
@@ -266,13 +298,30 @@
                 continue
             if found.as_of < self._folded:
                 continue
+            if self._load(found):
+                return
+
+    def _load(self, found: Checkpoint) -> bool:
+        try:
             self._fold.load(found.data)
-            self._folded = found.as_of
-            self._seek = None
-            self._window.clear()
-            self._assembler.clear()
-            self._on_loaded()
-            return
+        except ValueError as error:
+            _log.error("log.checkpoint_unreadable", error=repr(error))
+            return False
+        self._folded = found.as_of
+        self._seek = None
+        self._window.clear()
+        self._window_bytes = 0
+        self._assembler.clear()
+        self._on_loaded()
+        return True
+
+    def _keep(self, entry: LogEntry) -> None:
+        """Keeps an entry for peers, within a bound on bytes."""
+        self._window.append(entry)
+        self._window_bytes += len(entry.payload)
+        while self._window_bytes > WINDOW_BYTES:
+            oldest = self._window.popleft()
+            self._window_bytes -= len(oldest.payload)
 
     def _fold_entries(self, entries: Sequence[LogEntry]) -> None:
         for entry in entries:
@@ -287,7 +336,7 @@
                 return
             self._folded = entry.offset
             self.hear(entry.offset)
-            self._window.append(entry)
+            self._keep(entry)
             if record is None:
                 continue
             verdict = self._fold.apply(entry.offset, record)
--- a/lycheestall/messages.py
+++ b/lycheestall/messages.py
@@ -97,18 +97,33 @@
 
 @dataclass(frozen=True, slots=True)
 class TailGiven:
-    """Entries of a stream, consecutive from the wanted start."""
+    """Consecutive entries of a stream.
+
+    Attributes:
+        stream: The stream.
+        entries: The entries, from the wanted start on; none when the
+            giver does not keep that.
+        fed: Whether the giver sends all new entries unasked.
+    """
 
     stream: StreamName
     entries: tuple[LogEntry, ...]
+    fed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
 class AppendWanted:
-    """Asks a peer to append on the sender's behalf."""
+    """Asks a peer to append on the sender's behalf.
+
+    Attributes:
+        stream: The stream.
+        payloads: The sender's records, in order.
+        hold_s: How long the peer may wait for others' records.
+    """
 
     stream: StreamName
     payloads: tuple[bytes, ...]
+    hold_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/lycheestall/program_owner.py
+++ b/lycheestall/program_owner.py
@@ -104,12 +104,13 @@
         """Returns how many programs are live here."""
         return sum(1 for _ in self._table)
 
-    def lives(self, root: ProgramId) -> bool:
-        """Returns whether a top-level program of this id is live here."""
-        return any(
-            program.root == root and not program.ended
-            for program in self._table
-        )
+    def lives(self, name: ProgramId) -> bool:
+        """Returns whether a top-level program is live here.
+
+        Args:
+            name: Its form in the log.
+        """
+        return self._table.lives(name)
 
     def in_flight(self) -> int:
         """Returns how many calls are held or under way here."""
--- a/lycheestall/program_table.py
+++ b/lycheestall/program_table.py
@@ -103,6 +103,11 @@
         """Forgets a program that has ended."""
         self._program_by_name.pop(program.name, None)
 
+    def lives(self, name: ProgramId) -> bool:
+        """Returns whether a program is live here, by its log form."""
+        program = self._program_by_name.get(name)
+        return program is not None and not program.ended
+
     def find(self, call: Call) -> Program | None:
         """Returns a call's program if it is live here."""
         name = ledger_id(call.account, call.program)
--- a/scripts/_trial.py
+++ b/scripts/_trial.py
@@ -25,8 +25,12 @@
 
 IN_FORCE_LIMIT_S = 10.0
 PROGRESS_S = 0.5
+PUBLISH_TRIES = 5
+PUBLISH_RETRY_S = 0.3
+_OPEN_STATUSES = (0, 503, 504)
 HELD_LIMIT_S = 10.0
 POLL_S = 0.05
+_LOG_COUNTS = ("appends", "records", "longest_wait_s")
 _LATENCIES = ("mean", "p50", "p95", "p99")
 
 
@@ -37,14 +41,21 @@
         cluster: The deployment.
         client: Sends requests.
         load: The programs that run.
+        limit_s: How long all may take.
 
     Attributes:
         checks: The results so far.
         in_force_s: How long each publication took on all VMs.
+        log_record: What the log service saw.
     """
 
     def __init__(
-        self, cluster: Cluster, client: HttpClient, load: LoadSettings
+        self,
+        cluster: Cluster,
+        client: HttpClient,
+        load: LoadSettings,
+        *,
+        limit_s: float = 600.0,
     ) -> None:
         self.cluster = cluster
         self.clock = client.clock
@@ -52,7 +63,10 @@
         self.planned = sum(item.programs for item in load.workloads)
         self.checks: list[Check] = []
         self.in_force_s: list[float] = []
+        self.log_record: dict[str, Any] = {}
+        self._limit_s = limit_s
         self._publications = 0
+        self._next_publisher = 0
         self._started = self.clock.seconds()
         self._event = "starting"
         self._shown = ""
@@ -81,12 +95,11 @@
         """
         self._publications += 1
         started = self.clock.seconds()
-        vm = next(name for name in self.live() if name not in away())
-        status, answer = await self.cluster.publish(vm, base, text)
+        status, answer = await self._publish(base, text, away)
         if status != 200:
             self.fault("rules are published", f"status {status}: {answer}")
             return base
-        version = int(answer["version"])
+        version = int(answer["detail"]["version"])
         versions: dict[str, int | None] = {}
         while self.clock.seconds() - started < IN_FORCE_LIMIT_S:
             versions = {
@@ -102,6 +115,20 @@
         self.fault("rules take hold everywhere", f"{version}: {versions}")
         return version
 
+    async def _publish(
+        self, base: int, text: str, away: Callable[[], set[str]]
+    ) -> tuple[int, Any]:
+        """Publishes; asks again elsewhere while the outcome is open."""
+        for _ in range(PUBLISH_TRIES):
+            here = [name for name in self.live() if name not in away()]
+            self._next_publisher += 1
+            vm = here[self._next_publisher % len(here)]
+            status, answer = await self.cluster.publish(vm, base, text)
+            if status not in _OPEN_STATUSES:
+                break
+            await self.cluster.sleep(PUBLISH_RETRY_S)
+        return status, answer
+
     async def publish_first(self) -> int:
         """Publishes the deployment's rules over what is in force."""
         base = await self.cluster.rules_version(self.cluster.vms[0])
@@ -110,8 +137,12 @@
         )
 
     async def until_done(self, share: float, load: Deferred[Any]) -> None:
-        """Waits until a share of the programs has ended."""
+        """Waits until a share of the programs has ended, or the limit."""
         while self.done() < share * self.planned and not load.called:
+            if self.age_s() > self._limit_s:
+                self.fault("the load ends in time", f"{self._limit_s} s")
+                load.cancel()
+                return
             self.progress()
             await self.cluster.sleep(PROGRESS_S)
 
@@ -119,6 +150,7 @@
         """Checks the promises from what the stand-ins saw."""
         cluster, report = self.cluster, self.bench.report
         engines = await self._settled_engines()
+        self.log_record = await cluster.record("log")
         runners = [await cluster.record(name) for name in cluster.runners]
         self.checks += [
             check_finished(report),
@@ -152,6 +184,8 @@
             f"  resumed {summary['resumes']}  took {self.age_s():.1f} s"
         )
         lines.append(f"calls by outcome {summary['calls_by_outcome']}")
+        log = {name: self.log_record.get(name) for name in _LOG_COUNTS}
+        lines.append(f"log {log}")
         return lines + [check.line() for check in self.checks]
 
     def figures(self) -> dict[str, Any]:
@@ -159,6 +193,7 @@
         return {
             **self.bench.report.summary(),
             "took_s": round(self.age_s(), 1),
+            "log": self.log_record,
             "in_force_s": [round(seconds, 2) for seconds in self.in_force_s],
             "checks": [
                 {"name": c.name, "count": c.count, "faults": list(c.faults)}
--- a/tests/_owner_world.py
+++ b/tests/_owner_world.py
@@ -28,7 +28,7 @@
 )
 from lycheestall.outcomes import Reason, Refused, Step
 from lycheestall.partitions import partition_of
-from lycheestall.program_ids import issue_program_id
+from lycheestall.program_ids import issue_program_id, ledger_id
 from lycheestall.program_owner import ProgramOwner
 from lycheestall.rule_book import ProgramLimits
 from lycheestall.settings import TuningSettings
@@ -41,6 +41,7 @@
 PROGRAM = issue_program_id(
     account=ACCOUNT, issued_ms=NOW_MS - 5, nonce=bytes(8), key=KEY
 )
+ROOT = ledger_id(ACCOUNT, PROGRAM)
 PLACE = partition_of(ACCOUNT, PROGRAM, PARTITIONS)
 MOVED = Refused(Step.ROUTE, Reason.NO_AUTHORITY)
 
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -31,7 +31,6 @@
 from lycheestall.program_ids import (
     issue_program_id,
     ledger_id,
-    root_in_ledger,
 )
 from lycheestall.records import (
     BudgetDrawn,
@@ -212,7 +211,7 @@
         for name in PROGRAMS:
             known = self.ledger.program_by_id.get(name)
             live = known is not None and not known.ended
-            assert self.ledger.lives(root_in_ledger(name)) == live
+            assert self.ledger.lives(name) == live
 
 
 class _AnyEpoch(Ledger):
--- a/tests/test_program_owner.py
+++ b/tests/test_program_owner.py
@@ -5,10 +5,12 @@
 import orjson
 import pytest
 from _owner_world import (
+    ACCOUNT,
     MOVED,
     NOW_MS,
     PLACE,
     PROGRAM,
+    ROOT,
     Owners,
     limits,
 )
@@ -31,6 +33,7 @@
     Refused,
     Step,
 )
+from lycheestall.program_ids import ledger_id
 from lycheestall.records import IntentRecorded, IntentVoided
 from lycheestall.rule_book import AccountLimit, LimitKind
 from lycheestall.settings import TuningSettings
@@ -517,7 +520,7 @@
     world.job.run()
     sink = world.chat("a", "hello", "b")
     assert reason(sink.outcome) is Reason.TURN_LIMIT
-    assert world.dispatcher.ended == [PROGRAM]
+    assert world.dispatcher.ended == [ROOT]
     after = world.chat("a", "hello", "b")
     assert reason(after.outcome) is Reason.PROGRAM_ENDED
     slow = ProgramId("slow")
@@ -526,15 +529,16 @@
     world.clock.pump([2.0] * 31)
     assert reason(running.outcome) is Reason.TIME_LIMIT
     assert isinstance(running.outcome, Failed)
-    assert world.job.cancelled and world.dispatcher.ended[-1] == slow
+    ended = world.dispatcher.ended[-1]
+    assert world.job.cancelled and ended == ledger_id(ACCOUNT, slow)
 
 
 def test_a_vanished_program_holds_nothing(world: Owners) -> None:
     world.chat("a")
     world.job.run()
-    assert world.dispatcher.paused == [PROGRAM]
+    assert world.dispatcher.paused == [ROOT]
     world.clock.pump([2.0] * 901)
-    assert world.dispatcher.ended == [PROGRAM]
+    assert world.dispatcher.ended == [ROOT]
     assert world.owner.programs() == 1
     world.clock.pump([2.0] * 160)
     assert world.owner.programs() == 0
@@ -570,7 +574,7 @@
     assert isinstance(held.outcome, Refused)
     assert world.owner.in_flight() == 0
     assert all(job.cancelled for job in world.dispatcher.jobs)
-    assert world.dispatcher.ended == [PROGRAM]
+    assert world.dispatcher.ended == [ROOT]
 
 
 def test_open_says_whether_the_log_knows(world: Owners) -> None:
