Let the fair caller's machine see refusals of jobs that may not be sent

Cause: the machine dropped a job without ending it while authority was gone, which no dispatcher does; a random exploration took that for a caller left without an answer. Change: such a job is refused. A successor that takes no receipts is found instead.

--- a/tests/test_owner_machine.py
+++ b/tests/test_owner_machine.py
@@ -28,8 +28,10 @@
 )
 from twisted.internet.defer import Deferred
 
+from lycheestall._refusals import receipt_required
 from lycheestall.actions import ActionProtocol
 from lycheestall.calls import CallKind
+from lycheestall.chat_calls import ChatCalls
 from lycheestall.ids import CallNumber
 from lycheestall.outcomes import (
     Completed,
@@ -39,7 +41,6 @@
     Refused,
     Step,
 )
-from lycheestall.sequencer import Sequencer
 from lycheestall.targets import (
     ActionAnswer,
     ActionDone,
@@ -165,7 +166,12 @@
         self.run_one(self.live.pop(index), ending)
 
     def run_one(self, job: FakeJob, ending: str) -> None:
-        if job.cancelled or job.job.may_send() is not None:
+        if job.cancelled:
+            return
+        halted = job.job.may_send()
+        if halted is not None:
+            job.listener.refused(halted)
+            self.look()
             return
         if ending == "busy":
             job.listener.refused(BUSY)
@@ -326,10 +332,10 @@
         _run(400)
 
 
-def test_an_order_that_revives_numbers_is_found(
+def test_a_successor_that_takes_no_receipts_is_found(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(Sequencer, "note", lambda self, number: None)
-    monkeypatch.setattr(Sequencer, "passed", Sequencer.refused)
+    refused = receipt_required("broken on purpose")
+    monkeypatch.setattr(ChatCalls, "_adopt", lambda *_: refused)
     with pytest.raises(AssertionError):
         _run(400)
