--- a/lycheestall/lifetimes.py
+++ b/lycheestall/lifetimes.py
@@ -15,6 +15,8 @@
 __all__ = ["Lifetimes"]
 
 FORGETTING_PARTITION = PartitionId(0)
+SWEEPS_PER_ROUND = 10
+LEAST_SWEPT = 64
 
 
 class Lifetimes:
@@ -28,6 +30,8 @@
     def __init__(self, ports: OwnerPorts, table: ProgramTable) -> None:
         self._ports = ports
         self._table = table
+        self._unswept: list[Program] = []
+        self._sweep_size = LEAST_SWEPT
 
     def end(self, program: Program, reason: str, refused: Refused) -> None:
         """Ends a program: its calls, its engines' memory, its record.
@@ -53,22 +57,35 @@
         ports.cell.submit(record).addErrback(lambda _: None)
 
     def sweep(self) -> None:
-        """Ends programs that vanished or ran out of time."""
+        """Ends programs that vanished or ran out of time.
+
+        Each sweep looks at a part of the programs, so that its cost is
+        spread; ``SWEEPS_PER_ROUND`` sweeps look at all.
+        """
+        if not self._unswept:
+            self._unswept = list(self._table)
+            share = len(self._unswept) // SWEEPS_PER_ROUND + 1
+            self._sweep_size = max(LEAST_SWEPT, share)
+        part = self._unswept[: self._sweep_size]
+        del self._unswept[: self._sweep_size]
+        for program in part:
+            if self._table.holds(program):
+                self._look_at(program)
+
+    def _look_at(self, program: Program) -> None:
         ports = self._ports
-        now = ports.clock.seconds()
-        for program in self._table:
-            idle_s = now - program.active_at
-            if program.ended:
-                if idle_s > ports.settings.answer_retention_s:
-                    self._table.remove(program)
-                continue
-            refused = self.out_of_time(program)
-            if refused is not None:
-                self.end(program, "time limit", refused)
-                continue
-            if program.run_by_key or idle_s < ports.settings.program_idle_s:
-                continue
-            self.end(program, "vanished", program_ended("vanished"))
+        idle_s = ports.clock.seconds() - program.active_at
+        if program.ended:
+            if idle_s > ports.settings.answer_retention_s:
+                self._table.remove(program)
+            return
+        refused = self.out_of_time(program)
+        if refused is not None:
+            self.end(program, "time limit", refused)
+            return
+        if program.run_by_key or idle_s < ports.settings.program_idle_s:
+            return
+        self.end(program, "vanished", program_ended("vanished"))
 
     def forget(self) -> None:
         """Drops old programs from the state; one VM of the cell does."""
--- a/lycheestall/program_ids.py
+++ b/lycheestall/program_ids.py
@@ -11,7 +11,6 @@
 import re
 from collections.abc import Sequence
 from enum import Enum
-from hashlib import sha256
 from urllib.parse import quote
 
 from .ids import AccountId, ProgramId, root_of
@@ -128,5 +127,5 @@
 
 def _signature(account: AccountId, stem: str, key: bytes) -> str:
     signed = f"program\0{account}\0{stem}".encode()
-    digest = hmac.new(key, signed, sha256).hexdigest()
+    digest = hmac.digest(key, signed, "sha256").hex()
     return digest[:SIGNATURE_CHARACTERS]
--- a/lycheestall/program_table.py
+++ b/lycheestall/program_table.py
@@ -103,6 +103,10 @@
         """Forgets a program that has ended."""
         self._program_by_name.pop(program.name, None)
 
+    def holds(self, program: Program) -> bool:
+        """Returns whether this very program is still in the table."""
+        return self._program_by_name.get(program.name) is program
+
     def lives(self, name: ProgramId) -> bool:
         """Returns whether a program is live here, by its log form."""
         program = self._program_by_name.get(name)
--- a/lycheestall/receipts.py
+++ b/lycheestall/receipts.py
@@ -5,8 +5,7 @@
 import hmac
 from base64 import urlsafe_b64decode, urlsafe_b64encode
 from collections.abc import Sequence
-from dataclasses import astuple, dataclass
-from hashlib import sha256
+from dataclasses import dataclass
 from typing import Any
 
 import cbor2
@@ -78,6 +77,7 @@
 
     def sign(self, receipt: Receipt) -> str:
         """Returns a receipt as base64url text."""
+        point, spend = receipt.point, receipt.spend
         payload = cbor2.dumps(
             [
                 RECEIPT_FORMAT,
@@ -85,8 +85,15 @@
                 receipt.program,
                 receipt.number,
                 receipt.turn,
-                list(astuple(receipt.point)),
-                list(astuple(receipt.spend)),
+                [
+                    point.number,
+                    point.messages,
+                    point.digest,
+                    point.answered,
+                    point.tokens,
+                    point.model,
+                ],
+                [spend.tokens, spend.calls, spend.money_micros],
                 receipt.epoch,
                 receipt.target,
                 receipt.request,
@@ -116,7 +123,7 @@
 
 
 def _signature(key: bytes, payload: bytes) -> bytes:
-    digest = hmac.new(key, b"receipt\0" + payload, sha256).digest()
+    digest = hmac.digest(key, b"receipt\0" + payload, "sha256")
     return digest[:SIGNATURE_BYTES]
 
 
