Test that a stream goes on after its owner's death

Cause: taking a stream up from its engine was tested with fakes of the dispatcher only. Change: a test over whole nodes: the owner is killed mid-stream, another VM's RESUME with the receipt from the head fetches the rest.

--- /dev/null
+++ b/tests/test_resume.py
@@ -0,0 +1,112 @@
+"""A stream whose owner dies, fetched on through another VM."""
+
+from __future__ import annotations
+
+import orjson
+import pytest
+from _program_fakes import FakeSink
+
+from lycheestall.calls import Call, CallKind
+from lycheestall.ids import AccountId, CallNumber, ModelName, ProgramId
+from lycheestall.outcomes import Completed
+from lycheestall.partitions import partition_of
+from tests.fake_targets import answer_text
+from tests.system import System
+
+ACCOUNT = AccountId("snowline")
+CUT_AFTER_BYTES = 150
+TAKEOVER_LIMIT_S = 60.0
+
+
+class _Caller:
+    """Streams one answer through a VM that does not own the program."""
+
+    def __init__(self, seed: int) -> None:
+        self.system = System(seed=seed)
+        assert self.system.settle()
+        names = sorted(self.system.vm_by_name)
+        self.entry = names[0]
+        opened = self.send(kind=CallKind.OPEN, program=ProgramId(""))
+        self.system.world.run_for(0.5)
+        self.program = ProgramId(orjson.loads(opened.body)["program"])
+        partition = partition_of(
+            ACCOUNT, self.program, self.system.tuning.partitions
+        )
+        self.owner = self.system.actors(partition)[0]
+        self.entry = next(name for name in names if name != self.owner)
+
+    def send(self, **parts: object) -> FakeSink:
+        sink = FakeSink()
+        call = Call(account=ACCOUNT, **parts)  # type: ignore[arg-type]
+        self.system.vm_by_name[self.entry].node.handle(call, sink)
+        return sink
+
+    def chat(self, body: bytes, number: int, receipt: str = "") -> FakeSink:
+        return self.send(
+            kind=CallKind.CHAT,
+            program=self.program,
+            number=CallNumber(number),
+            model=ModelName("planner"),
+            body=body,
+            streamed=True,
+            receipt=receipt,
+        )
+
+    def resume(self, start: int, receipt: str) -> FakeSink:
+        """Asks until a successor owns the program."""
+        while self.system.world.now < TAKEOVER_LIMIT_S:
+            sink = self.send(
+                kind=CallKind.RESUME,
+                program=self.program,
+                number=CallNumber(1),
+                resume_from=start,
+                receipt=receipt,
+            )
+            self.system.world.run_for(4.0)
+            if sink.head is not None:
+                return sink
+        pytest.fail("no successor took the stream up")
+
+
+def chat_request(*texts: str) -> bytes:
+    roles = ("user", "assistant")
+    messages = [
+        {"role": roles[index % 2], "content": text}
+        for index, text in enumerate(texts)
+    ]
+    document = {"model": "planner", "messages": messages, "max_tokens": 16}
+    return orjson.dumps(document)
+
+
+def text_of(stream: bytes) -> str:
+    text = ""
+    for event in stream.split(b"\n\n"):
+        if event.startswith(b"data: {"):
+            choice = orjson.loads(event[6:])["choices"][0]
+            text += choice["delta"].get("content", "")
+    return text
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_a_stream_goes_on_after_its_owners_death(seed: int) -> None:
+    caller = _Caller(seed)
+    request = chat_request("plan the run")
+    cut = caller.chat(request, 1)
+    world = caller.system.world
+    world.run_while(lambda: len(cut.body) < CUT_AFTER_BYTES, 5.0)
+    assert not cut.outcomes
+    head = cut.header("lycheestall-receipt")
+    caller.system.kill_vm(caller.owner)
+    received = cut.body
+    rest = caller.resume(len(received), head)
+    assert isinstance(rest.outcome, Completed)
+    stream = received + rest.body
+    answer = text_of(stream)
+    assert answer == answer_text(request)
+    engines = caller.system.engine_by_name.values()
+    assert sum(len(engine.arrivals) for engine in engines) == 1
+    receipt = stream.rpartition(b": lycheestall-receipt ")[2].strip()
+    after = chat_request("plan the run", answer, "and the next")
+    second = caller.chat(after, 2, receipt.decode())
+    world.run_for(10.0)
+    assert isinstance(second.outcome, Completed)
