--- a/lycheestall/engine_dispatcher.py
+++ b/lycheestall/engine_dispatcher.py
@@ -161,6 +161,22 @@
         """Takes a page of an engine's cache events."""
         self._scheduler.cache_events(target, page, self._clock.seconds())
 
+    def found(
+        self,
+        target: TargetId,
+        held: Iterable[HeldMemory],
+        live: Callable[[ProgramId], bool],
+    ) -> None:
+        """Takes what an engine holds; releases what no program owns.
+
+        Args:
+            target: The engine.
+            held: What it says it holds.
+            live: Whether a top-level program lives in the cell.
+        """
+        now = self._clock.seconds()
+        self._execute(self._scheduler.found(target, held, live, now))
+
     def released(self, target: TargetId, root: ProgramId) -> None:
         """An engine has confirmed a release."""
         self._scheduler.released(target, root)
--- a/lycheestall/engine_scheduler.py
+++ b/lycheestall/engine_scheduler.py
@@ -265,6 +265,17 @@
         self._parts.cache.ended(root)
         return list(self._parts.memory.ended(root, now))
 
+    def found(
+        self,
+        target: TargetId,
+        held: Iterable[HeldMemory],
+        live: Callable[[ProgramId], bool],
+        now: float,
+    ) -> list[DispatchCommand]:
+        """Compares what an engine holds with the programs that live."""
+        releases = self._parts.memory.found(target, held, live=live, now=now)
+        return list(releases)
+
     def released(self, target: TargetId, root: ProgramId) -> None:
         """An engine has confirmed a release."""
         self._parts.memory.confirmed(target, root)
--- a/tests/fault_table.py
+++ b/tests/fault_table.py
@@ -26,8 +26,9 @@
 from tests.fake_targets import program_name
 from tests.system import ZONES, System
 
-PARTITIONS = 6
+PARTITIONS = 16
 NEW_VM = "vm-90"
+OTHER_NEW_VM = "vm-91"
 
 TOKEN_BUDGET = 4_000
 PAID_CALLS = 2
@@ -184,6 +185,7 @@
         )
     if step in ("handover", "start"):
         system.start_vm(NEW_VM, ZONES[0])
+        system.start_vm(OTHER_NEW_VM, ZONES[1])
     if step == "drain":
         world.later(0.3, lambda: system.drain_vm(scene.owner))
 
