--- a/lycheestall/budget.py
+++ b/lycheestall/budget.py
@@ -71,13 +71,15 @@
 def volatile_allowance(limits: ProgramLimits) -> Spend:
     """Returns what a new program may spend before the log knows of it.
 
+    No money: calls that cost money wait for the log anyway.
+
     Args:
         limits: The program's limits.
     """
     return Spend(
         (limits.tokens or 0) // VOLATILE_SHARES_PER_BUDGET,
         (limits.calls or 0) // VOLATILE_SHARES_PER_BUDGET,
-        (limits.money_micros or 0) // VOLATILE_SHARES_PER_BUDGET,
+        0,
     )
 
 
@@ -202,10 +204,12 @@
         return cls(spent=spent, drawn=drawn, new=False)
 
     def _draw(self, need: Spend, limits: ProgramLimits) -> Spend:
+        # Money is drawn as needed: calls that cost it are few and wait
+        # for the log, and what is drawn ahead is lost in a takeover.
         portion = Spend(
             (limits.tokens or 0) // PORTIONS_PER_BUDGET,
             (limits.calls or 0) // PORTIONS_PER_BUDGET,
-            (limits.money_micros or 0) // PORTIONS_PER_BUDGET,
+            0,
         )
         wanted = self.drawn.plus(portion).at_least(need)
         limit = Spend(
