Keep the last slots of a batch for accounts within their rate

Change: an account more than 10 s ahead of its fair rate fills a batch to 90 per cent only; accounts above their share of memory fill an engine to 70 per cent instead of 80.

--- a/lycheestall/_engine_choice.py
+++ b/lycheestall/_engine_choice.py
@@ -20,8 +20,10 @@
 HOLD_S = 120.0
 WARM_EXTRA = 4.0
 ROOM_SHARE = 0.95
-GREEDY_ROOM_SHARE = 0.8
+GREEDY_ROOM_SHARE = 0.7
 ACTIVE_S = 60.0
+LEAD_S = 10.0
+AHEAD_SLOT_SHARE = 0.9
 
 
 class EngineChoice:
@@ -194,7 +196,13 @@
         return fresh or usable
 
     def _full(self, job: ScheduledJob, target: TargetId, now: float) -> bool:
-        own = self._parts.load.own(target)
+        load = self._parts.load
+        own = load.own(target)
+        wall_s = self._wall_ms() / 1000.0
+        if self._parts.queue.lead_s(job.job.account, wall_s) > LEAD_S:
+            most = AHEAD_SLOT_SHARE * load.slots(target)
+            if load.requests(target) + 1.0 > most:
+                return True
         limit = self._parts.admission.limit(target).at(now)
         if self._parts.placement.cached_tokens(job.job, target):
             limit += WARM_EXTRA
--- a/lycheestall/fair_queue.py
+++ b/lycheestall/fair_queue.py
@@ -102,6 +102,11 @@
         at_s = due_s + behind_s - WARM_BONUS * warm_s
         return Rank(share.priority, at_s)
 
+    def lead_s(self, account: AccountId, wall_s: float) -> float:
+        """Returns by how much an account is ahead of its fair rate."""
+        known = self._account_by_id.get(account)
+        return max(known.due_s - wall_s, 0.0) if known is not None else 0.0
+
     def push(self, key: JobKey, rank: Rank) -> None:
         """Adds a job."""
         self._rank_by_key[key] = rank
--- a/tests/test_policy_parts.py
+++ b/tests/test_policy_parts.py
@@ -271,6 +271,17 @@
     assert late.at_s >= min(1.0, 2 * calls * service_s / 4.0)
 
 
+def test_an_account_gets_ahead_only_beyond_its_fair_rate():
+    queue = FairQueue()
+    for number in range(40):
+        greedy = make_job(f"g{number}", account="greedy")
+        rank_of(queue, greedy, wall_s=0.0, service_s=1.0)
+    rank_of(queue, make_job("p1"), wall_s=0.0, service_s=1.0)
+    assert queue.lead_s(AccountId("greedy"), 0.0) >= 10.0
+    assert queue.lead_s(TRUST, 0.0) < 1.0
+    assert queue.lead_s(AccountId("unknown"), 0.0) == 0.0
+
+
 @given(st.lists(st.floats(0.0, 500.0), min_size=1, max_size=50))
 def test_nobody_starves(services):
     """However much service a program had, newer jobs pass it in the end."""
