--- a/scripts/_fault_driver.py
+++ b/scripts/_fault_driver.py
@@ -19,7 +19,7 @@
 MOST_AWAY = 3
 SETTLE_S = 3.0
 STOP_POLL_S = 0.02
-PLATFORM_SHARE = 0.4
+PLATFORM_GAP_S = (1.0, 3.0)
 PLATFORM_FAULT_S = (2.0, 10.0)
 _Faults = tuple[dict[str, Any], ...]
 _OUTAGE: _Faults = ({"kind": "outage"},)
@@ -59,6 +59,7 @@
         self, trial: Trial, seed: int, *, platform: bool = False
     ) -> None:
         self._platform = platform
+        self._seed = seed
         self._trial = trial
         self._cluster = trial.cluster
         self._random = Random(seed)
@@ -70,11 +71,10 @@
     async def run(self) -> None:
         """Draws faults until stopped, then waits for all to return."""
         pending: list[Deferred[None]] = []
+        if self._platform:
+            pending.append(ensureDeferred(self._break_platform()))
         while not self._stopped:
             await self._cluster.sleep(self._random.uniform(*FAULT_GAP_S))
-            if self._platform and self._random.random() < PLATFORM_SHARE:
-                await self._break_platform()
-                continue
             free = [n for n in self._cluster.vms if n not in self._away]
             if self._stopped or len(self._away) >= MOST_AWAY:
                 continue
@@ -94,20 +94,27 @@
         return set(self._away)
 
     async def _break_platform(self) -> None:
-        name = self._random.choice(self._breakable())
+        random = Random(f"platform {self._seed}")
+        while not self._stopped:
+            await self._cluster.sleep(random.uniform(*PLATFORM_GAP_S))
+            await self._break_one(random)
+
+    async def _break_one(self, random: Random) -> None:
+        name = random.choice(self._breakable())
         kinds = {"log": _LOG_FAULTS, "vm-list": _OUTAGE}
         faults = kinds.get(name, _RUNNER_FAULTS)
         if name in self._cluster.engines:
             faults = _ENGINE_FAULTS
-        fault = self._random.choice(faults)
-        length_s = self._random.uniform(*PLATFORM_FAULT_S)
+        fault = random.choice(faults)
+        length_s = random.uniform(*PLATFORM_FAULT_S)
         self._note(f"{fault['kind']} at", name, length_s)
         url = f"{self._cluster.url(name)}/admin/faults"
         await self._cluster.send("PUT", url, [{**fault, "until_s": length_s}])
 
     def _breakable(self) -> list[str]:
         cluster = self._cluster
-        return ["log", "vm-list", *cluster.engines, *cluster.runners]
+        targets = [*cluster.engines, *cluster.runners]
+        return ["log", "log", "vm-list", *targets]
 
     async def _kill(self, name: str) -> None:
         self._note("kill", name)
