--- a/lycheestall/engine_dispatcher.py
+++ b/lycheestall/engine_dispatcher.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
+from functools import partial
 from random import Random
 from typing import Any, cast
 
@@ -10,7 +11,8 @@
 from twisted.python.failure import Failure
 
 from ._engine_dispatch import EngineDispatch, StreamOwner
-from ._memory_release import MemoryRelease, MemoryWatcher
+from ._memory_release import MemoryRelease, ReleaseWatcher
+from ._settlement import Settlement
 from .clock import Clock, Timer
 from .dispatch import ChatDispatcher, ChatJob, ChatListener, JobHandle
 from .dispatch_commands import (
@@ -42,6 +44,7 @@
 
 WATCH_INTERVAL_S = 1.0
 MIN_WAKE_S = 0.001
+NO_ENGINE_RETRY_S = 2.0
 SETTLE_LIMIT_S = 5.0
 
 _UNSETTLED = Refused(
@@ -52,7 +55,7 @@
 )
 
 
-class EngineDispatcher(ChatDispatcher, StreamOwner, MemoryWatcher):
+class EngineDispatcher(ChatDispatcher, StreamOwner, ReleaseWatcher):
     """Queues jobs, places them on engines and repeats what is safe."""
 
     def __init__(
@@ -90,7 +93,6 @@
         self._engines = engines
         self._memory = MemoryRelease(engines, self)
         self._clock = clock
-        self._timer = clock
         self._crash_reporter = crash_reporter
         self._scheduler = EngineScheduler(
             vm=vm,
@@ -107,7 +109,7 @@
         self._wake_at: float | None = None
         self._watch: Timer | None = None
         self._submitted: list[JobKey] = []
-        self._unsettled_by_program: dict[ProgramId, int] = {}
+        self._settlement = Settlement(clock, limit_s=SETTLE_LIMIT_S)
         self.engines_changed()
 
     def submit(self, job: ChatJob, listener: ChatListener) -> JobHandle:
@@ -115,7 +117,7 @@
         dispatch = self._new(job, listener, 0)
         self._submitted.append(dispatch.key)
         if self._turn is None:
-            self._turn = self._timer.callLater(0, self._take_submitted)
+            self._turn = self._clock.callLater(0, self._take_submitted)
         return dispatch
 
     def resume(
@@ -128,23 +130,23 @@
     ) -> JobHandle:
         """Takes up a stream that an earlier owner had dispatched."""
         dispatch = self._new(job, listener, start)
-        now = self._timer.seconds()
+        now = self._clock.seconds()
         self._scheduler.adopt(dispatch.key, job, target, now)
-        self._timer.callLater(0, self._take_up, dispatch, target, request)
+        self._clock.callLater(0, self._take_up, dispatch, target, request)
         return dispatch
 
     def program_paused(self, root: ProgramId) -> None:
         """The program waits for a tool; its cache may soon be needed."""
-        self._scheduler.program_paused(root, self._timer.seconds())
+        self._scheduler.program_paused(root, self._clock.seconds())
 
     def program_ended(self, root: ProgramId) -> None:
         """The program ended or vanished; engines hold nothing for it."""
-        now = self._timer.seconds()
+        now = self._clock.seconds()
         self._execute(self._scheduler.program_ended(root, now))
 
     def engines_changed(self) -> None:
         """Takes the directory's engines after a change."""
-        now = self._timer.seconds()
+        now = self._clock.seconds()
         entries = self._engines.entries()
         self._execute(self._scheduler.set_engines(entries, now))
 
@@ -152,53 +154,30 @@
         """Takes a load report, polled here or by another VM."""
         if self._engines.observe(report):
             self.engines_changed()
-        now = self._timer.seconds()
+        now = self._clock.seconds()
         self._execute(self._scheduler.observe(report, now))
 
     def observe_cache(self, target: TargetId, page: CacheEvents) -> None:
         """Takes a page of an engine's cache events."""
-        self._scheduler.cache_events(target, page, self._timer.seconds())
-
-    def audit_memory(
-        self, live: Callable[[ProgramId], bool]
-    ) -> defer.Deferred[None]:
-        """Asks engines what they hold and frees what nobody lives for.
-
-        Call it every half minute or so; memory of a program is freed
-        when two audits in a row have found the program dead.
-
-        Args:
-            live: Whether a top-level program lives in the cell.
-        """
-        return defer.ensureDeferred(self._memory.audit(live))
+        self._scheduler.cache_events(target, page, self._clock.seconds())
 
     def released(self, target: TargetId, root: ProgramId) -> None:
         """An engine has confirmed a release."""
         self._scheduler.released(target, root)
 
-    def found(
-        self,
-        target: TargetId,
-        held: tuple[HeldMemory, ...],
-        live: Callable[[ProgramId], bool],
-    ) -> None:
-        """An engine has listed what it holds."""
-        now = self._timer.seconds()
-        self._execute(self._scheduler.memory_found(target, held, live, now))
-
     def stream_accepted(self, dispatch: EngineDispatch) -> None:
         """The engine has the request."""
-        self._scheduler.accepted(dispatch.key, self._timer.seconds())
+        self._scheduler.accepted(dispatch.key, self._clock.seconds())
 
     def stream_started(self, dispatch: EngineDispatch) -> None:
         """The first chunk of an attempt has come."""
-        self._scheduler.started(dispatch.key, self._timer.seconds())
+        self._scheduler.started(dispatch.key, self._clock.seconds())
 
     def stream_ended(
         self, dispatch: EngineDispatch, result: EngineResult, *, lost: bool
     ) -> None:
         """The stream ended and cannot be taken up again."""
-        key, now = dispatch.key, self._timer.seconds()
+        key, now = dispatch.key, self._clock.seconds()
         if isinstance(result, EngineDone):
             self._drop(dispatch)
             dispatch.listener.done(result, dispatch.target)
@@ -208,7 +187,11 @@
             self._execute(self._scheduler.turned_away(key, result, now))
             return
         if dispatch.unsettled:
-            self._await_settled(dispatch, result)
+            self._settlement.wait(
+                dispatch,
+                settled=partial(self._broken, dispatch, result, lost=False),
+                given_up=partial(self._not_settled, dispatch),
+            )
             return
         self._broken(dispatch, result, lost=lost)
 
@@ -228,32 +211,6 @@
             )
         )
 
-    def _await_settled(
-        self, dispatch: EngineDispatch, result: EngineBroken
-    ) -> None:
-        """Holds the program's calls until the engine cannot run this one.
-
-        Another dispatch before that could be overtaken: the first would
-        reach its engine after later calls had reached others.
-        """
-        waiting = self._unsettled_by_program
-        program = dispatch.job.program
-        waiting[program] = waiting.get(program, 0) + 1
-        limit = self._clock.callLater(
-            SETTLE_LIMIT_S, self._not_settled, dispatch
-        )
-
-        def settled(_: object) -> None:
-            if limit.active():
-                limit.cancel()
-            waiting[program] -= 1
-            if not waiting[program]:
-                del waiting[program]
-            if not dispatch.ended:
-                self._broken(dispatch, result, lost=False)
-
-        defer.ensureDeferred(dispatch.settle()).addBoth(settled)
-
     def _not_settled(self, dispatch: EngineDispatch) -> None:
         if dispatch.ended:
             return
@@ -263,7 +220,7 @@
     def cancelled(self, dispatch: EngineDispatch) -> None:
         """The job is no longer wanted."""
         self._drop(dispatch)
-        now = self._timer.seconds()
+        now = self._clock.seconds()
         self._execute(self._scheduler.cancel(dispatch.key, now))
 
     def _new(
@@ -280,7 +237,7 @@
         )
         self._dispatch_by_key[dispatch.key] = dispatch
         if self._watch is None:
-            self._watch = self._timer.callLater(
+            self._watch = self._clock.callLater(
                 WATCH_INTERVAL_S, self._watch_streams
             )
         return dispatch
@@ -288,12 +245,12 @@
     def _take_submitted(self) -> None:
         self._turn = None
         keys, self._submitted = self._submitted, []
-        now = self._timer.seconds()
+        now = self._clock.seconds()
         for key in keys:
             dispatch = self._dispatch_by_key.get(key)
             if dispatch is None:
                 continue
-            if dispatch.job.program in self._unsettled_by_program:
+            if self._settlement.holds(dispatch.job.program):
                 self._end_refused(EndRefused(key, _UNSETTLED))
                 continue
             self._execute(self._scheduler.submit(key, dispatch.job, now))
@@ -306,7 +263,7 @@
         engine = self._engines.engine(target)
         if engine is None:
             outcome = Failed(Step.RESUME, Reason.TARGET_FAILED, peer=target)
-            self._scheduler.cancel(dispatch.key, self._timer.seconds())
+            self._scheduler.cancel(dispatch.key, self._clock.seconds())
             self._end_failed(EndFailed(dispatch.key, outcome))
             return
         dispatch.take_up(engine, target, request)
@@ -333,8 +290,13 @@
         engine = self._engines.engine(command.target)
         refusal = dispatch.job.may_send()
         if engine is None:
-            refusal = Refused(Step.DISPATCH, Reason.NO_TARGET)
-        now = self._timer.seconds()
+            refusal = Refused(
+                Step.DISPATCH,
+                Reason.NO_TARGET,
+                peer=command.target,
+                retry_after_s=NO_ENGINE_RETRY_S,
+            )
+        now = self._clock.seconds()
         if refusal is not None or engine is None:
             assert refusal is not None
             self._execute(
@@ -377,7 +339,7 @@
 
     def _watch_streams(self) -> None:
         self._watch = None
-        now = self._timer.seconds()
+        now = self._clock.seconds()
         for dispatch in list(self._dispatch_by_key.values()):
             if dispatch.target and now >= dispatch.job.deadline_s:
                 self._execute(self._scheduler.expired(dispatch.key, now))
@@ -385,12 +347,12 @@
             dispatch.watch(now)
         self._execute(self._scheduler.poll(now))
         if self._dispatch_by_key and self._watch is None:
-            self._watch = self._timer.callLater(
+            self._watch = self._clock.callLater(
                 WATCH_INTERVAL_S, self._watch_streams
             )
 
     def _set_wake(self) -> None:
-        now = self._timer.seconds()
+        now = self._clock.seconds()
         wake_at = self._scheduler.next_wake(now)
         if wake_at == self._wake_at and self._wake is not None:
             return
@@ -400,11 +362,11 @@
         self._wake_at = wake_at
         if wake_at is not None:
             delay = max(wake_at - now, MIN_WAKE_S)
-            self._wake = self._timer.callLater(delay, self._poll)
+            self._wake = self._clock.callLater(delay, self._poll)
 
     def _poll(self) -> None:
         self._wake = None
-        self._execute(self._scheduler.poll(self._timer.seconds()))
+        self._execute(self._scheduler.poll(self._clock.seconds()))
 
 
 def _drop(failure: Failure) -> None:
