Bound a cell's appends by the time between them

Change: the relay's appends start at least log_flush_s apart; writers wait there instead of each for itself, and give the relay that much more time before they go on without it.

--- a/lycheestall/cell_agent.py
+++ b/lycheestall/cell_agent.py
@@ -99,7 +99,9 @@
         self._tuning = tuning
         self._clock = ports.clock
         self._mesh = ports.mesh
-        self._streams = LogStreams(ports.log, ports.clock, ports.mesh)
+        self._streams = LogStreams(
+            ports.log, ports.clock, ports.mesh, flush_s=tuning.log_flush_s
+        )
         self._reader = self._streams.follow(
             stream,
             fold,
@@ -149,9 +151,7 @@
 
     def open_writer(self, stream: StreamName, session: SessionId) -> LogWriter:
         """Returns a writer to another followed stream."""
-        return self._streams.open_writer(
-            stream, session, flush_s=self._tuning.log_flush_s
-        )
+        return self._streams.open_writer(stream, session)
 
     def on_other_message(self, handler: MessageHandler) -> None:
         """Sets who gets messages that are not the agent's own."""
--- a/lycheestall/cell_relay.py
+++ b/lycheestall/cell_relay.py
@@ -47,6 +47,7 @@
     groups: list[tuple[bytes, ...]] = field(default_factory=list)
     size: int = 0
     due_at: float = float("inf")
+    last_at: float = float("-inf")
     timer: Timer | None = None
     append: int = 0
     in_flight: bool = False
@@ -55,17 +56,22 @@
 class CellRelay:
     """Collects payloads of several writers and appends them together.
 
-    One append per stream is in flight. Payloads that a writer gave
-    together stay together and in order.
+    One append per stream is in flight, and appends to a stream start at
+    least ``interval_s`` apart, which bounds what a cell asks of the log.
+    Payloads that a writer gave together stay together and in order.
 
     Args:
         log: The platform's log service.
         clock: Times the collecting.
+        interval_s: Least time between two appends to a stream.
     """
 
-    def __init__(self, log: LogService, clock: Clock) -> None:
+    def __init__(
+        self, log: LogService, clock: Clock, *, interval_s: float
+    ) -> None:
         self._log = log
         self._clock = clock
+        self._interval_s = interval_s
         self._queue_by_stream: dict[StreamName, _Queue] = {}
 
     def add(
@@ -108,7 +114,8 @@
             return
         if queue.timer is not None and queue.timer.active():
             queue.timer.cancel()
-        wait_s = max(queue.due_at - self._clock.seconds(), 0.0)
+        due_at = max(queue.due_at, queue.last_at + self._interval_s)
+        wait_s = max(due_at - self._clock.seconds(), 0.0)
         queue.timer = self._clock.callLater(wait_s, self._flush, stream, queue)
 
     def _flush(self, stream: StreamName, queue: _Queue) -> None:
@@ -124,6 +131,7 @@
         queue.size -= size
         if not queue.groups:
             queue.due_at = float("inf")
+        queue.last_at = self._clock.seconds()
         queue.in_flight = True
         queue.append += 1
         queue.timer = self._clock.callLater(
--- a/lycheestall/cell_session.py
+++ b/lycheestall/cell_session.py
@@ -119,9 +119,7 @@
         self._clock = clock
         self._schedule = schedule
         self._on_ended = on_ended
-        self._writer = streams.open_writer(
-            reader.stream, session, flush_s=tuning.log_flush_s
-        )
+        self._writer = streams.open_writer(reader.stream, session)
         self._ownership = CellOwnership(
             session,
             tuning=tuning,
--- a/lycheestall/log_streams.py
+++ b/lycheestall/log_streams.py
@@ -38,17 +38,26 @@
         log: The platform's log service.
         clock: Times retries.
         mesh: Reaches the peers.
+        flush_s: Least time between two appends that are shared.
     """
 
-    def __init__(self, log: LogService, clock: Clock, mesh: Mesh) -> None:
+    def __init__(
+        self,
+        log: LogService,
+        clock: Clock,
+        mesh: Mesh,
+        *,
+        flush_s: float = FLUSH_S,
+    ) -> None:
         self._log = log
         self._clock = clock
         self._mesh = mesh
+        self._flush_s = flush_s
         self._own = VmId("")
         self._reader_by_stream: dict[StreamName, LogReader] = {}
         self._writer_by_stream: dict[StreamName, LogWriter] = {}
         self._folded_by_peer: dict[tuple[VmId, StreamName], Offset] = {}
-        self._cell_relay = CellRelay(log, clock)
+        self._cell_relay = CellRelay(log, clock, interval_s=flush_s)
         self._choose_relay: RelayChoice | None = None
         self._turn = 0
 
@@ -95,13 +104,7 @@
         self._reader_by_stream[stream] = reader
         return reader
 
-    def open_writer(
-        self,
-        stream: StreamName,
-        session: SessionId,
-        *,
-        flush_s: float = FLUSH_S,
-    ) -> LogWriter:
+    def open_writer(self, stream: StreamName, session: SessionId) -> LogWriter:
         """Returns a writer whose records the stream's reader reads back.
 
         A stream has one writer at a time; an older one gets no more news
@@ -114,7 +117,7 @@
             self._clock,
             relay=self._relay,
             preferred=self._append_by_relay,
-            flush_s=flush_s,
+            flush_s=self._flush_s,
         )
         self._writer_by_stream[stream] = writer
         return writer
--- a/lycheestall/log_writer.py
+++ b/lycheestall/log_writer.py
@@ -61,7 +61,8 @@
         preferred: Passes payloads, with how long they may be held, to
             the member that appends for all; returns False when there is
             none. Left out for a while after it has failed.
-        flush_s: How long records wait to share an append.
+        flush_s: Least time between two appends of the cell; records wait
+            here for that long, but at most ``FLUSH_S``, to share one.
     """
 
     def __init__(
@@ -167,7 +168,8 @@
     def _schedule_flush(self) -> None:
         if self._batch_by_sequence or self._timer is not None:
             return
-        self._timer = self._clock.callLater(self._flush_s, self._flush)
+        wait_s = min(self._flush_s, FLUSH_S)
+        self._timer = self._clock.callLater(wait_s, self._flush)
 
     def _flush(self) -> None:
         self._timer = None
@@ -217,7 +219,7 @@
         if not self._preferred(self._stream, payloads, hold_s):
             return False
         self._used_preferred = True
-        self._retry_after(PREFERRED_LIMIT_S + hold_s)
+        self._retry_after(PREFERRED_LIMIT_S + hold_s + self._flush_s)
         return True
 
     def _preferred_failed(self, attempt: int) -> None:
--- a/lycheestall/settings.py
+++ b/lycheestall/settings.py
@@ -104,7 +104,8 @@
         lease_s: How long authority lasts from when it was asked for.
         lease_margin_s: What a successor waits on top of the lease.
         renewal_interval_s: Between session renewals in the log.
-        log_flush_s: How long records wait to share an append.
+        log_flush_s: Least time between two appends of a cell's VMs; it
+            bounds what the cell asks of the log.
         drain_limit_s: The longest graceful shutdown.
         gap_hold_s: How long a call waits for the calls before it.
         answer_retention_s: How long a finished answer can be fetched.
--- a/tests/test_cell_agent.py
+++ b/tests/test_cell_agent.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import pytest
-from cell_world import STREAM, CellWorld
+from cell_world import STREAM, CellWorld, tuned
 
 from lycheestall.cell_relay import relay_of
 from lycheestall.ids import PartitionId, VmId
@@ -415,3 +415,21 @@
     assert cell.all_owned()
     assert any(cell.owned_by(vm) for vm in cut)
     assert cell.violations == []
+
+
+def test_busy_cell_keeps_to_its_rate_of_appends() -> None:
+    cell = CellWorld(tuning=tuned(log_flush_s=0.4))
+    cell.boot_all(6)
+    cell.world.run_for(10.0)
+    found: list[bool] = []
+    before = cell.log.appends["cell"]
+    for _ in range(100):
+        for node in cell.node_by_vm.values():
+            body = ProgramEnded("p", PartitionId(0), NO_OFFSET, "x")
+            node.agent.submit(body).addCallback(
+                lambda folded: found.append(folded.verdict.accepted)
+            )
+        cell.world.run_for(0.1)
+    assert cell.log.appends["cell"] - before <= 26
+    cell.world.run_for(2.0)
+    assert found == [True] * 600
