--- a/tests/system.py
+++ b/tests/system.py
@@ -201,6 +201,8 @@
     def publish(self, text: str, *, base: int, via: str) -> list[object]:
         """Publishes rules through a VM; the result list gets the reply."""
         replies: list[object] = []
+        if via not in self.vm_by_name:
+            return replies
         node = self.vm_by_name[via].node
         done = node.publish_rules(Offset(base), text, OperatorName("ops"))
         done.addBoth(replies.append)
