--- /dev/null
+++ b/lycheestall/_slopes_program.py
@@ -0,0 +1,122 @@
+"""Costs of an owner's live programs and of checking histories."""
+
+from __future__ import annotations
+
+import json
+from hashlib import sha256
+from typing import Any
+
+import cbor2
+from twisted.internet.task import Clock
+
+from ._slopes_probe import Reading, cpu_us, resident_bytes
+from .answers import AnswerStore
+from .budget import Budget
+from .call_facts import CallFact
+from .chat_body import ChatBody, parse_chat
+from .history import ChainPoint, Extension, History
+from .ids import AccountId, CallNumber, PartitionId, ProgramId
+from .ledger_program import Spend
+from .program import Program
+
+__all__ = ["measure_handover", "measure_history", "measure_live_programs"]
+
+ACCOUNT = AccountId("account-0001")
+CALLS = 28
+MESSAGE_BYTES = 2_000
+SUB_AGENTS = 1
+
+
+def _program(number: int, clock: Any) -> Program:
+    """Returns a program in the middle of its life, with one sub-agent."""
+    root = ProgramId(f"pr-{number:012x}-{number:016x}-{0:024x}")
+    program = Program(
+        account=ACCOUNT,
+        root=root,
+        name=ProgramId(f"{ACCOUNT}:{root}"),
+        program_class="planning",
+        partition=PartitionId(number % 64),
+        opened_ms=1_700_000_000_000,
+        budget=Budget(spent=Spend(1, 2, 3), drawn=Spend(10, 20, 30)),
+        clock=clock,
+        gap_hold_s=2.0,
+        recorded=True,
+        turns=CALLS,
+    )
+    for agent in range(1 + SUB_AGENTS):
+        path = ProgramId(f"{root}/sub" if agent else root)
+        _live(program, path)
+    for call in range(CALLS):
+        program.facts.append(
+            CallFact(root, call, "chat", "engine-1", "completed", "", 900)
+        )
+    return program
+
+
+def _live(program: Program, path: ProgramId) -> None:
+    """Gives a program path the one point that its calls have left."""
+    digest = sha256(path.encode()).digest()
+    point = ChainPoint(CallNumber(CALLS), 2 * CALLS, digest)
+    program.agent(path).history.add(point)
+
+
+def _programs(count: int) -> list[Program]:
+    clock: Any = Clock()
+    return [_program(number, clock) for number in range(count)]
+
+
+def measure_live_programs(programs: int) -> Reading:
+    """Returns what an owner keeps of live programs, answers apart.
+
+    Args:
+        programs: Programs of 28 calls with one sub-agent.
+    """
+    return Reading(resident_bytes=resident_bytes(lambda: _programs(programs)))
+
+
+def measure_handover(programs: int) -> Reading:
+    """Returns what handing live programs over costs both VMs.
+
+    Args:
+        programs: Programs of 28 calls with one sub-agent, answers apart.
+    """
+    clock: Any = Clock()
+    live = _programs(programs)
+    answers = AnswerStore(retention_s=300.0, clock=clock)
+    frames: list[bytes] = []
+
+    def run() -> None:
+        frames[:] = [cbor2.dumps(program.dump(answers)) for program in live]
+        for frame in frames:
+            Program.restored(
+                cbor2.loads(frame),
+                partition=PartitionId(1),
+                clock=clock,
+                gap_hold_s=2.0,
+                answers=answers,
+            )
+
+    cost = cpu_us(run, repeats=3)
+    return Reading(cpu_us=cost, wire_bytes=sum(map(len, frames)))
+
+
+def measure_history(size: int) -> Reading:
+    """Returns what reading a call's body and checking its chain costs.
+
+    Args:
+        size: Bytes of the messages, 2,000 in each.
+    """
+    messages: list[dict[str, Any]] = []
+    for number in range(max(size // MESSAGE_BYTES, 1)):
+        role = "user" if number % 2 == 0 else "assistant"
+        text = f"{number} " + "pole " * (MESSAGE_BYTES // 5)
+        messages.append({"role": role, "content": text})
+    body = json.dumps({"model": "m", "messages": messages}).encode()
+    history = History(ACCOUNT, ProgramId("p"))
+
+    def run() -> None:
+        chat = parse_chat(body)
+        assert isinstance(chat, ChatBody)
+        assert isinstance(history.check(chat.messages), Extension)
+
+    return Reading(cpu_us=cpu_us(run), wire_bytes=len(body))
--- a/lycheestall/bench_slopes.py
+++ b/lycheestall/bench_slopes.py
@@ -24,6 +24,11 @@
     measure_vm_list,
 )
 from ._slopes_probe import Reading
+from ._slopes_program import (
+    measure_handover,
+    measure_history,
+    measure_live_programs,
+)
 from ._slopes_relay import measure_relay
 from ._slopes_rules import (
     measure_lookup,
@@ -95,6 +100,16 @@
     Measure(
         "program_state", "program", (1_000, 20_000, 200_000), measure_programs
     ),
+    Measure(
+        "live_program", "program", (100, 1_000, 5_000), measure_live_programs
+    ),
+    Measure("handover", "program", (10, 100, 1_000), measure_handover),
+    Measure(
+        "history",
+        "byte",
+        (10_000, 100_000, 1_000_000, 2_400_000),
+        measure_history,
+    ),
     Measure("fold", "program", (10, 100, 1_000, 5_000), measure_fold),
     Measure(
         "checkpoint", "program", (1_000, 5_000, 20_000), measure_checkpoint
