Ask for certificates off loopback addresses

Cause: the mesh serves and dials only loopback addresses without TLS, so a daemon elsewhere without certificates would start and reach nobody. Change: settings_check names $.tls when listen.host is no loopback address and no certificates are given.

--- a/lycheestall/settings_check.py
+++ b/lycheestall/settings_check.py
@@ -149,9 +149,13 @@
 def _listen_problems(settings: Settings) -> Iterator[_Problem]:
     listen = settings.listen
     try:
-        ipaddress.ip_address(listen.host)
+        host = ipaddress.ip_address(listen.host)
     except ValueError:
         yield "$.listen.host", _shown("", listen.host), "an IP number"
+    else:
+        if settings.tls is None and not host.is_loopback:
+            expected = "certificates, unless listen.host is a loopback address"
+            yield "$.tls", "null", expected
     name_by_port: dict[int, str] = {}
     for name in ("callers_port", "mesh_port", "admin_port"):
         port = getattr(listen, name)
--- a/tests/test_settings_check.py
+++ b/tests/test_settings_check.py
@@ -61,6 +61,7 @@
     ("path", "value", "error"),
     [
         ("listen.host", "localhost", "$.listen.host"),
+        ("listen.host", "10.0.0.4", "$.tls"),
         ("listen.mesh_port", 8101, "$.listen.mesh_port"),
         ("listen.mesh_port", 0, "$.listen.mesh_port"),
         ("listen.mesh_port", "8102", "$.listen.mesh_port"),
