--- a/lycheestall/_engine_choice.py
+++ b/lycheestall/_engine_choice.py
@@ -19,8 +19,10 @@
 ALONE_RETRY_S = 10.0
 HOLD_S = 120.0
 WARM_EXTRA = 4.0
-ROOM_SHARE = 0.95
-GREEDY_ROOM_SHARE = 0.7
+HEAVY_ROOM_SHARE = 0.7
+ROOM_SHARE = 0.85
+LIGHT_ROOM_SHARE = 0.95
+LIGHT_USE = 0.5
 ACTIVE_S = 60.0
 LEAD_S = 10.0
 AHEAD_SLOT_SHARE = 0.9
@@ -147,9 +149,7 @@
             tokens >= self._blocked_tokens or use > self._blocked_use
         ):
             return []
-        part = ROOM_SHARE
-        if use > self._mean_memory_use(now):
-            part = GREEDY_ROOM_SHARE
+        part = _room_share(use, self._mean_memory_use(now))
         roomy = [
             target
             for target in targets
@@ -231,3 +231,17 @@
             if jobs.running(account) >= part:
                 return True
         return False
+
+
+def _room_share(use: float, mean: float) -> float:
+    """Returns how much of an engine's memory an account may fill.
+
+    Args:
+        use: Memory its programs hold, by weight.
+        mean: The mean of the active accounts.
+    """
+    if use > mean:
+        return HEAVY_ROOM_SHARE
+    if use > LIGHT_USE * mean:
+        return ROOM_SHARE
+    return LIGHT_ROOM_SHARE
--- a/lycheestall/placement.py
+++ b/lycheestall/placement.py
@@ -27,7 +27,6 @@
 EVICTION_WEIGHT = 1.0
 GROWTH = 1.2
 COLD_CHOICES = 2
-ROOM_SHARE = 0.9
 ROOM_CAUTION = 3.0
 
 
@@ -112,7 +111,7 @@
         job: ChatJob,
         target: TargetId,
         *,
-        share: float = ROOM_SHARE,
+        share: float,
     ) -> bool:
         """Returns whether a job's prompt fits beside what is cached.
 
