Make a new call when a target has closed the old key

Cause: the load generator gave a program up when a runner had closed its idempotency key without running the call; the refusal says what a repeat needs. Measured: the new test fails without the change.

--- a/lycheestall/_load_program.py
+++ b/lycheestall/_load_program.py
@@ -20,6 +20,7 @@
 SILENT_RETRY_S = 0.2
 LONGEST_WAIT_S = 2.0
 REPEATS_AFTER_FAILURE = 4
+NEW_KEY = "a new idempotency key"
 _JSON = "application/json"
 
 
@@ -116,14 +117,24 @@
     async def act(
         self, group: str, operation: str, body: bytes, key: str
     ) -> CallRecord:
-        """Makes a plain call; the same key goes with each retry."""
+        """Makes a plain call; the same key goes with each retry.
+
+        A target that has closed the key without running the call needs
+        a new one.
+        """
         method, _, path = operation.partition(" ")
 
         async def once(record: CallRecord, received: _Received) -> None:
             url = f"/v1/applications/{group}{path}"
             await self._send(method, url, record, received)
 
-        return await self._call(operation, key, body, once)
+        record = await self._call(operation, key, body, once)
+        for repeat in range(2, REPEATS_AFTER_FAILURE + 1):
+            if record.end is not CallEnd.REFUSED or record.needs != NEW_KEY:
+                break
+            new_key = f"{key}.{repeat}"
+            record = await self._call(operation, new_key, body, once)
+        return record
 
     async def finish(self, *, cancel: bool = False) -> bool:
         """Ends the program; True when the system confirmed."""
@@ -191,6 +202,7 @@
         refused = error.get("outcome") == CallEnd.REFUSED.value
         record.end = CallEnd.REFUSED if refused else CallEnd.UNKNOWN
         record.reason = str(error.get("reason") or error.get("message"))
+        record.needs = str(error.get("needs") or "")
         received.body = b""
         wait_s = float(error.get("retry_after_s") or 0.0)
         return wait_s if wait_s > 0 else None
--- a/lycheestall/_load_records.py
+++ b/lycheestall/_load_records.py
@@ -40,6 +40,7 @@
         key: The idempotency key, or empty.
         end: How it ended.
         reason: The typed reason of a refusal or failure.
+        needs: What a refusal says a repeat has to carry.
         tries: Requests sent for it.
         resumes: Requests that took a broken answer up again.
         duration_s: From the first request to the end.
@@ -55,6 +56,7 @@
     body: bytes
     end: CallEnd = CallEnd.UNKNOWN
     reason: str = ""
+    needs: str = ""
     tries: int = 0
     resumes: int = 0
     duration_s: float = 0.0
--- a/tests/test_bench_load.py
+++ b/tests/test_bench_load.py
@@ -23,11 +23,12 @@
 STREAM = "text/event-stream"
 
 
-def refusal(reason, *, retry_after_s=0.0, outcome="refused_not_run"):
+def refusal(reason, *, retry_after_s=0.0, outcome="refused_not_run", needs=""):
     error = {
         "message": reason,
         "reason": reason,
         "outcome": outcome,
+        "needs": needs,
         "retry_after_s": retry_after_s,
     }
     return json.dumps({"error": error}).encode()
@@ -183,6 +184,15 @@
     assert len(script.seen) == 1
 
 
+def test_a_key_that_the_target_closed_is_replaced(make, run):
+    closed = refusal("target_failed", needs="a new idempotency key")
+    caller, script, records = make(closed, "whole")
+    record = run(caller.act("poles", "POST /orders", b"{}", "k1"))
+    assert record.end is CallEnd.COMPLETED
+    assert script.seen == [(1, None, "k1"), (1, None, "k1.2")]
+    assert [r.end for r in records] == [CallEnd.REFUSED, CallEnd.COMPLETED]
+
+
 def test_an_answer_without_its_end_is_not_whole():
     body = b'{"model": "m", "messages": [{"role": "user", "content": "x"}]}'
     stream = stream_of(body)
