Draw money as it is needed, not in portions

Change: money is drawn to the cent and is not in the volatile allowance; tokens and calls keep their portions. A call that costs money waits for one more record when its price is not drawn yet.

--- a/lycheestall/budget.py
+++ b/lycheestall/budget.py
@@ -71,13 +71,14 @@
 def volatile_allowance(limits: ProgramLimits) -> Spend:
     """Returns what a new program may spend before the log knows of it.
 
+    Money is not in it: calls that cost money need the log anyway.
+
     Args:
         limits: The program's limits.
     """
     return Spend(
         (limits.tokens or 0) // VOLATILE_SHARES_PER_BUDGET,
         (limits.calls or 0) // VOLATILE_SHARES_PER_BUDGET,
-        (limits.money_micros or 0) // VOLATILE_SHARES_PER_BUDGET,
     )
 
 
@@ -202,10 +203,14 @@
         return cls(spent=spent, drawn=drawn, new=False)
 
     def _draw(self, need: Spend, limits: ProgramLimits) -> Spend:
+        """Returns totals a portion ahead; money is drawn as needed.
+
+        A portion of money may be the price of several calls, which an
+        owner's death would cost the program.
+        """
         portion = Spend(
             (limits.tokens or 0) // PORTIONS_PER_BUDGET,
             (limits.calls or 0) // PORTIONS_PER_BUDGET,
-            (limits.money_micros or 0) // PORTIONS_PER_BUDGET,
         )
         wanted = self.drawn.plus(portion).at_least(need)
         limit = Spend(
--- a/lycheestall/program_table.py
+++ b/lycheestall/program_table.py
@@ -18,7 +18,7 @@
 from .cell_view import Folded
 from .ids import PartitionId, ProgramId, root_of
 from .ledger import Ledger
-from .ledger_program import LedgerProgram
+from .ledger_program import LedgerProgram, Spend
 from .outcomes import Reason, Refused, Step
 from .owner_ports import LOG_WAIT_S, OwnerPorts
 from .program import Program
@@ -229,9 +229,8 @@
         return program
 
     def _draw_first(self, program: Program, limits: ProgramLimits) -> None:
-        limited = (limits.tokens, limits.calls, limits.money_micros)
-        if any(limit is not None for limit in limited):
-            totals = program.budget.first_draw(limits)
+        totals = program.budget.first_draw(limits)
+        if totals != Spend():
             drawn = self._reservations.draw(program, totals)
             drawn.addErrback(lambda _: None)
 
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -175,3 +175,16 @@
     budget = Budget.taken_over(None, LIMITS, unproven=True)
     assert isinstance(budget.reserve(Spend(351, 1, 0), LIMITS), Exhausted)
     assert isinstance(budget.reserve(Spend(350, 1, 0), LIMITS), DrawNeeded)
+
+
+def test_an_owners_death_costs_no_money() -> None:
+    limits = ProgramLimits(None, None, 600, None, None, {})
+    budget = Budget()
+    price = Spend(0, 1, 150)
+    needed = budget.reserve(price, limits)
+    assert isinstance(needed, DrawNeeded)
+    assert needed.totals.money_micros == 150
+    budget.granted(needed.totals)
+    assert isinstance(budget.reserve(price, limits), Reserved)
+    successor = Budget.taken_over(budget.drawn, limits, unproven=True)
+    assert successor.spent.money_micros == 150
