--- a/lycheestall/budget.py
+++ b/lycheestall/budget.py
@@ -71,7 +71,7 @@
 def volatile_allowance(limits: ProgramLimits) -> Spend:
     """Returns what a new program may spend before the log knows of it.
 
-    Money is not in it: calls that cost money need the log anyway.
+    No money: calls that cost money wait for the log anyway.
 
     Args:
         limits: The program's limits.
@@ -79,6 +79,7 @@
     return Spend(
         (limits.tokens or 0) // VOLATILE_SHARES_PER_BUDGET,
         (limits.calls or 0) // VOLATILE_SHARES_PER_BUDGET,
+        0,
     )
 
 
@@ -203,14 +204,12 @@
         return cls(spent=spent, drawn=drawn, new=False)
 
     def _draw(self, need: Spend, limits: ProgramLimits) -> Spend:
-        """Returns totals a portion ahead; money is drawn as needed.
-
-        A portion of money may be the price of several calls, which an
-        owner's death would cost the program.
-        """
+        # Money is drawn as needed: calls that cost it are few and wait
+        # for the log, and what is drawn ahead is lost in a takeover.
         portion = Spend(
             (limits.tokens or 0) // PORTIONS_PER_BUDGET,
             (limits.calls or 0) // PORTIONS_PER_BUDGET,
+            0,
         )
         wanted = self.drawn.plus(portion).at_least(need)
         limit = Spend(
