Never call a call not run that is on its way to an engine

Cause: a handover cancelled calls that no engine had accepted yet and refused them as not run; one of them had arrived (fault matrix, cell owner_paused_within_lease at start). Change: once the owner has cleared a call for a socket it may have run. A handover lets it go on, a cancel fails it as may have run.

--- a/lycheestall/chat_run.py
+++ b/lycheestall/chat_run.py
@@ -73,6 +73,7 @@
         self._admitted: Admitted | None = None
         self._job: JobHandle | None = None
         self._passed = False
+        self._sent = False
         self._ended = False
         self.answer = self._ports.answers.open(self._key)
         self._response = ChatResponse(
@@ -82,12 +83,12 @@
 
     @property
     def passed(self) -> bool:
-        """Whether an engine has the call."""
-        return self._passed
+        """Whether an engine has the call, or may have it by now."""
+        return self._passed or self._sent
 
     def pending_point(self) -> ChainPoint | None:
         """Returns the point its answer completes, once dispatched."""
-        if self._extension is None or not self._passed:
+        if self._extension is None or not self.passed:
             return None
         return ChainPoint(
             number=self._number,
@@ -133,7 +134,7 @@
             return
         if self._job is not None:
             self._job.cancel()
-        if not self._passed:
+        if not self.passed:
             self._end(refused)
             return
         self.failed(
@@ -236,10 +237,16 @@
             fingerprint=fingerprint.digest(),
             deadline_s=self._deadline,
             epoch=cell.epoch_of(program.partition),
-            may_send=lambda: cell.refusal(program.partition),
+            may_send=self._may_send,
             may_repeat=lambda: sequencer.may_repeat(self._number),
         )
 
+    def _may_send(self) -> Refused | None:
+        """Asked right before the socket; from then on it may have run."""
+        refused = self._ports.cell.refusal(self._program.partition)
+        self._sent = self._sent or refused is None
+        return refused
+
     def _acknowledge(self) -> None:
         extension = self._extension
         if extension is None or extension.base is None:
--- a/tests/test_program_owner.py
+++ b/tests/test_program_owner.py
@@ -284,6 +284,23 @@
     assert reason(late.outcome) is Reason.CALL_SUPERSEDED
 
 
+def test_a_call_on_its_way_to_an_engine_is_never_called_not_run(
+    world: Owners,
+) -> None:
+    sent = world.chat("a", number=CallNumber(1))
+    job = world.job
+    assert job.job.may_send() is None
+    world.hand_over("s2")
+    assert not sent.outcomes and not job.cancelled
+    job.run("hello")
+    assert isinstance(sent.outcome, Completed)
+    on = world.chat("a", "hello", "b", number=CallNumber(2))
+    world.job.job.may_send()
+    world.call(kind=CallKind.CANCEL)
+    assert isinstance(on.outcome, Failed)
+    assert on.outcome.reason is Reason.CANCELLED
+
+
 def test_a_handover_takes_the_newest_answer_along(world: Owners) -> None:
     first = world.chat("a", number=CallNumber(1))
     world.job.run()
