--- a/lycheestall/_engine_choice.py
+++ b/lycheestall/_engine_choice.py
@@ -200,7 +200,8 @@
         own = load.own(target)
         wall_s = self._wall_ms() / 1000.0
         if self._parts.queue.lead_s(job.job.account, wall_s) > LEAD_S:
-            most = AHEAD_SLOT_SHARE * load.slots(target)
+            # An idle engine serves anybody, however small its batch is.
+            most = max(AHEAD_SLOT_SHARE * load.slots(target), 1.0)
             if load.requests(target) + 1.0 > most:
                 return True
         limit = self._parts.admission.limit(target).at(now)
