--- a/lycheestall/_load_program.py
+++ b/lycheestall/_load_program.py
@@ -19,7 +19,7 @@
 
 SILENT_RETRY_S = 0.2
 LONGEST_WAIT_S = 2.0
-REPEATS_AFTER_FAILURE = 4
+REPEATS_AFTER_FAILURE = 6
 NEW_KEY = "a new idempotency key"
 _JSON = "application/json"
 
@@ -76,6 +76,8 @@
         deadline_s: How long a call may take with all its retries.
         note: Called with each call that has ended.
         messages: The history so far.
+        repeat_wait_s: What a repeat under a new key waits, times its
+            number.
     """
 
     client: HttpClient
@@ -86,6 +88,7 @@
     deadline_s: float
     note: Callable[[CallRecord], None]
     messages: list[dict[str, str]] = field(default_factory=list)
+    repeat_wait_s: float = 0.5
     _number: int = 0
     _receipt: str = ""
 
@@ -132,6 +135,7 @@
         for repeat in range(2, REPEATS_AFTER_FAILURE + 1):
             if record.end is not CallEnd.REFUSED or record.needs != NEW_KEY:
                 break
+            await self._sleep(self.repeat_wait_s * repeat)
             new_key = f"{key}.{repeat}"
             record = await self._call(operation, new_key, body, once)
         return record
--- a/tests/test_bench_load.py
+++ b/tests/test_bench_load.py
@@ -115,6 +115,7 @@
             "pole_run",
             5.0,
             records.append,
+            repeat_wait_s=0.0,
         )
         return caller, script, records
 
