Keep an owner that pauses within its lease; read when the feed fails

Cause: (1) deposing after 2.5 s took the programs of an owner that was paused for 3 s, within its lease; the fault matrix had one cell red for it (owner_paused_within_lease at start: a call sent again was refused as not run although its first sending had reached an engine). (2) A leaver did not get its own leave record from the feed, because the relay had dropped its connection first, and a new relay trusted the old one's feed: a drain took 0.45 to 1.02 s instead of 0.07. Change: a member that answers nobody is deposed after lease_s. A fed VM reads the log itself when it feeds the others or when its own records don't come back in 0.25 s; peers are dropped 1 s after their end. That a call sent again during a real takeover can be refused as not run while its first sending ran is left to the owner.

--- a/lycheestall/cell_agent.py
+++ b/lycheestall/cell_agent.py
@@ -45,6 +45,7 @@
 __all__ = ["CellAgent", "CellPorts"]
 
 TICK_INTERVAL_S = 0.25
+PEER_DROP_DELAY_S = 1.0
 
 _MEMBERSHIP_RECORDS = (SessionJoined, SessionLeft, SessionDeposed)
 
@@ -340,10 +341,10 @@
     ) -> None:
         if self._cell_session is not None:
             self._cell_session.on_folded(offset, record, verdict)
-        if isinstance(
-            record.body, SessionJoined | SessionLeft | SessionDeposed
-        ):
+        if isinstance(record.body, SessionJoined):
             self._set_peers()
+        if isinstance(record.body, SessionLeft | SessionDeposed):
+            self._set_timer(PEER_DROP_DELAY_S, self._set_peers)
 
     def _loaded(self) -> None:
         if self._cell_session is not None:
--- a/lycheestall/log_reader.py
+++ b/lycheestall/log_reader.py
@@ -58,6 +58,8 @@
         ask_peer: Asks some peer for entries from an offset on.
         on_read: Hears of entries that were folded from the log itself,
             so that they can be passed on.
+        must_read: Whether to read the log even while a peer feeds this
+            reader.
         assembler: Collects checkpoints; a stream with its own kind of
             checkpoint brings its own.
     """
@@ -74,6 +76,7 @@
         ask_peer: Callable[[StreamName, Offset], None],
         on_read: Callable[[StreamName, Sequence[LogEntry]], None]
         | None = None,
+        must_read: Callable[[StreamName], bool] | None = None,
         assembler: CheckpointAssembler | None = None,
         poll_wait_s: float = POLL_WAIT_S,
     ) -> None:
@@ -85,6 +88,7 @@
         self._on_loaded = on_loaded
         self._ask_peer = ask_peer
         self._on_read = on_read
+        self._must_read = must_read
         self._fed_at = float("-inf")
         self._assembler = assembler or CheckpointAssembler()
         self._poll_wait_s = poll_wait_s
@@ -230,6 +234,8 @@
         """Returns whether a peer keeps this reader up to date."""
         if not self._caught_up or self._newest > self._folded:
             return False
+        if self._must_read is not None and self._must_read(self.stream):
+            return False
         return self._clock.seconds() - self._fed_at < FEED_LIMIT_S
 
     def _position(self) -> Offset:
--- a/lycheestall/log_streams.py
+++ b/lycheestall/log_streams.py
@@ -25,6 +25,8 @@
 
 __all__ = ["LogStreams", "RelayChoice"]
 
+OWN_WAIT_S = 0.25
+
 RelayChoice = Callable[[StreamName], VmId | None]
 
 
@@ -99,6 +101,7 @@
             on_loaded=on_loaded,
             ask_peer=self._ask_peer,
             on_read=self._feed if shared else None,
+            must_read=self._must_read,
             assembler=assembler,
         )
         self._reader_by_stream[stream] = reader
@@ -181,8 +184,7 @@
         if isinstance(message, TailGiven):
             reader = self._reader_by_stream.get(message.stream)
             if reader is not None:
-                fed = message.fed and not self._appends_for_all(reader.stream)
-                reader.take(message.entries, fed=fed)
+                reader.take(message.entries, fed=message.fed)
             return True
         if isinstance(message, AppendWanted):
             self._append_for(peer, message)
@@ -216,6 +218,19 @@
             return False
         return self._choose_relay(stream) == self._own
 
+    def _must_read(self, stream: StreamName) -> bool:
+        """Returns whether a feed is not enough.
+
+        The member that feeds the others reads, and so does a VM whose
+        own records do not come back.
+        """
+        if self._appends_for_all(stream):
+            return True
+        writer = self._writer_by_stream.get(stream)
+        if writer is None:
+            return False
+        return writer.oldest_age_s() > OWN_WAIT_S + self._flush_s
+
     def _feed(self, stream: StreamName, entries: Sequence[LogEntry]) -> None:
         if not self._appends_for_all(stream):
             return
--- a/lycheestall/membership.py
+++ b/lycheestall/membership.py
@@ -16,7 +16,6 @@
 
 NEVER = float("-inf")
 RESPONSIVE_S = 2.0
-SUSPECT_S = 2.5
 DEPOSE_RANK_DELAY_S = 0.5
 ABSENT_LIMIT_S = 30.0
 
@@ -61,6 +60,7 @@
     ) -> None:
         self._session = session
         self._vm = vm
+        self._lease_s = lease_s
         self._silence_s = lease_s + lease_margin_s
         self._peer_by_session: dict[SessionId, _Peer] = {}
         self._listed_by_vm: dict[VmId, _ListedVm] = {}
@@ -160,9 +160,9 @@
     ) -> list[SessionDeposed]:
         """Returns the records that depose members gone silent.
 
-        A member that answers heartbeats may miss renewals for as long
-        as a lease lasts; one that does not is deposed sooner. Safety
-        doesn't depend on it: the successor waits out the lease anyway.
+        A member that answers no heartbeat is deposed once its lease has
+        run out, one that does a margin later. Safety doesn't depend on
+        it: the successor waits out the lease anyway.
         Members take turns: each waits longer by its rank, so that one
         record is written and not one per member.
 
@@ -191,7 +191,7 @@
     def _patience_s(self, session: SessionId, now: float) -> float:
         if self.responsive(session, now):
             return self._silence_s
-        return min(SUSPECT_S, self._silence_s)
+        return min(self._lease_s, self._silence_s)
 
     def majority_knows(self, sessions: Sessions, offset: Offset) -> bool:
         """Returns whether no stale majority can back a lease any more.
