Pass on that a partition's programs are unproven

Cause: an owner that had taken a partition over and handed it on lost the mark that programs of its former owner may turn up; the successor took them for new, asked for call 1 for ever, and would have granted them the allowance again. Change: the handed state carries the mark.

--- a/lycheestall/program_table.py
+++ b/lycheestall/program_table.py
@@ -29,6 +29,8 @@
 
 __all__ = ["ProgramTable"]
 
+UNPROVEN_MARK = "unproven"
+
 
 class ProgramTable:
     """Programs by their form in the log.
@@ -64,9 +66,11 @@
             unproven: Whether programs may exist that nobody recorded.
         """
         self.drop(partition)
-        if unproven:
+        if unproven or UNPROVEN_MARK in handed:
             self._unproven.add(partition)
-        for data in handed.values():
+        for name, data in handed.items():
+            if name == UNPROVEN_MARK:
+                continue
             program = Program.restored(
                 cbor2.loads(data),
                 partition=partition,
@@ -92,12 +96,19 @@
         ]
 
     def dump(self, partition: PartitionId) -> dict[str, bytes]:
-        """Returns the live state by program, for a handover."""
-        return {
+        """Returns the live state by program, for a handover.
+
+        A partition that was taken over stays unproven: programs of the
+        lost owner may turn up at the successor for the first time.
+        """
+        handed: dict[str, bytes] = {
             program.name: cbor2.dumps(program.dump(self._ports.answers))
             for program in self.of(partition)
             if not program.ended
         }
+        if partition in self._unproven:
+            handed[UNPROVEN_MARK] = b""
+        return handed
 
     def remove(self, program: Program) -> None:
         """Forgets a program that has ended."""
--- a/tests/test_program_owner.py
+++ b/tests/test_program_owner.py
@@ -301,6 +301,20 @@
     assert on.outcome.reason is Reason.CANCELLED
 
 
+def test_a_handover_passes_on_that_programs_are_unproven(
+    world: Owners,
+) -> None:
+    world.cell.silent = True
+    world.chat("a", number=CallNumber(1))
+    world.job.run()
+    world.cell.waiting.clear()
+    world.cell.silent = False
+    world.take_over("s2")
+    world.hand_over("s3")
+    bare = world.chat("a", "hello", "b", number=CallNumber(2))
+    assert reason(bare.outcome) is Reason.RECEIPT_REQUIRED
+
+
 def test_a_handover_takes_the_newest_answer_along(world: Owners) -> None:
     first = world.chat("a", number=CallNumber(1))
     world.job.run()
