Let chunks that come close together share a write to the caller

Cause: each streamed event was written to the caller's socket by itself; a daemon spent 104 us a chunk (176 us with forwarding). Change: the first chunk goes out at once, later ones share a write every 10 ms, a third of the 30 ms that tokens may be apart. A profile of 20,000 chunks shows the rest in the HTTP client (40%), the parsing of each event for the history's digest (20%) and the answer store (15%).

--- a/lycheestall/caller_api.py
+++ b/lycheestall/caller_api.py
@@ -12,6 +12,7 @@
 
 from .accounts import Accounts
 from .calls import Call, CallHandler, CallKind
+from .clock import Clock
 from .http_sink import HttpSink, bad_request
 from .ids import (
     AccountId,
@@ -43,6 +44,7 @@
         accounts: Whose keys are accepted.
         handler: Runs the calls.
         ready: Whether new calls are taken.
+        clock: Times the writing of answers.
     """
 
     def __init__(
@@ -51,10 +53,12 @@
         accounts: Accounts,
         handler: CallHandler,
         ready: Callable[[], bool],
+        clock: Clock,
     ) -> None:
         self._accounts = accounts
         self._handler = handler
         self._ready = ready
+        self._clock = clock
         self.app = Klein()
         self._add_routes()
 
@@ -157,7 +161,7 @@
         request: Request,
         parse: Callable[[Request, AccountId], Call],
     ) -> Deferred[None]:
-        sink = HttpSink(request)
+        sink = HttpSink(request, clock=self._clock)
         refusal = self._gate()
         if refusal is not None:
             sink.finish(refusal)
--- a/lycheestall/daemon.py
+++ b/lycheestall/daemon.py
@@ -74,6 +74,7 @@
             accounts=accounts,
             handler=self.node,
             ready=self.node.ready,
+            clock=reactor,
         )
         self._admin = AdminApi(
             accounts=accounts, source=NodeAdmin(self.node), metrics=metrics
--- a/lycheestall/http_sink.py
+++ b/lycheestall/http_sink.py
@@ -8,6 +8,7 @@
 from twisted.web.server import Request
 
 from .calls import CallHandle, CallSink, ResponseHead
+from .clock import Clock, Timer
 from .outcomes import (
     Completed,
     Failed,
@@ -21,6 +22,7 @@
 __all__ = ["HttpSink", "error_document", "status_of"]
 
 MAX_PENDING_BYTES = 1024 * 1024
+FLUSH_S = 0.01
 
 _STATUS_BY_REASON = {
     Reason.BAD_REQUEST: 400,
@@ -85,15 +87,25 @@
 class HttpSink(CallSink):
     """One HTTP response.
 
-    A reader so slow that ``MAX_PENDING_BYTES`` wait for it is dropped;
-    the answer stays fetchable from where it broke.
+    Chunks that come within ``FLUSH_S`` of a write share the next one; the
+    first goes out at once. A reader so slow that ``MAX_PENDING_BYTES``
+    wait for it is dropped; the answer stays fetchable from where it
+    broke.
+
+    Args:
+        request: The caller's request.
+        clock: Times the writes.
 
     Attributes:
         finished: Fires once the response is written or the caller left.
     """
 
-    def __init__(self, request: Request) -> None:
+    def __init__(self, request: Request, *, clock: Clock) -> None:
         self._request = request
+        self._clock = clock
+        self._parts: list[bytes] = []
+        self._flushing: Timer | None = None
+        self._flushed_at = float("-inf")
         self._started = False
         self._gone = False
         self._paused = False
@@ -127,12 +139,32 @@
         if self._pending > MAX_PENDING_BYTES:
             self._request.loseConnection()
             return
+        self._parts.append(data)
+        if self._flushing is not None:
+            return
+        wait_s = self._flushed_at + FLUSH_S - self._clock.seconds()
+        if wait_s <= 0:
+            self._flush()
+            return
+        self._flushing = self._clock.callLater(wait_s, self._flush)
+
+    def _flush(self) -> None:
+        """Writes what has come since the last write, in one piece."""
+        if self._flushing is not None and self._flushing.active():
+            self._flushing.cancel()
+        self._flushing = None
+        if not self._parts:
+            return
+        data = b"".join(self._parts)
+        self._parts.clear()
+        self._flushed_at = self._clock.seconds()
         self._request.write(data)
 
     def finish(self, outcome: Outcome) -> None:
         """Ends the response; renders an error if nothing was sent."""
         if self._gone:
             return
+        self._flush()
         self._gone = True
         if not self._started and not isinstance(outcome, Completed):
             self._write_error(outcome)
@@ -175,6 +207,8 @@
         if self._gone:
             return
         self._gone = True
+        self._parts.clear()
+        self._flush()
         if self._handle is not None:
             self._handle.detach()
         self.finished.callback(None)
