--- a/lycheestall/engine_http.py
+++ b/lycheestall/engine_http.py
@@ -38,7 +38,7 @@
 
 __all__ = ["HttpEngine"]
 
-STALL_TIMEOUT_S = 30.0
+STALL_TIMEOUT_S = 120.0
 TRANSFER_TIMEOUT_S = 60.0
 _JSON = {"content-type": "application/json"}
 
--- a/lycheestall/node.py
+++ b/lycheestall/node.py
@@ -3,8 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass, replace
-from random import Random
+from dataclasses import replace
 from typing import Any, cast
 
 from twisted.internet.defer import (
@@ -21,13 +20,13 @@
     CallHandler,
     CallKind,
     CallSink,
-    ResponseHead,
 )
 from .cell_agent import CellAgent, CellPorts
 from .cell_fold import CellFold
 from .cell_session import CellIdentity
 from .cell_view import PartitionWatcher
 from .clock import Clock, sleep
+from .counted_call import CallCounter
 from .engine_directory import EngineDirectory
 from .engine_dispatcher import EngineDispatcher
 from .engine_polls import EnginePolls, PollDuty
@@ -43,13 +42,11 @@
     VmId,
 )
 from .ledger import Ledger
-from .logs import Logger
 from .mesh import Mesh
 from .messages import MeshMessage
-from .metrics import Metrics
-from .outcomes import Outcome
+from .node_ports import NodePorts
 from .partitions import partition_of
-from .platform import LogService, VmList, VmListing
+from .platform import VmListing
 from .polling import Poller, PollStep
 from .portions import Portions
 from .program_ids import NONCE_BYTES, issue_program_id
@@ -61,7 +58,6 @@
 from .rules_stream import RulesStream
 from .settings import Settings
 from .supervisor import Supervisor
-from .target_factory import TargetFactory
 
 __all__ = ["Node", "NodePorts"]
 
@@ -75,33 +71,6 @@
 LEAVE_RULES_S = 1.0
 
 
-@dataclass(frozen=True, slots=True)
-class NodePorts:
-    """What a node is plugged into.
-
-    Attributes:
-        clock: Monotonic time.
-        wall_ms: Wall-clock time, milliseconds since 1970.
-        log: The platform's log service.
-        vm_list: The platform's VM list.
-        mesh: The other daemons.
-        targets: Makes clients of targets.
-        random: Seeded source for ties and ids.
-        logger: Where the node logs.
-        metrics: Where the node counts.
-    """
-
-    clock: Clock
-    wall_ms: Callable[[], int]
-    log: LogService
-    vm_list: VmList
-    mesh: Mesh
-    targets: TargetFactory
-    random: Random
-    logger: Logger
-    metrics: Metrics
-
-
 class Node(CallHandler):
     """Wires the parts together and runs their loops.
 
@@ -123,7 +92,7 @@
             bytes.fromhex(key) for key in settings.receipt_keys
         ]
         self._draining = False
-        self._calls = 0
+        self._counter = CallCounter(clock=ports.clock, metrics=ports.metrics)
         self._sessions = 0
         self._other_handler: Callable[[VmId, MeshMessage], bool] | None = None
         self.supervisor = Supervisor(clock=ports.clock, logger=ports.logger)
@@ -262,8 +231,7 @@
 
     def handle(self, call: Call, sink: CallSink) -> CallHandle:
         """Runs a caller's call and counts it."""
-        counted = _CountedCall(self, call, sink)
-        self._calls += 1
+        counted = self._counter.start(call, sink)
         if call.kind is CallKind.OPEN:
             call = replace(call, program=self._issue_program(call.account))
         counted.inner = self.router.handle(call, counted)
@@ -271,23 +239,7 @@
 
     def calls_in_progress(self) -> int:
         """Returns how many calls of callers and peers are under way."""
-        return self._calls + self.router.in_progress()
-
-    def call_ended(self, call: Call, outcome: Outcome, since: float) -> None:
-        """Counts the end of a caller's call.
-
-        Args:
-            call: The call.
-            outcome: How it ended.
-            since: When it arrived, on the node's clock.
-        """
-        self.call_left()
-        duration_s = self._ports.clock.seconds() - since
-        self._ports.metrics.call_ended(call, outcome, duration_s)
-
-    def call_left(self) -> None:
-        """Counts a caller's call that nobody waits for any more."""
-        self._calls -= 1
+        return self._counter.open + self.router.in_progress()
 
     @property
     def mesh(self) -> Mesh:
@@ -435,37 +387,3 @@
 
     def quiesce(self, partition: PartitionId) -> Deferred[dict[str, bytes]]:
         return self._node.owner.quiesce(partition)
-
-
-class _CountedCall(CallSink, CallHandle):
-    """Passes a call through; counts it until it ends or is left."""
-
-    def __init__(self, node: Node, call: Call, sink: CallSink) -> None:
-        self._node = node
-        self._call = call
-        self._sink = sink
-        self._arrived = node.now()
-        self._open = True
-        self.inner: CallHandle | None = None
-
-    def start(self, head: ResponseHead) -> None:
-        self._sink.start(head)
-
-    def chunk(self, data: bytes) -> None:
-        self._sink.chunk(data)
-
-    def finish(self, outcome: Outcome) -> None:
-        if self._open:
-            self._open = False
-            self._node.call_ended(self._call, outcome, self._arrived)
-        self._sink.finish(outcome)
-
-    def congested(self) -> bool:
-        return self._sink.congested()
-
-    def detach(self) -> None:
-        if self._open:
-            self._open = False
-            self._node.call_left()
-        if self.inner is not None:
-            self.inner.detach()
--- a/tests/test_engine_dispatcher.py
+++ b/tests/test_engine_dispatcher.py
@@ -16,6 +16,7 @@
 )
 from twisted.internet.task import Clock
 
+from lycheestall._engine_dispatch import STALL_TIMEOUT_S
 from lycheestall.engine_directory import EngineDirectory
 from lycheestall.engine_dispatcher import EngineDispatcher
 from lycheestall.ids import ProgramId, TargetId, VmId
@@ -306,7 +307,7 @@
     stream.accept()
     stream.send(b"half ")
     engine.kept[stream.request.request] = stream
-    world.clock.pump([1.0] * 32)
+    world.clock.pump([1.0] * (int(STALL_TIMEOUT_S) + 2))
     assert len(engine.resumed) == 1
     engine.resumed[0][2].send(b"rest")
     engine.resumed[0][2].finish()
