--- a/lycheestall/records.py
+++ b/lycheestall/records.py
@@ -1,8 +1,8 @@
 """Records that the system keeps in the platform's log.
 
 A cell's VMs share one stream of these. Operators publish to a second
-stream, whose records are at the end. Each payload is the CBOR encoding
-of ``[format, writer, sequence, kind, fields]``; see ``codec``.
+stream, whose records are in ``rules_records``. Each payload is the CBOR
+encoding of ``[format, writer, sequence, kind, fields]``; see ``codec``.
 """
 
 from __future__ import annotations
@@ -14,7 +14,6 @@
     AccountId,
     IdempotencyKey,
     Offset,
-    OperatorName,
     PartitionId,
     ProgramId,
     SessionId,
@@ -22,6 +21,14 @@
     VmId,
     ZoneId,
 )
+from .rules_records import (
+    ReaderJoined,
+    ReaderLeft,
+    RulesApplied,
+    RulesCheckpoint,
+    RulesProposed,
+    RulesRecord,
+)
 
 __all__ = [
     "NO_OFFSET",
@@ -314,65 +321,6 @@
     data: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class RulesProposed:
-    """An operator publishes a rule file.
-
-    Valid only while ``base`` is the version in force, the text parses
-    and every reader can read ``text_format``.
-    """
-
-    base: Offset
-    text: str
-    text_format: int
-    operator: OperatorName
-    proposed_ms: int
-    nonce: str
-
-
-@dataclass(frozen=True, slots=True)
-class RulesCheckpoint:
-    """The accepted rules written again before retention ends.
-
-    Attributes:
-        as_of: Every record up to this offset is included.
-        version: The version in force: the offset of its proposal.
-        text: Its text.
-        text_format: Its format.
-        data: The rest of the folded state, encoded.
-    """
-
-    as_of: Offset
-    version: Offset
-    text: str
-    text_format: int
-    data: bytes
-
-
-@dataclass(frozen=True, slots=True)
-class ReaderJoined:
-    """A session that reads rules, and the newest format it reads."""
-
-    vm: VmId
-    newest_format: int
-
-
-@dataclass(frozen=True, slots=True)
-class ReaderLeft:
-    """A session no longer reads rules."""
-
-    session: SessionId
-
-
-@dataclass(frozen=True, slots=True)
-class RulesApplied:
-    """The writer has put a version in force."""
-
-    vm: VmId
-    version: Offset
-    applied_ms: int
-
-
 CellRecord: TypeAlias = (
     SessionJoined
     | SessionRenewed
@@ -393,9 +341,6 @@
     | Forgotten
     | CheckpointPart
 )
-RulesRecord: TypeAlias = (
-    RulesProposed | RulesCheckpoint | ReaderJoined | ReaderLeft | RulesApplied
-)
 RecordBody: TypeAlias = CellRecord | RulesRecord
 
 
