Hold a lost owner's programs until every engine has answered

Change: for 60 s after a takeover, calls of programs that came from a lost owner wait (3 s, then refused as not run) until every engine of the model has been heard of since, or its process is gone; silent ones are asked. An engine that hangs for over a minute beside a lost VM is not covered.

--- a/lycheestall/_engine_dispatch.py
+++ b/lycheestall/_engine_dispatch.py
@@ -23,7 +23,7 @@
     EngineSink,
 )
 
-__all__ = ["EngineDispatch", "StreamOwner"]
+__all__ = ["EngineDispatch", "IgnoringSink", "StreamOwner"]
 
 ACCEPT_TIMEOUT_S = 5.0
 SETTLE_INTERVAL_S = 0.5
@@ -178,7 +178,7 @@
         looks = 0
         while engine is not None and looks < SETTLED_LOOKS:
             result = await self._within(
-                engine.resume(self._request, 0, _IgnoringSink())
+                engine.resume(self._request, 0, IgnoringSink())
             )
             if isinstance(result, EngineRefused) and not result.status:
                 return
@@ -284,7 +284,7 @@
             self._stream = None
 
 
-class _IgnoringSink(EngineSink):
+class IgnoringSink(EngineSink):
     """Takes a stream that nobody wants."""
 
     def accepted(self) -> None:
--- a/lycheestall/chat_run.py
+++ b/lycheestall/chat_run.py
@@ -239,6 +239,7 @@
             epoch=cell.epoch_of(program.partition),
             may_send=self._may_send,
             may_repeat=lambda: sequencer.may_repeat(self._number),
+            lost_owner_s=program.lost_owner_s,
         )
 
     def _may_send(self) -> Refused | None:
--- a/lycheestall/dispatch.py
+++ b/lycheestall/dispatch.py
@@ -34,6 +34,8 @@
             a refusal stops the job.
         may_repeat: Whether another dispatch would still keep the
             program's calls in order.
+        lost_owner_s: When the program came over from an owner that was
+            lost, on the node's clock; None if it did not.
     """
 
     program: ProgramId
@@ -50,6 +52,7 @@
     epoch: int
     may_send: Callable[[], Refused | None]
     may_repeat: Callable[[], bool]
+    lost_owner_s: float | None = None
 
 
 class ChatListener(ABC):
--- a/lycheestall/engine_dispatcher.py
+++ b/lycheestall/engine_dispatcher.py
@@ -11,6 +11,7 @@
 from twisted.python.failure import Failure
 
 from ._engine_dispatch import EngineDispatch, StreamOwner
+from ._engine_liveness import EngineLiveness, Hold
 from ._memory_release import MemoryRelease, ReleaseWatcher
 from ._settlement import Settlement
 from .clock import Clock, Timer
@@ -46,6 +47,7 @@
 MIN_WAKE_S = 0.001
 NO_ENGINE_RETRY_S = 2.0
 SETTLE_LIMIT_S = 5.0
+HOLD_CHECK_S = 0.1
 
 _UNSETTLED = Refused(
     Step.PLACE,
@@ -110,6 +112,7 @@
         self._watch: Timer | None = None
         self._submitted: list[JobKey] = []
         self._settlement = Settlement(clock, limit_s=SETTLE_LIMIT_S)
+        self._liveness = EngineLiveness(engines, clock)
         self.engines_changed()
 
     def submit(self, job: ChatJob, listener: ChatListener) -> JobHandle:
@@ -152,6 +155,7 @@
 
     def observe(self, report: LoadReport) -> None:
         """Takes a load report, polled here or by another VM."""
+        self._liveness.heard(report.target)
         if self._engines.observe(report):
             self.engines_changed()
         now = self._clock.seconds()
@@ -273,8 +277,20 @@
             if self._settlement.holds(dispatch.job.program):
                 self._end_refused(EndRefused(key, _UNSETTLED))
                 continue
+            hold = self._liveness.hold(key, dispatch.job, now)
+            if hold is Hold.REFUSE:
+                self._end_refused(EndRefused(key, _UNSETTLED))
+                continue
+            if hold is Hold.WAIT:
+                self._clock.callLater(HOLD_CHECK_S, self._submit_again, key)
+                continue
             self._execute(self._scheduler.submit(key, dispatch.job, now))
 
+    def _submit_again(self, key: JobKey) -> None:
+        self._submitted.append(key)
+        if self._turn is None:
+            self._turn = self._clock.callLater(0, self._take_submitted)
+
     def _take_up(
         self, dispatch: EngineDispatch, target: TargetId, request: RequestId
     ) -> None:
--- a/lycheestall/program.py
+++ b/lycheestall/program.py
@@ -69,6 +69,8 @@
         recorded: Whether the log knows that it is open.
         turns: Chat calls dispatched.
         ended: Why it ended, empty while open.
+        lost_owner_s: When it came over from an owner that was lost, on
+            the clock; None if it did not.
         active_at: When it was last heard of, monotonic seconds.
         agent_by_id: Its program paths.
         run_by_key: Its calls that are held or under way.
@@ -91,6 +93,7 @@
     turns: int = 0
     ended: str = ""
     active_at: float = 0.0
+    lost_owner_s: float | None = None
     agent_by_id: dict[ProgramId, Agent] = field(default_factory=dict)
     run_by_key: dict[AnswerKey, RunningCall] = field(default_factory=dict)
     action_by_key: dict[IdempotencyKey, KeyedCall] = field(
--- a/lycheestall/program_table.py
+++ b/lycheestall/program_table.py
@@ -46,6 +46,7 @@
         self._program_by_name: dict[ProgramId, Program] = {}
         self._opening_by_name: dict[ProgramId, Deferred[Folded]] = {}
         self._unproven: set[PartitionId] = set()
+        self._lost_owner_s: dict[PartitionId, float] = {}
 
     def __iter__(self) -> Iterator[Program]:
         """Yields the programs that are live here."""
@@ -68,6 +69,7 @@
         self.drop(partition)
         if unproven or UNPROVEN_MARK in handed:
             self._unproven.add(partition)
+            self._lost_owner_s[partition] = self._ports.clock.seconds()
         for name, data in handed.items():
             if name == UNPROVEN_MARK:
                 continue
@@ -78,11 +80,13 @@
                 gap_hold_s=self._ports.settings.gap_hold_s,
                 answers=self._ports.answers,
             )
+            program.lost_owner_s = self._lost_owner_s.get(partition)
             self._program_by_name[program.name] = program
 
     def drop(self, partition: PartitionId) -> None:
         """Forgets a partition's programs; calls under way go on."""
         self._unproven.discard(partition)
+        self._lost_owner_s.pop(partition, None)
         for program in self.of(partition):
             del self._program_by_name[program.name]
             self._opening_by_name.pop(program.name, None)
@@ -232,6 +236,7 @@
             proven=known is None and not at_risk,
             recorded=known is not None,
             active_at=ports.clock.seconds(),
+            lost_owner_s=self._lost_owner_s.get(partition),
         )
         self._program_by_name[name] = program
         if known is None:
