--- a/tests/fake_callers.py
+++ b/tests/fake_callers.py
@@ -134,6 +134,7 @@
         finished: Whether it got through all its steps.
         gave_up: Why it stopped early, empty when it did not.
         unsettled: Keys it was told may have run.
+        answered: Calls that came back whole.
     """
 
     def __init__(
@@ -159,6 +160,7 @@
         self.gave_up = ""
         self.unsettled: list[str] = []
         self.vanished = False
+        self.answered = 0
         self._balancer = balancer
         self._steps = list(steps)
         self._class = program_class
@@ -263,6 +265,7 @@
         self._send_step()
 
     def _take_answer(self, sink: _AttemptSink) -> None:
+        self.answered += 1 if self._number else 0
         head = sink.head
         if head is not None:
             for name, value in head.headers:
