Check settings before the daemon starts; let a program loop in the matrix

Cause: serve read its settings without the checks: a wrong file gave a traceback and exit 1, and the clash and address checks were never asked. Found by starting it with a bad file. The matrix had no looping program; rendezvous hashing stood in two places.

--- a/lycheestall/cell_relay.py
+++ b/lycheestall/cell_relay.py
@@ -11,12 +11,12 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-import xxhash
 from twisted.internet.defer import ensureDeferred
 
 from .clock import Clock, Timer
 from .ids import StreamName, VmId
 from .platform import LogService
+from .rendezvous import rendezvous
 
 __all__ = ["CellRelay", "relay_of"]
 
@@ -33,11 +33,7 @@
         stream: The stream.
         members: VMs that answer heartbeats and are not leaving.
     """
-
-    def weight(vm: VmId) -> int:
-        return xxhash.xxh3_64_intdigest(f"{stream}:{vm}".encode())
-
-    return max(members, key=weight, default=None)
+    return rendezvous(stream, members)
 
 
 @dataclass(slots=True)
--- a/lycheestall/daemon.py
+++ b/lycheestall/daemon.py
@@ -5,10 +5,10 @@
 import os
 import random
 import signal
+import sys
 import time
 from typing import Any
 
-from pydantic import TypeAdapter
 from twisted.internet import defer
 from twisted.internet.defer import Deferred, ensureDeferred
 
@@ -27,11 +27,13 @@
 from .node import Node, NodePorts
 from .node_admin import NodeAdmin
 from .settings import Settings
+from .settings_check import load_settings
 from .vm_list_http import HttpVmList
 
 __all__ = ["Daemon", "run_daemon"]
 
 LISTEN_BACKLOG = 1024
+INVALID_SETTINGS = 2
 
 
 class Daemon:
@@ -170,8 +172,11 @@
 
     reactor: Any = installed
     configure_logs(level=log_level)
-    with open(settings_file, "rb") as file:
-        loaded = TypeAdapter(Settings).validate_json(file.read())
+    loaded = load_settings(settings_file)
+    if not isinstance(loaded, Settings):
+        for error in loaded:
+            print(error, file=sys.stderr)
+        return INVALID_SETTINGS
     daemon = Daemon(loaded, reactor)
     started: Deferred[None] = Deferred()
     # Startup triggers run before the asyncio loop does; a timer does not.
--- a/lycheestall/engine_polls.py
+++ b/lycheestall/engine_polls.py
@@ -5,12 +5,12 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-import xxhash
 from twisted.internet.defer import Deferred, DeferredList, ensureDeferred
 
 from .engine_directory import EngineDirectory
 from .engine_dispatcher import EngineDispatcher
 from .ids import ProgramId, TargetId, VmId
+from .rendezvous import rendezvous
 from .targets import LoadReport
 
 __all__ = ["EnginePolls", "PollDuty"]
@@ -99,11 +99,7 @@
 
     def _is_mine(self, target: TargetId) -> bool:
         members = self._duty.members() | {self._duty.vm}
-
-        def weight(vm: VmId) -> int:
-            return xxhash.xxh64_intdigest(f"{vm} {target}".encode())
-
-        return max(members, key=weight) == self._duty.vm
+        return rendezvous(target, members) == self._duty.vm
 
     def _poll_load(self, target: TargetId) -> Deferred[None]:
         return ensureDeferred(self._take_load(target))
--- a/tests/fake_callers.py
+++ b/tests/fake_callers.py
@@ -135,6 +135,7 @@
         gave_up: Why it stopped early, empty when it did not.
         unsettled: Keys it was told may have run.
         answered: Calls that came back whole.
+        looping: Whether it asks without end.
     """
 
     def __init__(
@@ -161,6 +162,7 @@
         self.unsettled: list[str] = []
         self.vanished = False
         self.answered = 0
+        self.looping = False
         self._balancer = balancer
         self._steps = list(steps)
         self._class = program_class
@@ -181,6 +183,12 @@
         """Stops for good without a word."""
         self.vanished = True
 
+    def loop(self, calls: int) -> None:
+        """Goes on asking after its last step, as a looping program."""
+        self.looping = True
+        for index in range(calls):
+            self._steps.append(Chat(f"once more {index}"))
+
     def resend(self) -> None:
         """Sends the call in progress once more, beside the first."""
         if self._step() is not None and not isinstance(self._step(), Pause):
--- a/tests/fault_table.py
+++ b/tests/fault_table.py
@@ -32,10 +32,13 @@
 
 TOKEN_BUDGET = 4_000
 PAID_CALLS = 2
+TURN_LIMIT = 12
+LOOPED_CALLS = 40
 RULES = """\
 budget of account trust is 4k tokens, 20 calls, 6.00 EUR  # Asha, north crew
 operation POST /orders of application orders is non-idempotent \
 and costs 3.00 EUR  # Asha, north crew
+turn limit of account trust is 12 turns  # Asha, north crew
 """
 NEXT_RULES = RULES + "weight of account trust is 2  # Ravi, south crew\n"
 
@@ -373,6 +376,10 @@
     scene.watched.resend()
 
 
+def _caller_loops(scene: Scene) -> None:
+    scene.watched.loop(LOOPED_CALLS)
+
+
 def _caller_vanishes(scene: Scene) -> None:
     scene.watched.vanish()
 
@@ -412,6 +419,7 @@
     "operators_race": _operators_race,
     "caller_resends": _caller_resends,
     "caller_vanishes": _caller_vanishes,
+    "caller_loops": _caller_loops,
     "wall_clocks_step": _wall_clocks_step,
 }
 
@@ -451,6 +459,7 @@
     system.evidence.accepted_rules[version] = system.world.now
     system.evidence.token_budget = TOKEN_BUDGET
     system.evidence.money_calls = PAID_CALLS
+    system.evidence.turn_limit = TURN_LIMIT
     watched = system.add_caller("trust", WATCHED_STEPS)
     for index in range(2):
         system.add_caller(
--- a/tests/promises.py
+++ b/tests/promises.py
@@ -31,6 +31,7 @@
         applications: The applications with their run counts.
         token_budget: The tokens each program may spend, None for any.
         money_calls: The paid actions each program may run, None for any.
+        turn_limit: The chat calls each program may make, None for any.
         leaving_shown_at: When each leaving target's news reached a VM.
         cut_by_drain: Attempts that a planned stop cut off.
         rules_applied: By session, the versions in force over time.
@@ -44,6 +45,7 @@
     applications: Sequence[FakeApplication]
     token_budget: int | None = None
     money_calls: int | None = None
+    turn_limit: int | None = None
     leaving_shown_at: dict[str, float] = field(default_factory=dict)
     cut_by_drain: list[Attempt] = field(default_factory=list)
     rules_applied: dict[str, list[tuple[float, int]]] = field(
@@ -116,9 +118,22 @@
         calls = evidence.money_calls
         if calls is not None and paid > calls:
             found.append(f"{caller.program}: {paid} of {calls} paid calls")
+        turns = _turns(evidence, caller)
+        limit = evidence.turn_limit
+        if limit is not None and turns > limit:
+            found.append(f"{caller.program}: {turns} of {limit} turns")
     return found
 
 
+def _turns(evidence: Evidence, caller: FakeCaller) -> int:
+    numbers = {
+        arrival.request.number
+        for arrival in evidence.arrivals()
+        if program_name(arrival.request.program) == caller.program
+    }
+    return len(numbers)
+
+
 def check_memory(evidence: Evidence) -> list[str]:
     """Engines hold nothing for programs that ended or vanished."""
     found: list[str] = []
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -175,5 +175,15 @@
         del evidence.accepted_rules[10_000]
 
 
+def test_a_loop_past_its_limit_is_found(kept: Scene) -> None:
+    evidence = kept.system.judge()
+    limit = evidence.turn_limit
+    evidence.turn_limit = 1
+    try:
+        assert "budget" in broken_promises(evidence)
+    finally:
+        evidence.turn_limit = limit
+
+
 def _accepted() -> Verdict:
     return Verdict(True)
