--- a/lycheestall/_settlement.py
+++ b/lycheestall/_settlement.py
@@ -10,8 +10,18 @@
 from ._engine_dispatch import EngineDispatch
 from .clock import Clock
 from .ids import ProgramId
+from .outcomes import Reason, Refused, Step
 
-__all__ = ["Settlement"]
+__all__ = ["UNSETTLED", "Settlement"]
+
+SETTLE_LIMIT_S = 5.0
+
+UNSETTLED = Refused(
+    Step.PLACE,
+    Reason.NO_TARGET,
+    retry_after_s=2.0,
+    detail="an earlier call of the program may still reach its engine",
+)
 
 
 class Settlement:
@@ -21,7 +31,9 @@
     reach its engine after later calls had reached others.
     """
 
-    def __init__(self, clock: Clock, *, limit_s: float) -> None:
+    def __init__(
+        self, clock: Clock, *, limit_s: float = SETTLE_LIMIT_S
+    ) -> None:
         """Starts with nothing open.
 
         Args:
--- a/lycheestall/engine_dispatcher.py
+++ b/lycheestall/engine_dispatcher.py
@@ -13,7 +13,7 @@
 from ._engine_dispatch import EngineDispatch, StreamOwner
 from ._engine_liveness import EngineLiveness, Hold
 from ._memory_release import MemoryRelease, ReleaseWatcher
-from ._settlement import Settlement
+from ._settlement import UNSETTLED, Settlement
 from .clock import Clock, Timer
 from .dispatch import ChatDispatcher, ChatJob, ChatListener, JobHandle
 from .dispatch_commands import (
@@ -46,16 +46,8 @@
 WATCH_INTERVAL_S = 1.0
 MIN_WAKE_S = 0.001
 NO_ENGINE_RETRY_S = 2.0
-SETTLE_LIMIT_S = 5.0
 HOLD_CHECK_S = 0.1
 
-_UNSETTLED = Refused(
-    Step.PLACE,
-    Reason.NO_TARGET,
-    retry_after_s=2.0,
-    detail="an earlier call of the program may still reach its engine",
-)
-
 
 class EngineDispatcher(ChatDispatcher, StreamOwner, ReleaseWatcher):
     """Queues jobs, places them on engines and repeats what is safe."""
@@ -111,7 +103,7 @@
         self._wake_at: float | None = None
         self._watch: Timer | None = None
         self._submitted: list[JobKey] = []
-        self._settlement = Settlement(clock, limit_s=SETTLE_LIMIT_S)
+        self._settlement = Settlement(clock)
         self._liveness = EngineLiveness(engines, clock)
         self.engines_changed()
 
@@ -274,12 +266,11 @@
             dispatch = self._dispatch_by_key.get(key)
             if dispatch is None:
                 continue
-            if self._settlement.holds(dispatch.job.program):
-                self._end_refused(EndRefused(key, _UNSETTLED))
-                continue
             hold = self._liveness.hold(key, dispatch.job, now)
+            if self._settlement.holds(dispatch.job.program):
+                hold = Hold.REFUSE
             if hold is Hold.REFUSE:
-                self._end_refused(EndRefused(key, _UNSETTLED))
+                self._end_refused(EndRefused(key, UNSETTLED))
                 continue
             if hold is Hold.WAIT:
                 self._clock.callLater(HOLD_CHECK_S, self._submit_again, key)
