Poll engines in one loop; drop dead code and a leak of held jobs

Cause: reading the whole change: the engine polls had the same loop twice and two wrappers around it; the operators' JSON had a fallback encoder that orjson never calls, a twin of the commands' own; an ejection's end and the log's last answer were published to nobody; a job that was cancelled while held for a lost owner left its key behind for good. Change: one loop over the engines asked; the fallback, the two unused members removed; a held job's key goes when the job ends, in one place.

--- a/lycheestall/_engine_liveness.py
+++ b/lycheestall/_engine_liveness.py
@@ -87,13 +87,15 @@
         if since_s is None or now - since_s > LOST_OWNER_LIMIT_S:
             return Hold.PASS
         if self.clear(job.model, since_s):
-            self._held_since.pop(key, None)
             return Hold.PASS
         if now - self._held_since.setdefault(key, now) <= HOLD_LIMIT_S:
             return Hold.WAIT
-        del self._held_since[key]
         return Hold.REFUSE
 
+    def forget(self, key: JobKey) -> None:
+        """Drops a job that has ended."""
+        self._held_since.pop(key, None)
+
     def _ask(self, target: TargetId) -> None:
         engine = self._engines.engine(target)
         if engine is None or target in self._asking:
--- a/lycheestall/admin_api.py
+++ b/lycheestall/admin_api.py
@@ -3,8 +3,7 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from dataclasses import asdict, dataclass, is_dataclass
-from enum import Enum
+from dataclasses import dataclass
 from typing import Any
 
 import orjson
@@ -61,23 +60,13 @@
         """Publishes a rule file against a base version."""
 
 
-def _default(value: Any) -> Any:
-    if is_dataclass(value) and not isinstance(value, type):
-        return asdict(value)
-    if isinstance(value, Enum):
-        return value.value
-    raise TypeError(f"no JSON for {type(value).__name__}")
-
-
 def to_json(document: object) -> bytes:
     """Returns a document of dataclasses, enums and primitives as JSON.
 
     Args:
         document: What to encode.
     """
-    return orjson.dumps(
-        document, default=_default, option=orjson.OPT_NON_STR_KEYS
-    )
+    return orjson.dumps(document, option=orjson.OPT_NON_STR_KEYS)
 
 
 class AdminApi:
--- a/lycheestall/ejection.py
+++ b/lycheestall/ejection.py
@@ -106,15 +106,6 @@
         ejected.sort(key=lambda t: self._health(t).until)
         return usable + ejected[: least - len(usable)]
 
-    def next_return(self, now: float) -> float | None:
-        """Returns when the next ejection ends, None when there is none."""
-        ends = [
-            health.until
-            for health in self._health_by_target.values()
-            if health.until > now
-        ]
-        return min(ends, default=None)
-
     def forget(self, target: TargetId) -> None:
         """Drops an engine that has left."""
         self._health_by_target.pop(target, None)
--- a/lycheestall/engine_dispatcher.py
+++ b/lycheestall/engine_dispatcher.py
@@ -363,6 +363,7 @@
     def _drop(self, dispatch: EngineDispatch) -> None:
         dispatch.ended = True
         self._dispatch_by_key.pop(dispatch.key, None)
+        self._liveness.forget(dispatch.key)
 
     def _watch_streams(self) -> None:
         self._watch = None
--- a/lycheestall/engine_polls.py
+++ b/lycheestall/engine_polls.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine, Iterable
 from dataclasses import dataclass
+from typing import Any
 
 from twisted.internet.defer import Deferred, DeferredList, ensureDeferred
 
@@ -15,6 +16,8 @@
 
 __all__ = ["EnginePolls", "PollDuty"]
 
+Question = Callable[[TargetId], Coroutine[Deferred[Any], Any, None]]
+
 
 @dataclass(frozen=True, slots=True)
 class PollDuty:
@@ -57,7 +60,7 @@
 
     async def poll_loads(self) -> None:
         """Asks the engines of this VM's duty for their load."""
-        await self._each(self._poll_load)
+        await self._each(self._take_load, self._mine())
 
     async def poll_caches(self) -> None:
         """Asks every engine for its cache events.
@@ -65,11 +68,8 @@
         Each VM asks for itself: its estimate of a cache needs all events
         in order, and gossip would lose some.
         """
-        asked = [
-            ensureDeferred(self._take_events(entry.target))
-            for entry in self._engines.entries()
-        ]
-        await DeferredList(asked, consumeErrors=True)
+        targets = [entry.target for entry in self._engines.entries()]
+        await self._each(self._take_events, targets)
 
     async def sweep_memory(self) -> None:
         """Has engines release what belongs to no open program.
@@ -77,7 +77,7 @@
         VMs that died cannot release what they had engines hold.
         """
         if self._duty.up_to_date():
-            await self._each(self._sweep)
+            await self._each(self._take_held, self._mine())
 
     def fresh_loads(self) -> tuple[LoadReport, ...]:
         """Returns the reports since the last call, for the peers."""
@@ -90,22 +90,18 @@
         for report in loads:
             self._dispatcher.observe(report)
 
-    async def _each(self, ask: Callable[[TargetId], Deferred[None]]) -> None:
-        asked: list[Deferred[None]] = []
-        for entry in self._engines.entries():
-            if self._is_mine(entry.target):
-                asked.append(ask(entry.target))
+    async def _each(self, ask: Question, targets: Iterable[TargetId]) -> None:
+        asked = [ensureDeferred(ask(target)) for target in targets]
         await DeferredList(asked, consumeErrors=True)
 
-    def _is_mine(self, target: TargetId) -> bool:
+    def _mine(self) -> list[TargetId]:
+        """Returns the engines that this VM polls for the cell."""
         members = self._duty.members() | {self._duty.vm}
-        return rendezvous(target, members) == self._duty.vm
-
-    def _poll_load(self, target: TargetId) -> Deferred[None]:
-        return ensureDeferred(self._take_load(target))
-
-    def _sweep(self, target: TargetId) -> Deferred[None]:
-        return ensureDeferred(self._take_held(target))
+        found: list[TargetId] = []
+        for entry in self._engines.entries():
+            if rendezvous(entry.target, members) == self._duty.vm:
+                found.append(entry.target)
+        return found
 
     async def _take_load(self, target: TargetId) -> None:
         engine = self._engines.engine(target)
--- a/lycheestall/log_reader.py
+++ b/lycheestall/log_reader.py
@@ -139,11 +139,6 @@
         """When the newest read was sent that found nothing unfolded."""
         return self._fresh_at
 
-    @property
-    def answered_at(self) -> float | None:
-        """When the log last answered."""
-        return self._answered_at
-
     @property
     def back_at(self) -> float:
         """When the log last answered again after it had not."""
