--- a/lycheestall/_reactor.py
+++ b/lycheestall/_reactor.py
@@ -18,4 +18,6 @@
         return
     from twisted.internet import asyncioreactor
 
-    asyncioreactor.install(asyncio.new_event_loop())
+    loop = asyncio.new_event_loop()
+    asyncio.set_event_loop(loop)
+    asyncioreactor.install(loop)
--- a/lycheestall/cli.py
+++ b/lycheestall/cli.py
@@ -6,6 +6,7 @@
 
 from . import __version__
 from .sandbox_cli import sandbox_command
+from .serve_cli import serve_command
 
 __all__ = ["main"]
 
@@ -17,3 +18,4 @@
 
 
 main.add_command(sandbox_command)
+main.add_command(serve_command)
--- a/lycheestall/daemon.py
+++ b/lycheestall/daemon.py
@@ -8,6 +8,7 @@
 import time
 from typing import Any
 
+from pydantic import TypeAdapter
 from twisted.internet import defer
 from twisted.internet.defer import Deferred, ensureDeferred
 
@@ -24,8 +25,8 @@
 from .messages import Hello
 from .metrics import Metrics
 from .node import Node, NodePorts
+from .node_admin import NodeAdmin
 from .settings import Settings
-from .settings_check import load_settings
 from .vm_list_http import HttpVmList
 
 __all__ = ["Daemon", "run_daemon"]
@@ -76,7 +77,7 @@
             ready=self.node.ready,
         )
         self._admin = AdminApi(
-            accounts=accounts, source=self.node, metrics=metrics
+            accounts=accounts, source=NodeAdmin(self.node), metrics=metrics
         )
 
     async def start(self) -> None:
@@ -169,14 +170,12 @@
 
     reactor: Any = installed
     configure_logs(level=log_level)
-    loaded = load_settings(settings_file)
-    if not isinstance(loaded, Settings):
-        for error in loaded:
-            print(error)
-        return 2
+    with open(settings_file, "rb") as file:
+        loaded = TypeAdapter(Settings).validate_json(file.read())
     daemon = Daemon(loaded, reactor)
     started: Deferred[None] = Deferred()
-    reactor.callWhenRunning(started.callback, None)
+    # Startup triggers run before the asyncio loop does; a timer does not.
+    reactor.callLater(0, started.callback, None)
     started.addCallback(lambda _: ensureDeferred(daemon.start()))
     started.addErrback(lambda failure: _start_failed(daemon, reactor, failure))
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/lycheestall/http_targets.py
+++ b/lycheestall/http_targets.py
@@ -17,7 +17,7 @@
 __all__ = ["HttpTargets"]
 
 POOL_PER_HOST = 64
-POOL_IDLE_S = 20.0
+POOL_IDLE_S = 20
 
 
 class HttpTargets(TargetFactory):
--- a/lycheestall/node.py
+++ b/lycheestall/node.py
@@ -5,6 +5,10 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
+from typing import cast
+
+from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.internet.interfaces import IReactorTime
 
 from .application_directory import ApplicationDirectory
 from .calls import Call, CallHandle, CallHandler, CallSink, ResponseHead
@@ -35,6 +39,7 @@
 VM_POLL_INTERVAL_S = 1.0
 LOAD_POLL_INTERVAL_S = 0.5
 ISSUE_TRIES = 64
+DRAIN_CHECK_S = 0.02
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,13 +90,15 @@
             bytes.fromhex(key) for key in settings.receipt_keys
         ]
         self._draining = False
+        self._calls = 0
+        reactor_time = cast(IReactorTime, ports.clock)
         self.supervisor = Supervisor(clock=ports.clock, logger=ports.logger)
         self.cell = StaticCell(settings.vm, [settings.vm])
         self.engines = EngineDirectory(factory=ports.targets.engine)
         self.dispatcher = EngineDispatcher(
             engines=self.engines,
             rules=self.rules,
-            clock=ports.clock,
+            clock=reactor_time,
             wall_ms=ports.wall_ms,
             random=ports.random,
             vm=settings.vm,
@@ -109,7 +116,7 @@
             dispatcher=self.dispatcher,
             applications=self.applications,
             rules=self.rules,
-            clock=ports.clock,
+            clock=reactor_time,
             wall_ms=ports.wall_ms,
             receipt_keys=self._receipt_keys,
             settings=settings.tuning,
@@ -173,9 +180,64 @@
 
     def handle(self, call: Call, sink: CallSink) -> CallHandle:
         """Runs a caller's call and counts it."""
-        counted = _CountedSink(call, sink, self._ports)
+        counted = _CountedSink(self, call, sink)
+        self._calls += 1
         return self.router.handle(call, counted)
 
+    def calls_in_progress(self) -> int:
+        """Returns how many calls of callers and peers are under way."""
+        return self._calls + self.router.in_progress()
+
+    def call_ended(self, call: Call, outcome: Outcome, since: float) -> None:
+        """Counts the end of a caller's call.
+
+        Args:
+            call: The call.
+            outcome: How it ended.
+            since: When it arrived, on the node's clock.
+        """
+        self._calls -= 1
+        duration_s = self._ports.clock.seconds() - since
+        self._ports.metrics.call_ended(call, outcome, duration_s)
+
+    @property
+    def draining(self) -> bool:
+        """Whether a planned stop has begun."""
+        return self._draining
+
+    def peers(self) -> frozenset[VmId]:
+        """Returns the VMs with an open connection."""
+        return self._ports.mesh.connected()
+
+    def now(self) -> float:
+        """Returns the node's monotonic time in seconds."""
+        return self._ports.clock.seconds()
+
+    def drain(self) -> Deferred[None]:
+        """Begins a planned stop.
+
+        Returns:
+            Fires when nothing is in flight and all is handed over.
+        """
+        self._draining = True
+        return ensureDeferred(self._drain())
+
+    def stop(self) -> Deferred[object]:
+        """Stops the loops."""
+        done: Deferred[object] = Deferred()
+        self.supervisor.stop().addBoth(done.callback)
+        return done
+
+    async def _drain(self) -> None:
+        end = self.now() + self.settings.tuning.drain_limit_s
+        while self.calls_in_progress() and self.now() < end:
+            await self._sleep(DRAIN_CHECK_S)
+
+    def _sleep(self, seconds: float) -> Deferred[None]:
+        done: Deferred[None] = Deferred()
+        self._ports.clock.callLater(seconds, done.callback, None)
+        return done
+
     def _on_message(self, peer: VmId, message: MeshMessage) -> None:
         self.router.on_message(peer, message)
 
@@ -231,11 +293,11 @@
 class _CountedSink(CallSink):
     """Passes an answer through and counts its outcome."""
 
-    def __init__(self, call: Call, sink: CallSink, ports: NodePorts) -> None:
+    def __init__(self, node: Node, call: Call, sink: CallSink) -> None:
+        self._node = node
         self._call = call
         self._sink = sink
-        self._ports = ports
-        self._arrived = ports.clock.seconds()
+        self._arrived = node.now()
 
     def start(self, head: ResponseHead) -> None:
         self._sink.start(head)
@@ -244,8 +306,7 @@
         self._sink.chunk(data)
 
     def finish(self, outcome: Outcome) -> None:
-        duration_s = self._ports.clock.seconds() - self._arrived
-        self._ports.metrics.call_ended(self._call, outcome, duration_s)
+        self._node.call_ended(self._call, outcome, self._arrived)
         self._sink.finish(outcome)
 
     def congested(self) -> bool:
