--- /dev/null
+++ b/lycheestall/sandbox_engine.py
@@ -0,0 +1,264 @@
+"""A stand-in for a model engine, OpenAI-compatible."""
+
+from __future__ import annotations
+
+from dataclasses import asdict, dataclass, field
+from typing import Any
+
+from pydantic import ConfigDict
+
+from ._sandbox_answer import parse_prompt
+from ._sandbox_batch import Batch, Generation
+from ._sandbox_memory import EngineMemory
+from ._sandbox_orders import OrderBook
+from ._sandbox_stream import send_stream
+from .engine_model import EngineCosts
+from .ids import ProgramId, RequestId
+from .sandbox_service import (
+    SandboxReply,
+    SandboxRequest,
+    SandboxService,
+    json_reply,
+)
+from .targets import EngineOrder, OrderKind
+
+__all__ = ["EngineParameters", "SandboxEngine"]
+
+
+@dataclass(frozen=True, slots=True)
+class EngineParameters:
+    """How an engine behaves.
+
+    Attributes:
+        models: Models loaded at the start.
+        batch_limit: Most requests in the batch.
+        queue_limit: Most requests in the queue.
+        prefill_tokens_per_s: Prompt tokens read in a second.
+        decode_base_s: One batch step, without its sequences.
+        decode_sequence_s: What each sequence adds to a batch step.
+        chunk_tokens: Tokens sent in one event.
+        kv_tokens: Capacity of the prefix cache.
+        checks_fence: Whether old fencing numbers are refused.
+        load_lag_s: How old a load report may be.
+        event_delay_s: How late cache events show.
+        event_gap_every: Every how many cache events one is lost.
+        keep_s: How long a finished answer can be resumed.
+        leaving: Whether it says that it is leaving.
+    """
+
+    __pydantic_config__ = ConfigDict(extra="forbid")
+
+    models: list[str] = field(default_factory=lambda: ["planner"])
+    batch_limit: int = 16
+    queue_limit: int = 64
+    prefill_tokens_per_s: float = 8000.0
+    decode_base_s: float = 0.012
+    decode_sequence_s: float = 0.0008
+    chunk_tokens: int = 4
+    kv_tokens: int = 150_000
+    checks_fence: bool = True
+    load_lag_s: float = 0.0
+    event_delay_s: float = 0.0
+    event_gap_every: int = 0
+    keep_s: float = 60.0
+    leaving: bool = False
+
+    def costs(self) -> EngineCosts:
+        """Returns the speeds and sizes for the engine model."""
+        return EngineCosts(
+            prefill_tokens_per_s=self.prefill_tokens_per_s,
+            decode_base_s=self.decode_base_s,
+            decode_sequence_s=self.decode_sequence_s,
+            batch_limit=self.batch_limit,
+            kv_tokens=self.kv_tokens,
+            queue_limit=self.queue_limit,
+        )
+
+
+@dataclass(slots=True)
+class _SeenCall:
+    request: str
+    program: str
+    number: int
+    session: str
+    epoch: int
+    at_s: float
+    tokens_in: int = 0
+    tokens_out: int = 0
+    cached_tokens: int = 0
+    ended: str = ""
+
+
+class SandboxEngine(SandboxService):
+    """Generates answers that follow from the request alone.
+
+    Args:
+        clock: The reactor or a test's clock.
+        parameters: How it behaves.
+        options: Passed on to ``SandboxService``.
+    """
+
+    def __init__(
+        self,
+        clock: Any,
+        parameters: EngineParameters | None = None,
+        **options: Any,
+    ) -> None:
+        super().__init__(clock, **options)
+        self._parameters = parameters or EngineParameters()
+        p = self._parameters
+        self._leaving = p.leaving
+        self._orders = OrderBook(p.models, checks_fence=p.checks_fence)
+        self._memory = EngineMemory(
+            clock, delay_s=p.event_delay_s, gap_every=p.event_gap_every
+        )
+        self._batch = Batch(
+            clock,
+            p.costs(),
+            chunk_tokens=p.chunk_tokens,
+            ended=self._ended,
+            cache_changed=self._memory.feed.add,
+        )
+        self._memory.attach(self._batch)
+        self._seen_by_request: dict[str, _SeenCall] = {}
+        self._barred: set[str] = set()
+        self._epoch_by_root: dict[str, int] = {}
+        self._load = self._load_now()
+        self._add_routes()
+
+    def _add_routes(self) -> None:
+        chat = "/v1/chat/completions"
+        self.route(chat, "POST", "generate", self._generate)
+        self.route("/v1/requests", "GET", "resume", self._resume)
+        self.route("/v1/requests", "DELETE", "cancel", self._cancel)
+        self.route("/v1/load", "GET", "load", self._get_load)
+        self.route("/v1/orders", "POST", "order", self._order)
+        self._memory.add_routes(self)
+        self.admin("/admin/leaving", "POST", self._leave)
+
+    def record(self) -> dict[str, Any]:
+        """Returns calls in order of arrival, orders and memory held."""
+        return {
+            "calls": [asdict(call) for call in self._seen_by_request.values()],
+            "orders": [asdict(order) for order in self._orders.seen],
+            "held": self._memory.held(),
+            "running": self._batch.model.running,
+            "waiting": self._batch.model.waiting,
+        }
+
+    async def _generate(self, request: SandboxRequest) -> SandboxReply | None:
+        try:
+            prompt = parse_prompt(request.body)
+        except (ValueError, AttributeError) as error:
+            return json_reply({"error": {"message": str(error)}}, 400)
+        program = request.header("lycheestall-program")
+        epoch = int(request.header("lycheestall-epoch", "0"))
+        name = request.header("lycheestall-request")
+        refusal = self._refusal(name, program, epoch, prompt.model)
+        if refusal is not None:
+            return refusal
+        generation = Generation(
+            RequestId(name or f"anonymous-{len(self._seen_by_request)}"),
+            ProgramId(program),
+            int(request.header("lycheestall-call", "0")),
+            prompt,
+            int(request.header("lycheestall-priority", "0")),
+        )
+        if not self._batch.add(generation):
+            return _busy("queue full")
+        self._memory.keep(generation)
+        self._seen_by_request[generation.request] = _SeenCall(
+            generation.request,
+            program,
+            generation.number,
+            request.header("lycheestall-session"),
+            epoch,
+            self.clock.seconds(),
+        )
+        await send_stream(request, generation, 0)
+        return None
+
+    def _refusal(
+        self, name: str, program: str, epoch: int, model: str
+    ) -> SandboxReply | None:
+        if name in self._seen_by_request:
+            return json_reply({"error": "request id seen before"}, 409)
+        if name in self._barred:
+            return json_reply({"error": "cancelled before it came"}, 409)
+        root = program.split("/", 1)[0]
+        if self._parameters.checks_fence and root:
+            if epoch < self._epoch_by_root.get(root, 0):
+                return json_reply({"error": "stale epoch"}, 409)
+            self._epoch_by_root[root] = epoch
+        if model not in self._orders.models:
+            return json_reply({"error": f"model {model!r} not loaded"}, 404)
+        if self._leaving:
+            return _busy("leaving")
+        return None
+
+    def _ended(self, generation: Generation) -> None:
+        seen = self._seen_by_request[generation.request]
+        seen.tokens_in = generation.prompt.tokens if generation.started else 0
+        seen.tokens_out = generation.made
+        seen.cached_tokens = generation.cached_tokens
+        seen.ended = "cancelled" if generation.cancelled else "whole"
+        self.clock.callLater(
+            self._parameters.keep_s, self._memory.forget, generation.request
+        )
+
+    async def _resume(self, request: SandboxRequest) -> SandboxReply | None:
+        generation = self._memory.find(request.query("request"))
+        if generation is None or generation.cancelled:
+            return json_reply({"error": "no such request"}, 404)
+        await send_stream(request, generation, int(request.query("from", "0")))
+        return None
+
+    async def _cancel(self, request: SandboxRequest) -> SandboxReply:
+        name = request.query("request")
+        generation = self._memory.find(name)
+        if generation is None:
+            self._barred.add(name)
+        else:
+            self._batch.cancel(generation)
+        return json_reply({"cancelled": name})
+
+    def _load_now(self) -> dict[str, Any]:
+        model = self._batch.model
+        step_s = model.costs.decode_step_s(model.running)
+        return {
+            "running": model.running,
+            "waiting": model.waiting,
+            "kv_used": min(1.0, model.kv_used),
+            "tokens_per_s": model.running / step_s,
+            "models": list(self._orders.models),
+            "leaving": self._leaving,
+            "at_s": self.clock.seconds(),
+        }
+
+    async def _get_load(self, request: SandboxRequest) -> SandboxReply:
+        age_s = self.clock.seconds() - self._load["at_s"]
+        if age_s >= self._parameters.load_lag_s:
+            self._load = self._load_now()
+            age_s = 0.0
+        return json_reply({**self._load, "age_s": age_s})
+
+    async def _order(self, request: SandboxRequest) -> SandboxReply:
+        try:
+            fields = request.json()
+            order = EngineOrder(
+                OrderKind(fields["kind"]), fields["name"], fields["fence"]
+            )
+        except (ValueError, KeyError, TypeError) as error:
+            return json_reply({"error": repr(error)}, 400)
+        if not self._orders.give(order):
+            return json_reply({"error": "stale fencing number"}, 409)
+        return json_reply({"done": True})
+
+    async def _leave(self, request: SandboxRequest) -> SandboxReply:
+        self._leaving = True
+        return json_reply({"leaving": True})
+
+
+def _busy(why: str) -> SandboxReply:
+    body = json_reply({"error": why}).body
+    return SandboxReply(503, body, headers=(("retry-after", "1"),))
