--- a/lycheestall/cli.py
+++ b/lycheestall/cli.py
@@ -5,8 +5,10 @@
 import click
 
 from . import __version__
+from .rules_cli import rules_group
 from .sandbox_cli import sandbox_command
 from .serve_cli import serve_command
+from .settings_cli import settings_group
 
 __all__ = ["main"]
 
@@ -17,5 +19,7 @@
     """Schedules agent programs: a daemon, its rules and its tools."""
 
 
+main.add_command(rules_group)
 main.add_command(sandbox_command)
 main.add_command(serve_command)
+main.add_command(settings_group)
--- a/lycheestall/rules_match.py
+++ b/lycheestall/rules_match.py
@@ -261,6 +261,18 @@
             line,
         )
 
+    def concurrency_line(
+        self, target: TargetId, group: str
+    ) -> RuleLine | None:
+        """Returns the line that bounds a target's calls at once, if any.
+
+        Args:
+            target: The target.
+            group: Its group.
+        """
+        found = self._concurrency.find(target, group)
+        return None if found is None else found[0]
+
     def left_alone(
         self,
         target: TargetId,
