--- a/lycheestall/_load_program.py
+++ b/lycheestall/_load_program.py
@@ -15,7 +15,7 @@
 from ._http_client import HttpAnswer, HttpClient, NoAnswer, NotSent
 from ._load_answer import ReadAnswer, read_answer
 
-__all__ = ["CallEnd", "CallRecord", "Entry", "ProgramCaller"]
+__all__ = ["CallEnd", "CallRecord", "Cut", "Entry", "ProgramCaller"]
 
 SILENT_RETRY_S = 0.2
 LONGEST_WAIT_S = 2.0
@@ -31,6 +31,19 @@
     UNKNOWN = "failed_may_have_run"
 
 
+@dataclass(frozen=True, slots=True)
+class Cut:
+    """A request that was sent and whose answer did not come whole.
+
+    Attributes:
+        at_s: When, on the caller's clock.
+        base_url: The entry VM.
+    """
+
+    at_s: float
+    base_url: str
+
+
 @dataclass(slots=True)
 class CallRecord:
     """One call and what its caller saw of it.
@@ -47,6 +60,7 @@
         duration_s: From the first request to the end.
         text: A chat answer's text.
         body: The request's body.
+        cuts: Its requests that got no whole answer.
     """
 
     program: str
@@ -60,6 +74,7 @@
     resumes: int = 0
     duration_s: float = 0.0
     text: str = ""
+    cuts: list[Cut] = field(default_factory=list)
 
 
 @dataclass(slots=True)
@@ -273,9 +288,10 @@
     ) -> None:
         record.tries += 1
         received.body, received.status, received.silent = b"", 0, False
+        base_url = self.entry.pick()
         response = await self.client.open(
             method,
-            f"{self.entry.pick()}{path}",
+            f"{base_url}{path}",
             headers={**self._headers(), **headers},
             body=body,
             timeout_s=self.deadline_s,
@@ -283,6 +299,8 @@
         )
         if isinstance(response, (NotSent, NoAnswer)):
             received.silent = True
+            if isinstance(response, NoAnswer):
+                record.cuts.append(Cut(self.client.clock.seconds(), base_url))
             return
         parts: list[bytes] = []
         failure = await self.client.read(
@@ -291,6 +309,8 @@
         received.status = response.code
         received.body = b"".join(parts)
         received.silent = bool(failure)
+        if failure:
+            record.cuts.append(Cut(self.client.clock.seconds(), base_url))
         received.content_type = _header(response, "content-type")
         received.outcome = _header(response, "lycheestall-outcome")
         receipt = _header(response, "lycheestall-receipt")
--- a/scripts/_checks.py
+++ b/scripts/_checks.py
@@ -13,12 +13,14 @@
 
 __all__ = [
     "Check",
+    "PlannedStop",
     "check_answers",
     "check_budgets",
     "check_finished",
     "check_held",
     "check_order",
     "check_runs",
+    "check_stops",
 ]
 
 SHOWN = 3
@@ -50,6 +52,23 @@
         return f"{mark:<7} {self.name:<46} {self.count:>6}  {more}"
 
 
+@dataclass(frozen=True, slots=True)
+class PlannedStop:
+    """One graceful shutdown of an entry VM.
+
+    Attributes:
+        base_url: The VM's address for callers.
+        from_s: When it got SIGTERM, on the callers' clock.
+        until_s: When its process had ended.
+        exit_code: Its exit code.
+    """
+
+    base_url: str
+    from_s: float
+    until_s: float
+    exit_code: int
+
+
 def check_order(engines: Iterable[dict[str, Any]]) -> Check:
     """Checks that each program's calls reached engines in order.
 
@@ -174,3 +193,27 @@
     return Check(
         "programs stay within budget", len(billed_by_root), (*faults,)
     )
+
+
+def check_stops(
+    stops: Iterable[PlannedStop], calls: Iterable[CallRecord]
+) -> Check:
+    """Checks that planned stops cut no request and end well.
+
+    Args:
+        stops: The shutdowns.
+        calls: The callers' records.
+    """
+    faults: list[str] = []
+    count = 0
+    cuts = [(call, cut) for call in calls for cut in call.cuts]
+    for stop in stops:
+        count += 1
+        if stop.exit_code != 0:
+            faults.append(f"{stop.base_url}: exit code {stop.exit_code}")
+        for call, cut in cuts:
+            if cut.base_url != stop.base_url:
+                continue
+            if stop.from_s <= cut.at_s <= stop.until_s:
+                faults.append(f"{call.program} call {call.number} was cut")
+    return Check("planned stops under load cut no request", count, (*faults,))
--- a/scripts/cluster_run.py
+++ b/scripts/cluster_run.py
@@ -1,9 +1,9 @@
-"""Runs twelve entry VMs under a mixed load, kills and pauses.
+"""Runs twelve entry VMs under a mixed load with faults drawn from a seed.
 
-Every process is separate and speaks over TCP on loopback. VMs drawn from
-the seed are killed and replaced, or paused past their lease and resumed,
-while programs run and rules are published. The figures go out as JSON;
-the exit code is 0 only if every check holds.
+Every process is separate and speaks over TCP on loopback. Entry VMs are
+killed, stopped by SIGTERM, or paused past their lease, then replaced or
+resumed, while programs run and rules are published. The figures go out
+as JSON; the exit code is 0 only if every check holds.
 """
 
 from __future__ import annotations
@@ -21,6 +21,7 @@
 
 install_reactor()
 
+from _checks import PlannedStop, check_stops  # noqa: E402
 from _cluster import KEY_BY_ACCOUNT, Cluster, ClusterPlan  # noqa: E402
 from _trial import Trial, run_on_reactor  # noqa: E402
 from twisted.internet import reactor as _installed  # noqa: E402
@@ -41,6 +42,7 @@
 MOST_AWAY = 3
 PUBLISH_EVERY_S = 8.0
 SETTLE_S = 3.0
+STOP_POLL_S = 0.02
 
 
 class FaultDriver:
@@ -52,6 +54,7 @@
 
     Attributes:
         events: What was done, in order.
+        stops: The planned stops among them.
     """
 
     def __init__(self, trial: Trial, seed: int) -> None:
@@ -61,6 +64,7 @@
         self._away: set[str] = set()
         self._stopped = False
         self.events: list[dict[str, Any]] = []
+        self.stops: list[PlannedStop] = []
 
     async def run(self) -> None:
         """Draws faults until stopped, then waits for all to return."""
@@ -72,9 +76,8 @@
                 continue
             name = self._random.choice(free)
             self._away.add(name)
-            kind = self._random.choice(("kill", "pause", "pause"))
-            work = self._kill(name) if kind == "kill" else self._pause(name)
-            pending.append(ensureDeferred(work))
+            act = self._random.choice((self._kill, self._pause, self._stop))
+            pending.append(ensureDeferred(act(name)))
         for work_done in pending:
             await work_done
 
@@ -90,6 +93,23 @@
         self._note("kill", name)
         self._cluster.processes.by_name[name].signal(signal.SIGKILL)
         await self._cluster.sleep(LIST_LAG_S)
+        await self._replace(name)
+
+    async def _stop(self, name: str) -> None:
+        self._note("stop", name)
+        process = self._cluster.processes.by_name[name]
+        started = self._trial.clock.seconds()
+        process.signal(signal.SIGTERM)
+        while process.alive():
+            await self._cluster.sleep(STOP_POLL_S)
+        ended = self._trial.clock.seconds()
+        code = process.popen.wait()
+        url = self._cluster.url(name)
+        self.stops.append(PlannedStop(url, started, ended, code))
+        self._note("stopped", name, ended - started)
+        await self._replace(name)
+
+    async def _replace(self, name: str) -> None:
         await self._cluster.drop_vm(name)
         await self._cluster.sleep(REPLACE_AFTER_S)
         self._cluster.start_vm(name)
@@ -189,6 +209,7 @@
     await load
     await driving
     await trial.check()
+    trial.checks.append(check_stops(faults.stops, trial.bench.report.calls))
     trial.check_stop()
 
 
--- a/tests/test_checks.py
+++ b/tests/test_checks.py
@@ -6,15 +6,17 @@
 
 import pytest
 from _checks import (
+    PlannedStop,
     check_answers,
     check_budgets,
     check_finished,
     check_held,
     check_order,
     check_runs,
+    check_stops,
 )
 
-from lycheestall._load_program import CallEnd, CallRecord
+from lycheestall._load_program import CallEnd, CallRecord, Cut
 from lycheestall._sandbox_answer import parse_prompt
 from lycheestall.bench_load import LoadReport, ProgramRecord
 
@@ -102,3 +104,13 @@
     item = {"program": "p1", "kind": "export", "name": "p1", "tokens": 4}
     assert check_held([{"held": []}]).held
     assert not check_held([{"held": [item]}]).held
+
+
+def test_planned_stops():
+    stop = PlannedStop("http://vm-1", 5.0, 6.0, 0)
+    call = chat()
+    call.cuts = [Cut(4.9, "http://vm-1"), Cut(5.5, "http://vm-2")]
+    assert check_stops([stop], [call]).held
+    call.cuts.append(Cut(5.5, "http://vm-1"))
+    assert not check_stops([stop], [call]).held
+    assert not check_stops([PlannedStop("u", 5.0, 6.0, 1)], []).held
