--- a/lycheestall/cli.py
+++ b/lycheestall/cli.py
@@ -7,8 +7,10 @@
 from . import __version__
 from .bench_cli import bench_group
 from .bench_load_cli import load_command
+from .rules_cli import rules_group
 from .sandbox_cli import sandbox_command
 from .serve_cli import serve_command
+from .settings_cli import settings_group
 
 __all__ = ["main"]
 
@@ -19,7 +21,9 @@
     """Schedules agent programs: a daemon, its rules and its tools."""
 
 
+main.add_command(rules_group)
 bench_group.add_command(load_command)
 main.add_command(bench_group)
 main.add_command(sandbox_command)
 main.add_command(serve_command)
+main.add_command(settings_group)
--- a/lycheestall/node.py
+++ b/lycheestall/node.py
@@ -182,6 +182,7 @@
         )
         self.owner = ProgramOwner(
             cell=self.cell,
+            ledger=lambda: self.ledger,
             dispatcher=self.dispatcher,
             applications=self.applications,
             rules=self.rules,
