--- a/lycheestall/_slopes_cell.py
+++ b/lycheestall/_slopes_cell.py
@@ -25,8 +25,8 @@
 
 STREAM = StreamName("cell")
 ZONES = 3
-WARM_UP_S = 2
-MEASURED_S = 3
+WARM_UP_S = 1
+MEASURED_S = 2
 STEP_S = 0.25
 TICKS_PER_HEARTBEAT = 2
 
--- a/lycheestall/_slopes_probe.py
+++ b/lycheestall/_slopes_probe.py
@@ -5,7 +5,8 @@
 import gc
 import time
 import tracemalloc
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterator, Sequence
+from contextlib import contextmanager
 from dataclasses import dataclass
 
 from twisted.internet.defer import Deferred
@@ -60,17 +61,11 @@
         repeats: How many runs.
     """
     best = float("inf")
-    enabled = gc.isenabled()
-    gc.collect()
-    gc.disable()
-    try:
+    with _no_collections():
         for _ in range(repeats):
             start = time.process_time_ns()
             run()
             best = min(best, time.process_time_ns() - start)
-    finally:
-        if enabled:
-            gc.enable()
     return best / 1_000 / count
 
 
@@ -80,17 +75,30 @@
     Args:
         build: Makes the state to measure.
     """
-    gc.collect()
-    tracemalloc.start()
-    before, _ = tracemalloc.get_traced_memory()
-    kept = build()
-    gc.collect()
-    after, _ = tracemalloc.get_traced_memory()
-    tracemalloc.stop()
+    with _no_collections():
+        tracemalloc.start()
+        before, _ = tracemalloc.get_traced_memory()
+        kept = build()
+        gc.collect()
+        after, _ = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
     del kept
     return float(after - before)
 
 
+@contextmanager
+def _no_collections() -> Iterator[None]:
+    """Keeps the garbage collector from running in between."""
+    enabled = gc.isenabled()
+    gc.collect()
+    gc.disable()
+    try:
+        yield
+    finally:
+        if enabled:
+            gc.enable()
+
+
 class CountingMesh(Mesh):
     """Encodes what is sent, as the real mesh does, and counts it."""
 
--- a/lycheestall/cli.py
+++ b/lycheestall/cli.py
@@ -7,6 +7,7 @@
 from . import __version__
 from .bench_cli import bench_group
 from .bench_load_cli import load_command
+from .bench_slopes import slopes_command
 from .rules_cli import rules_group
 from .sandbox_cli import sandbox_command
 from .serve_cli import serve_command
@@ -23,6 +24,7 @@
 
 main.add_command(rules_group)
 bench_group.add_command(load_command)
+bench_group.add_command(slopes_command)
 main.add_command(bench_group)
 main.add_command(sandbox_command)
 main.add_command(serve_command)
--- a/lycheestall/node_admin.py
+++ b/lycheestall/node_admin.py
@@ -6,6 +6,7 @@
 from .admin_api import AdminReply, AdminSource
 from .ids import Offset, OperatorName, PartitionId, ProgramId
 from .node import Node
+from .rules_desk import DeskReply, RulesDesk
 from .status import CellStatus, PartitionStatus, TargetStatus, VmStatus
 
 __all__ = ["NodeAdmin"]
@@ -20,6 +21,7 @@
 
     def __init__(self, node: Node) -> None:
         self._node = node
+        self._desk = RulesDesk(node.rules_stream, node.publisher)
 
     def alive(self) -> bool:
         """Returns True: the process answers."""
@@ -45,17 +47,17 @@
 
     async def rules(self) -> AdminReply:
         """Returns the rules in force."""
-        return AdminReply(501, {"error": {"message": "not there yet"}})
+        return _reply(self._desk.show())
 
     async def rules_history(self) -> AdminReply:
         """Returns the audit trail of the rules."""
-        return AdminReply(501, {"error": {"message": "not there yet"}})
+        return _reply(self._desk.history())
 
     async def publish(
         self, base: Offset, text: str, operator: OperatorName
     ) -> AdminReply:
         """Publishes a rule file against a base version."""
-        return AdminReply(501, {"error": {"message": "not there yet"}})
+        return _reply(await self._desk.publish(base, text, operator))
 
     def vm_status(self) -> VmStatus:
         """Returns this VM's own view."""
@@ -122,3 +124,7 @@
                 )
             )
         return tuple(found)
+
+
+def _reply(reply: DeskReply) -> AdminReply:
+    return AdminReply(reply.status, reply.document)
--- a/scripts/check_capacity.py
+++ b/scripts/check_capacity.py
@@ -126,6 +126,8 @@
 
 def _shown(value: float, unit: str) -> str:
     scaled = value / SCALE_BY_UNIT.get(unit, 1.0)
+    if scaled == round(scaled):
+        return f"{scaled:,.0f} {unit}".strip()
     digits = SIGNIFICANT_DIGITS
     if scaled:
         digits -= 1 + math.floor(math.log10(abs(scaled)))
