--- a/lycheestall/_load_program.py
+++ b/lycheestall/_load_program.py
@@ -5,7 +5,6 @@
 import json
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
-from enum import Enum
 from random import Random
 from typing import Any
 
@@ -14,8 +13,9 @@
 
 from ._http_client import HttpAnswer, HttpClient, NoAnswer, NotSent
 from ._load_answer import ReadAnswer, read_answer
+from ._load_records import CallEnd, CallRecord, Cut
 
-__all__ = ["CallEnd", "CallRecord", "Entry", "ProgramCaller"]
+__all__ = ["Entry", "ProgramCaller"]
 
 SILENT_RETRY_S = 0.2
 LONGEST_WAIT_S = 2.0
@@ -23,45 +23,6 @@
 _JSON = "application/json"
 
 
-class CallEnd(Enum):
-    """How a call ended for its caller."""
-
-    COMPLETED = "completed"
-    REFUSED = "refused_not_run"
-    UNKNOWN = "failed_may_have_run"
-
-
-@dataclass(slots=True)
-class CallRecord:
-    """One call and what its caller saw of it.
-
-    Attributes:
-        program: The program.
-        number: The call's position in it.
-        kind: ``chat`` or the operation.
-        key: The idempotency key, or empty.
-        end: How it ended.
-        reason: The typed reason of a refusal or failure.
-        tries: Requests sent for it.
-        resumes: Requests that took a broken answer up again.
-        duration_s: From the first request to the end.
-        text: A chat answer's text.
-        body: The request's body.
-    """
-
-    program: str
-    number: int
-    kind: str
-    key: str
-    body: bytes
-    end: CallEnd = CallEnd.UNKNOWN
-    reason: str = ""
-    tries: int = 0
-    resumes: int = 0
-    duration_s: float = 0.0
-    text: str = ""
-
-
 @dataclass(slots=True)
 class Entry:
     """The balancer's side of a caller: entry VMs by base URL.
@@ -103,6 +64,8 @@
 class ProgramCaller:
     """Makes the calls of one program, one after the other.
 
+    A call that was refused was not run, so its number goes to the next.
+
     Attributes:
         client: Sends the requests.
         entry: Chooses the entry VM for each request.
@@ -196,6 +159,8 @@
             await self._sleep(min(wait_s, LONGEST_WAIT_S))
         if received.receipt:
             self._receipt = received.receipt
+        if record.end is CallEnd.REFUSED:
+            self._number -= 1
         self.note(record)
         return record
 
@@ -273,9 +238,10 @@
     ) -> None:
         record.tries += 1
         received.body, received.status, received.silent = b"", 0, False
+        base_url = self.entry.pick()
         response = await self.client.open(
             method,
-            f"{self.entry.pick()}{path}",
+            f"{base_url}{path}",
             headers={**self._headers(), **headers},
             body=body,
             timeout_s=self.deadline_s,
@@ -283,6 +249,8 @@
         )
         if isinstance(response, (NotSent, NoAnswer)):
             received.silent = True
+            if isinstance(response, NoAnswer):
+                record.cuts.append(Cut(self.client.clock.seconds(), base_url))
             return
         parts: list[bytes] = []
         failure = await self.client.read(
@@ -291,6 +259,8 @@
         received.status = response.code
         received.body = b"".join(parts)
         received.silent = bool(failure)
+        if failure:
+            record.cuts.append(Cut(self.client.clock.seconds(), base_url))
         received.content_type = _header(response, "content-type")
         received.outcome = _header(response, "lycheestall-outcome")
         receipt = _header(response, "lycheestall-receipt")
--- a/lycheestall/cell_agent.py
+++ b/lycheestall/cell_agent.py
@@ -8,6 +8,7 @@
 from twisted.internet.defer import Deferred, succeed
 
 from .cell_fold import CellFold
+from .cell_relay import relay_of
 from .cell_session import CellIdentity, CellSession
 from .cell_status import AgentStatus, describe_agent
 from .cell_view import CellView, Folded, PartitionWatcher
@@ -29,7 +30,8 @@
     PartitionTaken,
 )
 from .outcomes import Reason, Refused, Step
-from .platform import LogService, VmListing, VmRole
+from .peer_addresses import PeerAddresses
+from .platform import LogService, VmListing
 from .records import (
     NO_OFFSET,
     CellRecord,
@@ -43,7 +45,6 @@
 __all__ = ["CellAgent", "CellPorts"]
 
 TICK_INTERVAL_S = 0.25
-MAX_LISTED_PEERS = 16
 
 _MEMBERSHIP_RECORDS = (SessionJoined, SessionLeft, SessionDeposed)
 
@@ -100,7 +101,11 @@
         self._mesh = ports.mesh
         self._streams = LogStreams(ports.log, ports.clock, ports.mesh)
         self._reader = self._streams.follow(
-            stream, fold, on_folded=self._folded, on_loaded=self._loaded
+            stream,
+            fold,
+            on_folded=self._folded,
+            on_loaded=self._loaded,
+            shared=True,
         )
         self._heartbeats = Heartbeats(
             ports.mesh,
@@ -109,11 +114,11 @@
             stream=stream,
             current=lambda: self._cell_session,
         )
+        self._streams.share_appends(identity.vm, self._relay)
         self._schedule = CheckpointSchedule()
         self._session = SessionId("")
         self._cell_session: CellSession | None = None
-        self._listed: dict[VmId, tuple[str, int]] = {}
-        self._peers: dict[VmId, tuple[str, int]] = {}
+        self._peers = PeerAddresses(ports.mesh, identity.vm)
         self._listing: VmListing | None = None
         self._on_other_message: MessageHandler | None = None
         self._on_peer_lost: PeerLostHandler | None = None
@@ -203,11 +208,7 @@
     def observe_vms(self, listing: VmListing) -> None:
         """Takes a snapshot of the platform's VM list."""
         self._listing = listing
-        self._listed = {
-            entry.vm: (entry.host, entry.port)
-            for entry in listing.entries
-            if entry.role is VmRole.ENTRY
-        }
+        self._peers.listed(listing)
         if self._cell_session is not None:
             now = self._clock.seconds()
             self._cell_session.membership.listed(listing, now)
@@ -262,6 +263,13 @@
         now = self._clock.seconds()
         return self._cell_session.refusal(partition, now)
 
+    def has_authority(self) -> bool:
+        """Returns whether this VM may act on what it owns right now."""
+        current = self._cell_session
+        if current is None:
+            return False
+        return current.authority.valid_until > self._clock.seconds()
+
     def log_silent(self) -> bool:
         """Returns whether records are not coming back from the log."""
         if self._cell_session is None:
@@ -343,17 +351,8 @@
         self._set_peers()
 
     def _set_peers(self) -> None:
-        peers: dict[VmId, tuple[str, int]] = {}
-        if self._cell_session is None:
-            for vm, address in sorted(self._listed.items()):
-                if len(peers) < MAX_LISTED_PEERS:
-                    peers[vm] = address
-        for session in self.fold.sessions.by_id.values():
-            peers[session.vm] = (session.host, session.port)
-        peers.pop(self._identity.vm, None)
-        if peers != self._peers:
-            self._peers = peers
-            self._mesh.set_peers(peers)
+        joined = self._cell_session is not None
+        self._peers.update(self.fold.sessions, joined=joined)
 
     def _beat(self) -> None:
         self._set_timer(self._tuning.heartbeat_interval_s, self._beat)
@@ -380,6 +379,14 @@
                 if self._on_other_message is not None:
                     self._on_other_message(peer, message)
 
+    def _relay(self, stream: StreamName) -> VmId | None:
+        current = self._cell_session
+        if current is None:
+            return None
+        now = self._clock.seconds()
+        relays = current.membership.relays(self.fold.sessions, now)
+        return relay_of(stream, relays)
+
     def _lost(self, peer: VmId) -> None:
         self._streams.lost(peer)
         if self._on_peer_lost is not None:
--- a/lycheestall/log_streams.py
+++ b/lycheestall/log_streams.py
@@ -2,16 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-from typing import Any
-
-from twisted.internet.defer import ensureDeferred
+from collections.abc import Callable, Iterator, Sequence
 
+from .cell_relay import CellRelay
 from .checkpoints import CheckpointAssembler
 from .clock import Clock
 from .fold import Fold, Verdict
 from .ids import Offset, SessionId, StreamName, VmId
-from .log_reader import FoldedHandler, LogReader
+from .log_reader import TAIL_BYTES, FoldedHandler, LogReader
 from .log_writer import FLUSH_S, LogWriter
 from .mesh import Mesh
 from .messages import (
@@ -22,12 +20,12 @@
     TailGiven,
     TailWanted,
 )
-from .platform import LogService
+from .platform import LogEntry, LogService
 from .records import Record
 
-__all__ = ["LogStreams"]
+__all__ = ["LogStreams", "RelayChoice"]
 
-MAX_RELAYED_APPENDS = 16
+RelayChoice = Callable[[StreamName], VmId | None]
 
 
 class LogStreams:
@@ -46,10 +44,12 @@
         self._log = log
         self._clock = clock
         self._mesh = mesh
+        self._own = VmId("")
         self._reader_by_stream: dict[StreamName, LogReader] = {}
         self._writer_by_stream: dict[StreamName, LogWriter] = {}
         self._folded_by_peer: dict[tuple[VmId, StreamName], Offset] = {}
-        self._relayed = 0
+        self._cell_relay = CellRelay(log, clock)
+        self._choose_relay: RelayChoice | None = None
         self._turn = 0
 
     def follow(
@@ -60,6 +60,7 @@
         on_folded: FoldedHandler,
         on_loaded: Callable[[], None],
         assembler: CheckpointAssembler | None = None,
+        shared: bool = False,
     ) -> LogReader:
         """Makes the reader of a stream; ``start`` starts it.
 
@@ -70,6 +71,8 @@
                 the stream's writer.
             on_loaded: Hears that a checkpoint has replaced the state.
             assembler: Finds the stream's checkpoints.
+            shared: Whether the member that appends for all also passes
+                on what it reads, so that the others need not read.
         """
 
         def folded(offset: Offset, record: Record, verdict: Verdict) -> None:
@@ -86,6 +89,7 @@
             on_folded=folded,
             on_loaded=on_loaded,
             ask_peer=self._ask_peer,
+            on_read=self._feed if shared else None,
             assembler=assembler,
         )
         self._reader_by_stream[stream] = reader
@@ -109,11 +113,22 @@
             self._log,
             self._clock,
             relay=self._relay,
+            preferred=self._append_by_relay,
             flush_s=flush_s,
         )
         self._writer_by_stream[stream] = writer
         return writer
 
+    def share_appends(self, own: VmId, choose: RelayChoice) -> None:
+        """Lets one member append for all.
+
+        Args:
+            own: This VM.
+            choose: Returns the member for a stream, or None.
+        """
+        self._own = own
+        self._choose_relay = choose
+
     def start(self) -> None:
         """Starts all readers."""
         for reader in self._reader_by_stream.values():
@@ -125,6 +140,7 @@
             reader.stop()
         for writer in self._writer_by_stream.values():
             writer.close("the daemon stops")
+        self._cell_relay.stop()
 
     def readers(self) -> tuple[LogReader, ...]:
         """Returns the readers."""
@@ -162,7 +178,8 @@
         if isinstance(message, TailGiven):
             reader = self._reader_by_stream.get(message.stream)
             if reader is not None:
-                reader.take(message.entries)
+                fed = message.fed and not self._appends_for_all(reader.stream)
+                reader.take(message.entries, fed=fed)
             return True
         if isinstance(message, AppendWanted):
             self._append_for(peer, message)
@@ -172,20 +189,37 @@
     def _append_for(self, peer: VmId, message: AppendWanted) -> None:
         if message.stream not in self._reader_by_stream:
             return
-        if self._relayed >= MAX_RELAYED_APPENDS:
-            return
-        self._relayed += 1
-        answer = ensureDeferred(
-            self._log.append(message.stream, message.payloads)
-        )
-        answer.addBoth(self._appended_for, peer, message)
+        if self._cell_relay.add(
+            message.stream, message.payloads, hold_s=message.hold_s
+        ):
+            given = AppendGiven(message.stream, len(message.payloads))
+            self._mesh.send(peer, given)
+
+    def _append_by_relay(
+        self, stream: StreamName, payloads: tuple[bytes, ...], hold_s: float
+    ) -> bool:
+        if self._choose_relay is None:
+            return False
+        relay = self._choose_relay(stream)
+        if relay is None:
+            return False
+        if relay == self._own:
+            return self._cell_relay.add(stream, payloads, hold_s=hold_s)
+        wanted = AppendWanted(stream, payloads, hold_s)
+        return self._mesh.send(relay, wanted)
+
+    def _appends_for_all(self, stream: StreamName) -> bool:
+        if self._choose_relay is None:
+            return False
+        return self._choose_relay(stream) == self._own
 
-    def _appended_for(
-        self, result: Any, peer: VmId, message: AppendWanted
-    ) -> None:
-        self._relayed -= 1
-        given = AppendGiven(message.stream, len(message.payloads))
-        self._mesh.send(peer, given)
+    def _feed(self, stream: StreamName, entries: Sequence[LogEntry]) -> None:
+        if not self._appends_for_all(stream):
+            return
+        for batch in _batches(entries):
+            given = TailGiven(stream, batch, fed=True)
+            for peer in self._mesh.connected():
+                self._mesh.send(peer, given)
 
     def _ask_peer(self, stream: StreamName, start: Offset) -> None:
         peers = self._peers_in_turn()
@@ -209,3 +243,19 @@
             return []
         self._turn = (self._turn + 1) % len(peers)
         return peers[self._turn :] + peers[: self._turn]
+
+
+def _batches(
+    entries: Sequence[LogEntry],
+) -> Iterator[tuple[LogEntry, ...]]:
+    """Yields entries in batches of bounded size."""
+    batch: list[LogEntry] = []
+    size = 0
+    for entry in entries:
+        if batch and size + len(entry.payload) > TAIL_BYTES:
+            yield tuple(batch)
+            batch, size = [], 0
+        batch.append(entry)
+        size += len(entry.payload)
+    if batch:
+        yield tuple(batch)
--- a/lycheestall/program.py
+++ b/lycheestall/program.py
@@ -6,42 +6,32 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from .answers import AnswerKey
+from .answers import AnswerKey, AnswerStore
 from .budget import Budget
+from .call_facts import CallFact
 from .call_order import CallOrder, KeyedCall, RunningCall
 from .clock import Clock
-from .history import History
-from .ids import AccountId, IdempotencyKey, PartitionId, ProgramId
-from .outcomes import Completed, Outcome, Refused, describe
+from .history import ChainPoint, History
+from .ids import (
+    AccountId,
+    CallNumber,
+    IdempotencyKey,
+    Offset,
+    PartitionId,
+    ProgramId,
+    RequestId,
+    TargetId,
+)
+from .outcomes import Completed, Refused
+from .receipts import Receipt
 from .sequencer import Sequencer
 
-__all__ = ["Agent", "CallFact", "Program", "call_fact"]
+__all__ = ["Agent", "Program"]
 
 STATE_FORMAT = 1
 KEPT_FACTS = 64
-
-
-@dataclass(frozen=True, slots=True)
-class CallFact:
-    """Where a call ran and how it ended, for ``program show``.
-
-    Attributes:
-        program: The program, with its parents' path.
-        number: The call's number.
-        kind: What it asked for.
-        peer: The target, or empty.
-        outcome: The typed word of its outcome.
-        reason: Why it did not complete, or empty.
-        tokens: Prompt and answer tokens.
-    """
-
-    program: ProgramId
-    number: int
-    kind: str
-    peer: str
-    outcome: str
-    reason: str
-    tokens: int
+NO_TARGET = TargetId("")
+NO_REQUEST = RequestId("")
 
 
 @dataclass(slots=True)
@@ -136,16 +126,32 @@
         runs = {*self.run_by_key.values(), *self.action_by_key.values()}
         return any(run.blocks_handover() for run in runs)
 
-    def dump(self) -> list[object]:
+    def dump(self, answers: AnswerStore) -> list[object]:
         """Returns the live state for a handover.
 
         Calls under way go on here; their reservations count as spent
         and their answers are points that later calls may start from.
+        The newest answer goes along, in case it did not arrive.
+
+        Args:
+            answers: Answers under way and kept.
         """
         agents: list[object] = []
         for program, agent in self.agent_by_id.items():
-            points = self._points(program, agent)
-            agents.append([program, agent.order.sequencer.dump(), points])
+            sequencer = agent.order.sequencer
+            key = self._key(program, sequencer.newest)
+            answer = answers.find(key)
+            unanswered = answer is not None and not isinstance(
+                answer.outcome, Completed
+            )
+            agents.append(
+                [
+                    program,
+                    sequencer.dump(repeatable=unanswered),
+                    self._points(program, agent),
+                    answers.export(key),
+                ]
+            )
         return [
             STATE_FORMAT,
             self.account,
@@ -168,6 +174,7 @@
         partition: PartitionId,
         clock: Clock,
         gap_hold_s: float,
+        answers: AnswerStore,
     ) -> Program:
         """Returns a program from what ``dump`` made.
 
@@ -176,6 +183,7 @@
             partition: Where the program belongs.
             clock: Monotonic time.
             gap_hold_s: How long gaps are waited out.
+            answers: Takes the newest answers.
 
         Raises:
             ValueError: The state has another format.
@@ -199,11 +207,48 @@
             turns=turns,
             active_at=clock.seconds(),
         )
-        for path, order, points in agents:
+        for path, order, points, answer in agents:
             sequencer = Sequencer.restored(order, gap_hold_s)
             program._add(path, sequencer).history.load(points)
+            if answer is not None:
+                key = program._key(path, sequencer.newest)
+                answers.restore(key, answer)
         return program
 
+    def receipt(
+        self,
+        program: ProgramId,
+        *,
+        epoch: Offset,
+        point: ChainPoint | None = None,
+        target: TargetId = NO_TARGET,
+        request: RequestId = NO_REQUEST,
+    ) -> Receipt:
+        """Returns where a program path stands.
+
+        Args:
+            program: The program path.
+            epoch: The owner's claim offset.
+            point: The history point to prove, the newest by default.
+            target: The engine whose answer will complete the point.
+            request: That dispatch.
+        """
+        agent = self.agent(program)
+        return Receipt(
+            account=self.account,
+            program=program,
+            number=agent.order.sequencer.newest,
+            turn=self.turns,
+            point=point or agent.history.newest,
+            spend=self.budget.committed,
+            epoch=epoch,
+            target=target,
+            request=request,
+        )
+
+    def _key(self, program: ProgramId, number: int) -> AnswerKey:
+        return AnswerKey(self.account, program, CallNumber(number))
+
     def _points(self, program: ProgramId, agent: Agent) -> object:
         history = History(self.account, program)
         history.load(agent.history.dump())
@@ -218,27 +263,3 @@
         agent = Agent(order, History(self.account, program))
         self.agent_by_id[program] = agent
         return agent
-
-
-def call_fact(key: AnswerKey, kind: str, outcome: Outcome) -> CallFact:
-    """Returns the fact that remains of an ended call.
-
-    Args:
-        key: Names the call.
-        kind: What it asked for.
-        outcome: Its final outcome.
-    """
-    tokens, reason = 0, ""
-    if isinstance(outcome, Completed):
-        tokens = outcome.tokens_in + outcome.tokens_out
-    else:
-        reason = outcome.reason.value
-    return CallFact(
-        program=key.program,
-        number=key.number,
-        kind=kind,
-        peer=outcome.peer,
-        outcome=describe(outcome),
-        reason=reason,
-        tokens=tokens,
-    )
--- a/lycheestall/program_control.py
+++ b/lycheestall/program_control.py
@@ -10,6 +10,7 @@
 from ._refusals import program_ended, rule_text
 from .call_order import NoHandle
 from .calls import Call, CallHandle, CallKind, CallSink, ResponseHead
+from .lifetimes import Lifetimes
 from .outcomes import Completed, Reason, Refused, Step
 from .owner_ports import OwnerPorts
 from .program import Program
@@ -24,11 +25,15 @@
     Args:
         ports: What the owner's side is plugged into.
         table: The live programs.
+        lifetimes: Ends programs.
     """
 
-    def __init__(self, ports: OwnerPorts, table: ProgramTable) -> None:
+    def __init__(
+        self, ports: OwnerPorts, table: ProgramTable, lifetimes: Lifetimes
+    ) -> None:
         self._ports = ports
         self._table = table
+        self._lifetimes = lifetimes
 
     def start(
         self, call: Call, program: Program, sink: CallSink
@@ -62,7 +67,10 @@
             "opened_ms": program.opened_ms,
             "recorded": program.recorded,
         }
-        self._answer(call, sink, 201, document)
+        epoch = self._ports.cell.epoch_of(program.partition)
+        receipt = program.receipt(call.program, epoch=epoch)
+        text = self._ports.signer.sign(receipt)
+        self._answer(call, sink, 201, document, receipt=text)
 
     def _end(self, call: Call, program: Program, sink: CallSink) -> None:
         reason, refused = "ended", program_ended("ended by its caller")
@@ -71,11 +79,11 @@
             refused = Refused(
                 Step.DISPATCH, Reason.CANCELLED, detail="cancelled"
             )
-        self._table.end(program, reason, refused)
+        self._lifetimes.end(program, reason, refused)
         self._answer(call, sink, 200, self._document(program))
 
     def _document(self, program: Program) -> dict[str, object]:
-        limits = self._table.limits(program)
+        limits = self._lifetimes.limits(program)
         budget = program.budget
         return {
             "program": program.root,
@@ -108,12 +116,16 @@
         sink: CallSink,
         status: int,
         document: dict[str, object],
+        *,
+        receipt: str = "",
     ) -> None:
-        headers = (
+        headers = [
             ("content-type", "application/json"),
             ("lycheestall-program", call.program),
             ("lycheestall-outcome", "completed"),
-        )
-        sink.start(ResponseHead(status, headers))
+        ]
+        if receipt:
+            headers.append(("lycheestall-receipt", receipt))
+        sink.start(ResponseHead(status, tuple(headers)))
         sink.chunk(orjson.dumps(document))
         sink.finish(Completed())
--- a/lycheestall/program_ids.py
+++ b/lycheestall/program_ids.py
@@ -11,17 +11,18 @@
 import re
 from collections.abc import Sequence
 from enum import Enum
-from hashlib import sha256
 from urllib.parse import quote
 
 from .ids import AccountId, ProgramId, root_of
 
 __all__ = [
     "IdOrigin",
+    "engine_id",
     "issue_program_id",
     "issued_ms_of",
     "ledger_id",
     "origin_of",
+    "root_in_ledger",
 ]
 
 NONCE_BYTES = 8
@@ -61,14 +62,12 @@
     """Returns when an id says it was issued, unchecked.
 
     Args:
-        program: A program id, or its form in the log.
+        program: A program id; only its top level counts.
 
     Returns:
         Milliseconds since 1970; None for a chosen id.
     """
-    _, separator, name = program.partition(":")
-    match = _ISSUED.fullmatch(root_of(ProgramId(name)) if separator else "")
-    match = match or _ISSUED.fullmatch(root_of(program))
+    match = _ISSUED.fullmatch(root_of(program))
     return None if match is None else int(match.group(1), 16)
 
 
@@ -104,7 +103,29 @@
     return ProgramId(f"{quote(account, safe='')}:{root_of(program)}")
 
 
+def root_in_ledger(name: ProgramId) -> ProgramId:
+    """Returns the top-level program's id in its form in the log.
+
+    Args:
+        name: What ``ledger_id`` returned.
+    """
+    return ProgramId(name.partition(":")[2])
+
+
+def engine_id(account: AccountId, program: ProgramId) -> ProgramId:
+    """Returns a program's name towards engines, sub-agent's path included.
+
+    Its top level is the program's name in the log, so that programs of
+    two accounts never share what an engine holds.
+
+    Args:
+        account: Who pays.
+        program: A program id.
+    """
+    return ProgramId(f"{quote(account, safe='')}:{program}")
+
+
 def _signature(account: AccountId, stem: str, key: bytes) -> str:
     signed = f"program\0{account}\0{stem}".encode()
-    digest = hmac.new(key, signed, sha256).hexdigest()
+    digest = hmac.digest(key, signed, "sha256").hex()
     return digest[:SIGNATURE_CHARACTERS]
--- a/lycheestall/receipts.py
+++ b/lycheestall/receipts.py
@@ -5,15 +5,14 @@
 import hmac
 from base64 import urlsafe_b64decode, urlsafe_b64encode
 from collections.abc import Sequence
-from dataclasses import astuple, dataclass
-from hashlib import sha256
+from dataclasses import dataclass
 from typing import Any
 
 import cbor2
 
 from .history import ChainPoint
-from .ids import AccountId, Offset, ProgramId
-from .ledger import Spend
+from .ids import AccountId, Offset, ProgramId, RequestId, TargetId
+from .ledger_program import Spend
 
 __all__ = ["BadReceipt", "Receipt", "ReceiptSigner"]
 
@@ -29,18 +28,25 @@
     Attributes:
         account: Who pays.
         program: The program, with its parents' path.
+        number: The newest call that had gone on.
         turn: Chat calls of the whole program so far.
         point: The point of its history.
         spend: What the whole program had spent or reserved.
         epoch: The owner's claim offset.
+        target: The engine that has call ``point.number``, if its answer
+            was under way.
+        request: That dispatch.
     """
 
     account: AccountId
     program: ProgramId
+    number: int
     turn: int
     point: ChainPoint
     spend: Spend
     epoch: Offset
+    target: TargetId = TargetId("")
+    request: RequestId = RequestId("")
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,15 +77,26 @@
 
     def sign(self, receipt: Receipt) -> str:
         """Returns a receipt as base64url text."""
+        point, spend = receipt.point, receipt.spend
         payload = cbor2.dumps(
             [
                 RECEIPT_FORMAT,
                 receipt.account,
                 receipt.program,
+                receipt.number,
                 receipt.turn,
-                list(astuple(receipt.point)),
-                list(astuple(receipt.spend)),
+                [
+                    point.number,
+                    point.messages,
+                    point.digest,
+                    point.answered,
+                    point.tokens,
+                    point.model,
+                ],
+                [spend.tokens, spend.calls, spend.money_micros],
                 receipt.epoch,
+                receipt.target,
+                receipt.request,
             ]
         )
         signed = _signature(self._keys[0], payload) + payload
@@ -106,7 +123,7 @@
 
 
 def _signature(key: bytes, payload: bytes) -> bytes:
-    digest = hmac.new(key, b"receipt\0" + payload, sha256).digest()
+    digest = hmac.digest(key, b"receipt\0" + payload, "sha256")
     return digest[:SIGNATURE_BYTES]
 
 
@@ -114,12 +131,16 @@
     document: Any = cbor2.loads(payload)
     if document[0] != RECEIPT_FORMAT:
         return BadReceipt(f"the receipt has format {document[0]}")
-    _, account, program, turn, point, spend, epoch = document
+    _, account, program, number, turn, point, spend, *rest = document
+    epoch, target, request = rest
     return Receipt(
         account=account,
         program=program,
+        number=number,
         turn=turn,
         point=ChainPoint(*point),
         spend=Spend(*spend),
         epoch=epoch,
+        target=target,
+        request=request,
     )
