--- a/lycheestall/cli.py
+++ b/lycheestall/cli.py
@@ -12,6 +12,7 @@
 from .sandbox_cli import sandbox_command
 from .serve_cli import serve_command
 from .settings_cli import settings_group
+from .status_cli import program_group, status_command
 
 __all__ = ["main"]
 
@@ -22,6 +23,7 @@
     """Schedules agent programs: a daemon, its rules and its tools."""
 
 
+main.add_command(program_group)
 main.add_command(rules_group)
 bench_group.add_command(load_command)
 bench_group.add_command(slopes_command)
@@ -29,3 +31,4 @@
 main.add_command(sandbox_command)
 main.add_command(serve_command)
 main.add_command(settings_group)
+main.add_command(status_command)
--- a/lycheestall/engine_dispatcher.py
+++ b/lycheestall/engine_dispatcher.py
@@ -25,7 +25,7 @@
     SendJob,
 )
 from .engine_directory import EngineDirectory
-from .engine_scheduler import EngineScheduler
+from .engine_scheduler import EngineScheduler, EngineView
 from .ids import ProgramId, RequestId, SessionId, TargetId, VmId
 from .outcomes import Failed, Reason, Refused, Step
 from .rule_book import RuleBook
@@ -161,6 +161,10 @@
         """Takes a page of an engine's cache events."""
         self._scheduler.cache_events(target, page, self._clock.seconds())
 
+    def view(self, target: TargetId) -> EngineView:
+        """Returns what this VM knows of an engine's load."""
+        return self._scheduler.view(target, self._clock.seconds())
+
     def found(
         self,
         target: TargetId,
--- a/lycheestall/engine_scheduler.py
+++ b/lycheestall/engine_scheduler.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 
 from ._engine_choice import EngineChoice
 from ._job_intake import JobIntake
@@ -30,7 +31,7 @@
     LoadReport,
 )
 
-__all__ = ["EngineScheduler"]
+__all__ = ["EngineScheduler", "EngineView"]
 
 NO_TARGET_RETRY_S = 2.0
 CLIENT_ERRORS = frozenset({400, 401, 403, 404, 413, 415, 422})
@@ -45,6 +46,23 @@
 )
 
 
+@dataclass(frozen=True, slots=True)
+class EngineView:
+    """What one VM knows of an engine's load.
+
+    Attributes:
+        requests: Estimate of all requests at the engine.
+        waiting: Its queue length, as last reported.
+        own: Requests of this VM.
+        ejected: Whether it gets nothing after failures.
+    """
+
+    requests: int
+    waiting: int
+    own: int
+    ejected: bool
+
+
 class EngineScheduler:
     """The decisions of one VM over the engines of its cell.
 
@@ -265,6 +283,17 @@
         self._parts.cache.ended(root)
         return list(self._parts.memory.ended(root, now))
 
+    def view(self, target: TargetId, now: float) -> EngineView:
+        """Returns what is known of an engine's load."""
+        load = self._parts.load
+        usable = target in self._parts.ejection.usable([target], now)
+        return EngineView(
+            requests=round(load.requests(target)),
+            waiting=load.waiting(target),
+            own=load.own(target),
+            ejected=not usable,
+        )
+
     def found(
         self,
         target: TargetId,
--- a/lycheestall/node.py
+++ b/lycheestall/node.py
@@ -45,6 +45,7 @@
 from .ledger import Ledger
 from .logs import Logger
 from .mesh import Mesh
+from .messages import MeshMessage
 from .metrics import Metrics
 from .outcomes import Outcome
 from .partitions import partition_of
@@ -124,6 +125,7 @@
         self._draining = False
         self._calls = 0
         self._sessions = 0
+        self._other_handler: Callable[[VmId, MeshMessage], bool] | None = None
         self.supervisor = Supervisor(clock=ports.clock, logger=ports.logger)
         self.ledger = Ledger()
         self.portions = Portions()
@@ -152,7 +154,7 @@
             stream=StreamName(settings.platform.rules_stream),
             session=session,
             vm=settings.vm,
-            live_vms=self._members,
+            live_vms=self.members,
             clock=ports.clock,
             wall_ms=ports.wall_ms,
         )
@@ -177,7 +179,7 @@
         )
         self.applications = ApplicationDirectory(
             factory=ports.targets.application,
-            kept_from_work=self._kept_from_work,
+            kept_from_work=self.kept_from_work,
         )
         self.owner = ProgramOwner(
             cell=self.cell,
@@ -199,14 +201,14 @@
             partitions=self._partitions,
             clock=ports.clock,
         )
-        self.cell.on_other_message(self.router.on_message)
+        self.cell.on_other_message(self._on_message)
         self.cell.on_peer_lost(self.router.on_lost)
         self.polls = EnginePolls(
             engines=self.engines,
             dispatcher=self.dispatcher,
             duty=PollDuty(
                 vm=settings.vm,
-                members=self._members,
+                members=self.members,
                 up_to_date=self._up_to_date,
                 live=self._is_live,
             ),
@@ -287,6 +289,31 @@
         """Counts a caller's call that nobody waits for any more."""
         self._calls -= 1
 
+    @property
+    def mesh(self) -> Mesh:
+        """Reaches the other daemons."""
+        return self._ports.mesh
+
+    @property
+    def clock(self) -> Clock:
+        """The node's monotonic clock."""
+        return self._ports.clock
+
+    def on_other_message(
+        self, handler: Callable[[VmId, MeshMessage], bool]
+    ) -> None:
+        """Sets who is offered messages before the router.
+
+        Args:
+            handler: Returns False for a message that is not its own.
+        """
+        self._other_handler = handler
+
+    def _on_message(self, peer: VmId, message: MeshMessage) -> None:
+        handler = self._other_handler
+        if handler is None or not handler(peer, message):
+            self.router.on_message(peer, message)
+
     @property
     def draining(self) -> bool:
         """Whether a planned stop has begun."""
@@ -344,7 +371,8 @@
     async def _keep_rules(self) -> None:
         await self.rules_stream.step()
 
-    def _members(self) -> frozenset[VmId]:
+    def members(self) -> frozenset[VmId]:
+        """Returns the VMs of the cell."""
         sessions = self.fold.sessions.by_id.values()
         return frozenset(session.vm for session in sessions)
 
@@ -360,11 +388,18 @@
         return self.fold.crashes.quarantined(fingerprint)
 
     def _cell_size(self) -> int:
-        return max(1, len(self._members()))
+        return max(1, len(self.members()))
 
-    def _kept_from_work(
+    def kept_from_work(
         self, target: TargetId, group: str, error_share: float
     ) -> str:
+        """Returns the rule that keeps work from a target, or nothing.
+
+        Args:
+            target: The target.
+            group: Its model or application group.
+            error_share: Share of its recent calls that failed, 0 to 1.
+        """
         line = self.rules().left_alone(
             target,
             group,
--- a/lycheestall/node_admin.py
+++ b/lycheestall/node_admin.py
@@ -2,15 +2,33 @@
 
 from __future__ import annotations
 
+import orjson
+
 from . import __version__
 from .admin_api import AdminReply, AdminSource
-from .ids import Offset, OperatorName, PartitionId, ProgramId
+from .calls import Call, CallKind
+from .collecting_sink import CollectingSink
+from .http_sink import error_document
+from .ids import (
+    AccountId,
+    Offset,
+    OperatorName,
+    PartitionId,
+    ProgramId,
+    TargetId,
+    root_of,
+)
 from .node import Node
+from .outcomes import Completed
+from .program_ids import root_in_ledger
 from .rules_desk import DeskReply, RulesDesk
 from .status import CellStatus, PartitionStatus, TargetStatus, VmStatus
+from .status_exchange import StatusExchange
 
 __all__ = ["NodeAdmin"]
 
+SHOW_LIMIT_S = 5.0
+
 
 class NodeAdmin(AdminSource):
     """The operators' view of one node and its cell.
@@ -22,6 +40,10 @@
     def __init__(self, node: Node) -> None:
         self._node = node
         self._desk = RulesDesk(node.rules_stream, node.publisher)
+        self._exchange = StatusExchange(
+            mesh=node.mesh, clock=node.clock, own=self.vm_status
+        )
+        node.on_other_message(self._exchange.on_message)
 
     def alive(self) -> bool:
         """Returns True: the process answers."""
@@ -33,9 +55,12 @@
 
     async def status(self) -> AdminReply:
         """Returns the cell's status."""
+        own = self.vm_status()
+        others = self._node.members() - {self._node.settings.vm}
+        found = await self._exchange.gather(others)
         document = CellStatus(
-            vms=(self.vm_status(),),
-            silent=(),
+            vms=(own, *(found[vm] for vm in sorted(found))),
+            silent=tuple(sorted(others - found.keys())),
             partitions=self._partitions(),
             targets=self._targets(),
         )
@@ -43,7 +68,25 @@
 
     async def program(self, program: ProgramId) -> AdminReply:
         """Returns one program's turns, spend and dispatches."""
-        return AdminReply(501, {"error": {"message": "not there yet"}})
+        account = self._account_of(program)
+        if account is None:
+            return _error(404, f"no program {program!r} in this cell")
+        sink = CollectingSink()
+        self._node.router.handle(
+            Call(CallKind.SHOW, account, program, deadline_s=SHOW_LIMIT_S),
+            sink,
+        )
+        answer = await sink.done
+        if not isinstance(answer.outcome, Completed):
+            return AdminReply(503, error_document(answer.outcome))
+        return AdminReply(200, orjson.loads(answer.body))
+
+    def _account_of(self, program: ProgramId) -> AccountId | None:
+        root = root_of(program)
+        for name, found in self._node.ledger.program_by_id.items():
+            if root_in_ledger(name) == root:
+                return found.account
+        return None
 
     async def rules(self) -> AdminReply:
         """Returns the rules in force."""
@@ -76,7 +119,7 @@
             rules_version=node.rules().version,
             cell_folded=node.cell.status().folded,
             partitions_owned=owned,
-            programs=0,
+            programs=node.owner.programs(),
             calls=node.calls_in_progress(),
             peers=tuple(sorted(node.peers())),
             children=node.supervisor.status(),
@@ -95,32 +138,40 @@
 
     def _targets(self) -> tuple[TargetStatus, ...]:
         found: list[TargetStatus] = []
-        for entry in self._node.engines.entries():
+        node = self._node
+        for entry in node.engines.entries():
+            view = node.dispatcher.view(entry.target)
+            kept = node.kept_from_work(entry.target, entry.group, 0.0)
+            if view.ejected:
+                kept = kept or "ejected after failures"
             found.append(
                 TargetStatus(
                     target=entry.target,
                     role="engine",
                     group=entry.group,
                     zone=entry.zone,
-                    running=0,
-                    waiting=0,
-                    in_flight=0,
+                    running=max(view.requests - view.waiting, 0),
+                    waiting=view.waiting,
+                    in_flight=view.own,
                     leaving=entry.leaving,
-                    kept_from_work="",
+                    kept_from_work=kept,
                 )
             )
-        for vm, in_flight, leaving, _ in self._node.applications.entries():
+        for vm, in_flight, leaving, share in node.applications.entries():
+            target = TargetId(vm.vm)
             found.append(
                 TargetStatus(
-                    target=vm.vm,
+                    target=target,
                     role=vm.role.value,
                     group=vm.group,
                     zone=vm.zone,
-                    running=0,
+                    running=in_flight,
                     waiting=0,
                     in_flight=in_flight,
                     leaving=leaving,
-                    kept_from_work="",
+                    kept_from_work=node.kept_from_work(
+                        target, vm.group, share
+                    ),
                 )
             )
         return tuple(found)
@@ -128,3 +179,7 @@
 
 def _reply(reply: DeskReply) -> AdminReply:
     return AdminReply(reply.status, reply.document)
+
+
+def _error(status: int, message: str) -> AdminReply:
+    return AdminReply(status, {"error": {"message": message}})
