Go on serving programs while the store is away

Change: two turns are held ahead in the ledger; a VM without the store is not ready and lets its callers go elsewhere; VMs that the store turns away reach it through a peer; while it is away from all, a majority that knows the same members chooses one deciding VM for each program by hashing, whose grants are recorded by both sides when the store is back. After a kill of all VMs during an outage the ledger lacks what was granted in it; that is next.

--- a/lycheestall/entry/entry_process.py
+++ b/lycheestall/entry/entry_process.py
@@ -18,6 +18,7 @@
 from .entry_metrics import EntryMetrics
 from .entry_vm import EntryVm
 from .header_codec import HeaderCodec
+from .peer_link import PeerCaller, PeerEndpoint
 from .readiness import MetricsPage, ReadinessPage
 from .record_codec import RecordCodec
 from .store import Store
@@ -85,9 +86,11 @@
         self._stopping = False
         self._ports: list[Any] = []
         metrics = EntryMetrics(vm=settings.vm)
+        self._peers = PeerCaller(reactor, self._logger)
         self._vm = EntryVm(
             settings=settings,
             store=adapter.store(reactor, settings.store),
+            peers=self._peers,
             headers=adapter.headers,
             records=adapter.records,
             holder=HolderId(f"{settings.vm}.{os.urandom(6).hex()}"),
@@ -106,6 +109,10 @@
             Address(settings.host, settings.metrics_port),
             MetricsPage(self._metrics.render),
         )
+        self._listen(
+            Address(settings.host, settings.peers_port),
+            PeerEndpoint(self._vm, self._logger),
+        )
         self._listen_with(settings.callers, self._callers)
         self._vm.start()
         self._drain_log()
@@ -148,7 +155,11 @@
         left_s = max(0.1, ends - self._reactor.seconds())
         stopped = ensureDeferred(self._vm.stop())
         stopped.addTimeout(left_s, self._reactor)
-        await stopped
+        try:
+            await stopped
+        except defer.TimeoutError:
+            # Peers record what was granted; the rest stays held.
+            self._logger.warning("stopped before the ledger took all records")
         self._logger.info("stopped", running=self._vm.running)
 
     def _shut_down_failed(self, failure: Any) -> None:
--- a/lycheestall/entry/entry_vm.py
+++ b/lycheestall/entry/entry_vm.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from twisted.internet.defer import ensureDeferred
+from twisted.internet.defer import Deferred, DeferredList, ensureDeferred
 from twisted.python.failure import Failure
 
 from ..ids import TargetId
@@ -21,17 +21,37 @@
 from .entry_metrics import EntryMetrics
 from .header_codec import HeaderCodec, InvalidRequest
 from .ledger_writer import LedgerWriter
+from .members import Member, Members, announcement, departure
+from .outage import Outage, OutageMode
+from .outage_books import OutageBooks
+from .peer_link import PeerCaller, PeerHandler
+from .peer_messages import (
+    AskTokens,
+    Handover,
+    PeerMessage,
+    PeerReply,
+    RelayAppend,
+    RelayNewest,
+    RelayRead,
+    SettleTokens,
+    Survey,
+    TokenAnswer,
+    Understood,
+)
 from .record_codec import RecordCodec, UnreadableRecord
 from .request_facts import RequestFacts
 from .request_run import RequestRun, RunParts
+from .routed_store import RoutedStore
 from .store import KeyedRecord, Store, Topic
 from .store_health import StoreHealth
+from .surveyor import Surveyor
 from .target_chooser import TargetChooser
 from .target_table import TargetEntry, TargetTable
 from .token_books import TokenBooks, TurnId
 from .token_ledger import HolderId, TokenLedger
 from .topic_follower import TopicFollower
-from .vm_settings import EntrySettings
+from .turn_tokens import TurnTokens
+from .vm_settings import Address, EntrySettings
 
 __all__ = ["EntryVm"]
 
@@ -48,19 +68,29 @@
 RETRY_S = 0.2
 """Seconds between reads while the store fails."""
 
+READY_WITHOUT_STORE_S = 0.7
+"""Seconds without the store after which callers should go elsewhere."""
+
+SURVEY_S = 0.25
+"""Seconds between surveys of the peers while the store is away."""
+
 HOUSEKEEPING_S = 0.5
 """Seconds between looks at what has lapsed."""
 
+HANDOVER_TIMEOUT_S = 0.4
+"""Longest time for a peer to take over what this VM decides."""
+
 CONNECT_TIMEOUT_S = 0.5
 """Longest time for a connection to a target."""
 
 
-class EntryVm(RequestHandler):
+class EntryVm(RequestHandler, PeerHandler):
     """Everything of an entry VM but its listeners.
 
     Args:
         settings: The VM's settings.
         store: The platform's store.
+        peers: Calls other VMs.
         headers: Reads and writes headers.
         records: Decodes the store's records.
         holder: This life of the VM, unique.
@@ -74,6 +104,7 @@
         *,
         settings: EntrySettings,
         store: Store,
+        peers: PeerCaller,
         headers: HeaderCodec,
         records: RecordCodec,
         holder: HolderId,
@@ -82,6 +113,7 @@
         metrics: EntryMetrics,
     ) -> None:
         self._settings = settings
+        self._holder = holder
         self._headers = headers
         self._records = records
         self._reactor = reactor
@@ -89,6 +121,7 @@
         self._metrics = metrics
         self._log = DecisionLog(logger, metrics)
         self._draining = False
+        self._handed_over = False
         self._turns = 0
         self.running = 0
         self._pool_by_target: dict[tuple[TargetId, int], ConnectionPool] = {}
@@ -98,21 +131,23 @@
         self._configuration = ConfigurationState(logger)
         self._crashes = CrashReports(holder)
         self._ledger = TokenLedger()
-        self._health = StoreHealth(logger, self._table.store_returned)
+        self._members = Members()
+        self._outage = Outage(holder)
+        self._outage_books = OutageBooks(self._ledger)
+        self._store = RoutedStore(store, peers, reactor, logger)
+        self._health = StoreHealth(logger, self._store_returned)
         self._books = TokenBooks(holder, self._ledger)
         self._followers = {
             Topic.CONFIGURATION: self._follower(
-                store, Topic.CONFIGURATION, self._take_configuration
+                Topic.CONFIGURATION, self._take_configuration
             ),
             Topic.TARGETS: self._follower(
-                store, Topic.TARGETS, self._take_target, self._listed
-            ),
-            Topic.LEDGER: self._follower(
-                store, Topic.LEDGER, self._take_ledger
+                Topic.TARGETS, self._take_target, self._listed
             ),
+            Topic.LEDGER: self._follower(Topic.LEDGER, self._take_ledger),
         }
         self._writer = LedgerWriter(
-            store=store,
+            store=self._store,
             follower=self._followers[Topic.LEDGER],
             books=self._books,
             crashes=self._crashes,
@@ -120,13 +155,38 @@
             clock=reactor,
             health=self._health,
             logger=logger,
+            hold_off=lambda: self._outage.settling(reactor.seconds()),
+        )
+        self._tokens = TurnTokens(
+            holder=holder,
+            writer=self._writer,
+            books=self._books,
+            outage=self._outage,
+            outage_books=self._outage_books,
+            members=self._members,
+            peers=peers,
+            clock=reactor,
+            logger=logger,
+        )
+        self._surveyor = Surveyor(
+            holder=holder,
+            zone=settings.zone,
+            store=self._store,
+            members=self._members,
+            outage=self._outage,
+            peers=peers,
+            clock=reactor,
+            logger=logger,
         )
+        self._peers = peers
+        self._announced = False
         self._parts = RunParts(
             clock=reactor,
             headers=headers,
             chooser=self._chooser,
             table=self._table,
-            ledger=self._writer,
+            tokens=self._tokens,
+            crashed=self._writer.crashed,
             refused=self._crashes.refused,
             pool_of=self._pool_of,
             log=self._log,
@@ -136,7 +196,17 @@
     @property
     def ready(self) -> bool:
         """Whether new callers should be sent here."""
-        return self.loaded and not self._draining
+        if not self.loaded or self._draining:
+            return False
+        return not self._cut_off()
+
+    def _cut_off(self) -> bool:
+        if not self._health.away:
+            return False
+        now = self._reactor.seconds()
+        if self._outage.mode(now) is OutageMode.DECIDERS:
+            return False
+        return bool(now - self._health.away_since > READY_WITHOUT_STORE_S)
 
     @property
     def loaded(self) -> bool:
@@ -151,6 +221,7 @@
             ("configuration", self._poll_configuration, 0.0),
             ("targets", self._poll_targets, TARGETS_POLL_S),
             ("ledger", self._poll_ledger, LEDGER_POLL_S),
+            ("survey", self._surveyor.step, SURVEY_S),
             ("housekeeping", self._housekeeping, HOUSEKEEPING_S),
         )
         for name, step, interval_s in pollers:
@@ -164,8 +235,11 @@
 
     async def stop(self) -> None:
         """Gives held tokens back and ends the loops."""
+        await self._hand_over()
+        self._writer.announce(departure(self._holder))
         await self._writer.flush()
         await self._supervisor.stop()
+        self._peers.close()
         for pool in self._pool_by_target.values():
             pool.close()
 
@@ -174,8 +248,11 @@
         return self._configuration.limits
 
     def closing(self) -> bool:
-        """Returns whether connections end after their next answer."""
-        return self._draining
+        """Returns whether connections end after their next answer.
+
+        Callers of a VM without the store may find one that has it.
+        """
+        return self._draining or self._cut_off()
 
     def handle(self, exchange: Exchange) -> None:
         """Answers one request."""
@@ -241,15 +318,65 @@
             reason=reason,
         )
 
+    def answer(
+        self, message: PeerMessage | PeerReply
+    ) -> Deferred[PeerReply] | PeerReply:
+        """Answers a message of a peer."""
+        if isinstance(message, Survey):
+            return self._surveyor.report()
+        if isinstance(message, AskTokens):
+            if self._handed_over:
+                return TokenAnswer(granted=False, spent=False)
+            return self._tokens.decide(message)
+        if isinstance(message, SettleTokens):
+            self._tokens.settled(message)
+            return Understood()
+        if isinstance(message, Handover):
+            self._outage.handed_over(message.holder)
+            self._outage_books.take_over(message.tokens_by_program)
+            return Understood()
+        relayed: Deferred[PeerReply] = self._relayed(message)
+        return relayed
+
+    def _relayed(self, message: PeerMessage | PeerReply) -> Any:
+        store = self._store.direct
+        if isinstance(message, RelayAppend):
+            return store.append(message.topic, message.writes, message.fence)
+        if isinstance(message, RelayRead):
+            return store.read(
+                message.topic, message.start, wait_s=message.wait_s
+            )
+        if isinstance(message, RelayNewest):
+            return store.newest(message.topic, after=message.after)
+        raise ValueError(f"unexpected message {type(message).__name__}")
+
+    async def _hand_over(self) -> None:
+        self._handed_over = True
+        totals = self._outage_books.totals()
+        if not totals and not self._health.away:
+            return
+        message = Handover(self._holder, totals)
+        calls = [
+            self._peers.call(
+                member.address, message, timeout_s=HANDOVER_TIMEOUT_S
+            )
+            for member in self._members.all()
+            if member.holder != self._holder
+        ]
+        await DeferredList(calls, consumeErrors=True)
+
+    def _store_returned(self, now: float) -> None:
+        self._table.store_returned(now)
+        self._tokens.outage_ended()
+
     def _follower(
         self,
-        store: Store,
         topic: Topic,
         apply: Callable[[KeyedRecord], None],
         listed: Callable[[set[bytes]], None] | None = None,
     ) -> TopicFollower:
         return TopicFollower(
-            store,
+            self._store,
             topic,
             clock=self._reactor,
             health=self._health,
@@ -270,6 +397,12 @@
         if self._reactor.seconds() - follower.read_at < LEDGER_POLL_S:
             return
         await follower.read()
+        if follower.loaded and not self._announced:
+            self._announced = True
+            settings = self._settings
+            address = Address(settings.host, settings.peers_port)
+            member = Member(self._holder, address, settings.zone)
+            self._writer.announce(announcement(member))
 
     async def _housekeeping(self) -> None:
         now = self._reactor.seconds()
@@ -348,8 +481,13 @@
         self._table.keep_only(targets, self._reactor.seconds())
 
     def _take_ledger(self, record: KeyedRecord) -> None:
-        if self._ledger.apply(record) is None:
-            self._crashes.apply(record)
+        grant = self._ledger.apply(record)
+        if grant is None:
+            if not self._members.apply(record):
+                self._crashes.apply(record)
+        elif grant.holder != self._holder:
+            self._books.others_recorded(grant.program)
+            self._writer.wake()
 
     def _pool_of(self, entry: TargetEntry) -> ConnectionPool:
         key = (entry.target, entry.started_ms)
--- a/lycheestall/entry/ledger_writer.py
+++ b/lycheestall/entry/ledger_writer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -11,7 +12,14 @@
 from ..ids import Offset, ProgramId
 from ..logs import Logger
 from .crash_reports import CrashReports
-from .store import AppendConflict, Appended, Store, Topic, WriterFence
+from .store import (
+    AppendConflict,
+    Appended,
+    KeyedWrite,
+    Store,
+    Topic,
+    WriterFence,
+)
 from .store_health import StoreHealth
 from .token_books import BookDecision, RecordedGrant, TokenBooks, TurnId
 from .token_ledger import HolderId, grant_write
@@ -49,6 +57,8 @@
         clock: Times the appends.
         health: Learns how the calls went.
         logger: Where appends of unknown fate are logged.
+        hold_off: Whether records of others may still be missing, so that
+            no turn may start by the ledger alone.
     """
 
     def __init__(
@@ -62,7 +72,9 @@
         clock: Any,
         health: StoreHealth,
         logger: Logger,
+        hold_off: Callable[[], bool],
     ) -> None:
+        self._hold_off = hold_off
         self._store = store
         self._follower = follower
         self._books = books
@@ -77,6 +89,8 @@
         self._running = False
         self._stopping = False
         self._idle: list[Deferred[None]] = []
+        self._notices: list[KeyedWrite] = []
+        self._failures = 0
 
     def reserve(
         self, program: ProgramId, turn: TurnId, *, most: int, budget: int
@@ -96,7 +110,7 @@
         )
         if decision is not BookDecision.NEEDS_RECORD:
             return decision
-        if self._health.away:
+        if self._health.away or self._hold_off():
             self._books.withdraw(program, turn)
             self.wake()
             return None
@@ -118,6 +132,11 @@
         self.wake()
         return count
 
+    def announce(self, write: KeyedWrite) -> None:
+        """Writes a record that is not about tokens."""
+        self._notices.append(write)
+        self.wake()
+
     def wake(self) -> None:
         """Starts writing if records are due."""
         if not self._running and self._due():
@@ -136,14 +155,22 @@
         return done
 
     def _due(self) -> bool:
+        if self._notices:
+            return True
         return self._books.pending() or self._crashes.pending()
 
     async def _run(self) -> None:
         while self._due():
             if not self._books.urgent() and not self._stopping:
                 await sleep(self._clock, LINGER_S)
-            if not await self._write():
+            if await self._write():
+                self._failures = 0
+                continue
+            self._failures += 1
+            if self._failures > 1:
+                self._answer_all(None)
                 await sleep(self._clock, RETRY_S)
+        self._failures = 0
         self._running = False
         self._tell_idle()
 
@@ -161,10 +188,12 @@
         grants = self._books.take_writes(ahead=not self._stopping)
         reports = self._crashes.take_writes()
         writes = [
-            grant_write(grant.program, self._holder, grant.tokens)
+            grant_write(grant.program, self._holder, grant.holding)
             for grant in grants
         ]
+        notices, self._notices = self._notices, []
         writes.extend(reports)
+        writes.extend(notices)
         if not writes:
             return True
         self._sequence += 1
@@ -175,24 +204,24 @@
             self._health.succeeded(now)
             last = Offset(outcome.first + len(writes) - 1)
             if await self._follower.read_until(last):
-                self._written(grants, outcome.first)
+                self._written(grants)
                 return True
         else:
             # A newer epoch keeps a late copy of this append out.
             self._epoch += 1
             self._sequence = 0
             self._crashes.write_failed(reports)
+            self._notices = notices + self._notices
             if isinstance(outcome, AppendConflict):
                 self._logger.warning("append refused", reason=outcome.reason)
             else:
                 self._health.failed(now, outcome.error)
         self._books.write_failed(grants)
-        self._answer_all(None)
         return False
 
-    def _written(self, grants: list[RecordedGrant], first: Offset) -> None:
-        for index, grant in enumerate(grants):
-            answers = self._books.written(grant, Offset(first + index))
+    def _written(self, grants: list[RecordedGrant]) -> None:
+        for grant in grants:
+            answers = self._books.written(grant)
             for turn, decision in answers:
                 waiting = self._waiting.pop(turn, None)
                 if waiting is not None:
--- a/lycheestall/entry/request_run.py
+++ b/lycheestall/entry/request_run.py
@@ -27,7 +27,7 @@
 from .decision_log import DecisionLog
 from .header_codec import HeaderCodec
 from .http_messages import request_bytes
-from .ledger_writer import LedgerWriter, TurnAnswer
+from .ledger_writer import TurnAnswer
 from .request_facts import RequestFacts
 from .retry_policy import AttemptHistory, NextStep, next_step
 from .stream_forwarder import StreamForwarder
@@ -36,6 +36,7 @@
 from .target_connection import BreakReason
 from .target_table import TargetEntry, TargetTable
 from .token_books import BookDecision, TurnId
+from .turn_tokens import TurnTokens
 from .urgency import urgency
 
 __all__ = ["RequestRun", "RunParts"]
@@ -50,6 +51,9 @@
 """When a caller should come back while the store is away; callers wait
 for at most a third of their time."""
 
+HELD_RETRY_S = 0.4
+"""When tokens that another VM holds ahead should be free again."""
+
 RESERVE_TIMEOUT_S = 0.8
 """Longest time for a turn's record in the ledger."""
 
@@ -73,7 +77,8 @@
         headers: Reads and writes headers.
         chooser: Chooses targets.
         table: The registered targets.
-        ledger: Token budgets and crash reports.
+        tokens: Token budgets.
+        crashed: Reports a target lost while it ran a request.
         refused: Whether a request crashes its targets.
         pool_of: Returns the connections to a target.
         log: Takes the decisions.
@@ -83,7 +88,8 @@
     headers: HeaderCodec
     chooser: TargetChooser
     table: TargetTable
-    ledger: LedgerWriter
+    tokens: TurnTokens
+    crashed: Callable[[str], object]
     refused: Callable[[str], bool]
     pool_of: Callable[[TargetEntry], ConnectionPool]
     log: DecisionLog
@@ -164,7 +170,7 @@
         try:
             await self._send_until_answered()
         finally:
-            self._parts.ledger.settle(
+            self._parts.tokens.settle(
                 program, self._turn, self._tokens_handed()
             )
 
@@ -178,7 +184,7 @@
 
     async def _reserved(self, program: ProgramId) -> bool:
         budget = self._facts.token_budget or 0
-        answer = self._parts.ledger.reserve(
+        answer = self._parts.tokens.reserve(
             program,
             self._turn,
             most=self._most_tokens(),
@@ -189,12 +195,14 @@
         if answer is BookDecision.GRANTED:
             if self._end is None:
                 return True
-            self._parts.ledger.settle(program, self._turn, 0)
+            self._parts.tokens.settle(program, self._turn, 0)
             return False
         if self._end is not None:
             self._ended_early(sent=False)
         elif answer is BookDecision.SPENT:
             self._refuse(402, "the program's token budget is spent", None)
+        elif answer is BookDecision.HELD_ELSEWHERE:
+            self._refuse(503, "tokens are held by another VM", HELD_RETRY_S)
         else:
             self._refuse(503, "budgets can't be checked now", STORE_RETRY_S)
         return False
@@ -315,7 +323,7 @@
         elif isinstance(outcome, Broken):
             chooser.failed(entry.target, now, hard=False)
             if outcome.reason is not BreakReason.MALFORMED:
-                self._parts.ledger.crashed(self._print)
+                self._parts.crashed(self._print)
         elif isinstance(outcome, WholeAnswer | StreamEnded):
             chooser.answered(entry.target)
         elif (
--- a/lycheestall/entry/token_books.py
+++ b/lycheestall/entry/token_books.py
@@ -11,16 +11,20 @@
 from enum import Enum
 from typing import NewType
 
-from ..ids import Offset, ProgramId
-from .token_ledger import HolderId, TokenLedger
+from ..ids import ProgramId
+from .token_ledger import NOTHING, HolderId, Holding, TokenLedger
 
 __all__ = ["BookDecision", "RecordedGrant", "TokenBooks", "TurnId"]
 
 TurnId = NewType("TurnId", int)
 """One turn at this VM."""
 
-SPARE_TURNS = 2
-"""Turns that must stay free in a budget before a turn is held ahead."""
+AHEAD_TURNS = 2
+"""Turns held ahead, so that most need no wait for a record and programs
+go on while the store is away."""
+
+SPARE_TURNS = 1
+"""Turns that holding ahead must leave free for other VMs."""
 
 FORGET_S = 120.0
 """Seconds after which a program without turns is forgotten here; its
@@ -32,6 +36,7 @@
 
     GRANTED = "granted"
     SPENT = "spent"
+    HELD_ELSEWHERE = "held_elsewhere"
     NEEDS_RECORD = "needs_record"
 
 
@@ -40,7 +45,7 @@
     """A value that was written to the ledger."""
 
     program: ProgramId
-    tokens: int
+    holding: Holding
 
 
 @dataclass(slots=True)
@@ -53,8 +58,9 @@
         running: Most tokens of each running turn.
         waiting: Most tokens of each turn without an answer yet.
         limit: Tokens that may be handed out without another record.
-        recorded: Value of the newest record that is known to be in.
-        ahead: Tokens recorded for a turn still to come.
+        recorded: The newest record that is known to be in; None where
+            that is not known.
+        most: Most tokens of a turn seen.
         dirty: Whether a record is due.
     """
 
@@ -63,8 +69,8 @@
     running: dict[TurnId, int] = field(default_factory=dict)
     waiting: dict[TurnId, int] = field(default_factory=dict)
     limit: int = 0
-    recorded: int = 0
-    ahead: int = 0
+    recorded: Holding | None = NOTHING
+    most: int = 0
     dirty: bool = False
     used_at: float = 0.0
 
@@ -97,20 +103,15 @@
         now: float,
     ) -> BookDecision:
         """Asks for a turn; one that needs a record waits in the book."""
-        book = self._by_program.get(program)
-        if book is None:
-            book = _Book(budget)
-            book.handed = self._ledger.own(program, self._holder)
-            book.recorded = book.handed
-            self._by_program[program] = book
-        book.budget = budget
+        book = self._book(program, budget)
         book.used_at = now
+        book.most = max(book.most, most)
         need = book.committed() + sum(book.waiting.values()) + most
         if need <= book.limit:
             book.running[turn] = most
             return BookDecision.GRANTED
         others = self._ledger.others(program, self._holder)
-        if others + book.committed() + most > budget:
+        if others.committed + book.committed() + most > budget:
             return BookDecision.SPENT
         book.waiting[turn] = most
         self._mark(program, book)
@@ -143,6 +144,26 @@
         book.used_at = now
         self._mark(program, book)
 
+    def granted_outside(
+        self, program: ProgramId, tokens: int, *, budget: int, now: float
+    ) -> None:
+        """Takes tokens that were granted without the ledger.
+
+        They are to be recorded, and leave what may be handed out from
+        the ledger as it was.
+
+        Args:
+            program: Their program.
+            tokens: How many.
+            budget: The program's budget.
+            now: The time.
+        """
+        book = self._book(program, budget)
+        book.handed += tokens
+        book.limit += tokens
+        book.used_at = now
+        self._mark(program, book)
+
     def take_writes(self, *, ahead: bool) -> list[RecordedGrant]:
         """Returns the records that are due; the caller appends them.
 
@@ -153,11 +174,11 @@
         for program in self._dirty:
             book = self._by_program[program]
             book.dirty = False
-            tokens = self._wanted(program, book, ahead=ahead)
-            if tokens == book.recorded:
+            holding = self._wanted(program, book, ahead=ahead)
+            if holding == book.recorded:
                 continue
-            book.limit = min(book.limit, tokens)
-            writes.append(RecordedGrant(program, tokens))
+            book.limit = min(book.limit, holding.limit)
+            writes.append(RecordedGrant(program, holding))
         self._dirty.clear()
         return writes
 
@@ -167,18 +188,16 @@
             book = self._by_program.get(write.program)
             if book is None:
                 continue
-            # What is in the ledger is not known any more.
-            book.recorded = -1
+            book.recorded = None
             self._mark(write.program, book)
 
     def written(
-        self, write: RecordedGrant, offset: Offset
+        self, write: RecordedGrant
     ) -> list[tuple[TurnId, BookDecision]]:
         """Decides with a record whose predecessors have all been read.
 
         Args:
             write: What was written.
-            offset: Where it is in the log.
 
         Returns:
             The turns that waited for it, with their answers.
@@ -186,11 +205,11 @@
         book = self._by_program.get(write.program)
         if book is None:
             return []
-        book.recorded = write.tokens
+        book.recorded = write.holding
         others = self._ledger.others(write.program, self._holder)
-        room = book.budget - others
-        book.limit = max(0, min(write.tokens, room))
-        if write.tokens > max(room, 0) and write.tokens > book.committed():
+        room = book.budget - others.limit
+        book.limit = max(0, min(write.holding.limit, room))
+        if write.holding.limit > max(room, book.committed()):
             self._mark(write.program, book)
         answers: list[tuple[TurnId, BookDecision]] = []
         for turn, most in list(book.waiting.items()):
@@ -199,14 +218,31 @@
                 del book.waiting[turn]
                 book.running[turn] = most
                 answers.append((turn, BookDecision.GRANTED))
-            elif need > room:
-                del book.waiting[turn]
-                self._mark(write.program, book)
-                answers.append((turn, BookDecision.SPENT))
-            else:
-                self._mark(write.program, book)
+                continue
+            self._mark(write.program, book)
+            if need <= room:
+                continue
+            del book.waiting[turn]
+            spent = others.committed + need > book.budget
+            answers.append(
+                (
+                    turn,
+                    BookDecision.SPENT
+                    if spent
+                    else BookDecision.HELD_ELSEWHERE,
+                )
+            )
         return answers
 
+    def others_recorded(self, program: ProgramId) -> None:
+        """Gives up what is held ahead where other VMs run short of it."""
+        book = self._by_program.get(program)
+        if book is None or book.limit <= book.committed():
+            return
+        others = self._ledger.others(program, self._holder)
+        if others.limit + book.limit > book.budget:
+            self._mark(program, book)
+
     def pending(self) -> bool:
         """Returns whether records are due."""
         return bool(self._dirty)
@@ -228,18 +264,27 @@
         for program, book in self._by_program.items():
             self._mark(program, book)
 
-    def _wanted(self, program: ProgramId, book: _Book, *, ahead: bool) -> int:
-        tokens = book.committed() + sum(book.waiting.values())
-        most = max(
-            [book.ahead, *book.running.values(), *book.waiting.values()]
-        )
-        book.ahead = most
-        if not ahead:
-            return tokens
+    def _book(self, program: ProgramId, budget: int) -> _Book:
+        book = self._by_program.get(program)
+        if book is None:
+            book = _Book(budget)
+            book.handed = self._ledger.own(program, self._holder).limit
+            book.recorded = None if book.handed else NOTHING
+            self._by_program[program] = book
+        book.budget = budget
+        return book
+
+    def _wanted(
+        self, program: ProgramId, book: _Book, *, ahead: bool
+    ) -> Holding:
+        committed = book.committed() + sum(book.waiting.values())
         others = self._ledger.others(program, self._holder)
-        if others + tokens + most * (1 + SPARE_TURNS) <= book.budget:
-            tokens += most
-        return tokens
+        free = book.budget - others.limit - committed
+        turns = 0
+        if ahead and book.most:
+            turns = free // book.most - SPARE_TURNS
+        turns = max(0, min(turns, AHEAD_TURNS))
+        return Holding(committed + turns * book.most, committed)
 
     def _mark(self, program: ProgramId, book: _Book) -> None:
         book.dirty = True
--- a/lycheestall/entry/token_ledger.py
+++ b/lycheestall/entry/token_ledger.py
@@ -13,7 +13,14 @@
 from ..ids import Offset, ProgramId
 from .store import KeyedRecord, KeyedWrite
 
-__all__ = ["HolderId", "TokenLedger", "grant_write", "read_grant"]
+__all__ = [
+    "Grant",
+    "HolderId",
+    "Holding",
+    "TokenLedger",
+    "grant_write",
+    "read_grant",
+]
 
 HolderId = NewType("HolderId", str)
 """One life of one VM's process, as the ledger names it."""
@@ -22,21 +29,38 @@
 _SEPARATOR = "\x1f"
 
 
+@dataclass(frozen=True, slots=True)
+class Holding:
+    """Tokens of one program.
+
+    Attributes:
+        limit: Most that may be handed out without another record.
+        committed: Part of it that was handed out or that running turns
+            may still generate.
+    """
+
+    limit: int
+    committed: int
+
+
+NOTHING = Holding(0, 0)
+
+
 @dataclass(frozen=True, slots=True)
 class Grant:
-    """A VM's upper bound for one program."""
+    """What one VM holds of a program."""
 
     program: ProgramId
     holder: HolderId
-    tokens: int
+    holding: Holding
 
 
 def grant_write(
-    program: ProgramId, holder: HolderId, tokens: int | None
+    program: ProgramId, holder: HolderId, holding: Holding
 ) -> KeyedWrite:
-    """Returns the record of a VM's upper bound; None drops it."""
+    """Returns the record of what a VM holds."""
     key = _SEPARATOR.join((_GRANT, program, holder)).encode()
-    value = None if tokens is None else str(tokens).encode()
+    value = f"{holding.limit},{holding.committed}".encode()
     return KeyedWrite(key, value)
 
 
@@ -48,11 +72,13 @@
     parts = record.key.decode("utf-8", "replace").split(_SEPARATOR)
     if len(parts) != 3 or parts[0] != _GRANT:
         return None
-    value = record.value
-    if value is not None and not value.isdigit():
-        return None
-    tokens = 0 if value is None else int(value)
-    return Grant(ProgramId(parts[1]), HolderId(parts[2]), tokens)
+    holding = NOTHING
+    if record.value is not None:
+        limit, _, committed = record.value.partition(b",")
+        if not limit.isdigit() or not committed.isdigit():
+            return None
+        holding = Holding(int(limit), int(committed))
+    return Grant(ProgramId(parts[1]), HolderId(parts[2]), holding)
 
 
 class TokenLedger:
@@ -60,7 +86,7 @@
 
     def __init__(self) -> None:
         self._by_program: dict[
-            ProgramId, dict[HolderId, tuple[Offset, int]]
+            ProgramId, dict[HolderId, tuple[Offset, Holding]]
         ] = {}
 
     def apply(self, record: KeyedRecord) -> Grant | None:
@@ -72,22 +98,28 @@
         known = by_holder.get(grant.holder)
         if known is not None and known[0] >= record.offset:
             return None
-        by_holder[grant.holder] = (record.offset, grant.tokens)
+        by_holder[grant.holder] = (record.offset, grant.holding)
         return grant
 
-    def others(self, program: ProgramId, holder: HolderId) -> int:
-        """Returns the tokens of all VMs but one."""
-        by_holder = self._by_program.get(program)
-        if by_holder is None:
-            return 0
-        return sum(
-            tokens for name, (_, tokens) in by_holder.items() if name != holder
-        )
-
-    def own(self, program: ProgramId, holder: HolderId) -> int:
-        """Returns the tokens of one VM."""
+    def others(self, program: ProgramId, holder: HolderId) -> Holding:
+        """Returns what all VMs but one hold."""
+        limit = 0
+        committed = 0
+        for name, (_, holding) in self._by_program.get(program, {}).items():
+            if name == holder:
+                continue
+            limit += holding.limit
+            committed += holding.committed
+        return Holding(limit, committed)
+
+    def total(self, program: ProgramId) -> Holding:
+        """Returns what all VMs hold."""
+        return self.others(program, HolderId(""))
+
+    def own(self, program: ProgramId, holder: HolderId) -> Holding:
+        """Returns what one VM holds."""
         by_holder = self._by_program.get(program, {})
-        return by_holder.get(holder, (Offset(0), 0))[1]
+        return by_holder.get(holder, (Offset(0), NOTHING))[1]
 
     def known(self, program: ProgramId) -> bool:
         """Returns whether any VM has a record for the program."""
--- /dev/null
+++ b/lycheestall/entry/turn_tokens.py
@@ -0,0 +1,245 @@
+"""Tokens for turns: from the ledger, or from a deciding VM without it."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.python.failure import Failure
+
+from ..clock import sleep
+from ..ids import ProgramId
+from ..logs import Logger
+from .ledger_writer import LedgerWriter, TurnAnswer
+from .members import Members
+from .outage import Outage
+from .outage_books import OutageBooks, OutageDecision
+from .peer_link import PeerCaller
+from .peer_messages import AskTokens, SettleTokens, TokenAnswer, Understood
+from .token_books import BookDecision, TokenBooks, TurnId
+from .token_ledger import HolderId
+
+__all__ = ["TurnTokens"]
+
+ASK_TIMEOUT_S = 0.3
+"""Longest time for a deciding VM's answer."""
+
+SETTLE_TRIES = 3
+"""Calls that tell a deciding VM how a turn ended."""
+
+SETTLE_PAUSE_S = 0.5
+"""Seconds between those calls."""
+
+
+class TurnTokens:
+    """Reserves and settles the tokens of turns.
+
+    Args:
+        holder: This VM's name in the ledger.
+        writer: Writes the ledger.
+        books: This VM's share of budgets.
+        outage: How the store's outage looks.
+        outage_books: What this VM grants as decider.
+        members: The VMs of the system.
+        peers: Calls them.
+        clock: Times the calls.
+        logger: Where grants without the store are logged.
+    """
+
+    def __init__(
+        self,
+        *,
+        holder: HolderId,
+        writer: LedgerWriter,
+        books: TokenBooks,
+        outage: Outage,
+        outage_books: OutageBooks,
+        members: Members,
+        peers: PeerCaller,
+        clock: Any,
+        logger: Logger,
+    ) -> None:
+        self._holder = holder
+        self._writer = writer
+        self._books = books
+        self._outage = outage
+        self._outage_books = outage_books
+        self._members = members
+        self._peers = peers
+        self._clock = clock
+        self._logger = logger
+        self._decider_by_turn: dict[TurnId, HolderId] = {}
+        self._budget_by_program: dict[ProgramId, int] = {}
+
+    def reserve(
+        self, program: ProgramId, turn: TurnId, *, most: int, budget: int
+    ) -> Deferred[TurnAnswer] | TurnAnswer:
+        """Asks for a turn's tokens.
+
+        Returns:
+            The decision, at once or later; None when nobody can decide.
+        """
+        answer = self._writer.reserve(program, turn, most=most, budget=budget)
+        if isinstance(answer, Deferred):
+            later: Deferred[TurnAnswer] = answer.addCallback(
+                self._or_without_store, program, turn, most, budget
+            )
+            return later
+        return self._or_without_store(answer, program, turn, most, budget)
+
+    def settle(self, program: ProgramId, turn: TurnId, handed: int) -> None:
+        """Ends a turn that was granted.
+
+        Args:
+            program: Its program.
+            turn: The turn.
+            handed: Tokens that went out to the caller.
+        """
+        decider = self._decider_by_turn.pop(turn, None)
+        if decider is None:
+            self._writer.settle(program, turn, handed)
+            return
+        budget = self._budget_by_program.get(program, 0)
+        if handed:
+            self._books.granted_outside(
+                program, handed, budget=budget, now=self._clock.seconds()
+            )
+            self._writer.wake()
+        if decider == self._holder:
+            self._outage_books.settle(program, self._holder, turn, handed)
+            return
+        told = ensureDeferred(self._tell(decider, program, turn, handed))
+        told.addErrback(self._tell_failed, program)
+
+    def outage_ended(self) -> None:
+        """Takes what was granted to other VMs into the ledger."""
+        now = self._clock.seconds()
+        self._outage.ended(now)
+        granted = self._outage_books.of_others(self._holder)
+        for program, tokens in granted.items():
+            budget = self._budget_by_program.get(program, 0)
+            self._books.granted_outside(
+                program, tokens, budget=budget, now=now
+            )
+        self._outage_books.clear()
+        self._budget_by_program.clear()
+        if granted:
+            self._logger.info("outage grants recorded", programs=len(granted))
+            self._writer.wake()
+
+    def decide(self, message: AskTokens) -> TokenAnswer:
+        """Decides on a turn of a peer."""
+        now = self._clock.seconds()
+        if not self._outage.decides(message.program, message.view, now):
+            return TokenAnswer(granted=False, spent=False)
+        self._budget_by_program[message.program] = message.budget
+        decision = self._outage_books.ask(
+            message.program,
+            message.holder,
+            message.turn,
+            most=message.most,
+            budget=message.budget,
+        )
+        return TokenAnswer(
+            granted=decision is OutageDecision.GRANTED,
+            spent=decision is OutageDecision.SPENT,
+        )
+
+    def settled(self, message: SettleTokens) -> None:
+        """Ends a turn of a peer."""
+        self._outage_books.settle(
+            message.program, message.holder, message.turn, message.handed
+        )
+
+    def _or_without_store(
+        self,
+        answer: TurnAnswer,
+        program: ProgramId,
+        turn: TurnId,
+        most: int,
+        budget: int,
+    ) -> Deferred[TurnAnswer] | TurnAnswer:
+        if answer is not None:
+            return answer
+        decider = self._outage.decider(program, self._clock.seconds())
+        if decider is None:
+            return None
+        self._budget_by_program[program] = budget
+        message = AskTokens(
+            self._holder,
+            self._outage.view_digest,
+            program,
+            turn,
+            most,
+            budget,
+        )
+        self._decider_by_turn[turn] = decider
+        if decider == self._holder:
+            return self._decided(self.decide(message), program, turn)
+        member = self._members.get(decider)
+        if member is None:
+            del self._decider_by_turn[turn]
+            return None
+        reply = self._peers.call(
+            member.address, message, timeout_s=ASK_TIMEOUT_S
+        )
+        decided: Deferred[TurnAnswer] = reply.addCallbacks(
+            self._decided,
+            self._ask_ended,
+            callbackArgs=(program, turn),
+            errbackArgs=(program, turn),
+        )
+        return decided
+
+    def _ask_ended(
+        self, failure: Failure, program: ProgramId, turn: TurnId
+    ) -> Failure:
+        # Whoever asked waits no more; the decider may have granted it.
+        self.settle(program, turn, 0)
+        return failure
+
+    def _decided(
+        self, reply: Any, program: ProgramId, turn: TurnId
+    ) -> TurnAnswer:
+        granted = isinstance(reply, TokenAnswer) and reply.granted
+        self._logger.info(
+            "asked a deciding VM",
+            program=program,
+            turn=turn,
+            decider=self._decider_by_turn.get(turn),
+            view=self._outage.view_digest,
+            granted=granted,
+        )
+        if granted:
+            return BookDecision.GRANTED
+        if reply is None:
+            # The answer may have been lost on the way back.
+            self.settle(program, turn, 0)
+            return None
+        self._decider_by_turn.pop(turn, None)
+        if isinstance(reply, TokenAnswer) and reply.spent:
+            return BookDecision.SPENT
+        return None
+
+    async def _tell(
+        self, decider: HolderId, program: ProgramId, turn: TurnId, handed: int
+    ) -> None:
+        message = SettleTokens(self._holder, program, turn, handed)
+        for _ in range(SETTLE_TRIES):
+            member = self._members.get(decider)
+            if member is None:
+                return
+            reply = await self._peers.call(
+                member.address, message, timeout_s=ASK_TIMEOUT_S
+            )
+            if isinstance(reply, Understood):
+                return
+            await sleep(self._clock, SETTLE_PAUSE_S)
+        self._logger.warning(
+            "turn not settled", program=program, turn=turn, decider=decider
+        )
+
+    def _tell_failed(self, failure: Failure, program: ProgramId) -> None:
+        self._logger.error(
+            "settling failed", program=program, error=failure.getTraceback()
+        )
--- a/lycheestall/platform/store_client.py
+++ b/lycheestall/platform/store_client.py
@@ -41,9 +41,18 @@
     Topic.LEDGER: "keyed.lycheestall",
 }
 
-CALL_TIMEOUT_S = 0.9
-"""Longest time for a store call, beyond what the store was asked to wait;
-short, so that a silent store is noticed and its callers are refused."""
+MIN_TIMEOUT_S = 0.4
+"""Shortest timeout of a store call, beyond what the store was asked to
+wait; a silent store is noticed after it."""
+
+MAX_TIMEOUT_S = 0.9
+"""Longest timeout of a store call."""
+
+TIMEOUT_FACTOR = 6.0
+"""Timeout as a multiple of the smoothed time of an answer."""
+
+SMOOTHING = 0.2
+"""Weight of the newest answer in the smoothed time."""
 
 CONNECT_TIMEOUT_S = 0.5
 """Longest time for a connection to the store."""
@@ -74,6 +83,7 @@
             connect_timeout_s=CONNECT_TIMEOUT_S,
             idle_s=IDLE_S,
         )
+        self._answer_s = 0.0
         self.calls = 0
 
     def append(
@@ -127,9 +137,21 @@
         self.calls += 1
         url = f"{path}?{urlencode(query)}".encode()
         data = request_bytes(method, url, [(b"Host", self._host)], body)
-        return call(
-            self._reactor, self._pool, data, timeout_s=CALL_TIMEOUT_S + wait_s
+        timeout_s = self._answer_s * TIMEOUT_FACTOR
+        timeout_s = min(max(timeout_s, MIN_TIMEOUT_S), MAX_TIMEOUT_S)
+        started = self._reactor.seconds()
+        outcome = call(
+            self._reactor, self._pool, data, timeout_s=timeout_s + wait_s
         )
+        if wait_s:
+            return outcome
+        return outcome.addCallback(self._timed, started)
+
+    def _timed(self, outcome: CallOutcome, started: float) -> CallOutcome:
+        if isinstance(outcome, CallAnswered):
+            took_s = self._reactor.seconds() - started
+            self._answer_s += SMOOTHING * (took_s - self._answer_s)
+        return outcome
 
 
 def _frame(write: KeyedWrite) -> bytes:
