Record outage grants once; doubt programs after a kill of many VMs

A VM that stopped before the outage was noticed handed nothing over. Change: each VM records its own turns; the decider records only what is missing after 0.7 s. Every planned stop hands over. VMs that find two members back without a departure limit programs without records to what cannot have been granted, as 503, not 402.

--- a/lycheestall/entry/entry_vm.py
+++ b/lycheestall/entry/entry_vm.py
@@ -8,7 +8,7 @@
 from twisted.internet.defer import Deferred, DeferredList, ensureDeferred
 from twisted.python.failure import Failure
 
-from ..ids import TargetId
+from ..ids import Offset, TargetId
 from ..logs import Logger
 from ..polling import Poller
 from ..supervisor import Supervisor
@@ -77,6 +77,17 @@
 HOUSEKEEPING_S = 0.5
 """Seconds between looks at what has lapsed."""
 
+LOST_GRANTS_S = 60.0
+"""Seconds after VMs were killed in which programs may still be running
+whose grants were lost with them."""
+
+CRASHES_THAT_LOSE_GRANTS = 2
+"""VMs killed together that may lose a grant: the one that ran the turn
+and the one that decided on it."""
+
+OTHERS_BACK_S = 2.0
+"""Seconds in which VMs that were killed together are back."""
+
 HANDOVER_TIMEOUT_S = 0.4
 """Longest time for a peer to take over what this VM decides."""
 
@@ -136,7 +147,9 @@
         self._outage_books = OutageBooks(self._ledger)
         self._store = RoutedStore(store, peers, reactor, logger)
         self._health = StoreHealth(logger, self._store_returned)
-        self._books = TokenBooks(holder, self._ledger)
+        self._books = TokenBooks(
+            holder, self._ledger, doubtful=self._grants_may_be_lost
+        )
         self._followers = {
             Topic.CONFIGURATION: self._follower(
                 Topic.CONFIGURATION, self._take_configuration
@@ -161,6 +174,7 @@
             holder=holder,
             writer=self._writer,
             books=self._books,
+            ledger=self._ledger,
             outage=self._outage,
             outage_books=self._outage_books,
             members=self._members,
@@ -180,6 +194,7 @@
         )
         self._peers = peers
         self._announced = False
+        self._loaded_at = float("-inf")
         self._parts = RunParts(
             clock=reactor,
             headers=headers,
@@ -333,7 +348,7 @@
             return Understood()
         if isinstance(message, Handover):
             self._outage.handed_over(message.holder)
-            self._outage_books.take_over(message.tokens_by_program)
+            self._outage_books.take_over(message.grants)
             return Understood()
         relayed: Deferred[PeerReply] = self._relayed(message)
         return relayed
@@ -352,10 +367,8 @@
 
     async def _hand_over(self) -> None:
         self._handed_over = True
-        totals = self._outage_books.totals()
-        if not totals and not self._health.away:
-            return
-        message = Handover(self._holder, totals)
+        grants = tuple(self._outage_books.grants())
+        message = Handover(self._holder, grants)
         calls = [
             self._peers.call(
                 member.address, message, timeout_s=HANDOVER_TIMEOUT_S
@@ -367,7 +380,8 @@
 
     def _store_returned(self, now: float) -> None:
         self._table.store_returned(now)
-        self._tokens.outage_ended()
+        position = self._followers[Topic.LEDGER].position
+        self._tokens.outage_ended(position or Offset(0))
 
     def _follower(
         self,
@@ -403,6 +417,23 @@
             address = Address(settings.host, settings.peers_port)
             member = Member(self._holder, address, settings.zone)
             self._writer.announce(announcement(member))
+            self._loaded_at = self._reactor.seconds()
+            self._reactor.callLater(LOST_GRANTS_S, self._clear_crashed)
+
+    def _grants_may_be_lost(self) -> bool:
+        crashed = len(self._members.crashed())
+        if crashed >= CRASHES_THAT_LOSE_GRANTS:
+            return True
+        # Other VMs that were killed as well may not be back yet.
+        age_s = self._reactor.seconds() - self._loaded_at
+        return crashed > 0 and age_s < OTHERS_BACK_S
+
+    def _clear_crashed(self) -> None:
+        address = Address(self._settings.host, self._settings.peers_port)
+        for holder in self._members.crashed():
+            member = self._members.get(holder)
+            if member is not None and member.address == address:
+                self._writer.announce(departure(holder))
 
     async def _housekeeping(self) -> None:
         now = self._reactor.seconds()
--- a/lycheestall/entry/members.py
+++ b/lycheestall/entry/members.py
@@ -112,6 +112,15 @@
         members = [self.get(holder) for holder in self.view().holders]
         return [member for member in members if member is not None]
 
+    def crashed(self) -> list[HolderId]:
+        """Returns members that came back without having left."""
+        newest = set(self.view().holders)
+        return [
+            holder
+            for holder, (_, member) in self._by_holder.items()
+            if member is not None and holder not in newest
+        ]
+
     def _newest(self) -> list[HolderId]:
         newest: dict[Address, tuple[Offset, HolderId]] = {}
         for holder, (offset, member) in self._by_holder.items():
--- a/lycheestall/entry/outage.py
+++ b/lycheestall/entry/outage.py
@@ -119,7 +119,6 @@
             self._ended_at = now
         self._view = None
         self._agreed_at = float("-inf")
-        self._left.clear()
         self.took_part = False
 
     def settling(self, now: float) -> bool:
--- a/lycheestall/entry/outage_books.py
+++ b/lycheestall/entry/outage_books.py
@@ -2,18 +2,34 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import Enum
 
 from ..ids import ProgramId
 from .token_ledger import HolderId, TokenLedger
 
-__all__ = ["OutageBooks", "OutageDecision"]
+__all__ = [
+    "OutageBooks",
+    "OutageDecision",
+    "OutageGrant",
+    "outage_allowance",
+]
 
 OUTAGE_SHARE = 0.5
 """Largest part of a budget that may be granted without the store."""
 
 
+def outage_allowance(budget: int, most: int) -> int:
+    """Returns the tokens that may be granted without the store.
+
+    Args:
+        budget: The program's budget.
+        most: Most tokens of a turn.
+    """
+    return max(most, int(budget * OUTAGE_SHARE))
+
+
 class OutageDecision(Enum):
     """What a turn is told while the store is away."""
 
@@ -22,6 +38,15 @@
     WAIT = "wait"
 
 
+@dataclass(frozen=True, slots=True)
+class OutageGrant:
+    """What one VM was granted of one program."""
+
+    program: ProgramId
+    holder: HolderId
+    tokens: int
+
+
 @dataclass(slots=True)
 class _Book:
     """One program.
@@ -29,20 +54,21 @@
     Attributes:
         handed_by: Tokens of ended turns, by the VM that ran them.
         running: Most tokens of each running turn.
-        taken_over: Tokens that a VM which stopped had granted.
     """
 
     handed_by: dict[HolderId, int] = field(default_factory=dict)
     running: dict[tuple[HolderId, int], int] = field(default_factory=dict)
-    taken_over: int = 0
 
     def total(self) -> int:
         """Tokens handed out or promised."""
-        return (
-            sum(self.handed_by.values())
-            + sum(self.running.values())
-            + self.taken_over
-        )
+        return sum(self.handed_by.values()) + sum(self.running.values())
+
+    def by_holder(self) -> dict[HolderId, int]:
+        """Tokens handed out or promised, by the VM that has the turns."""
+        tokens = dict(self.handed_by)
+        for (holder, _), most in self.running.items():
+            tokens[holder] = tokens.get(holder, 0) + most
+        return tokens
 
 
 class OutageBooks:
@@ -73,8 +99,10 @@
         need = book.total() + most
         if recorded.committed + need > budget:
             return OutageDecision.SPENT
-        allowed = max(most, int(budget * OUTAGE_SHARE))
-        if need > allowed or recorded.limit + need > budget:
+        if (
+            need > outage_allowance(budget, most)
+            or recorded.limit + need > budget
+        ):
             return OutageDecision.WAIT
         book.running[(holder, turn)] = most
         return OutageDecision.GRANTED
@@ -88,31 +116,21 @@
             return
         book.handed_by[holder] = book.handed_by.get(holder, 0) + handed
 
-    def take_over(self, tokens_by_program: dict[str, int]) -> None:
+    def take_over(self, grants: Iterable[OutageGrant]) -> None:
         """Takes what a VM that stops has granted."""
-        for name, tokens in tokens_by_program.items():
-            book = self._by_program.setdefault(ProgramId(name), _Book())
-            book.taken_over += tokens
-
-    def totals(self) -> dict[str, int]:
-        """Returns all programs' tokens."""
-        return {
-            str(program): book.total()
+        for grant in grants:
+            book = self._by_program.setdefault(grant.program, _Book())
+            handed = book.handed_by.get(grant.holder, 0)
+            book.handed_by[grant.holder] = handed + grant.tokens
+
+    def grants(self) -> list[OutageGrant]:
+        """Returns what each VM was granted of each program."""
+        return [
+            OutageGrant(program, holder, tokens)
             for program, book in self._by_program.items()
-        }
-
-    def of_others(self, holder: HolderId) -> dict[ProgramId, int]:
-        """Returns what other VMs than one were granted, by program."""
-        tokens: dict[ProgramId, int] = {}
-        for program, book in self._by_program.items():
-            own = book.handed_by.get(holder, 0)
-            own += sum(
-                most for (h, _), most in book.running.items() if h == holder
-            )
-            others = book.total() - own
-            if others:
-                tokens[program] = others
-        return tokens
+            for holder, tokens in book.by_holder().items()
+            if tokens
+        ]
 
     def clear(self) -> None:
         """Forgets everything, once it is recorded."""
--- a/lycheestall/entry/peer_messages.py
+++ b/lycheestall/entry/peer_messages.py
@@ -9,6 +9,7 @@
 import cbor2
 
 from ..ids import Offset, ProgramId
+from .outage_books import OutageGrant
 from .store import (
     AppendConflict,
     Appended,
@@ -120,11 +121,11 @@
 
     Attributes:
         holder: The VM that stops.
-        tokens_by_program: What it has granted.
+        grants: What it has granted as decider.
     """
 
     holder: HolderId
-    tokens_by_program: dict[str, int]
+    grants: tuple[OutageGrant, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -188,7 +189,6 @@
         AskTokens,
         TokenAnswer,
         SettleTokens,
-        Handover,
         Understood,
         Appended,
         AppendConflict,
@@ -218,6 +218,9 @@
 
 
 def _fields(message: PeerMessage | PeerReply) -> list[Any]:
+    if isinstance(message, Handover):
+        grants = [list(astuple(grant)) for grant in message.grants]
+        return [message.holder, grants]
     if isinstance(message, RelayAppend):
         writes = [[write.key, write.value] for write in message.writes]
         return [message.topic.value, writes, list(astuple(message.fence))]
@@ -233,6 +236,9 @@
 
 
 def _message(name: str, fields: list[Any]) -> PeerMessage | PeerReply:
+    if name == Handover.__name__:
+        grants = tuple(OutageGrant(*grant) for grant in fields[1])
+        return Handover(fields[0], grants)
     if name == RelayAppend.__name__:
         writes = tuple(KeyedWrite(key, value) for key, value in fields[1])
         return RelayAppend(Topic(fields[0]), writes, WriterFence(*fields[2]))
--- a/lycheestall/entry/request_run.py
+++ b/lycheestall/entry/request_run.py
@@ -203,6 +203,8 @@
             self._refuse(402, "the program's token budget is spent", None)
         elif answer is BookDecision.HELD_ELSEWHERE:
             self._refuse(503, "tokens are held by another VM", HELD_RETRY_S)
+        elif answer is BookDecision.UNPROVEN:
+            self._refuse(503, "tokens may be unrecorded", STORE_RETRY_S)
         else:
             self._refuse(503, "budgets can't be checked now", STORE_RETRY_S)
         return False
--- a/lycheestall/entry/token_books.py
+++ b/lycheestall/entry/token_books.py
@@ -7,11 +7,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import NewType
 
 from ..ids import ProgramId
+from .outage_books import outage_allowance
 from .token_ledger import NOTHING, HolderId, Holding, TokenLedger
 
 __all__ = ["BookDecision", "RecordedGrant", "TokenBooks", "TurnId"]
@@ -37,6 +39,7 @@
     GRANTED = "granted"
     SPENT = "spent"
     HELD_ELSEWHERE = "held_elsewhere"
+    UNPROVEN = "unproven"
     NEEDS_RECORD = "needs_record"
 
 
@@ -61,6 +64,8 @@
         recorded: The newest record that is known to be in; None where
             that is not known.
         most: Most tokens of a turn seen.
+        doubtful: Whether the program may have been granted tokens in an
+            outage that nobody recorded.
         dirty: Whether a record is due.
     """
 
@@ -71,6 +76,7 @@
     limit: int = 0
     recorded: Holding | None = NOTHING
     most: int = 0
+    doubtful: bool = False
     dirty: bool = False
     used_at: float = 0.0
 
@@ -78,6 +84,17 @@
         """Tokens handed out or promised to running turns."""
         return self.handed + sum(self.running.values())
 
+    def provable(self) -> int:
+        """Tokens that are surely left of a whole budget.
+
+        What may have been granted without a record is not; one turn more
+        than the budget is allowed.
+        """
+        if not self.doubtful:
+            return self.budget
+        lost = outage_allowance(self.budget, self.most)
+        return min(self.budget, self.budget - lost + self.most)
+
 
 class TokenBooks:
     """Decides which turns may start.
@@ -85,9 +102,18 @@
     Args:
         holder: This VM's name in the ledger.
         ledger: All VMs' records.
+        doubtful: Whether grants of an outage may have been lost, so that
+            a program without records may not be a new one.
     """
 
-    def __init__(self, holder: HolderId, ledger: TokenLedger) -> None:
+    def __init__(
+        self,
+        holder: HolderId,
+        ledger: TokenLedger,
+        *,
+        doubtful: Callable[[], bool],
+    ) -> None:
+        self._doubtful = doubtful
         self._holder = holder
         self._ledger = ledger
         self._by_program: dict[ProgramId, _Book] = {}
@@ -111,8 +137,11 @@
             book.running[turn] = most
             return BookDecision.GRANTED
         others = self._ledger.others(program, self._holder)
-        if others.committed + book.committed() + most > budget:
+        known = others.committed + book.committed() + most
+        if known > budget:
             return BookDecision.SPENT
+        if known > book.provable():
+            return BookDecision.UNPROVEN
         book.waiting[turn] = most
         self._mark(program, book)
         return BookDecision.NEEDS_RECORD
@@ -207,7 +236,8 @@
             return []
         book.recorded = write.holding
         others = self._ledger.others(write.program, self._holder)
-        room = book.budget - others.limit
+        book.doubtful = book.doubtful or others.doubtful
+        room = book.provable() - others.limit
         book.limit = max(0, min(write.holding.limit, room))
         if write.holding.limit > max(room, book.committed()):
             self._mark(write.program, book)
@@ -223,15 +253,7 @@
             if need <= room:
                 continue
             del book.waiting[turn]
-            spent = others.committed + need > book.budget
-            answers.append(
-                (
-                    turn,
-                    BookDecision.SPENT
-                    if spent
-                    else BookDecision.HELD_ELSEWHERE,
-                )
-            )
+            answers.append((turn, _denial(book, others.committed + need)))
         return answers
 
     def others_recorded(self, program: ProgramId) -> None:
@@ -240,7 +262,7 @@
         if book is None or book.limit <= book.committed():
             return
         others = self._ledger.others(program, self._holder)
-        if others.limit + book.limit > book.budget:
+        if others.limit + book.limit > book.provable():
             self._mark(program, book)
 
     def pending(self) -> bool:
@@ -270,6 +292,10 @@
             book = _Book(budget)
             book.handed = self._ledger.own(program, self._holder).limit
             book.recorded = None if book.handed else NOTHING
+            if self._ledger.known(program):
+                book.doubtful = self._ledger.total(program).doubtful
+            else:
+                book.doubtful = self._doubtful()
             self._by_program[program] = book
         book.budget = budget
         return book
@@ -279,13 +305,22 @@
     ) -> Holding:
         committed = book.committed() + sum(book.waiting.values())
         others = self._ledger.others(program, self._holder)
-        free = book.budget - others.limit - committed
+        free = book.provable() - others.limit - committed
         turns = 0
         if ahead and book.most:
             turns = free // book.most - SPARE_TURNS
         turns = max(0, min(turns, AHEAD_TURNS))
-        return Holding(committed + turns * book.most, committed)
+        limit = committed + turns * book.most
+        return Holding(limit, committed, book.doubtful)
 
     def _mark(self, program: ProgramId, book: _Book) -> None:
         book.dirty = True
         self._dirty.add(program)
+
+
+def _denial(book: _Book, known: int) -> BookDecision:
+    if known > book.budget:
+        return BookDecision.SPENT
+    if known > book.provable():
+        return BookDecision.UNPROVEN
+    return BookDecision.HELD_ELSEWHERE
--- a/lycheestall/entry/token_ledger.py
+++ b/lycheestall/entry/token_ledger.py
@@ -37,14 +37,19 @@
         limit: Most that may be handed out without another record.
         committed: Part of it that was handed out or that running turns
             may still generate.
+        doubtful: Whether tokens granted before may be missing in the
+            ledger.
     """
 
     limit: int
     committed: int
+    doubtful: bool = False
 
 
 NOTHING = Holding(0, 0)
 
+_DOUBTFUL = b"d"
+
 
 @dataclass(frozen=True, slots=True)
 class Grant:
@@ -60,7 +65,9 @@
 ) -> KeyedWrite:
     """Returns the record of what a VM holds."""
     key = _SEPARATOR.join((_GRANT, program, holder)).encode()
-    value = f"{holding.limit},{holding.committed}".encode()
+    value = b"%d,%d" % (holding.limit, holding.committed)
+    if holding.doubtful:
+        value += b"," + _DOUBTFUL
     return KeyedWrite(key, value)
 
 
@@ -74,10 +81,14 @@
         return None
     holding = NOTHING
     if record.value is not None:
-        limit, _, committed = record.value.partition(b",")
-        if not limit.isdigit() or not committed.isdigit():
+        numbers = record.value.split(b",")
+        if len(numbers) < 2:
+            return None
+        if not numbers[0].isdigit() or not numbers[1].isdigit():
             return None
-        holding = Holding(int(limit), int(committed))
+        holding = Holding(
+            int(numbers[0]), int(numbers[1]), _DOUBTFUL in numbers[2:]
+        )
     return Grant(ProgramId(parts[1]), HolderId(parts[2]), holding)
 
 
@@ -105,12 +116,14 @@
         """Returns what all VMs but one hold."""
         limit = 0
         committed = 0
+        doubtful = False
         for name, (_, holding) in self._by_program.get(program, {}).items():
             if name == holder:
                 continue
             limit += holding.limit
             committed += holding.committed
-        return Holding(limit, committed)
+            doubtful = doubtful or holding.doubtful
+        return Holding(limit, committed, doubtful)
 
     def total(self, program: ProgramId) -> Holding:
         """Returns what all VMs hold."""
@@ -121,6 +134,11 @@
         by_holder = self._by_program.get(program, {})
         return by_holder.get(holder, (Offset(0), NOTHING))[1]
 
+    def recorded_at(self, program: ProgramId, holder: HolderId) -> Offset:
+        """Returns the offset of a VM's newest record; -1 without one."""
+        by_holder = self._by_program.get(program, {})
+        return by_holder.get(holder, (Offset(-1), NOTHING))[0]
+
     def known(self, program: ProgramId) -> bool:
         """Returns whether any VM has a record for the program."""
         return program in self._by_program
--- a/lycheestall/entry/turn_tokens.py
+++ b/lycheestall/entry/turn_tokens.py
@@ -8,16 +8,16 @@
 from twisted.python.failure import Failure
 
 from ..clock import sleep
-from ..ids import ProgramId
+from ..ids import Offset, ProgramId
 from ..logs import Logger
 from .ledger_writer import LedgerWriter, TurnAnswer
 from .members import Members
 from .outage import Outage
-from .outage_books import OutageBooks, OutageDecision
+from .outage_books import OutageBooks, OutageDecision, OutageGrant
 from .peer_link import PeerCaller
 from .peer_messages import AskTokens, SettleTokens, TokenAnswer, Understood
 from .token_books import BookDecision, TokenBooks, TurnId
-from .token_ledger import HolderId
+from .token_ledger import HolderId, TokenLedger
 
 __all__ = ["TurnTokens"]
 
@@ -31,6 +31,11 @@
 """Seconds between those calls."""
 
 
+RECORD_FOR_OTHERS_S = 0.7
+"""Seconds that VMs have to record their own turns after an outage; ends
+while no turn may start by the ledger alone."""
+
+
 class TurnTokens:
     """Reserves and settles the tokens of turns.
 
@@ -38,6 +43,7 @@
         holder: This VM's name in the ledger.
         writer: Writes the ledger.
         books: This VM's share of budgets.
+        ledger: All VMs' records.
         outage: How the store's outage looks.
         outage_books: What this VM grants as decider.
         members: The VMs of the system.
@@ -52,6 +58,7 @@
         holder: HolderId,
         writer: LedgerWriter,
         books: TokenBooks,
+        ledger: TokenLedger,
         outage: Outage,
         outage_books: OutageBooks,
         members: Members,
@@ -62,6 +69,7 @@
         self._holder = holder
         self._writer = writer
         self._books = books
+        self._ledger = ledger
         self._outage = outage
         self._outage_books = outage_books
         self._members = members
@@ -111,21 +119,45 @@
         told = ensureDeferred(self._tell(decider, program, turn, handed))
         told.addErrback(self._tell_failed, program)
 
-    def outage_ended(self) -> None:
-        """Takes what was granted to other VMs into the ledger."""
-        now = self._clock.seconds()
-        self._outage.ended(now)
-        granted = self._outage_books.of_others(self._holder)
-        for program, tokens in granted.items():
-            budget = self._budget_by_program.get(program, 0)
+    def outage_ended(self, position: Offset) -> None:
+        """Sees to it that what was granted comes into the ledger.
+
+        Each VM records the turns that it ran. What is still missing
+        after a while was run by VMs that are gone.
+
+        Args:
+            position: Up to where the ledger has been read.
+        """
+        self._outage.ended(self._clock.seconds())
+        grants = self._outage_books.grants()
+        self._outage_books.clear()
+        if grants:
+            self._clock.callLater(
+                RECORD_FOR_OTHERS_S, self._record_for_others, grants, position
+            )
+
+    def _record_for_others(
+        self, grants: list[OutageGrant], position: Offset
+    ) -> None:
+        missing = 0
+        for grant in grants:
+            if grant.holder == self._holder:
+                continue
+            recorded = self._ledger.recorded_at(grant.program, grant.holder)
+            if recorded >= position:
+                continue
+            missing += 1
             self._books.granted_outside(
-                program, tokens, budget=budget, now=now
+                grant.program,
+                grant.tokens,
+                budget=self._budget_by_program.get(grant.program, 0),
+                now=self._clock.seconds(),
             )
-        self._outage_books.clear()
         self._budget_by_program.clear()
-        if granted:
-            self._logger.info("outage grants recorded", programs=len(granted))
-            self._writer.wake()
+        self._logger.info(
+            "outage grants checked", granted=len(grants), missing=missing
+        )
+        self._writer.wake()
 
     def decide(self, message: AskTokens) -> TokenAnswer:
         """Decides on a turn of a peer."""
--- /dev/null
+++ b/tests/entry/outage_world.py
@@ -0,0 +1,301 @@
+"""Entry VMs that share a store and call each other, in virtual time."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+from typing import Any
+
+from twisted.internet.defer import Deferred, ensureDeferred, succeed
+from twisted.internet.task import Clock
+
+from lycheestall.entry.crash_reports import CrashReports
+from lycheestall.entry.ledger_writer import LedgerWriter, TurnAnswer
+from lycheestall.entry.members import (
+    Member,
+    Members,
+    announcement,
+    departure,
+)
+from lycheestall.entry.outage import Outage
+from lycheestall.entry.outage_books import OutageBooks
+from lycheestall.entry.peer_messages import (
+    AskTokens,
+    Handover,
+    PeerMessage,
+    PeerReply,
+    RelayAppend,
+    RelayNewest,
+    RelayRead,
+    SettleTokens,
+    Survey,
+    Understood,
+    decode,
+    encode,
+)
+from lycheestall.entry.routed_store import RoutedStore
+from lycheestall.entry.store import KeyedRecord, Topic
+from lycheestall.entry.store_health import StoreHealth
+from lycheestall.entry.surveyor import Surveyor
+from lycheestall.entry.token_books import BookDecision, TokenBooks, TurnId
+from lycheestall.entry.token_ledger import HolderId, TokenLedger
+from lycheestall.entry.topic_follower import TopicFollower
+from lycheestall.entry.turn_tokens import TurnTokens
+from lycheestall.entry.vm_settings import Address
+from lycheestall.ids import Offset, ProgramId, ZoneId
+from lycheestall.logs import get_logger
+from tests.entry.memory_store import Fault, MemoryLog, MemoryStore
+
+STEP_S = 0.05
+
+
+class Network:
+    """Carries messages between VMs; some pairs may be cut."""
+
+    def __init__(self) -> None:
+        self.by_address: dict[Address, OutageVm] = {}
+        self.cut: set[frozenset[Address]] = set()
+
+    def reaches(self, one: Address, other: Address) -> bool:
+        """Returns whether a call gets through."""
+        return frozenset((one, other)) not in self.cut
+
+
+class FakePeers:
+    """Calls other VMs of the world at once."""
+
+    def __init__(self, network: Network, own: Address) -> None:
+        self._network = network
+        self._own = own
+
+    def call(
+        self, address: Address, message: PeerMessage, *, timeout_s: float
+    ) -> Deferred[PeerReply | None]:
+        """Returns the reply; None if the peer is gone or cut off."""
+        peer = self._network.by_address.get(address)
+        if peer is None or not self._network.reaches(self._own, address):
+            return succeed(None)
+        received: Any = decode(encode(message))
+        return peer.answer(received)
+
+
+class OutageVm:
+    """One life of one VM, as far as budgets and outages go."""
+
+    def __init__(
+        self,
+        name: str,
+        address: Address,
+        log: MemoryLog,
+        network: Network,
+        clock: Clock,
+    ) -> None:
+        logger = get_logger()
+        self.holder = HolderId(name)
+        self.address = address
+        self.clock = clock
+        self.direct = MemoryStore(log)
+        self.members = Members()
+        self.ledger = TokenLedger()
+        self.crashed_at_load = 0
+        self.books = TokenBooks(
+            self.holder,
+            self.ledger,
+            doubtful=lambda: len(self.members.crashed()) >= 2,
+        )
+        self.outage = Outage(self.holder)
+        self.outage_books = OutageBooks(self.ledger)
+        peers: Any = FakePeers(network, address)
+        self.store = RoutedStore(self.direct, peers, clock, logger)
+        self.health = StoreHealth(logger, self._returned)
+        self.follower = TopicFollower(
+            self.store,
+            Topic.LEDGER,
+            clock=clock,
+            health=self.health,
+            apply=self._apply,
+        )
+        self.writer = LedgerWriter(
+            store=self.store,
+            follower=self.follower,
+            books=self.books,
+            crashes=CrashReports(self.holder),
+            holder=self.holder,
+            clock=clock,
+            health=self.health,
+            logger=logger,
+            hold_off=lambda: self.outage.settling(clock.seconds()),
+        )
+        self.tokens = TurnTokens(
+            holder=self.holder,
+            writer=self.writer,
+            books=self.books,
+            ledger=self.ledger,
+            outage=self.outage,
+            outage_books=self.outage_books,
+            members=self.members,
+            peers=peers,
+            clock=clock,
+            logger=logger,
+        )
+        self.surveyor = Surveyor(
+            holder=self.holder,
+            zone=ZoneId("zone"),
+            store=self.store,
+            members=self.members,
+            outage=self.outage,
+            peers=peers,
+            clock=clock,
+            logger=logger,
+        )
+        self._peers = peers
+        self._announced = False
+
+    def step(self) -> None:
+        """Does what the VM's loops do from time to time."""
+        ensureDeferred(self.follower.read())
+        ensureDeferred(self.surveyor.step())
+        if self.follower.loaded and not self._announced:
+            self._announced = True
+            member = Member(self.holder, self.address, ZoneId("zone"))
+            self.writer.announce(announcement(member))
+
+    def leave(self) -> None:
+        """Stops as planned."""
+        message = Handover(self.holder, tuple(self.outage_books.grants()))
+        for member in self.members.all():
+            if member.holder != self.holder:
+                self._peers.call(member.address, message, timeout_s=0.1)
+        self.writer.announce(departure(self.holder))
+        self.writer.flush()
+
+    def answer(self, message: Any) -> Deferred[PeerReply | None]:
+        """Answers a peer."""
+        reply: Any = Understood()
+        if isinstance(message, Survey):
+            reply = self.surveyor.report()
+        elif isinstance(message, AskTokens):
+            reply = self.tokens.decide(message)
+        elif isinstance(message, SettleTokens):
+            self.tokens.settled(message)
+        elif isinstance(message, Handover):
+            self.outage.handed_over(message.holder)
+            self.outage_books.take_over(message.grants)
+        elif isinstance(message, RelayAppend):
+            return self.direct.append(
+                message.topic, message.writes, message.fence
+            )
+        elif isinstance(message, RelayRead):
+            return self.direct.read(message.topic, message.start)
+        elif isinstance(message, RelayNewest):
+            return self.direct.newest(message.topic, after=message.after)
+        return succeed(reply)
+
+    def _returned(self, now: float) -> None:
+        self.tokens.outage_ended(self.follower.position or Offset(0))
+
+    def _apply(self, record: KeyedRecord) -> None:
+        grant = self.ledger.apply(record)
+        if grant is None:
+            self.members.apply(record)
+        elif grant.holder != self.holder:
+            self.books.others_recorded(grant.program)
+            self.writer.wake()
+
+
+@dataclass
+class Turn:
+    """A turn that a caller has asked for."""
+
+    vm: OutageVm
+    program: ProgramId
+    turn: TurnId
+    answer: list[TurnAnswer] = field(default_factory=list)
+
+    @property
+    def granted(self) -> bool:
+        """Whether the turn may run."""
+        return self.answer == [BookDecision.GRANTED]
+
+
+class OutageWorld:
+    """VMs that have come up with the store.
+
+    Args:
+        seed: Decides on what is random.
+        vms: How many VMs there are.
+    """
+
+    def __init__(self, *, seed: int = 1, vms: int = 5) -> None:
+        self.random = random.Random(seed)
+        self.clock = Clock()
+        self.log = MemoryLog()
+        self.network = Network()
+        self._lives = 0
+        self._turns = 0
+        self.vms: list[OutageVm] = []
+        for number in range(vms):
+            self.vms.append(self._vm(Address(f"10.0.0.{number + 1}", 1)))
+        self.advance(0.5)
+
+    def advance(self, seconds: float) -> None:
+        """Lets time pass; all VMs' loops run."""
+        for _ in range(max(1, round(seconds / STEP_S))):
+            for vm in self.vms:
+                vm.step()
+            self.clock.advance(STEP_S)
+
+    def store_away(self, *vms: OutageVm) -> None:
+        """Takes the store away from some VMs; from all without any."""
+        for vm in vms or tuple(self.vms):
+            vm.direct.fault = Fault.REFUSES
+
+    def store_back(self) -> None:
+        """Brings the store back for all."""
+        for vm in self.vms:
+            vm.direct.fault = Fault.NONE
+
+    def kill(self, vm: OutageVm) -> None:
+        """Kills a VM for good."""
+        self.vms.remove(vm)
+        del self.network.by_address[vm.address]
+        vm.direct.fault = Fault.REFUSES
+
+    def restart(self, vm: OutageVm) -> None:
+        """Kills a VM; a new life comes up at its address."""
+        self.kill(vm)
+        self.vms.append(self._vm(vm.address))
+
+    def ask(
+        self, vm: OutageVm, program: str, *, most: int, budget: int
+    ) -> Turn:
+        """Asks for a turn at a VM."""
+        self._turns += 1
+        turn = Turn(vm, ProgramId(program), TurnId(self._turns))
+        answer = vm.tokens.reserve(
+            turn.program, turn.turn, most=most, budget=budget
+        )
+        if isinstance(answer, Deferred):
+            answer.addBoth(turn.answer.append)
+        else:
+            turn.answer.append(answer)
+        return turn
+
+    def loop(self, program: str, *, most: int, budget: int, turns: int) -> int:
+        """Runs turns one after the other anywhere; returns the tokens."""
+        handed = 0
+        for _ in range(turns):
+            vm = self.random.choice(self.vms)
+            turn = self.ask(vm, program, most=most, budget=budget)
+            self.advance(0.1)
+            if turn.granted:
+                handed += most
+                vm.tokens.settle(turn.program, turn.turn, most)
+        return handed
+
+    def _vm(self, address: Address) -> OutageVm:
+        self._lives += 1
+        name = f"vm-{self._lives}"
+        vm = OutageVm(name, address, self.log, self.network, self.clock)
+        self.network.by_address[address] = vm
+        return vm
--- /dev/null
+++ b/tests/entry/test_store_outage.py
@@ -0,0 +1,134 @@
+"""Budgets while the store is away from some VMs or from all.
+
+Patterns: new programs that arrive in an outage; a looping program that
+goes from VM to VM in it; VMs that are killed or stopped in it.
+"""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.entry.outage_world import OutageWorld
+
+MOST = 280
+BUDGET = 3000
+
+
+def test_new_programs_are_served_while_the_store_is_away() -> None:
+    world = OutageWorld()
+    world.store_away()
+    world.advance(0.5)
+    turns = [
+        world.ask(vm, f"program-{number}", most=MOST, budget=BUDGET)
+        for number in range(20)
+        for vm in world.vms[:1]
+    ]
+    world.advance(0.1)
+    assert all(turn.granted for turn in turns)
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_a_loop_in_an_outage_stays_inside_its_budget(seed: int) -> None:
+    world = OutageWorld(seed=seed)
+    handed = world.loop("loop", most=MOST, budget=BUDGET, turns=3)
+    world.store_away()
+    world.advance(0.5)
+    handed += world.loop("loop", most=MOST, budget=BUDGET, turns=30)
+    world.store_back()
+    handed += world.loop("loop", most=MOST, budget=BUDGET, turns=60)
+    assert BUDGET - MOST < handed <= BUDGET
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_a_killed_decider_or_server_loses_no_grant(seed: int) -> None:
+    world = OutageWorld(seed=seed)
+    world.store_away()
+    world.advance(0.5)
+    handed = world.loop("loop", most=MOST, budget=BUDGET, turns=5)
+    world.kill(world.random.choice(world.vms))
+    handed += world.loop("loop", most=MOST, budget=BUDGET, turns=5)
+    world.store_back()
+    handed += world.loop("loop", most=MOST, budget=BUDGET, turns=60)
+    assert handed <= BUDGET + MOST
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_a_kill_of_all_vms_in_an_outage_does_not_pass_a_budget(
+    seed: int,
+) -> None:
+    world = OutageWorld(seed=seed)
+    world.store_away()
+    world.advance(0.5)
+    handed = world.loop("loop", most=MOST, budget=BUDGET, turns=20)
+    assert handed > 0
+    for vm in list(world.vms):
+        world.restart(vm)
+    world.store_back()
+    world.advance(0.5)
+    handed += world.loop("loop", most=MOST, budget=BUDGET, turns=60)
+    assert handed <= BUDGET + MOST
+
+
+def test_a_planned_stop_hands_its_programs_to_another_decider() -> None:
+    world = OutageWorld(vms=3)
+    world.store_away()
+    world.advance(0.5)
+    programs = [f"program-{number}" for number in range(12)]
+    for program in programs:
+        world.loop(program, most=MOST, budget=BUDGET, turns=1)
+    leaving = world.vms[0]
+    leaving.leave()
+    world.kill(leaving)
+    world.advance(0.5)
+    turns = [
+        world.ask(world.vms[0], program, most=MOST, budget=BUDGET)
+        for program in programs
+    ]
+    world.advance(0.1)
+    assert all(turn.granted for turn in turns)
+
+
+def test_halves_that_cannot_talk_never_both_decide() -> None:
+    world = OutageWorld(vms=4)
+    one, two, three, four = world.vms
+    for near in (one, two):
+        for far in (three, four):
+            world.network.cut.add(frozenset((near.address, far.address)))
+    world.store_away()
+    world.advance(0.5)
+    turns = [
+        world.ask(vm, f"program-{number}", most=MOST, budget=BUDGET)
+        for number in range(10)
+        for vm in world.vms
+    ]
+    world.advance(0.2)
+    assert not any(turn.granted for turn in turns)
+
+
+def test_a_vm_that_the_store_turns_away_reaches_it_through_a_peer() -> None:
+    world = OutageWorld()
+    away = world.vms[0]
+    world.store_away(away)
+    world.advance(0.6)
+    turn = world.ask(away, "program", most=MOST, budget=BUDGET)
+    world.advance(0.2)
+    assert turn.granted
+    assert away.store.relayed
+    world.store_back()
+    world.advance(1.5)
+    assert not away.store.relayed
+
+
+def test_a_short_program_is_not_charged_twice_after_an_outage() -> None:
+    budget = 900
+    world = OutageWorld()
+    world.store_away()
+    world.advance(0.5)
+    first = world.ask(world.vms[0], "short", most=MOST, budget=budget)
+    world.advance(0.1)
+    first.vm.tokens.settle(first.program, first.turn, 70)
+    world.store_back()
+    world.advance(2.0)
+    recorded = world.vms[0].ledger.total(first.program)
+    assert first.granted
+    assert recorded.committed == 70
--- /dev/null
+++ b/tests/entry/test_token_budgets.py
@@ -0,0 +1,147 @@
+"""Budgets hold over many VMs, restarts and a store that misbehaves.
+
+Pattern: a program that loops without end through several VMs at once.
+"""
+
+from __future__ import annotations
+
+import pytest
+
+from lycheestall.entry.store import Topic
+from lycheestall.entry.token_books import BookDecision
+from lycheestall.ids import ProgramId
+from tests.entry.ledger_world import LedgerWorld, Turn
+from tests.entry.memory_store import Fault
+
+PROGRAM = ProgramId("looping")
+MOST = 280
+BUDGET = 3000
+
+
+def loop_through(world: LedgerWorld, *, rounds: int, faults: bool) -> int:
+    """Asks for turns at all VMs until ``rounds`` are over."""
+    refused_as_spent = 0
+    for _ in range(rounds):
+        vm = world.random.choice(world.vms)
+        if faults:
+            disturb(world)
+        world.running.append(world.ask(vm, PROGRAM, most=MOST, budget=BUDGET))
+        world.advance(world.random.choice((0.0, 0.02, 0.1, 0.6)))
+        refused_as_spent += end_some(world)
+    return refused_as_spent
+
+
+def end_some(world: LedgerWorld) -> int:
+    """Ends granted turns at random; returns how many were spent."""
+    spent = 0
+    still: list[Turn] = []
+    for turn in world.running:
+        if turn.answer == [BookDecision.SPENT]:
+            spent += 1
+            continue
+        if not world.granted(turn):
+            if not turn.answer:
+                still.append(turn)
+            continue
+        if world.random.random() < 0.5:
+            still.append(turn)
+            continue
+        world.settle(turn, PROGRAM, world.random.randrange(0, MOST + 1))
+    world.running = still
+    return spent
+
+
+def disturb(world: LedgerWorld) -> None:
+    """Brings one trouble about, or ends some."""
+    vm = world.random.choice(world.vms)
+    dice = world.random.random()
+    if dice < 0.06:
+        # Its running turns had handed out all they could.
+        for turn in world.running:
+            if turn.vm is vm and world.granted(turn):
+                world.handed += MOST
+        world.restart(vm)
+    elif dice < 0.25:
+        vm.store.fault = world.random.choice(list(Fault))
+    elif dice < 0.3:
+        world.log.forget_history(Topic.LEDGER)
+    elif dice < 0.6:
+        for other in world.vms:
+            other.store.fault = Fault.NONE
+            other.store.deliver_late()
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_a_looping_program_never_passes_its_budget(seed: int) -> None:
+    world = LedgerWorld(seed=seed)
+    loop_through(world, rounds=200, faults=True)
+    running = sum(MOST for turn in world.running if world.granted(turn))
+    assert world.handed + running <= BUDGET
+
+
+def test_a_looping_program_is_told_that_its_budget_is_spent() -> None:
+    world = LedgerWorld(seed=1)
+    spent = loop_through(world, rounds=200, faults=False)
+    assert spent > 0
+    assert world.handed > BUDGET - 2 * MOST
+
+
+def test_a_budget_holds_over_a_restart_of_all_vms() -> None:
+    world = LedgerWorld(seed=2)
+    loop_through(world, rounds=100, faults=False)
+    for vm in list(world.vms):
+        world.restart(vm)
+    turn = world.ask(world.vms[0], PROGRAM, most=MOST, budget=BUDGET)
+    world.advance(1.0)
+    assert turn.answer == [BookDecision.SPENT]
+
+
+def test_turns_of_one_vm_need_no_wait_once_one_is_held_ahead() -> None:
+    world = LedgerWorld(seed=3)
+    vm = world.vms[0]
+    first = world.ask(vm, PROGRAM, most=MOST, budget=BUDGET)
+    world.advance(0.1)
+    world.settle(first, PROGRAM, 70)
+    world.advance(0.1)
+    vm.store.fault = Fault.REFUSES
+    second = world.ask(vm, PROGRAM, most=MOST, budget=BUDGET)
+    assert second.answer == [BookDecision.GRANTED]
+
+
+def test_tokens_held_ahead_are_given_up_when_another_vm_needs_them() -> None:
+    budget = 4 * MOST
+    world = LedgerWorld(seed=4, vms=2)
+    one, two = world.vms
+    turn = world.ask(one, PROGRAM, most=MOST, budget=budget)
+    world.advance(0.1)
+    world.settle(turn, PROGRAM, 0)
+    world.advance(0.1)
+    held = [world.ask(two, PROGRAM, most=MOST, budget=budget) for _ in "abc"]
+    world.advance(0.1)
+    assert sum(world.granted(turn) for turn in held) < 3
+    assert [BookDecision.SPENT] not in [turn.answer for turn in held]
+    later = world.ask(one, ProgramId("other"), most=1, budget=9)
+    world.advance(0.2)
+    assert world.granted(later)
+    again = world.ask(two, PROGRAM, most=MOST, budget=budget)
+    world.advance(0.2)
+    assert world.granted(again)
+
+
+def test_a_late_append_does_not_undo_a_newer_one() -> None:
+    world = LedgerWorld(seed=5, vms=2)
+    one, two = world.vms
+    one.store.fault = Fault.LATE
+    world.ask(one, PROGRAM, most=MOST, budget=BUDGET)
+    world.advance(0.05)
+    one.store.fault = Fault.NONE
+    world.advance(1.0)
+    loop = [world.ask(one, PROGRAM, most=MOST, budget=BUDGET) for _ in "abcd"]
+    world.advance(1.0)
+    one.store.deliver_late()
+    recorded = one.ledger.own(PROGRAM, one.holder)
+    other = world.ask(two, PROGRAM, most=MOST, budget=BUDGET)
+    world.advance(0.2)
+    assert two.ledger.own(PROGRAM, one.holder) == recorded
+    assert world.granted(other)
+    assert all(world.granted(turn) for turn in loop)
