Hold less ahead of small budgets; hold nothing ahead right after an outage

Change: at most 0.4 of what is free is held ahead; nothing while grants may be unrecorded, nor for 2 s after another VM ran short.

--- a/lycheestall/entry/entry_vm.py
+++ b/lycheestall/entry/entry_vm.py
@@ -517,7 +517,7 @@
             if not self._members.apply(record):
                 self._crashes.apply(record)
         elif grant.holder != self._holder:
-            self._books.others_recorded(grant.program)
+            self._books.others_recorded(grant.program, self._reactor.seconds())
             self._writer.wake()
 
     def _pool_of(self, entry: TargetEntry) -> ConnectionPool:
--- a/lycheestall/entry/ledger_writer.py
+++ b/lycheestall/entry/ledger_writer.py
@@ -185,7 +185,9 @@
             done.callback(None)
 
     async def _write(self) -> bool:
-        grants = self._books.take_writes(ahead=not self._stopping)
+        # What others were granted in an outage may not be recorded yet.
+        ahead = not self._stopping and not self._hold_off()
+        grants = self._books.take_writes(self._clock.seconds(), ahead=ahead)
         reports = self._crashes.take_writes()
         writes = [
             grant_write(grant.program, self._holder, grant.holding)
--- a/lycheestall/entry/token_books.py
+++ b/lycheestall/entry/token_books.py
@@ -25,8 +25,13 @@
 """Turns held ahead, so that most need no wait for a record and programs
 go on while the store is away."""
 
-SPARE_TURNS = 1
-"""Turns that holding ahead must leave free for other VMs."""
+AHEAD_SHARE = 0.4
+"""Largest part of what is free that is held ahead; what a VM that dies
+held is lost to its program."""
+
+GIVE_UP_S = 2.0
+"""Seconds for which a VM holds nothing ahead of a program that another
+VM needs more of; callers come back sooner."""
 
 FORGET_S = 120.0
 """Seconds after which a program without turns is forgotten here; its
@@ -66,6 +71,8 @@
         most: Most tokens of a turn seen.
         doubtful: Whether the program may have been granted tokens in an
             outage that nobody recorded.
+        wanted_until: Until when nothing is held ahead, since another VM
+            has asked for more than there is.
         dirty: Whether a record is due.
     """
 
@@ -77,6 +84,7 @@
     recorded: Holding | None = NOTHING
     most: int = 0
     doubtful: bool = False
+    wanted_until: float = 0.0
     dirty: bool = False
     used_at: float = 0.0
 
@@ -193,17 +201,20 @@
         book.used_at = now
         self._mark(program, book)
 
-    def take_writes(self, *, ahead: bool) -> list[RecordedGrant]:
+    def take_writes(self, now: float, *, ahead: bool) -> list[RecordedGrant]:
         """Returns the records that are due; the caller appends them.
 
         Args:
-            ahead: Whether to hold a turn ahead where there is room.
+            now: The time.
+            ahead: Whether to hold turns ahead where there is room.
         """
         writes: list[RecordedGrant] = []
         for program in self._dirty:
             book = self._by_program[program]
             book.dirty = False
-            holding = self._wanted(program, book, ahead=ahead)
+            holding = self._wanted(
+                program, book, ahead=ahead and now >= book.wanted_until
+            )
             if holding == book.recorded:
                 continue
             book.limit = min(book.limit, holding.limit)
@@ -256,13 +267,19 @@
             answers.append((turn, _denial(book, others.committed + need)))
         return answers
 
-    def others_recorded(self, program: ProgramId) -> None:
-        """Gives up what is held ahead where other VMs run short of it."""
+    def others_recorded(self, program: ProgramId, now: float) -> None:
+        """Gives up what is held ahead where other VMs run short of it.
+
+        Args:
+            program: The program that another VM has a new record for.
+            now: The time.
+        """
         book = self._by_program.get(program)
         if book is None or book.limit <= book.committed():
             return
         others = self._ledger.others(program, self._holder)
         if others.limit + book.limit > book.provable():
+            book.wanted_until = now + GIVE_UP_S
             self._mark(program, book)
 
     def pending(self) -> bool:
@@ -308,7 +325,7 @@
         free = book.provable() - others.limit - committed
         turns = 0
         if ahead and book.most:
-            turns = free // book.most - SPARE_TURNS
+            turns = int(free * AHEAD_SHARE) // book.most
         turns = max(0, min(turns, AHEAD_TURNS))
         limit = committed + turns * book.most
         return Holding(limit, committed, book.doubtful)
