Repeat a broken idempotent request at another target; pace empty reads

Cause: the first tests of the request path over connections in memory: a lost answer was repeated at the target that had lost it; a store that does not hold a read made the configuration loop spin. Change: the target of a broken attempt is avoided while there is another; 50 ms between reads of the configuration.

--- a/lycheestall/entry/entry_vm.py
+++ b/lycheestall/entry/entry_vm.py
@@ -59,6 +59,10 @@
 """How long the store may hold a read of the configuration; bounds how
 long a silent connection goes unnoticed."""
 
+CONFIGURATION_PAUSE_S = 0.05
+"""Seconds between two of these reads, in case the store does not hold
+them."""
+
 TARGETS_POLL_S = 0.5
 """Seconds between two reads of the targets, which write all the time."""
 
@@ -233,7 +237,7 @@
     def start(self) -> None:
         """Starts following the store."""
         pollers = (
-            ("configuration", self._poll_configuration, 0.0),
+            ("configuration", self._poll_configuration, CONFIGURATION_PAUSE_S),
             ("targets", self._poll_targets, TARGETS_POLL_S),
             ("ledger", self._poll_ledger, LEDGER_POLL_S),
             ("survey", self._surveyor.step, SURVEY_S),
--- a/lycheestall/entry/request_run.py
+++ b/lycheestall/entry/request_run.py
@@ -253,6 +253,10 @@
                 self._failed(outcome)
                 return
             again = None
+            if step is NextStep.OTHER_TARGET:
+                self._history.avoid.add(entry.target)
+                if isinstance(outcome, Broken) and self._choose() is None:
+                    step = NextStep.SAME_TARGET
             if step is NextStep.SAME_TARGET:
                 again = self._parts.table.get(entry.target)
                 await self._pause(RESUME_PAUSE_S)
--- /dev/null
+++ b/tests/entry/entry_world.py
@@ -0,0 +1,191 @@
+"""One entry VM with a store and targets in memory."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import orjson
+from twisted.internet.defer import succeed
+
+from lycheestall.entry.caller_connection import CallerFactory
+from lycheestall.entry.entry_metrics import EntryMetrics
+from lycheestall.entry.entry_vm import EntryVm
+from lycheestall.entry.store import KeyedWrite, Topic
+from lycheestall.entry.token_ledger import HolderId
+from lycheestall.entry.vm_settings import Address, EntrySettings
+from lycheestall.ids import VmId, ZoneId
+from lycheestall.logs import get_logger
+from lycheestall.platform.headers import PlatformHeaders
+from lycheestall.platform.store_records import PlatformRecords
+from tests.entry.fake_network import Answer, FakeReactor, FakeTarget, Pipe
+from tests.entry.memory_store import MemoryLog, MemoryStore
+
+ENGINE = {"slots": 8, "stride": 10}
+
+ROUTES = [
+    {
+        "name": "safe",
+        "host": "crew.example",
+        "path_prefix": "/maps/",
+        "kind": "safe",
+        "timeout_ms": 1500,
+        "service": "app",
+        "max_attempts": 2,
+    },
+    {
+        "name": "unsafe",
+        "host": "crew.example",
+        "path_prefix": "/orders/",
+        "kind": "unsafe",
+        "timeout_ms": 3000,
+        "service": "app",
+        "max_attempts": 1,
+    },
+    {
+        "name": "stream",
+        "host": "crew.example",
+        "path_prefix": "/plan/",
+        "kind": "stream",
+        "resumable": True,
+        "timeout_ms": 3000,
+        "service": "engines",
+        "max_attempts": 1,
+    },
+]
+
+
+class NoPeers:
+    """Peers that never answer."""
+
+    def call(self, address: Address, message: Any, *, timeout_s: float) -> Any:
+        """Returns no reply."""
+        return succeed(None)
+
+    def close(self) -> None:
+        """Does nothing."""
+
+
+class EntryWorld:
+    """A VM that has read its configuration and targets."""
+
+    def __init__(self) -> None:
+        self.reactor = FakeReactor()
+        self.log = MemoryLog()
+        self.version = 0
+        self.configure(ROUTES)
+        peers: Any = NoPeers()
+        self.store = MemoryStore(self.log)
+        self.vm = EntryVm(
+            settings=settings(),
+            store=self.store,
+            peers=peers,
+            headers=PlatformHeaders(),
+            records=PlatformRecords(),
+            holder=HolderId("vm.1"),
+            reactor=self.reactor,
+            logger=get_logger(),
+            metrics=EntryMetrics(vm="vm"),
+        )
+        self.callers = CallerFactory(self.vm, self.reactor)
+        self._addresses = 0
+
+    def start(self) -> None:
+        """Starts the VM and lets it read the store."""
+        self.vm.start()
+        self.reactor.run(0.7)
+
+    def configure(
+        self, routes: list[dict[str, Any]], *, limits: Any = None
+    ) -> None:
+        """Publishes a configuration."""
+        self.version += 1
+        document = {
+            "version": self.version,
+            "routes": routes,
+            "services": [
+                {"name": "app"},
+                {"name": "engines", "engine": ENGINE},
+            ],
+            "limits": limits or {},
+        }
+        self.log.put(
+            Topic.CONFIGURATION,
+            KeyedWrite(b"config", orjson.dumps(document)),
+        )
+
+    def add_target(
+        self, name: str, answer: Answer, *, service: str = "app"
+    ) -> FakeTarget:
+        """Registers a target."""
+        self._addresses += 1
+        host = f"10.1.0.{self._addresses}"
+        target = FakeTarget(answer)
+        self.reactor.target_by_address[(host, 80)] = target
+        self.register(name, host, service=service)
+        return target
+
+    def register(
+        self, name: str, host: str, *, service: str = "app", **fields: Any
+    ) -> None:
+        """Writes a target's registration."""
+        document = {
+            "service": service,
+            "address": f"{host}:80",
+            "zone": "zone-a",
+            "slots": 8,
+            "state": "ready",
+            "born": 1,
+            **fields,
+        }
+        self.log.put(
+            Topic.TARGETS,
+            KeyedWrite(name.encode(), orjson.dumps(document)),
+        )
+
+    def connect(self) -> Pipe:
+        """Opens a caller's connection."""
+        return self.reactor.open(self.callers.buildProtocol(None))
+
+    def ask(
+        self,
+        path: str,
+        *,
+        method: str = "GET",
+        headers: str = "",
+        body: str = "",
+        request_id: str = "r1",
+        run_s: float = 0.1,
+        caller: Pipe | None = None,
+    ) -> bytes:
+        """Sends a request and returns what has come back."""
+        caller = caller or self.connect()
+        length = f"Content-Length: {len(body)}\r\n" if body else ""
+        text = (
+            f"{method} {path} HTTP/1.1\r\nHost: crew.example\r\n"
+            f"X-Request-Id: {request_id}\r\n{headers}{length}\r\n{body}"
+        )
+        caller.write(text.encode())
+        self.reactor.run(run_s)
+        data: bytes = caller.protocol.data
+        return data
+
+
+def settings() -> EntrySettings:
+    """Returns settings of a VM."""
+    return EntrySettings(
+        vm=VmId("vm"),
+        zone=ZoneId("zone-a"),
+        host="10.0.0.1",
+        callers=Address("10.0.0.1", 1),
+        readiness=Address("10.0.0.1", 2),
+        metrics_port=3,
+        peers_port=4,
+        store=Address("10.0.0.9", 5),
+        grace_s=8.0,
+        heartbeat_s=1.2,
+    )
+
+
+def status_of(data: bytes) -> int:
+    """Returns the status of the first answer; 0 without one."""
+    return int(data.split(b" ", 2)[1]) if data else 0
