Never say not run, or anything more, after a run that was lost

Cause: tests of streams and of lost answers over connections in memory: a request whose target died after it had run was answered 503 (not run), and a stream that could not go on got a second answer inside its first. Change: whether a request may have run is kept apart from which targets still run it, and decides alone.

--- a/lycheestall/entry/request_run.py
+++ b/lycheestall/entry/request_run.py
@@ -231,7 +231,7 @@
         while True:
             entry = again or self._choose()
             if self._end is not None:
-                self._ended_early(sent=bool(self._history.ran))
+                self._ended_early(sent=self._history.may_have_run)
                 return
             if entry is None:
                 self._no_target()
@@ -353,7 +353,7 @@
             self._done("served")
             return True
         if isinstance(outcome, Stopped):
-            self._ended_early(sent=outcome.sent or bool(self._history.ran))
+            self._ended_early(sent=outcome.sent or self._history.may_have_run)
             return True
         return False
 
@@ -402,7 +402,7 @@
             self._refuse(503, "no target in time", BUSY_RETRY_S)
 
     def _no_target(self) -> None:
-        if self._history.ran:
+        if self._history.may_have_run:
             self._give_up("no target to repeat it at")
             return
         usable = self._parts.table.usable(self._service_id)
@@ -412,7 +412,8 @@
             self._refuse(503, "no target is up", NO_TARGET_RETRY_S)
 
     def _failed(self, outcome: AttemptOutcome) -> None:
-        if isinstance(outcome, NotRun | NotSent) and not self._history.ran:
+        may_have_run = self._history.may_have_run
+        if isinstance(outcome, NotRun | NotSent) and not may_have_run:
             self._refuse(503, "no target took the request", BUSY_RETRY_S)
             return
         self._give_up("the answer was lost")
--- a/lycheestall/entry/retry_policy.py
+++ b/lycheestall/entry/retry_policy.py
@@ -30,11 +30,14 @@
     Attributes:
         sends: Attempts made.
         ran: Targets that may have run the request and are still up.
+        may_have_run: Whether any target may have run it, also one that
+            is gone.
         avoid: Targets that are not to be asked again.
     """
 
     sends: int = 0
     ran: set[TargetId] = field(default_factory=set)
+    may_have_run: bool = False
     avoid: set[TargetId] = field(default_factory=set)
 
     def note(self, target: TargetId, outcome: AttemptOutcome) -> None:
@@ -48,6 +51,7 @@
             self.avoid.add(target)
         elif isinstance(outcome, Broken):
             self.ran.add(target)
+            self.may_have_run = True
 
 
 def next_step(
--- /dev/null
+++ b/tests/entry/standin_store.py
@@ -0,0 +1,140 @@
+"""A stand-in of the platform's store that speaks its HTTP."""
+
+from __future__ import annotations
+
+import base64
+import struct
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+import orjson
+
+from lycheestall.entry.caller_connection import Exchange, RequestHandler
+from lycheestall.entry.configuration import CallerLimits
+from lycheestall.entry.store import (
+    AppendConflict,
+    Appended,
+    KeyedRecord,
+    KeyedWrite,
+    Topic,
+    WriterFence,
+)
+from lycheestall.ids import Offset
+from tests.entry.memory_store import MemoryLog
+
+TOPICS = {
+    "keyed.op": Topic.CONFIGURATION,
+    "keyed.servers": Topic.TARGETS,
+    "keyed.lycheestall": Topic.LEDGER,
+}
+
+
+class StandinStore(RequestHandler):
+    """Serves a log over HTTP.
+
+    Args:
+        log: The topics.
+        reactor: Times long polls.
+    """
+
+    def __init__(self, log: MemoryLog, reactor: Any) -> None:
+        self.log = log
+        self._reactor = reactor
+
+    def limits(self) -> CallerLimits:
+        """Returns wide bounds."""
+        return CallerLimits(idle_timeout_s=60.0)
+
+    def closing(self) -> bool:
+        """Returns False."""
+        return False
+
+    def handle(self, exchange: Exchange) -> None:
+        """Answers one call."""
+        parts = urlsplit(exchange.request.url.decode())
+        query = {
+            name: values[0] for name, values in parse_qs(parts.query).items()
+        }
+        topic = TOPICS[query["topic"]]
+        if parts.path == "/api/log-append":
+            self._append(exchange, topic, query)
+        elif parts.path == "/api/log-read":
+            self._read(exchange, topic, query)
+        elif parts.path == "/api/log-newest":
+            self._newest(exchange, topic, query)
+        else:
+            exchange.refuse(404, "no such call")
+
+    def _append(
+        self, exchange: Exchange, topic: Topic, query: dict[str, str]
+    ) -> None:
+        fence = WriterFence(
+            query["producer"], int(query["epoch"]), int(query["sequence"])
+        )
+        outcome = self.log.append(topic, _writes(exchange.request.body), fence)
+        if isinstance(outcome, Appended):
+            end = len(self.log.by_topic[topic])
+            _json(exchange, 200, {"offset": outcome.first, "end": end})
+        elif isinstance(outcome, AppendConflict):
+            _json(exchange, 409, {"why": outcome.reason})
+
+    def _read(
+        self, exchange: Exchange, topic: Topic, query: dict[str, str]
+    ) -> None:
+        start = int(query["from"])
+        first = self.log.first_by_topic[topic]
+        if start < first:
+            _json(exchange, 410, {"first": first})
+            return
+        records = self.log.by_topic[topic][start:]
+        wait_s = int(query.get("wait_ms", 0)) / 1000
+        if not records and wait_s > 0:
+            query["wait_ms"] = str(int(wait_s * 1000) - 20)
+            self._reactor.callLater(0.02, self._read, exchange, topic, query)
+            return
+        end = len(self.log.by_topic[topic])
+        body = struct.pack(">QQ", end, first)
+        body += b"".join(_frame(record) for record in records)
+        exchange.answer(200, [], body)
+
+    def _newest(
+        self, exchange: Exchange, topic: Topic, query: dict[str, str]
+    ) -> None:
+        after = query.get("after", "").encode()
+        records = [r for r in self.log.newest(topic) if r.key > after]
+        items = [
+            {
+                "key": r.key.decode(),
+                "value": base64.b64encode(r.value or b"").decode(),
+                "offset": r.offset,
+            }
+            for r in records[:2]
+        ]
+        end = Offset(len(self.log.by_topic[topic]))
+        more = len(records) > 2
+        _json(exchange, 200, {"items": items, "has_more": more, "end": end})
+
+
+def _json(exchange: Exchange, status: int, document: object) -> None:
+    exchange.answer(
+        status,
+        [(b"Content-Type", b"application/json")],
+        orjson.dumps(document),
+    )
+
+
+def _writes(body: bytes) -> list[KeyedWrite]:
+    writes: list[KeyedWrite] = []
+    while body:
+        (size,) = struct.unpack_from(">I", body)
+        content, body = body[4 : 4 + size], body[4 + size :]
+        key_end = 1 + content[0]
+        writes.append(
+            KeyedWrite(content[1:key_end], content[key_end:] or None)
+        )
+    return writes
+
+
+def _frame(record: KeyedRecord) -> bytes:
+    content = bytes((len(record.key),)) + record.key + (record.value or b"")
+    return struct.pack(">I", len(content)) + content
--- /dev/null
+++ b/tests/entry/test_platform_adapter.py
@@ -0,0 +1,294 @@
+"""The adapter against a stand-in of the platform, over loopback TCP."""
+
+from __future__ import annotations
+
+import os
+import signal
+import subprocess
+import sys
+from collections.abc import Callable, Coroutine, Iterator
+from pathlib import Path
+from typing import Any
+
+import orjson
+import pytest
+from twisted.internet.defer import Deferred
+
+from lycheestall.clock import sleep
+from lycheestall.entry.caller_connection import (
+    CallerFactory,
+    Exchange,
+    RequestHandler,
+)
+from lycheestall.entry.configuration import CallerLimits
+from lycheestall.entry.connection_pool import ConnectionPool
+from lycheestall.entry.http_call import CallAnswered, CallFailed, call
+from lycheestall.entry.http_messages import request_bytes
+from lycheestall.entry.store import (
+    AppendConflict,
+    Appended,
+    HistoryGone,
+    KeyedWrite,
+    NewestPage,
+    Records,
+    Topic,
+    WriterFence,
+)
+from lycheestall.entry.vm_settings import Address, EntrySettings
+from lycheestall.ids import Offset
+from lycheestall.platform.settings_file import load_entry_settings
+from lycheestall.platform.store_client import HttpStore
+from tests.entry.entry_world import ENGINE, ROUTES
+from tests.entry.memory_store import MemoryLog
+from tests.entry.standin_store import StandinStore
+
+Run = Callable[[Coroutine[Any, Any, Any]], Any]
+
+SETTINGS = """\
+node_name=front-1
+zone=zone-a
+ip=127.0.0.1
+listen.front=127.0.0.1:{front}
+listen.ready=127.0.0.1:{ready}
+internal_ports={inner},{last}
+platform.address=127.0.0.1:{store}
+bounds.grace_s=5
+heartbeat_ms=1200
+unknown.field=ignored
+"""
+
+
+@pytest.fixture
+def log() -> MemoryLog:
+    """A store's topics."""
+    return MemoryLog()
+
+
+@pytest.fixture
+def store_port(log: MemoryLog, reactor: Any) -> Iterator[int]:
+    """The port of a stand-in store."""
+    handler = StandinStore(log, reactor)
+    port = reactor.listenTCP(
+        0, CallerFactory(handler, reactor), interface="127.0.0.1"
+    )
+    yield port.getHost().port
+    port.stopListening()
+
+
+def test_the_store_client_speaks_the_platforms_protocol(
+    reactor: Any, run: Run, store_port: int
+) -> None:
+    async def work() -> None:
+        store = HttpStore(reactor, "127.0.0.1", store_port)
+        writes = [KeyedWrite(b"k%d" % n, b"v%d" % n) for n in range(5)]
+        fence = WriterFence("w", 1, 1)
+        first = await store.append(Topic.LEDGER, writes, fence)
+        again = await store.append(Topic.LEDGER, writes, fence)
+        assert first == again == Appended(Offset(0))
+        stale = await store.append(
+            Topic.LEDGER, writes, WriterFence("w", 0, 2)
+        )
+        assert isinstance(stale, AppendConflict)
+        dropped = await store.append(
+            Topic.LEDGER, [KeyedWrite(b"k1", None)], WriterFence("w", 1, 2)
+        )
+        assert dropped == Appended(Offset(5))
+        read = await store.read(Topic.LEDGER, Offset(4))
+        assert isinstance(read, Records)
+        assert [r.value for r in read.records] == [b"v4", None]
+        assert read.end == 6
+        assert await store.read(Topic.LEDGER, Offset(6)) == Records(
+            (), Offset(6)
+        )
+        keys: list[bytes] = []
+        after: str | None = None
+        while True:
+            page = await store.newest(Topic.LEDGER, after=after)
+            assert isinstance(page, NewestPage)
+            keys.extend(r.key for r in page.records)
+            after = page.more_after
+            if after is None:
+                break
+        assert keys == [b"k0", b"k2", b"k3", b"k4"]
+
+    run(work())
+
+
+def test_expired_records_are_told_apart(
+    reactor: Any, run: Run, store_port: int, log: MemoryLog
+) -> None:
+    async def work() -> None:
+        log.put(Topic.TARGETS, KeyedWrite(b"a", b"1"))
+        log.forget_history(Topic.TARGETS)
+        store = HttpStore(reactor, "127.0.0.1", store_port)
+        gone = await store.read(Topic.TARGETS, Offset(0))
+        assert gone == HistoryGone(Offset(1))
+
+    run(work())
+
+
+def test_every_problem_of_a_settings_file_is_named(tmp_path: Path) -> None:
+    path = tmp_path / "node.conf"
+    path.write_text("node_name=a\nlisten.front=nowhere\nbroken\n")
+    problems = load_entry_settings(str(path))
+    assert isinstance(problems, list)
+    text = "\n".join(str(problem) for problem in problems)
+    assert f"{path}:2: listen.front: found 'nowhere'" in text
+    assert f"{path}:3" in text
+    assert "platform.address" in text
+
+
+def test_the_command_checks_settings_and_ends_with_2(tmp_path: Path) -> None:
+    path = tmp_path / "node.conf"
+    path.write_text("node_name=a\n")
+    done = subprocess.run(
+        [sys.executable, "-m", "lycheestall", "entry", "--settings", path],
+        capture_output=True,
+        text=True,
+        timeout=30,
+        check=False,
+    )
+    assert done.returncode == 2
+    assert "listen.front" in done.stderr
+
+
+class _App(RequestHandler):
+    """A target over TCP."""
+
+    def limits(self) -> CallerLimits:
+        return CallerLimits()
+
+    def closing(self) -> bool:
+        return False
+
+    def handle(self, exchange: Exchange) -> None:
+        names = {n.lower(): v for n, v in exchange.request.headers}
+        exchange.answer(
+            200,
+            [
+                (b"X-Request-Id", names[b"x-request-id"]),
+                (b"X-Response-Seal", b"seal"),
+            ],
+            b"whole",
+        )
+
+
+def _free_ports(reactor: Any, count: int) -> list[int]:
+    ports = [
+        reactor.listenTCP(
+            0, CallerFactory(_App(), reactor), interface="127.0.0.1"
+        )
+        for _ in range(count)
+    ]
+    numbers = [port.getHost().port for port in ports]
+    for port in ports:
+        port.stopListening()
+    return numbers
+
+
+def test_the_real_process_serves_and_stops_gracefully(
+    reactor: Any, run: Run, store_port: int, log: MemoryLog, tmp_path: Path
+) -> None:
+    target = reactor.listenTCP(
+        0, CallerFactory(_App(), reactor), interface="127.0.0.1"
+    )
+    document = {
+        "version": 3,
+        "routes": ROUTES,
+        "services": [{"name": "app"}, {"name": "engines", "engine": ENGINE}],
+    }
+    log.put(Topic.CONFIGURATION, KeyedWrite(b"config", orjson.dumps(document)))
+    entry = {
+        "service": "app",
+        "address": f"127.0.0.1:{target.getHost().port}",
+        "zone": "zone-a",
+        "slots": 4,
+        "state": "ready",
+        "born": 1,
+    }
+    log.put(Topic.TARGETS, KeyedWrite(b"one", orjson.dumps(entry)))
+    front, ready, inner, last = _free_ports(reactor, 4)
+    inner, last = min(inner, last), max(inner, last)
+    path = tmp_path / "node.conf"
+    path.write_text(
+        SETTINGS.format(
+            front=front,
+            ready=ready,
+            inner=inner,
+            last=last,
+            store=store_port,
+        )
+    )
+    loaded = load_entry_settings(str(path))
+    assert isinstance(loaded, EntrySettings)
+    assert loaded.store == Address("127.0.0.1", store_port)
+    output = (tmp_path / "log").open("w")
+    process = subprocess.Popen(
+        [sys.executable, "-m", "lycheestall", "entry", "--settings", path],
+        stdout=output,
+        stderr=output,
+    )
+
+    async def until_ready() -> None:
+        pool = _pool(reactor, ready)
+        for _ in range(200):
+            answer = await _get(reactor, pool, b"/api/ready")
+            if isinstance(answer, CallAnswered) and answer.status == 200:
+                return
+            await sleep(reactor, 0.05)
+        raise AssertionError("not ready")
+
+    async def serve_and_stop() -> None:
+        await until_ready()
+        pool = _pool(reactor, front)
+        answer = await _get(reactor, pool, b"/maps/x")
+        assert answer == CallAnswered(200, b"whole")
+        metrics = await _get(reactor, _pool(reactor, inner), b"/metrics")
+        assert isinstance(metrics, CallAnswered)
+        assert b"lycheestall_requests_total" in metrics.body
+        os.kill(process.pid, signal.SIGTERM)
+        await sleep(reactor, 0.3)
+        assert await _get(reactor, pool, b"/maps/x") == CallAnswered(
+            200, b"whole"
+        )
+        state = await _get(reactor, _pool(reactor, ready), b"/api/ready")
+        assert isinstance(state, CallAnswered)
+        assert state.status == 503
+        for _ in range(120):
+            if process.poll() is not None:
+                break
+            await sleep(reactor, 0.05)
+        assert process.poll() == 0
+
+    try:
+        run(serve_and_stop())
+    finally:
+        if process.poll() is None:
+            process.kill()
+        process.wait()
+        output.close()
+        target.stopListening()
+    lines = [
+        orjson.loads(line)
+        for line in (tmp_path / "log").read_text().splitlines()
+    ]
+    events = [line["event"] for line in lines]
+    for event in ("started", "request ended", "stopping", "stopped"):
+        assert event in events
+    assert any(key.startswith(b"m") for key in _ledger_keys(log))
+
+
+def _ledger_keys(log: MemoryLog) -> list[bytes]:
+    return [record.key for record in log.by_topic[Topic.LEDGER]]
+
+
+def _pool(reactor: Any, port: int) -> ConnectionPool:
+    return ConnectionPool(reactor, "127.0.0.1", port, connect_timeout_s=1.0)
+
+
+def _get(
+    reactor: Any, pool: ConnectionPool, url: bytes
+) -> Deferred[CallAnswered | CallFailed]:
+    headers = [(b"Host", b"crew.example"), (b"X-Request-Id", b"r1")]
+    data = request_bytes(b"GET", url, headers, b"")
+    return call(reactor, pool, data, timeout_s=2.0)
