--- a/lycheestall/entry/entry_vm.py
+++ b/lycheestall/entry/entry_vm.py
@@ -17,7 +17,7 @@
 from .configuration_state import ConfigurationState
 from .connection_pool import ConnectionPool
 from .crash_reports import CrashReports
-from .decision_log import DecisionLog
+from .decision_log import Beliefs, DecisionLog
 from .entry_metrics import EntryMetrics
 from .header_codec import HeaderCodec, InvalidRequest
 from .ledger_writer import LedgerWriter
@@ -55,7 +55,7 @@
 
 __all__ = ["EntryVm"]
 
-CONFIGURATION_WAIT_S = 1.0
+CONFIGURATION_WAIT_S = 2.0
 """How long the store may hold a read of the configuration; bounds how
 long a silent connection goes unnoticed."""
 
@@ -63,10 +63,12 @@
 """Seconds between two of these reads, in case the store does not hold
 them."""
 
-TARGETS_POLL_S = 0.5
-"""Seconds between two reads of the targets, which write all the time."""
+TARGETS_POLL_SHARE = 0.3
+"""Part of the time in which a leaving target must get no more work that
+may pass between two reads of the targets. A read that waits would end at
+every registration of any target."""
 
-LEDGER_POLL_S = 1.0
+LEDGER_POLL_S = 1.5
 """Seconds between two reads of the ledger where no write brings one."""
 
 RETRY_S = 0.2
@@ -134,7 +136,9 @@
         self._reactor = reactor
         self._logger = logger
         self._metrics = metrics
-        self._log = DecisionLog(logger, metrics)
+        self._log = DecisionLog(
+            logger, metrics, beliefs=self._beliefs, clock=reactor
+        )
         self._draining = False
         self._handed_over = False
         self._turns = 0
@@ -236,9 +240,10 @@
 
     def start(self) -> None:
         """Starts following the store."""
+        targets_poll_s = self._settings.drain_s * TARGETS_POLL_SHARE
         pollers = (
             ("configuration", self._poll_configuration, CONFIGURATION_PAUSE_S),
-            ("targets", self._poll_targets, TARGETS_POLL_S),
+            ("targets", self._poll_targets, targets_poll_s),
             ("ledger", self._poll_ledger, LEDGER_POLL_S),
             ("survey", self._surveyor.step, SURVEY_S),
             ("housekeeping", self._housekeeping, HOUSEKEEPING_S),
@@ -382,6 +387,19 @@
         ]
         await DeferredList(calls, consumeErrors=True)
 
+    def _beliefs(self) -> Beliefs:
+        now = self._reactor.seconds()
+        ledger = self._followers[Topic.LEDGER]
+        targets = self._followers[Topic.TARGETS]
+        way = "relayed" if self._store.relayed else self._health.state.value
+        return Beliefs(
+            store=way,
+            outage=self._outage.mode(now).value,
+            targets_age_s=now - targets.read_at,
+            ledger_age_s=now - ledger.read_at,
+            ledger_position=ledger.position or 0,
+        )
+
     def _store_returned(self, now: float) -> None:
         self._table.store_returned(now)
         position = self._followers[Topic.LEDGER].position
--- a/lycheestall/entry/request_run.py
+++ b/lycheestall/entry/request_run.py
@@ -442,8 +442,15 @@
             tokens=self._tokens_handed(),
             took_s=self._parts.clock.seconds() - self._request.received_at,
             outcome=outcome,
+            known_tokens=self._known_tokens(),
         )
 
+    def _known_tokens(self) -> int | None:
+        program = self._budgeted_program()
+        if program is None:
+            return None
+        return self._parts.tokens.recorded(program)
+
     def _most_tokens(self) -> int:
         return self._facts.max_output_tokens + self._tokens_per_event()
 
--- a/lycheestall/entry/turn_tokens.py
+++ b/lycheestall/entry/turn_tokens.py
@@ -95,6 +95,10 @@
             return later
         return self._or_without_store(answer, program, turn, most, budget)
 
+    def recorded(self, program: ProgramId) -> int:
+        """Returns the tokens that the ledger has for a program."""
+        return self._ledger.total(program).committed
+
     def settle(self, program: ProgramId, turn: TurnId, handed: int) -> None:
         """Ends a turn that was granted.
 
--- a/lycheestall/entry/vm_settings.py
+++ b/lycheestall/entry/vm_settings.py
@@ -48,7 +48,7 @@
         peers_port: Where other VMs of the system connect.
         store: The platform's store.
         grace_s: Time between SIGTERM and SIGKILL.
-        heartbeat_s: Time between two registrations of a target.
+        drain_s: Time after which a leaving target must get no more work.
     """
 
     vm: VmId
@@ -60,4 +60,4 @@
     peers_port: int
     store: Address
     grace_s: float
-    heartbeat_s: float
+    drain_s: float
--- a/lycheestall/platform/settings_file.py
+++ b/lycheestall/platform/settings_file.py
@@ -49,7 +49,7 @@
         peers_port=reader.port("internal_ports", 0) + 1,
         store=reader.address("platform.address"),
         grace_s=reader.number("bounds.grace_s", default=8.0),
-        heartbeat_s=reader.number("heartbeat_ms", default=1200.0) / 1000.0,
+        drain_s=reader.number("bounds.drain_ms", default=2000.0) / 1000.0,
     )
     return reader.problems or settings
 
