--- a/lycheestall/entry/entry_vm.py
+++ b/lycheestall/entry/entry_vm.py
@@ -71,6 +71,9 @@
 LEDGER_POLL_S = 1.5
 """Seconds between two reads of the ledger where no write brings one."""
 
+LEDGER_LOOK_S = 0.5
+"""Seconds between looks at whether such a read is due."""
+
 RETRY_S = 0.2
 """Seconds between reads while the store fails."""
 
@@ -244,7 +247,7 @@
         pollers = (
             ("configuration", self._poll_configuration, CONFIGURATION_PAUSE_S),
             ("targets", self._poll_targets, targets_poll_s),
-            ("ledger", self._poll_ledger, LEDGER_POLL_S),
+            ("ledger", self._poll_ledger, LEDGER_LOOK_S),
             ("survey", self._surveyor.step, SURVEY_S),
             ("housekeeping", self._housekeeping, HOUSEKEEPING_S),
         )
