Prove that the store answers before telling a peer so

Change: a survey is answered after a proof that is at most 0.15 s old; VMs that only wait for an answer neither offer a way nor agree that the store is away. Agreement holds 0.7 s, records are waited for 1.0 s after an outage.

--- a/lycheestall/entry/entry_vm.py
+++ b/lycheestall/entry/entry_vm.py
@@ -202,6 +202,7 @@
             peers=peers,
             clock=reactor,
             logger=logger,
+            position=self._configuration_position,
         )
         self._peers = peers
         self._announced = False
@@ -390,6 +391,9 @@
         ]
         await DeferredList(calls, consumeErrors=True)
 
+    def _configuration_position(self) -> Offset:
+        return self._followers[Topic.CONFIGURATION].position or Offset(0)
+
     def _beliefs(self) -> Beliefs:
         now = self._reactor.seconds()
         ledger = self._followers[Topic.LEDGER]
--- a/lycheestall/entry/outage.py
+++ b/lycheestall/entry/outage.py
@@ -20,10 +20,10 @@
 
 __all__ = ["Outage", "OutageMode", "SurveyResult"]
 
-AGREEMENT_S = 0.9
+AGREEMENT_S = 0.7
 """Seconds for which the answers of a majority count."""
 
-AFTER_OUTAGE_S = 1.2
+AFTER_OUTAGE_S = 1.0
 """Seconds after an outage in which VMs record what they granted in it;
 longer than ``AGREEMENT_S``, so that no VM still decides by then."""
 
@@ -79,7 +79,7 @@
         cell = view.cell_of(self._holder)
         agreeing = 1
         for report in reports:
-            if report.holder not in cell or report.store_up:
+            if report.holder not in cell or not report.store_away:
                 continue
             if report.view == view.digest:
                 agreeing += 1
--- a/lycheestall/entry/peer_messages.py
+++ b/lycheestall/entry/peer_messages.py
@@ -62,12 +62,15 @@
 
     Attributes:
         holder: Whose report it is.
-        store_up: Whether it reaches the store itself.
+        store_up: Whether the store has just answered it directly.
+        store_away: Whether its last call failed; neither is set while it
+            waits for an answer.
         view: Digest of the members that it knows.
     """
 
     holder: HolderId
     store_up: bool
+    store_away: bool
     view: str
 
 
--- a/lycheestall/entry/routed_store.py
+++ b/lycheestall/entry/routed_store.py
@@ -5,8 +5,9 @@
 from collections.abc import Sequence
 from typing import Any, TypeVar
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, succeed
 
+from ..clock import Timer
 from ..ids import Offset
 from ..logs import Logger
 from .members import Member
@@ -32,6 +33,12 @@
 FAILURES_FOR_AWAY = 2
 """Direct calls in a row that fail before peers are asked."""
 
+FRESH_S = 0.15
+"""Age up to which an answer of the store proves that it is up."""
+
+CHECK_TIMEOUT_S = 0.18
+"""Longest time for such a proof; shorter than a survey."""
+
 _T = TypeVar("_T")
 
 
@@ -54,7 +61,9 @@
         self._logger = logger
         self._failures = 0
         self._relay: Member | None = None
-        self.direct_away_since = 0.0
+        self._answered_at = float("-inf")
+        self._checks: list[Deferred[bool]] = []
+        self._check_timer: Timer | None = None
 
     @property
     def direct_up(self) -> bool:
@@ -119,19 +128,53 @@
         )
 
     def probe(self, start: Offset) -> Deferred[ReadOutcome]:
-        """Asks the store itself, whatever way calls go now."""
+        """Asks the store itself, whatever way calls go now.
+
+        Args:
+            start: Offset in the configuration's topic to read from.
+        """
         return self._noted(self.direct.read(Topic.CONFIGURATION, start))
 
+    def check(self, start: Offset) -> Deferred[bool]:
+        """Tells whether the store answers this VM itself just now.
+
+        An answer of a moment ago is proof enough; otherwise the store is
+        asked. Peers that look for a way to it rely on this.
+
+        Args:
+            start: Offset in the configuration's topic to read from.
+        """
+        if not self.direct_up:
+            return succeed(False)
+        if self._clock.seconds() - self._answered_at < FRESH_S:
+            return succeed(True)
+        told: Deferred[bool] = Deferred()
+        self._checks.append(told)
+        if len(self._checks) == 1:
+            self._check_timer = self._clock.callLater(
+                CHECK_TIMEOUT_S, self._checked, False
+            )
+            self.probe(start).addCallback(
+                lambda _: self._checked(self.direct_up)
+            )
+        return told
+
+    def _checked(self, answers: bool) -> None:
+        if self._check_timer is not None and self._check_timer.active():
+            self._check_timer.cancel()
+        checks, self._checks = self._checks, []
+        for told in checks:
+            told.callback(answers)
+
     def _noted(self, outcome: Deferred[_T]) -> Deferred[_T]:
         return outcome.addCallback(self._note)
 
     def _note(self, outcome: Any) -> Any:
         if isinstance(outcome, StoreFailed | AppendUnknown):
-            if self._failures == 0:
-                self.direct_away_since = self._clock.seconds()
             self._failures += 1
         else:
             self._failures = 0
+            self._answered_at = self._clock.seconds()
             self.relay_through(None)
         return outcome
 
--- a/lycheestall/entry/surveyor.py
+++ b/lycheestall/entry/surveyor.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
 import xxhash
@@ -37,6 +38,7 @@
         peers: Calls peers.
         clock: Times the calls.
         logger: Where results are logged.
+        position: Returns up to where the configuration has been read.
     """
 
     def __init__(
@@ -50,7 +52,9 @@
         peers: PeerCaller,
         clock: Any,
         logger: Logger,
+        position: Callable[[], Offset],
     ) -> None:
+        self._position = position
         self._holder = holder
         self._zone = zone
         self._store = store
@@ -72,12 +76,18 @@
             return
         await self._survey()
 
-    def report(self) -> StoreReport:
+    def report(self) -> Deferred[PeerReply]:
         """Returns how the store looks from here."""
+        checked = self._store.check(self._position())
+        return checked.addCallback(self._report)
+
+    def _report(self, store_up: bool) -> PeerReply:
+        digest = self._members.view().digest
         return StoreReport(
             self._holder,
-            store_up=self._store.direct_up,
-            view=self._members.view().digest,
+            store_up=store_up,
+            store_away=not self._store.direct_up,
+            view=digest,
         )
 
     async def _probe(self) -> None:
@@ -85,7 +95,7 @@
         if now - self._probed_at < PROBE_S:
             return
         self._probed_at = now
-        await self._store.probe(Offset(0))
+        await self._store.probe(self._position())
 
     async def _survey(self) -> None:
         started = self._clock.seconds()
--- a/tests/entry/outage_world.py
+++ b/tests/entry/outage_world.py
@@ -147,6 +147,7 @@
             peers=peers,
             clock=clock,
             logger=logger,
+            position=lambda: Offset(0),
         )
         self._peers = peers
         self._announced = False
@@ -173,8 +174,8 @@
         """Answers a peer."""
         reply: Any = Understood()
         if isinstance(message, Survey):
-            reply = self.surveyor.report()
-        elif isinstance(message, AskTokens):
+            return self.surveyor.report()
+        if isinstance(message, AskTokens):
             reply = self.tokens.decide(message)
         elif isinstance(message, SettleTokens):
             self.tokens.settled(message)
--- a/tests/entry/test_store_outage.py
+++ b/tests/entry/test_store_outage.py
@@ -8,6 +8,10 @@
 
 import pytest
 
+from lycheestall.entry.members import MemberView
+from lycheestall.entry.outage import Outage, OutageMode
+from lycheestall.entry.peer_messages import StoreReport
+from lycheestall.entry.token_ledger import HolderId
 from tests.entry.outage_world import OutageWorld
 
 MOST = 280
@@ -132,3 +136,24 @@
     recorded = world.vms[0].ledger.total(first.program)
     assert first.granted
     assert recorded.committed == 70
+
+
+def test_vms_that_wait_for_a_slow_store_do_not_agree_that_it_is_away() -> None:
+    view = MemberView((("a", "b", "c"),), "digest")
+    waiting = [
+        StoreReport(
+            HolderId(name), store_up=False, store_away=False, view="digest"
+        )
+        for name in ("b", "c")
+    ]
+    outage = Outage(HolderId("a"))
+    outage.surveyed(view, waiting, 1.0)
+    assert outage.mode(1.0) is OutageMode.NONE
+    away = [
+        StoreReport(
+            report.holder, store_up=False, store_away=True, view="digest"
+        )
+        for report in waiting
+    ]
+    outage.surveyed(view, away, 1.0)
+    assert outage.mode(1.0) is OutageMode.DECIDERS
