--- a/lycheestall/entry/outage.py
+++ b/lycheestall/entry/outage.py
@@ -20,10 +20,10 @@
 
 __all__ = ["Outage", "OutageMode", "SurveyResult"]
 
-AGREEMENT_S = 0.7
+AGREEMENT_S = 0.9
 """Seconds for which the answers of a majority count."""
 
-AFTER_OUTAGE_S = 1.0
+AFTER_OUTAGE_S = 1.2
 """Seconds after an outage in which VMs record what they granted in it;
 longer than ``AGREEMENT_S``, so that no VM still decides by then."""
 
--- a/lycheestall/entry/turn_tokens.py
+++ b/lycheestall/entry/turn_tokens.py
@@ -31,7 +31,7 @@
 """Seconds between those calls."""
 
 
-RECORD_FOR_OTHERS_S = 0.6
+RECORD_FOR_OTHERS_S = 0.7
 """Seconds that VMs have to record their own turns after an outage; ends
 while no turn may start by the ledger alone."""
 
--- a/tests/entry/test_store_outage.py
+++ b/tests/entry/test_store_outage.py
@@ -8,10 +8,18 @@
 
 import pytest
 
+from lycheestall.entry.entry_vm import SURVEY_S
 from lycheestall.entry.members import MemberView
-from lycheestall.entry.outage import Outage, OutageMode
+from lycheestall.entry.outage import (
+    AFTER_OUTAGE_S,
+    AGREEMENT_S,
+    Outage,
+    OutageMode,
+)
 from lycheestall.entry.peer_messages import StoreReport
+from lycheestall.entry.surveyor import SURVEY_TIMEOUT_S
 from lycheestall.entry.token_ledger import HolderId
+from lycheestall.entry.turn_tokens import RECORD_FOR_OTHERS_S
 from tests.entry.outage_world import OutageWorld
 
 MOST = 280
@@ -157,3 +165,10 @@
     ]
     outage.surveyed(view, away, 1.0)
     assert outage.mode(1.0) is OutageMode.DECIDERS
+
+
+def test_agreement_lasts_until_the_next_survey_with_a_silent_peer() -> None:
+    silent_peer_s = SURVEY_TIMEOUT_S
+    from_start_to_next_end_s = silent_peer_s + SURVEY_S + silent_peer_s
+    assert from_start_to_next_end_s < AGREEMENT_S < AFTER_OUTAGE_S
+    assert RECORD_FOR_OTHERS_S < AFTER_OUTAGE_S
