Add a fault soak of real processes; reread settings on SIGHUP

Cause: faults of connections, signals and restarts in overlapping series had no test on real processes; SIGHUP logged a reread that did not happen. SIGHUP rereads and says what changed.

--- a/lycheestall/entry/entry_process.py
+++ b/lycheestall/entry/entry_process.py
@@ -6,6 +6,7 @@
 import signal
 import sys
 from collections.abc import Callable
+from dataclasses import fields, replace
 from typing import Any, TextIO, cast
 
 from twisted.internet import defer
@@ -23,9 +24,9 @@
 from .record_codec import RecordCodec
 from .store import Store
 from .token_ledger import HolderId
-from .vm_settings import Address, EntrySettings
+from .vm_settings import Address, EntrySettings, SettingsProblem
 
-__all__ = ["EntryAdapter", "EntryProcess", "run_entry"]
+__all__ = ["EntryAdapter", "EntryProcess", "Reread", "run_entry"]
 
 LISTEN_BACKLOG = 512
 LOG_DRAIN_S = 0.2
@@ -41,6 +42,10 @@
 """Seconds between looks at whether requests are still in progress."""
 
 
+Reread = Callable[[], EntrySettings | list[SettingsProblem]]
+"""Reads the settings; every problem if they can't be used."""
+
+
 class EntryAdapter:
     """What is special to the platform that the VM runs on.
 
@@ -70,6 +75,7 @@
         adapter: The platform's side.
         reactor: The running reactor.
         output: The log.
+        reread: Reads the settings again.
     """
 
     def __init__(
@@ -78,8 +84,10 @@
         adapter: EntryAdapter,
         reactor: Any,
         output: BoundedOutput,
+        reread: Reread,
     ) -> None:
         self._settings = settings
+        self._reread = reread
         self._reactor = reactor
         self._output = output
         self._logger = get_logger(vm=settings.vm)
@@ -129,8 +137,24 @@
         done.addBoth(lambda _: self._reactor.stop())
 
     def reload(self) -> None:
-        """Takes SIGHUP; addresses stay those of the start."""
-        self._logger.info("settings reread", changed=False)
+        """Rereads the settings; addresses stay those of the start."""
+        loaded = self._reread()
+        if not isinstance(loaded, EntrySettings):
+            problems = [str(problem) for problem in loaded]
+            self._logger.error("settings unusable", problems=problems)
+            return
+        changed = [
+            field.name
+            for field in fields(loaded)
+            if getattr(loaded, field.name)
+            != getattr(self._settings, field.name)
+        ]
+        self._settings = replace(self._settings, grace_s=loaded.grace_s)
+        self._logger.info(
+            "settings reread",
+            changed=changed,
+            needs_restart=[name for name in changed if name != "grace_s"],
+        )
 
     def finish_log(self) -> None:
         """Writes what is left of the log."""
@@ -183,7 +207,11 @@
 
 
 def run_entry(
-    settings: EntrySettings, adapter: EntryAdapter, *, log_level: str
+    settings: EntrySettings,
+    adapter: EntryAdapter,
+    *,
+    log_level: str,
+    reread: Reread,
 ) -> int:
     """Runs an entry VM until SIGTERM.
 
@@ -191,6 +219,7 @@
         settings: Checked settings.
         adapter: The platform's side.
         log_level: Least severe log lines to write.
+        reread: Reads the settings again.
 
     Returns:
         The process's exit code.
@@ -200,7 +229,7 @@
     reactor: Any = installed
     output = BoundedOutput(sys.stdout.fileno())
     configure_logs(level=log_level, output=cast(TextIO, output))
-    process = EntryProcess(settings, adapter, reactor, output)
+    process = EntryProcess(settings, adapter, reactor, output, reread)
     # Startup triggers run before the asyncio loop does; a timer does not.
     reactor.callLater(0, process.start)
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/lycheestall/entry_cli.py
+++ b/lycheestall/entry_cli.py
@@ -35,7 +35,8 @@
     from .platform.adapter import platform_adapter
     from .platform.settings_file import load_entry_settings, settings_path
 
-    loaded = load_entry_settings(settings_file or settings_path())
+    path = settings_file or settings_path()
+    loaded = load_entry_settings(path)
     if not isinstance(loaded, EntrySettings):
         for problem in loaded:
             click.echo(str(problem), err=True)
@@ -44,5 +45,10 @@
         click.echo(f"{loaded.vm}: settings are valid")
         return
     raise SystemExit(
-        run_entry(loaded, platform_adapter(), log_level=log_level)
+        run_entry(
+            loaded,
+            platform_adapter(),
+            log_level=log_level,
+            reread=lambda: load_entry_settings(path),
+        )
     )
--- a/tests/entry/test_platform_adapter.py
+++ b/tests/entry/test_platform_adapter.py
@@ -246,6 +246,8 @@
         metrics = await _get(reactor, _pool(reactor, inner), b"/metrics")
         assert isinstance(metrics, CallAnswered)
         assert b"lycheestall_requests_total" in metrics.body
+        os.kill(process.pid, signal.SIGHUP)
+        await sleep(reactor, 0.2)
         os.kill(process.pid, signal.SIGTERM)
         await sleep(reactor, 0.3)
         assert await _get(reactor, pool, b"/maps/x") == CallAnswered(
@@ -273,7 +275,13 @@
         for line in (tmp_path / "log").read_text().splitlines()
     ]
     events = [line["event"] for line in lines]
-    for event in ("started", "request ended", "stopping", "stopped"):
+    for event in (
+        "started",
+        "request ended",
+        "settings reread",
+        "stopping",
+        "stopped",
+    ):
         assert event in events
     assert any(key.startswith(b"m") for key in _ledger_keys(log))
 
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: real processes, faults from outside, promises checked."""
--- /dev/null
+++ b/tests/soak/__main__.py
@@ -0,0 +1,60 @@
+"""Runs the soak by hand: ``python -m tests.soak --seeds 50``."""
+
+from __future__ import annotations
+
+import tempfile
+from pathlib import Path
+from typing import Any
+
+import click
+
+from lycheestall._reactor import install_reactor
+
+install_reactor()
+
+from twisted.internet import reactor as _reactor  # noqa: E402
+from twisted.internet.defer import ensureDeferred  # noqa: E402
+
+from lycheestall.logs import configure_logs  # noqa: E402
+from tests.soak.soak import Soak  # noqa: E402
+
+reactor: Any = _reactor
+
+
+@click.command()
+@click.option("--first", default=1, help="First seed.")
+@click.option("--seeds", default=1, help="How many seeds.")
+@click.option("--seconds", default=10.0, help="Seconds of faults a seed.")
+def main(first: int, seeds: int, seconds: float) -> None:
+    """Runs seeds one after the other; ends with 1 if a promise broke."""
+    configure_logs(level="error")
+    failed: list[int] = []
+
+    async def work() -> None:
+        for seed in range(first, first + seeds):
+            run = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+            soak = Soak(reactor, seed=seed, seconds=seconds, run=run)
+            report = await soak.run()
+            click.echo(
+                f"seed {seed}: statuses {dict(report.statuses)}, "
+                f"faults {dict(report.faults)}, logs {run}"
+            )
+            for line in report.broken[:10]:
+                click.echo(f"  {line}")
+            if report.broken:
+                failed.append(seed)
+
+    def begin() -> None:
+        done = ensureDeferred(work())
+        done.addErrback(
+            lambda failure: (failure.printTraceback(), failed.append(-1))
+        )
+        done.addBoth(lambda _: reactor.stop())
+
+    reactor.callLater(0, begin)
+    reactor.run()
+    click.echo(f"{seeds} seeds, failed: {failed or 'none'}")
+    raise SystemExit(1 if failed else 0)
+
+
+main()
--- /dev/null
+++ b/tests/soak/soak.py
@@ -0,0 +1,421 @@
+"""Runs entry VMs as processes, disturbs them and checks the promises."""
+
+from __future__ import annotations
+
+import random
+import signal
+import subprocess
+import sys
+from collections import Counter
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import orjson
+from twisted.internet.defer import Deferred, DeferredList, ensureDeferred
+
+from lycheestall.clock import sleep
+from lycheestall.entry.caller_connection import CallerFactory
+from lycheestall.entry.connection_pool import ConnectionPool
+from lycheestall.entry.http_messages import AnswerHead, request_bytes
+from lycheestall.entry.store import KeyedWrite, Topic
+from lycheestall.entry.target_connection import AnswerSink, BreakReason
+from tests.entry.entry_world import ENGINE, ROUTES
+from tests.entry.memory_store import MemoryLog
+from tests.entry.standin_store import StandinStore
+from tests.soak.loopback_proxy import LoopbackProxy, ProxyMode
+from tests.soak.soak_targets import EVENTS, TOKENS_PER_EVENT, SoakTarget
+
+ROOT = Path(__file__).resolve().parent.parent.parent
+MOST = 80
+CLIENTS = 6
+PROMISES_NOT_RUN = (402, 408, 421, 429, 503)
+
+SETTINGS = """\
+node_name={name}
+zone=zone-a
+ip=127.0.0.1
+listen.front=127.0.0.1:{front}
+listen.ready=127.0.0.1:{ready}
+internal_ports={inner},{last}
+platform.address=127.0.0.1:{store}
+bounds.grace_s=6
+"""
+
+
+@dataclass
+class Report:
+    """What a soak has seen.
+
+    Attributes:
+        statuses: Final statuses of requests; 0 for none.
+        faults: Faults by name.
+        broken: Promises that did not hold, in words.
+    """
+
+    statuses: Counter[int] = field(default_factory=Counter)
+    faults: Counter[str] = field(default_factory=Counter)
+    broken: list[str] = field(default_factory=list)
+
+
+class SoakVm:
+    """One entry VM's process and its way to the store."""
+
+    def __init__(
+        self,
+        number: int,
+        ports: list[int],
+        reactor: Any,
+        store: int,
+        run: Path,
+    ) -> None:
+        self.front = ports[0]
+        self.store_proxy = LoopbackProxy(reactor, store)
+        self._run = run
+        self._name = f"vm-{number}"
+        self._settings = run / f"{self._name}.conf"
+        self._settings.write_text(
+            SETTINGS.format(
+                name=self._name,
+                front=ports[0],
+                ready=ports[1],
+                inner=ports[2],
+                last=ports[2] + 1,
+                store=self.store_proxy.port,
+            )
+        )
+        self.process: subprocess.Popen[bytes] | None = None
+
+    def start(self) -> None:
+        """Starts the process."""
+        with (self._run / f"{self._name}.log").open("ab") as log:
+            self.process = subprocess.Popen(
+                [
+                    sys.executable,
+                    "-m",
+                    "lycheestall",
+                    "entry",
+                    "--settings",
+                    str(self._settings),
+                ],
+                cwd=ROOT,
+                stdout=log,
+                stderr=log,
+            )
+
+    def signal(self, number: signal.Signals) -> None:
+        """Sends a signal if the process lives."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(number)
+
+
+class _Received(AnswerSink):
+    """Keeps an answer, also a broken one."""
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.body = b""
+        self.done: Deferred[bool] = Deferred()
+
+    def answer_started(self, head: AnswerHead) -> bool:
+        self.status = head.status
+        return True
+
+    def answer_body(self, data: bytes) -> None:
+        self.body += data
+
+    def answer_ended(self) -> None:
+        self.end(whole=True)
+
+    def answer_broken(self, reason: BreakReason) -> None:
+        self.end(whole=False)
+
+    def end(self, *, whole: bool) -> None:
+        """Ends it once."""
+        if not self.done.called:
+            self.done.callback(whole)
+
+
+class Soak:
+    """One seeded run.
+
+    Args:
+        reactor: The real reactor.
+        seed: Decides on faults, programs and times.
+        seconds: How long clients and faults go on.
+        run: A directory for settings and logs.
+        vms: How many entry VMs there are.
+    """
+
+    def __init__(
+        self,
+        reactor: Any,
+        *,
+        seed: int,
+        seconds: float,
+        run: Path,
+        vms: int = 3,
+    ) -> None:
+        self._reactor = reactor
+        self._random = random.Random(seed)
+        self._seconds = seconds
+        self._log = MemoryLog()
+        self._runs: Counter[str] = Counter()
+        self._not_run: set[str] = set()
+        self._orders: set[str] = set()
+        self._tokens: Counter[str] = Counter()
+        self._budgets: dict[str, int] = {}
+        self._over = False
+        self._version = 0
+        self.report = Report()
+        handler = StandinStore(self._log, reactor)
+        self._store = reactor.listenTCP(
+            0, CallerFactory(handler, reactor), interface="127.0.0.1"
+        )
+        self._targets = [
+            SoakTarget(f"{service}-{n}", service, reactor, self._runs)
+            for service in ("app", "engines")
+            for n in range(2)
+        ]
+        store = self._store.getHost().port
+        # Below the range that the kernel hands out by itself.
+        base = 20_000 + seed % 1000 * 10
+        self._vms = [
+            SoakVm(
+                n,
+                [base + n * 4, base + n * 4 + 1, base + n * 4 + 2],
+                reactor,
+                store,
+                run,
+            )
+            for n in range(vms)
+        ]
+
+    async def run(self) -> Report:
+        """Runs everything to its end."""
+        self._configure()
+        beats = ensureDeferred(self._register_targets())
+        for vm in self._vms:
+            vm.start()
+        await sleep(self._reactor, 3.0)
+        clients = [ensureDeferred(self._client(n)) for n in range(CLIENTS)]
+        await self._disturb()
+        await sleep(self._reactor, 2.0)
+        self._over = True
+        await DeferredList(clients, consumeErrors=True)
+        await self._stop_all()
+        await beats
+        self._check()
+        return self.report
+
+    def _configure(self) -> None:
+        self._version += 1
+        document = {
+            "version": self._version,
+            "routes": ROUTES,
+            "services": [
+                {"name": "app"},
+                {"name": "engines", "engine": ENGINE},
+            ],
+        }
+        write = KeyedWrite(b"config", orjson.dumps(document))
+        self._log.put(Topic.CONFIGURATION, write)
+
+    async def _register_targets(self) -> None:
+        while not self._over:
+            for target in self._targets:
+                entry = {
+                    "service": target.service,
+                    "address": f"127.0.0.1:{target.proxy.port}",
+                    "zone": "zone-a",
+                    "slots": 8,
+                    "state": "ready",
+                    "born": 1,
+                }
+                write = KeyedWrite(target.name.encode(), orjson.dumps(entry))
+                self._log.put(Topic.TARGETS, write)
+            await sleep(self._reactor, 0.5)
+
+    async def _client(self, number: int) -> None:
+        program = 0
+        while not self._over:
+            program += 1
+            name = f"p{number}-{program}"
+            loops = self._random.random() < 0.2
+            turns = 60 if loops else self._random.randint(2, 6)
+            self._budgets[name] = 100 + 120 * min(turns, 6)
+            for turn in range(turns):
+                if self._over:
+                    return
+                status = await self._turn(name, turn)
+                if status == 402:
+                    break
+                if self._random.random() < 0.5:
+                    await self._order(name, turn)
+
+    async def _turn(self, program: str, turn: int) -> int:
+        request = f"{program}-t{turn}-{self._random.getrandbits(32):x}"
+        headers = [
+            (b"X-Program-Id", program.encode()),
+            (b"X-Session-Id", b"s"),
+            (b"X-Token-Budget", b"%d" % self._budgets[program]),
+            (b"X-Token-Usage", b"100,%d" % MOST),
+        ]
+        received, whole = await self._send(request, b"/plan/x", headers)
+        events = received.body.count(b"\n\n")
+        if received.status == 200:
+            self._tokens[program] += events * TOKENS_PER_EVENT
+            self._check_stream(request, received.body, whole=whole)
+        return received.status
+
+    async def _order(self, program: str, turn: int) -> None:
+        request = f"{program}-o{turn}-{self._random.getrandbits(32):x}"
+        self._orders.add(request)
+        received, whole = await self._send(request, b"/orders/x", [])
+        expected = request.encode() * 20
+        if received.status == 200 and whole and received.body != expected:
+            self.report.broken.append(f"answer: {request} got another body")
+
+    async def _send(
+        self, request: str, url: bytes, headers: list[tuple[bytes, bytes]]
+    ) -> tuple[_Received, bool]:
+        vm = self._random.choice(self._vms)
+        pool = ConnectionPool(
+            self._reactor, "127.0.0.1", vm.front, connect_timeout_s=1.0
+        )
+        received = _Received()
+        try:
+            connection = await pool.acquire()
+        except Exception:
+            await sleep(self._reactor, 0.1)
+            return received, False
+        own = [(b"Host", b"crew.example"), (b"X-Request-Id", request.encode())]
+        connection.send(
+            request_bytes(b"POST", url, [*own, *headers], b"{}"), received
+        )
+        timer = self._reactor.callLater(4.0, received.end, whole=False)
+        whole = await received.done
+        if timer.active():
+            timer.cancel()
+        connection.abort()
+        self.report.statuses[received.status] += 1
+        if whole and received.status in PROMISES_NOT_RUN:
+            self._not_run.add(request)
+            await sleep(self._reactor, 0.05)
+        return received, whole
+
+    def _check_stream(self, request: str, body: bytes, *, whole: bool) -> None:
+        numbers = [
+            int(line[4:]) for line in body.split(b"\n") if line[:4] == b"id: "
+        ]
+        if numbers != list(range(1, len(numbers) + 1)):
+            self.report.broken.append(f"order: {request} got {numbers}")
+        if whole and len(numbers) != EVENTS:
+            self.report.broken.append(f"end: {request} ended at {numbers}")
+        if body.count(request.encode()) != body.count(b"data: "):
+            self.report.broken.append(f"answer: {request} got another's")
+
+    async def _disturb(self) -> None:
+        ends = self._reactor.seconds() + self._seconds
+        while self._reactor.seconds() < ends:
+            await sleep(self._reactor, self._random.uniform(0.2, 1.2))
+            fault = self._random.choice(
+                (
+                    self._kill,
+                    self._pause,
+                    self._terminate,
+                    self._store_from_one,
+                    self._store_from_all,
+                    self._targets_disturbed,
+                    self._change,
+                    self._kill_all,
+                )
+            )
+            self.report.faults[fault.__name__.strip("_")] += 1
+            fault()
+
+    def _kill(self) -> None:
+        self._restart(self._random.choice(self._vms), signal.SIGKILL)
+
+    def _kill_all(self) -> None:
+        for vm in self._vms:
+            self._restart(vm, signal.SIGKILL)
+
+    def _terminate(self) -> None:
+        self._restart(self._random.choice(self._vms), signal.SIGTERM)
+
+    def _restart(self, vm: SoakVm, number: signal.Signals) -> None:
+        vm.signal(signal.SIGCONT)
+        vm.signal(number)
+        ensureDeferred(self._start_again(vm))
+
+    async def _start_again(self, vm: SoakVm) -> None:
+        process = vm.process
+        while process is not None and process.poll() is None:
+            await sleep(self._reactor, 0.05)
+        if vm.process is process and not self._over:
+            vm.start()
+
+    def _pause(self) -> None:
+        vm = self._random.choice(self._vms)
+        vm.signal(signal.SIGSTOP)
+        pause_s = self._random.uniform(0.3, 2.0)
+        self._reactor.callLater(pause_s, vm.signal, signal.SIGCONT)
+
+    def _store_from_one(self) -> None:
+        self._proxies([self._random.choice(self._vms).store_proxy])
+
+    def _store_from_all(self) -> None:
+        self._proxies([vm.store_proxy for vm in self._vms])
+
+    def _targets_disturbed(self) -> None:
+        self._proxies([self._random.choice(self._targets).proxy])
+
+    def _proxies(self, proxies: list[LoopbackProxy]) -> None:
+        modes = [mode for mode in ProxyMode if mode is not ProxyMode.PASS]
+        mode = self._random.choice(modes)
+        for_s = self._random.uniform(0.3, 3.0)
+        for proxy in proxies:
+            proxy.set_mode(mode)
+            self._reactor.callLater(for_s, proxy.set_mode, ProxyMode.PASS)
+
+    def _change(self) -> None:
+        self._configure()
+
+    async def _stop_all(self) -> None:
+        for vm in self._vms:
+            vm.store_proxy.set_mode(ProxyMode.PASS)
+            vm.signal(signal.SIGCONT)
+            vm.signal(signal.SIGTERM)
+        for vm in self._vms:
+            process = vm.process
+            for _ in range(200):
+                if process is None or process.poll() is not None:
+                    break
+                await sleep(self._reactor, 0.05)
+            else:
+                self.report.broken.append("stop: a VM did not end in 10 s")
+                vm.signal(signal.SIGKILL)
+        self.close()
+
+    def close(self) -> None:
+        """Stops the proxies, the targets and the store."""
+        for vm in self._vms:
+            vm.store_proxy.stop()
+        for target in self._targets:
+            target.stop()
+        self._store.stopListening()
+
+    def _check(self) -> None:
+        broken = self.report.broken
+        for request in self._orders:
+            if self._runs[request] > 1:
+                broken.append(f"once: {request} ran {self._runs[request]}x")
+        for request in self._not_run:
+            if self._runs[request]:
+                broken.append(f"refusal: {request} has run")
+        for program, tokens in self._tokens.items():
+            if tokens > self._budgets[program] + MOST:
+                broken.append(f"budget: {program} was handed {tokens}")
+        if not self.report.statuses[200]:
+            broken.append("service: no request was served")
--- /dev/null
+++ b/tests/soak/soak_targets.py
@@ -0,0 +1,81 @@
+"""Targets of the soak: they count what they run."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import Any
+
+from lycheestall.entry.caller_connection import (
+    CallerFactory,
+    Exchange,
+    RequestHandler,
+)
+from lycheestall.entry.configuration import CallerLimits
+from tests.soak.loopback_proxy import LoopbackProxy
+
+EVENTS = 5
+TOKENS_PER_EVENT = 10
+
+
+class SoakTarget(RequestHandler):
+    """An application or engine behind a proxy.
+
+    Args:
+        name: Its id.
+        service: Its service.
+        reactor: Listens and times answers.
+        runs: Counts runs by request id, over all targets.
+    """
+
+    def __init__(
+        self, name: str, service: str, reactor: Any, runs: Counter[str]
+    ) -> None:
+        self.name = name
+        self.service = service
+        self._reactor = reactor
+        self._runs = runs
+        factory = CallerFactory(self, reactor)
+        self._port = reactor.listenTCP(0, factory, interface="127.0.0.1")
+        self.proxy = LoopbackProxy(reactor, self._port.getHost().port)
+
+    def limits(self) -> CallerLimits:
+        """Returns the usual bounds."""
+        return CallerLimits()
+
+    def closing(self) -> bool:
+        """Returns False."""
+        return False
+
+    def handle(self, exchange: Exchange) -> None:
+        """Runs a request."""
+        headers = {n.lower(): v for n, v in exchange.request.headers}
+        request_id = headers[b"x-request-id"]
+        self._runs[request_id.decode()] += 1
+        shared = [
+            (b"X-Request-Id", request_id),
+            (b"X-Response-Seal", b"seal"),
+        ]
+        if self.service == "app":
+            self._reactor.callLater(
+                0.02, exchange.answer, 200, shared, request_id * 20
+            )
+            return
+        exchange.start(200, [*shared, (b"Content-Type", b"text/event-stream")])
+        first = int(headers.get(b"last-event-id", b"0")) + 1
+        self._event(exchange, request_id, first)
+
+    def stop(self) -> None:
+        """Stops listening."""
+        self.proxy.stop()
+        self._port.stopListening()
+
+    def _event(
+        self, exchange: Exchange, request_id: bytes, number: int
+    ) -> None:
+        if number > EVENTS:
+            exchange.finish()
+            return
+        exchange.write(b"id: %d\ndata: %s\n\n" % (number, request_id))
+        self._reactor.callLater(
+            0.01, self._event, exchange, request_id, number + 1
+        )
--- /dev/null
+++ b/tests/soak/test_soak.py
@@ -0,0 +1,48 @@
+"""A short seeded soak, and a proof that its checks can fail."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Coroutine
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from tests.soak.soak import MOST, Soak
+
+Run = Callable[[Coroutine[Any, Any, Any]], Any]
+
+
+@pytest.mark.parametrize("seed", [401])
+def test_promises_hold_under_faults(
+    reactor: Any, run: Run, tmp_path: Path, seed: int
+) -> None:
+    soak = Soak(reactor, seed=seed, seconds=5.0, run=tmp_path)
+    report = run(soak.run())
+    assert report.broken == []
+    assert report.statuses[200] > 0
+
+
+def test_each_check_can_fail(reactor: Any, tmp_path: Path) -> None:
+    soak = Soak(reactor, seed=402, seconds=0.0, run=tmp_path)
+    soak._orders.add("order")
+    soak._runs["order"] = 2
+    soak._not_run.add("refused")
+    soak._runs["refused"] = 1
+    soak._budgets["program"] = 100
+    soak._tokens["program"] = 100 + MOST + 1
+    soak._check_stream(
+        "r", b"id: 1\ndata: r\n\nid: 3\ndata: q\n\n", whole=True
+    )
+    soak._check()
+    kinds = {line.split(":")[0] for line in soak.report.broken}
+    assert kinds == {
+        "once",
+        "refusal",
+        "budget",
+        "order",
+        "end",
+        "answer",
+        "service",
+    }
+    soak.close()
