Split the entry VM; take members that are gone for good out of the ledger

A VM that is replaced without a stop stayed a member for ever: it counted against majorities and decided on programs that then were refused. A VM whose first read of the ledger failed could have stayed unannounced. Change: store_view (configuration, targets, connections) and token_service (ledger, books, outage, peers); the test world runs the real token_service. Joining does not wait for a due read. Measured: tests/entry passes.

--- a/tests/entry/outage_world.py
+++ b/tests/entry/outage_world.py
@@ -6,40 +6,26 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from twisted.internet.defer import Deferred, ensureDeferred, succeed
+from twisted.internet.defer import (
+    Deferred,
+    ensureDeferred,
+    maybeDeferred,
+    succeed,
+)
 from twisted.internet.task import Clock
 
-from lycheestall.entry.crash_reports import CrashReports
-from lycheestall.entry.ledger_writer import LedgerWriter, TurnAnswer
-from lycheestall.entry.members import (
-    Member,
-    Members,
-    announcement,
-    departure,
-)
-from lycheestall.entry.outage import Outage
-from lycheestall.entry.outage_books import OutageBooks
+from lycheestall.entry.ledger_writer import TurnAnswer
 from lycheestall.entry.peer_messages import (
-    AskTokens,
-    Handover,
     PeerMessage,
     PeerReply,
-    RelayAppend,
-    RelayNewest,
-    RelayRead,
-    SettleTokens,
-    Survey,
-    Understood,
     decode,
     encode,
 )
 from lycheestall.entry.routed_store import RoutedStore
-from lycheestall.entry.store import KeyedRecord, Topic
 from lycheestall.entry.store_health import StoreHealth
-from lycheestall.entry.surveyor import Surveyor
-from lycheestall.entry.token_books import BookDecision, TokenBooks, TurnId
+from lycheestall.entry.token_books import BookDecision, TurnId
 from lycheestall.entry.token_ledger import HolderId, TokenLedger
-from lycheestall.entry.topic_follower import TopicFollower
+from lycheestall.entry.token_service import TokenService
 from lycheestall.entry.turn_tokens import TurnTokens
 from lycheestall.entry.vm_settings import Address
 from lycheestall.ids import Offset, ProgramId, ZoneId
@@ -91,117 +77,51 @@
         clock: Clock,
     ) -> None:
         logger = get_logger()
-        self.holder = HolderId(name)
         self.address = address
-        self.clock = clock
         self.direct = MemoryStore(log)
-        self.members = Members()
-        self.ledger = TokenLedger()
-        self.crashed_at_load = 0
-        self.books = TokenBooks(
-            self.holder,
-            self.ledger,
-            doubtful=lambda: len(self.members.crashed()) >= 2,
-        )
-        self.outage = Outage(self.holder)
-        self.outage_books = OutageBooks(self.ledger)
         peers: Any = FakePeers(network, address)
         self.store = RoutedStore(self.direct, peers, clock, logger)
-        self.health = StoreHealth(logger, self._returned)
-        self.follower = TopicFollower(
-            self.store,
-            Topic.LEDGER,
-            clock=clock,
-            health=self.health,
-            apply=self._apply,
-        )
-        self.writer = LedgerWriter(
-            store=self.store,
-            follower=self.follower,
-            books=self.books,
-            crashes=CrashReports(self.holder),
-            holder=self.holder,
-            clock=clock,
-            health=self.health,
-            logger=logger,
-            hold_off=lambda: self.outage.settling(clock.seconds()),
-        )
-        self.tokens = TurnTokens(
-            holder=self.holder,
-            writer=self.writer,
-            books=self.books,
-            ledger=self.ledger,
-            outage=self.outage,
-            outage_books=self.outage_books,
-            members=self.members,
-            peers=peers,
-            clock=clock,
-            logger=logger,
-        )
-        self.surveyor = Surveyor(
-            holder=self.holder,
+        health = StoreHealth(logger, self._returned)
+        self.service = TokenService(
+            holder=HolderId(name),
+            address=address,
             zone=ZoneId("zone"),
             store=self.store,
-            members=self.members,
-            outage=self.outage,
+            health=health,
             peers=peers,
-            clock=clock,
+            reactor=clock,
             logger=logger,
             position=lambda: Offset(0),
         )
-        self._peers = peers
-        self._announced = False
+
+    @property
+    def tokens(self) -> TurnTokens:
+        """Reserves and settles the tokens of turns."""
+        return self.service.turns
+
+    @property
+    def ledger(self) -> TokenLedger:
+        """All VMs' records."""
+        return self.service.ledger
 
     def step(self) -> None:
         """Does what the VM's loops do from time to time."""
-        ensureDeferred(self.follower.read())
-        ensureDeferred(self.surveyor.step())
-        if self.follower.loaded and not self._announced:
-            self._announced = True
-            member = Member(self.holder, self.address, ZoneId("zone"))
-            self.writer.announce(announcement(member))
+        # A whole VM reads other topics as well, and more often.
+        ensureDeferred(self.service.follower.read())
+        ensureDeferred(self.service.poll())
+        ensureDeferred(self.service.survey())
 
     def leave(self) -> None:
         """Stops as planned."""
-        message = Handover(self.holder, tuple(self.outage_books.grants()))
-        for member in self.members.all():
-            if member.holder != self.holder:
-                self._peers.call(member.address, message, timeout_s=0.1)
-        self.writer.announce(departure(self.holder))
-        self.writer.flush()
+        ensureDeferred(self.service.leave())
 
     def answer(self, message: Any) -> Deferred[PeerReply | None]:
         """Answers a peer."""
-        reply: Any = Understood()
-        if isinstance(message, Survey):
-            return self.surveyor.report()
-        if isinstance(message, AskTokens):
-            reply = self.tokens.decide(message)
-        elif isinstance(message, SettleTokens):
-            self.tokens.settled(message)
-        elif isinstance(message, Handover):
-            self.outage.handed_over(message.holder)
-            self.outage_books.take_over(message.grants)
-        elif isinstance(message, RelayAppend):
-            return self.direct.append(
-                message.topic, message.writes, message.fence
-            )
-        elif isinstance(message, RelayRead):
-            return self.direct.read(message.topic, message.start)
-        elif isinstance(message, RelayNewest):
-            return self.direct.newest(message.topic, after=message.after)
-        return succeed(reply)
+        reply: Any = maybeDeferred(self.service.answer, message)
+        return reply
 
     def _returned(self, now: float) -> None:
-        self.tokens.outage_ended(self.follower.position or Offset(0))
-
-    def _apply(self, record: KeyedRecord) -> None:
-        grant = self.ledger.apply(record)
-        if grant is None:
-            self.members.apply(record)
-        elif grant.holder != self.holder:
-            self.books.others_recorded(grant.program, self.clock.seconds())
-            self.writer.wake()
+        self.service.store_returned()
 
 
 @dataclass
--- a/tests/entry/test_store_outage.py
+++ b/tests/entry/test_store_outage.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import pytest
+from twisted.internet.defer import ensureDeferred
 
 from lycheestall.entry.entry_vm import SURVEY_S
 from lycheestall.entry.members import MemberView
@@ -172,3 +173,16 @@
     from_start_to_next_end_s = silent_peer_s + SURVEY_S + silent_peer_s
     assert from_start_to_next_end_s < AGREEMENT_S < AFTER_OUTAGE_S
     assert RECORD_FOR_OTHERS_S < AFTER_OUTAGE_S
+
+
+def test_a_member_that_is_gone_for_good_is_taken_out() -> None:
+    world = OutageWorld(vms=3)
+    gone = world.vms[0]
+    world.kill(gone)
+    for _ in range(4):
+        for vm in world.vms:
+            ensureDeferred(vm.service.sweep())
+        world.advance(0.2)
+    world.advance(2.0)
+    for vm in world.vms:
+        assert len(vm.service.members.all()) == 2
