End a turn whose time is over at its grant like any other

Cause: reading the change: a grant that came together with the end of the turn's time would have been answered 502 as an internal error. No test reaches it, since the two do not come in one step today. Change: the grant is settled and the request ends as one whose time is over; tests of a record that comes too late and of a turn without time. Measured: tests/entry passes.

--- a/lycheestall/entry/request_run.py
+++ b/lycheestall/entry/request_run.py
@@ -197,7 +197,6 @@
             if self._end is None:
                 return True
             self._parts.tokens.settle(program, self._turn, 0)
-            return False
         if self._end is not None:
             self._ended_early(sent=False)
         elif answer is BookDecision.SPENT:
--- a/tests/entry/fake_network.py
+++ b/tests/entry/fake_network.py
@@ -267,6 +267,8 @@
             return
         ours, theirs = self._pipes()
         ours.protocol = factory.buildProtocol(None)
+        if ours.protocol is None:
+            return
         connection = FakeTargetConnection(target, theirs)
         theirs.protocol = connection
         target.connections.append(connection)
--- a/tests/entry/memory_store.py
+++ b/tests/entry/memory_store.py
@@ -107,6 +107,7 @@
         self.log = log
         self.fault = Fault.NONE
         self.late: list[tuple[Topic, tuple[KeyedWrite, ...], WriterFence]] = []
+        self.held: list[Deferred[None]] | None = None
         self._page = page
         self.calls = 0
 
@@ -123,7 +124,17 @@
         outcome = self.log.append(topic, writes, fence)
         if self.fault is Fault.LOSES_ANSWERS:
             return succeed(AppendUnknown("no answer"))
-        return succeed(outcome)
+        if self.held is None:
+            return succeed(outcome)
+        later: Deferred[None] = Deferred()
+        self.held.append(later)
+        return later.addCallback(lambda _: outcome)
+
+    def let_go(self) -> None:
+        """Answers the appends that were held."""
+        held, self.held = self.held or [], None
+        for later in held:
+            later.callback(None)
 
     def deliver_late(self) -> None:
         """Carries out appends whose callers have given up."""
--- a/tests/entry/test_streams.py
+++ b/tests/entry/test_streams.py
@@ -140,6 +140,45 @@
     assert len(target.requests) * 50 <= 900
 
 
+def test_a_turn_whose_record_comes_too_late_is_refused_as_not_run(
+    world: EntryWorld,
+) -> None:
+    target = engine(world)
+    world.start()
+    world.store.held = []
+    caller = world.connect()
+    world.ask(
+        "/plan/x",
+        method="POST",
+        body="{}",
+        headers=TURN + "X-Deadline-Ms: 200\r\n",
+        run_s=0.3,
+        caller=caller,
+    )
+    world.store.let_go()
+    world.reactor.run(0.2)
+    assert status_of(caller.protocol.data) == 503
+    assert b"Retry-After" in caller.protocol.data
+    assert not target.requests
+
+
+def test_a_grant_at_the_very_end_of_a_turns_time_reaches_no_engine(
+    world: EntryWorld,
+) -> None:
+    target = engine(world)
+    world.start()
+    caller = world.connect()
+    world.ask(
+        "/plan/x",
+        method="POST",
+        body="{}",
+        headers=TURN + "X-Deadline-Ms: 0\r\n",
+        caller=caller,
+    )
+    assert status_of(caller.protocol.data) == 503
+    assert not target.requests
+
+
 def test_shared_prompts_go_to_the_same_engine(world: EntryWorld) -> None:
     engines = [
         world.add_target(f"engine-{n}", whole, service="engines")
