--- a/lycheestall/entry/members.py
+++ b/lycheestall/entry/members.py
@@ -8,6 +8,7 @@
 import xxhash
 
 from ..ids import Offset, ProgramId, ZoneId
+from ..rendezvous import rendezvous
 from .store import KeyedRecord, KeyedWrite
 from .token_ledger import HolderId
 from .vm_settings import Address
@@ -79,12 +80,8 @@
             return None
         spread = xxhash.xxh3_64_intdigest(program.encode())
         cell = cells[spread % len(cells)]
-
-        def weight(holder: HolderId) -> int:
-            return xxhash.xxh3_64_intdigest(f"{program}:{holder}".encode())
-
         staying = [holder for holder in cell if holder not in left]
-        return max(staying, key=weight, default=None)
+        return rendezvous(program, staying)
 
 
 def majority(cell: tuple[HolderId, ...]) -> int:
--- a/lycheestall/rendezvous.py
+++ b/lycheestall/rendezvous.py
@@ -3,15 +3,16 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from typing import TypeVar
 
 import xxhash
 
-from .ids import VmId
-
 __all__ = ["rendezvous"]
 
+_Member = TypeVar("_Member", bound=str)
+
 
-def rendezvous(key: str, members: Iterable[VmId]) -> VmId | None:
+def rendezvous(key: str, members: Iterable[_Member]) -> _Member | None:
     """Returns the member that a key falls to, None without members.
 
     When a member joins or leaves, only the keys that fall to it move.
@@ -21,7 +22,7 @@
         members: Who may get it, in any order.
     """
 
-    def weight(vm: VmId) -> int:
-        return xxhash.xxh3_64_intdigest(f"{key}:{vm}".encode())
+    def weight(member: _Member) -> int:
+        return xxhash.xxh3_64_intdigest(f"{key}:{member}".encode())
 
     return max(members, key=weight, default=None)
