Split what had grown: test stand-ins, one request's run, the soak

Change: fake_world, fake_log, fake_vm_list, fake_network, fault_window; fake_engine, fake_application, target_traffic; test_owner_handover, test_owner_actions, test_owner_limits; exchange, run_parts, turn_budget; soak_vm. Failures that were passed over in silence (first draws, ends, portions, memory releases) leave a log line.

--- a/lycheestall/engine_dispatcher.py
+++ b/lycheestall/engine_dispatcher.py
@@ -8,7 +8,6 @@
 from typing import Any, cast
 
 from twisted.internet import defer
-from twisted.python.failure import Failure
 
 from ._engine_dispatch import EngineDispatch, StreamOwner
 from ._engine_liveness import EngineLiveness, Hold
@@ -28,6 +27,7 @@
 from .engine_directory import EngineDirectory
 from .engine_scheduler import EngineScheduler, EngineView
 from .ids import ProgramId, RequestId, SessionId, TargetId, VmId
+from .logs import failure_logger
 from .outcomes import Failed, Reason, Refused, Step
 from .rules.rule_book import RuleBook
 from .targets import (
@@ -305,7 +305,9 @@
                 self._end_failed(command)
             elif isinstance(command, ReleaseMemory):
                 release = self._memory.release(command)
-                defer.ensureDeferred(release).addErrback(_drop)
+                defer.ensureDeferred(release).addErrback(
+                    failure_logger("memory not released")
+                )
             elif isinstance(command, ReportCrash):
                 self._crash_reporter(command.fingerprint, command.target)
         self._set_wake()
@@ -395,7 +397,3 @@
     def _poll(self) -> None:
         self._wake = None
         self._execute(self._scheduler.poll(self._clock.seconds()))
-
-
-def _drop(failure: Failure) -> None:
-    """Passes over a release that failed; it is asked for again."""
--- a/lycheestall/entry/caller_connection.py
+++ b/lycheestall/entry/caller_connection.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from abc import ABC, abstractmethod
 from collections import deque
 from collections.abc import Callable, Sequence
 from typing import Any
@@ -12,16 +11,15 @@
 from twisted.python.failure import Failure
 
 from ..clock import Clock, Timer
-from .configuration import CallerLimits
+from .exchange import PLAIN_TEXT, AnswerChannel, Exchange, RequestHandler
 from .http_messages import (
     Header,
     Request,
     answer_bytes,
     answer_head_bytes,
-    chunk_bytes,
 )
 
-__all__ = ["CallerConnection", "CallerFactory", "Exchange", "RequestHandler"]
+__all__ = ["CallerConnection", "CallerFactory"]
 
 MAX_PIPELINED = 8
 """Whole requests of one connection that wait for their turn."""
@@ -29,111 +27,8 @@
 LINGER_S = 1.0
 """Seconds to read on after a last answer, so that no reset overtakes it."""
 
-_PLAIN_TEXT: tuple[Header, ...] = ((b"Content-Type", b"text/plain"),)
 
-
-class RequestHandler(ABC):
-    """Answers requests."""
-
-    @abstractmethod
-    def handle(self, exchange: Exchange) -> None:
-        """Takes a request; its answer goes to the exchange."""
-
-    @abstractmethod
-    def limits(self) -> CallerLimits:
-        """Returns the bounds on callers in force."""
-
-    @abstractmethod
-    def closing(self) -> bool:
-        """Returns whether connections end after their next answer."""
-
-
-class Exchange:
-    """One request and the writing end of its answer.
-
-    Attributes:
-        request: The request.
-        ended: Whether the answer is complete or was broken off.
-        status: The status sent; 0 before.
-        on_gone: Called once when the caller leaves before the end.
-    """
-
-    def __init__(self, request: Request, connection: CallerConnection) -> None:
-        self.request = request
-        self.ended = False
-        self.status = 0
-        self.on_gone: Callable[[], None] | None = None
-        self._connection = connection
-        self._chunked = True
-
-    @property
-    def started(self) -> bool:
-        """Whether any part of the answer was sent."""
-        return self.status != 0
-
-    def answer(
-        self, status: int, headers: Sequence[Header], body: bytes
-    ) -> None:
-        """Sends a whole answer."""
-        if self.ended:
-            return
-        self.status = status
-        self.ended = True
-        self._connection.send_answer(self, status, headers, body)
-
-    def refuse(
-        self, status: int, reason: str, *, retry_after_s: float | None = None
-    ) -> None:
-        """Sends an answer of the system's own.
-
-        Args:
-            status: The status code.
-            reason: What the caller is told.
-            retry_after_s: When trying again makes sense.
-        """
-        headers = list(_PLAIN_TEXT)
-        if retry_after_s is not None:
-            headers.append((b"Retry-After", b"%.2f" % retry_after_s))
-        self.answer(status, headers, reason.encode() + b"\n")
-
-    def start(self, status: int, headers: Sequence[Header]) -> None:
-        """Sends the head of an answer whose body follows in pieces."""
-        if self.ended:
-            return
-        self.status = status
-        self._connection.send_head(self, status, headers)
-
-    def write(self, data: bytes) -> None:
-        """Sends a piece of the body."""
-        if self.ended or not data:
-            return
-        self._connection.write(chunk_bytes(data))
-
-    def finish(self) -> None:
-        """Ends a body sent in pieces."""
-        if self.ended:
-            return
-        self.ended = True
-        self._connection.write(chunk_bytes(b""))
-        self._connection.exchange_ended()
-
-    def abort(self) -> None:
-        """Breaks the answer off; it must not look complete."""
-        if self.ended:
-            return
-        self.ended = True
-        self._connection.abort()
-
-    def caller_left(self) -> None:
-        """Tells whoever answers that nobody listens any more."""
-        if self.ended:
-            return
-        self.ended = True
-        if self.on_gone is not None:
-            self.on_gone()
-
-
-class CallerConnection(Protocol):
+class CallerConnection(Protocol, AnswerChannel):
     """Parses requests and answers them one after the other.
 
     Args:
@@ -360,7 +255,7 @@
         status, reason = self._refusal
         body = reason.encode() + b"\n"
         self.transport.write(
-            answer_bytes(status, _PLAIN_TEXT, body, close=True)
+            answer_bytes(status, PLAIN_TEXT, body, close=True)
         )
         self._end()
 
--- a/lycheestall/entry/entry_process.py
+++ b/lycheestall/entry/entry_process.py
@@ -15,9 +15,10 @@
 from ..clock import sleep
 from ..log_output import BoundedOutput
 from ..logs import configure_logs, get_logger
-from .caller_connection import CallerFactory, RequestHandler
+from .caller_connection import CallerFactory
 from .entry_metrics import EntryMetrics
 from .entry_vm import EntryVm
+from .exchange import RequestHandler
 from .header_codec import HeaderCodec
 from .peer_link import PeerCaller, PeerEndpoint
 from .readiness import MetricsPage, ReadinessPage
--- a/lycheestall/entry/entry_vm.py
+++ b/lycheestall/entry/entry_vm.py
@@ -10,18 +10,19 @@
 from ..logs import Logger
 from ..polling import Poller
 from ..supervisor import Supervisor
-from .caller_connection import Exchange, RequestHandler
 from .configuration import CallerLimits
 from .decision_log import Beliefs, DecisionLog
 from .entry_metrics import EntryMetrics
+from .exchange import Exchange, RequestHandler
 from .header_codec import HeaderCodec, InvalidRequest
 from .member_sweep import SWEEP_S
 from .outage import OutageMode
 from .peer_link import PeerCaller
 from .record_codec import RecordCodec
 from .request_facts import RequestFacts
-from .request_run import RequestRun, RunParts
+from .request_run import RequestRun
 from .routed_store import RoutedStore
+from .run_parts import RunParts
 from .store import Store
 from .store_health import StoreHealth
 from .store_view import StoreView
--- a/lycheestall/entry/peer_link.py
+++ b/lycheestall/entry/peer_link.py
@@ -13,9 +13,9 @@
 from twisted.python.failure import Failure
 
 from ..logs import Logger
-from .caller_connection import Exchange, RequestHandler
 from .configuration import CallerLimits
 from .connection_pool import ConnectionPool
+from .exchange import Exchange, RequestHandler
 from .http_call import CallAnswered, call
 from .http_messages import request_bytes
 from .peer_messages import PeerMessage, PeerReply, decode, encode
--- a/lycheestall/entry/readiness.py
+++ b/lycheestall/entry/readiness.py
@@ -4,8 +4,8 @@
 
 from collections.abc import Callable
 
-from .caller_connection import Exchange, RequestHandler
 from .configuration import CallerLimits
+from .exchange import Exchange, RequestHandler
 
 __all__ = ["MetricsPage", "ReadinessPage"]
 
--- a/lycheestall/entry/request_run.py
+++ b/lycheestall/entry/request_run.py
@@ -2,14 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-from dataclasses import dataclass
 from enum import Enum
 from typing import Any
 
 from twisted.internet.defer import CancelledError, Deferred
 
-from ..ids import ProgramId
 from .attempt_outcomes import (
     AttemptOutcome,
     Broken,
@@ -20,26 +17,22 @@
     StreamEnded,
     WholeAnswer,
 )
-from .caller_connection import Exchange
 from .configuration import Repeat, Route, Service, ServiceId
-from .connection_pool import ConnectionPool
 from .crash_reports import fingerprint
-from .decision_log import DecisionLog
-from .header_codec import HeaderCodec
+from .exchange import Exchange
 from .http_messages import request_bytes
-from .ledger_writer import TurnAnswer
 from .request_facts import RequestFacts
 from .retry_policy import AttemptHistory, NextStep, next_step
+from .run_parts import RunParts
 from .stream_forwarder import StreamForwarder
 from .target_attempt import TargetAttempt
-from .target_chooser import TargetChooser
 from .target_connection import BreakReason
-from .target_table import TargetEntry, TargetTable
+from .target_table import TargetEntry
 from .token_books import BookDecision, TurnId
-from .turn_tokens import TurnTokens
+from .turn_budget import TurnBudget
 from .urgency import urgency
 
-__all__ = ["RequestRun", "RunParts"]
+__all__ = ["RequestRun"]
 
 BUSY_RETRY_S = 0.15
 """When a caller should come back to a service whose targets are full."""
@@ -54,9 +47,6 @@
 HELD_RETRY_S = 0.4
 """When tokens that another VM holds ahead should be free again."""
 
-RESERVE_TIMEOUT_S = 0.8
-"""Longest time for a turn's record in the ledger."""
-
 RESUME_PAUSE_S = 0.03
 """Pause before the same target is asked again."""
 
@@ -68,33 +58,6 @@
     TIME_OVER = "time over"
 
 
-@dataclass(frozen=True, slots=True)
-class RunParts:
-    """What all runs of this VM share.
-
-    Attributes:
-        clock: Times the requests.
-        headers: Reads and writes headers.
-        chooser: Chooses targets.
-        table: The registered targets.
-        tokens: Token budgets.
-        crashed: Reports a target lost while it ran a request.
-        refused: Whether a request crashes its targets.
-        pool_of: Returns the connections to a target.
-        log: Takes the decisions.
-    """
-
-    clock: Any
-    headers: HeaderCodec
-    chooser: TargetChooser
-    table: TargetTable
-    tokens: TurnTokens
-    crashed: Callable[[str], object]
-    refused: Callable[[str], bool]
-    pool_of: Callable[[TargetEntry], ConnectionPool]
-    log: DecisionLog
-
-
 class RequestRun:
     """One request.
 
@@ -128,7 +91,9 @@
         self._service = service
         self._service_id = service_id
         self._version = version
-        self._turn = turn
+        self._budget = TurnBudget(
+            parts.tokens, parts.clock, facts, service, turn=turn
+        )
         limit_s = route.timeout_s
         if facts.deadline_s is not None:
             limit_s = min(limit_s, facts.deadline_s)
@@ -162,41 +127,22 @@
         if self._parts.refused(self._print):
             self._refuse(503, "the request crashes its targets", 5.0)
             return
-        program = self._budgeted_program()
-        if program is None:
+        if not self._budget.limited:
             await self._send_until_answered()
             return
-        if not await self._reserved(program):
+        if not await self._reserved():
             return
         try:
             await self._send_until_answered()
         finally:
-            self._parts.tokens.settle(
-                program, self._turn, self._tokens_handed()
-            )
+            self._budget.settle(self._events)
 
-    def _budgeted_program(self) -> ProgramId | None:
-        facts = self._facts
-        if self._service is None or self._service.engine is None:
-            return None
-        if facts.program is None or facts.token_budget is None:
-            return None
-        return facts.program
-
-    async def _reserved(self, program: ProgramId) -> bool:
-        budget = self._facts.token_budget or 0
-        answer = self._parts.tokens.reserve(
-            program,
-            self._turn,
-            most=self._most_tokens(),
-            budget=budget,
-        )
-        if isinstance(answer, Deferred):
-            answer = await self._reservation(answer)
+    async def _reserved(self) -> bool:
+        answer = await self._budget.reserve()
         if answer is BookDecision.GRANTED:
             if self._end is None:
                 return True
-            self._parts.tokens.settle(program, self._turn, 0)
+            self._budget.settle(0)
         if self._end is not None:
             self._ended_early(sent=False)
         elif answer is BookDecision.SPENT:
@@ -209,19 +155,6 @@
             self._refuse(503, "budgets can't be checked now", STORE_RETRY_S)
         return False
 
-    async def _reservation(self, answer: Deferred[TurnAnswer]) -> TurnAnswer:
-        clock = self._parts.clock
-        timer = clock.callLater(RESERVE_TIMEOUT_S, answer.cancel)
-        self._waiting = answer
-        try:
-            return await answer
-        except CancelledError:
-            return None
-        finally:
-            self._waiting = None
-            if timer.active():
-                timer.cancel()
-
     async def _send_until_answered(self) -> None:
         if self._route.is_stream:
             self._forwarder = StreamForwarder(
@@ -263,6 +196,10 @@
                 again = self._parts.table.get(entry.target)
                 await self._pause(RESUME_PAUSE_S)
 
+    @property
+    def _events(self) -> int:
+        return 0 if self._forwarder is None else self._forwarder.events
+
     def _choose(self) -> TargetEntry | None:
         parts = self._facts.prompt_parts
         affinity: str | None = None
@@ -396,6 +333,8 @@
             self._attempt.stop()
         elif self._waiting is not None:
             self._waiting.cancel()
+        else:
+            self._budget.stop_waiting()
 
     def _ended_early(self, *, sent: bool) -> None:
         if self._end is _End.CALLER_LEFT:
@@ -448,27 +387,8 @@
             target=self._last_target,
             status=self._exchange.status,
             sends=self._history.sends,
-            tokens=self._tokens_handed(),
+            tokens=self._budget.tokens_of(self._events),
             took_s=self._parts.clock.seconds() - self._request.received_at,
             outcome=outcome,
-            known_tokens=self._known_tokens(),
+            known_tokens=self._budget.recorded,
         )
-
-    def _known_tokens(self) -> int | None:
-        program = self._budgeted_program()
-        if program is None:
-            return None
-        return self._parts.tokens.recorded(program)
-
-    def _most_tokens(self) -> int:
-        return self._facts.max_output_tokens + self._tokens_per_event()
-
-    def _tokens_handed(self) -> int:
-        if self._forwarder is None:
-            return 0
-        return self._forwarder.events * self._tokens_per_event()
-
-    def _tokens_per_event(self) -> int:
-        if self._service is None or self._service.engine is None:
-            return 0
-        return self._service.engine.tokens_per_event
--- a/lycheestall/entry/stream_forwarder.py
+++ b/lycheestall/entry/stream_forwarder.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from ..clock import Clock
-from .caller_connection import Exchange
 from .event_splitter import EventSplitter
+from .exchange import Exchange
 from .http_messages import AnswerHead, Header
 
 __all__ = ["StreamForwarder"]
--- a/lycheestall/lifetimes.py
+++ b/lycheestall/lifetimes.py
@@ -5,6 +5,7 @@
 from ._refusals import limit_reached, program_ended, too_old
 from .forgetting import due_forgetting
 from .ids import PartitionId
+from .logs import failure_logger
 from .outcomes import Reason, Refused
 from .owner_ports import OwnerPorts
 from .program import Program
@@ -54,7 +55,10 @@
             epoch=ports.cell.epoch_of(program.partition),
             reason=reason,
         )
-        ports.cell.submit(record).addErrback(lambda _: None)
+        written = ports.cell.submit(record)
+        written.addErrback(
+            failure_logger("end not recorded", program=program.name)
+        )
 
     def sweep(self) -> None:
         """Ends programs that vanished or ran out of time.
@@ -98,7 +102,8 @@
             keep_s=ports.settings.program_keep_s,
         )
         if record is not None and not ports.cell.log_silent():
-            ports.cell.submit(record).addErrback(lambda _: None)
+            written = ports.cell.submit(record)
+            written.addErrback(failure_logger("forgetting not recorded"))
 
     def out_of_time(self, program: Program) -> Refused | None:
         """Returns the refusal of a program past its time limit."""
--- a/lycheestall/logs.py
+++ b/lycheestall/logs.py
@@ -4,11 +4,13 @@
 
 import logging
 import sys
+from collections.abc import Callable
 from typing import TextIO
 
 import structlog
+from twisted.python.failure import Failure
 
-__all__ = ["Logger", "configure_logs", "get_logger"]
+__all__ = ["Logger", "configure_logs", "failure_logger", "get_logger"]
 
 Logger = structlog.typing.FilteringBoundLogger
 
@@ -41,3 +43,17 @@
     """Returns a logger that adds the given fields to each line."""
     logger: Logger = structlog.get_logger(**fields)
     return logger
+
+
+def failure_logger(event: str, **fields: str) -> Callable[[Failure], None]:
+    """Returns an errback for a call whose work is tried again elsewhere.
+
+    Args:
+        event: What was not done.
+        fields: What identifies it.
+    """
+
+    def log_failure(failure: Failure) -> None:
+        get_logger(**fields).info(event, error=failure.getErrorMessage())
+
+    return log_failure
--- a/lycheestall/program_owner.py
+++ b/lycheestall/program_owner.py
@@ -19,6 +19,7 @@
 from .ids import Offset, PartitionId, ProgramId
 from .ledger import Ledger
 from .lifetimes import Lifetimes
+from .logs import failure_logger
 from .outcomes import Outcome, Reason, Refused, Step
 from .owner_ports import OwnerPorts
 from .partitions import partition_of
@@ -239,7 +240,8 @@
         if ports.cell.log_silent():
             return
         for record in ports.shares.idle(ports.clock.seconds()):
-            ports.cell.submit(record).addErrback(lambda _: None)
+            written = ports.cell.submit(record)
+            written.addErrback(failure_logger("idle portion not recorded"))
 
 
 def _finish(sink: CallSink, outcome: Outcome) -> CallHandle:
--- a/lycheestall/program_table.py
+++ b/lycheestall/program_table.py
@@ -19,6 +19,7 @@
 from .ids import PartitionId, ProgramId, root_of
 from .ledger import Ledger
 from .ledger_program import LedgerProgram, Spend
+from .logs import failure_logger
 from .outcomes import Reason, Refused, Step
 from .owner_ports import LOG_WAIT_S, OwnerPorts
 from .program import Program
@@ -248,7 +249,9 @@
         totals = program.budget.first_draw(limits)
         if totals != Spend():
             drawn = self._reservations.draw(program, totals)
-            drawn.addErrback(lambda _: None)
+            drawn.addErrback(
+                failure_logger("first draw not recorded", program=program.name)
+            )
 
     def _record(self, program: Program) -> Deferred[Folded]:
         ports = self._ports
--- a/lycheestall/reservations.py
+++ b/lycheestall/reservations.py
@@ -21,6 +21,7 @@
 )
 from .cell_view import Folded
 from .ledger_program import Spend
+from .logs import failure_logger
 from .outcomes import Refused, Step
 from .owner_ports import LOG_WAIT_S, OwnerPorts
 from .program import Program
@@ -200,7 +201,8 @@
             now_ms=ports.wall_ms(),
         )
         for record in records:
-            self._take(record).addErrback(lambda _: None)
+            taken = self._take(record)
+            taken.addErrback(failure_logger("portion not taken ahead"))
 
     def _settle_use(self, admitted: Admitted, actual: Spend) -> None:
         self._ports.shares.settle(admitted.use, _use_of(actual))
--- a/lycheestall/rules/stream.py
+++ b/lycheestall/rules/stream.py
@@ -16,6 +16,7 @@
 from ..ids import Offset, SessionId, StreamName, VmId
 from ..log_reader import FoldedHandler, LogReader
 from ..log_writer import LogWriter
+from ..logs import failure_logger
 from ..publication import Publication
 from ..records import (
     NO_OFFSET,
@@ -212,4 +213,6 @@
         self._missing_since = missing_since
 
     def _write(self, body: RulesRecord) -> None:
-        self.submit(body).addErrback(lambda _: None)
+        self.submit(body).addErrback(
+            failure_logger("rules record not written")
+        )
--- a/tests/_owner_world.py
+++ b/tests/_owner_world.py
@@ -26,7 +26,7 @@
     PartitionId,
     TargetId,
 )
-from lycheestall.outcomes import Reason, Refused, Step
+from lycheestall.outcomes import Failed, Outcome, Reason, Refused, Step
 from lycheestall.partitions import partition_of
 from lycheestall.program_ids import issue_program_id, ledger_id
 from lycheestall.program_owner import ProgramOwner
@@ -144,3 +144,9 @@
     empty = ProgramLimits(None, None, None, None, None, {})
     lines = {name: LINE for name in parts}
     return replace(empty, lines=lines, **parts)  # type: ignore[arg-type]
+
+
+def reason(outcome: Outcome | None) -> Reason:
+    """Returns why a call was refused or failed."""
+    assert isinstance(outcome, Refused | Failed)
+    return outcome.reason
--- a/tests/cell_world.py
+++ b/tests/cell_world.py
@@ -5,7 +5,10 @@
 from collections.abc import Callable, Iterable
 from dataclasses import replace
 
-from fakes import FakeLog, FakeNetwork, FakeVmList, NodeClock, World
+from fake_log import FakeLog
+from fake_network import FakeNetwork
+from fake_vm_list import FakeVmList
+from fake_world import NodeClock, World
 from fakes_cell import KeepingLedger, KeepingPortions
 from twisted.internet.defer import Deferred, ensureDeferred
 
--- a/tests/entry/standin_store.py
+++ b/tests/entry/standin_store.py
@@ -9,8 +9,8 @@
 
 import orjson
 
-from lycheestall.entry.caller_connection import Exchange, RequestHandler
 from lycheestall.entry.configuration import CallerLimits
+from lycheestall.entry.exchange import Exchange, RequestHandler
 from lycheestall.entry.store import (
     AppendConflict,
     Appended,
--- a/tests/entry/test_platform_adapter.py
+++ b/tests/entry/test_platform_adapter.py
@@ -15,13 +15,10 @@
 from twisted.internet.defer import Deferred
 
 from lycheestall.clock import sleep
-from lycheestall.entry.caller_connection import (
-    CallerFactory,
-    Exchange,
-    RequestHandler,
-)
+from lycheestall.entry.caller_connection import CallerFactory
 from lycheestall.entry.configuration import CallerLimits
 from lycheestall.entry.connection_pool import ConnectionPool
+from lycheestall.entry.exchange import Exchange, RequestHandler
 from lycheestall.entry.http_call import CallAnswered, CallFailed, call
 from lycheestall.entry.http_messages import request_bytes
 from lycheestall.entry.store import (
--- a/tests/fake_callers.py
+++ b/tests/fake_callers.py
@@ -29,8 +29,8 @@
     TargetId,
 )
 from lycheestall.outcomes import Completed, Failed, Outcome, Reason, Refused
-from tests.fake_targets import answer_text
-from tests.fakes import World
+from tests.fake_world import World
+from tests.target_traffic import answer_text
 
 REACH_S = 0.003
 LOST_RETRY_S = 1.0
--- /dev/null
+++ b/tests/fake_vm_list.py
@@ -0,0 +1,86 @@
+"""The platform's list of VMs in virtual time."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import replace
+
+from lycheestall.platform_services import (
+    VmEntry,
+    VmList,
+    VmListFailed,
+    VmListing,
+    VmListResult,
+    VmState,
+)
+from tests.fake_world import FOREVER, World
+from tests.fault_window import FaultWindow, amount_at, fault_window
+
+
+class FakeVmList(VmList):
+    """The lagging VM list; ``client`` gives a node its own access."""
+
+    def __init__(self, world: World, *, lag_s: float = 2.0) -> None:
+        self.world = world
+        self.lag_s = lag_s
+        self._entry_by_vm: dict[str, VmEntry] = {}
+        self._versions: list[tuple[float, VmListing]] = []
+        self._outages: list[FaultWindow] = []
+        self._publish()
+
+    def put(self, entry: VmEntry) -> None:
+        """Adds or replaces a VM."""
+        self._entry_by_vm[entry.vm] = entry
+        self._publish()
+
+    def leave(self, vm: str) -> None:
+        """Marks a VM as leaving."""
+        self.put(replace(self._entry_by_vm[vm], state=VmState.LEAVING))
+
+    def drop(self, vm: str) -> None:
+        """Takes a VM off the list."""
+        self._entry_by_vm.pop(vm, None)
+        self._publish()
+
+    def outage(
+        self,
+        start: float,
+        end: float = FOREVER,
+        nodes: Iterable[str] | None = None,
+    ) -> None:
+        """The list does not answer in the stretch."""
+        self._outages.append(fault_window(start, end, nodes))
+
+    def client(self, name: str) -> VmList:
+        """Returns a node's access."""
+        return _VmListClient(self, name)
+
+    async def fetch(self) -> VmListResult:
+        """Returns the newest snapshot that is at least the lag old."""
+        return self.fetch_as("")
+
+    def fetch_as(self, node: str) -> VmListResult:
+        """Returns what a node gets."""
+        if amount_at(self._outages, self.world.now, node) is not None:
+            return VmListFailed("timeout")
+        shown = self._versions[0][1]
+        for time, listing in self._versions:
+            if time + self.lag_s > self.world.now and time > 0:
+                break
+            shown = listing
+        return shown
+
+    def _publish(self) -> None:
+        listing = VmListing(
+            len(self._versions), tuple(self._entry_by_vm.values())
+        )
+        self._versions.append((self.world.now, listing))
+
+
+class _VmListClient(VmList):
+    def __init__(self, shared: FakeVmList, node: str) -> None:
+        self._shared = shared
+        self._node = node
+
+    async def fetch(self) -> VmListResult:
+        return self._shared.fetch_as(self._node)
--- a/tests/fault_table.py
+++ b/tests/fault_table.py
@@ -23,8 +23,8 @@
 )
 from lycheestall.settings import TuningSettings
 from tests.fake_callers import Action, Chat, FakeCaller, Pause
-from tests.fake_targets import program_name
 from tests.system import ZONES, System
+from tests.target_traffic import program_name
 
 PARTITIONS = 16
 NEW_VM = "vm-90"
--- a/tests/promises.py
+++ b/tests/promises.py
@@ -8,14 +8,10 @@
 import orjson
 
 from lycheestall.outcomes import Completed, Refused
+from tests.fake_application import FakeApplication
 from tests.fake_callers import Attempt, FakeCaller
-from tests.fake_targets import (
-    Arrival,
-    FakeApplication,
-    FakeEngine,
-    program_name,
-    root_name,
-)
+from tests.fake_engine import FakeEngine
+from tests.target_traffic import Arrival, program_name, root_name
 
 LEAVING_GRACE_S = 3.0
 RULES_GRACE_S = 5.0
--- a/tests/rules_world.py
+++ b/tests/rules_world.py
@@ -4,7 +4,9 @@
 
 from typing import Any
 
-from fakes import FakeLog, FakeNetwork, World
+from fake_log import FakeLog
+from fake_network import FakeNetwork
+from fake_world import World
 from twisted.internet.defer import Deferred, ensureDeferred
 
 from lycheestall.clock import Clock
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -4,44 +4,30 @@
 
 import random
 import signal
-import subprocess
-import sys
 from collections import Counter
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
 import orjson
-from twisted.internet.defer import Deferred, DeferredList, ensureDeferred
+from twisted.internet.defer import DeferredList, ensureDeferred
 
 from lycheestall.clock import sleep
 from lycheestall.entry.caller_connection import CallerFactory
 from lycheestall.entry.connection_pool import ConnectionPool
-from lycheestall.entry.http_messages import AnswerHead, request_bytes
+from lycheestall.entry.http_messages import request_bytes
 from lycheestall.entry.store import KeyedWrite, Topic
-from lycheestall.entry.target_connection import AnswerSink, BreakReason
 from tests.entry.entry_world import ENGINE, ROUTES
 from tests.entry.memory_store import MemoryLog
 from tests.entry.standin_store import StandinStore
 from tests.soak.loopback_proxy import LoopbackProxy, ProxyMode
 from tests.soak.soak_targets import EVENTS, TOKENS_PER_EVENT, SoakTarget
+from tests.soak.soak_vm import ReceivedAnswer, SoakVm
 
-ROOT = Path(__file__).resolve().parent.parent.parent
 MOST = 80
 CLIENTS = 6
 PROMISES_NOT_RUN = (402, 408, 421, 429, 503)
 
-SETTINGS = """\
-node_name={name}
-zone=zone-a
-ip=127.0.0.1
-listen.front=127.0.0.1:{front}
-listen.ready=127.0.0.1:{ready}
-internal_ports={inner},{last}
-platform.address=127.0.0.1:{store}
-bounds.grace_s=6
-"""
-
 
 @dataclass
 class Report:
@@ -58,84 +44,6 @@
     broken: list[str] = field(default_factory=list)
 
 
-class SoakVm:
-    """One entry VM's process and its way to the store."""
-
-    def __init__(
-        self,
-        number: int,
-        ports: list[int],
-        reactor: Any,
-        store: int,
-        run: Path,
-    ) -> None:
-        self.front = ports[0]
-        self.store_proxy = LoopbackProxy(reactor, store)
-        self._run = run
-        self._name = f"vm-{number}"
-        self._settings = run / f"{self._name}.conf"
-        self._settings.write_text(
-            SETTINGS.format(
-                name=self._name,
-                front=ports[0],
-                ready=ports[1],
-                inner=ports[2],
-                last=ports[2] + 1,
-                store=self.store_proxy.port,
-            )
-        )
-        self.process: subprocess.Popen[bytes] | None = None
-
-    def start(self) -> None:
-        """Starts the process."""
-        with (self._run / f"{self._name}.log").open("ab") as log:
-            self.process = subprocess.Popen(
-                [
-                    sys.executable,
-                    "-m",
-                    "lycheestall",
-                    "entry",
-                    "--settings",
-                    str(self._settings),
-                ],
-                cwd=ROOT,
-                stdout=log,
-                stderr=log,
-            )
-
-    def signal(self, number: signal.Signals) -> None:
-        """Sends a signal if the process lives."""
-        if self.process is not None and self.process.poll() is None:
-            self.process.send_signal(number)
-
-
-class _Received(AnswerSink):
-    """Keeps an answer, also a broken one."""
-
-    def __init__(self) -> None:
-        self.status = 0
-        self.body = b""
-        self.done: Deferred[bool] = Deferred()
-
-    def answer_started(self, head: AnswerHead) -> bool:
-        self.status = head.status
-        return True
-
-    def answer_body(self, data: bytes) -> None:
-        self.body += data
-
-    def answer_ended(self) -> None:
-        self.end(whole=True)
-
-    def answer_broken(self, reason: BreakReason) -> None:
-        self.end(whole=False)
-
-    def end(self, *, whole: bool) -> None:
-        """Ends it once."""
-        if not self.done.called:
-            self.done.callback(whole)
-
-
 class Soak:
     """One seeded run.
 
@@ -278,12 +186,12 @@
 
     async def _send(
         self, request: str, url: bytes, headers: list[tuple[bytes, bytes]]
-    ) -> tuple[_Received, bool]:
+    ) -> tuple[ReceivedAnswer, bool]:
         vm = self._random.choice(self._vms)
         pool = ConnectionPool(
             self._reactor, "127.0.0.1", vm.front, connect_timeout_s=1.0
         )
-        received = _Received()
+        received = ReceivedAnswer()
         try:
             connection = await pool.acquire()
         except Exception:
--- a/tests/soak/soak_targets.py
+++ b/tests/soak/soak_targets.py
@@ -5,12 +5,9 @@
 from collections import Counter
 from typing import Any
 
-from lycheestall.entry.caller_connection import (
-    CallerFactory,
-    Exchange,
-    RequestHandler,
-)
+from lycheestall.entry.caller_connection import CallerFactory
 from lycheestall.entry.configuration import CallerLimits
+from lycheestall.entry.exchange import Exchange, RequestHandler
 from tests.soak.loopback_proxy import LoopbackProxy
 
 EVENTS = 5
--- /dev/null
+++ b/tests/soak/soak_vm.py
@@ -0,0 +1,110 @@
+"""One entry VM of a soak: a process behind a proxy to the store."""
+
+from __future__ import annotations
+
+import signal
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+from twisted.internet.defer import Deferred
+
+from lycheestall.entry.http_messages import AnswerHead
+from lycheestall.entry.target_connection import AnswerSink, BreakReason
+from tests.soak.loopback_proxy import LoopbackProxy
+
+ROOT = Path(__file__).resolve().parent.parent.parent
+
+SETTINGS = """\
+node_name={name}
+zone=zone-a
+ip=127.0.0.1
+listen.front=127.0.0.1:{front}
+listen.ready=127.0.0.1:{ready}
+internal_ports={inner},{last}
+platform.address=127.0.0.1:{store}
+bounds.grace_s=6
+"""
+
+
+class SoakVm:
+    """One entry VM's process and its way to the store."""
+
+    def __init__(
+        self,
+        number: int,
+        ports: list[int],
+        reactor: Any,
+        store: int,
+        run: Path,
+    ) -> None:
+        self.front = ports[0]
+        self.store_proxy = LoopbackProxy(reactor, store)
+        self._run = run
+        self._name = f"vm-{number}"
+        self._settings = run / f"{self._name}.conf"
+        self._settings.write_text(
+            SETTINGS.format(
+                name=self._name,
+                front=ports[0],
+                ready=ports[1],
+                inner=ports[2],
+                last=ports[2] + 1,
+                store=self.store_proxy.port,
+            )
+        )
+        self.process: subprocess.Popen[bytes] | None = None
+
+    def start(self) -> None:
+        """Starts the process."""
+        with (self._run / f"{self._name}.log").open("ab") as log:
+            self.process = subprocess.Popen(
+                [
+                    sys.executable,
+                    "-m",
+                    "lycheestall",
+                    "entry",
+                    "--settings",
+                    str(self._settings),
+                ],
+                cwd=ROOT,
+                stdout=log,
+                stderr=log,
+            )
+
+    def signal(self, number: signal.Signals) -> None:
+        """Sends a signal if the process lives."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(number)
+
+
+class ReceivedAnswer(AnswerSink):
+    """Keeps an answer, also a broken one."""
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.body = b""
+        self.done: Deferred[bool] = Deferred()
+
+    def answer_started(self, head: AnswerHead) -> bool:
+        """Keeps the status."""
+        self.status = head.status
+        return True
+
+    def answer_body(self, data: bytes) -> None:
+        """Keeps a piece of the body."""
+        self.body += data
+
+    def answer_ended(self) -> None:
+        """Ends it as whole."""
+        self.end(whole=True)
+
+    def answer_broken(self, reason: BreakReason) -> None:
+        """Ends it as broken."""
+        self.end(whole=False)
+
+    def end(self, *, whole: bool) -> None:
+        """Ends it once."""
+        if not self.done.called:
+            self.done.callback(whole)
--- a/tests/system.py
+++ b/tests/system.py
@@ -36,9 +36,14 @@
     Settings,
     TuningSettings,
 )
+from tests.fake_application import FakeApplication
 from tests.fake_callers import Crowd, FakeCaller, StepKind
-from tests.fake_targets import FakeApplication, FakeEngine, FakeTargets
-from tests.fakes import FakeLog, FakeNetwork, FakeVmList, NodeClock, World
+from tests.fake_engine import FakeEngine
+from tests.fake_log import FakeLog
+from tests.fake_network import FakeNetwork
+from tests.fake_targets import FakeTargets
+from tests.fake_vm_list import FakeVmList
+from tests.fake_world import NodeClock, World
 from tests.promises import Evidence
 
 ZONES = ("north", "middle", "south")
--- a/tests/test_log_streams.py
+++ b/tests/test_log_streams.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from fakes import FakeLog, FakeNetwork, World
+from fake_log import FakeLog
+from fake_network import FakeNetwork
+from fake_world import World
 from fakes_cell import KeepingLedger, KeepingPortions
 
 from lycheestall.cell_fold import CellFold
--- /dev/null
+++ b/tests/test_owner_actions.py
@@ -0,0 +1,168 @@
+"""Tests of the owner with actions that must not run twice."""
+
+from __future__ import annotations
+
+import pytest
+from _owner_world import (
+    MOVED,
+    PROGRAM,
+    Owners,
+    reason,
+)
+from twisted.internet.defer import Deferred
+
+from lycheestall.ids import (
+    AccountId,
+    CallNumber,
+    ProgramId,
+)
+from lycheestall.outcomes import (
+    Completed,
+    Failed,
+    Reason,
+    Refused,
+)
+from lycheestall.records import IntentRecorded, IntentVoided
+from lycheestall.targets import (
+    ActionDone,
+    ActionNotSent,
+    ActionUnknown,
+    LookupAnswer,
+    LookupState,
+)
+
+
+@pytest.fixture
+def world() -> Owners:
+    return Owners()
+
+
+def test_order_runs_once_whatever_is_sent_again(world: Owners) -> None:
+    first, second = world.order(), world.order()
+    world.answer_order()
+    third = world.order()
+    world.take_over("s2")
+    fourth = world.order()
+    for sink in (first, second, third, fourth):
+        assert isinstance(sink.outcome, Completed)
+        assert sink.body == b'{"order":1}'
+        assert sink.head is not None and sink.head.status == 201
+    assert len(world.first.requests) == 1 and not world.second.requests
+    assert reason(world.order(body=b"[]").outcome) is Reason.KEY_REUSED
+
+
+def test_an_open_intent_is_never_sent_again(world: Owners) -> None:
+    world.order()
+    world.take_over("s2")
+    sink = world.order()
+    assert reason(sink.outcome) is Reason.MAY_HAVE_RUN
+    assert isinstance(sink.outcome, Failed)
+    world.first.record = LookupAnswer(
+        LookupState.RAN, ActionDone(201, "text/plain", b"ran")
+    )
+    settled = world.order()
+    assert isinstance(settled.outcome, Completed) and settled.body == b"ran"
+    assert len(world.first.requests) == 1 and not world.second.requests
+
+
+def test_a_key_that_the_target_closed_is_not_run(world: Owners) -> None:
+    sink = world.order()
+    world.first.record = LookupAnswer(LookupState.NOT_RUN)
+    world.first.answers[0].callback(ActionUnknown("reset"))
+    assert isinstance(sink.outcome, Refused)
+    assert sink.outcome.needs == "a new idempotency key"
+    again = world.order()
+    assert isinstance(again.outcome, Refused)
+    assert len(world.first.requests) == 1
+
+
+def test_a_late_record_is_voided_and_not_sent(world: Owners) -> None:
+    world.order("k0")
+    world.answer_order()
+    world.cell.automatic = False
+    sink = world.order()
+    world.clock.advance(2.0)
+    assert reason(sink.outcome) is Reason.LOG_UNAVAILABLE
+    assert reason(world.order().outcome) is Reason.LOG_UNAVAILABLE
+    world.cell.automatic = True
+    world.cell.read_back()
+    assert isinstance(world.cell.written[-1], IntentVoided)
+    assert len(world.first.requests) == 1 and not world.second.requests
+    again = world.order()
+    world.answer_order()
+    assert isinstance(again.outcome, Completed)
+    assert len(world.first.requests) == 2 and not world.second.requests
+
+
+def test_authority_lost_before_the_send_is_not_run(world: Owners) -> None:
+    world.cell.automatic = False
+    sink = world.order()
+    world.cell.read_back()
+    world.cell.refused = MOVED
+    world.cell.read_back()
+    assert sink.outcome == MOVED
+    assert not world.first.requests
+    assert isinstance(world.cell.written[-1], IntentVoided)
+
+
+def test_authority_lost_while_connecting_is_not_run(world: Owners) -> None:
+    world.first.connecting = opened = Deferred()
+    sink = world.order()
+    world.cell.refused = MOVED
+    opened.callback(None)
+    assert isinstance(sink.outcome, Refused)
+    assert not world.first.requests and not world.second.requests
+    assert isinstance(world.cell.written[-1], IntentVoided)
+
+
+def test_a_runner_out_of_reach_is_replaced(world: Owners) -> None:
+    world.rules.attempts = 2
+    sink = world.order()
+    world.first.answers[0].callback(ActionNotSent("refused"))
+    world.answer_order(runner=1)
+    assert isinstance(sink.outcome, Completed)
+    intents = [
+        record.target
+        for record in world.cell.written
+        if isinstance(record, IntentRecorded)
+    ]
+    assert intents == ["runner-1", "runner-2"]
+
+
+def test_an_unreachable_order_may_be_sent_again_under_its_number(
+    world: Owners,
+) -> None:
+    sink = world.order(number=CallNumber(1))
+    world.first.answers[0].callback(ActionNotSent("refused"))
+    assert reason(sink.outcome) is Reason.UNREACHABLE
+    again = world.order(number=CallNumber(1))
+    world.answer_order(runner=1)
+    assert isinstance(again.outcome, Completed)
+
+
+def test_an_idempotent_call_is_repeated_and_needs_no_log(
+    world: Owners,
+) -> None:
+    world.rules.attempts = 2
+    world.cell.silent = True
+    sink = world.order("", operation="GET /runs?x=1")
+    world.first.answers[0].callback(ActionUnknown("reset"))
+    world.answer_order(200, runner=1)
+    assert isinstance(sink.outcome, Completed)
+
+
+@pytest.mark.parametrize(
+    ("parts", "expected"),
+    [
+        ({"key": ""}, Reason.KEY_MISSING),
+        ({"program": ProgramId("chosen")}, Reason.KEY_UNPROVEN),
+        ({"program": ProgramId(PROGRAM[:-1] + "x")}, Reason.KEY_UNPROVEN),
+        ({"account": AccountId("other")}, Reason.PROGRAM_UNKNOWN),
+    ],
+)
+def test_orders_without_proof_are_refused(
+    world: Owners, parts: dict[str, object], expected: Reason
+) -> None:
+    sink = world.order(**parts)  # type: ignore[arg-type]
+    assert reason(sink.outcome) is expected
+    assert not world.first.requests
--- a/tests/test_resume.py
+++ b/tests/test_resume.py
@@ -10,8 +10,8 @@
 from lycheestall.ids import AccountId, CallNumber, ModelName, ProgramId
 from lycheestall.outcomes import Completed
 from lycheestall.partitions import partition_of
-from tests.fake_targets import answer_text
 from tests.system import System
+from tests.target_traffic import answer_text
 
 ACCOUNT = AccountId("snowline")
 CUT_AFTER_BYTES = 150
--- a/tests/test_rules_cli.py
+++ b/tests/test_rules_cli.py
@@ -10,7 +10,8 @@
 
 import pytest
 from click.testing import CliRunner, Result
-from fakes import FakeLog, World
+from fake_log import FakeLog
+from fake_world import World
 from rules_world import ONE, TWO, Vm
 from test_settings_check import DIGEST, GOOD, KEY
 from twisted.internet.defer import ensureDeferred
--- a/tests/test_rules_publisher.py
+++ b/tests/test_rules_publisher.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import pytest
-from fakes import FakeLog, World
+from fake_log import FakeLog
+from fake_world import World
 from rules_world import NONE, ONE, RULES, TWO, Vm
 
 from lycheestall.checkpoints import CheckpointSchedule
