Tell a lost call from an outage, and gather ledger records

And a turn whose record was the same as that of a denied turn got no answer until its timeout. Records that nobody waits for are gathered for 0.2 s, and none is written while what is held does for another turn; a turn or a VM that waits ends that. A waiting turn is always read back. After an outage callers are told when it is settled.

--- a/lycheestall/entry/final_answer.py
+++ b/lycheestall/entry/final_answer.py
@@ -115,6 +115,9 @@
             self.refuse(402, "the program's token budget is spent", None)
         elif answer is BookDecision.HELD_ELSEWHERE:
             self.refuse(503, "tokens are held by another VM", HELD_RETRY_S)
+        elif answer is BookDecision.SETTLING:
+            settled_in_s = self._parts.tokens.settles_in_s()
+            self.refuse(503, "an outage is being settled", settled_in_s)
         elif answer is BookDecision.UNPROVEN:
             self.refuse(503, "tokens may be unrecorded", STORE_RETRY_S)
         else:
--- a/lycheestall/entry/ledger_writer.py
+++ b/lycheestall/entry/ledger_writer.py
@@ -27,7 +27,7 @@
 
 __all__ = ["LedgerWriter", "TurnAnswer"]
 
-LINGER_S = 0.03
+LINGER_S = 0.2
 """Seconds that records nobody waits for are gathered."""
 
 RETRY_S = 0.25
@@ -91,6 +91,7 @@
         self._idle: list[Deferred[None]] = []
         self._notices: list[KeyedWrite] = []
         self._failures = 0
+        self._lingering: Deferred[None] | None = None
 
     def reserve(
         self, program: ProgramId, turn: TurnId, *, most: int, budget: int
@@ -113,7 +114,7 @@
         if self._health.away or self._hold_off():
             self._books.withdraw(program, turn)
             self.wake()
-            return None
+            return None if self._health.away else BookDecision.SETTLING
         answer: Deferred[TurnAnswer] = Deferred(
             lambda _: self._withdraw(program, turn)
         )
@@ -139,6 +140,8 @@
 
     def wake(self) -> None:
         """Starts writing if records are due."""
+        if self._lingering is not None and self._hurried():
+            self._lingering.callback(None)
         if not self._running and self._due():
             self._running = True
             ensureDeferred(self._run()).addErrback(self._run_failed)
@@ -161,8 +164,8 @@
 
     async def _run(self) -> None:
         while self._due():
-            if not self._books.urgent() and not self._stopping:
-                await sleep(self._clock, LINGER_S)
+            if not self._hurried():
+                await self._linger()
             if await self._write():
                 self._failures = 0
                 continue
@@ -174,6 +177,20 @@
         self._running = False
         self._tell_idle()
 
+    def _hurried(self) -> bool:
+        if self._stopping or self._notices:
+            return True
+        return self._books.urgent() or self._crashes.pending()
+
+    async def _linger(self) -> None:
+        waiting: Deferred[None] = Deferred()
+        timer = self._clock.callLater(LINGER_S, waiting.callback, None)
+        self._lingering = waiting
+        await waiting
+        self._lingering = None
+        if timer.active():
+            timer.cancel()
+
     def _run_failed(self, failure: Any) -> None:
         self._running = False
         self._logger.error("ledger writer", error=failure.getTraceback())
@@ -200,6 +217,7 @@
             return True
         self._sequence += 1
         fence = WriterFence(self._holder, self._epoch, self._sequence)
+        started_at = self._clock.seconds()
         outcome = await self._store.append(Topic.LEDGER, writes, fence)
         now = self._clock.seconds()
         if isinstance(outcome, Appended):
@@ -217,7 +235,7 @@
             if isinstance(outcome, AppendConflict):
                 self._logger.warning("append refused", reason=outcome.reason)
             else:
-                self._health.failed(now, outcome.error)
+                self._health.failed(now, outcome.error, started_at=started_at)
         self._books.write_failed(grants)
         return False
 
--- a/lycheestall/entry/outage.py
+++ b/lycheestall/entry/outage.py
@@ -124,7 +124,11 @@
 
     def settling(self, now: float) -> bool:
         """Returns whether grants of an outage may still be unrecorded."""
-        return now - self._ended_at < AFTER_OUTAGE_S
+        return self.settles_in_s(now) > 0
+
+    def settles_in_s(self, now: float) -> float:
+        """Returns the seconds until all grants of an outage are recorded."""
+        return max(0.0, self._ended_at + AFTER_OUTAGE_S - now)
 
     @property
     def view_digest(self) -> str:
--- a/lycheestall/entry/routed_store.py
+++ b/lycheestall/entry/routed_store.py
@@ -24,6 +24,7 @@
     Topic,
     WriterFence,
 )
+from .store_call_log import StoreCallLog
 
 __all__ = ["RoutedStore"]
 
@@ -59,6 +60,7 @@
         self._peers = peers
         self._clock = clock
         self._logger = logger
+        self._calls = StoreCallLog(logger, clock)
         self._failures = 0
         self._relay: Member | None = None
         self._answered_at = float("-inf")
@@ -95,7 +97,9 @@
     ) -> Deferred[AppendOutcome]:
         """Appends records, all or nothing."""
         if self._relay is None:
-            return self._noted(self.direct.append(topic, writes, fence))
+            return self._noted(
+                self.direct.append(topic, writes, fence), "append", topic
+            )
         message = RelayAppend(topic, tuple(writes), fence)
         return self._through(
             self._relay, message, 0.0, AppendUnknown("peer did not answer")
@@ -106,7 +110,12 @@
     ) -> Deferred[ReadOutcome]:
         """Reads records from an offset on."""
         if self._relay is None:
-            return self._noted(self.direct.read(topic, start, wait_s=wait_s))
+            return self._noted(
+                self.direct.read(topic, start, wait_s=wait_s),
+                "read",
+                topic,
+                wait_s=wait_s,
+            )
         return self._through(
             self._relay,
             RelayRead(topic, start, wait_s),
@@ -119,7 +128,9 @@
     ) -> Deferred[NewestOutcome]:
         """Reads a page of the newest record of each key."""
         if self._relay is None:
-            return self._noted(self.direct.newest(topic, after=after))
+            return self._noted(
+                self.direct.newest(topic, after=after), "list", topic
+            )
         return self._through(
             self._relay,
             RelayNewest(topic, after),
@@ -133,7 +144,8 @@
         Args:
             start: Offset in the configuration's topic to read from.
         """
-        return self._noted(self.direct.read(Topic.CONFIGURATION, start))
+        topic = Topic.CONFIGURATION
+        return self._noted(self.direct.read(topic, start), "probe", topic)
 
     def check(self, start: Offset) -> Deferred[bool]:
         """Tells whether the store answers this VM itself just now.
@@ -166,8 +178,27 @@
         for told in checks:
             told.callback(answers)
 
-    def _noted(self, outcome: Deferred[_T]) -> Deferred[_T]:
-        return outcome.addCallback(self._note)
+    def _noted(
+        self,
+        outcome: Deferred[_T],
+        operation: str,
+        topic: Topic,
+        *,
+        wait_s: float = 0.0,
+    ) -> Deferred[_T]:
+        started_at = self._calls.started()
+
+        def note(answer: Any) -> Any:
+            self._calls.ended(
+                operation,
+                topic,
+                answer,
+                started_at=started_at,
+                wait_s=wait_s,
+            )
+            return self._note(answer)
+
+        return outcome.addCallback(note)
 
     def _note(self, outcome: Any) -> Any:
         if isinstance(outcome, StoreFailed | AppendUnknown):
--- a/lycheestall/entry/store_health.py
+++ b/lycheestall/entry/store_health.py
@@ -21,6 +21,10 @@
 class StoreHealth:
     """Follows the outcomes of store calls.
 
+    The store is away when a call fails and no later one was answered: a
+    queue in front of one of its partitions holds up some calls while
+    others pass.
+
     Args:
         logger: Where changes are logged.
         returned: Called with the time when the store is back.
@@ -33,6 +37,7 @@
         self._returned = returned
         self.state = StoreState.UNKNOWN
         self.away_since = 0.0
+        self._answered_at = float("-inf")
 
     @property
     def away(self) -> bool:
@@ -41,6 +46,7 @@
 
     def succeeded(self, now: float) -> None:
         """Takes a call that was answered."""
+        self._answered_at = now
         if self.state is StoreState.AWAY:
             self._logger.info(
                 "store is back", away_s=round(now - self.away_since, 3)
@@ -48,8 +54,17 @@
             self._returned(now)
         self.state = StoreState.UP
 
-    def failed(self, now: float, error: str) -> None:
-        """Takes a call that failed."""
+    def failed(self, now: float, error: str, *, started_at: float) -> None:
+        """Takes a call that failed.
+
+        Args:
+            now: The time.
+            error: What went wrong.
+            started_at: When the call was made.
+        """
+        if self._answered_at > started_at:
+            self._logger.info("store call failed beside others", error=error)
+            return
         if self.state is not StoreState.AWAY:
             self._logger.warning("store is away", error=error)
             self.away_since = now
--- a/lycheestall/entry/token_books.py
+++ b/lycheestall/entry/token_books.py
@@ -45,6 +45,7 @@
     SPENT = "spent"
     HELD_ELSEWHERE = "held_elsewhere"
     UNPROVEN = "unproven"
+    SETTLING = "settling"
     NEEDS_RECORD = "needs_record"
 
 
@@ -74,6 +75,7 @@
         wanted_until: Until when nothing is held ahead, since another VM
             has asked for more than there is.
         dirty: Whether a record is due.
+        hurry: Whether somebody else waits for that record.
     """
 
     budget: int
@@ -86,12 +88,27 @@
     doubtful: bool = False
     wanted_until: float = 0.0
     dirty: bool = False
+    hurry: bool = False
     used_at: float = 0.0
 
     def committed(self) -> int:
         """Tokens handed out or promised to running turns."""
         return self.handed + sum(self.running.values())
 
+    def holds_enough(self, wanted: Holding) -> bool:
+        """Returns whether what is recorded will do for another turn.
+
+        Args:
+            wanted: What would be recorded now.
+        """
+        if self.recorded is None or self.waiting:
+            return False
+        if self.recorded.doubtful != wanted.doubtful:
+            return False
+        if self.recorded.limit > wanted.limit:
+            return False
+        return self.recorded.limit >= wanted.committed + self.most
+
     def provable(self) -> int:
         """Tokens that are surely left of a whole budget.
 
@@ -199,7 +216,7 @@
         book.handed += tokens
         book.limit += tokens
         book.used_at = now
-        self._mark(program, book)
+        self._mark(program, book, hurry=True)
 
     def take_writes(self, now: float, *, ahead: bool) -> list[RecordedGrant]:
         """Returns the records that are due; the caller appends them.
@@ -211,11 +228,14 @@
         writes: list[RecordedGrant] = []
         for program in self._dirty:
             book = self._by_program[program]
+            hurry, book.hurry = book.hurry, False
             book.dirty = False
             holding = self._wanted(
                 program, book, ahead=ahead and now >= book.wanted_until
             )
-            if holding == book.recorded:
+            if holding == book.recorded and not book.waiting:
+                continue
+            if ahead and not hurry and book.holds_enough(holding):
                 continue
             book.limit = min(book.limit, holding.limit)
             writes.append(RecordedGrant(program, holding))
@@ -280,15 +300,19 @@
         others = self._ledger.others(program, self._holder)
         if others.limit + book.limit > book.provable():
             book.wanted_until = now + GIVE_UP_S
-            self._mark(program, book)
+            self._mark(program, book, hurry=True)
 
     def pending(self) -> bool:
         """Returns whether records are due."""
         return bool(self._dirty)
 
     def urgent(self) -> bool:
-        """Returns whether a turn waits for a record."""
-        return any(self._by_program[p].waiting for p in self._dirty)
+        """Returns whether a turn or another VM waits for a record."""
+        for program in self._dirty:
+            book = self._by_program[program]
+            if book.waiting or book.hurry:
+                return True
+        return False
 
     def forget_idle(self, now: float) -> None:
         """Drops programs without turns for a long time."""
@@ -330,8 +354,11 @@
         limit = committed + turns * book.most
         return Holding(limit, committed, book.doubtful)
 
-    def _mark(self, program: ProgramId, book: _Book) -> None:
+    def _mark(
+        self, program: ProgramId, book: _Book, *, hurry: bool = False
+    ) -> None:
         book.dirty = True
+        book.hurry = book.hurry or hurry
         self._dirty.add(program)
 
 
--- a/lycheestall/entry/topic_follower.py
+++ b/lycheestall/entry/topic_follower.py
@@ -89,7 +89,12 @@
             self._health.succeeded(self._clock.seconds())
             return await self._load()
         if not isinstance(outcome, Records):
-            self._health.failed(self._clock.seconds(), outcome.error)
+            # Until then the store was free to keep the call waiting.
+            self._health.failed(
+                self._clock.seconds(),
+                outcome.error,
+                started_at=started + wait_s,
+            )
             return False
         self._health.succeeded(self._clock.seconds())
         for record in outcome.records:
@@ -104,9 +109,12 @@
         end: Offset | None = None
         keys: set[bytes] = set()
         while True:
+            asked_at = self._clock.seconds()
             page = await self._store.newest(self._topic, after=after)
             if isinstance(page, StoreFailed):
-                self._health.failed(self._clock.seconds(), page.error)
+                self._health.failed(
+                    self._clock.seconds(), page.error, started_at=asked_at
+                )
                 return False
             if end is None:
                 end = page.end
--- a/lycheestall/entry/turn_tokens.py
+++ b/lycheestall/entry/turn_tokens.py
@@ -99,6 +99,10 @@
         """Returns the tokens that the ledger has for a program."""
         return self._ledger.total(program).committed
 
+    def settles_in_s(self) -> float:
+        """Returns the seconds until grants of an outage are recorded."""
+        return self._outage.settles_in_s(self._clock.seconds())
+
     def settle(self, program: ProgramId, turn: TurnId, handed: int) -> None:
         """Ends a turn that was granted.
 
--- a/tests/entry/test_store_outage.py
+++ b/tests/entry/test_store_outage.py
@@ -19,6 +19,7 @@
 )
 from lycheestall.entry.peer_messages import StoreReport
 from lycheestall.entry.surveyor import SURVEY_TIMEOUT_S
+from lycheestall.entry.token_books import BookDecision
 from lycheestall.entry.token_ledger import HolderId
 from lycheestall.entry.turn_tokens import RECORD_FOR_OTHERS_S
 from tests.entry.outage_world import OutageWorld
@@ -186,3 +187,21 @@
     world.advance(2.0)
     for vm in world.vms:
         assert len(vm.service.members.all()) == 2
+
+
+def test_callers_are_told_when_an_outage_will_be_settled() -> None:
+    """Pattern: everybody comes back while grants are being recorded."""
+    world = OutageWorld()
+    world.store_away()
+    world.advance(1.0)
+    world.store_back()
+    world.advance(0.3)
+    vm = world.vms[0]
+    early = world.ask(vm, "new", most=MOST, budget=BUDGET)
+    assert early.answer == [BookDecision.SETTLING]
+    wait_s = vm.tokens.settles_in_s()
+    assert 0 < wait_s <= AFTER_OUTAGE_S
+    world.advance(wait_s + 0.05)
+    later = world.ask(vm, "new", most=MOST, budget=BUDGET)
+    world.advance(0.1)
+    assert later.granted
--- a/tests/entry/test_token_budgets.py
+++ b/tests/entry/test_token_budgets.py
@@ -159,3 +159,42 @@
     second = world.ask(two, PROGRAM, most=MOST, budget=budget)
     world.advance(0.1)
     assert world.granted(second)
+
+
+def test_each_turn_is_answered_long_before_its_timeout() -> None:
+    world = LedgerWorld(seed=6, vms=2)
+    one, two = world.vms
+    turn = world.ask(one, PROGRAM, most=MOST, budget=4 * MOST)
+    world.advance(0.1)
+    world.settle(turn, PROGRAM, 0)
+    world.advance(0.1)
+    asked = [
+        world.ask(two, PROGRAM, most=MOST, budget=4 * MOST) for _ in "abcd"
+    ]
+    world.advance(0.3)
+    assert all(turn.answer for turn in asked)
+
+
+def test_a_program_at_one_vm_needs_a_record_every_other_turn() -> None:
+    """Pattern: hundreds of VMs append to one partition of the store."""
+    world = LedgerWorld(seed=7, vms=1)
+    vm = world.vms[0]
+    turns = 20
+    for _ in range(turns):
+        turn = world.ask(vm, PROGRAM, most=MOST, budget=1000 * MOST)
+        world.advance(0.3)
+        assert world.granted(turn)
+        world.settle(turn, PROGRAM, MOST // 2)
+        world.advance(0.3)
+    assert len(world.log.by_topic[Topic.LEDGER]) <= 0.6 * turns
+
+
+def test_a_turn_does_not_wait_for_records_that_are_gathered() -> None:
+    world = LedgerWorld(seed=8, vms=1)
+    vm = world.vms[0]
+    first = world.ask(vm, PROGRAM, most=MOST, budget=BUDGET)
+    world.advance(0.1)
+    world.settle(first, PROGRAM, MOST)
+    second = world.ask(vm, ProgramId("other"), most=MOST, budget=BUDGET)
+    world.advance(0.05)
+    assert world.granted(second)
