Tell the group of targets that answer late

Change: very late answers, and waits of four times the usual time, go to the members of the VM's group every 0.4 s; nothing is sent without any. Targets that are little known count as usual, so that one late answer does not make a target slow. Requests that may not be repeated teach as well while they are overdue.

--- a/lycheestall/entry/attempt_lessons.py
+++ b/lycheestall/entry/attempt_lessons.py
@@ -83,6 +83,16 @@
         elif outcome.reason is NotRunReason.OTHER_INSTANCE:
             chooser.failed(target, now, hard=True)
 
+    def overdue(self, target: TargetId, *, sent_at: float) -> None:
+        """Notes that an answer is overdue; it is still waited for.
+
+        Args:
+            target: Who was asked.
+            sent_at: When it was asked.
+        """
+        now: float = self._parts.clock.seconds()
+        self._unanswered(target, now - sent_at, now)
+
     def _answered(self, target: TargetId, took_s: float, now: float) -> None:
         self._parts.chooser.answered(target, self._kind, took_s, now)
         self._parts.timeouts.answered(self._kind, took_s)
--- a/lycheestall/entry/attempt_timeouts.py
+++ b/lycheestall/entry/attempt_timeouts.py
@@ -88,17 +88,29 @@
             least_s: Shortest timeout.
             remaining_s: Time left for the request.
         """
-        usual = self._by_kind.get(kind)
-        if usual is None or usual.answers < MIN_ANSWERS:
-            return None
-        if self._repeats < 1.0:
+        overdue_s = self.overdue_s(kind, least_s=least_s)
+        if overdue_s is None or self._repeats < 1.0:
             return None
-        overdue_s = math.exp(usual.log_s + DEVIATIONS * usual.deviation)
+        usual_s = math.exp(self._by_kind[kind].log_s)
         most_s = remaining_s * REMAINING_SHARE
-        least_s = max(least_s, math.exp(usual.log_s) * LEAST_FACTOR)
+        least_s = max(least_s, usual_s * LEAST_FACTOR)
         if most_s < least_s:
             return None
-        return max(min(overdue_s, most_s), least_s)
+        return min(overdue_s, most_s)
+
+    def overdue_s(self, kind: str, *, least_s: float) -> float | None:
+        """Returns after how long an answer is overdue, None if unknown.
+
+        Args:
+            kind: What kind of request it is.
+            least_s: Shortest time.
+        """
+        usual = self._by_kind.get(kind)
+        if usual is None or usual.answers < MIN_ANSWERS:
+            return None
+        usual_s = math.exp(usual.log_s)
+        overdue_s = usual_s * math.exp(DEVIATIONS * usual.deviation)
+        return max(overdue_s, usual_s * LEAST_FACTOR, least_s)
 
     def repeated(self) -> None:
         """Counts a repeat of an attempt that was given up."""
--- a/lycheestall/entry/entry_process.py
+++ b/lycheestall/entry/entry_process.py
@@ -120,7 +120,7 @@
         )
         self._listen(
             Address(settings.host, settings.peers_port),
-            PeerEndpoint(self._vm.tokens, self._logger),
+            PeerEndpoint(self._vm, self._logger),
         )
         self._listen_with(settings.callers, self._callers)
         self._vm.start()
--- a/lycheestall/entry/entry_vm.py
+++ b/lycheestall/entry/entry_vm.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from twisted.internet.defer import ensureDeferred
+from twisted.internet.defer import Deferred, ensureDeferred
 from twisted.python.failure import Failure
 
 from ..logs import Logger
@@ -18,7 +18,8 @@
 from .header_codec import HeaderCodec, InvalidRequest
 from .member_sweep import SWEEP_S
 from .outage import OutageMode
-from .peer_link import PeerCaller
+from .peer_link import PeerCaller, PeerHandler
+from .peer_messages import PeerMessage, PeerReply, SlowTargets, Understood
 from .record_codec import RecordCodec
 from .request_facts import RequestFacts
 from .request_run import RequestRun
@@ -28,6 +29,7 @@
 from .store_health import StoreHealth
 from .store_view import StoreView
 from .target_chooser import TargetChooser
+from .target_news import TargetNews
 from .target_table import TargetTable
 from .token_books import TurnId
 from .token_ledger import HolderId
@@ -54,11 +56,14 @@
 SURVEY_S = 0.25
 """Seconds between surveys of the peers while the store is away."""
 
+NEWS_S = 0.4
+"""Seconds between messages about slow targets."""
+
 HOUSEKEEPING_S = 0.5
 """Seconds between looks at what has lapsed."""
 
 
-class EntryVm(RequestHandler):
+class EntryVm(RequestHandler, PeerHandler):
     """Everything of an entry VM but its listeners.
 
     Args:
@@ -134,6 +139,14 @@
             pool_of=self._view.pool_of,
             log=self._log,
         )
+        self._news = TargetNews(
+            holder=holder,
+            members=self.tokens.members,
+            peers=peers,
+            chooser=chooser,
+            clock=reactor,
+            logger=logger,
+        )
         self._supervisor = Supervisor(clock=reactor, logger=logger)
 
     @property
@@ -168,6 +181,7 @@
             ("targets", self._view.poll_targets, targets_poll_s),
             ("ledger", self.tokens.poll, LEDGER_LOOK_S),
             ("survey", self.tokens.survey, SURVEY_S),
+            ("target news", self._news.step, NEWS_S),
             ("member sweep", self.tokens.sweep, SWEEP_S),
             ("housekeeping", self._housekeeping, HOUSEKEEPING_S),
         )
@@ -236,6 +250,15 @@
         done.addErrback(self._run_failed, facts)
         done.addCallback(self._run_ended)
 
+    def answer(
+        self, message: PeerMessage | PeerReply
+    ) -> Deferred[PeerReply] | PeerReply:
+        """Answers a message of a peer."""
+        if isinstance(message, SlowTargets):
+            self._news.heard(message)
+            return Understood()
+        return self.tokens.answer(message)
+
     def _run_ended(self, _: object) -> None:
         self.running -= 1
 
--- a/lycheestall/entry/peer_messages.py
+++ b/lycheestall/entry/peer_messages.py
@@ -23,6 +23,7 @@
     Topic,
     WriterFence,
 )
+from .target_speeds import SlowAnswers
 from .token_ledger import HolderId
 
 __all__ = [
@@ -34,6 +35,7 @@
     "RelayNewest",
     "RelayRead",
     "SettleTokens",
+    "SlowTargets",
     "StoreReport",
     "Survey",
     "TokenAnswer",
@@ -131,6 +133,19 @@
     grants: tuple[OutageGrant, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class SlowTargets:
+    """Tells of targets that answer much later than others.
+
+    Attributes:
+        holder: Who has waited for them.
+        answers: What it has seen since it last told.
+    """
+
+    holder: HolderId
+    answers: tuple[SlowAnswers, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class Understood:
     """Confirms a message that needs no answer."""
@@ -170,6 +185,7 @@
     | RelayAppend
     | RelayRead
     | RelayNewest
+    | SlowTargets
 )
 PeerReply: TypeAlias = (
     StoreReport
@@ -224,6 +240,9 @@
     if isinstance(message, Handover):
         grants = [list(astuple(grant)) for grant in message.grants]
         return [message.holder, grants]
+    if isinstance(message, SlowTargets):
+        answers = [list(astuple(slow)) for slow in message.answers]
+        return [message.holder, answers]
     if isinstance(message, RelayAppend):
         writes = [[write.key, write.value] for write in message.writes]
         return [message.topic.value, writes, list(astuple(message.fence))]
@@ -242,6 +261,9 @@
     if name == Handover.__name__:
         grants = tuple(OutageGrant(*grant) for grant in fields[1])
         return Handover(fields[0], grants)
+    if name == SlowTargets.__name__:
+        answers = tuple(SlowAnswers(*slow) for slow in fields[1])
+        return SlowTargets(fields[0], answers)
     if name == RelayAppend.__name__:
         writes = tuple(KeyedWrite(key, value) for key, value in fields[1])
         return RelayAppend(Topic(fields[0]), writes, WriterFence(*fields[2]))
--- a/lycheestall/entry/request_run.py
+++ b/lycheestall/entry/request_run.py
@@ -246,22 +246,33 @@
     def _overdue_timer(
         self, entry: TargetEntry, attempt: TargetAttempt
     ) -> Timer | None:
-        if not self._repeatable_elsewhere(entry):
-            return None
-        parts = self._parts
+        timeouts = self._parts.timeouts
+        kind = self._route.name
         least_s = ANSWER_LEAST_S
         if self._route.is_stream:
             least_s = FIRST_EVENT_LEAST_S
-        timeout_s = parts.timeouts.timeout_s(
-            self._route.name,
-            least_s=least_s,
-            remaining_s=self._deadline - self._sent_at,
-        )
-        if timeout_s is None:
+        timeout_s: float | None = None
+        if self._repeatable_elsewhere(entry):
+            timeout_s = timeouts.timeout_s(
+                kind,
+                least_s=least_s,
+                remaining_s=self._deadline - self._sent_at,
+            )
+        clock = self._parts.clock
+        timer: Timer
+        if timeout_s is not None:
+            timer = clock.callLater(timeout_s, attempt.overdue)
+            return timer
+        overdue_s = timeouts.overdue_s(kind, least_s=least_s)
+        if overdue_s is None:
             return None
-        timer: Timer = parts.clock.callLater(timeout_s, attempt.overdue)
+        timer = clock.callLater(overdue_s, self._overdue, entry)
         return timer
 
+    def _overdue(self, entry: TargetEntry) -> None:
+        if not self._exchange.started:
+            self._lessons.overdue(entry.target, sent_at=self._sent_at)
+
     def _repeatable_elsewhere(self, entry: TargetEntry) -> bool:
         if self._exchange.started or self._repeat() is Repeat.ONCE:
             return False
--- a/lycheestall/entry/target_chooser.py
+++ b/lycheestall/entry/target_chooser.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection
+from collections.abc import Collection, Iterable
 
 import xxhash
 
 from ..ejection import OutlierEjection
 from ..ids import TargetId
 from .configuration import ServiceId
-from .target_speeds import TargetSpeeds
+from .target_speeds import SlowAnswers, TargetSpeeds
 from .target_table import TargetEntry, TargetTable
 
 __all__ = ["TargetChooser"]
@@ -123,6 +123,24 @@
         """
         self._speeds.unanswered(target, kind, waited_s, now)
 
+    def slow_targets(self, now: float) -> set[TargetId]:
+        """Returns the targets of all services that are left out as slow."""
+        slow: set[TargetId] = set()
+        for service in self._table.services():
+            targets = [e.target for e in self._table.usable(service)]
+            slow |= self._speeds.slow(targets, now)
+        return slow
+
+    def take_slow_answers(self) -> tuple[SlowAnswers, ...]:
+        """Returns very late answers since the last call, for other VMs."""
+        return self._speeds.take_slow_answers()
+
+    def heard_slow(self, seen: Iterable[SlowAnswers], now: float) -> None:
+        """Takes slow answers that another VM has seen."""
+        for slow in seen:
+            if self._table.get(slow.target) is not None:
+                self._speeds.heard(slow, now)
+
     def failed(self, target: TargetId, now: float, *, hard: bool) -> bool:
         """Notes a failure; returns whether the target is now ejected.
 
--- a/lycheestall/entry/target_speeds.py
+++ b/lycheestall/entry/target_speeds.py
@@ -9,7 +9,7 @@
 
 from ..ids import TargetId
 
-__all__ = ["TargetSpeeds"]
+__all__ = ["SlowAnswers", "TargetSpeeds"]
 
 SLOW_FACTOR = 2.5
 """How many times as long as the median target a slow one takes."""
@@ -21,12 +21,39 @@
 KIND_SMOOTHING = 0.05
 """Weight of the newest answer in a kind's usual time."""
 
-MIN_WEIGHT = 0.7
-"""Least weight of a target's observations to call it slow."""
+USUAL_WEIGHT = 0.4
+"""Weight of the belief that a target is as fast as others, so that one late
+answer does not make it slow."""
+
+NEWS_FACTOR = 4.0
+"""How many times as long as usual an answer takes that other VMs hear of."""
+
+MOST_WEIGHT = 3.0
+"""Most weight of a target's observations, so that a target that many VMs
+have called slow is asked again as soon as others."""
 
 MAX_SLOW_SHARE = 0.5
 """Most of a service's targets that are left out as slow."""
 
+_SLOW = math.log(SLOW_FACTOR)
+_NEWS = math.log(NEWS_FACTOR)
+
+
+@dataclass(frozen=True, slots=True)
+class SlowAnswers:
+    """Slow answers of one target.
+
+    Attributes:
+        target: The target.
+        answers: How many.
+        log_ratio: Sum of the logarithms of their times, each divided by
+            the usual time of its kind.
+    """
+
+    target: TargetId
+    answers: int
+    log_ratio: float
+
 
 @dataclass(slots=True)
 class _Speed:
@@ -49,6 +76,18 @@
         self.weight *= factor
         self.at = now
 
+    def add(self, log_ratio: float, weight: float) -> None:
+        """Takes observations."""
+        self.log_ratio += log_ratio
+        self.weight += weight
+        if self.weight > MOST_WEIGHT:
+            self.log_ratio *= MOST_WEIGHT / self.weight
+            self.weight = MOST_WEIGHT
+
+    def ratio(self) -> float:
+        """Returns the mean logarithm; little known targets are usual."""
+        return self.log_ratio / (self.weight + USUAL_WEIGHT)
+
 
 class TargetSpeeds:
     """Compares targets by how long their answers take.
@@ -61,6 +100,7 @@
     def __init__(self) -> None:
         self._usual_by_kind: dict[str, float] = {}
         self._by_target: dict[TargetId, _Speed] = {}
+        self._slow_answers: dict[TargetId, SlowAnswers] = {}
 
     def answered(
         self, target: TargetId, kind: str, took_s: float, now: float
@@ -106,30 +146,46 @@
             targets: All that may be asked.
             now: The time.
         """
-        ratios: list[tuple[float, TargetId]] = []
-        for target in targets:
-            speed = self._by_target.get(target)
-            if speed is None:
-                continue
-            speed.decay(now)
-            if speed.weight < MIN_WEIGHT:
-                continue
-            ratios.append((speed.log_ratio / speed.weight, target))
+        ratios = [(self._ratio(target, now), target) for target in targets]
         if not ratios:
             return set()
         median = statistics.median_low(ratio for ratio, _ in ratios)
-        limit = median + math.log(SLOW_FACTOR)
+        limit = median + _SLOW
         ratios = [entry for entry in ratios if entry[0] > limit]
         ratios.sort(reverse=True)
         most = int(len(targets) * MAX_SLOW_SHARE)
         return {target for _, target in ratios[:most]}
 
+    def take_slow_answers(self) -> tuple[SlowAnswers, ...]:
+        """Returns very late answers since the last call, for other VMs."""
+        seen, self._slow_answers = self._slow_answers, {}
+        return tuple(seen.values())
+
+    def heard(self, slow: SlowAnswers, now: float) -> None:
+        """Takes slow answers that another VM has seen."""
+        speed = self._by_target.setdefault(slow.target, _Speed(at=now))
+        speed.decay(now)
+        speed.add(slow.log_ratio, slow.answers)
+
     def _note(self, target: TargetId, log_ratio: float, now: float) -> None:
         speed = self._by_target.setdefault(target, _Speed(at=now))
         speed.decay(now)
-        speed.log_ratio += log_ratio
-        speed.weight += 1.0
+        speed.add(log_ratio, 1.0)
+        if log_ratio < _NEWS:
+            return
+        before = self._slow_answers.get(target)
+        answers = 1 + (before.answers if before else 0)
+        total = log_ratio + (before.log_ratio if before else 0.0)
+        self._slow_answers[target] = SlowAnswers(target, answers, total)
+
+    def _ratio(self, target: TargetId, now: float) -> float:
+        speed = self._by_target.get(target)
+        if speed is None:
+            return 0.0
+        speed.decay(now)
+        return speed.ratio()
 
     def forget(self, target: TargetId) -> None:
         """Drops a target that is gone."""
         self._by_target.pop(target, None)
+        self._slow_answers.pop(target, None)
--- a/lycheestall/entry/target_table.py
+++ b/lycheestall/entry/target_table.py
@@ -112,6 +112,10 @@
             self._usable_by_service[service] = known
         return known
 
+    def services(self) -> set[ServiceId]:
+        """Returns the services that have targets."""
+        return {entry.service for entry in self._by_id.values()}
+
     def _drop(self, target: TargetId) -> None:
         del self._by_id[target]
         self._lapsed.discard(target)
