Give the ledger's part of the store a health of its own

Each answer about these ended the outage that the ledger had begun, so no deciding VM was ever agreed on, and nearly all turns were refused for four seconds. Change: only calls about the ledger lead to peers or deciding VMs; the view of configuration and targets has a health of its own, which makes the ledger be looked at when it changes. Tests: programs are served while only the ledger is away (failed before).

--- a/lycheestall/entry/entry_vm.py
+++ b/lycheestall/entry/entry_vm.py
@@ -106,10 +106,17 @@
         self._table = TargetTable()
         chooser = TargetChooser(self._table)
         self._store = RoutedStore(store, peers, reactor, logger)
-        self._health = StoreHealth(logger, self._store_returned)
+        self._health = StoreHealth(
+            logger, "ledger", returned=self._ledger_returned
+        )
         self._view = StoreView(
             store=self._store,
-            health=self._health,
+            health=StoreHealth(
+                logger,
+                "configuration and targets",
+                returned=self._view_returned,
+                lost=lambda: self.tokens.look(),
+            ),
             records=records,
             table=self._table,
             chooser=chooser,
@@ -125,7 +132,6 @@
             peers=peers,
             reactor=reactor,
             logger=logger,
-            position=lambda: self._view.configuration_position,
         )
         self._parts = RunParts(
             clock=reactor,
@@ -297,10 +303,14 @@
             ledger_position=ledger.position or 0,
         )
 
-    def _store_returned(self, now: float) -> None:
+    def _ledger_returned(self, now: float) -> None:
         self._table.store_returned(now)
         self.tokens.store_returned()
 
+    def _view_returned(self, now: float) -> None:
+        self._table.store_returned(now)
+        self.tokens.look()
+
     async def _housekeeping(self) -> None:
         self._view.forget_gone()
         self.tokens.forget_idle()
--- a/lycheestall/entry/routed_store.py
+++ b/lycheestall/entry/routed_store.py
@@ -46,6 +46,9 @@
 class RoutedStore(Store):
     """Calls the store directly until that fails, then through a peer.
 
+    Only calls about the ledger count: its part of the store can be away
+    while others answer, and budgets depend on it alone.
+
     Args:
         direct: The store itself.
         peers: Calls peers.
@@ -142,9 +145,9 @@
         """Asks the store itself, whatever way calls go now.
 
         Args:
-            start: Offset in the configuration's topic to read from.
+            start: Offset in the ledger to read from.
         """
-        topic = Topic.CONFIGURATION
+        topic = Topic.LEDGER
         return self._noted(self.direct.read(topic, start), "probe", topic)
 
     def check(self, start: Offset) -> Deferred[bool]:
@@ -154,7 +157,7 @@
         asked. Peers that look for a way to it rely on this.
 
         Args:
-            start: Offset in the configuration's topic to read from.
+            start: Offset in the ledger to read from.
         """
         if not self.direct_up:
             return succeed(False)
@@ -196,7 +199,7 @@
                 started_at=started_at,
                 wait_s=wait_s,
             )
-            return self._note(answer)
+            return self._note(answer) if topic is Topic.LEDGER else answer
 
         return outcome.addCallback(note)
 
--- a/lycheestall/entry/store_health.py
+++ b/lycheestall/entry/store_health.py
@@ -1,4 +1,4 @@
-"""Whether the store answers this VM."""
+"""Whether the store answers this VM, for some of its topics."""
 
 from __future__ import annotations
 
@@ -19,7 +19,10 @@
 
 
 class StoreHealth:
-    """Follows the outcomes of store calls.
+    """Follows the outcomes of calls about some topics.
+
+    Topics can fail one by one, so each group that matters by itself has a
+    health of its own.
 
     The store is away when a call fails and no later one was answered: a
     queue in front of one of its partitions holds up some calls while
@@ -27,14 +30,23 @@
 
     Args:
         logger: Where changes are logged.
+        topics: What the topics hold, for the log.
         returned: Called with the time when the store is back.
+        lost: Called when the store does not answer any more.
     """
 
     def __init__(
-        self, logger: Logger, returned: Callable[[float], None]
+        self,
+        logger: Logger,
+        topics: str,
+        *,
+        returned: Callable[[float], None],
+        lost: Callable[[], None] | None = None,
     ) -> None:
         self._logger = logger
+        self._topics = topics
         self._returned = returned
+        self._lost = lost
         self.state = StoreState.UNKNOWN
         self.away_since = 0.0
         self._answered_at = float("-inf")
@@ -49,7 +61,9 @@
         self._answered_at = now
         if self.state is StoreState.AWAY:
             self._logger.info(
-                "store is back", away_s=round(now - self.away_since, 3)
+                "store is back",
+                topics=self._topics,
+                away_s=round(now - self.away_since, 3),
             )
             self._returned(now)
         self.state = StoreState.UP
@@ -63,9 +77,16 @@
             started_at: When the call was made.
         """
         if self._answered_at > started_at:
-            self._logger.info("store call failed beside others", error=error)
+            self._logger.info(
+                "store call failed beside others",
+                topics=self._topics,
+                error=error,
+            )
+            return
+        if self.state is StoreState.AWAY:
             return
-        if self.state is not StoreState.AWAY:
-            self._logger.warning("store is away", error=error)
-            self.away_since = now
+        self._logger.warning("store is away", topics=self._topics, error=error)
+        self.away_since = now
         self.state = StoreState.AWAY
+        if self._lost is not None:
+            self._lost()
--- a/lycheestall/entry/store_view.py
+++ b/lycheestall/entry/store_view.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from ..clock import sleep
-from ..ids import Offset, TargetId
+from ..ids import TargetId
 from ..logs import Logger
 from .configuration_state import ConfigurationState
 from .connection_pool import ConnectionPool
@@ -89,11 +89,6 @@
         """When the newest knowledge of the targets was asked for."""
         return self._targets_follower.read_at
 
-    @property
-    def configuration_position(self) -> Offset:
-        """Up to where the configuration's topic has been read."""
-        return self._configuration_follower.position or Offset(0)
-
     async def poll_configuration(self) -> None:
         """Waits for a newer configuration."""
         follower = self._configuration_follower
--- a/lycheestall/entry/token_service.py
+++ b/lycheestall/entry/token_service.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from typing import Any
 
-from twisted.internet.defer import Deferred, DeferredList
+from twisted.internet.defer import Deferred, DeferredList, ensureDeferred
+from twisted.python.failure import Failure
 
 from ..ids import Offset, ZoneId
 from ..logs import Logger
@@ -71,7 +71,6 @@
         peers: Calls other VMs.
         reactor: Tells the time.
         logger: Where decisions go.
-        position: Returns up to where the configuration has been read.
 
     Attributes:
         turns: Reserves and settles the tokens of turns.
@@ -91,7 +90,6 @@
         peers: PeerCaller,
         reactor: Any,
         logger: Logger,
-        position: Callable[[], Offset],
     ) -> None:
         self._holder = holder
         self._address = address
@@ -100,6 +98,8 @@
         self._peers = peers
         self._reactor = reactor
         self._handed_over = False
+        self._looking = False
+        self._logger = logger
         self._announced = False
         self._loaded_at = float("-inf")
         self.members = Members()
@@ -149,7 +149,7 @@
             peers=peers,
             clock=reactor,
             logger=logger,
-            position=position,
+            position=self._position,
         )
         self._sweep = MemberSweep(
             holder=holder,
@@ -176,6 +176,14 @@
         if follower.loaded and not self._announced:
             self._join()
 
+    def look(self) -> None:
+        """Reads the ledger now, since something else hints at a change."""
+        if self._looking:
+            return
+        self._looking = True
+        looked = ensureDeferred(self.follower.read())
+        looked.addCallbacks(self._looked, self._look_failed)
+
     async def survey(self) -> None:
         """Looks for a way to the store while it does not answer."""
         await self._surveyor.step()
@@ -194,7 +202,7 @@
 
     def store_returned(self) -> None:
         """Notes that the store answers again."""
-        self.turns.outage_ended(self.follower.position or Offset(0))
+        self.turns.outage_ended(self._position())
 
     async def leave(self) -> None:
         """Hands over what this VM decides, and its records."""
@@ -247,6 +255,16 @@
         ]
         await DeferredList(calls, consumeErrors=True)
 
+    def _position(self) -> Offset:
+        return self.follower.position or Offset(0)
+
+    def _looked(self, _: object) -> None:
+        self._looking = False
+
+    def _look_failed(self, failure: Failure) -> None:
+        self._looking = False
+        self._logger.error("ledger look", error=failure.getTraceback())
+
     def _join(self) -> None:
         self._announced = True
         self._loaded_at = self._reactor.seconds()
--- a/tests/entry/ledger_world.py
+++ b/tests/entry/ledger_world.py
@@ -33,7 +33,7 @@
         )
         self.crashes = CrashReports(self.holder)
         logger = get_logger()
-        health = StoreHealth(logger, lambda now: None)
+        health = StoreHealth(logger, "ledger", returned=lambda now: None)
         self.follower = TopicFollower(
             self.store,
             Topic.LEDGER,
--- a/tests/entry/memory_store.py
+++ b/tests/entry/memory_store.py
@@ -106,6 +106,7 @@
     def __init__(self, log: MemoryLog, *, page: int = 500) -> None:
         self.log = log
         self.fault = Fault.NONE
+        self.refused_topics: set[Topic] = set()
         self.late: list[tuple[Topic, tuple[KeyedWrite, ...], WriterFence]] = []
         self.held: list[Deferred[None]] | None = None
         self._page = page
@@ -116,7 +117,7 @@
     ) -> Deferred[AppendOutcome]:
         """Appends records, all or nothing."""
         self.calls += 1
-        if self.fault is Fault.REFUSES:
+        if self._refuses(topic):
             return succeed(StoreFailed("refused"))
         if self.fault is Fault.LATE:
             self.late.append((topic, tuple(writes), fence))
@@ -130,6 +131,9 @@
         self.held.append(later)
         return later.addCallback(lambda _: outcome)
 
+    def _refuses(self, topic: Topic) -> bool:
+        return self.fault is Fault.REFUSES or topic in self.refused_topics
+
     def let_go(self) -> None:
         """Answers the appends that were held."""
         held, self.held = self.held or [], None
@@ -147,7 +151,7 @@
     ) -> Deferred[ReadOutcome]:
         """Reads records from an offset on."""
         self.calls += 1
-        if self.fault is Fault.REFUSES:
+        if self._refuses(topic):
             return succeed(StoreFailed("refused"))
         first = self.log.first_by_topic[topic]
         if start < first:
@@ -160,7 +164,7 @@
     ) -> Deferred[NewestOutcome]:
         """Reads a page of the newest record of each key."""
         self.calls += 1
-        if self.fault is Fault.REFUSES:
+        if self._refuses(topic):
             return succeed(StoreFailed("refused"))
         records = [
             r
--- a/tests/entry/outage_world.py
+++ b/tests/entry/outage_world.py
@@ -22,6 +22,7 @@
     encode,
 )
 from lycheestall.entry.routed_store import RoutedStore
+from lycheestall.entry.store import Topic
 from lycheestall.entry.store_health import StoreHealth
 from lycheestall.entry.token_books import BookDecision, TurnId
 from lycheestall.entry.token_ledger import HolderId, TokenLedger
@@ -81,7 +82,7 @@
         self.direct = MemoryStore(log)
         peers: Any = FakePeers(network, address)
         self.store = RoutedStore(self.direct, peers, clock, logger)
-        health = StoreHealth(logger, self._returned)
+        health = StoreHealth(logger, "ledger", returned=self._returned)
         self.service = TokenService(
             holder=HolderId(name),
             address=address,
@@ -91,7 +92,6 @@
             peers=peers,
             reactor=clock,
             logger=logger,
-            position=lambda: Offset(0),
         )
 
     @property
@@ -106,8 +106,8 @@
 
     def step(self) -> None:
         """Does what the VM's loops do from time to time."""
-        # A whole VM reads other topics as well, and more often.
         ensureDeferred(self.service.follower.read())
+        self.store.read(Topic.TARGETS, Offset(0))
         ensureDeferred(self.service.poll())
         ensureDeferred(self.service.survey())
 
@@ -171,10 +171,16 @@
         for vm in vms or tuple(self.vms):
             vm.direct.fault = Fault.REFUSES
 
+    def ledger_away(self) -> None:
+        """Takes only the ledger's part of the store away from all VMs."""
+        for vm in self.vms:
+            vm.direct.refused_topics = {Topic.LEDGER}
+
     def store_back(self) -> None:
         """Brings the store back for all."""
         for vm in self.vms:
             vm.direct.fault = Fault.NONE
+            vm.direct.refused_topics = set()
 
     def kill(self, vm: OutageVm) -> None:
         """Kills a VM for good."""
--- a/tests/entry/test_store_health.py
+++ b/tests/entry/test_store_health.py
@@ -8,7 +8,7 @@
 
 def new_health(returns: list[float]) -> StoreHealth:
     """Returns the health of a store that has answered at second 10."""
-    health = StoreHealth(get_logger(), returns.append)
+    health = StoreHealth(get_logger(), "ledger", returned=returns.append)
     health.succeeded(10.0)
     return health
 
--- a/tests/entry/test_store_outage.py
+++ b/tests/entry/test_store_outage.py
@@ -41,6 +41,19 @@
     assert all(turn.granted for turn in turns)
 
 
+def test_new_programs_are_served_while_only_the_ledger_is_away() -> None:
+    """Pattern: some partitions of the store are down, the rest answers."""
+    world = OutageWorld()
+    world.ledger_away()
+    world.advance(0.6)
+    turns = [
+        world.ask(world.vms[0], f"program-{number}", most=MOST, budget=BUDGET)
+        for number in range(20)
+    ]
+    world.advance(0.1)
+    assert all(turn.granted for turn in turns)
+
+
 @pytest.mark.parametrize("seed", range(10))
 def test_a_loop_in_an_outage_stays_inside_its_budget(seed: int) -> None:
     world = OutageWorld(seed=seed)
