Let programs go on at once after an outage

Cause: for 1.2 s after each outage every turn that needs a record was refused, and most programs in progress missed their time. Change: a turn in that time asks the one VM that decided on its program what it has granted; that VM grants no more of it, and what it granted counts in addition to the ledger until the time is over. Grants of an outage count in the next one until they are recorded. Refused callers are told when VMs will have agreed (0.5 s), or 0.4 s if a deciding VM did not answer.

--- a/lycheestall/entry/final_answer.py
+++ b/lycheestall/entry/final_answer.py
@@ -23,9 +23,8 @@
 NO_TARGET_RETRY_S = 0.4
 """When a caller should come back to a service without targets."""
 
-STORE_RETRY_S = 0.9
-"""When a caller should come back while the store is away; callers wait
-for at most a third of their time."""
+UNPROVEN_RETRY_S = 0.9
+"""When a caller should come back whose program's records may be missing."""
 
 HELD_RETRY_S = 0.4
 """When tokens that another VM holds ahead should be free again."""
@@ -119,9 +118,10 @@
             settled_in_s = self._parts.tokens.settles_in_s()
             self.refuse(503, "an outage is being settled", settled_in_s)
         elif answer is BookDecision.UNPROVEN:
-            self.refuse(503, "tokens may be unrecorded", STORE_RETRY_S)
+            self.refuse(503, "tokens may be unrecorded", UNPROVEN_RETRY_S)
         else:
-            self.refuse(503, "budgets can't be checked now", STORE_RETRY_S)
+            retry_s = self._parts.tokens.decides_in_s()
+            self.refuse(503, "budgets can't be checked now", retry_s)
 
     def no_target(self, service: ServiceId) -> None:
         """Ends a request that there is nobody to send to."""
--- a/lycheestall/entry/ledger_writer.py
+++ b/lycheestall/entry/ledger_writer.py
@@ -94,10 +94,24 @@
         self._lingering: Deferred[None] | None = None
 
     def reserve(
-        self, program: ProgramId, turn: TurnId, *, most: int, budget: int
+        self,
+        program: ProgramId,
+        turn: TurnId,
+        *,
+        most: int,
+        budget: int,
+        settled: bool = False,
     ) -> Deferred[TurnAnswer] | BookDecision | None:
         """Asks for a turn's tokens.
 
+        Args:
+            program: The program.
+            turn: The turn.
+            most: Most tokens that it generates.
+            budget: Tokens that the program may generate.
+            settled: Whether the book knows what an outage's decider has
+                granted of the program.
+
         Returns:
             The decision where it is known at once, None where a record
             is needed and the store is away, else a Deferred of either.
@@ -111,7 +125,8 @@
         )
         if decision is not BookDecision.NEEDS_RECORD:
             return decision
-        if self._health.away or self._hold_off():
+        unsettled = self._hold_off() and not settled
+        if self._health.away or unsettled:
             self._books.withdraw(program, turn)
             self.wake()
             return None if self._health.away else BookDecision.SETTLING
@@ -122,6 +137,16 @@
         self.wake()
         return answer
 
+    @property
+    def store_away(self) -> bool:
+        """Whether records can't be written now."""
+        return self._health.away
+
+    @property
+    def away_since(self) -> float:
+        """When the store was last found to be away."""
+        return self._health.away_since
+
     def settle(self, program: ProgramId, turn: TurnId, handed: int) -> None:
         """Ends a turn that was granted."""
         self._books.settle(program, turn, handed, self._clock.seconds())
--- a/lycheestall/entry/outage.py
+++ b/lycheestall/entry/outage.py
@@ -63,6 +63,7 @@
         self._agreed_at = float("-inf")
         self._ended_at = float("-inf")
         self._left: set[HolderId] = set()
+        self._last_view: MemberView | None = None
         self.took_part = False
 
     def surveyed(
@@ -110,6 +111,29 @@
             return False
         return self.decider(program, now) == self._holder
 
+    def last_decider(self, program: ProgramId) -> HolderId | None:
+        """Returns who decided on a program in the outage that has ended."""
+        if self._last_view is None:
+            return None
+        return self._last_view.decider(program, without=self._left)
+
+    @property
+    def last_digest(self) -> str:
+        """Digest of the members agreed on in the outage that has ended."""
+        return self._last_view.digest if self._last_view is not None else ""
+
+    def decided(self, program: ProgramId, view: str) -> bool:
+        """Returns whether this VM alone could grant a program's turns.
+
+        Args:
+            program: The program.
+            view: Digest of the members that the asking VM agreed on.
+        """
+        own = self._view or self._last_view
+        if own is None or own.digest != view:
+            return False
+        return own.decider(program, without=self._left) == self._holder
+
     def handed_over(self, holder: HolderId) -> None:
         """Notes that a member has stopped and decides no more."""
         self._left.add(holder)
@@ -118,6 +142,7 @@
         """Notes that the store is back."""
         if self.took_part:
             self._ended_at = now
+            self._last_view = self._view
         self._view = None
         self._agreed_at = float("-inf")
         self.took_part = False
--- a/lycheestall/entry/outage_books.py
+++ b/lycheestall/entry/outage_books.py
@@ -72,7 +72,10 @@
 
 
 class OutageBooks:
-    """What this VM has granted as decider in one outage.
+    """What this VM has granted as decider, until the ledger has it.
+
+    The next outage may begin before all grants of the last one are
+    recorded; these then count a second time rather than not at all.
 
     Args:
         ledger: The records up to the outage.
@@ -81,6 +84,8 @@
     def __init__(self, ledger: TokenLedger) -> None:
         self._ledger = ledger
         self._by_program: dict[ProgramId, _Book] = {}
+        self._closed: set[ProgramId] = set()
+        self._before: dict[ProgramId, int] = {}
 
     def ask(
         self,
@@ -95,10 +100,13 @@
         book = self._by_program.setdefault(program, _Book())
         if (holder, turn) in book.running:
             return OutageDecision.GRANTED
+        if program in self._closed:
+            return OutageDecision.WAIT
         recorded = self._ledger.total(program)
         need = book.total() + most
         if recorded.committed + need > budget:
             return OutageDecision.SPENT
+        need += self._before.get(program, 0)
         if (
             need > outage_allowance(budget, most)
             or recorded.limit + need > budget
@@ -132,6 +140,25 @@
             if tokens
         ]
 
-    def clear(self) -> None:
-        """Forgets everything, once it is recorded."""
+    def close(self, program: ProgramId) -> int:
+        """Ends the granting of a program's turns until the next outage.
+
+        Returns:
+            All tokens granted of it; some may be in the ledger by now.
+        """
+        self._closed.add(program)
+        book = self._by_program.get(program)
+        granted = 0 if book is None else book.total()
+        return granted + self._before.get(program, 0)
+
+    def end(self) -> None:
+        """Keeps no more than the totals of the outage that has ended."""
+        for program, book in self._by_program.items():
+            before = self._before.get(program, 0)
+            self._before[program] = before + book.total()
         self._by_program.clear()
+        self._closed.clear()
+
+    def recorded(self) -> None:
+        """Forgets what was granted in outages that have ended."""
+        self._before.clear()
--- a/lycheestall/entry/peer_messages.py
+++ b/lycheestall/entry/peer_messages.py
@@ -27,7 +27,9 @@
 from .token_ledger import HolderId
 
 __all__ = [
+    "AskGranted",
     "AskTokens",
+    "GrantedTokens",
     "Handover",
     "PeerMessage",
     "PeerReply",
@@ -110,6 +112,34 @@
     spent: bool
 
 
+@dataclass(frozen=True, slots=True)
+class AskGranted:
+    """Asks what a program was granted in an outage, and ends the granting.
+
+    Attributes:
+        holder: Who asks, to go on by the ledger.
+        view: Digest of the members agreed on in the outage.
+        program: The program.
+    """
+
+    holder: HolderId
+    view: str
+    program: ProgramId
+
+
+@dataclass(frozen=True, slots=True)
+class GrantedTokens:
+    """What a decider has granted of a program.
+
+    Attributes:
+        known: Whether it was the program's only decider.
+        tokens: All that it has granted, recorded by now or not.
+    """
+
+    known: bool
+    tokens: int
+
+
 @dataclass(frozen=True, slots=True)
 class SettleTokens:
     """Tells a decider how many tokens a turn generated."""
@@ -180,6 +210,7 @@
 PeerMessage: TypeAlias = (
     Survey
     | AskTokens
+    | AskGranted
     | SettleTokens
     | Handover
     | RelayAppend
@@ -190,6 +221,7 @@
 PeerReply: TypeAlias = (
     StoreReport
     | TokenAnswer
+    | GrantedTokens
     | Understood
     | Appended
     | AppendConflict
@@ -207,6 +239,8 @@
         StoreReport,
         AskTokens,
         TokenAnswer,
+        AskGranted,
+        GrantedTokens,
         SettleTokens,
         Understood,
         Appended,
--- a/lycheestall/entry/token_books.py
+++ b/lycheestall/entry/token_books.py
@@ -76,6 +76,7 @@
             has asked for more than there is.
         dirty: Whether a record is due.
         hurry: Whether somebody else waits for that record.
+        outside: Tokens granted in an outage that may be unrecorded.
     """
 
     budget: int
@@ -89,6 +90,7 @@
     wanted_until: float = 0.0
     dirty: bool = False
     hurry: bool = False
+    outside: int = 0
     used_at: float = 0.0
 
     def committed(self) -> int:
@@ -218,6 +220,23 @@
         book.used_at = now
         self._mark(program, book, hurry=True)
 
+    def set_outside(
+        self, program: ProgramId, tokens: int, *, budget: int
+    ) -> None:
+        """Keeps tokens free that an outage's decider has granted.
+
+        Args:
+            program: Their program.
+            tokens: How many; those that are recorded count twice.
+            budget: The program's budget.
+        """
+        self._book(program, budget).outside = tokens
+
+    def clear_outside(self) -> None:
+        """Counts by the ledger alone; an outage's grants are recorded."""
+        for book in self._by_program.values():
+            book.outside = 0
+
     def take_writes(self, now: float, *, ahead: bool) -> list[RecordedGrant]:
         """Returns the records that are due; the caller appends them.
 
@@ -268,7 +287,7 @@
         book.recorded = write.holding
         others = self._ledger.others(write.program, self._holder)
         book.doubtful = book.doubtful or others.doubtful
-        room = book.provable() - others.limit
+        room = book.provable() - others.limit - book.outside
         book.limit = max(0, min(write.holding.limit, room))
         if write.holding.limit > max(room, book.committed()):
             self._mark(write.program, book)
@@ -346,7 +365,7 @@
     ) -> Holding:
         committed = book.committed() + sum(book.waiting.values())
         others = self._ledger.others(program, self._holder)
-        free = book.provable() - others.limit - committed
+        free = book.provable() - others.limit - book.outside - committed
         turns = 0
         if ahead and book.most:
             turns = int(free * AHEAD_SHARE) // book.most
--- a/lycheestall/entry/token_service.py
+++ b/lycheestall/entry/token_service.py
@@ -17,7 +17,9 @@
 from .outage_books import OutageBooks
 from .peer_link import PeerCaller, PeerHandler
 from .peer_messages import (
+    AskGranted,
     AskTokens,
+    GrantedTokens,
     Handover,
     PeerMessage,
     PeerReply,
@@ -220,6 +222,10 @@
             if self._handed_over:
                 return TokenAnswer(granted=False, spent=False)
             return self.turns.decide(message)
+        if isinstance(message, AskGranted):
+            if self._handed_over:
+                return GrantedTokens(known=False, tokens=0)
+            return self.turns.granted(message)
         if isinstance(message, SettleTokens):
             self.turns.settled(message)
             return Understood()
--- a/lycheestall/entry/turn_tokens.py
+++ b/lycheestall/entry/turn_tokens.py
@@ -12,10 +12,17 @@
 from ..logs import Logger
 from .ledger_writer import LedgerWriter, TurnAnswer
 from .members import Members
-from .outage import Outage
+from .outage import Outage, OutageMode
 from .outage_books import OutageBooks, OutageDecision, OutageGrant
 from .peer_link import PeerCaller
-from .peer_messages import AskTokens, SettleTokens, TokenAnswer, Understood
+from .peer_messages import (
+    AskGranted,
+    AskTokens,
+    GrantedTokens,
+    SettleTokens,
+    TokenAnswer,
+    Understood,
+)
 from .token_books import BookDecision, TokenBooks, TurnId
 from .token_ledger import HolderId, TokenLedger
 
@@ -24,6 +31,16 @@
 ASK_TIMEOUT_S = 0.3
 """Longest time for a deciding VM's answer."""
 
+DECIDERS_RETRY_S = 0.4
+"""When a caller should come back whose deciding VM did not answer."""
+
+AGREE_S = 0.5
+"""Seconds in which VMs find out together that the store is away."""
+
+STORE_RETRY_S = 0.9
+"""When a caller should come back while nobody can decide; callers wait
+for at most a third of their time."""
+
 SETTLE_TRIES = 3
 """Calls that tell a deciding VM how a turn ended."""
 
@@ -31,6 +48,9 @@
 """Seconds between those calls."""
 
 
+RECORD_CHECK_S = 0.5
+"""Seconds until it is looked again whether all grants are recorded."""
+
 RECORD_FOR_OTHERS_S = 0.7
 """Seconds that VMs have to record their own turns after an outage; ends
 while no turn may start by the ledger alone."""
@@ -78,6 +98,7 @@
         self._logger = logger
         self._decider_by_turn: dict[TurnId, HolderId] = {}
         self._budget_by_program: dict[ProgramId, int] = {}
+        self._settled_programs: set[ProgramId] = set()
 
     def reserve(
         self, program: ProgramId, turn: TurnId, *, most: int, budget: int
@@ -87,7 +108,11 @@
         Returns:
             The decision, at once or later; None when nobody can decide.
         """
-        answer = self._writer.reserve(program, turn, most=most, budget=budget)
+        answer: Deferred[TurnAnswer] | TurnAnswer = self._writer.reserve(
+            program, turn, most=most, budget=budget
+        )
+        if answer is BookDecision.SETTLING:
+            answer = self._after_outage(program, turn, most, budget)
         if isinstance(answer, Deferred):
             later: Deferred[TurnAnswer] = answer.addCallback(
                 self._or_without_store, program, turn, most, budget
@@ -103,6 +128,15 @@
         """Returns the seconds until grants of an outage are recorded."""
         return self._outage.settles_in_s(self._clock.seconds())
 
+    def decides_in_s(self) -> float:
+        """Returns when a refused caller should find somebody to decide."""
+        now = self._clock.seconds()
+        if self._outage.mode(now) is OutageMode.DECIDERS:
+            return DECIDERS_RETRY_S
+        if now - self._writer.away_since < AGREE_S:
+            return AGREE_S
+        return STORE_RETRY_S
+
     def settle(self, program: ProgramId, turn: TurnId, handed: int) -> None:
         """Ends a turn that was granted.
 
@@ -138,7 +172,11 @@
         """
         self._outage.ended(self._clock.seconds())
         grants = self._outage_books.grants()
-        self._outage_books.clear()
+        self._outage_books.end()
+        self._settled_programs.clear()
+        settled_in_s = self.settles_in_s()
+        if settled_in_s > 0:
+            self._clock.callLater(settled_in_s, self._settling_ended)
         if grants:
             self._clock.callLater(
                 RECORD_FOR_OTHERS_S, self._record_for_others, grants, position
@@ -185,12 +223,81 @@
             spent=decision is OutageDecision.SPENT,
         )
 
+    def granted(self, message: AskGranted) -> GrantedTokens:
+        """Tells a peer what was granted, and grants no more of it."""
+        if not self._outage.decided(message.program, message.view):
+            return GrantedTokens(known=False, tokens=0)
+        tokens = self._outage_books.close(message.program)
+        return GrantedTokens(known=True, tokens=tokens)
+
     def settled(self, message: SettleTokens) -> None:
         """Ends a turn of a peer."""
         self._outage_books.settle(
             message.program, message.holder, message.turn, message.handed
         )
 
+    def _after_outage(
+        self, program: ProgramId, turn: TurnId, most: int, budget: int
+    ) -> Deferred[TurnAnswer] | TurnAnswer:
+        if program in self._settled_programs:
+            return self._writer.reserve(
+                program, turn, most=most, budget=budget, settled=True
+            )
+        decider = self._outage.last_decider(program)
+        if decider is None:
+            return BookDecision.SETTLING
+        message = AskGranted(self._holder, self._outage.last_digest, program)
+        if decider == self._holder:
+            reply = self.granted(message)
+            return self._told(reply, program, turn, most, budget)
+        member = self._members.get(decider)
+        if member is None:
+            return BookDecision.SETTLING
+        asked = self._peers.call(
+            member.address, message, timeout_s=ASK_TIMEOUT_S
+        )
+        told: Deferred[TurnAnswer] = asked.addCallback(
+            self._told, program, turn, most, budget
+        )
+        return told
+
+    def _told(
+        self,
+        reply: Any,
+        program: ProgramId,
+        turn: TurnId,
+        most: int,
+        budget: int,
+    ) -> Deferred[TurnAnswer] | TurnAnswer:
+        known = isinstance(reply, GrantedTokens) and reply.known
+        self._logger.info(
+            "asked what an outage's decider granted",
+            program=program,
+            turn=turn,
+            known=known,
+            tokens=reply.tokens if known else None,
+        )
+        if not known:
+            return BookDecision.SETTLING
+        if self.settles_in_s() > 0:
+            self._books.set_outside(program, reply.tokens, budget=budget)
+            self._settled_programs.add(program)
+        return self._writer.reserve(
+            program, turn, most=most, budget=budget, settled=True
+        )
+
+    def _settling_ended(self) -> None:
+        if self.settles_in_s() > 0:
+            return
+        self._settled_programs.clear()
+        self._books.clear_outside()
+        if self._writer.store_away:
+            return
+        if self._books.pending():
+            self._clock.callLater(RECORD_CHECK_S, self._settling_ended)
+            return
+        self._outage_books.recorded()
+
     def _or_without_store(
         self,
         answer: TurnAnswer,
