Learn of members from peers while the store is away

Change: a VM answers a survey by one that knows other members with the ledger's records about members that it has read. Tests: VMs with different members agree within a second (failed before).

--- a/lycheestall/entry/members.py
+++ b/lycheestall/entry/members.py
@@ -121,6 +121,16 @@
         self._view = None
         return True
 
+    def records(self) -> tuple[KeyedRecord, ...]:
+        """Returns the ledger's newest records about members."""
+        records: list[KeyedRecord] = []
+        for holder, (offset, member) in self._by_holder.items():
+            write = departure(holder)
+            if member is not None:
+                write = announcement(member)
+            records.append(KeyedRecord(offset, write.key, write.value))
+        return tuple(records)
+
     def get(self, holder: HolderId) -> Member | None:
         """Returns a member, None if it has left."""
         return self._by_holder.get(holder, (Offset(0), None))[1]
--- a/lycheestall/entry/peer_messages.py
+++ b/lycheestall/entry/peer_messages.py
@@ -70,12 +70,15 @@
         store_away: Whether its last call failed; neither is set while it
             waits for an answer.
         view: Digest of the members that it knows.
+        members: The ledger's records about members that it has read, for
+            a peer that knows others.
     """
 
     holder: HolderId
     store_up: bool
     store_away: bool
     view: str
+    members: tuple[KeyedRecord, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -236,7 +239,6 @@
     kind.__name__: kind
     for kind in (
         Survey,
-        StoreReport,
         AskTokens,
         TokenAnswer,
         AskGranted,
@@ -284,6 +286,14 @@
         return [message.topic.value, message.start, message.wait_s]
     if isinstance(message, RelayNewest):
         return [message.topic.value, message.after]
+    if isinstance(message, StoreReport):
+        return [
+            message.holder,
+            message.store_up,
+            message.store_away,
+            message.view,
+            _rows(message.members),
+        ]
     if isinstance(message, Records):
         return [_rows(message.records), message.end]
     if isinstance(message, NewestPage):
@@ -305,6 +315,11 @@
         return RelayRead(Topic(fields[0]), fields[1], fields[2])
     if name == RelayNewest.__name__:
         return RelayNewest(Topic(fields[0]), fields[1])
+    if name == StoreReport.__name__:
+        holder, store_up, store_away, view, members = fields
+        return StoreReport(
+            holder, store_up, store_away, view, _records(members)
+        )
     if name == Records.__name__:
         return Records(_records(fields[0]), fields[1])
     if name == NewestPage.__name__:
--- a/lycheestall/entry/surveyor.py
+++ b/lycheestall/entry/surveyor.py
@@ -76,18 +76,27 @@
             return
         await self._survey()
 
-    def report(self) -> Deferred[PeerReply]:
-        """Returns how the store looks from here."""
+    def report(self, survey: Survey) -> Deferred[PeerReply]:
+        """Returns how the store looks from here.
+
+        Peers that know other members are told the records that this VM
+        has read, so that all agree on the newest.
+
+        Args:
+            survey: The peer's question.
+        """
         checked = self._store.check(self._position())
-        return checked.addCallback(self._report)
+        return checked.addCallback(self._report, survey.view)
 
-    def _report(self, store_up: bool) -> PeerReply:
+    def _report(self, store_up: bool, asked_with: str) -> PeerReply:
         digest = self._members.view().digest
+        known = digest == asked_with
         return StoreReport(
             self._holder,
             store_up=store_up,
             store_away=not self._store.direct_up,
             view=digest,
+            members=() if known else self._members.records(),
         )
 
     async def _probe(self) -> None:
@@ -112,6 +121,9 @@
         reports = [
             reply for _, reply in answers if isinstance(reply, StoreReport)
         ]
+        for report in reports:
+            for record in report.members:
+                self._members.apply(record)
         result = self._outage.surveyed(view, reports, started)
         if result != self._last:
             self._last = result
--- a/lycheestall/entry/token_service.py
+++ b/lycheestall/entry/token_service.py
@@ -217,7 +217,7 @@
     ) -> Deferred[PeerReply] | PeerReply:
         """Answers a message of a peer."""
         if isinstance(message, Survey):
-            return self._surveyor.report()
+            return self._surveyor.report(message)
         if isinstance(message, AskTokens):
             if self._handed_over:
                 return TokenAnswer(granted=False, spent=False)
--- a/tests/entry/test_store_outage.py
+++ b/tests/entry/test_store_outage.py
@@ -18,6 +18,7 @@
     OutageMode,
 )
 from lycheestall.entry.peer_messages import StoreReport
+from lycheestall.entry.store import Topic
 from lycheestall.entry.surveyor import SURVEY_TIMEOUT_S
 from lycheestall.entry.token_books import BookDecision
 from lycheestall.entry.token_ledger import HolderId
@@ -223,6 +224,31 @@
     assert all(turn.granted for turn in turns)
 
 
+def test_vms_that_know_other_members_agree_in_an_outage() -> None:
+    """Pattern: the store goes away while VMs come and go."""
+    world = OutageWorld(vms=4)
+    late = world.vms[0]
+    late.direct.refused_topics = {Topic.LEDGER}
+    gone = world.vms[-1]
+    gone.leave()
+    world.kill(gone)
+    for vm in world.vms[1:]:
+        vm.step()
+    world.store_away()
+    assert len(late.service.members.all()) == 4
+    assert len(world.vms[1].service.members.all()) == 3
+    world.advance(1.0)
+    digests = {vm.service.members.view().digest for vm in world.vms}
+    assert len(digests) == 1
+    turns = [
+        world.ask(vm, f"program-{number}", most=MOST, budget=BUDGET)
+        for number in range(10)
+        for vm in world.vms
+    ]
+    world.advance(0.1)
+    assert all(turn.granted for turn in turns)
+
+
 def test_callers_come_back_when_the_vms_have_agreed() -> None:
     world = OutageWorld()
     world.store_away()
