--- a/lycheestall/entry/ledger_writer.py
+++ b/lycheestall/entry/ledger_writer.py
@@ -27,7 +27,7 @@
 
 __all__ = ["LedgerWriter", "TurnAnswer"]
 
-LINGER_S = 0.03
+LINGER_S = 0.2
 """Seconds that records nobody waits for are gathered."""
 
 RETRY_S = 0.25
@@ -91,12 +91,27 @@
         self._idle: list[Deferred[None]] = []
         self._notices: list[KeyedWrite] = []
         self._failures = 0
+        self._lingering: Deferred[None] | None = None
 
     def reserve(
-        self, program: ProgramId, turn: TurnId, *, most: int, budget: int
+        self,
+        program: ProgramId,
+        turn: TurnId,
+        *,
+        most: int,
+        budget: int,
+        settled: bool = False,
     ) -> Deferred[TurnAnswer] | BookDecision | None:
         """Asks for a turn's tokens.
 
+        Args:
+            program: The program.
+            turn: The turn.
+            most: Most tokens that it generates.
+            budget: Tokens that the program may generate.
+            settled: Whether the book knows what an outage's decider has
+                granted of the program.
+
         Returns:
             The decision where it is known at once, None where a record
             is needed and the store is away, else a Deferred of either.
@@ -110,10 +125,11 @@
         )
         if decision is not BookDecision.NEEDS_RECORD:
             return decision
-        if self._health.away or self._hold_off():
+        unsettled = self._hold_off() and not settled
+        if self._health.away or unsettled:
             self._books.withdraw(program, turn)
             self.wake()
-            return None
+            return None if self._health.away else BookDecision.SETTLING
         answer: Deferred[TurnAnswer] = Deferred(
             lambda _: self._withdraw(program, turn)
         )
@@ -121,6 +137,16 @@
         self.wake()
         return answer
 
+    @property
+    def store_away(self) -> bool:
+        """Whether records can't be written now."""
+        return self._health.away
+
+    @property
+    def away_since(self) -> float:
+        """When the store was last found to be away."""
+        return self._health.away_since
+
     def settle(self, program: ProgramId, turn: TurnId, handed: int) -> None:
         """Ends a turn that was granted."""
         self._books.settle(program, turn, handed, self._clock.seconds())
@@ -139,6 +165,8 @@
 
     def wake(self) -> None:
         """Starts writing if records are due."""
+        if self._lingering is not None and self._hurried():
+            self._lingering.callback(None)
         if not self._running and self._due():
             self._running = True
             ensureDeferred(self._run()).addErrback(self._run_failed)
@@ -161,8 +189,8 @@
 
     async def _run(self) -> None:
         while self._due():
-            if not self._books.urgent() and not self._stopping:
-                await sleep(self._clock, LINGER_S)
+            if not self._hurried():
+                await self._linger()
             if await self._write():
                 self._failures = 0
                 continue
@@ -174,6 +202,20 @@
         self._running = False
         self._tell_idle()
 
+    def _hurried(self) -> bool:
+        if self._stopping or self._notices:
+            return True
+        return self._books.urgent() or self._crashes.pending()
+
+    async def _linger(self) -> None:
+        waiting: Deferred[None] = Deferred()
+        timer = self._clock.callLater(LINGER_S, waiting.callback, None)
+        self._lingering = waiting
+        await waiting
+        self._lingering = None
+        if timer.active():
+            timer.cancel()
+
     def _run_failed(self, failure: Any) -> None:
         self._running = False
         self._logger.error("ledger writer", error=failure.getTraceback())
@@ -200,6 +242,7 @@
             return True
         self._sequence += 1
         fence = WriterFence(self._holder, self._epoch, self._sequence)
+        started_at = self._clock.seconds()
         outcome = await self._store.append(Topic.LEDGER, writes, fence)
         now = self._clock.seconds()
         if isinstance(outcome, Appended):
@@ -217,7 +260,7 @@
             if isinstance(outcome, AppendConflict):
                 self._logger.warning("append refused", reason=outcome.reason)
             else:
-                self._health.failed(now, outcome.error)
+                self._health.failed(now, outcome.error, started_at=started_at)
         self._books.write_failed(grants)
         return False
 
--- a/lycheestall/entry/peer_messages.py
+++ b/lycheestall/entry/peer_messages.py
@@ -23,10 +23,13 @@
     Topic,
     WriterFence,
 )
+from .target_speeds import SlowAnswers
 from .token_ledger import HolderId
 
 __all__ = [
+    "AskGranted",
     "AskTokens",
+    "GrantedTokens",
     "Handover",
     "PeerMessage",
     "PeerReply",
@@ -34,6 +37,7 @@
     "RelayNewest",
     "RelayRead",
     "SettleTokens",
+    "SlowTargets",
     "StoreReport",
     "Survey",
     "TokenAnswer",
@@ -66,12 +70,15 @@
         store_away: Whether its last call failed; neither is set while it
             waits for an answer.
         view: Digest of the members that it knows.
+        members: The ledger's records about members that it has read, for
+            a peer that knows others.
     """
 
     holder: HolderId
     store_up: bool
     store_away: bool
     view: str
+    members: tuple[KeyedRecord, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -108,6 +115,34 @@
     spent: bool
 
 
+@dataclass(frozen=True, slots=True)
+class AskGranted:
+    """Asks what a program was granted in an outage, and ends the granting.
+
+    Attributes:
+        holder: Who asks, to go on by the ledger.
+        view: Digest of the members agreed on in the outage.
+        program: The program.
+    """
+
+    holder: HolderId
+    view: str
+    program: ProgramId
+
+
+@dataclass(frozen=True, slots=True)
+class GrantedTokens:
+    """What a decider has granted of a program.
+
+    Attributes:
+        known: Whether it was the program's only decider.
+        tokens: All that it has granted, recorded by now or not.
+    """
+
+    known: bool
+    tokens: int
+
+
 @dataclass(frozen=True, slots=True)
 class SettleTokens:
     """Tells a decider how many tokens a turn generated."""
@@ -131,6 +166,19 @@
     grants: tuple[OutageGrant, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class SlowTargets:
+    """Tells of targets that answer much later than others.
+
+    Attributes:
+        holder: Who has waited for them.
+        answers: What it has seen since it last told.
+    """
+
+    holder: HolderId
+    answers: tuple[SlowAnswers, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class Understood:
     """Confirms a message that needs no answer."""
@@ -165,15 +213,18 @@
 PeerMessage: TypeAlias = (
     Survey
     | AskTokens
+    | AskGranted
     | SettleTokens
     | Handover
     | RelayAppend
     | RelayRead
     | RelayNewest
+    | SlowTargets
 )
 PeerReply: TypeAlias = (
     StoreReport
     | TokenAnswer
+    | GrantedTokens
     | Understood
     | Appended
     | AppendConflict
@@ -188,9 +239,10 @@
     kind.__name__: kind
     for kind in (
         Survey,
-        StoreReport,
         AskTokens,
         TokenAnswer,
+        AskGranted,
+        GrantedTokens,
         SettleTokens,
         Understood,
         Appended,
@@ -224,6 +276,9 @@
     if isinstance(message, Handover):
         grants = [list(astuple(grant)) for grant in message.grants]
         return [message.holder, grants]
+    if isinstance(message, SlowTargets):
+        answers = [list(astuple(slow)) for slow in message.answers]
+        return [message.holder, answers]
     if isinstance(message, RelayAppend):
         writes = [[write.key, write.value] for write in message.writes]
         return [message.topic.value, writes, list(astuple(message.fence))]
@@ -231,6 +286,14 @@
         return [message.topic.value, message.start, message.wait_s]
     if isinstance(message, RelayNewest):
         return [message.topic.value, message.after]
+    if isinstance(message, StoreReport):
+        return [
+            message.holder,
+            message.store_up,
+            message.store_away,
+            message.view,
+            _rows(message.members),
+        ]
     if isinstance(message, Records):
         return [_rows(message.records), message.end]
     if isinstance(message, NewestPage):
@@ -242,6 +305,9 @@
     if name == Handover.__name__:
         grants = tuple(OutageGrant(*grant) for grant in fields[1])
         return Handover(fields[0], grants)
+    if name == SlowTargets.__name__:
+        answers = tuple(SlowAnswers(*slow) for slow in fields[1])
+        return SlowTargets(fields[0], answers)
     if name == RelayAppend.__name__:
         writes = tuple(KeyedWrite(key, value) for key, value in fields[1])
         return RelayAppend(Topic(fields[0]), writes, WriterFence(*fields[2]))
@@ -249,6 +315,11 @@
         return RelayRead(Topic(fields[0]), fields[1], fields[2])
     if name == RelayNewest.__name__:
         return RelayNewest(Topic(fields[0]), fields[1])
+    if name == StoreReport.__name__:
+        holder, store_up, store_away, view, members = fields
+        return StoreReport(
+            holder, store_up, store_away, view, _records(members)
+        )
     if name == Records.__name__:
         return Records(_records(fields[0]), fields[1])
     if name == NewestPage.__name__:
--- a/lycheestall/entry/routed_store.py
+++ b/lycheestall/entry/routed_store.py
@@ -24,6 +24,7 @@
     Topic,
     WriterFence,
 )
+from .store_call_log import StoreCallLog
 
 __all__ = ["RoutedStore"]
 
@@ -45,6 +46,9 @@
 class RoutedStore(Store):
     """Calls the store directly until that fails, then through a peer.
 
+    Only calls about the ledger count: its part of the store can be away
+    while others answer, and budgets depend on it alone.
+
     Args:
         direct: The store itself.
         peers: Calls peers.
@@ -59,6 +63,7 @@
         self._peers = peers
         self._clock = clock
         self._logger = logger
+        self._calls = StoreCallLog(logger, clock)
         self._failures = 0
         self._relay: Member | None = None
         self._answered_at = float("-inf")
@@ -95,7 +100,9 @@
     ) -> Deferred[AppendOutcome]:
         """Appends records, all or nothing."""
         if self._relay is None:
-            return self._noted(self.direct.append(topic, writes, fence))
+            return self._noted(
+                self.direct.append(topic, writes, fence), "append", topic
+            )
         message = RelayAppend(topic, tuple(writes), fence)
         return self._through(
             self._relay, message, 0.0, AppendUnknown("peer did not answer")
@@ -106,7 +113,12 @@
     ) -> Deferred[ReadOutcome]:
         """Reads records from an offset on."""
         if self._relay is None:
-            return self._noted(self.direct.read(topic, start, wait_s=wait_s))
+            return self._noted(
+                self.direct.read(topic, start, wait_s=wait_s),
+                "read",
+                topic,
+                wait_s=wait_s,
+            )
         return self._through(
             self._relay,
             RelayRead(topic, start, wait_s),
@@ -119,7 +131,9 @@
     ) -> Deferred[NewestOutcome]:
         """Reads a page of the newest record of each key."""
         if self._relay is None:
-            return self._noted(self.direct.newest(topic, after=after))
+            return self._noted(
+                self.direct.newest(topic, after=after), "list", topic
+            )
         return self._through(
             self._relay,
             RelayNewest(topic, after),
@@ -131,9 +145,10 @@
         """Asks the store itself, whatever way calls go now.
 
         Args:
-            start: Offset in the configuration's topic to read from.
+            start: Offset in the ledger to read from.
         """
-        return self._noted(self.direct.read(Topic.CONFIGURATION, start))
+        topic = Topic.LEDGER
+        return self._noted(self.direct.read(topic, start), "probe", topic)
 
     def check(self, start: Offset) -> Deferred[bool]:
         """Tells whether the store answers this VM itself just now.
@@ -142,7 +157,7 @@
         asked. Peers that look for a way to it rely on this.
 
         Args:
-            start: Offset in the configuration's topic to read from.
+            start: Offset in the ledger to read from.
         """
         if not self.direct_up:
             return succeed(False)
@@ -166,8 +181,27 @@
         for told in checks:
             told.callback(answers)
 
-    def _noted(self, outcome: Deferred[_T]) -> Deferred[_T]:
-        return outcome.addCallback(self._note)
+    def _noted(
+        self,
+        outcome: Deferred[_T],
+        operation: str,
+        topic: Topic,
+        *,
+        wait_s: float = 0.0,
+    ) -> Deferred[_T]:
+        started_at = self._calls.started()
+
+        def note(answer: Any) -> Any:
+            self._calls.ended(
+                operation,
+                topic,
+                answer,
+                started_at=started_at,
+                wait_s=wait_s,
+            )
+            return self._note(answer) if topic is Topic.LEDGER else answer
+
+        return outcome.addCallback(note)
 
     def _note(self, outcome: Any) -> Any:
         if isinstance(outcome, StoreFailed | AppendUnknown):
