Read an append back whose answer is missing

Cause: where the store carries an append out and loses the answer, the turn waited 0.4 s for the timeout, the VM took the store for away, and the record was written again. Change: 0.12 s after an append without an answer the ledger is read; if all its records are there the turn goes on. Otherwise the answer is waited for, and the read that was answered shows that the store is there. Tests: a lost answer costs less than 0.2 s and no outage (failed before); a slow append is waited for. The test of a record that comes too late let the record in and held back the answer alone; it now holds back the record.

--- a/lycheestall/entry/ledger_writer.py
+++ b/lycheestall/entry/ledger_writer.py
@@ -6,7 +6,13 @@
 from dataclasses import dataclass
 from typing import Any
 
-from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.internet.defer import (
+    CancelledError,
+    Deferred,
+    ensureDeferred,
+    succeed,
+)
+from twisted.python.failure import Failure
 
 from ..clock import sleep
 from ..ids import Offset, ProgramId
@@ -15,6 +21,9 @@
 from .store import (
     AppendConflict,
     Appended,
+    AppendOutcome,
+    AppendUnknown,
+    KeyedRecord,
     KeyedWrite,
     Store,
     Topic,
@@ -30,6 +39,10 @@
 LINGER_S = 0.2
 """Seconds that records nobody waits for are gathered."""
 
+CHECK_S = 0.12
+"""Seconds after which the ledger is read to see whether an append whose
+answer is missing has been carried out."""
+
 RETRY_S = 0.25
 """Seconds between appends while the store fails."""
 
@@ -92,6 +105,7 @@
         self._notices: list[KeyedWrite] = []
         self._failures = 0
         self._lingering: Deferred[None] | None = None
+        self._unseen: set[tuple[bytes, bytes | None]] = set()
 
     def reserve(
         self,
@@ -158,6 +172,10 @@
         self.wake()
         return count
 
+    def saw(self, record: KeyedRecord) -> None:
+        """Takes a record of the ledger; it may be one of this VM's."""
+        self._unseen.discard((record.key, record.value))
+
     def announce(self, write: KeyedWrite) -> None:
         """Writes a record that is not about tokens."""
         self._notices.append(write)
@@ -243,8 +261,16 @@
         self._sequence += 1
         fence = WriterFence(self._holder, self._epoch, self._sequence)
         started_at = self._clock.seconds()
-        outcome = await self._store.append(Topic.LEDGER, writes, fence)
+        outcome = await self._append(writes, fence)
         now = self._clock.seconds()
+        if outcome is None:
+            self._logger.info(
+                "append read back without an answer",
+                records=len(writes),
+                waited_ms=round((now - started_at) * 1000, 1),
+            )
+            self._written(grants)
+            return True
         if isinstance(outcome, Appended):
             self._health.succeeded(now)
             last = Offset(outcome.first + len(writes) - 1)
@@ -264,6 +290,26 @@
         self._books.write_failed(grants)
         return False
 
+    async def _append(
+        self, writes: list[KeyedWrite], fence: WriterFence
+    ) -> AppendOutcome | None:
+        # None: all records were read back, so the answer was lost.
+        self._unseen = {(write.key, write.value) for write in writes}
+        appending = self._store.append(Topic.LEDGER, writes, fence)
+        answer = _FirstOf(appending)
+        timer = self._clock.callLater(CHECK_S, answer.interrupt)
+        outcome = await answer.next()
+        if timer.active():
+            timer.cancel()
+        if outcome is None or isinstance(outcome, AppendUnknown):
+            await self._follower.read()
+            if not self._unseen:
+                answer.drop()
+                return None
+        if outcome is None:
+            outcome = await answer.next()
+        return outcome
+
     def _written(self, grants: list[RecordedGrant]) -> None:
         for grant in grants:
             answers = self._books.written(grant)
@@ -283,3 +329,41 @@
     def _withdraw(self, program: ProgramId, turn: TurnId) -> None:
         if self._waiting.pop(turn, None) is not None:
             self._books.withdraw(program, turn)
+
+
+class _FirstOf:
+    """An append's answer, or an interruption of the wait for it."""
+
+    def __init__(self, appending: Deferred[AppendOutcome]) -> None:
+        self._appending = appending
+        self._waiting: Deferred[AppendOutcome | None] | None = None
+        self._outcome: AppendOutcome | None = None
+        appending.addCallbacks(self._answered, self._dropped)
+
+    def next(self) -> Deferred[AppendOutcome | None]:
+        """Returns the answer; None if the wait is interrupted before."""
+        if self._outcome is not None:
+            return succeed(self._outcome)
+        self._waiting = Deferred()
+        return self._waiting
+
+    def interrupt(self) -> None:
+        """Ends the wait for now."""
+        self._tell(None)
+
+    def drop(self) -> None:
+        """Gives up the answer."""
+        if self._outcome is None:
+            self._appending.cancel()
+
+    def _answered(self, outcome: AppendOutcome) -> None:
+        self._outcome = outcome
+        self._tell(outcome)
+
+    def _dropped(self, failure: Failure) -> None:
+        failure.trap(CancelledError)
+
+    def _tell(self, outcome: AppendOutcome | None) -> None:
+        waiting, self._waiting = self._waiting, None
+        if waiting is not None:
+            waiting.callback(outcome)
--- a/lycheestall/entry/token_service.py
+++ b/lycheestall/entry/token_service.py
@@ -293,6 +293,7 @@
                 self.writer.announce(departure(holder))
 
     def _apply(self, record: KeyedRecord) -> None:
+        self.writer.saw(record)
         grant = self.ledger.apply(record)
         if grant is None:
             if not self.members.apply(record):
--- a/tests/entry/ledger_world.py
+++ b/tests/entry/ledger_world.py
@@ -33,12 +33,12 @@
         )
         self.crashes = CrashReports(self.holder)
         logger = get_logger()
-        health = StoreHealth(logger, "ledger", returned=lambda now: None)
+        self.health = StoreHealth(logger, "ledger", returned=lambda now: None)
         self.follower = TopicFollower(
             self.store,
             Topic.LEDGER,
             clock=clock,
-            health=health,
+            health=self.health,
             apply=self._apply,
         )
         self.writer = LedgerWriter(
@@ -48,12 +48,13 @@
             crashes=self.crashes,
             holder=self.holder,
             clock=clock,
-            health=health,
+            health=self.health,
             logger=logger,
             hold_off=lambda: False,
         )
 
     def _apply(self, record: KeyedRecord) -> None:
+        self.writer.saw(record)
         grant = self.ledger.apply(record)
         if grant is None:
             self.crashes.apply(record)
--- a/tests/entry/memory_store.py
+++ b/tests/entry/memory_store.py
@@ -109,6 +109,7 @@
         self.refused_topics: set[Topic] = set()
         self.late: list[tuple[Topic, tuple[KeyedWrite, ...], WriterFence]] = []
         self.held: list[Deferred[None]] | None = None
+        self.carries_out_held = True
         self._page = page
         self.calls = 0
 
@@ -122,14 +123,22 @@
         if self.fault is Fault.LATE:
             self.late.append((topic, tuple(writes), fence))
             return succeed(AppendUnknown("no answer"))
+        if self.held is not None and not self.carries_out_held:
+            return self._hold().addCallback(
+                lambda _: self.log.append(topic, writes, fence)
+            )
         outcome = self.log.append(topic, writes, fence)
         if self.fault is Fault.LOSES_ANSWERS:
             return succeed(AppendUnknown("no answer"))
         if self.held is None:
             return succeed(outcome)
-        later: Deferred[None] = Deferred()
+        return self._hold().addCallback(lambda _: outcome)
+
+    def _hold(self) -> Deferred[None]:
+        later: Deferred[None] = Deferred(lambda _: None)
+        assert self.held is not None
         self.held.append(later)
-        return later.addCallback(lambda _: outcome)
+        return later
 
     def _refuses(self, topic: Topic) -> bool:
         return self.fault is Fault.REFUSES or topic in self.refused_topics
@@ -138,7 +147,8 @@
         """Answers the appends that were held."""
         held, self.held = self.held or [], None
         for later in held:
-            later.callback(None)
+            if not later.called:
+                later.callback(None)
 
     def deliver_late(self) -> None:
         """Carries out appends whose callers have given up."""
--- a/tests/entry/test_streams.py
+++ b/tests/entry/test_streams.py
@@ -146,6 +146,7 @@
     target = engine(world)
     world.start()
     world.store.held = []
+    world.store.carries_out_held = False
     caller = world.connect()
     world.ask(
         "/plan/x",
--- a/tests/entry/test_token_budgets.py
+++ b/tests/entry/test_token_budgets.py
@@ -198,3 +198,33 @@
     second = world.ask(vm, ProgramId("other"), most=MOST, budget=BUDGET)
     world.advance(0.05)
     assert world.granted(second)
+
+
+def test_a_lost_answer_of_the_store_costs_little_time() -> None:
+    """Pattern: the store carries appends out and does not answer them."""
+    world = LedgerWorld(seed=9, vms=1)
+    vm = world.vms[0]
+    vm.store.held = []
+    turn = world.ask(vm, PROGRAM, most=MOST, budget=BUDGET)
+    world.advance(0.2)
+    assert world.granted(turn)
+    assert not vm.health.away
+    world.settle(turn, PROGRAM, MOST)
+    vm.store.held = None
+    later = world.ask(vm, PROGRAM, most=MOST, budget=BUDGET)
+    world.advance(0.1)
+    assert world.granted(later)
+
+
+def test_a_slow_append_is_waited_for() -> None:
+    world = LedgerWorld(seed=10, vms=1)
+    vm = world.vms[0]
+    vm.store.held = []
+    vm.store.carries_out_held = False
+    turn = world.ask(vm, PROGRAM, most=MOST, budget=BUDGET)
+    world.advance(0.3)
+    assert turn.answer == []
+    vm.store.let_go()
+    world.advance(0.1)
+    assert world.granted(turn)
+    assert len(world.log.by_topic[Topic.LEDGER]) == 1
