Grant a program's turns again when the store is lost once more

Cause: a VM for which the store came back for a moment asked the deciding VM to end the granting of its programs, and nobody could go on with them until the whole outage was over. Change: granting begins again when all VMs that ended it have asked for turns again; a question for a turn tells what the ledger holds as far as the asking VM has read it, and the deciding VM counts the most it was told.

--- a/lycheestall/entry/outage_books.py
+++ b/lycheestall/entry/outage_books.py
@@ -84,7 +84,8 @@
     def __init__(self, ledger: TokenLedger) -> None:
         self._ledger = ledger
         self._by_program: dict[ProgramId, _Book] = {}
-        self._closed: set[ProgramId] = set()
+        self._closed_by: dict[ProgramId, set[HolderId]] = {}
+        self._told: dict[ProgramId, int] = {}
         self._before: dict[ProgramId, int] = {}
 
     def ask(
@@ -95,21 +96,34 @@
         *,
         most: int,
         budget: int,
+        recorded: int,
     ) -> OutageDecision:
-        """Decides on a turn of any VM."""
+        """Decides on a turn of any VM.
+
+        Args:
+            program: The program.
+            holder: Who asks.
+            turn: The turn.
+            most: Most tokens that it generates.
+            budget: Tokens that the program may generate.
+            recorded: Tokens that the ledger holds for the program, as far
+                as the asking VM has read it.
+        """
         book = self._by_program.setdefault(program, _Book())
         if (holder, turn) in book.running:
             return OutageDecision.GRANTED
-        if program in self._closed:
+        told = max(recorded, self._told.get(program, 0))
+        self._told[program] = told
+        if self._is_closed(program, holder):
             return OutageDecision.WAIT
-        recorded = self._ledger.total(program)
+        known = self._ledger.total(program)
         need = book.total() + most
-        if recorded.committed + need > budget:
+        if known.committed + need > budget:
             return OutageDecision.SPENT
         need += self._before.get(program, 0)
         if (
             need > outage_allowance(budget, most)
-            or recorded.limit + need > budget
+            or max(known.limit, told) + need > budget
         ):
             return OutageDecision.WAIT
         book.running[(holder, turn)] = most
@@ -140,13 +154,20 @@
             if tokens
         ]
 
-    def close(self, program: ProgramId) -> int:
-        """Ends the granting of a program's turns until the next outage.
+    def close(self, program: ProgramId, holder: HolderId) -> int:
+        """Ends the granting of a program's turns.
+
+        It begins again when all that asked for the end are without the
+        store once more and have told what they recorded meanwhile.
+
+        Args:
+            program: The program.
+            holder: Who goes on by the ledger.
 
         Returns:
             All tokens granted of it; some may be in the ledger by now.
         """
-        self._closed.add(program)
+        self._closed_by.setdefault(program, set()).add(holder)
         book = self._by_program.get(program)
         granted = 0 if book is None else book.total()
         return granted + self._before.get(program, 0)
@@ -157,8 +178,16 @@
             before = self._before.get(program, 0)
             self._before[program] = before + book.total()
         self._by_program.clear()
-        self._closed.clear()
+        self._closed_by.clear()
+        self._told.clear()
 
     def recorded(self) -> None:
         """Forgets what was granted in outages that have ended."""
         self._before.clear()
+
+    def _is_closed(self, program: ProgramId, holder: HolderId) -> bool:
+        closed_by = self._closed_by.get(program)
+        if closed_by is None:
+            return False
+        closed_by.discard(holder)
+        return bool(closed_by)
--- a/lycheestall/entry/peer_messages.py
+++ b/lycheestall/entry/peer_messages.py
@@ -92,6 +92,8 @@
         turn: The turn, unique with ``holder``.
         most: Most tokens that the turn generates.
         budget: Tokens that the program may generate.
+        recorded: Tokens that the ledger holds for the program, as far as
+            the asking VM has read it.
     """
 
     holder: HolderId
@@ -100,6 +102,7 @@
     turn: int
     most: int
     budget: int
+    recorded: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/lycheestall/entry/turn_tokens.py
+++ b/lycheestall/entry/turn_tokens.py
@@ -217,6 +217,7 @@
             message.turn,
             most=message.most,
             budget=message.budget,
+            recorded=message.recorded,
         )
         return TokenAnswer(
             granted=decision is OutageDecision.GRANTED,
@@ -227,7 +228,7 @@
         """Tells a peer what was granted, and grants no more of it."""
         if not self._outage.decided(message.program, message.view):
             return GrantedTokens(known=False, tokens=0)
-        tokens = self._outage_books.close(message.program)
+        tokens = self._outage_books.close(message.program, message.holder)
         return GrantedTokens(known=True, tokens=tokens)
 
     def settled(self, message: SettleTokens) -> None:
@@ -319,6 +320,7 @@
             turn,
             most,
             budget,
+            self._ledger.total(program).limit,
         )
         self._decider_by_turn[turn] = decider
         if decider == self._holder:
--- a/tests/entry/test_store_outage.py
+++ b/tests/entry/test_store_outage.py
@@ -262,6 +262,36 @@
     assert later.granted
 
 
+def test_a_program_goes_on_when_the_store_was_back_for_one_vm_only() -> None:
+    """Pattern: the store comes back for a moment, for some VMs."""
+    world = OutageWorld()
+    world.store_away()
+    world.advance(1.0)
+    one = world.vms[0]
+    one.direct.fault = Fault.NONE
+    one.step()
+    programs = [f"program-{number}" for number in range(10)]
+    by_ledger = [
+        world.ask(one, program, most=MOST, budget=BUDGET)
+        for program in programs
+    ]
+    assert all(turn.granted for turn in by_ledger)
+    one.direct.fault = Fault.REFUSES
+    world.advance(1.2)
+    again = [
+        world.ask(one, program, most=MOST, budget=BUDGET)
+        for program in programs
+    ]
+    world.advance(0.1)
+    assert all(turn.granted for turn in again)
+    elsewhere = [
+        world.ask(world.vms[1], program, most=MOST, budget=BUDGET)
+        for program in programs
+    ]
+    world.advance(0.1)
+    assert all(turn.granted for turn in elsewhere)
+
+
 def test_callers_are_told_when_an_outage_will_be_settled() -> None:
     """Pattern: the decider is gone, and nobody knows what it granted."""
     world = OutageWorld(vms=3)
