Go on at once where a VM has found a way to the store

Change: where no view was agreed on, the members known now tell whom to ask: nobody could decide by another view. A VM that is in no outage of its own answers by them too.

--- a/lycheestall/entry/outage.py
+++ b/lycheestall/entry/outage.py
@@ -111,26 +111,38 @@
             return False
         return self.decider(program, now) == self._holder
 
-    def last_decider(self, program: ProgramId) -> HolderId | None:
-        """Returns who decided on a program in the outage that has ended."""
-        if self._last_view is None:
-            return None
-        return self._last_view.decider(program, without=self._left)
-
-    @property
-    def last_digest(self) -> str:
-        """Digest of the members agreed on in the outage that has ended."""
-        return self._last_view.digest if self._last_view is not None else ""
+    def last_view(self, members: MemberView) -> MemberView:
+        """Returns by which view deciders are found after an outage.
 
-    def decided(self, program: ProgramId, view: str) -> bool:
+        Args:
+            members: The members now; they count where no view was agreed
+                on, since nobody could decide by another one.
+        """
+        return self._last_view or members
+
+    def last_decider(
+        self, program: ProgramId, members: MemberView
+    ) -> HolderId | None:
+        """Returns who alone could decide on a program in the outage."""
+        view = self.last_view(members)
+        return view.decider(program, without=self._left)
+
+    def decided(
+        self, program: ProgramId, view: str, members: MemberView, now: float
+    ) -> bool:
         """Returns whether this VM alone could grant a program's turns.
 
         Args:
             program: The program.
-            view: Digest of the members that the asking VM agreed on.
+            view: Digest of the view by which a peer found this VM.
+            members: The members that this VM knows.
+            now: The time.
         """
-        own = self._view or self._last_view
-        if own is None or own.digest != view:
+        own = self._view
+        if own is None and self.settling(now):
+            own = self._last_view
+        own = own or members
+        if own.digest != view:
             return False
         return own.decider(program, without=self._left) == self._holder
 
--- a/lycheestall/entry/turn_tokens.py
+++ b/lycheestall/entry/turn_tokens.py
@@ -226,7 +226,11 @@
 
     def granted(self, message: AskGranted) -> GrantedTokens:
         """Tells a peer what was granted, and grants no more of it."""
-        if not self._outage.decided(message.program, message.view):
+        members = self._members.view()
+        now = self._clock.seconds()
+        if not self._outage.decided(
+            message.program, message.view, members, now
+        ):
             return GrantedTokens(known=False, tokens=0)
         tokens = self._outage_books.close(message.program, message.holder)
         return GrantedTokens(known=True, tokens=tokens)
@@ -244,10 +248,12 @@
             return self._writer.reserve(
                 program, turn, most=most, budget=budget, settled=True
             )
-        decider = self._outage.last_decider(program)
+        members = self._members.view()
+        decider = self._outage.last_decider(program, members)
         if decider is None:
             return BookDecision.SETTLING
-        message = AskGranted(self._holder, self._outage.last_digest, program)
+        view = self._outage.last_view(members)
+        message = AskGranted(self._holder, view.digest, program)
         if decider == self._holder:
             reply = self.granted(message)
             return self._told(reply, program, turn, most, budget)
--- a/tests/entry/test_store_outage.py
+++ b/tests/entry/test_store_outage.py
@@ -249,6 +249,22 @@
     assert all(turn.granted for turn in turns)
 
 
+def test_programs_go_on_at_a_vm_that_has_found_a_way_to_the_store() -> None:
+    """Pattern: the store turns some VMs away and serves the others."""
+    world = OutageWorld()
+    world.store_away(*world.vms[:2])
+    world.advance(0.7)
+    away = world.vms[0]
+    assert away.store.relayed
+    assert away.tokens.settles_in_s() > 0.3
+    turns = [
+        world.ask(away, f"program-{number}", most=MOST, budget=BUDGET)
+        for number in range(20)
+    ]
+    world.advance(0.1)
+    assert all(turn.granted for turn in turns)
+
+
 def test_callers_come_back_when_the_vms_have_agreed() -> None:
     world = OutageWorld()
     world.store_away()
@@ -353,6 +369,8 @@
             vm.direct.refused_topics = set()
         elif event < 0.25:
             world.store_back()
+        elif event < 0.3:
+            world.store_away(dice.choice(world.vms))
         vm = dice.choice(world.vms)
         running.append(world.ask(vm, "loop", most=MOST, budget=BUDGET))
         world.advance(dice.choice((0.05, 0.1, 0.4)))
