--- a/lycheestall/entry/decision_log.py
+++ b/lycheestall/entry/decision_log.py
@@ -14,6 +14,7 @@
     NotRun,
     NotSent,
     Stopped,
+    WholeAnswer,
 )
 from .configuration import Route
 from .entry_metrics import EntryMetrics
@@ -191,6 +192,8 @@
         return {"reason": outcome.reason.value, "status": outcome.status}
     if isinstance(outcome, Broken):
         return {"reason": outcome.reason.value, "answered": outcome.answered}
+    if isinstance(outcome, WholeAnswer):
+        return {"status": outcome.head.status}
     if isinstance(outcome, NotSent | Stopped):
         return asdict(outcome)
     return {}
