Let the soak's VMs come up before the first fault

The same seeds alone or beside 16 busy processes served; beside 60 busy processes seed 811, which had passed, failed in the same way. Change: faults begin once a request was served; none within 60 s is a broken promise of its own.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -26,6 +26,9 @@
 
 MOST = 80
 CLIENTS = 6
+START_LIMIT_S = 60.0
+"""Seconds in which a request must be served before the first fault."""
+
 PROMISES_NOT_RUN = (402, 408, 421, 429, 503)
 
 
@@ -105,8 +108,8 @@
         beats = ensureDeferred(self._register_targets())
         for vm in self._vms:
             vm.start()
-        await sleep(self._reactor, 3.0)
         clients = [ensureDeferred(self._client(n)) for n in range(CLIENTS)]
+        await self.wait_until_served()
         await self._disturb()
         await sleep(self._reactor, 2.0)
         self._over = True
@@ -116,6 +119,15 @@
         self._check()
         return self.report
 
+    async def wait_until_served(self) -> None:
+        """Lets the VMs come up; a busy machine needs its time for it."""
+        ends = self._reactor.seconds() + START_LIMIT_S
+        while not self.report.statuses[200]:
+            if self._reactor.seconds() >= ends:
+                self.report.broken.append("start: no request was served")
+                return
+            await sleep(self._reactor, 0.1)
+
     def _configure(self) -> None:
         self._version += 1
         document = {
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -23,6 +23,16 @@
     assert report.statuses[200] > 0
 
 
+def test_vms_that_do_not_come_up_are_found(
+    reactor: Any, run: Run, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("tests.soak.soak.START_LIMIT_S", 0.2)
+    soak = Soak(reactor, seed=403, seconds=0.0, run=tmp_path)
+    run(soak.wait_until_served())
+    assert soak.report.broken == ["start: no request was served"]
+    soak.close()
+
+
 def test_each_check_can_fail(reactor: Any, tmp_path: Path) -> None:
     soak = Soak(reactor, seed=402, seconds=0.0, run=tmp_path)
     soak._orders.add("order")
