Wait with clock.sleep, and ask for another target without choosing one

Read again: the ledger's writer and the request's run had waits of their own beside clock.sleep, one of them a class of 40 lines for "the answer or a pause", which DeferredList says. Each request that may be repeated made a whole choice of a second target, with hashes and a median over all targets, only to learn whether there is one; can_choose asks the table. The stream's forwarder was kept in two places and set late in one of them. No behaviour is meant to change; tests are as they were.

--- a/lycheestall/entry/final_answer.py
+++ b/lycheestall/entry/final_answer.py
@@ -47,10 +47,10 @@
         route: Its route.
         history: Its attempts so far.
         budget: Its tokens.
+        forwarder: Its stream, None if it is no stream.
         version: Version of the configuration that decided.
 
     Attributes:
-        forwarder: Its stream, None if it is no stream.
         spare: A target's answer that it failed, kept while another
             target is asked.
     """
@@ -63,6 +63,7 @@
         route: Route,
         history: AttemptHistory,
         budget: TurnBudget,
+        forwarder: StreamForwarder | None,
         *,
         version: int,
     ) -> None:
@@ -73,13 +74,13 @@
         self._history = history
         self._budget = budget
         self._version = version
-        self.forwarder: StreamForwarder | None = None
+        self._forwarder = forwarder
         self.spare: WholeAnswer | None = None
 
     @property
     def events(self) -> int:
         """Events of the stream that the caller was sent."""
-        return 0 if self.forwarder is None else self.forwarder.events
+        return 0 if self._forwarder is None else self._forwarder.events
 
     def deliver(self, answer: WholeAnswer) -> None:
         """Sends a target's answer."""
--- a/lycheestall/entry/ledger_writer.py
+++ b/lycheestall/entry/ledger_writer.py
@@ -9,10 +9,9 @@
 from twisted.internet.defer import (
     CancelledError,
     Deferred,
+    DeferredList,
     ensureDeferred,
-    succeed,
 )
-from twisted.python.failure import Failure
 
 from ..clock import sleep
 from ..ids import Offset, ProgramId
@@ -184,7 +183,7 @@
     def wake(self) -> None:
         """Starts writing if records are due."""
         if self._lingering is not None and self._hurried():
-            self._lingering.callback(None)
+            self._lingering.cancel()
         if not self._running and self._due():
             self._running = True
             ensureDeferred(self._run()).addErrback(self._run_failed)
@@ -226,13 +225,13 @@
         return self._books.urgent() or self._crashes.pending()
 
     async def _linger(self) -> None:
-        waiting: Deferred[None] = Deferred()
-        timer = self._clock.callLater(LINGER_S, waiting.callback, None)
-        self._lingering = waiting
-        await waiting
-        self._lingering = None
-        if timer.active():
-            timer.cancel()
+        self._lingering = sleep(self._clock, LINGER_S)
+        try:
+            await self._lingering
+        except CancelledError:
+            return
+        finally:
+            self._lingering = None
 
     def _run_failed(self, failure: Any) -> None:
         self._running = False
@@ -296,19 +295,17 @@
         # None: all records were read back, so the answer was lost.
         self._unseen = {(write.key, write.value) for write in writes}
         appending = self._store.append(Topic.LEDGER, writes, fence)
-        answer = _FirstOf(appending)
-        timer = self._clock.callLater(CHECK_S, answer.interrupt)
-        outcome = await answer.next()
-        if timer.active():
-            timer.cancel()
-        if outcome is None or isinstance(outcome, AppendUnknown):
+        pause = sleep(self._clock, CHECK_S)
+        first: list[Deferred[Any]] = [appending, pause]
+        await DeferredList(first, fireOnOneCallback=True, consumeErrors=True)
+        pause.cancel()
+        answered = appending.called
+        if not answered or isinstance(await appending, AppendUnknown):
             await self._follower.read()
             if not self._unseen:
-                answer.drop()
+                appending.cancel()
                 return None
-        if outcome is None:
-            outcome = await answer.next()
-        return outcome
+        return await appending
 
     def _written(self, grants: list[RecordedGrant]) -> None:
         for grant in grants:
@@ -329,41 +326,3 @@
     def _withdraw(self, program: ProgramId, turn: TurnId) -> None:
         if self._waiting.pop(turn, None) is not None:
             self._books.withdraw(program, turn)
-
-
-class _FirstOf:
-    """An append's answer, or an interruption of the wait for it."""
-
-    def __init__(self, appending: Deferred[AppendOutcome]) -> None:
-        self._appending = appending
-        self._waiting: Deferred[AppendOutcome | None] | None = None
-        self._outcome: AppendOutcome | None = None
-        appending.addCallbacks(self._answered, self._dropped)
-
-    def next(self) -> Deferred[AppendOutcome | None]:
-        """Returns the answer; None if the wait is interrupted before."""
-        if self._outcome is not None:
-            return succeed(self._outcome)
-        self._waiting = Deferred()
-        return self._waiting
-
-    def interrupt(self) -> None:
-        """Ends the wait for now."""
-        self._tell(None)
-
-    def drop(self) -> None:
-        """Gives up the answer."""
-        if self._outcome is None:
-            self._appending.cancel()
-
-    def _answered(self, outcome: AppendOutcome) -> None:
-        self._outcome = outcome
-        self._tell(outcome)
-
-    def _dropped(self, failure: Failure) -> None:
-        failure.trap(CancelledError)
-
-    def _tell(self, outcome: AppendOutcome | None) -> None:
-        waiting, self._waiting = self._waiting, None
-        if waiting is not None:
-            waiting.callback(outcome)
--- a/lycheestall/entry/request_run.py
+++ b/lycheestall/entry/request_run.py
@@ -2,11 +2,9 @@
 
 from __future__ import annotations
 
-from typing import Any
-
 from twisted.internet.defer import CancelledError, Deferred
 
-from ..clock import Timer
+from ..clock import Timer, sleep
 from .attempt_lessons import AttemptLessons
 from .attempt_outcomes import (
     AttemptOutcome,
@@ -42,7 +40,6 @@
 RESUME_PAUSE_S = 0.03
 """Pause before the same target is asked again."""
 
-
 _TARGET_TIMEOUT = 504
 
 
@@ -82,6 +79,13 @@
         self._budget = TurnBudget(
             parts.tokens, parts.clock, facts, service, turn=turn
         )
+        self._forwarder: StreamForwarder | None = None
+        if route.is_stream:
+            self._forwarder = StreamForwarder(
+                exchange,
+                resume_after=facts.resume_after,
+                clock=parts.clock,
+            )
         self._final = FinalAnswer(
             parts,
             exchange,
@@ -89,6 +93,7 @@
             route,
             self._history,
             self._budget,
+            self._forwarder,
             version=version,
         )
         limit_s = route.timeout_s
@@ -98,9 +103,8 @@
         self._lessons = AttemptLessons(
             parts, kind=route.name, fingerprint=fingerprint(exchange.request)
         )
-        self._forwarder: StreamForwarder | None = None
         self._attempt: TargetAttempt | None = None
-        self._waiting: Deferred[Any] | None = None
+        self._waiting: Deferred[None] | None = None
         self._end: EarlyEnd | None = None
         self._sent_at = 0.0
 
@@ -147,13 +151,6 @@
         return False
 
     async def _send_until_answered(self) -> None:
-        if self._route.is_stream:
-            self._forwarder = StreamForwarder(
-                self._exchange,
-                resume_after=self._facts.resume_after,
-                clock=self._parts.clock,
-            )
-            self._final.forwarder = self._forwarder
         again: TargetEntry | None = None
         while True:
             entry = again or self._choose()
@@ -184,28 +181,29 @@
             again = None
             if step is NextStep.OTHER_TARGET:
                 self._history.avoid.add(entry.target)
-                if isinstance(outcome, Broken) and self._choose() is None:
+                if isinstance(outcome, Broken) and not self._another():
                     step = NextStep.SAME_TARGET
             if step is NextStep.SAME_TARGET:
                 again = self._parts.table.get(entry.target)
                 await self._pause(RESUME_PAUSE_S)
 
-    def _choose(
-        self, *, without: TargetEntry | None = None
-    ) -> TargetEntry | None:
+    def _another(self, *, than: TargetEntry | None = None) -> bool:
+        avoid = self._history.avoid
+        if than is not None:
+            avoid = avoid | {than.target}
+        return self._parts.chooser.can_choose(self._service_id, avoid=avoid)
+
+    def _choose(self) -> TargetEntry | None:
         parts = self._facts.prompt_parts
         affinity: str | None = None
         if self._service is not None and self._service.engine is not None:
             own = parts[1] if len(parts) > 1 else None
             affinity = own.part if own is not None else self._facts.line
-        avoid = self._history.avoid
-        if without is not None:
-            avoid = avoid | {without.target}
         return self._parts.chooser.choose(
             self._service_id,
             affinity=affinity,
             tie_break=self._facts.attempt,
-            avoid=avoid,
+            avoid=self._history.avoid,
             now=self._parts.clock.seconds(),
         )
 
@@ -279,7 +277,7 @@
         ran = self._history.ran | {entry.target}
         if len(ran) >= self._route.max_attempts:
             return False
-        return self._choose(without=entry) is not None
+        return self._another(than=entry)
 
     def _bytes_for(self, entry: TargetEntry) -> bytes:
         request = self._request
@@ -347,17 +345,13 @@
         return repeat
 
     async def _pause(self, delay_s: float) -> None:
-        waiting: Deferred[None] = Deferred()
-        self._waiting = waiting
-        timer = self._parts.clock.callLater(delay_s, waiting.callback, None)
+        self._waiting = sleep(self._parts.clock, delay_s)
         try:
-            await waiting
+            await self._waiting
         except CancelledError:
             return
         finally:
             self._waiting = None
-            if timer.active():
-                timer.cancel()
 
     def _stop(self, reason: EarlyEnd) -> None:
         if self._end is not None:
--- a/lycheestall/entry/target_chooser.py
+++ b/lycheestall/entry/target_chooser.py
@@ -82,6 +82,19 @@
                 best, best_weight = entry, weight
         return best
 
+    def can_choose(
+        self, service: ServiceId, *, avoid: Collection[TargetId]
+    ) -> bool:
+        """Returns whether there is a target to ask.
+
+        Args:
+            service: The service.
+            avoid: Targets that are not to be asked.
+        """
+        return any(
+            entry.target not in avoid for entry in self._table.usable(service)
+        )
+
     def sent(self, target: TargetId) -> None:
         """Counts a request as running."""
         self._running[target] = self._running.get(target, 0) + 1
