Learn usual times once; call many peers in one place

Read again: attempt_timeouts and target_speeds each kept the mean logarithm of every kind's times, with the same smoothing, from the same answers. kind_times learns it once and both ask it. Surveys, handovers and news of slow targets each built their own list of calls to members; call_all does. Two tests built the same chooser; tests/entry/choosers does. No behaviour is meant to change; the tests' assertions are as they were.

--- a/lycheestall/entry/attempt_lessons.py
+++ b/lycheestall/entry/attempt_lessons.py
@@ -95,7 +95,7 @@
 
     def _answered(self, target: TargetId, took_s: float, now: float) -> None:
         self._parts.chooser.answered(target, self._kind, took_s, now)
-        self._parts.timeouts.answered(self._kind, took_s)
+        self._parts.timeouts.answered()
 
     def _unanswered(
         self, target: TargetId, waited_s: float, now: float
--- a/lycheestall/entry/entry_vm.py
+++ b/lycheestall/entry/entry_vm.py
@@ -137,7 +137,7 @@
             clock=reactor,
             headers=headers,
             chooser=chooser,
-            timeouts=AttemptTimeouts(),
+            timeouts=AttemptTimeouts(chooser.kinds),
             table=self._table,
             tokens=self.tokens.turns,
             crashed=self.tokens.writer.crashed,
--- a/lycheestall/entry/peer_link.py
+++ b/lycheestall/entry/peer_link.py
@@ -7,9 +7,10 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
+from collections.abc import Iterable
 from typing import Any, cast
 
-from twisted.internet.defer import Deferred, maybeDeferred
+from twisted.internet.defer import Deferred, DeferredList, maybeDeferred
 from twisted.python.failure import Failure
 
 from ..logs import Logger
@@ -18,10 +19,11 @@
 from .exchange import Exchange, RequestHandler
 from .http_call import CallAnswered, call
 from .http_messages import request_bytes
+from .members import Member
 from .peer_messages import PeerMessage, PeerReply, decode, encode
 from .vm_settings import Address
 
-__all__ = ["PeerCaller", "PeerEndpoint", "PeerHandler"]
+__all__ = ["PeerCaller", "PeerEndpoint", "PeerHandler", "call_all"]
 
 CONNECT_TIMEOUT_S = 0.3
 """Longest time for a connection to a peer."""
@@ -143,3 +145,26 @@
                 "peer reply unreadable", peer=address.host, error=str(error)
             )
             return None
+
+
+async def call_all(
+    peers: PeerCaller,
+    members: Iterable[Member],
+    message: PeerMessage,
+    *,
+    timeout_s: float,
+) -> list[PeerReply]:
+    """Calls several peers at once; returns the replies that came.
+
+    Args:
+        peers: Calls them.
+        members: Whom to call.
+        message: What to send.
+        timeout_s: Longest time for each call.
+    """
+    calls = [
+        peers.call(member.address, message, timeout_s=timeout_s)
+        for member in members
+    ]
+    replies = await DeferredList(calls, consumeErrors=True)
+    return [reply for ok, reply in replies if ok and reply is not None]
--- a/lycheestall/entry/surveyor.py
+++ b/lycheestall/entry/surveyor.py
@@ -6,13 +6,13 @@
 from typing import Any
 
 import xxhash
-from twisted.internet.defer import Deferred, DeferredList
+from twisted.internet.defer import Deferred
 
 from ..ids import Offset, ZoneId
 from ..logs import Logger
 from .members import Member, Members
 from .outage import Outage, SurveyResult
-from .peer_link import PeerCaller
+from .peer_link import PeerCaller, call_all
 from .peer_messages import PeerReply, StoreReport, Survey
 from .routed_store import RoutedStore
 from .token_ledger import HolderId
@@ -111,16 +111,10 @@
         view = self._members.view()
         message = Survey(self._holder, view.digest)
         others = self._members.neighbours(self._holder)
-        calls: list[Deferred[PeerReply | None]] = [
-            self._peers.call(
-                member.address, message, timeout_s=SURVEY_TIMEOUT_S
-            )
-            for member in others
-        ]
-        answers = await DeferredList(calls, consumeErrors=True)
-        reports = [
-            reply for _, reply in answers if isinstance(reply, StoreReport)
-        ]
+        replies = await call_all(
+            self._peers, others, message, timeout_s=SURVEY_TIMEOUT_S
+        )
+        reports = [r for r in replies if isinstance(r, StoreReport)]
         for report in reports:
             for record in report.members:
                 self._members.apply(record)
--- a/lycheestall/entry/target_chooser.py
+++ b/lycheestall/entry/target_chooser.py
@@ -9,6 +9,7 @@
 from ..ejection import OutlierEjection
 from ..ids import TargetId
 from .configuration import ServiceId
+from .kind_times import KindTimes
 from .target_speeds import SlowAnswers, TargetSpeeds
 from .target_table import TargetEntry, TargetTable
 
@@ -36,6 +37,11 @@
         self._running: dict[TargetId, int] = {}
         self._speeds = TargetSpeeds()
 
+    @property
+    def kinds(self) -> KindTimes:
+        """How long answers of each kind usually take."""
+        return self._speeds.kinds
+
     def choose(
         self,
         service: ServiceId,
--- a/lycheestall/entry/target_news.py
+++ b/lycheestall/entry/target_news.py
@@ -9,12 +9,10 @@
 
 from typing import Any
 
-from twisted.internet.defer import DeferredList
-
 from ..ids import TargetId
 from ..logs import Logger
 from .members import Members
-from .peer_link import PeerCaller
+from .peer_link import PeerCaller, call_all
 from .peer_messages import SlowTargets
 from .target_chooser import TargetChooser
 from .token_ledger import HolderId
@@ -63,11 +61,12 @@
         if not seen:
             return
         message = SlowTargets(self._holder, seen)
-        calls = [
-            self._peers.call(member.address, message, timeout_s=NEWS_TIMEOUT_S)
-            for member in self._members.neighbours(self._holder)
-        ]
-        await DeferredList(calls, consumeErrors=True)
+        await call_all(
+            self._peers,
+            self._members.neighbours(self._holder),
+            message,
+            timeout_s=NEWS_TIMEOUT_S,
+        )
 
     def heard(self, message: SlowTargets) -> None:
         """Takes what a neighbour has seen."""
--- a/lycheestall/entry/target_speeds.py
+++ b/lycheestall/entry/target_speeds.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 
 from ..ids import TargetId
+from .kind_times import KindTimes
 
 __all__ = ["SlowAnswers", "TargetSpeeds"]
 
@@ -18,9 +19,6 @@
 """Seconds after which an observation counts for little, so that a target
 that has recovered is asked again."""
 
-KIND_SMOOTHING = 0.05
-"""Weight of the newest answer in a kind's usual time."""
-
 USUAL_WEIGHT = 0.4
 """Weight of the belief that a target is as fast as others, so that one late
 answer does not make it slow."""
@@ -95,10 +93,13 @@
     Answers of one kind differ, so the logarithms of their ratios to the
     kind's usual time are averaged; a few are enough to find a target
     that takes several times as long.
+
+    Attributes:
+        kinds: The usual times.
     """
 
     def __init__(self) -> None:
-        self._usual_by_kind: dict[str, float] = {}
+        self.kinds = KindTimes()
         self._by_target: dict[TargetId, _Speed] = {}
         self._slow_answers: dict[TargetId, SlowAnswers] = {}
 
@@ -113,13 +114,9 @@
             took_s: Seconds that it took.
             now: The time.
         """
-        observed = math.log(max(took_s, 0.001))
-        usual = self._usual_by_kind.get(kind)
-        if usual is None:
-            self._usual_by_kind[kind] = observed
-            return
-        self._usual_by_kind[kind] = usual + KIND_SMOOTHING * (observed - usual)
-        self._note(target, observed - usual, now)
+        log_ratio = self.kinds.answered(kind, took_s)
+        if log_ratio is not None:
+            self._note(target, log_ratio, now)
 
     def unanswered(
         self, target: TargetId, kind: str, waited_s: float, now: float
@@ -132,12 +129,12 @@
             waited_s: Seconds waited.
             now: The time.
         """
-        usual = self._usual_by_kind.get(kind)
+        usual = self.kinds.get(kind)
         if usual is None:
             return
-        ratio = math.log(max(waited_s, 0.001)) - usual
-        if ratio > 0:
-            self._note(target, ratio, now)
+        log_ratio = usual.log_ratio(waited_s)
+        if log_ratio > 0:
+            self._note(target, log_ratio, now)
 
     def slow(self, targets: Sequence[TargetId], now: float) -> set[TargetId]:
         """Returns the slow ones of a service's targets.
--- a/lycheestall/entry/token_service.py
+++ b/lycheestall/entry/token_service.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from twisted.internet.defer import Deferred, DeferredList, ensureDeferred
+from twisted.internet.defer import Deferred, ensureDeferred
 from twisted.python.failure import Failure
 
 from ..ids import Offset, ZoneId
@@ -15,7 +15,7 @@
 from .members import Member, Members, announcement, departure
 from .outage import Outage, OutageMode
 from .outage_books import OutageBooks
-from .peer_link import PeerCaller, PeerHandler
+from .peer_link import PeerCaller, PeerHandler, call_all
 from .peer_messages import (
     AskGranted,
     AskTokens,
@@ -252,14 +252,14 @@
         self._handed_over = True
         grants = tuple(self._outage_books.grants())
         message = Handover(self._holder, grants)
-        calls = [
-            self._peers.call(
-                member.address, message, timeout_s=HANDOVER_TIMEOUT_S
-            )
+        others = [
+            member
             for member in self.members.all()
             if member.holder != self._holder
         ]
-        await DeferredList(calls, consumeErrors=True)
+        await call_all(
+            self._peers, others, message, timeout_s=HANDOVER_TIMEOUT_S
+        )
 
     def _position(self) -> Offset:
         return self.follower.position or Offset(0)
--- /dev/null
+++ b/tests/entry/choosers.py
@@ -0,0 +1,29 @@
+"""Choosers over equal targets, for tests of load patterns."""
+
+from __future__ import annotations
+
+from lycheestall.entry.configuration import ServiceId
+from lycheestall.entry.target_chooser import TargetChooser
+from lycheestall.entry.target_table import TargetEntry, TargetTable
+from lycheestall.ids import TargetId, ZoneId
+
+SERVICE = ServiceId("app")
+
+
+def new_chooser(count: int) -> TargetChooser:
+    """Returns a chooser of the targets ``t0``, ``t1`` and so on."""
+    table = TargetTable()
+    for number in range(count):
+        table.register(
+            TargetEntry(
+                target=TargetId(f"t{number}"),
+                started_ms=1,
+                service=SERVICE,
+                host="10.0.0.1",
+                port=number,
+                zone=ZoneId("z"),
+                slots=6,
+                draining=False,
+            )
+        )
+    return TargetChooser(table)
--- a/tests/entry/test_attempt_timeouts.py
+++ b/tests/entry/test_attempt_timeouts.py
@@ -10,15 +10,30 @@
     MOST_REPEATS,
     AttemptTimeouts,
 )
+from lycheestall.entry.kind_times import KindTimes
 
 LEAST_S = 0.1
 
 
+def new_timeouts() -> tuple[AttemptTimeouts, KindTimes]:
+    """Returns timeouts that know nothing yet, and what they go by."""
+    kinds = KindTimes()
+    return AttemptTimeouts(kinds), kinds
+
+
+def answered(
+    timeouts: AttemptTimeouts, kinds: KindTimes, kind: str, took_s: float
+) -> None:
+    """Takes an answer as a VM does."""
+    kinds.answered(kind, took_s)
+    timeouts.answered()
+
+
 def test_nothing_is_overdue_before_a_kind_is_known() -> None:
-    timeouts = AttemptTimeouts()
+    timeouts, kinds = new_timeouts()
     assert timeouts.timeout_s("kind", least_s=LEAST_S, remaining_s=1.5) is None
     for _ in range(MIN_ANSWERS):
-        timeouts.answered("kind", 0.05)
+        answered(timeouts, kinds, "kind", 0.05)
     assert (
         timeouts.timeout_s("kind", least_s=LEAST_S, remaining_s=1.5)
         is not None
@@ -29,7 +44,7 @@
 
 
 def test_usual_answers_are_not_overdue() -> None:
-    timeouts = AttemptTimeouts()
+    timeouts, kinds = new_timeouts()
     dice = random.Random(1)
     overdue = 0
     for _ in range(2000):
@@ -39,24 +54,24 @@
         )
         if timeout_s is not None and took_s > timeout_s:
             overdue += 1
-        timeouts.answered("kind", took_s)
+        answered(timeouts, kinds, "kind", took_s)
     assert overdue < 0.02 * 2000
 
 
 def test_a_hung_target_is_left_long_before_the_deadline() -> None:
-    timeouts = AttemptTimeouts()
+    timeouts, kinds = new_timeouts()
     dice = random.Random(1)
     for _ in range(200):
-        timeouts.answered("kind", dice.lognormvariate(-3.0, 0.6))
+        answered(timeouts, kinds, "kind", dice.lognormvariate(-3.0, 0.6))
     timeout_s = timeouts.timeout_s("kind", least_s=LEAST_S, remaining_s=1.5)
     assert timeout_s is not None
     assert timeout_s < 0.6
 
 
 def test_no_attempt_is_cut_short_when_no_other_fits() -> None:
-    timeouts = AttemptTimeouts()
+    timeouts, kinds = new_timeouts()
     for _ in range(MIN_ANSWERS):
-        timeouts.answered("kind", 0.2)
+        answered(timeouts, kinds, "kind", 0.2)
     assert timeouts.timeout_s("kind", least_s=LEAST_S, remaining_s=1.0) is None
     timeout_s = timeouts.timeout_s("kind", least_s=LEAST_S, remaining_s=2.0)
     assert timeout_s is not None
@@ -64,14 +79,14 @@
 
 
 def test_repeats_stay_a_small_share_when_all_targets_hang() -> None:
-    timeouts = AttemptTimeouts()
+    timeouts, kinds = new_timeouts()
     for _ in range(MIN_ANSWERS):
-        timeouts.answered("kind", 0.05)
+        answered(timeouts, kinds, "kind", 0.05)
     repeats = 0
     answers = 0
     for number in range(1000):
         if number % 10 == 0:
-            timeouts.answered("kind", 0.05)
+            answered(timeouts, kinds, "kind", 0.05)
             answers += 1
         if (
             timeouts.timeout_s("kind", least_s=LEAST_S, remaining_s=1.5)
--- a/tests/entry/test_target_news.py
+++ b/tests/entry/test_target_news.py
@@ -12,20 +12,18 @@
 from twisted.internet.defer import ensureDeferred, succeed
 from twisted.internet.task import Clock
 
-from lycheestall.entry.configuration import ServiceId
 from lycheestall.entry.members import Member, Members, announcement
 from lycheestall.entry.peer_messages import SlowTargets, decode, encode
 from lycheestall.entry.store import KeyedRecord
 from lycheestall.entry.target_chooser import TargetChooser
 from lycheestall.entry.target_news import TargetNews
 from lycheestall.entry.target_speeds import SlowAnswers
-from lycheestall.entry.target_table import TargetEntry, TargetTable
 from lycheestall.entry.token_ledger import HolderId
 from lycheestall.entry.vm_settings import Address
 from lycheestall.ids import Offset, TargetId, ZoneId
 from lycheestall.logs import get_logger
+from tests.entry.choosers import SERVICE, new_chooser
 
-SERVICE = ServiceId("app")
 TARGETS = 29
 SLOW = frozenset(TargetId(f"t{number}") for number in range(0, TARGETS, 3))
 SLOW_BY = 6.5
@@ -35,30 +33,12 @@
 NEWS_STEPS = 8
 
 
-def new_chooser() -> TargetChooser:
-    table = TargetTable()
-    for number in range(TARGETS):
-        table.register(
-            TargetEntry(
-                target=TargetId(f"t{number}"),
-                started_ms=1,
-                service=SERVICE,
-                host="10.0.0.1",
-                port=number,
-                zone=ZoneId("z"),
-                slots=6,
-                draining=False,
-            )
-        )
-    return TargetChooser(table)
-
-
 class Fleet:
     """VMs that send requests to the same targets, in virtual time."""
 
     def __init__(self, *, share: bool) -> None:
         self._dice = random.Random(5)
-        self._choosers = [new_chooser() for _ in range(VMS)]
+        self._choosers = [new_chooser(TARGETS) for _ in range(VMS)]
         self._share = share
         self._ends: list[tuple[float, int, int, TargetId, float]] = []
         self._sent = 0
@@ -179,7 +159,7 @@
         write = announcement(member)
         record = KeyedRecord(Offset(number), write.key, write.value)
         assert members.apply(record)
-    chooser = new_chooser()
+    chooser = new_chooser(TARGETS)
     peers = Peers()
     news = TargetNews(
         holder=HolderId("vm-0"),
--- a/tests/entry/test_target_speeds.py
+++ b/tests/entry/test_target_speeds.py
@@ -4,31 +4,10 @@
 
 import random
 
-from lycheestall.entry.configuration import ServiceId
 from lycheestall.entry.target_chooser import TargetChooser
 from lycheestall.entry.target_speeds import TargetSpeeds
-from lycheestall.entry.target_table import TargetEntry, TargetTable
-from lycheestall.ids import TargetId, ZoneId
-
-SERVICE = ServiceId("app")
-
-
-def chooser_of(count: int) -> TargetChooser:
-    table = TargetTable()
-    for number in range(count):
-        table.register(
-            TargetEntry(
-                target=TargetId(f"t{number}"),
-                started_ms=1,
-                service=SERVICE,
-                host="10.0.0.1",
-                port=number,
-                zone=ZoneId("z"),
-                slots=6,
-                draining=False,
-            )
-        )
-    return TargetChooser(table)
+from lycheestall.ids import TargetId
+from tests.entry.choosers import SERVICE, new_chooser
 
 
 def work_at(chooser: TargetChooser, slow: set[str], seconds: int) -> float:
@@ -55,8 +34,8 @@
 
 def test_slow_targets_get_little_work() -> None:
     slow = {"t1", "t4", "t7"}
-    assert work_at(chooser_of(9), set(), 20) == 0
-    share = work_at(chooser_of(9), slow, 20)
+    assert work_at(new_chooser(9), set(), 20) == 0
+    share = work_at(new_chooser(9), slow, 20)
     assert share < 0.5 * len(slow) / 9
 
 
