--- a/lycheestall/admin_api.py
+++ b/lycheestall/admin_api.py
@@ -106,7 +106,7 @@
 
     def _render_metrics(self, request: Request) -> bytes:
         accept = request.getHeader("accept") or ""
-        content, headers = self._metrics.render(accept)
+        content, headers = self._metrics.exposition(accept)
         for name, value in headers.items():
             request.setHeader(name, value)
         return content
--- a/lycheestall/entry/routed_store.py
+++ b/lycheestall/entry/routed_store.py
@@ -189,7 +189,7 @@
         *,
         wait_s: float = 0.0,
     ) -> Deferred[_T]:
-        started_at = self._calls.started()
+        started_at = self._clock.seconds()
 
         def note(answer: Any) -> Any:
             self._calls.ended(
--- a/lycheestall/entry/store_call_log.py
+++ b/lycheestall/entry/store_call_log.py
@@ -29,10 +29,6 @@
         self._next_line_at = float("-inf")
         self._left_out = 0
 
-    def started(self) -> float:
-        """Returns the time at which a call starts."""
-        return self._clock.seconds()
-
     def ended(
         self,
         operation: str,
