Keep the conversations of callers whose turns carry only what is new

Cause: on routes with retained context a turn carries its new input and the ID of the turn before it. Change: lycheestall/conversations (turns, chains, records, cache, choice of copy holders, deletion) decides without clock or socket; the entry role's conversation_service, _lookup, turn_recorder, turn_copies and kept_turn do the calls. A turn's response ends once its record is in the store or, while the store is slow or away, held by VMs of two other zones, which record it later. 404 only when the store and every member have denied the turn. Targets that answer with Server-Leaving get no more requests (DRAIN).

--- a/lycheestall/entry/configuration.py
+++ b/lycheestall/entry/configuration.py
@@ -94,6 +94,9 @@
             on the response's value.
         priority: Priority of the requests; 0 is the highest.
         max_attempts: Number of targets that may run one request.
+        keeps_conversations: Whether requests carry only what is new in
+            their conversation, and the earlier turns are kept for them.
+        retention_s: Seconds for which such a turn is kept.
     """
 
     name: str
@@ -107,6 +110,8 @@
     event_gap_s: float
     priority: int
     max_attempts: int
+    keeps_conversations: bool = False
+    retention_s: float = 0.0
 
     def service_for(self, key: bytes) -> ServiceId:
         """Selects a service by weight; equal keys select the same one.
--- a/lycheestall/entry/entry_metrics.py
+++ b/lycheestall/entry/entry_metrics.py
@@ -30,6 +30,13 @@
             "failed_attempts_total",
             "Attempts at targets that gave no answer, by outcome.",
         )
+        self._turns_kept = self.counter(
+            "turns_kept_total", "Turns made durable, by how."
+        )
+        self._conversations_loaded = self.counter(
+            "conversations_loaded_total",
+            "Conversations continued, by where their turns were found.",
+        )
 
     def request_ended(
         self, route_name: str, status: int, outcome: str, took_s: float
@@ -41,6 +48,44 @@
         if route_name:
             self._duration.observe({"route": route_name}, took_s)
 
+    def turn_kept(self, how: str) -> None:
+        """Counts a turn of a conversation that was made durable."""
+        self._turns_kept.inc({"how": how})
+
+    def conversation_loaded(self, source: str) -> None:
+        """Counts a conversation that a turn continued from."""
+        self._conversations_loaded.inc({"source": source})
+
+    def set_conversation_gauges(
+        self, *, turns: int, size: int, unrecorded: int, evicted: int
+    ) -> None:
+        """Sets the gauges of the turns in memory.
+
+        Args:
+            turns: Number of turns.
+            size: Their memory in bytes.
+            unrecorded: Turns that this VM still has to record.
+            evicted: Turns evicted before they expired.
+        """
+        self.set_gauge(
+            "conversation_turns", turns, description="Turns in memory."
+        )
+        self.set_gauge(
+            "conversation_bytes",
+            size,
+            description="Memory of the turns, in bytes.",
+        )
+        self.set_gauge(
+            "conversation_turns_unrecorded",
+            unrecorded,
+            description="Turns that this VM has yet to record.",
+        )
+        self.set_gauge(
+            "conversation_turns_evicted",
+            evicted,
+            description="Turns evicted for lack of memory since the start.",
+        )
+
     def attempt_failed(self, outcome: str) -> None:
         """Counts an attempt that gave no final response."""
         self._attempts.inc({"outcome": outcome})
--- a/lycheestall/entry/entry_process.py
+++ b/lycheestall/entry/entry_process.py
@@ -61,7 +61,7 @@
     def __init__(
         self,
         *,
-        create_store: Callable[[Any, Address], Store],
+        create_store: Callable[[Any, EntrySettings], Store],
         headers: HeaderCodec,
         decoder: RecordDecoder,
     ) -> None:
@@ -100,7 +100,7 @@
         self._peers = PeerClient(reactor, self._logger)
         self._vm = EntryVm(
             settings=settings,
-            store=adapter.create_store(reactor, settings.store),
+            store=adapter.create_store(reactor, settings),
             peers=self._peers,
             headers=adapter.headers,
             decoder=adapter.decoder,
--- a/lycheestall/entry/entry_vm.py
+++ b/lycheestall/entry/entry_vm.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from typing import Any
 
 from twisted.internet.defer import Deferred, ensureDeferred
@@ -12,6 +13,7 @@
 from ..supervisor import Supervisor
 from .attempt_timeouts import AttemptTimeouts
 from .configuration import CallerLimits
+from .conversation_service import ConversationService
 from .decision_log import DecisionContext, DecisionLog
 from .entry_metrics import EntryMetrics
 from .exchange import Exchange, RequestHandler
@@ -19,7 +21,15 @@
 from .header_codec import HeaderCodec, InvalidRequest
 from .message_metadata import RequestMetadata
 from .outage import OutageMode
-from .peer_messages import PeerMessage, PeerReply, SlowTargets, Understood
+from .peer_messages import (
+    FindTurns,
+    HoldTurns,
+    PeerMessage,
+    PeerReply,
+    SlowTargets,
+    TurnsRecorded,
+    Understood,
+)
 from .peer_rpc import PeerClient, PeerHandler
 from .record_decoder import RecordDecoder
 from .request_dependencies import RequestDependencies
@@ -63,6 +73,15 @@
 HOUSEKEEPING_S = 0.5
 """Seconds between removals of expired state."""
 
+TURN_RECORDS_S = 0.25
+"""Seconds between checks whether turns are due to be recorded."""
+
+SHARD_SWEEP_S = 60.0
+"""Seconds between searches for orphaned turns, each in one shard."""
+
+LEDGER_FRESH_S = 3.0
+"""Age of the ledger up to which its members count as all there are."""
+
 
 class EntryVm(RequestHandler, PeerHandler):
     """All components of an entry VM except its listeners.
@@ -80,6 +99,7 @@
 
     Attributes:
         token_service: Token budgets.
+        conversations: Conversations kept for callers.
         running: Number of requests in progress.
     """
 
@@ -138,6 +158,18 @@
             reactor=reactor,
             logger=logger,
         )
+        self.conversations = ConversationService(
+            holder=holder,
+            members=self.token_service.members,
+            members_complete=self._members_complete,
+            store=self._store,
+            peers=peers,
+            max_bytes=settings.conversation_bytes,
+            clock=reactor,
+            unix_clock=time.time,
+            logger=logger,
+            metrics=metrics,
+        )
         self._dependencies = RequestDependencies(
             clock=reactor,
             headers=headers,
@@ -149,6 +181,9 @@
             is_blocked=self.token_service.crashes.is_blocked,
             pool_of=self._view.pool_of,
             log=self._log,
+            conversations=self.conversations,
+            max_body_bytes=lambda: self.limits().body_bytes,
+            max_record_bytes=settings.store_record_bytes,
         )
         self._slow_target_reporter = SlowTargetReporter(
             holder=holder,
@@ -205,6 +240,12 @@
                 MEMBER_CHECK_INTERVAL_S,
             ),
             ("housekeeping", self._housekeeping, HOUSEKEEPING_S),
+            (
+                "turn records",
+                self.conversations.recorder.write_due,
+                TURN_RECORDS_S,
+            ),
+            ("shard sweep", self.conversations.sweep, SHARD_SWEEP_S),
         )
         for name, step, interval_s in pollers:
             self._supervisor.add(
@@ -217,6 +258,7 @@
 
     async def stop(self) -> None:
         """Releases unused tokens, stops the pollers, closes connections."""
+        await self.conversations.stop()
         await self.token_service.leave()
         await self._supervisor.stop()
         self._peers.close()
@@ -281,6 +323,8 @@
         if isinstance(message, SlowTargets):
             self._slow_target_reporter.receive_report(message)
             return Understood()
+        if isinstance(message, HoldTurns | TurnsRecorded | FindTurns):
+            return self.conversations.handle_message(message)
         return self.token_service.handle_message(message)
 
     def _on_request_ended(self, _: object) -> None:
@@ -323,6 +367,11 @@
             ledger_position=ledger.position or 0,
         )
 
+    def _members_complete(self) -> bool:
+        service = self.token_service
+        age_s = self._reactor.seconds() - service.follower.read_at
+        return bool(age_s < LEDGER_FRESH_S) and not service.members.crashed()
+
     def _on_ledger_recovered(self, now: float) -> None:
         self._table.store_recovered(now)
         self.token_service.store_recovered()
@@ -333,6 +382,7 @@
 
     async def _housekeeping(self) -> None:
         self._view.remove_expired()
+        self.conversations.remove_expired()
         self.token_service.forget_idle()
         self._metrics.set_gauge(
             "running_requests",
--- a/lycheestall/entry/event_splitter.py
+++ b/lycheestall/entry/event_splitter.py
@@ -22,6 +22,16 @@
     data: bytes
     event_id: int | None
 
+    @property
+    def payload(self) -> bytes:
+        """The values of its ``data`` fields, joined by line feeds."""
+        values: list[bytes] = []
+        for line in self.data.splitlines():
+            name, _, value = line.partition(b":")
+            if name == b"data":
+                values.append(value.removeprefix(b" "))
+        return b"\n".join(values)
+
 
 class EventSplitter:
     """Buffers bytes until an event is complete."""
--- a/lycheestall/entry/message_metadata.py
+++ b/lycheestall/entry/message_metadata.py
@@ -40,6 +40,7 @@
         max_output_tokens: Maximum tokens that this turn generates.
         prompt_parts: The prompt's parts, in order.
         resume_after: ID of the last event that the caller received.
+        previous_turn: ID of the turn that this one continues from, if any.
     """
 
     request_id: bytes
@@ -52,6 +53,7 @@
     max_output_tokens: int = 0
     prompt_parts: tuple[PromptPart, ...] = ()
     resume_after: int | None = None
+    previous_turn: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,6 +68,7 @@
         encoded: Whether the body has a content encoding.
         idle_timeout_s: How long the target keeps an idle connection
             open, if given.
+        target_leaving: Whether the target is about to shut down.
     """
 
     request_id: bytes | None
@@ -73,3 +76,4 @@
     not_run: bool
     encoded: bool
     idle_timeout_s: float | None
+    target_leaving: bool = False
--- a/lycheestall/entry/peer_messages.py
+++ b/lycheestall/entry/peer_messages.py
@@ -8,6 +8,13 @@
 
 import cbor2
 
+from ..conversations import (
+    ConversationTurn,
+    ConversationTurnId,
+    UnreadableTurn,
+    decode_turn,
+    encode_turn,
+)
 from ..ids import Offset, ProgramId
 from .outage_allocator import OutageGrant
 from .store import (
@@ -29,8 +36,12 @@
 __all__ = [
     "AskGranted",
     "AskTokens",
+    "FindTurns",
+    "FoundTurns",
     "GrantedTokens",
     "Handover",
+    "HeldTurn",
+    "HoldTurns",
     "PeerMessage",
     "PeerReply",
     "RelayAppend",
@@ -41,6 +52,7 @@
     "StoreReport",
     "Survey",
     "TokenAnswer",
+    "TurnsRecorded",
     "Understood",
     "decode",
     "encode",
@@ -193,7 +205,8 @@
 
     topic: Topic
     writes: tuple[KeyedWrite, ...]
-    fence: WriterFence
+    fence: WriterFence | None
+    shard: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -211,6 +224,62 @@
 
     topic: Topic
     after: str | None
+    shard: int
+
+
+@dataclass(frozen=True, slots=True)
+class HeldTurn:
+    """A turn of a conversation, as one VM tells another.
+
+    Attributes:
+        turn: The turn.
+        record_expires_at: Unix time at which its record in the store
+            expires; None if the store does not hold it as far as the VM
+            knows.
+    """
+
+    turn: ConversationTurn
+    record_expires_at: int | None
+
+
+@dataclass(frozen=True, slots=True)
+class HoldTurns:
+    """Asks a peer to hold copies of turns.
+
+    Attributes:
+        turns: The turns.
+        to_record: Whether the peer also has to see to it that the store
+            gets them, since the sender could not reach it.
+    """
+
+    turns: tuple[HeldTurn, ...]
+    to_record: bool
+
+
+@dataclass(frozen=True, slots=True)
+class TurnsRecorded:
+    """Tells holders of copies that the store has turns.
+
+    Attributes:
+        expiries: The turns, each with the Unix time at which its record
+            expires.
+    """
+
+    expiries: tuple[tuple[ConversationTurnId, int], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class FindTurns:
+    """Asks a peer for turns, and for what they continue from."""
+
+    turn_ids: tuple[ConversationTurnId, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class FoundTurns:
+    """The turns that a peer holds, of those asked for and their ancestors."""
+
+    turns: tuple[HeldTurn, ...]
 
 
 PeerMessage: TypeAlias = (
@@ -223,6 +292,9 @@
     | RelayRead
     | RelayNewest
     | SlowTargets
+    | HoldTurns
+    | TurnsRecorded
+    | FindTurns
 )
 PeerReply: TypeAlias = (
     StoreReport
@@ -236,6 +308,7 @@
     | Records
     | HistoryGone
     | NewestPage
+    | FoundTurns
 )
 
 _POSITIONAL_TYPES: dict[str, Callable[..., Any]] = {
@@ -286,11 +359,20 @@
         return [message.holder, slow_responses]
     if isinstance(message, RelayAppend):
         writes = [[write.key, write.value] for write in message.writes]
-        return [message.topic.value, writes, list(astuple(message.fence))]
+        fence = None if message.fence is None else list(astuple(message.fence))
+        return [message.topic.value, writes, fence, message.shard]
     if isinstance(message, RelayRead):
         return [message.topic.value, message.start, message.wait_s]
     if isinstance(message, RelayNewest):
-        return [message.topic.value, message.after]
+        return [message.topic.value, message.after, message.shard]
+    if isinstance(message, HoldTurns):
+        return [_encode_turns(message.turns), message.to_record]
+    if isinstance(message, FoundTurns):
+        return [_encode_turns(message.turns)]
+    if isinstance(message, TurnsRecorded):
+        return [list(message.expiries)]
+    if isinstance(message, FindTurns):
+        return [list(message.turn_ids)]
     if isinstance(message, StoreReport):
         return [
             message.holder,
@@ -319,11 +401,22 @@
         return SlowTargets(fields[0], slow_responses)
     if name == RelayAppend.__name__:
         writes = tuple(KeyedWrite(key, value) for key, value in fields[1])
-        return RelayAppend(Topic(fields[0]), writes, WriterFence(*fields[2]))
+        fence = None if fields[2] is None else WriterFence(*fields[2])
+        return RelayAppend(Topic(fields[0]), writes, fence, fields[3])
     if name == RelayRead.__name__:
         return RelayRead(Topic(fields[0]), fields[1], fields[2])
     if name == RelayNewest.__name__:
-        return RelayNewest(Topic(fields[0]), fields[1])
+        return RelayNewest(Topic(fields[0]), fields[1], fields[2])
+    if name == HoldTurns.__name__:
+        return HoldTurns(_decode_turns(fields[0]), fields[1])
+    if name == FoundTurns.__name__:
+        return FoundTurns(_decode_turns(fields[0]))
+    if name == TurnsRecorded.__name__:
+        return TurnsRecorded(
+            tuple((turn_id, expiry) for turn_id, expiry in fields[0])
+        )
+    if name == FindTurns.__name__:
+        return FindTurns(tuple(fields[0]))
     if name == StoreReport.__name__:
         holder, store_up, store_unavailable, view, members = fields
         return StoreReport(
@@ -337,6 +430,20 @@
     return message
 
 
+def _encode_turns(turns: tuple[HeldTurn, ...]) -> list[list[Any]]:
+    return [[encode_turn(held.turn), held.record_expires_at] for held in turns]
+
+
+def _decode_turns(rows: list[list[Any]]) -> tuple[HeldTurn, ...]:
+    turns: list[HeldTurn] = []
+    for data, record_expires_at in rows:
+        turn = decode_turn(data)
+        if isinstance(turn, UnreadableTurn):
+            raise ValueError(f"unreadable turn: {turn.reason}")
+        turns.append(HeldTurn(turn, record_expires_at))
+    return tuple(turns)
+
+
 def _encode_records(records: tuple[KeyedRecord, ...]) -> list[list[Any]]:
     return [[record.offset, record.key, record.value] for record in records]
 
--- a/lycheestall/entry/request_dependencies.py
+++ b/lycheestall/entry/request_dependencies.py
@@ -8,6 +8,7 @@
 
 from .attempt_timeouts import AttemptTimeouts
 from .connection_pool import ConnectionPool
+from .conversation_service import ConversationService
 from .decision_log import DecisionLog
 from .header_codec import HeaderCodec
 from .target_chooser import TargetChooser
@@ -34,6 +35,9 @@
             blocked because it crashes targets.
         pool_of: Returns the connection pool of a target.
         log: Logs decisions about requests.
+        conversations: Keeps conversations for callers.
+        max_body_bytes: Returns the limit on the body of a request.
+        max_record_bytes: Limit on a turn that is kept.
     """
 
     clock: Any
@@ -46,3 +50,6 @@
     is_blocked: Callable[[str], bool]
     pool_of: Callable[[TargetRegistration], ConnectionPool]
     log: DecisionLog
+    conversations: ConversationService
+    max_body_bytes: Callable[[], int]
+    max_record_bytes: int
--- a/lycheestall/entry/request_processor.py
+++ b/lycheestall/entry/request_processor.py
@@ -18,6 +18,7 @@
 from .exchange import Exchange
 from .final_response import EarlyEnd, FinalResponse
 from .http_messages import encode_request
+from .kept_turn import KeptTurn
 from .message_metadata import RequestMetadata
 from .request_dependencies import RequestDependencies
 from .retry_policy import AttemptHistory, NextStep, choose_next_step
@@ -81,12 +82,14 @@
         self._budget = TurnBudget(
             deps.reservations, deps.clock, metadata, service, turn=turn
         )
+        self._turn = KeptTurn(deps, metadata, route, exchange.request.body)
         self._forwarder: StreamForwarder | None = None
         if route.is_stream:
             self._forwarder = StreamForwarder(
                 exchange,
                 resume_after=metadata.resume_after,
                 clock=deps.clock,
+                keep_output=self._turn.kept,
             )
         self._final = FinalResponse(
             deps,
@@ -134,16 +137,30 @@
         if self._feedback.crashes_targets:
             self._final.refuse(503, "the request crashes its targets", 5.0)
             return
+        # The conversation is looked up while the tokens are reserved.
+        self._turn.start_loading()
         if not self._budget.has_budget:
-            await self._attempt_until_final()
+            await self._run_turn()
             return
         if not await self._reserve_tokens():
+            self._turn.cancel()
             return
         try:
-            await self._attempt_until_final()
+            await self._run_turn()
         finally:
             self._budget.settle(self._final.events_sent)
 
+    async def _run_turn(self) -> None:
+        refusal = await self._turn.loaded()
+        if self._early_end is not None:
+            self._final.end_early(self._early_end, sent=False)
+        elif refusal is not None:
+            self._final.refuse(
+                refusal.status, refusal.reason, refusal.retry_after_s
+            )
+        else:
+            await self._attempt_until_final()
+
     async def _reserve_tokens(self) -> bool:
         decision = await self._budget.reserve()
         if decision is ReservationDecision.GRANTED:
@@ -170,6 +187,9 @@
                 return
             outcome = await self._attempt_target(registration)
             self._history.record(registration.target, outcome)
+            if isinstance(outcome, StreamEnded):
+                await self._finish_stream()
+                return
             if self._finish_with(registration, outcome):
                 return
             step = choose_next_step(
@@ -193,9 +213,24 @@
                 ):
                     step = NextStep.SAME_TARGET
             if step is NextStep.SAME_TARGET:
-                same_target = self._deps.table.get(registration.target)
+                same_target = self._deps.table.get_usable(registration.target)
                 await self._sleep(SAME_TARGET_RETRY_DELAY_S)
 
+    async def _finish_stream(self) -> None:
+        assert self._forwarder is not None
+        kept = await self._turn.keep(
+            self._forwarder.output, give_up_at=self._deadline
+        )
+        if kept:
+            self._forwarder.finish()
+            self._final.log_end("served")
+            return
+        if self._early_end is EarlyEnd.CALLER_DISCONNECTED:
+            self._final.log_end("caller left")
+            return
+        self._exchange.abort()
+        self._final.log_end("turn not durable in time")
+
     def _has_other_target(
         self, *, excluding: TargetRegistration | None = None
     ) -> bool:
@@ -232,6 +267,7 @@
             request_id=self._metadata.request_id,
             forwarder=self._forwarder,
             is_head_request=self._request.method == b"HEAD",
+            on_leaving=lambda: self._target_leaving(registration),
         )
         self._attempt = attempt
         self._history.last_target = registration.target
@@ -258,6 +294,10 @@
         )
         return outcome
 
+    def _target_leaving(self, registration: TargetRegistration) -> None:
+        if self._deps.table.mark_leaving(registration):
+            self._deps.log.target_leaving(self._metadata, registration)
+
     def _start_overdue_timer(
         self, registration: TargetRegistration, attempt: TargetAttempt
     ) -> Timer | None:
@@ -321,15 +361,12 @@
             resume_after=resume_after,
         )
         return encode_request(
-            request.method, request.url, headers, request.body
+            request.method, request.url, headers, self._turn.body
         )
 
     def _finish_with(
         self, registration: TargetRegistration, outcome: AttemptOutcome
     ) -> bool:
-        if isinstance(outcome, StreamEnded):
-            self._final.log_end("served")
-            return True
         if isinstance(outcome, WholeAnswer):
             if self._exchange.started:
                 # The response to a resume request was not a stream.
@@ -386,3 +423,4 @@
             self._sleeping.cancel()
         else:
             self._budget.cancel_reservation()
+            self._turn.cancel()
--- a/lycheestall/entry/routed_store.py
+++ b/lycheestall/entry/routed_store.py
@@ -99,15 +99,27 @@
             peer=member.holder if member is not None else "itself",
         )
 
+    @property
+    def turn_shards(self) -> int:
+        """Number of shards of the topic of turns."""
+        return self.direct.turn_shards
+
     def append(
-        self, topic: Topic, writes: Sequence[KeyedWrite], fence: WriterFence
+        self,
+        topic: Topic,
+        writes: Sequence[KeyedWrite],
+        fence: WriterFence | None,
+        *,
+        shard: int = 0,
     ) -> Deferred[AppendOutcome]:
         """Appends records atomically."""
         if self._relay is None:
             return self._observed(
-                self.direct.append(topic, writes, fence), "append", topic
+                self.direct.append(topic, writes, fence, shard=shard),
+                "append",
+                topic,
             )
-        message = RelayAppend(topic, tuple(writes), fence)
+        message = RelayAppend(topic, tuple(writes), fence, shard)
         return self._call_through(
             self._relay, message, 0.0, AppendUnknown("peer did not reply")
         )
@@ -131,16 +143,18 @@
         )
 
     def newest(
-        self, topic: Topic, *, after: str | None = None
+        self, topic: Topic, *, after: str | None = None, shard: int = 0
     ) -> Deferred[NewestOutcome]:
         """Lists the newest record of each key, one page per call."""
         if self._relay is None:
             return self._observed(
-                self.direct.newest(topic, after=after), "list", topic
+                self.direct.newest(topic, after=after, shard=shard),
+                "list",
+                topic,
             )
         return self._call_through(
             self._relay,
-            RelayNewest(topic, after),
+            RelayNewest(topic, after, shard),
             0.0,
             StoreFailed("peer did not reply"),
         )
--- a/lycheestall/entry/store.py
+++ b/lycheestall/entry/store.py
@@ -32,11 +32,15 @@
 
 
 class Topic(Enum):
-    """The compacted topics that an entry VM uses."""
+    """The compacted topics that an entry VM uses.
+
+    All have one shard except ``TURNS``, which has ``Store.turn_shards``.
+    """
 
     CONFIGURATION = "configuration"
     TARGETS = "targets"
     LEDGER = "ledger"
+    TURNS = "turns"
 
 
 @dataclass(frozen=True, slots=True)
@@ -144,11 +148,29 @@
 class Store(ABC):
     """A client of the store; every call ends within a timeout."""
 
+    @property
+    @abstractmethod
+    def turn_shards(self) -> int:
+        """Number of shards of the topic of turns."""
+
     @abstractmethod
     def append(
-        self, topic: Topic, writes: Sequence[KeyedWrite], fence: WriterFence
+        self,
+        topic: Topic,
+        writes: Sequence[KeyedWrite],
+        fence: WriterFence | None,
+        *,
+        shard: int = 0,
     ) -> Deferred[AppendOutcome]:
-        """Appends records atomically."""
+        """Appends records atomically.
+
+        Args:
+            topic: Topic to append to.
+            writes: The records.
+            fence: Rejects delayed and repeated appends; None for records
+                that may be appended again and late.
+            shard: Shard of the topic.
+        """
 
     @abstractmethod
     def read(
@@ -165,11 +187,13 @@
 
     @abstractmethod
     def newest(
-        self, topic: Topic, *, after: str | None = None
+        self, topic: Topic, *, after: str | None = None, shard: int = 0
     ) -> Deferred[NewestOutcome]:
         """Lists the newest record of each key, one page per call.
 
         Args:
             topic: Topic to list.
-            after: Cursor from the previous page; None for the first page.
+            after: Only greater keys are listed: the cursor from the previous
+                page, or any text; None for the first page.
+            shard: Shard of the topic.
         """
--- a/lycheestall/entry/stream_forwarder.py
+++ b/lycheestall/entry/stream_forwarder.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from ..clock import Clock
-from .event_splitter import EventSplitter
+from .event_splitter import EventSplitter, ServerSentEvent
 from .exchange import Exchange
 from .http_messages import Header, ResponseHead
 
@@ -21,16 +21,24 @@
         exchange: Receives the events.
         resume_after: ID of the last event that the caller received.
         clock: Tells when the first event arrived.
+        keep_output: Whether to collect the events' data. Then the target has
+            to send the whole stream, also to a caller that resumes one: what
+            the caller has already received is only collected.
 
     Attributes:
         first_event_at: When the first event arrived, None before that.
-        last_event_id: ID of the last event that the caller received,
-            None if unknown.
+        last_event_id: ID of the last event that was received, None if
+            unknown.
         events_sent: Number of events sent to the caller.
     """
 
     def __init__(
-        self, exchange: Exchange, *, resume_after: int | None, clock: Clock
+        self,
+        exchange: Exchange,
+        *,
+        resume_after: int | None,
+        clock: Clock,
+        keep_output: bool = False,
     ) -> None:
         self._exchange = exchange
         self._clock = clock
@@ -38,7 +46,9 @@
         self._splitter = EventSplitter()
         self._head: ResponseHead | None = None
         self._headers: list[Header] = []
-        self.last_event_id = resume_after
+        self._output: list[bytes] | None = [] if keep_output else None
+        self._skipped_until = resume_after if keep_output else None
+        self.last_event_id = None if keep_output else resume_after
         self.events_sent = 0
 
     @property
@@ -46,6 +56,11 @@
         """Whether the stream can be resumed after the last event sent."""
         return self.events_sent > 0 and self.last_event_id is not None
 
+    @property
+    def output(self) -> bytes:
+        """The data of all events, each followed by a line feed."""
+        return b"".join(self._output or ())
+
     def start_attempt(self, head: ResponseHead, headers: list[Header]) -> None:
         """Starts to forward the stream of an attempt.
 
@@ -71,6 +86,10 @@
                     in_order = False
                     break
                 self.last_event_id = event.event_id
+            if self._output is not None:
+                self._output.append(event.payload + b"\n")
+            if self._is_skipped(event):
+                continue
             ready.append(event.data)
             self.events_sent += 1
         if ready:
@@ -80,13 +99,20 @@
             self._exchange.write(b"".join(ready))
         return in_order
 
-    def finish_attempt(self) -> bool:
-        """Ends the response; False if an event is still incomplete."""
-        if self._splitter.has_partial_event:
-            return False
+    @property
+    def complete(self) -> bool:
+        """Whether the attempt's stream may end now, between two events."""
+        return not self._splitter.has_partial_event
+
+    def finish(self) -> None:
+        """Ends the response."""
         self._start_response()
         self._exchange.finish()
-        return True
+
+    def _is_skipped(self, event: ServerSentEvent) -> bool:
+        if self._skipped_until is None or event.event_id is None:
+            return False
+        return event.event_id <= self._skipped_until
 
     def _start_response(self) -> None:
         if not self._exchange.started and self._head is not None:
--- a/lycheestall/entry/target_attempt.py
+++ b/lycheestall/entry/target_attempt.py
@@ -47,6 +47,8 @@
             buffered.
         is_head_request: Whether the method is HEAD, so that the response
             has no body.
+        on_leaving: Called if the response says that the target is about to
+            shut down.
 
     Attributes:
         sent: Whether the request was written to a connection.
@@ -61,8 +63,10 @@
         request_id: bytes,
         forwarder: StreamForwarder | None,
         is_head_request: bool,
+        on_leaving: Callable[[], None],
     ) -> None:
         self._pool = pool
+        self._on_leaving = on_leaving
         self._headers = headers
         self._request_id = request_id
         self._forwarder = forwarder
@@ -112,8 +116,7 @@
             return metadata.request_id is None and self._accept_without_id(
                 head, metadata
             )
-        self._head = head
-        self._metadata = metadata
+        self._accept(head, metadata)
         if self._connection is not None:
             self._connection.idle_timeout_s = metadata.idle_timeout_s
         if self._forwarder is None or not _succeeded(head, metadata):
@@ -140,7 +143,7 @@
         if self._connection is not None:
             self._pool.release(self._connection)
         if self._streaming and self._forwarder is not None:
-            if self._forwarder.finish_attempt():
+            if self._forwarder.complete:
                 self._end(StreamEnded())
             else:
                 self._end(Broken(BreakReason.MALFORMED, response_started=True))
@@ -163,9 +166,14 @@
         # A refusal may lack the request ID.
         if not metadata.not_run and head.status != _MISDIRECTED_REQUEST:
             return False
+        self._accept(head, metadata)
+        return True
+
+    def _accept(self, head: ResponseHead, metadata: ResponseMetadata) -> None:
         self._head = head
         self._metadata = metadata
-        return True
+        if metadata.target_leaving:
+            self._on_leaving()
 
     def _classify_response(self) -> AttemptOutcome:
         head, metadata = self._head, self._metadata
--- a/lycheestall/entry/target_table.py
+++ b/lycheestall/entry/target_table.py
@@ -13,6 +13,10 @@
 """Seconds after a store outage in which targets whose registration expired
 during it can register again."""
 
+MAX_LEAVING = 4096
+"""Target processes that are remembered as leaving, the newest ones. They are
+remembered beyond their registration, which may lapse and come back."""
+
 
 @dataclass(frozen=True, slots=True)
 class TargetRegistration:
@@ -56,6 +60,7 @@
     def __init__(self) -> None:
         self._by_id: dict[TargetId, TargetRegistration] = {}
         self._lapsed: set[TargetId] = set()
+        self._leaving: dict[tuple[TargetId, int], None] = {}
         self._usable_by_service: dict[ServiceId, list[TargetRegistration]] = {}
         self._grace_ends_at = 0.0
         self.revision = 0
@@ -69,6 +74,25 @@
         self._on_change()
         return True
 
+    def mark_leaving(self, registration: TargetRegistration) -> bool:
+        """Notes that a target itself says that it is shutting down.
+
+        Args:
+            registration: The registration of the process that says so; one
+                that has started anew under the same ID is not affected.
+
+        Returns:
+            Whether this is news.
+        """
+        process = (registration.target, registration.started_ms)
+        if process in self._leaving:
+            return False
+        self._leaving[process] = None
+        if len(self._leaving) > MAX_LEAVING:
+            del self._leaving[next(iter(self._leaving))]
+        self._on_change()
+        return not registration.draining
+
     def remove(self, target: TargetId, now: float) -> bool:
         """Removes a target, or marks it as lapsed after a store outage.
 
@@ -110,6 +134,13 @@
         """Returns a target's registration, or None if there is none."""
         return self._by_id.get(target)
 
+    def get_usable(self, target: TargetId) -> TargetRegistration | None:
+        """Returns a target's registration if it accepts new requests."""
+        registration = self._by_id.get(target)
+        if registration is None or not self._is_usable(registration):
+            return None
+        return registration
+
     def usable(self, service: ServiceId) -> list[TargetRegistration]:
         """Returns the targets of a service that accept new requests."""
         usable = self._usable_by_service.get(service)
@@ -118,7 +149,7 @@
                 registration
                 for registration in self._by_id.values()
                 if registration.service == service
-                and not registration.draining
+                and self._is_usable(registration)
             ]
             self._usable_by_service[service] = usable
         return usable
@@ -127,6 +158,12 @@
         """Returns the services that have registered targets."""
         return {registration.service for registration in self._by_id.values()}
 
+    def _is_usable(self, registration: TargetRegistration) -> bool:
+        if registration.draining:
+            return False
+        process = (registration.target, registration.started_ms)
+        return process not in self._leaving
+
     def _delete(self, target: TargetId) -> None:
         del self._by_id[target]
         self._lapsed.discard(target)
--- a/lycheestall/entry/token_service.py
+++ b/lycheestall/entry/token_service.py
@@ -243,13 +243,20 @@
     def _relayed(self, message: PeerMessage | PeerReply) -> Any:
         store = self._store.direct
         if isinstance(message, RelayAppend):
-            return store.append(message.topic, message.writes, message.fence)
+            return store.append(
+                message.topic,
+                message.writes,
+                message.fence,
+                shard=message.shard,
+            )
         if isinstance(message, RelayRead):
             return store.read(
                 message.topic, message.start, wait_s=message.wait_s
             )
         if isinstance(message, RelayNewest):
-            return store.newest(message.topic, after=message.after)
+            return store.newest(
+                message.topic, after=message.after, shard=message.shard
+            )
         raise ValueError(f"unexpected peer message {type(message).__name__}")
 
     async def _hand_over(self) -> None:
--- a/lycheestall/entry/vm_settings.py
+++ b/lycheestall/entry/vm_settings.py
@@ -8,6 +8,10 @@
 
 __all__ = ["Address", "EntrySettings", "SettingsProblem"]
 
+CONVERSATION_MEMORY_SHARE = 0.2
+"""Share of the process's memory for the conversations kept for callers; the
+rest is for requests in progress and for the program itself."""
+
 
 @dataclass(frozen=True, slots=True)
 class Address:
@@ -50,6 +54,9 @@
         grace_s: Seconds between SIGTERM and SIGKILL.
         drain_s: Seconds after which a draining target must receive no new
             requests.
+        memory_mb: Memory of the VM's process, in MB.
+        store_partitions: Number of partitions of each of the store's topics.
+        store_record_bytes: Largest record that the store accepts.
     """
 
     vm: VmId
@@ -62,3 +69,11 @@
     store: Address
     grace_s: float
     drain_s: float
+    memory_mb: float = 128.0
+    store_partitions: int = 1
+    store_record_bytes: int = 262_144
+
+    @property
+    def conversation_bytes(self) -> int:
+        """Memory for the conversations that are kept for callers."""
+        return int(self.memory_mb * CONVERSATION_MEMORY_SHARE * 1_000_000)
--- a/lycheestall/platform/adapter.py
+++ b/lycheestall/platform/adapter.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from ..entry.entry_process import PlatformAdapter
-from ..entry.vm_settings import Address
+from ..entry.vm_settings import EntrySettings
 from .headers import PlatformHeaders
 from .store_client import HttpStore
 from .store_records import PlatformRecordDecoder
@@ -22,5 +22,10 @@
     )
 
 
-def _create_store(reactor: Any, address: Address) -> HttpStore:
-    return HttpStore(reactor, address.host, address.port)
+def _create_store(reactor: Any, settings: EntrySettings) -> HttpStore:
+    return HttpStore(
+        reactor,
+        settings.store.host,
+        settings.store.port,
+        partitions=settings.store_partitions,
+    )
--- a/lycheestall/platform/headers.py
+++ b/lycheestall/platform/headers.py
@@ -30,6 +30,11 @@
 _SESSION_ID = b"x-session-id"
 _FINISH_MS = b"x-finish-ms"
 _TOKEN_BUDGET = b"x-token-budget"
+_PREVIOUS_TURN = b"x-previous-turn"
+_SERVER_LEAVING = b"server-leaving"
+
+MAX_TURN_ID_BYTES = 200
+"""Longest accepted ID of a turn."""
 
 _HOP_BY_HOP_HEADERS = frozenset(
     (
@@ -90,6 +95,9 @@
         attempt = by_name.get(_REQUEST_ID)
         if not attempt:
             return InvalidRequest("no request id")
+        previous = by_name.get(_PREVIOUS_TURN)
+        if previous is not None and not 0 < len(previous) <= MAX_TURN_ID_BYTES:
+            return InvalidRequest("invalid ID of the previous turn")
         program = by_name.get(_PROGRAM_ID)
         limits = _integers(by_name.get(_TOKEN_LIMITS, b""))
         return RequestMetadata(
@@ -103,6 +111,7 @@
             max_output_tokens=limits[1] if len(limits) == 2 else 0,
             prompt_parts=_prompt_parts(by_name.get(_PROMPT_PREFIX, b"")),
             resume_after=_integer(by_name.get(_LAST_EVENT_ID)),
+            previous_turn=previous.decode("latin-1") if previous else None,
         )
 
     def target_headers(
@@ -151,6 +160,7 @@
             not_run=_NOT_EXECUTED in by_name,
             encoded=b"content-encoding" in by_name,
             idle_timeout_s=_keep_alive_s(by_name.get(b"keep-alive", b"")),
+            target_leaving=by_name.get(_SERVER_LEAVING) == b"1",
         )
 
     def caller_headers(self, headers: Sequence[Header]) -> list[Header]:
--- a/lycheestall/platform/settings_file.py
+++ b/lycheestall/platform/settings_file.py
@@ -50,6 +50,11 @@
         store=reader.address("platform.address"),
         grace_s=reader.number("bounds.grace_s", default=8.0),
         drain_s=reader.number("bounds.drain_ms", default=2000.0) / 1000.0,
+        memory_mb=reader.number("limits.memory_mb", default=128.0),
+        store_partitions=reader.count("platform.parts", default=1),
+        store_record_bytes=reader.count(
+            "platform.record_bytes", default=262_144
+        ),
     )
     return reader.problems or settings
 
@@ -116,6 +121,18 @@
             self._add_problem(line.number, name, line.value, "a number")
             return default
 
+    def count(self, name: str, *, default: int) -> int:
+        """Returns a whole number from 1, or the default if it is missing."""
+        line = self._by_name.get(name)
+        if line is None or not line.value:
+            return default
+        if line.value.isdecimal() and int(line.value) > 0:
+            return int(line.value)
+        self._add_problem(
+            line.number, name, line.value, "a whole number from 1"
+        )
+        return default
+
     def _add_problem(
         self, line_number: int, name: str, found: str, expected: str
     ) -> None:
--- a/lycheestall/platform/store_client.py
+++ b/lycheestall/platform/store_client.py
@@ -39,8 +39,13 @@
     Topic.CONFIGURATION: "keyed.op",
     Topic.TARGETS: "keyed.servers",
     Topic.LEDGER: "keyed.lycheestall",
+    Topic.TURNS: "keyed.lycheestall-turns",
 }
 
+TURN_TOPICS = 4
+"""Topics of the platform that hold the turns. A listing returns whole parts
+of a topic, so more topics make the search for one turn cheaper."""
+
 MIN_TIMEOUT_S = 0.4
 """Lower limit on the timeout of a store call, not counting the long-poll
 wait; an unresponsive store is detected after it."""
@@ -72,10 +77,14 @@
         reactor: Opens connections and provides the time.
         host: IP address of the store.
         port: TCP port of the store.
+        partitions: Number of partitions of each topic.
     """
 
-    def __init__(self, reactor: Any, host: str, port: int) -> None:
+    def __init__(
+        self, reactor: Any, host: str, port: int, *, partitions: int = 1
+    ) -> None:
         self._reactor = reactor
+        self._partitions = partitions
         self._host = f"{host}:{port}".encode()
         self._pool = ConnectionPool(
             reactor,
@@ -86,17 +95,25 @@
         )
         self._smoothed_latency_s = 0.0
 
+    @property
+    def turn_shards(self) -> int:
+        """Number of shards of the topic of turns."""
+        return TURN_TOPICS * self._partitions
+
     def append(
-        self, topic: Topic, writes: Sequence[KeyedWrite], fence: WriterFence
+        self,
+        topic: Topic,
+        writes: Sequence[KeyedWrite],
+        fence: WriterFence | None,
+        *,
+        shard: int = 0,
     ) -> Deferred[AppendOutcome]:
         """Appends records atomically."""
-        query = {
-            "topic": _TOPIC_NAMES[topic],
-            "part": 0,
-            "producer": fence.writer,
-            "epoch": fence.epoch,
-            "sequence": fence.sequence,
-        }
+        query = self._place(topic, shard)
+        if fence is not None:
+            query["producer"] = fence.writer
+            query["epoch"] = fence.epoch
+            query["sequence"] = fence.sequence
         body = b"".join(_encode_write(write) for write in writes)
         outcome = self._call(b"POST", "/api/log-append", query, body)
         return outcome.addCallback(_append_outcome)
@@ -105,26 +122,30 @@
         self, topic: Topic, start: Offset, *, wait_s: float = 0.0
     ) -> Deferred[ReadOutcome]:
         """Reads records from an offset on."""
-        query: dict[str, object] = {
-            "topic": _TOPIC_NAMES[topic],
-            "part": 0,
-            "from": start,
-        }
+        query = self._place(topic, 0)
+        query["from"] = start
         if wait_s:
             query["wait_ms"] = int(wait_s * 1000)
         outcome = self._call(b"GET", "/api/log-read", query, wait_s=wait_s)
         return outcome.addCallback(_read_outcome, start)
 
     def newest(
-        self, topic: Topic, *, after: str | None = None
+        self, topic: Topic, *, after: str | None = None, shard: int = 0
     ) -> Deferred[NewestOutcome]:
         """Lists the newest record of each key, one page per call."""
-        query: dict[str, object] = {"topic": _TOPIC_NAMES[topic], "part": 0}
+        query = self._place(topic, shard)
         if after is not None:
             query["after"] = after
         outcome = self._call(b"GET", "/api/log-newest", query)
         return outcome.addCallback(_newest_outcome)
 
+    def _place(self, topic: Topic, shard: int) -> dict[str, object]:
+        name = _TOPIC_NAMES[topic]
+        if topic is not Topic.TURNS:
+            return {"topic": name, "part": 0}
+        number, partition = divmod(shard, self._partitions)
+        return {"topic": f"{name}-{number}", "part": partition}
+
     def _call(
         self,
         method: bytes,
--- a/lycheestall/platform/store_records.py
+++ b/lycheestall/platform/store_records.py
@@ -112,6 +112,8 @@
         # 0 is the highest priority.
         priority=int(entry.get("priority") or 0),
         max_attempts=int(entry.get("max_attempts") or _DEFAULT_MAX_ATTEMPTS),
+        keeps_conversations=is_stream and bool(entry.get("retain_context")),
+        retention_s=float(entry.get("retention_s") or 0.0),
     )
 
 
--- a/tests/entry/entry_vm_harness.py
+++ b/tests/entry/entry_vm_harness.py
@@ -56,6 +56,30 @@
         "service": "engines",
         "max_attempts": 1,
     },
+    {
+        "name": "chat",
+        "host": "crew.example",
+        "path_prefix": "/chat/",
+        "kind": "stream",
+        "resumable": False,
+        "retain_context": True,
+        "retention_s": 60.0,
+        "timeout_ms": 3000,
+        "service": "engines",
+        "max_attempts": 2,
+    },
+    {
+        "name": "chat that resumes",
+        "host": "crew.example",
+        "path_prefix": "/resumed-chat/",
+        "kind": "stream",
+        "resumable": True,
+        "retain_context": True,
+        "retention_s": 60.0,
+        "timeout_ms": 3000,
+        "service": "engines",
+        "max_attempts": 2,
+    },
 ]
 
 
--- a/tests/entry/memory_store.py
+++ b/tests/entry/memory_store.py
@@ -62,9 +62,14 @@
         self._writers: dict[str, _WriterState] = {}
 
     def append(
-        self, topic: Topic, writes: Sequence[KeyedWrite], fence: WriterFence
+        self,
+        topic: Topic,
+        writes: Sequence[KeyedWrite],
+        fence: WriterFence | None,
     ) -> AppendOutcome:
         """Appends records and rejects outdated fencing tokens."""
+        if fence is None:
+            return Appended(self.put(topic, *writes))
         writer = self._writers.setdefault(fence.writer, _WriterState())
         if fence.epoch < writer.epoch:
             return AppendConflict("fenced")
@@ -126,15 +131,25 @@
         self.fault = Fault.NONE
         self.refused_topics: set[Topic] = set()
         self.delayed_appends: list[
-            tuple[Topic, tuple[KeyedWrite, ...], WriterFence]
+            tuple[Topic, tuple[KeyedWrite, ...], WriterFence | None]
         ] = []
         self.held_appends: list[Deferred[None]] | None = None
         self.applies_before_hold = True
         self._page = page
         self.calls = 0
 
+    @property
+    def turn_shards(self) -> int:
+        """Number of shards of turns; the log keeps all in one list."""
+        return 4
+
     def append(
-        self, topic: Topic, writes: Sequence[KeyedWrite], fence: WriterFence
+        self,
+        topic: Topic,
+        writes: Sequence[KeyedWrite],
+        fence: WriterFence | None,
+        *,
+        shard: int = 0,
     ) -> Deferred[AppendOutcome]:
         """Appends records atomically."""
         self.calls += 1
@@ -190,7 +205,7 @@
         return succeed(Records(tuple(log[start:]), Offset(len(log))))
 
     def newest(
-        self, topic: Topic, *, after: str | None = None
+        self, topic: Topic, *, after: str | None = None, shard: int = 0
     ) -> Deferred[NewestOutcome]:
         """Lists the newest record of each key, one page per call."""
         self.calls += 1
--- a/tests/entry/test_target_table.py
+++ b/tests/entry/test_target_table.py
@@ -119,3 +119,53 @@
 def test_an_invalid_record_registers_no_target(value: bytes) -> None:
     decoded = PlatformRecordDecoder().decode_registration(TargetId("x"), value)
     assert isinstance(decoded, UnreadableRecord)
+
+
+LEAVING = ((b"Server-Leaving", b"1"),)
+
+
+def test_a_target_that_says_it_leaves_gets_no_more_requests(
+    harness: EntryVmHarness,
+) -> None:
+    def leave(request: ReceivedRequest) -> None:
+        request.respond(200, b"whole", headers=LEAVING)
+
+    target = harness.add_target("one", leave)
+    harness.start()
+    assert status_of(harness.send_request("/orders/x", method="POST")) == 200
+    assert status_of(harness.send_request("/orders/x", method="POST")) == 503
+    harness.register("one", "10.1.0.1", version="v2")
+    harness.reactor.run(2.0)
+    assert status_of(harness.send_request("/orders/x", method="POST")) == 503
+    assert len(target.requests) == 1
+
+
+def test_a_leaving_target_stays_so_when_its_registration_lapses(
+    harness: EntryVmHarness,
+) -> None:
+    def leave(request: ReceivedRequest) -> None:
+        request.respond(200, b"whole", headers=LEAVING)
+
+    harness.add_target("one", leave)
+    harness.start()
+    harness.send_request("/orders/x", method="POST")
+    harness.log.put(Topic.TARGETS, KeyedWrite(b"one", None))
+    harness.reactor.run(1.0)
+    harness.register("one", "10.1.0.1")
+    harness.reactor.run(1.0)
+    assert status_of(harness.send_request("/orders/x", method="POST")) == 503
+
+
+def test_a_target_that_started_anew_is_used_again(
+    harness: EntryVmHarness,
+) -> None:
+    def leave(request: ReceivedRequest) -> None:
+        request.respond(200, b"whole", headers=LEAVING)
+
+    target = harness.add_target("one", leave)
+    harness.start()
+    harness.send_request("/orders/x", method="POST")
+    harness.register("one", "10.1.0.1", born=2)
+    harness.reactor.run(1.0)
+    assert status_of(harness.send_request("/orders/x", method="POST")) == 200
+    assert len(target.requests) == 2
