Bound what a target may send without end

Cause: bytes that are no answer may come until the caller closes. Change: a connection takes 256 KiB without any byte of the body that is waited for; a buffered body 4 MiB; an event 256 KiB; the output of a turn to be kept 1 MiB.

--- a/lycheestall/entry/event_splitter.py
+++ b/lycheestall/entry/event_splitter.py
@@ -40,9 +40,9 @@
         self._buffer = b""
 
     @property
-    def has_partial_event(self) -> bool:
-        """Whether bytes of an incomplete event are buffered."""
-        return bool(self._buffer)
+    def partial_bytes(self) -> int:
+        """Size of the incomplete event."""
+        return len(self._buffer)
 
     def feed(self, data: bytes) -> Iterator[ServerSentEvent]:
         """Adds bytes and yields the events that they complete."""
--- a/lycheestall/entry/http_client_connection.py
+++ b/lycheestall/entry/http_client_connection.py
@@ -27,6 +27,10 @@
 KEEPALIVE_PROBES = 2
 """Unanswered keepalive probes, one second apart, that end a connection."""
 
+MAX_UNPRODUCTIVE_BYTES = 262_144
+"""Bytes that a peer may send without any of the body that is waited for:
+heads, trailers and responses to other requests."""
+
 _STATUSES_WITHOUT_BODY = (204, 304)
 
 
@@ -38,12 +42,14 @@
         RESET: The connection was reset or lost.
         MALFORMED: The data is not a valid HTTP response.
         OVERDUE: The response did not arrive in time.
+        TOO_LARGE: More bytes arrived than any sound response has.
     """
 
     CLOSED = "closed"
     RESET = "reset"
     MALFORMED = "malformed"
     OVERDUE = "overdue"
+    TOO_LARGE = "too large"
 
 
 class ResponseReceiver(ABC):
@@ -96,6 +102,7 @@
         self._skipping = False
         self._is_head_request = False
         self._lost = False
+        self._unproductive_bytes = 0
 
     @property
     def open(self) -> bool:
@@ -139,6 +146,7 @@
         """
         self._receiver = receiver
         self._is_head_request = is_head_request
+        self._unproductive_bytes = 0
         self.transport.write(data)
 
     def abort(self) -> None:
@@ -154,6 +162,7 @@
             self.reusable = False
             self.transport.abortConnection()
             return
+        self._unproductive_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -164,6 +173,8 @@
             elif not self._lost:
                 self.reusable = False
                 self.transport.abortConnection()
+        if self._unproductive_bytes > MAX_UNPRODUCTIVE_BYTES:
+            self._fail(BreakReason.TOO_LARGE)
 
     def connectionLost(  # noqa: N802
         self, reason: Failure | None = None
@@ -235,6 +246,7 @@
     def on_body(self, body: bytes) -> None:
         """Passes a chunk of the body to the receiver."""
         if self._receiver is not None and not self._skipping:
+            self._unproductive_bytes = 0
             self._receiver.response_body(body)
 
     def on_message_complete(self) -> None:
--- a/lycheestall/entry/stream_forwarder.py
+++ b/lycheestall/entry/stream_forwarder.py
@@ -9,6 +9,12 @@
 
 __all__ = ["StreamForwarder"]
 
+MAX_EVENT_BYTES = 262_144
+"""Largest event."""
+
+MAX_KEPT_BYTES = 1_048_576
+"""Largest output of a turn that is collected to be kept."""
+
 
 class StreamForwarder:
     """Forwards complete events as they arrive.
@@ -47,6 +53,7 @@
         self._head: ResponseHead | None = None
         self._headers: list[Header] = []
         self._output: list[bytes] | None = [] if keep_output else None
+        self._output_bytes = 0
         self._skipped_until = resume_after if keep_output else None
         self.last_event_id = None if keep_output else resume_after
         self.events_sent = 0
@@ -74,7 +81,12 @@
             self._headers = headers
 
     def feed(self, data: bytes) -> bool:
-        """Forwards complete events; False if the events are out of order."""
+        """Forwards complete events.
+
+        Returns:
+            False if the stream must not go on: its events are out of order,
+            or larger than sound ones.
+        """
         ready: list[bytes] = []
         in_order = True
         for event in self._splitter.feed(data):
@@ -87,7 +99,7 @@
                     break
                 self.last_event_id = event.event_id
             if self._output is not None:
-                self._output.append(event.payload + b"\n")
+                self._keep_payload(event.payload + b"\n")
             if self._is_skipped(event):
                 continue
             ready.append(event.data)
@@ -97,18 +109,25 @@
                 self.first_event_at = self._clock.seconds()
             self._start_response()
             self._exchange.write(b"".join(ready))
-        return in_order
+        if self._output_bytes > MAX_KEPT_BYTES:
+            return False
+        return in_order and self._splitter.partial_bytes <= MAX_EVENT_BYTES
 
     @property
     def complete(self) -> bool:
         """Whether the attempt's stream may end now, between two events."""
-        return not self._splitter.has_partial_event
+        return not self._splitter.partial_bytes
 
     def finish(self) -> None:
         """Ends the response."""
         self._start_response()
         self._exchange.finish()
 
+    def _keep_payload(self, payload: bytes) -> None:
+        assert self._output is not None
+        self._output.append(payload)
+        self._output_bytes += len(payload)
+
     def _is_skipped(self, event: ServerSentEvent) -> bool:
         if self._skipped_until is None or event.event_id is None:
             return False
--- a/lycheestall/entry/target_attempt.py
+++ b/lycheestall/entry/target_attempt.py
@@ -30,6 +30,9 @@
 
 __all__ = ["TargetAttempt"]
 
+MAX_BUFFERED_BODY_BYTES = 4_194_304
+"""Largest body of a response that is buffered as a whole."""
+
 # These imply that the request was not run. Without a header that states it,
 # or status 421, the response is treated as malformed.
 _NOT_RUN_STATUSES = (408, 421, 429, 503)
@@ -77,6 +80,7 @@
         self._head: ResponseHead | None = None
         self._metadata: ResponseMetadata | None = None
         self._body: list[bytes] = []
+        self._body_bytes = 0
         self._streaming = False
         self._ended = False
         self.sent = False
@@ -132,6 +136,9 @@
             return
         if not self._streaming or self._forwarder is None:
             self._body.append(data)
+            self._body_bytes += len(data)
+            if self._body_bytes > MAX_BUFFERED_BODY_BYTES:
+                self._break(BreakReason.TOO_LARGE)
             return
         if not self._forwarder.feed(data):
             self._break(BreakReason.MALFORMED)
