Let a VM use a subset of a large service's targets

Change: TargetSubset ranks the targets per VM and uses the first ones, as many as get a request of the VM every 2 s, at least 3. Targets that are slow, ejected or tried already are left out first; a busy subset opens to all. Prompts with 4,000 tokens in common keep one target for all VMs.

--- a/lycheestall/entry/entry_vm.py
+++ b/lycheestall/entry/entry_vm.py
@@ -129,7 +129,7 @@
             logger, metrics, context=self._observed_state, clock=reactor
         )
         self._table = TargetTable()
-        chooser = TargetChooser(self._table)
+        chooser = TargetChooser(self._table, vm=settings.vm)
         self._store = RoutedStore(store, peers, reactor, logger)
         self._health = StoreHealth(
             logger, "ledger", on_recovered=self._on_ledger_recovered
--- a/lycheestall/entry/request_processor.py
+++ b/lycheestall/entry/request_processor.py
@@ -255,6 +255,7 @@
             tie_break=self._metadata.request_id,
             avoid=self._history.excluded,
             now=self._deps.clock.seconds(),
+            prefix_tokens=sum(part.tokens for part in prompt_parts[1:]),
         )
 
     async def _attempt_target(
--- a/lycheestall/entry/target_chooser.py
+++ b/lycheestall/entry/target_chooser.py
@@ -11,6 +11,7 @@
 from .configuration import ServiceId
 from .latency_baselines import LatencyBaselines
 from .target_latencies import SlowResponses, TargetLatencies
+from .target_subset import TargetSubset
 from .target_table import TargetRegistration, TargetTable
 
 __all__ = ["TargetChooser"]
@@ -19,6 +20,15 @@
 """Number of this VM's running requests by which the target preferred by
 affinity may exceed the least loaded target."""
 
+SHARED_PREFIX_TOKENS = 4000
+"""Prompt tokens that only requests with the same affinity share from which
+all VMs send them to one target; reading fewer again costs less than opening
+connections to many targets."""
+
+BUSY_RUNNING = 2
+"""Running requests of this VM at each target of its subset from which it
+uses the others as well."""
+
 
 class TargetChooser:
     """Selects targets by affinity, load, latency and recent failures.
@@ -29,12 +39,17 @@
     target with the fewest running requests of this VM; ties are broken by
     a hash of the request, so that VMs don't all select the same target.
 
+    Of a large service, each VM uses a subset (see ``TargetSubset``), except
+    for requests with a long prefix in common.
+
     Args:
         table: The registered targets.
+        vm: Name of this VM.
     """
 
-    def __init__(self, table: TargetTable) -> None:
+    def __init__(self, table: TargetTable, *, vm: str = "") -> None:
         self._table = table
+        self._subset = TargetSubset(vm)
         self._ejection = OutlierEjection()
         self._running: dict[TargetId, int] = {}
         self._latencies = TargetLatencies()
@@ -52,6 +67,7 @@
         tie_break: bytes,
         avoid: Collection[TargetId],
         now: float,
+        prefix_tokens: int = 0,
     ) -> TargetRegistration | None:
         """Returns a target, or None if none is available.
 
@@ -63,7 +79,10 @@
                 loaded targets.
             avoid: Targets that this request has already been sent to.
             now: Current time.
+            prefix_tokens: Prompt tokens that requests of the same affinity
+                have in common and others have not.
         """
+        self._subset.record_request(service, now)
         candidates = [
             registration
             for registration in self._table.usable(service)
@@ -81,6 +100,8 @@
         ]
         slow = self._latencies.slow([c.target for c in candidates], now)
         candidates = [c for c in candidates if c.target not in slow]
+        if affinity is None or prefix_tokens < SHARED_PREFIX_TOKENS:
+            candidates = self._narrow(service, candidates, now)
         least = min(self._running.get(c.target, 0) for c in candidates)
         if affinity is not None:
             slack = AFFINITY_SLACK
@@ -98,6 +119,18 @@
                 best, best_weight = candidate, weight
         return best
 
+    def _narrow(
+        self,
+        service: ServiceId,
+        candidates: list[TargetRegistration],
+        now: float,
+    ) -> list[TargetRegistration]:
+        subset = self._subset.narrow(service, candidates, now)
+        busy = all(
+            self._running.get(c.target, 0) >= BUSY_RUNNING for c in subset
+        )
+        return candidates if busy else list(subset)
+
     def can_choose(
         self, service: ServiceId, *, avoid: Collection[TargetId]
     ) -> bool:
--- a/tests/entry/choosers.py
+++ b/tests/entry/choosers.py
@@ -10,8 +10,8 @@
 SERVICE = ServiceId("app")
 
 
-def new_chooser(count: int) -> TargetChooser:
-    """Returns a chooser with ``count`` targets ``t0``, ``t1`` and so on."""
+def new_table(count: int) -> TargetTable:
+    """Returns ``count`` identical targets ``t0``, ``t1`` and so on."""
     table = TargetTable()
     for number in range(count):
         table.register(
@@ -26,4 +26,14 @@
                 draining=False,
             )
         )
-    return TargetChooser(table)
+    return table
+
+
+def new_chooser(count: int, *, vm: str = "vm") -> TargetChooser:
+    """Returns a VM's chooser with ``count`` targets.
+
+    Args:
+        count: Number of targets.
+        vm: Name of the VM; each VM prefers other targets.
+    """
+    return TargetChooser(new_table(count), vm=vm)
--- a/tests/entry/test_slow_target_reporter.py
+++ b/tests/entry/test_slow_target_reporter.py
@@ -38,7 +38,9 @@
 
     def __init__(self, *, share_reports: bool) -> None:
         self._rng = random.Random(5)
-        self._choosers = [new_chooser(TARGETS) for _ in range(VMS)]
+        self._choosers = [
+            new_chooser(TARGETS, vm=f"vm-{number}") for number in range(VMS)
+        ]
         self._share_reports = share_reports
         self._running: list[tuple[float, int, int, TargetId, float]] = []
         self._sent = 0
