Let the soak play conversations

Cause: the soak knew nothing of turns that the system keeps. Change: three callers continue conversations at any VM, through kills of all VMs, pauses and store links that are cut; what targets received is compared with the callers' own record, and turns that were answered while the store was undisturbed have to be found after all faults.

--- a/tests/entry/fake_store_server.py
+++ b/tests/entry/fake_store_server.py
@@ -27,6 +27,7 @@
     "keyed.servers": Topic.TARGETS,
     "keyed.lycheestall": Topic.LEDGER,
 }
+TURNS_PREFIX = "keyed.lycheestall-turns-"
 
 
 class FakeStoreServer(RequestHandler):
@@ -55,7 +56,7 @@
         query = {
             name: values[0] for name, values in parse_qs(parts.query).items()
         }
-        topic = TOPICS[query["topic"]]
+        topic = _topic(query["topic"])
         if parts.path == "/api/log-append":
             self._append(exchange, topic, query)
         elif parts.path == "/api/log-read":
@@ -68,9 +69,11 @@
     def _append(
         self, exchange: Exchange, topic: Topic, query: dict[str, str]
     ) -> None:
-        fence = WriterFence(
-            query["producer"], int(query["epoch"]), int(query["sequence"])
-        )
+        fence: WriterFence | None = None
+        if "producer" in query:
+            fence = WriterFence(
+                query["producer"], int(query["epoch"]), int(query["sequence"])
+            )
         outcome = self.log.append(
             topic, _decode_writes(exchange.request.body), fence
         )
@@ -119,6 +122,13 @@
         )
 
 
+def _topic(name: str) -> Topic:
+    # All shards are one list: a listing by key finds the same records.
+    if name.startswith(TURNS_PREFIX):
+        return Topic.TURNS
+    return TOPICS[name]
+
+
 def _respond_json(exchange: Exchange, status: int, document: object) -> None:
     exchange.respond(
         status,
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -21,11 +21,13 @@
 from tests.entry.fake_store_server import FakeStoreServer
 from tests.entry.memory_store import MemoryLog
 from tests.soak.loopback_proxy import LoopbackProxy, ProxyMode
+from tests.soak.soak_conversations import AnsweredTurn, SoakConversations
 from tests.soak.soak_targets import EVENTS, TOKENS_PER_EVENT, SoakTarget
 from tests.soak.soak_vm import ReceivedAnswer, SoakVm
 
 MAX_TURN_TOKENS = 80
 CLIENTS = 6
+CHATS = 3
 START_LIMIT_S = 60.0
 """Seconds within which a request must be served before the first fault."""
 
@@ -40,8 +42,10 @@
         statuses: Number of requests by final status; 0 means no answer.
         faults: Number of faults by name.
         violations: Descriptions of violated guarantees.
+        conversations: Number of turns of conversations by how they ended.
     """
 
+    conversations: Counter[str] = field(default_factory=Counter)
     statuses: Counter[int] = field(default_factory=Counter)
     faults: Counter[str] = field(default_factory=Counter)
     violations: list[str] = field(default_factory=list)
@@ -76,6 +80,8 @@
         self._orders: set[str] = set()
         self._tokens: Counter[str] = Counter()
         self._budgets: dict[str, int] = {}
+        self._store_disturbed_until = 0.0
+        self._conversations = SoakConversations(random.Random(seed + 1))
         self._finished = False
         self._version = 0
         self.report = Report()
@@ -84,7 +90,13 @@
             0, CallerFactory(handler, reactor), interface="127.0.0.1"
         )
         self._targets = [
-            SoakTarget(f"{service}-{n}", service, reactor, self._run_counts)
+            SoakTarget(
+                f"{service}-{n}",
+                service,
+                reactor,
+                self._run_counts,
+                self._conversations.received,
+            )
             for service in ("app", "engines")
             for n in range(2)
         ]
@@ -109,11 +121,13 @@
         for vm in self._vms:
             vm.start()
         clients = [ensureDeferred(self._client(n)) for n in range(CLIENTS)]
+        clients += [ensureDeferred(self._chat(n)) for n in range(CHATS)]
         await self.wait_until_served()
         await self._inject_faults()
         await sleep(self._reactor, 2.0)
         self._finished = True
         await DeferredList(clients, consumeErrors=True)
+        await self._conversations.check_all_found(self._continue)
         await self._stop_all()
         await registrations
         self._check_guarantees()
@@ -188,6 +202,34 @@
             self._check_stream(request, received.body, whole=whole)
         return received.status
 
+    async def _chat(self, number: int) -> None:
+        while not self._finished:
+            previous = self._conversations.choose_previous()
+            await self._continue(previous, caller=number)
+
+    async def _continue(
+        self, previous: AnsweredTurn | None, *, caller: int = CHATS
+    ) -> AnsweredTurn | None:
+        request = f"c{caller}-{self._random.getrandbits(48):x}"
+        new_input = f"ask {request};".encode()
+        self._conversations.begin(request, new_input, previous)
+        headers = [(b"X-Program-Id", b"chat-%d" % caller)]
+        if previous is not None:
+            name = previous.request.encode()
+            headers.append((b"X-Previous-Turn", name))
+        received, whole = await self._send(
+            request, b"/chat/x", headers, body=new_input
+        )
+        now = self._reactor.seconds()
+        return self._conversations.end(
+            request,
+            previous,
+            status=received.status,
+            whole=whole,
+            body=received.body,
+            store_undisturbed=now > self._store_disturbed_until + 1.0,
+        )
+
     async def _order(self, program: str, turn: int) -> None:
         request = f"{program}-o{turn}-{self._random.getrandbits(32):x}"
         self._orders.add(request)
@@ -199,7 +241,12 @@
             )
 
     async def _send(
-        self, request: str, url: bytes, headers: list[tuple[bytes, bytes]]
+        self,
+        request: str,
+        url: bytes,
+        headers: list[tuple[bytes, bytes]],
+        *,
+        body: bytes = b"{}",
     ) -> tuple[ReceivedAnswer, bool]:
         vm = self._random.choice(self._vms)
         pool = ConnectionPool(
@@ -213,7 +260,7 @@
             return received, False
         own = [(b"Host", b"crew.example"), (b"X-Request-Id", request.encode())]
         connection.send(
-            encode_request(b"POST", url, [*own, *headers], b"{}"), received
+            encode_request(b"POST", url, [*own, *headers], body), received
         )
         timer = self._reactor.callLater(4.0, received.end, whole=False)
         whole = await received.done
@@ -297,6 +344,11 @@
         modes = [mode for mode in ProxyMode if mode is not ProxyMode.PASS]
         mode = self._random.choice(modes)
         duration_s = self._random.uniform(0.3, 3.0)
+        if any(vm.store_proxy in proxies for vm in self._vms):
+            until = self._reactor.seconds() + duration_s
+            self._store_disturbed_until = max(
+                self._store_disturbed_until, until
+            )
         for proxy in proxies:
             proxy.set_mode(mode)
             self._reactor.callLater(duration_s, proxy.set_mode, ProxyMode.PASS)
@@ -332,6 +384,9 @@
 
     def _check_guarantees(self) -> None:
         violations = self.report.violations
+        self._conversations.check_prompts()
+        violations.extend(self._conversations.violations)
+        self.report.conversations.update(self._conversations.counts)
         for request in self._orders:
             if self._run_counts[request] > 1:
                 violations.append(
--- a/tests/soak/soak_targets.py
+++ b/tests/soak/soak_targets.py
@@ -22,15 +22,22 @@
         service: Its service.
         reactor: Listens and times answers.
         run_counts: Number of runs by request ID, over all targets.
+        received: Bodies by request ID, over all targets.
     """
 
     def __init__(
-        self, name: str, service: str, reactor: Any, run_counts: Counter[str]
+        self,
+        name: str,
+        service: str,
+        reactor: Any,
+        run_counts: Counter[str],
+        received: dict[str, bytes],
     ) -> None:
         self.name = name
         self.service = service
         self._reactor = reactor
         self._run_counts = run_counts
+        self._received = received
         factory = CallerFactory(self, reactor)
         self._port = reactor.listenTCP(0, factory, interface="127.0.0.1")
         self.proxy = LoopbackProxy(reactor, self._port.getHost().port)
@@ -48,6 +55,7 @@
         headers = {n.lower(): v for n, v in exchange.request.headers}
         request_id = headers[b"x-request-id"]
         self._run_counts[request_id.decode()] += 1
+        self._received[request_id.decode()] = exchange.request.body
         common_headers = [
             (b"X-Request-Id", request_id),
             (b"X-Response-Seal", b"seal"),
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -35,6 +35,28 @@
 
 def test_each_check_can_fail(reactor: Any, tmp_path: Path) -> None:
     soak = Soak(reactor, seed=402, seconds=0.0, directory=tmp_path)
+    chat = soak._conversations
+    chat.begin("c1", b"in;", None)
+    turn = chat.end(
+        "c1",
+        None,
+        status=200,
+        whole=True,
+        body=b"id: 1\ndata: out\n\n",
+        store_undisturbed=True,
+    )
+    assert turn is not None
+    assert turn.output == b"out\n"
+    chat.begin("c2", b"more", turn)
+    chat.received["c2"] = b"more"
+    chat.end(
+        "c2",
+        turn,
+        status=404,
+        whole=True,
+        body=b"",
+        store_undisturbed=True,
+    )
     soak._orders.add("order")
     soak._run_counts["order"] = 2
     soak._not_run.add("refused")
@@ -54,5 +76,7 @@
         "end",
         "answer",
         "service",
+        "lost",
+        "prompt",
     }
     soak.close()
