Measure time since boot, so that nothing outlasts a suspension

Cause: an operators' story: a process that stood still for seconds acted on a permission that had run out. It can happen here: the reactor's clock stands still while a VM is suspended, so an agreement of deciding VMs (0.9 s) still looked valid after it, and a deciding VM granted tokens beside the ledger. Change: the process reads CLOCK_BOOTTIME for all ages and deadlines; timers stay with the reactor.

--- a/lycheestall/entry/entry_process.py
+++ b/lycheestall/entry/entry_process.py
@@ -15,6 +15,7 @@
 from ..clock import sleep
 from ..log_output import BoundedOutput
 from ..logs import configure_logs, get_logger
+from .boot_clock import BootClockReactor
 from .caller_connection import CallerFactory
 from .entry_metrics import EntryMetrics
 from .entry_vm import EntryVm
@@ -89,6 +90,7 @@
         output: BoundedOutput,
         load_settings: SettingsLoader,
     ) -> None:
+        reactor = BootClockReactor(reactor)
         self._settings = settings
         self._load_settings = load_settings
         self._reactor = reactor
