Split the messages about turns and the overdue timer from large modules

Change: turn_messages, overdue_timer; the affinity of a request is a property of its metadata. No behaviour changes. Measured: tests/entry and tests/conversations pass.

--- a/lycheestall/entry/conversation_lookup.py
+++ b/lycheestall/entry/conversation_lookup.py
@@ -25,9 +25,9 @@
 )
 from ..ids import ProgramId
 from ..logs import Logger
-from .peer_messages import HeldTurn
 from .store import KeyedRecord, NewestOutcome, NewestPage, Store, Topic
 from .turn_copies import TurnCopies
+from .turn_messages import HeldTurn
 
 __all__ = [
     "ConversationLookup",
--- a/lycheestall/entry/conversation_service.py
+++ b/lycheestall/entry/conversation_service.py
@@ -22,20 +22,18 @@
 from .conversation_lookup import ConversationLookup, LookupResult
 from .entry_metrics import EntryMetrics
 from .members import Member, Members
-from .peer_messages import (
+from .peer_messages import PeerMessage, PeerReply, Understood
+from .peer_rpc import PeerClient, PeerHandler
+from .store import Store, StoreFailed
+from .token_ledger import HolderId
+from .turn_copies import TurnCopies
+from .turn_messages import (
     FindTurns,
     FoundTurns,
     HeldTurn,
     HoldTurns,
-    PeerMessage,
-    PeerReply,
     TurnsRecorded,
-    Understood,
 )
-from .peer_rpc import PeerClient, PeerHandler
-from .store import Store, StoreFailed
-from .token_ledger import HolderId
-from .turn_copies import TurnCopies
 from .turn_recorder import TurnRecorder
 
 __all__ = ["ConversationService", "Durability"]
--- a/lycheestall/entry/entry_vm.py
+++ b/lycheestall/entry/entry_vm.py
@@ -21,15 +21,7 @@
 from .header_codec import HeaderCodec, InvalidRequest
 from .message_metadata import RequestMetadata
 from .outage import OutageMode
-from .peer_messages import (
-    FindTurns,
-    HoldTurns,
-    PeerMessage,
-    PeerReply,
-    SlowTargets,
-    TurnsRecorded,
-    Understood,
-)
+from .peer_messages import PeerMessage, PeerReply, SlowTargets, Understood
 from .peer_rpc import PeerClient, PeerHandler
 from .record_decoder import RecordDecoder
 from .request_dependencies import RequestDependencies
@@ -44,6 +36,7 @@
 from .token_allocator import TurnId
 from .token_ledger import HolderId
 from .token_service import TokenService
+from .turn_messages import TurnMessage
 from .vm_settings import Address, EntrySettings
 
 __all__ = ["EntryVm"]
@@ -323,7 +316,7 @@
         if isinstance(message, SlowTargets):
             self._slow_target_reporter.receive_report(message)
             return Understood()
-        if isinstance(message, HoldTurns | TurnsRecorded | FindTurns):
+        if isinstance(message, TurnMessage):
             return self.conversations.handle_message(message)
         return self.token_service.handle_message(message)
 
--- a/lycheestall/entry/message_metadata.py
+++ b/lycheestall/entry/message_metadata.py
@@ -55,6 +55,18 @@
     resume_after: int | None = None
     previous_turn: str | None = None
 
+    @property
+    def affinity(self) -> str:
+        """Key of the requests that share more than a common first part."""
+        if len(self.prompt_parts) > 1:
+            return self.prompt_parts[1].part_id
+        return self.session_id
+
+    @property
+    def affinity_tokens(self) -> int:
+        """Prompt tokens that only requests of the same affinity share."""
+        return sum(part.tokens for part in self.prompt_parts[1:])
+
 
 @dataclass(frozen=True, slots=True)
 class ResponseMetadata:
--- a/lycheestall/entry/peer_messages.py
+++ b/lycheestall/entry/peer_messages.py
@@ -8,13 +8,6 @@
 
 import cbor2
 
-from ..conversations import (
-    ConversationTurn,
-    ConversationTurnId,
-    UnreadableTurn,
-    decode_turn,
-    encode_turn,
-)
 from ..ids import Offset, ProgramId
 from .outage_allocator import OutageGrant
 from .store import (
@@ -32,16 +25,21 @@
 )
 from .target_latencies import SlowResponses
 from .token_ledger import HolderId
+from .turn_messages import (
+    FindTurns,
+    FoundTurns,
+    HoldTurns,
+    TurnMessage,
+    TurnsRecorded,
+    decode_turn_fields,
+    encode_turn_fields,
+)
 
 __all__ = [
     "AskGranted",
     "AskTokens",
-    "FindTurns",
-    "FoundTurns",
     "GrantedTokens",
     "Handover",
-    "HeldTurn",
-    "HoldTurns",
     "PeerMessage",
     "PeerReply",
     "RelayAppend",
@@ -52,7 +50,6 @@
     "StoreReport",
     "Survey",
     "TokenAnswer",
-    "TurnsRecorded",
     "Understood",
     "decode",
     "encode",
@@ -227,61 +224,6 @@
     shard: int
 
 
-@dataclass(frozen=True, slots=True)
-class HeldTurn:
-    """A turn of a conversation, as one VM tells another.
-
-    Attributes:
-        turn: The turn.
-        record_expires_at: Unix time at which its record in the store
-            expires; None if the store does not hold it as far as the VM
-            knows.
-    """
-
-    turn: ConversationTurn
-    record_expires_at: int | None
-
-
-@dataclass(frozen=True, slots=True)
-class HoldTurns:
-    """Asks a peer to hold copies of turns.
-
-    Attributes:
-        turns: The turns.
-        to_record: Whether the peer also has to see to it that the store
-            gets them, since the sender could not reach it.
-    """
-
-    turns: tuple[HeldTurn, ...]
-    to_record: bool
-
-
-@dataclass(frozen=True, slots=True)
-class TurnsRecorded:
-    """Tells holders of copies that the store has turns.
-
-    Attributes:
-        expiries: The turns, each with the Unix time at which its record
-            expires.
-    """
-
-    expiries: tuple[tuple[ConversationTurnId, int], ...]
-
-
-@dataclass(frozen=True, slots=True)
-class FindTurns:
-    """Asks a peer for turns, and for what they continue from."""
-
-    turn_ids: tuple[ConversationTurnId, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class FoundTurns:
-    """The turns that a peer holds, of those asked for and their ancestors."""
-
-    turns: tuple[HeldTurn, ...]
-
-
 PeerMessage: TypeAlias = (
     Survey
     | AskTokens
@@ -365,14 +307,8 @@
         return [message.topic.value, message.start, message.wait_s]
     if isinstance(message, RelayNewest):
         return [message.topic.value, message.after, message.shard]
-    if isinstance(message, HoldTurns):
-        return [_encode_turns(message.turns), message.to_record]
-    if isinstance(message, FoundTurns):
-        return [_encode_turns(message.turns)]
-    if isinstance(message, TurnsRecorded):
-        return [list(message.expiries)]
-    if isinstance(message, FindTurns):
-        return [list(message.turn_ids)]
+    if isinstance(message, TurnMessage):
+        return encode_turn_fields(message)
     if isinstance(message, StoreReport):
         return [
             message.holder,
@@ -407,16 +343,6 @@
         return RelayRead(Topic(fields[0]), fields[1], fields[2])
     if name == RelayNewest.__name__:
         return RelayNewest(Topic(fields[0]), fields[1], fields[2])
-    if name == HoldTurns.__name__:
-        return HoldTurns(_decode_turns(fields[0]), fields[1])
-    if name == FoundTurns.__name__:
-        return FoundTurns(_decode_turns(fields[0]))
-    if name == TurnsRecorded.__name__:
-        return TurnsRecorded(
-            tuple((turn_id, expiry) for turn_id, expiry in fields[0])
-        )
-    if name == FindTurns.__name__:
-        return FindTurns(tuple(fields[0]))
     if name == StoreReport.__name__:
         holder, store_up, store_unavailable, view, members = fields
         return StoreReport(
@@ -426,24 +352,13 @@
         return Records(_decode_records(fields[0]), fields[1])
     if name == NewestPage.__name__:
         return NewestPage(_decode_records(fields[0]), fields[1], fields[2])
+    turn_message = decode_turn_fields(name, fields)
+    if turn_message is not None:
+        return turn_message
     message: PeerMessage | PeerReply = _POSITIONAL_TYPES[name](*fields)
     return message
 
 
-def _encode_turns(turns: tuple[HeldTurn, ...]) -> list[list[Any]]:
-    return [[encode_turn(held.turn), held.record_expires_at] for held in turns]
-
-
-def _decode_turns(rows: list[list[Any]]) -> tuple[HeldTurn, ...]:
-    turns: list[HeldTurn] = []
-    for data, record_expires_at in rows:
-        turn = decode_turn(data)
-        if isinstance(turn, UnreadableTurn):
-            raise ValueError(f"unreadable turn: {turn.reason}")
-        turns.append(HeldTurn(turn, record_expires_at))
-    return tuple(turns)
-
-
 def _encode_records(records: tuple[KeyedRecord, ...]) -> list[list[Any]]:
     return [[record.offset, record.key, record.value] for record in records]
 
--- a/lycheestall/entry/request_processor.py
+++ b/lycheestall/entry/request_processor.py
@@ -4,7 +4,7 @@
 
 from twisted.internet.defer import CancelledError, Deferred
 
-from ..clock import Timer, sleep
+from ..clock import sleep
 from .attempt_feedback import AttemptFeedback
 from .attempt_outcomes import (
     AttemptOutcome,
@@ -20,6 +20,7 @@
 from .http_messages import encode_request
 from .kept_turn import KeptTurn
 from .message_metadata import RequestMetadata
+from .overdue_timer import start_overdue_timer
 from .request_dependencies import RequestDependencies
 from .retry_policy import AttemptHistory, NextStep, choose_next_step
 from .stream_forwarder import StreamForwarder
@@ -31,13 +32,6 @@
 
 __all__ = ["RequestProcessor"]
 
-RESPONSE_MIN_OVERDUE_S = 0.1
-"""Shortest time after which a response is overdue."""
-
-FIRST_EVENT_MIN_OVERDUE_S = 0.4
-"""Shortest time after which the first event of a stream is overdue; longer,
-since another target has to process the prompt again."""
-
 SAME_TARGET_RETRY_DELAY_S = 0.03
 """Delay before a retry at the same target."""
 
@@ -240,22 +234,17 @@
         return self._deps.chooser.can_choose(self._service_id, avoid=avoid)
 
     def _choose_target(self) -> TargetRegistration | None:
-        prompt_parts = self._metadata.prompt_parts
-        affinity: str | None = None
-        if self._service is not None and self._service.engine is not None:
-            own_part = prompt_parts[1] if len(prompt_parts) > 1 else None
-            affinity = (
-                own_part.part_id
-                if own_part is not None
-                else self._metadata.session_id
-            )
+        metadata = self._metadata
+        is_engine = (
+            self._service is not None and self._service.engine is not None
+        )
         return self._deps.chooser.choose(
             self._service_id,
-            affinity=affinity,
-            tie_break=self._metadata.request_id,
+            affinity=metadata.affinity if is_engine else None,
+            tie_break=metadata.request_id,
             avoid=self._history.excluded,
             now=self._deps.clock.seconds(),
-            prefix_tokens=sum(part.tokens for part in prompt_parts[1:]),
+            prefix_tokens=metadata.affinity_tokens,
         )
 
     async def _attempt_target(
@@ -274,7 +263,14 @@
         self._history.last_target = registration.target
         deps.chooser.request_started(registration.target)
         self._attempt_started_at = deps.clock.seconds()
-        timer = self._start_overdue_timer(registration, attempt)
+        timer = start_overdue_timer(
+            deps,
+            self._route,
+            attempt,
+            can_retry_elsewhere=self._can_retry_elsewhere(registration),
+            remaining_s=self._deadline - self._attempt_started_at,
+            on_overdue=lambda: self._report_overdue(registration),
+        )
         try:
             attempt.start(lambda: self._encode_for(registration))
             outcome = await attempt.outcome
@@ -299,32 +295,6 @@
         if self._deps.table.mark_leaving(registration):
             self._deps.log.target_leaving(self._metadata, registration)
 
-    def _start_overdue_timer(
-        self, registration: TargetRegistration, attempt: TargetAttempt
-    ) -> Timer | None:
-        timeouts = self._deps.timeouts
-        route_name = self._route.name
-        min_s = RESPONSE_MIN_OVERDUE_S
-        if self._route.is_stream:
-            min_s = FIRST_EVENT_MIN_OVERDUE_S
-        timeout_s: float | None = None
-        if self._can_retry_elsewhere(registration):
-            timeout_s = timeouts.timeout_s(
-                route_name,
-                min_s=min_s,
-                remaining_s=self._deadline - self._attempt_started_at,
-            )
-        clock = self._deps.clock
-        timer: Timer
-        if timeout_s is not None:
-            timer = clock.callLater(timeout_s, attempt.time_out)
-            return timer
-        overdue_s = timeouts.overdue_s(route_name, min_s=min_s)
-        if overdue_s is None:
-            return None
-        timer = clock.callLater(overdue_s, self._report_overdue, registration)
-        return timer
-
     def _report_overdue(self, registration: TargetRegistration) -> None:
         if not self._exchange.started:
             self._feedback.record_overdue(
--- a/lycheestall/entry/turn_copies.py
+++ b/lycheestall/entry/turn_copies.py
@@ -13,16 +13,16 @@
 )
 from ..ids import ProgramId
 from .members import Member, Members
-from .peer_messages import (
+from .peer_messages import Understood
+from .peer_rpc import PeerClient
+from .token_ledger import HolderId
+from .turn_messages import (
     FindTurns,
     FoundTurns,
     HeldTurn,
     HoldTurns,
     TurnsRecorded,
-    Understood,
 )
-from .peer_rpc import PeerClient
-from .token_ledger import HolderId
 
 __all__ = ["TurnCopies"]
 
