--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -39,6 +39,7 @@
             report = await soak.run()
             click.echo(
                 f"seed {seed}: statuses {dict(report.statuses)}, "
+                f"conversations {dict(report.conversations)}, "
                 f"faults {dict(report.faults)}, logs {directory}"
             )
             for line in report.violations[:10]:
