Split asking deciding VMs from the reservations of turns

Change: deciding_vms asks, decides and settles while the store is away; turn_reservations chooses between it and the ledger. No behaviour changes. Measured: tests/entry pass.

--- a/lycheestall/entry/turn_reservations.py
+++ b/lycheestall/entry/turn_reservations.py
@@ -4,23 +4,21 @@
 
 from typing import Any
 
-from twisted.internet.defer import Deferred, ensureDeferred
-from twisted.python.failure import Failure
+from twisted.internet.defer import Deferred
 
-from ..clock import sleep
 from ..ids import Offset, ProgramId
 from ..logs import Logger
+from .deciding_vms import DECIDER_TIMEOUT_S, DecidingVms
 from .ledger_writer import LedgerWriter, ReservationResult
 from .members import Members
 from .outage import OutageMode, OutageTracker
-from .outage_allocator import OutageAllocator, OutageDecision, OutageGrant
+from .outage_allocator import OutageAllocator, OutageGrant
 from .peer_messages import (
     AskGranted,
     AskTokens,
     GrantedTokens,
     SettleTokens,
     TokenAnswer,
-    Understood,
 )
 from .peer_rpc import PeerClient
 from .token_allocator import ReservationDecision, TokenAllocator, TurnId
@@ -28,9 +26,6 @@
 
 __all__ = ["TurnReservations"]
 
-DECIDER_TIMEOUT_S = 0.3
-"""Timeout of a call to a deciding VM."""
-
 DECIDERS_RETRY_S = 0.4
 """Retry delay for a caller whose deciding VM didn't reply."""
 
@@ -41,12 +36,6 @@
 """Retry delay for a caller while no VM can decide; callers accept a delay of
 at most a third of the time left to their deadline."""
 
-SETTLE_ATTEMPTS = 3
-"""Attempts to report a turn's usage to its deciding VM."""
-
-SETTLE_RETRY_S = 0.5
-"""Seconds between these attempts."""
-
 RECORD_CHECK_S = 0.5
 """Seconds between checks whether all grants are recorded."""
 
@@ -96,8 +85,16 @@
         self._peers = peers
         self._clock = clock
         self._logger = logger
-        self._decider_by_turn: dict[TurnId, HolderId] = {}
-        self._budget_by_program: dict[ProgramId, int] = {}
+        self._deciders = DecidingVms(
+            holder=holder,
+            ledger=ledger,
+            outage=outage,
+            outage_allocator=outage_allocator,
+            members=members,
+            peers=peers,
+            clock=clock,
+            logger=logger,
+        )
         self._programs_with_known_grants: set[ProgramId] = set()
 
     def reserve(
@@ -149,23 +146,18 @@
             turn: The turn, which was granted.
             used: Tokens that were sent to the caller.
         """
-        decider = self._decider_by_turn.pop(turn, None)
-        if decider is None:
+        if not self._deciders.decided(turn):
             self._writer.settle(program, turn, used)
             return
-        budget = self._budget_by_program.get(program, 0)
         if used:
             self._allocator.add_outage_grant(
-                program, used, budget=budget, now=self._clock.seconds()
+                program,
+                used,
+                budget=self._deciders.budget(program),
+                now=self._clock.seconds(),
             )
             self._writer.wake()
-        if decider == self._holder:
-            self._outage_allocator.settle(program, self._holder, turn, used)
-            return
-        result = ensureDeferred(
-            self._settle_at_decider(decider, program, turn, used)
-        )
-        result.addErrback(self._settle_failed, program)
+        self._deciders.settle(program, turn, used)
 
     def outage_ended(self, position: Offset) -> None:
         """Makes sure that all grants of the outage get into the ledger.
@@ -206,10 +198,10 @@
             self._allocator.add_outage_grant(
                 grant.program,
                 grant.tokens,
-                budget=self._budget_by_program.get(grant.program, 0),
+                budget=self._deciders.budget(grant.program),
                 now=self._clock.seconds(),
             )
-        self._budget_by_program.clear()
+        self._deciders.forget_budgets()
         self._logger.info(
             "outage grants checked", granted=len(grants), missing=missing
         )
@@ -217,22 +209,7 @@
 
     def decide(self, message: AskTokens) -> TokenAnswer:
         """Decides on a turn of any VM as its deciding VM."""
-        now = self._clock.seconds()
-        if not self._outage.is_decider(message.program, message.view, now):
-            return TokenAnswer(granted=False, spent=False)
-        self._budget_by_program[message.program] = message.budget
-        decision = self._outage_allocator.reserve(
-            message.program,
-            message.holder,
-            message.turn,
-            max_tokens=message.max_tokens,
-            budget=message.budget,
-            recorded_limit=message.recorded_limit,
-        )
-        return TokenAnswer(
-            granted=decision is OutageDecision.GRANTED,
-            spent=decision is OutageDecision.SPENT,
-        )
+        return self._deciders.decide(message)
 
     def report_grants(self, message: AskGranted) -> GrantedTokens:
         """Reports a program's grants to a peer and stops granting more."""
@@ -339,92 +316,6 @@
     ) -> Deferred[ReservationResult] | ReservationResult:
         if result is not None:
             return result
-        decider = self._outage.decider(program, self._clock.seconds())
-        if decider is None:
-            return None
-        self._budget_by_program[program] = budget
-        message = AskTokens(
-            self._holder,
-            self._outage.view_digest,
-            program,
-            turn,
-            max_tokens,
-            budget,
-            self._ledger.total(program).limit,
-        )
-        self._decider_by_turn[turn] = decider
-        if decider == self._holder:
-            return self._decided(self.decide(message), program, turn)
-        member = self._members.get(decider)
-        if member is None:
-            del self._decider_by_turn[turn]
-            return None
-        reply = self._peers.call(
-            member.address, message, timeout_s=DECIDER_TIMEOUT_S
-        )
-        decided: Deferred[ReservationResult] = reply.addCallbacks(
-            self._decided,
-            self._ask_failed,
-            callbackArgs=(program, turn),
-            errbackArgs=(program, turn),
-        )
-        return decided
-
-    def _ask_failed(
-        self, failure: Failure, program: ProgramId, turn: TurnId
-    ) -> Failure:
-        # The caller has stopped waiting, but the decider may have granted
-        # the turn.
-        self.settle(program, turn, 0)
-        return failure
-
-    def _decided(
-        self, reply: Any, program: ProgramId, turn: TurnId
-    ) -> ReservationResult:
-        granted = isinstance(reply, TokenAnswer) and reply.granted
-        self._logger.info(
-            "asked a deciding VM",
-            program=program,
-            turn=turn,
-            decider=self._decider_by_turn.get(turn),
-            view=self._outage.view_digest,
-            granted=granted,
-        )
-        if granted:
-            return ReservationDecision.GRANTED
-        if reply is None:
-            # The decider may have granted the turn, with its reply lost.
-            self.settle(program, turn, 0)
-            return None
-        self._decider_by_turn.pop(turn, None)
-        if isinstance(reply, TokenAnswer) and reply.spent:
-            return ReservationDecision.SPENT
-        return None
-
-    async def _settle_at_decider(
-        self, decider: HolderId, program: ProgramId, turn: TurnId, used: int
-    ) -> None:
-        message = SettleTokens(self._holder, program, turn, used)
-        for _ in range(SETTLE_ATTEMPTS):
-            member = self._members.get(decider)
-            if member is None:
-                return
-            reply = await self._peers.call(
-                member.address, message, timeout_s=DECIDER_TIMEOUT_S
-            )
-            if isinstance(reply, Understood):
-                return
-            await sleep(self._clock, SETTLE_RETRY_S)
-        self._logger.warning(
-            "decider did not confirm a turn's settlement",
-            program=program,
-            turn=turn,
-            decider=decider,
-        )
-
-    def _settle_failed(self, failure: Failure, program: ProgramId) -> None:
-        self._logger.error(
-            "settling a turn at its decider failed",
-            program=program,
-            error=failure.getTraceback(),
+        return self._deciders.ask(
+            program, turn, max_tokens=max_tokens, budget=budget
         )
