Prefer engines that a VM expects to answer soon

Change: for requests to engines, what a VM expects is its running requests times the recent excess of a target's first events; among the targets within a factor of 1.5 of the best, the session's hash decides. Plain services choose as before.

--- a/lycheestall/entry/target_chooser.py
+++ b/lycheestall/entry/target_chooser.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Collection, Iterable
 
 import xxhash
@@ -16,9 +17,9 @@
 
 __all__ = ["TargetChooser"]
 
-AFFINITY_SLACK = 1
-"""Number of this VM's running requests by which the target preferred by
-affinity may exceed the least loaded target."""
+AFFINITY_MARGIN = 0.4
+"""Logarithm of the factor by which the target preferred by affinity may be
+expected to take longer than the best one."""
 
 SHARED_PREFIX_TOKENS = 4000
 """Prompt tokens that only requests with the same affinity share from which
@@ -33,11 +34,12 @@
 class TargetChooser:
     """Selects targets by affinity, load, latency and recent failures.
 
-    Requests with the same affinity key go to the same target from every
-    VM, by rendezvous hashing, unless that target has more running requests
-    of this VM than ``AFFINITY_SLACK`` allows. Other requests go to the
-    target with the fewest running requests of this VM; ties are broken by
-    a hash of the request, so that VMs don't all select the same target.
+    Requests with the same affinity key go to the same target, by rendezvous
+    hashing, among those that are expected to take hardly longer than the best
+    one. What is expected grows with a target's recent response times, which
+    show the load of all VMs, and with this VM's running requests. Other
+    requests go to the target with the fewest running requests of this VM;
+    ties are broken by a hash of the request.
 
     Of a large service, each VM uses a subset (see ``TargetSubset``), except
     for requests with a long prefix in common.
@@ -102,23 +104,32 @@
         candidates = [c for c in candidates if c.target not in slow]
         if affinity is None or prefix_tokens < SHARED_PREFIX_TOKENS:
             candidates = self._narrow(service, candidates, now)
-        least = min(self._running.get(c.target, 0) for c in candidates)
-        if affinity is not None:
-            slack = AFFINITY_SLACK
-            seed = affinity.encode()
-        else:
-            slack = 0
+        if affinity is None:
+            costs = [self._running_cost(c.target) for c in candidates]
+            limit = min(costs)
             seed = tie_break
+        else:
+            costs = [self._time_cost(c.target, now) for c in candidates]
+            limit = min(costs) + AFFINITY_MARGIN
+            seed = affinity.encode()
         best: TargetRegistration | None = None
         best_weight = -1
-        for candidate in candidates:
-            if self._running.get(candidate.target, 0) > least + slack:
+        for candidate, cost in zip(candidates, costs, strict=True):
+            if cost > limit:
                 continue
             weight = xxhash.xxh3_64_intdigest(seed + candidate.target.encode())
             if weight > best_weight:
                 best, best_weight = candidate, weight
         return best
 
+    def _running_cost(self, target: TargetId) -> float:
+        return math.log1p(self._running.get(target, 0))
+
+    def _time_cost(self, target: TargetId, now: float) -> float:
+        # Logarithm of the time that a request may take.
+        excess = self._latencies.excess(target, now)
+        return excess + self._running_cost(target)
+
     def _narrow(
         self,
         service: ServiceId,
--- a/lycheestall/entry/target_latencies.py
+++ b/lycheestall/entry/target_latencies.py
@@ -32,6 +32,10 @@
 """Upper limit on the weight of a target's observations, so that a target
 that many VMs have reported is selected again as soon as any other."""
 
+RECENT_S = 0.5
+"""Time constant in seconds with which the last response loses its meaning for
+the length of a target's queue now."""
+
 MAX_SLOW_SHARE = 0.5
 """Largest share of a service's targets that is skipped as slow."""
 
@@ -65,11 +69,13 @@
         log_ratio_sum: Weighted sum of the logarithms.
         weight: Sum of the weights.
         at: Time up to which both sums are decayed.
+        observed_at: Time of the newest observation.
     """
 
     log_ratio_sum: float = 0.0
     weight: float = 0.0
     at: float = 0.0
+    observed_at: float = 0.0
 
     def decay(self, now: float) -> None:
         """Decays the weight of earlier observations."""
@@ -79,7 +85,8 @@
         self.at = now
 
     def add(self, log_ratio_sum: float, weight: float) -> None:
-        """Adds observations."""
+        """Adds observations of the time up to which the sums are decayed."""
+        self.observed_at = self.at
         self.log_ratio_sum += log_ratio_sum
         self.weight += weight
         if self.weight > MAX_WEIGHT:
@@ -143,6 +150,25 @@
         if log_ratio > 0:
             self._add(target, log_ratio, now)
 
+    def excess(self, target: TargetId, now: float) -> float:
+        """Returns by how much a target is likely to exceed typical times.
+
+        Args:
+            target: The target.
+            now: Current time.
+
+        Returns:
+            The logarithm of the factor; 0 for a target as fast as is
+            typical, or one without recent responses.
+        """
+        latency = self._by_target.get(target)
+        if latency is None:
+            return 0.0
+        age_s = now - latency.observed_at
+        latency.decay(now)
+        recency = math.exp(-age_s / RECENT_S)
+        return max(0.0, latency.mean_log_ratio() * recency)
+
     def slow(self, targets: Sequence[TargetId], now: float) -> set[TargetId]:
         """Returns the targets that are slow compared with the median.
 
