Let one VM of a large zone read the configuration for the others

A configuration of 1,986 routes is read by 195 VMs at once: after a change at 34 s, 192 store calls fail within 1.5 s (timeout) and 42 turns are refused as budgets can't be checked; after the loss of all VMs the last one is ready 3 s after the first, 246 store calls fail. The store's 80 MB/s are used up, calls time out while their bodies arrive, and are made again. Change: in a zone of eight VMs or more one follows the store; the others ask it, with long polls, and read the store themselves for 10 s when it doesn't answer or its last read is over 2 s old. VMs that start together wait for it. A call's timeout starts again with each chunk of its body.

--- a/lycheestall/entry/entry_vm.py
+++ b/lycheestall/entry/entry_vm.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import time
-from typing import Any
+from typing import Any, cast
 
 from twisted.internet.defer import Deferred, ensureDeferred
 from twisted.python.failure import Failure
@@ -13,17 +13,20 @@
 from ..supervisor import Supervisor
 from .attempt_timeouts import AttemptTimeouts
 from .configuration import CallerLimits
+from .configuration_relay import ConfigurationRelay
 from .conversation_service import ConversationService
 from .decision_log import DecisionContext, DecisionLog
 from .entry_metrics import EntryMetrics
 from .exchange import Exchange, RequestHandler
 from .failure_detector import MEMBER_CHECK_INTERVAL_S
 from .header_codec import HeaderCodec, InvalidRequest
+from .members import Members
 from .message_metadata import RequestMetadata
 from .outage import OutageMode
 from .peer_messages import PeerMessage, PeerReply, SlowTargets, Understood
 from .peer_rpc import PeerClient, PeerHandler
 from .record_decoder import RecordDecoder
+from .relay_messages import AskConfiguration
 from .request_dependencies import RequestDependencies
 from .request_processor import RequestProcessor
 from .routed_store import RoutedStore
@@ -127,6 +130,16 @@
         self._health = StoreHealth(
             logger, "ledger", on_recovered=self._on_ledger_recovered
         )
+        address = Address(settings.host, settings.peers_port)
+        members = Members()
+        self._relay = ConfigurationRelay(
+            address=address,
+            zone=settings.zone,
+            members=members,
+            peers=peers,
+            clock=reactor,
+            logger=logger,
+        )
         self._view = StoreView(
             store=self._store,
             health=StoreHealth(
@@ -140,11 +153,14 @@
             chooser=chooser,
             reactor=reactor,
             logger=logger,
+            relay=self._relay,
+            members_known=lambda: self.token_service.loaded,
         )
         self.token_service = TokenService(
             holder=holder,
-            address=Address(settings.host, settings.peers_port),
+            address=address,
             zone=settings.zone,
+            members=members,
             store=self._store,
             health=self._health,
             peers=peers,
@@ -316,6 +332,9 @@
         if isinstance(message, SlowTargets):
             self._slow_target_reporter.receive_report(message)
             return Understood()
+        if isinstance(message, AskConfiguration):
+            reply: Any = self._relay.answer(message)
+            return cast("Deferred[PeerReply]", reply)
         if isinstance(message, TurnMessage):
             return self.conversations.handle_message(message)
         return self.token_service.handle_message(message)
--- a/lycheestall/entry/http_call.py
+++ b/lycheestall/entry/http_call.py
@@ -19,6 +19,10 @@
 __all__ = ["CallFailed", "CallOutcome", "CallResponse", "call"]
 
 
+MAX_EXTENSIONS = 200
+"""Chunks of a body that extend the timeout; large bodies come in many."""
+
+
 @dataclass(frozen=True, slots=True)
 class CallResponse:
     """A complete response."""
@@ -52,7 +56,8 @@
         reactor: Schedules the timeout.
         pool: Connections to the peer.
         data: The serialized request.
-        timeout_s: Timeout of the call, including the connection.
+        timeout_s: Timeout of the call, including the connection, and then
+            of each chunk of the body.
     """
     return _Call(reactor, pool, data, timeout_s).outcome
 
@@ -72,6 +77,8 @@
         self._head: ResponseHead | None = None
         self._body_chunks: list[bytes] = []
         self._connection: HttpClientConnection | None = None
+        self._timeout_s = timeout_s
+        self._extensions = MAX_EXTENSIONS
         self._timer = reactor.callLater(timeout_s, self._timed_out)
         self.outcome: Deferred[CallOutcome] = Deferred(self._cancelled)
         self._connecting = pool.acquire()
@@ -83,8 +90,11 @@
         return True
 
     def response_body(self, data: bytes) -> None:
-        """Buffers a chunk of the body."""
+        """Buffers a chunk of the body; a body that arrives is no timeout."""
         self._body_chunks.append(data)
+        if self._extensions and self._timer.active():
+            self._extensions -= 1
+            self._timer.reset(self._timeout_s)
 
     def response_ended(self) -> None:
         """Returns the response to the caller of ``call``."""
--- a/lycheestall/entry/peer_messages.py
+++ b/lycheestall/entry/peer_messages.py
@@ -8,8 +8,15 @@
 
 import cbor2
 
-from ..ids import Offset, ProgramId
+from ..ids import ProgramId
 from .outage_allocator import OutageGrant
+from .relay_messages import (
+    AskConfiguration,
+    RelayAppend,
+    RelayedConfiguration,
+    RelayNewest,
+    RelayRead,
+)
 from .store import (
     AppendConflict,
     Appended,
@@ -42,9 +49,6 @@
     "Handover",
     "PeerMessage",
     "PeerReply",
-    "RelayAppend",
-    "RelayNewest",
-    "RelayRead",
     "SettleTokens",
     "SlowTargets",
     "StoreReport",
@@ -196,34 +200,6 @@
     """Confirms a message that needs no other reply."""
 
 
-@dataclass(frozen=True, slots=True)
-class RelayAppend:
-    """Asks a peer to append to the store for a VM that can't reach it."""
-
-    topic: Topic
-    writes: tuple[KeyedWrite, ...]
-    fence: WriterFence | None
-    shard: int
-
-
-@dataclass(frozen=True, slots=True)
-class RelayRead:
-    """Asks a peer to read from the store for a VM that can't reach it."""
-
-    topic: Topic
-    start: Offset
-    wait_s: float
-
-
-@dataclass(frozen=True, slots=True)
-class RelayNewest:
-    """Asks a peer to list newest records for a VM without the store."""
-
-    topic: Topic
-    after: str | None
-    shard: int
-
-
 PeerMessage: TypeAlias = (
     Survey
     | AskTokens
@@ -237,6 +213,7 @@
     | HoldTurns
     | TurnsRecorded
     | FindTurns
+    | AskConfiguration
 )
 PeerReply: TypeAlias = (
     StoreReport
@@ -251,6 +228,7 @@
     | HistoryGone
     | NewestPage
     | FoundTurns
+    | RelayedConfiguration
 )
 
 _POSITIONAL_TYPES: dict[str, Callable[..., Any]] = {
@@ -268,6 +246,8 @@
         AppendUnknown,
         StoreFailed,
         HistoryGone,
+        AskConfiguration,
+        RelayedConfiguration,
     )
 }
 
--- a/lycheestall/entry/routed_store.py
+++ b/lycheestall/entry/routed_store.py
@@ -11,8 +11,8 @@
 from ..ids import Offset
 from ..logs import Logger
 from .members import Member
-from .peer_messages import RelayAppend, RelayNewest, RelayRead
 from .peer_rpc import PeerClient
+from .relay_messages import RelayAppend, RelayNewest, RelayRead
 from .store import (
     AppendOutcome,
     AppendUnknown,
--- a/lycheestall/entry/store_view.py
+++ b/lycheestall/entry/store_view.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import zlib
+from collections.abc import Callable
 from typing import Any
 
 from ..clock import sleep
-from ..ids import TargetId
+from ..ids import Offset, TargetId
 from ..logs import Logger
+from .configuration_relay import ConfigurationRelay, ReaderState
 from .configuration_state import ConfigurationState
 from .connection_pool import ConnectionPool
 from .record_decoder import RecordDecoder, UnreadableRecord
@@ -18,10 +21,13 @@
 
 __all__ = ["StoreView"]
 
-CONFIGURATION_WAIT_S = 2.0
+CONFIGURATION_WAIT_S = 1.5
 """Long-poll wait of configuration reads; also limits how long an
 unresponsive connection stays undetected."""
 
+MEMBERS_POLL_S = 0.05
+"""Seconds between checks whether the zone's other VMs are known."""
+
 RETRY_S = 0.2
 """Seconds between configuration reads while they fail."""
 
@@ -42,6 +48,8 @@
         chooser: Resets its state of targets that have restarted.
         reactor: Time source and connections.
         logger: Logs changes.
+        relay: Passes configurations on within the zone.
+        members_known: Returns whether the zone's other VMs are known.
     """
 
     def __init__(
@@ -54,7 +62,12 @@
         chooser: TargetChooser,
         reactor: Any,
         logger: Logger,
+        relay: ConfigurationRelay,
+        members_known: Callable[[], bool],
     ) -> None:
+        self._relay = relay
+        self._members_known = members_known
+        self._configuration_record: KeyedRecord | None = None
         self._decoder = decoder
         self._table = table
         self._table_revision = 0
@@ -92,10 +105,36 @@
         return self._targets_follower.read_at
 
     async def poll_configuration(self) -> None:
-        """Long-polls for a newer configuration."""
+        """Waits for a newer configuration, from the store or the zone."""
+        if self._relay.starting and not self._members_known():
+            await sleep(self._reactor, MEMBERS_POLL_S)
+            return
+        reader = self._relay.reader()
+        if reader is None:
+            await self._read_configuration()
+            return
+        follower = self._configuration_follower
+        asked_at = self._reactor.seconds()
+        reply = await self._relay.ask(reader, follower.position or Offset(0))
+        if reply is not None:
+            records: list[KeyedRecord] = []
+            if reply.value is not None:
+                value = zlib.decompress(reply.value)
+                records.append(KeyedRecord(reply.offset, reply.key, value))
+            follower.accept(records, reply.end, asked_at)
+        elif self._relay.starting:
+            await sleep(self._reactor, RETRY_S)
+
+    async def _read_configuration(self) -> None:
         follower = self._configuration_follower
         if not await follower.read(wait_s=CONFIGURATION_WAIT_S):
+            self._relay.read_failed()
             await sleep(self._reactor, RETRY_S)
+            return
+        record, end = self._configuration_record, follower.position
+        if record is not None and end is not None:
+            state = ReaderState(record, end, follower.read_at)
+            self._relay.update(state)
 
     async def poll_targets(self) -> None:
         """Reads new registrations of targets."""
@@ -146,6 +185,7 @@
                 reason=decoded.reason,
             )
             return
+        self._configuration_record = record
         self.configuration.update(decoded)
 
     def _apply_target(self, record: KeyedRecord) -> None:
--- a/lycheestall/entry/token_service.py
+++ b/lycheestall/entry/token_service.py
@@ -22,9 +22,6 @@
     Handover,
     PeerMessage,
     PeerReply,
-    RelayAppend,
-    RelayNewest,
-    RelayRead,
     SettleTokens,
     Survey,
     TokenAnswer,
@@ -32,6 +29,7 @@
 )
 from .peer_rpc import PeerClient, PeerHandler, call_all
 from .peer_survey import PeerSurvey
+from .relay_messages import RelayAppend, RelayNewest, RelayRead
 from .routed_store import RoutedStore
 from .store import KeyedRecord, Topic
 from .store_health import StoreHealth
@@ -69,6 +67,7 @@
         holder: Identifies this run of the VM's process; unique.
         address: Where peers reach this VM.
         zone: Its availability zone.
+        members: Receives the VMs of the system.
         store: The store, reached directly or through a peer.
         health: Records the outcomes of store calls.
         peers: Calls other VMs.
@@ -91,6 +90,7 @@
         holder: HolderId,
         address: Address,
         zone: ZoneId,
+        members: Members,
         store: RoutedStore,
         health: StoreHealth,
         peers: PeerClient,
@@ -108,7 +108,7 @@
         self._logger = logger
         self._joined = False
         self._loaded_at = float("-inf")
-        self.members = Members()
+        self.members = members
         self.ledger = TokenLedger()
         self.crashes = CrashReports(holder)
         self.outage = OutageTracker(holder)
--- a/lycheestall/entry/topic_follower.py
+++ b/lycheestall/entry/topic_follower.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any
 
 from twisted.internet.defer import DeferredLock
@@ -81,6 +81,21 @@
         finally:
             self._lock.release()
 
+    def accept(
+        self, records: Sequence[KeyedRecord], end: Offset, read_at: float
+    ) -> None:
+        """Applies records that another VM has read.
+
+        Args:
+            records: The records.
+            end: Offset to read from next.
+            read_at: When they were asked for.
+        """
+        for record in records:
+            self._apply(record)
+        self.position = max(self.position or Offset(0), end)
+        self.read_at = read_at
+
     async def read_until(self, offset: Offset) -> bool:
         """Reads up to and including an offset; returns False on failure."""
         while self.position is None or self.position <= offset:
--- a/tests/entry/outage_simulation.py
+++ b/tests/entry/outage_simulation.py
@@ -18,6 +18,7 @@
 from twisted.internet.task import Clock
 
 from lycheestall.entry.ledger_writer import ReservationResult
+from lycheestall.entry.members import Members
 from lycheestall.entry.peer_messages import (
     PeerMessage,
     PeerReply,
@@ -90,6 +91,7 @@
             holder=HolderId(name),
             address=address,
             zone=ZoneId("zone"),
+            members=Members(),
             store=self.store,
             health=health,
             peers=peers,
