--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -26,6 +26,20 @@
     ]
 
 
+def test_kept_conversation_puts_the_whole_prompt_together(
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    path = EXAMPLES / "kept_conversation.py"
+    runpy.run_path(str(path), run_name="__main__")
+    lines = capsys.readouterr().out.splitlines()
+    assert lines[0] == "missing: turn-1"
+    assert lines[1] == (
+        "prompt: b'The chair sinks. Check the valve.\\n"
+        "It leaks. Replace the seal.\\nWhich size?'"
+    )
+    assert lines[-1] == "turns left: 0"
+
+
 @pytest.mark.parametrize("name", ["snowline.rules", "bronze.rules"])
 def test_example_rules_are_valid(name: str) -> None:
     text = (EXAMPLES / name).read_text()
