--- a/lycheestall/entry/target_chooser.py
+++ b/lycheestall/entry/target_chooser.py
@@ -17,7 +17,7 @@
 
 __all__ = ["TargetChooser"]
 
-AFFINITY_MARGIN = 0.4
+AFFINITY_MARGIN = 0.7
 """Logarithm of the factor by which the target preferred by affinity may be
 expected to take longer than the best one."""
 
