--- a/lycheestall/entry/kept_turn.py
+++ b/lycheestall/entry/kept_turn.py
@@ -104,8 +104,8 @@
         """
         if not self.kept:
             return True
-        # Keeping goes on if the caller leaves, who may have got the end of
-        # the response all the same.
+        # Keeping goes on if the caller leaves: an append under way can't be
+        # taken back.
         kept: Deferred[bool] = Deferred(lambda _: None)
         self._keeping = kept
         keeping = ensureDeferred(self._keep(output, give_up_at))
