--- a/lycheestall/entry/conversation_lookup.py
+++ b/lycheestall/entry/conversation_lookup.py
@@ -37,7 +37,8 @@
 ]
 
 HOLDERS_ASKED = 2
-"""VMs asked for copies before the store is read."""
+"""VMs asked for copies before the store is read; the second one in case the
+first has just been lost."""
 
 MAX_RECORD_READS = 64
 """Records of one conversation that are read at once."""
--- a/lycheestall/entry/target_chooser.py
+++ b/lycheestall/entry/target_chooser.py
@@ -19,7 +19,8 @@
 
 AFFINITY_MARGIN = 0.7
 """Logarithm of the factor by which the target preferred by affinity may be
-expected to take longer than the best one."""
+expected to take longer than the best one: about two, so that one running
+request more moves no session from the engine that has its prompt cached."""
 
 SHARED_PREFIX_TOKENS = 4000
 """Prompt tokens that only requests with the same affinity share from which
@@ -35,8 +36,8 @@
     """Selects targets by affinity, load, latency and recent failures.
 
     Requests with the same affinity key go to the same target, by rendezvous
-    hashing, among those that are expected to take hardly longer than the best
-    one. What is expected grows with a target's recent response times, which
+    hashing, among those that are not expected to take much longer than the
+    best one. What is expected grows with a target's recent response times, which
     show the load of all VMs, and with this VM's running requests. Other
     requests go to the target with the fewest running requests of this VM;
     ties are broken by a hash of the request.
