--- a/lycheestall/entry/target_chooser.py
+++ b/lycheestall/entry/target_chooser.py
@@ -37,8 +37,8 @@
 
     Requests with the same affinity key go to the same target, by rendezvous
     hashing, among those that are not expected to take much longer than the
-    best one. What is expected grows with a target's recent response times, which
-    show the load of all VMs, and with this VM's running requests. Other
+    best one. What is expected grows with a target's recent response times,
+    which show the load of all VMs, and with this VM's running requests. Other
     requests go to the target with the fewest running requests of this VM;
     ties are broken by a hash of the request.
 
