Log which targets name a request limit, and read the header

Change: the platform's header is decoded; each VM notes the newest limit of a target process and logs 'target limit' with the request, the value before and after; gauge limited_targets; unreadable limits get a line and change nothing. TargetProcess replaces the pairs of ID and start time. Requests are routed as before.

--- a/lycheestall/entry/decision_log.py
+++ b/lycheestall/entry/decision_log.py
@@ -19,7 +19,7 @@
 from .configuration import Route
 from .conversation_lookup import TurnNotFound
 from .entry_metrics import EntryMetrics
-from .message_metadata import RequestMetadata
+from .message_metadata import RequestMetadata, UnreadableLimit
 from .retry_policy import NextStep
 from .target_table import TargetRegistration
 
@@ -173,6 +173,47 @@
             target_started_ms=registration.started_ms,
         )
 
+    def limit_changed(
+        self,
+        metadata: RequestMetadata,
+        registration: TargetRegistration,
+        *,
+        before: float | None,
+        rate_per_s: float | None,
+    ) -> None:
+        """Logs that a target's response names another limit than before.
+
+        Args:
+            metadata: The request that the target responded to.
+            registration: The target.
+            before: Its limit until now in requests per second; None if it
+                had none.
+            rate_per_s: Its limit from now on; None if it has none.
+        """
+        self._write(
+            "target limit",
+            request=_decode(metadata.request_id),
+            target=registration.target,
+            target_started_ms=registration.started_ms,
+            before=before,
+            rate_per_s=rate_per_s,
+        )
+
+    def unreadable_limit(
+        self,
+        metadata: RequestMetadata,
+        registration: TargetRegistration,
+        limit: UnreadableLimit,
+    ) -> None:
+        """Logs a limit that is not a number; what was known stays."""
+        self._write(
+            "target limit unreadable",
+            request=_decode(metadata.request_id),
+            target=registration.target,
+            target_started_ms=registration.started_ms,
+            limit=limit.text,
+        )
+
     def conversation_loaded(
         self,
         metadata: RequestMetadata,
--- a/lycheestall/entry/entry_vm.py
+++ b/lycheestall/entry/entry_vm.py
@@ -34,7 +34,9 @@
 from .store import Store
 from .store_health import StoreHealth
 from .store_view import StoreView
+from .target_announcements import TargetAnnouncements
 from .target_chooser import TargetChooser
+from .target_limits import TargetLimits
 from .target_table import TargetTable
 from .token_allocator import TurnId
 from .token_ledger import HolderId
@@ -125,6 +127,7 @@
             logger, metrics, context=self._observed_state, clock=reactor
         )
         self._table = TargetTable()
+        self._limits = TargetLimits()
         chooser = TargetChooser(self._table, vm=settings.vm)
         self._store = RoutedStore(store, peers, reactor, logger)
         self._health = StoreHealth(
@@ -185,6 +188,12 @@
             chooser=chooser,
             timeouts=AttemptTimeouts(chooser.baselines),
             table=self._table,
+            announcements=TargetAnnouncements(
+                table=self._table,
+                limits=self._limits,
+                log=self._log,
+                clock=reactor,
+            ),
             reservations=self.token_service.reservations,
             report_crash=self.token_service.writer.report_crash,
             is_blocked=self.token_service.crashes.is_blocked,
@@ -405,3 +414,8 @@
             float(self._health.unavailable),
             description="1 if away.",
         )
+        self._metrics.set_gauge(
+            "limited_targets",
+            len(self._limits.limited()),
+            description="Targets that name a request limit.",
+        )
--- a/lycheestall/entry/message_metadata.py
+++ b/lycheestall/entry/message_metadata.py
@@ -6,7 +6,13 @@
 
 from ..ids import ProgramId
 
-__all__ = ["ResponseMetadata", "PromptPart", "RequestMetadata"]
+__all__ = [
+    "PromptPart",
+    "RequestLimit",
+    "RequestMetadata",
+    "ResponseMetadata",
+    "UnreadableLimit",
+]
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,6 +74,28 @@
         return sum(part.tokens for part in self.prompt_parts[1:])
 
 
+@dataclass(frozen=True, slots=True)
+class RequestLimit:
+    """The rate of requests that a target takes from all VMs together.
+
+    Attributes:
+        rate_per_s: Requests per second, not negative.
+    """
+
+    rate_per_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class UnreadableLimit:
+    """A limit that is not a number.
+
+    Attributes:
+        text: What the target sent.
+    """
+
+    text: str
+
+
 @dataclass(frozen=True, slots=True)
 class ResponseMetadata:
     """What the headers of a target's response say.
@@ -81,6 +109,7 @@
         idle_timeout_s: How long the target keeps an idle connection
             open, if given.
         target_leaving: Whether the target is about to shut down.
+        limit: The limit that the target names; None if it names none.
     """
 
     request_id: bytes | None
@@ -89,3 +118,4 @@
     encoded: bool
     idle_timeout_s: float | None
     target_leaving: bool = False
+    limit: RequestLimit | UnreadableLimit | None = None
--- a/lycheestall/entry/request_dependencies.py
+++ b/lycheestall/entry/request_dependencies.py
@@ -11,6 +11,7 @@
 from .conversation_service import ConversationService
 from .decision_log import DecisionLog
 from .header_codec import HeaderCodec
+from .target_announcements import TargetAnnouncements
 from .target_chooser import TargetChooser
 from .target_table import TargetRegistration, TargetTable
 from .turn_reservations import TurnReservations
@@ -28,6 +29,7 @@
         chooser: Chooses targets.
         timeouts: Computes attempts' timeouts.
         table: The registered targets.
+        announcements: Takes note of what targets say about themselves.
         reservations: Reserves and settles the tokens of turns.
         report_crash: Reports the fingerprint of a request whose target
             was lost while running it.
@@ -45,6 +47,7 @@
     chooser: TargetChooser
     timeouts: AttemptTimeouts
     table: TargetTable
+    announcements: TargetAnnouncements
     reservations: TurnReservations
     report_crash: Callable[[str], object]
     is_blocked: Callable[[str], bool]
--- a/lycheestall/entry/request_processor.py
+++ b/lycheestall/entry/request_processor.py
@@ -257,7 +257,9 @@
             request_id=self._metadata.request_id,
             forwarder=self._forwarder,
             is_head_request=self._request.method == b"HEAD",
-            on_leaving=lambda: self._target_leaving(registration),
+            on_response=lambda head, response: deps.announcements.observe(
+                self._metadata, registration, head, response
+            ),
         )
         self._attempt = attempt
         self._history.last_target = registration.target
@@ -291,10 +293,6 @@
         )
         return outcome
 
-    def _target_leaving(self, registration: TargetRegistration) -> None:
-        if self._deps.table.mark_leaving(registration):
-            self._deps.log.target_leaving(self._metadata, registration)
-
     def _report_overdue(self, registration: TargetRegistration) -> None:
         if not self._exchange.started:
             self._feedback.record_overdue(
--- a/lycheestall/entry/store_view.py
+++ b/lycheestall/entry/store_view.py
@@ -16,7 +16,7 @@
 from .store import KeyedRecord, Store, Topic
 from .store_health import StoreHealth
 from .target_chooser import TargetChooser
-from .target_table import TargetRegistration, TargetTable
+from .target_table import TargetProcess, TargetRegistration, TargetTable
 from .topic_follower import TopicFollower
 
 __all__ = ["StoreView"]
@@ -74,7 +74,7 @@
         self._chooser = chooser
         self._reactor = reactor
         self._logger = logger
-        self._pool_by_target: dict[tuple[TargetId, int], ConnectionPool] = {}
+        self._pool_by_process: dict[TargetProcess, ConnectionPool] = {}
         self.configuration = ConfigurationState(logger)
         self._configuration_follower = TopicFollower(
             store,
@@ -142,8 +142,8 @@
 
     def pool_of(self, registration: TargetRegistration) -> ConnectionPool:
         """Returns the connection pool of a registered target process."""
-        key = (registration.target, registration.started_ms)
-        pool = self._pool_by_target.get(key)
+        process = registration.process
+        pool = self._pool_by_process.get(process)
         if pool is None:
             pool = ConnectionPool(
                 self._reactor,
@@ -151,7 +151,7 @@
                 registration.port,
                 connect_timeout_s=CONNECT_TIMEOUT_S,
             )
-            self._pool_by_target[key] = pool
+            self._pool_by_process[process] = pool
         return pool
 
     def remove_expired(self) -> None:
@@ -161,15 +161,15 @@
         if self._table.revision == self._table_revision:
             return
         self._table_revision = self._table.revision
-        for key in list(self._pool_by_target):
-            registration = self._table.get(key[0])
-            if registration is not None and registration.started_ms == key[1]:
+        for process in list(self._pool_by_process):
+            registration = self._table.get(process.target)
+            if registration is not None and registration.process == process:
                 continue
-            self._pool_by_target.pop(key).close()
+            self._pool_by_process.pop(process).close()
 
     def close(self) -> None:
         """Closes all idle connections to targets."""
-        for pool in self._pool_by_target.values():
+        for pool in self._pool_by_process.values():
             pool.close()
 
     def _apply_configuration(self, record: KeyedRecord) -> None:
--- a/lycheestall/entry/target_attempt.py
+++ b/lycheestall/entry/target_attempt.py
@@ -50,8 +50,7 @@
             buffered.
         is_head_request: Whether the method is HEAD, so that the response
             has no body.
-        on_leaving: Called if the response says that the target is about to
-            shut down.
+        on_response: Called with the head of the response and its metadata.
 
     Attributes:
         sent: Whether the request was written to a connection.
@@ -66,10 +65,10 @@
         request_id: bytes,
         forwarder: StreamForwarder | None,
         is_head_request: bool,
-        on_leaving: Callable[[], None],
+        on_response: Callable[[ResponseHead, ResponseMetadata], None],
     ) -> None:
         self._pool = pool
-        self._on_leaving = on_leaving
+        self._on_response = on_response
         self._headers = headers
         self._request_id = request_id
         self._forwarder = forwarder
@@ -179,8 +178,7 @@
     def _accept(self, head: ResponseHead, metadata: ResponseMetadata) -> None:
         self._head = head
         self._metadata = metadata
-        if metadata.target_leaving:
-            self._on_leaving()
+        self._on_response(head, metadata)
 
     def _classify_response(self) -> AttemptOutcome:
         head, metadata = self._head, self._metadata
--- a/lycheestall/entry/target_table.py
+++ b/lycheestall/entry/target_table.py
@@ -7,7 +7,7 @@
 from ..ids import TargetId, ZoneId
 from .configuration import ServiceId
 
-__all__ = ["TargetRegistration", "TargetTable"]
+__all__ = ["TargetProcess", "TargetRegistration", "TargetTable"]
 
 REREGISTRATION_GRACE_S = 2.2
 """Seconds after a store outage in which targets whose registration expired
@@ -18,6 +18,20 @@
 remembered beyond their registration, which may lapse and come back."""
 
 
+@dataclass(frozen=True, slots=True)
+class TargetProcess:
+    """One run of a target's process.
+
+    Attributes:
+        target: Target ID.
+        started_ms: Unix time of the process start; tells apart processes
+            that run under the same ID.
+    """
+
+    target: TargetId
+    started_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class TargetRegistration:
     """A target's record in the store.
@@ -44,6 +58,11 @@
     slots: int
     draining: bool
 
+    @property
+    def process(self) -> TargetProcess:
+        """The process that wrote the registration."""
+        return TargetProcess(self.target, self.started_ms)
+
 
 class TargetTable:
     """Keeps the latest registrations, also across store outages.
@@ -60,7 +79,7 @@
     def __init__(self) -> None:
         self._by_id: dict[TargetId, TargetRegistration] = {}
         self._lapsed: set[TargetId] = set()
-        self._leaving: dict[tuple[TargetId, int], None] = {}
+        self._leaving: dict[TargetProcess, None] = {}
         self._usable_by_service: dict[ServiceId, list[TargetRegistration]] = {}
         self._grace_ends_at = 0.0
         self.revision = 0
@@ -84,7 +103,7 @@
         Returns:
             Whether this is news.
         """
-        process = (registration.target, registration.started_ms)
+        process = registration.process
         if process in self._leaving:
             return False
         self._leaving[process] = None
@@ -161,8 +180,7 @@
     def _is_usable(self, registration: TargetRegistration) -> bool:
         if registration.draining:
             return False
-        process = (registration.target, registration.started_ms)
-        return process not in self._leaving
+        return registration.process not in self._leaving
 
     def _delete(self, target: TargetId) -> None:
         del self._by_id[target]
--- a/lycheestall/platform/headers.py
+++ b/lycheestall/platform/headers.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable, Sequence
 
 from ..entry.header_codec import HeaderCodec, InvalidRequest
 from ..entry.http_messages import Header, Request, ResponseHead
 from ..entry.message_metadata import (
     PromptPart,
+    RequestLimit,
     RequestMetadata,
     ResponseMetadata,
+    UnreadableLimit,
 )
 from ..ids import ProgramId, TargetId
 
@@ -32,6 +35,8 @@
 _TOKEN_BUDGET = b"x-token-budget"
 _PREVIOUS_TURN = b"x-previous-turn"
 _SERVER_LEAVING = b"server-leaving"
+# Requests per second that the target takes from all VMs together.
+_SERVER_LIMIT = b"server-limit"
 
 MAX_TURN_ID_BYTES = 200
 """Longest accepted ID of a turn."""
@@ -161,6 +166,7 @@
             encoded=b"content-encoding" in by_name,
             idle_timeout_s=_keep_alive_s(by_name.get(b"keep-alive", b"")),
             target_leaving=by_name.get(_SERVER_LEAVING) == b"1",
+            limit=_request_limit(by_name.get(_SERVER_LIMIT)),
         )
 
     def caller_headers(self, headers: Sequence[Header]) -> list[Header]:
@@ -206,6 +212,21 @@
         return None
 
 
+def _request_limit(
+    value: bytes | None,
+) -> RequestLimit | UnreadableLimit | None:
+    if value is None:
+        return None
+    text = value.decode("latin-1")
+    try:
+        rate_per_s = float(text)
+    except ValueError:
+        return UnreadableLimit(text)
+    if not math.isfinite(rate_per_s) or rate_per_s < 0:
+        return UnreadableLimit(text)
+    return RequestLimit(rate_per_s)
+
+
 def _prompt_parts(value: bytes) -> tuple[PromptPart, ...]:
     parts: list[PromptPart] = []
     for entry in value.split(b","):
--- a/tests/entry/entry_vm_harness.py
+++ b/tests/entry/entry_vm_harness.py
@@ -104,6 +104,7 @@
         self.configure(ROUTES)
         peers: Any = SilentPeers()
         self.store = MemoryStore(self.log)
+        self.metrics = EntryMetrics(vm="vm")
         self.vm = EntryVm(
             settings=settings(),
             store=self.store,
@@ -113,7 +114,7 @@
             holder=HolderId("vm.1"),
             reactor=self.reactor,
             logger=get_logger(),
-            metrics=EntryMetrics(vm="vm"),
+            metrics=self.metrics,
         )
         self.callers = CallerFactory(self.vm, self.reactor)
         self._last_address = 0
