--- a/tests/entry/entry_vm_harness.py
+++ b/tests/entry/entry_vm_harness.py
@@ -27,6 +27,8 @@
 
 ENGINE = {"slots": 8, "stride": 10}
 
+PEERS_ADDRESS = Address("10.0.0.1", 4)
+
 ROUTES = [
     {
         "name": "safe",
@@ -95,23 +97,43 @@
 
 
 class EntryVmHarness:
-    """An entry VM, its store, its targets and its callers."""
-
-    def __init__(self) -> None:
-        self.reactor = FakeReactor()
-        self.log = MemoryLog()
+    """An entry VM, its store, its targets and its callers.
+
+    Args:
+        reactor: The clock; a new one by default.
+        log: The store's content; by default, an empty one.
+        peers: Calls other VMs; by default there are none.
+        name: Name of the VM.
+        incarnation: Number of this run of its process.
+        address: Where peers reach the VM.
+    """
+
+    def __init__(
+        self,
+        *,
+        reactor: FakeReactor | None = None,
+        log: MemoryLog | None = None,
+        peers: Any = None,
+        name: str = "vm",
+        incarnation: int = 1,
+        address: Address = PEERS_ADDRESS,
+    ) -> None:
+        self.reactor = reactor or FakeReactor()
+        self.log = log or MemoryLog()
+        self.address = address
         self.version = 0
-        self.configure(ROUTES)
-        peers: Any = SilentPeers()
+        if log is None or not log.by_topic[Topic.CONFIGURATION]:
+            self.configure(ROUTES)
+        peers = peers or SilentPeers()
         self.store = MemoryStore(self.log)
-        self.metrics = EntryMetrics(vm="vm")
+        self.metrics = EntryMetrics(vm=name)
         self.vm = EntryVm(
-            settings=settings(),
+            settings=settings(name, address),
             store=self.store,
             peers=peers,
             headers=PlatformHeaders(),
             decoder=PlatformRecordDecoder(),
-            holder=HolderId("vm.1"),
+            holder=HolderId(f"{name}.{incarnation}"),
             reactor=self.reactor,
             logger=get_logger(),
             metrics=self.metrics,
@@ -200,16 +222,23 @@
         return data
 
 
-def settings() -> EntrySettings:
-    """Returns the VM's settings."""
+def settings(
+    name: str = "vm", address: Address = PEERS_ADDRESS
+) -> EntrySettings:
+    """Returns the settings of a VM.
+
+    Args:
+        name: Name of the VM.
+        address: Where peers reach it.
+    """
     return EntrySettings(
-        vm=VmId("vm"),
+        vm=VmId(name),
         zone=ZoneId("zone-a"),
-        host="10.0.0.1",
+        host=address.host,
         callers=Address("10.0.0.1", 1),
         readiness=Address("10.0.0.1", 2),
         metrics_port=3,
-        peers_port=4,
+        peers_port=address.port,
         store=Address("10.0.0.9", 5),
         grace_s=8.0,
         drain_s=2.0,
--- /dev/null
+++ b/tests/entry/fleet.py
@@ -0,0 +1,157 @@
+"""Several entry VMs that share a store, targets and a virtual clock."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet.defer import Deferred, maybeDeferred
+
+from lycheestall.entry.peer_messages import (
+    PeerMessage,
+    PeerReply,
+    decode,
+    encode,
+)
+from lycheestall.entry.vm_settings import Address
+from tests.entry.entry_vm_harness import EntryVmHarness
+from tests.entry.fake_network import FakeReactor, FakeTarget, RequestCallback
+from tests.entry.memory_store import MemoryLog
+
+PEER_DELAY_S = 0.001
+"""Seconds that a message to a peer, or its reply, is on the way."""
+
+
+class PeerLinks:
+    """The links between the VMs; a VM's links can be cut.
+
+    Args:
+        reactor: Times the messages.
+    """
+
+    def __init__(self, reactor: FakeReactor) -> None:
+        self.reactor = reactor
+        self.handle_by_address: dict[Address, Callable[[Any], Any]] = {}
+        self.cut: set[Address] = set()
+
+    def connect(self, address: Address) -> LinkedPeers:
+        """Returns the client of the VM at an address."""
+        return LinkedPeers(self, address)
+
+
+class LinkedPeers:
+    """Calls the other VMs over the links.
+
+    Args:
+        links: All links.
+        own: Address of the VM that calls.
+    """
+
+    def __init__(self, links: PeerLinks, own: Address) -> None:
+        self._links = links
+        self._own = own
+
+    def call(
+        self, address: Address, message: PeerMessage, *, timeout_s: float
+    ) -> Deferred[PeerReply | None]:
+        """Returns the reply, or None without one in time."""
+        reply: Deferred[PeerReply | None] = Deferred()
+        reactor = self._links.reactor
+        handle = self._links.handle_by_address.get(address)
+        if handle is None or {self._own, address} & self._links.cut:
+            reactor.callLater(timeout_s, reply.callback, None)
+            return reply
+        data = encode(message)
+        reactor.callLater(PEER_DELAY_S, self._deliver, handle, data, reply)
+        return reply
+
+    def close(self) -> None:
+        """Does nothing."""
+
+    def _deliver(
+        self,
+        handle: Callable[[Any], Any],
+        data: bytes,
+        reply: Deferred[PeerReply | None],
+    ) -> None:
+        handled = maybeDeferred(handle, decode(data))
+        handled.addCallback(
+            lambda value: self._links.reactor.callLater(
+                PEER_DELAY_S, reply.callback, decode(encode(value))
+            )
+        )
+
+
+class Fleet:
+    """Entry VMs ``vm-0`` and so on.
+
+    Args:
+        vms: Number of VMs.
+    """
+
+    def __init__(self, *, vms: int) -> None:
+        self.reactor = FakeReactor()
+        self.log = MemoryLog()
+        self.links = PeerLinks(self.reactor)
+        self._sent = 0
+        self.vms: list[EntryVmHarness] = []
+        for number in range(vms):
+            self.vms.append(self._add(number, incarnation=1))
+
+    def start(self) -> None:
+        """Starts all VMs and waits until they know each other."""
+        for vm in self.vms:
+            vm.vm.start()
+        self.reactor.run(2.5)
+
+    def restart(self, number: int) -> None:
+        """Kills a VM and starts a new process at its address."""
+        address = self.vms[number].address
+        self.links.handle_by_address.pop(address, None)
+        self.vms[number] = self._add(number, incarnation=2)
+        self.vms[number].vm.start()
+
+    def cut_peers(self, number: int) -> None:
+        """Cuts a VM off from all other VMs."""
+        self.links.cut.add(self.vms[number].address)
+
+    def add_target(
+        self, name: str, on_request: RequestCallback, *, service: str = "app"
+    ) -> FakeTarget:
+        """Registers a target."""
+        return self.vms[0].add_target(name, on_request, service=service)
+
+    def send(
+        self, path: str, *, vm: int | None = None, headers: str = ""
+    ) -> Any:
+        """Sends a request to a VM, or to each in turn.
+
+        Returns:
+            The caller's protocol, which records what it receives.
+        """
+        self._sent += 1
+        number = self._sent % len(self.vms) if vm is None else vm
+        harness = self.vms[number]
+        caller = harness.connect()
+        harness.send_request(
+            path,
+            method="POST",
+            headers=headers,
+            request_id=f"r{self._sent}",
+            run_s=0.0,
+            caller=caller,
+        )
+        return caller.protocol
+
+    def _add(self, number: int, *, incarnation: int) -> EntryVmHarness:
+        address = Address(f"10.0.1.{number + 1}", 4)
+        harness = EntryVmHarness(
+            reactor=self.reactor,
+            log=self.log,
+            peers=self.links.connect(address),
+            name=f"vm-{number}",
+            incarnation=incarnation,
+            address=address,
+        )
+        self.links.handle_by_address[address] = harness.vm.handle_message
+        return harness
