Keep all VMs together to the limit that a target names

Cause: the limit was forwarded and read by nobody. It holds for all VMs in sum, and a VM alone sends each engine 1 to 1.5 requests a second, so no bookkeeping within one VM could keep it. Class: a quota shared by all VMs that has no owner. Change: one VM, by rendezvous hashing of addresses, decides on the requests to each limited target (GCRA); the others ask it for a permit before each send. A second VM decides on half of the limit in its stead, and a VM that reaches neither uses a small share. Changed limits are told to the group and to the deciding VMs. Permits run out, also in a suspension. Programs that have begun wait up to 0.5 s for a target; new ones start only while nobody waits, else get 503 with a Retry-After. Why it works: the sum is kept in one place, so it doesn't depend on how requests are spread over VMs, nor on when each VM hears of the limit. Also split: TargetService out of EntryVm, TargetAdmission and TargetRequest out of RequestProcessor.

--- a/lycheestall/entry/attempt_feedback.py
+++ b/lycheestall/entry/attempt_feedback.py
@@ -8,6 +8,7 @@
     Broken,
     NotRunReason,
     NotSent,
+    PermitExpired,
     Stopped,
     StreamEnded,
     WholeAnswer,
@@ -63,6 +64,8 @@
         """
         chooser = self._deps.chooser
         now: float = self._deps.clock.seconds()
+        if isinstance(outcome, PermitExpired):
+            return
         if isinstance(outcome, NotSent):
             chooser.record_failure(target, now, down=True)
         elif isinstance(outcome, Broken):
--- a/lycheestall/entry/attempt_outcomes.py
+++ b/lycheestall/entry/attempt_outcomes.py
@@ -15,6 +15,7 @@
     "NotRun",
     "NotRunReason",
     "NotSent",
+    "PermitExpired",
     "Stopped",
     "StreamEnded",
     "WholeAnswer",
@@ -36,6 +37,11 @@
     error: str
 
 
+@dataclass(frozen=True, slots=True)
+class PermitExpired:
+    """The permit for the target had expired before the request was sent."""
+
+
 @dataclass(frozen=True, slots=True)
 class NotRun:
     """The target states that it did not run the request.
@@ -97,5 +103,11 @@
 
 
 AttemptOutcome: TypeAlias = (
-    NotSent | NotRun | WholeAnswer | StreamEnded | Broken | Stopped
+    NotSent
+    | PermitExpired
+    | NotRun
+    | WholeAnswer
+    | StreamEnded
+    | Broken
+    | Stopped
 )
--- a/lycheestall/entry/decision_log.py
+++ b/lycheestall/entry/decision_log.py
@@ -20,6 +20,7 @@
 from .conversation_lookup import TurnNotFound
 from .entry_metrics import EntryMetrics
 from .message_metadata import RequestMetadata, UnreadableLimit
+from .permit_service import Permit, PermitDenied
 from .retry_policy import NextStep
 from .target_table import TargetRegistration
 
@@ -214,6 +215,42 @@
             limit=limit.text,
         )
 
+    def permit_decided(
+        self,
+        metadata: RequestMetadata,
+        registration: TargetRegistration,
+        result: Permit | PermitDenied,
+        *,
+        asked_at: float,
+    ) -> None:
+        """Logs whether a request may be sent to a target with a limit.
+
+        Args:
+            metadata: The request's metadata.
+            registration: The target.
+            result: The decision; one about a target without a limit leaves
+                no line.
+            asked_at: When it was asked for.
+        """
+        if result.rate_per_s is None:
+            return
+        granted = isinstance(result, Permit)
+        now = self._clock.seconds()
+        at = result.starts_at if isinstance(result, Permit) else result.until
+        self._metrics.permit_decided(granted=granted)
+        self._write(
+            "permit decided",
+            request=_decode(metadata.request_id),
+            program=metadata.program,
+            target=registration.target,
+            target_started_ms=registration.started_ms,
+            rate_per_s=result.rate_per_s,
+            decider=result.decider,
+            granted=granted,
+            wait_ms=round(max(0.0, at - now) * 1000),
+            took_ms=round((now - asked_at) * 1000, 1),
+        )
+
     def conversation_loaded(
         self,
         metadata: RequestMetadata,
--- a/lycheestall/entry/entry_metrics.py
+++ b/lycheestall/entry/entry_metrics.py
@@ -30,6 +30,10 @@
             "failed_attempts_total",
             "Attempts at targets that gave no answer, by outcome.",
         )
+        self._permits = self.counter(
+            "permits_total",
+            "Decisions on requests to targets with a limit, by result.",
+        )
         self._turns_kept = self.counter(
             "turns_kept_total", "Turns made durable, by how."
         )
@@ -38,6 +42,10 @@
             "Conversations continued, by where their turns were found.",
         )
 
+    def permit_decided(self, *, granted: bool) -> None:
+        """Counts a decision on a request to a target with a limit."""
+        self._permits.inc({"granted": str(granted).lower()})
+
     def request_ended(
         self, route_name: str, status: int, outcome: str, took_s: float
     ) -> None:
--- a/lycheestall/entry/entry_vm.py
+++ b/lycheestall/entry/entry_vm.py
@@ -11,7 +11,6 @@
 from ..logs import Logger
 from ..polling import Poller
 from ..supervisor import Supervisor
-from .attempt_timeouts import AttemptTimeouts
 from .configuration import CallerLimits
 from .configuration_relay import ConfigurationRelay
 from .conversation_service import ConversationService
@@ -23,21 +22,17 @@
 from .members import Members
 from .message_metadata import RequestMetadata
 from .outage import OutageMode
-from .peer_messages import PeerMessage, PeerReply, SlowTargets, Understood
+from .peer_messages import PeerMessage, PeerReply
 from .peer_rpc import PeerClient, PeerHandler
 from .record_decoder import RecordDecoder
 from .relay_messages import AskConfiguration
 from .request_dependencies import RequestDependencies
 from .request_processor import RequestProcessor
 from .routed_store import RoutedStore
-from .slow_target_reporter import SlowTargetReporter
 from .store import Store
 from .store_health import StoreHealth
 from .store_view import StoreView
-from .target_announcements import TargetAnnouncements
-from .target_chooser import TargetChooser
-from .target_limits import TargetLimits
-from .target_table import TargetTable
+from .target_service import TargetService
 from .token_allocator import TurnId
 from .token_ledger import HolderId
 from .token_service import TokenService
@@ -65,8 +60,8 @@
 SURVEY_INTERVAL_S = 0.25
 """Seconds between surveys of the peers while the store is unavailable."""
 
-SLOW_TARGET_REPORT_S = 0.4
-"""Seconds between reports of slow targets to the peers."""
+TARGET_REPORT_S = 0.4
+"""Seconds between reports about targets to the peers."""
 
 HOUSEKEEPING_S = 0.5
 """Seconds between removals of expired state."""
@@ -126,15 +121,22 @@
         self._log = DecisionLog(
             logger, metrics, context=self._observed_state, clock=reactor
         )
-        self._table = TargetTable()
-        self._limits = TargetLimits()
-        chooser = TargetChooser(self._table, vm=settings.vm)
         self._store = RoutedStore(store, peers, reactor, logger)
         self._health = StoreHealth(
             logger, "ledger", on_recovered=self._on_ledger_recovered
         )
         address = Address(settings.host, settings.peers_port)
         members = Members()
+        self._targets = TargetService(
+            holder=holder,
+            vm=settings.vm,
+            members=members,
+            peers=peers,
+            clock=reactor,
+            log=self._log,
+            logger=logger,
+            metrics=metrics,
+        )
         self._relay = ConfigurationRelay(
             address=address,
             zone=settings.zone,
@@ -152,8 +154,8 @@
                 on_unavailable=lambda: self.token_service.refresh(),
             ),
             decoder=decoder,
-            table=self._table,
-            chooser=chooser,
+            table=self._targets.table,
+            chooser=self._targets.chooser,
             reactor=reactor,
             logger=logger,
             relay=self._relay,
@@ -185,15 +187,11 @@
         self._dependencies = RequestDependencies(
             clock=reactor,
             headers=headers,
-            chooser=chooser,
-            timeouts=AttemptTimeouts(chooser.baselines),
-            table=self._table,
-            announcements=TargetAnnouncements(
-                table=self._table,
-                limits=self._limits,
-                log=self._log,
-                clock=reactor,
-            ),
+            chooser=self._targets.chooser,
+            timeouts=self._targets.timeouts,
+            permits=self._targets.permits,
+            table=self._targets.table,
+            announcements=self._targets.announcements,
             reservations=self.token_service.reservations,
             report_crash=self.token_service.writer.report_crash,
             is_blocked=self.token_service.crashes.is_blocked,
@@ -203,14 +201,6 @@
             max_body_bytes=lambda: self.limits().body_bytes,
             max_record_bytes=settings.store_record_bytes,
         )
-        self._slow_target_reporter = SlowTargetReporter(
-            holder=holder,
-            members=self.token_service.members,
-            peers=peers,
-            chooser=chooser,
-            clock=reactor,
-            logger=logger,
-        )
         self._supervisor = Supervisor(clock=reactor, logger=logger)
 
     @property
@@ -248,9 +238,9 @@
             ("ledger", self.token_service.poll, LEDGER_CHECK_S),
             ("survey", self.token_service.survey, SURVEY_INTERVAL_S),
             (
-                "slow target reports",
-                self._slow_target_reporter.send_report,
-                SLOW_TARGET_REPORT_S,
+                "target reports",
+                self._targets.send_reports,
+                TARGET_REPORT_S,
             ),
             (
                 "member sweep",
@@ -337,12 +327,12 @@
         self, message: PeerMessage | PeerReply
     ) -> Deferred[PeerReply] | PeerReply:
         """Returns the reply to a message of a peer."""
-        if isinstance(message, SlowTargets):
-            self._slow_target_reporter.receive_report(message)
-            return Understood()
+        reply = self._targets.handle_message(message)
+        if reply is not None:
+            return reply
         if isinstance(message, AskConfiguration):
-            reply: Any = self._relay.answer(message)
-            return cast("Deferred[PeerReply]", reply)
+            relayed: Any = self._relay.answer(message)
+            return cast("Deferred[PeerReply]", relayed)
         if isinstance(message, TurnMessage):
             return self.conversations.handle_message(message)
         return self.token_service.handle_message(message)
@@ -393,11 +383,11 @@
         return bool(age_s < LEDGER_FRESH_S) and not service.members.crashed()
 
     def _on_ledger_recovered(self, now: float) -> None:
-        self._table.store_recovered(now)
+        self._targets.table.store_recovered(now)
         self.token_service.store_recovered()
 
     def _on_view_recovered(self, now: float) -> None:
-        self._table.store_recovered(now)
+        self._targets.table.store_recovered(now)
         self.token_service.refresh()
 
     async def _housekeeping(self) -> None:
@@ -414,8 +404,4 @@
             float(self._health.unavailable),
             description="1 if away.",
         )
-        self._metrics.set_gauge(
-            "limited_targets",
-            len(self._limits.limited()),
-            description="Targets that name a request limit.",
-        )
+        self._targets.update_gauges()
--- a/lycheestall/entry/final_response.py
+++ b/lycheestall/entry/final_response.py
@@ -125,6 +125,19 @@
             retry_s = self._deps.reservations.decider_retry_s()
             self.refuse(503, "budgets can't be checked now", retry_s)
 
+    def end_at_limits(self, retry_after_s: float) -> None:
+        """Ends a request whose targets are all at their limits.
+
+        Args:
+            retry_after_s: Seconds until one of them takes a request.
+        """
+        if self._send_fallback():
+            return
+        if self._history.may_have_run:
+            self.fail("all targets to repeat it at are at their limits")
+            return
+        self.refuse(503, "all targets are at their limits", retry_after_s)
+
     def end_without_target(self, service: ServiceId) -> None:
         """Ends a request for which no target is available."""
         if self._send_fallback():
--- a/lycheestall/entry/peer_messages.py
+++ b/lycheestall/entry/peer_messages.py
@@ -10,6 +10,12 @@
 
 from ..ids import ProgramId
 from .outage_allocator import OutageGrant
+from .permit_messages import (
+    AskPermit,
+    ChangedLimits,
+    LimitNews,
+    PermitAnswer,
+)
 from .relay_messages import (
     AskConfiguration,
     RelayAppend,
@@ -43,11 +49,14 @@
 
 __all__ = [
     "AskGranted",
+    "AskPermit",
     "AskTokens",
+    "ChangedLimits",
     "GrantedTokens",
     "Handover",
     "PeerMessage",
     "PeerReply",
+    "PermitAnswer",
     "SettleTokens",
     "SlowTargets",
     "StoreReport",
@@ -209,6 +218,8 @@
     | RelayRead
     | RelayNewest
     | SlowTargets
+    | ChangedLimits
+    | AskPermit
     | HoldTurns
     | FindTurns
     | AskConfiguration
@@ -227,6 +238,7 @@
     | NewestPage
     | FoundTurns
     | RelayedConfiguration
+    | PermitAnswer
 )
 
 _POSITIONAL_TYPES: dict[str, Callable[..., Any]] = {
@@ -277,6 +289,12 @@
             list(astuple(slow)) for slow in message.slow_responses
         ]
         return [message.holder, slow_responses]
+    if isinstance(message, ChangedLimits):
+        return [message.holder, [_news_row(news) for news in message.news]]
+    if isinstance(message, AskPermit):
+        return [message.holder, message.max_wait_s, _news_row(message.news)]
+    if isinstance(message, PermitAnswer):
+        return [message.granted, message.wait_s, _news_row(message.news)]
     if isinstance(message, RelayAppend):
         writes = [[write.key, write.value] for write in message.writes]
         fence = None if message.fence is None else list(astuple(message.fence))
@@ -313,6 +331,14 @@
     if name == SlowTargets.__name__:
         slow_responses = tuple(SlowResponses(*slow) for slow in fields[1])
         return SlowTargets(fields[0], slow_responses)
+    if name == ChangedLimits.__name__:
+        return ChangedLimits(
+            fields[0], tuple(LimitNews(*row) for row in fields[1])
+        )
+    if name == AskPermit.__name__:
+        return AskPermit(fields[0], fields[1], LimitNews(*fields[2]))
+    if name == PermitAnswer.__name__:
+        return PermitAnswer(fields[0], fields[1], LimitNews(*fields[2]))
     if name == RelayAppend.__name__:
         writes = tuple(KeyedWrite(key, value) for key, value in fields[1])
         fence = None if fields[2] is None else WriterFence(*fields[2])
@@ -337,6 +363,10 @@
     return message
 
 
+def _news_row(news: LimitNews) -> list[Any]:
+    return list(astuple(news))
+
+
 def _encode_records(records: tuple[KeyedRecord, ...]) -> list[list[Any]]:
     return [[record.offset, record.key, record.value] for record in records]
 
--- a/lycheestall/entry/request_dependencies.py
+++ b/lycheestall/entry/request_dependencies.py
@@ -11,6 +11,7 @@
 from .conversation_service import ConversationService
 from .decision_log import DecisionLog
 from .header_codec import HeaderCodec
+from .permit_service import PermitService
 from .target_announcements import TargetAnnouncements
 from .target_chooser import TargetChooser
 from .target_table import TargetRegistration, TargetTable
@@ -28,6 +29,7 @@
         headers: Parses and writes headers.
         chooser: Chooses targets.
         timeouts: Computes attempts' timeouts.
+        permits: Keeps to the limits that targets name.
         table: The registered targets.
         announcements: Takes note of what targets say about themselves.
         reservations: Reserves and settles the tokens of turns.
@@ -46,6 +48,7 @@
     headers: HeaderCodec
     chooser: TargetChooser
     timeouts: AttemptTimeouts
+    permits: PermitService
     table: TargetTable
     announcements: TargetAnnouncements
     reservations: TurnReservations
--- a/lycheestall/entry/request_processor.py
+++ b/lycheestall/entry/request_processor.py
@@ -9,6 +9,7 @@
 from .attempt_outcomes import (
     AttemptOutcome,
     Broken,
+    PermitExpired,
     Stopped,
     StreamEnded,
     WholeAnswer,
@@ -17,18 +18,19 @@
 from .crash_reports import fingerprint_request
 from .exchange import Exchange
 from .final_response import EarlyEnd, FinalResponse
-from .http_messages import encode_request
 from .kept_turn import KeptTurn
+from .limit_waits import max_wait_s, retry_after_s
 from .message_metadata import RequestMetadata
 from .overdue_timer import start_overdue_timer
 from .request_dependencies import RequestDependencies
 from .retry_policy import AttemptHistory, NextStep, choose_next_step
 from .stream_forwarder import StreamForwarder
+from .target_admission import Admission, AtLimits, TargetAdmission
 from .target_attempt import TargetAttempt
+from .target_request import TargetRequest
 from .target_table import TargetRegistration
 from .token_allocator import ReservationDecision, TurnId
 from .turn_budget import TurnBudget
-from .urgency import urgency
 
 __all__ = ["RequestProcessor"]
 
@@ -104,6 +106,26 @@
             route_name=route.name,
             fingerprint=fingerprint_request(exchange.request),
         )
+        self._target_request = TargetRequest(
+            deps.headers,
+            deps.clock,
+            exchange.request,
+            metadata,
+            route,
+            service,
+            deadline=self._deadline,
+        )
+        self._admission = TargetAdmission(
+            chooser=deps.chooser,
+            permits=deps.permits,
+            table=deps.table,
+            log=deps.log,
+            clock=deps.clock,
+            metadata=metadata,
+            service=service,
+            service_id=service_id,
+            history=self._history,
+        )
         self._attempt: TargetAttempt | None = None
         self._sleeping: Deferred[None] | None = None
         self._early_end: EarlyEnd | None = None
@@ -170,16 +192,30 @@
     async def _attempt_until_final(self) -> None:
         same_target: TargetRegistration | None = None
         while True:
-            registration = same_target or self._choose_target()
+            admission = await self._admit(same_target)
             if self._early_end is not None:
                 self._final.end_early(
                     self._early_end, sent=self._history.may_have_run
                 )
                 return
-            if registration is None:
+            if admission is None:
                 self._final.end_without_target(self._service_id)
                 return
-            outcome = await self._attempt_target(registration)
+            if isinstance(admission, AtLimits):
+                self._final.end_at_limits(
+                    retry_after_s(
+                        admission.retry_after_s,
+                        first_turn=self._starts_program(),
+                    )
+                )
+                return
+            if not self._admission.is_usable(admission):
+                same_target = None
+                continue
+            registration = admission.registration
+            outcome = await self._attempt_target(admission)
+            if isinstance(outcome, PermitExpired):
+                continue
             self._history.record(registration.target, outcome)
             if isinstance(outcome, StreamEnded):
                 await self._finish_stream()
@@ -203,7 +239,7 @@
                 self._history.excluded.add(registration.target)
                 if (
                     isinstance(outcome, Broken)
-                    and not self._has_other_target()
+                    and not self._admission.has_other_target()
                 ):
                     step = NextStep.SAME_TARGET
             if step is NextStep.SAME_TARGET:
@@ -225,31 +261,36 @@
         self._exchange.abort()
         self._final.log_end("turn not durable in time")
 
-    def _has_other_target(
-        self, *, excluding: TargetRegistration | None = None
-    ) -> bool:
-        avoid = self._history.excluded
-        if excluding is not None:
-            avoid = avoid | {excluding.target}
-        return self._deps.chooser.can_choose(self._service_id, avoid=avoid)
-
-    def _choose_target(self) -> TargetRegistration | None:
-        metadata = self._metadata
-        is_engine = (
-            self._service is not None and self._service.engine is not None
-        )
-        return self._deps.chooser.choose(
-            self._service_id,
-            affinity=metadata.affinity if is_engine else None,
-            tie_break=metadata.request_id,
-            avoid=self._history.excluded,
-            now=self._deps.clock.seconds(),
-            prefix_tokens=metadata.affinity_tokens,
+    async def _admit(
+        self, same_target: TargetRegistration | None
+    ) -> Admission | AtLimits | None:
+        now = self._deps.clock.seconds()
+        first_turn = self._starts_program()
+        wait_s = max_wait_s(
+            first_turn=first_turn, remaining_s=self._deadline - now
         )
+        admission: Admission | AtLimits | None
+        if same_target is not None:
+            admission = await self._admission.choose_same(
+                same_target, max_wait_s=wait_s
+            )
+        else:
+            admission = await self._admission.choose(
+                max_wait_s=wait_s, yields=first_turn
+            )
+        if isinstance(admission, Admission):
+            delay_s = admission.permit.starts_at - self._deps.clock.seconds()
+            if delay_s > 0 and self._early_end is None:
+                await self._sleep(delay_s)
+        return admission
 
-    async def _attempt_target(
-        self, registration: TargetRegistration
-    ) -> AttemptOutcome:
+    def _starts_program(self) -> bool:
+        if self._history.may_have_run:
+            return False
+        return self._budget.is_first_turn
+
+    async def _attempt_target(self, admission: Admission) -> AttemptOutcome:
+        registration = admission.registration
         deps = self._deps
         attempt = TargetAttempt(
             deps.pool_of(registration),
@@ -274,7 +315,7 @@
             on_overdue=lambda: self._report_overdue(registration),
         )
         try:
-            attempt.start(lambda: self._encode_for(registration))
+            attempt.start(lambda: self._encode_for(admission))
             outcome = await attempt.outcome
         finally:
             self._attempt = None
@@ -305,33 +346,19 @@
         executors = self._history.possible_executors | {registration.target}
         if len(executors) >= self._route.max_attempts:
             return False
-        return self._has_other_target(excluding=registration)
+        return self._admission.has_other_target(excluding=registration)
 
-    def _encode_for(self, registration: TargetRegistration) -> bytes:
-        request = self._request
-        now = self._deps.clock.seconds()
-        engine_urgency: int | None = None
-        if self._service is not None and self._service.engine is not None:
-            program_deadline_s = self._metadata.program_deadline_s
-            engine_urgency = urgency(
-                self._route.priority,
-                program_deadline_s=program_deadline_s,
-                late=program_deadline_s is not None
-                and program_deadline_s <= 0,
-            )
+    def _encode_for(self, admission: Admission) -> bytes | None:
+        if self._deps.clock.seconds() >= admission.permit.expires_at:
+            return None
         resume_after = self._metadata.resume_after
         if self._forwarder is not None:
             resume_after = self._forwarder.last_event_id
-        headers = self._deps.headers.target_headers(
-            request.headers,
-            target=registration.target,
-            remaining_s=self._deadline - now,
-            urgency=engine_urgency,
+        return self._target_request.encode(
+            admission.registration.target,
+            self._turn.body,
             resume_after=resume_after,
         )
-        return encode_request(
-            request.method, request.url, headers, self._turn.body
-        )
 
     def _finish_with(
         self, registration: TargetRegistration, outcome: AttemptOutcome
--- /dev/null
+++ b/lycheestall/entry/target_admission.py
@@ -0,0 +1,189 @@
+"""Finds a target that takes a request now, or says when one will."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Set
+from dataclasses import dataclass
+
+from ..clock import Clock
+from ..ids import TargetId
+from .configuration import Service, ServiceId
+from .decision_log import DecisionLog
+from .message_metadata import RequestMetadata
+from .permit_service import Permit, PermitDenied, PermitService
+from .retry_policy import AttemptHistory
+from .target_chooser import TargetChooser
+from .target_table import TargetRegistration, TargetTable
+
+__all__ = ["Admission", "AtLimits", "TargetAdmission"]
+
+
+@dataclass(frozen=True, slots=True)
+class Admission:
+    """A target that takes a request.
+
+    Attributes:
+        registration: The target.
+        permit: When the request may be sent to it.
+    """
+
+    registration: TargetRegistration
+    permit: Permit
+
+
+@dataclass(frozen=True, slots=True)
+class AtLimits:
+    """All targets that could run a request are at their limits.
+
+    Attributes:
+        retry_after_s: Seconds until one of them takes a request.
+    """
+
+    retry_after_s: float
+
+
+class TargetAdmission:
+    """Chooses the targets of one request and gets permits for them.
+
+    Args:
+        chooser: Chooses among the targets.
+        permits: Gets permits for those that name a limit.
+        table: The registered targets.
+        log: Logs the decisions.
+        clock: Tells the time.
+        metadata: The request's metadata.
+        service: Settings of the route's service, None if it is not
+            configured.
+        service_id: ID of the service.
+        history: The request's attempts so far.
+    """
+
+    def __init__(
+        self,
+        *,
+        chooser: TargetChooser,
+        permits: PermitService,
+        table: TargetTable,
+        log: DecisionLog,
+        clock: Clock,
+        metadata: RequestMetadata,
+        service: Service | None,
+        service_id: ServiceId,
+        history: AttemptHistory,
+    ) -> None:
+        self._chooser = chooser
+        self._permits = permits
+        self._table = table
+        self._log = log
+        self._clock = clock
+        self._metadata = metadata
+        self._service_id = service_id
+        self._history = history
+        self._affinity: str | None = None
+        if service is not None and service.engine is not None:
+            self._affinity = metadata.affinity
+
+    def has_other_target(
+        self, *, excluding: TargetRegistration | None = None
+    ) -> bool:
+        """Returns whether another target takes requests now.
+
+        Args:
+            excluding: A target that doesn't count.
+        """
+        avoid = self._history.excluded | self._permits.denied().keys()
+        if excluding is not None:
+            avoid = avoid | {excluding.target}
+        return self._chooser.can_choose(self._service_id, avoid=avoid)
+
+    async def choose(
+        self, *, max_wait_s: float, yields: bool
+    ) -> Admission | AtLimits | None:
+        """Returns a target for the next attempt; None if there is none.
+
+        A target that takes the request at once goes before one that it would
+        have to wait for.
+
+        Args:
+            max_wait_s: Seconds that the request waits for a target that is
+                at its limit.
+            yields: Whether the request is not to be sent anywhere while
+                others wait.
+        """
+        denied: dict[TargetId, PermitDenied] = {}
+        while True:
+            denied |= self._permits.denied()
+            limited = self._first_free(denied)
+            if yields and limited is not None and denied[limited].queued:
+                return self._at_limit(denied[limited])
+            registration = self._choose(avoid=denied.keys())
+            if registration is None:
+                break
+            result = await self._acquire(registration, 0.0)
+            if isinstance(result, Permit):
+                return Admission(registration, result)
+            denied[registration.target] = result
+        if limited is None:
+            return None
+        first = self._table.get_usable(limited)
+        if first is None:
+            return None
+        return await self.choose_same(first, max_wait_s=max_wait_s)
+
+    async def choose_same(
+        self, registration: TargetRegistration, *, max_wait_s: float
+    ) -> Admission | AtLimits:
+        """Returns another admission to a target that was used before.
+
+        Args:
+            registration: The target.
+            max_wait_s: Seconds that the request waits for it.
+        """
+        result = await self._acquire(registration, max_wait_s)
+        if isinstance(result, Permit):
+            return Admission(registration, result)
+        return self._at_limit(result)
+
+    def is_usable(self, admission: Admission) -> bool:
+        """Returns whether a target still takes requests after a wait."""
+        registration = admission.registration
+        return (
+            self._table.get_usable(registration.target) is not None
+            and self._clock.seconds() < admission.permit.expires_at
+        )
+
+    def _at_limit(self, denied: PermitDenied) -> AtLimits:
+        return AtLimits(denied.until - self._clock.seconds())
+
+    def _first_free(
+        self, denied: Mapping[TargetId, PermitDenied]
+    ) -> TargetId | None:
+        limited = [
+            registration.target
+            for registration in self._table.usable(self._service_id)
+            if registration.target in denied
+            and registration.target not in self._history.excluded
+        ]
+        return min(limited, key=lambda t: denied[t].until, default=None)
+
+    def _choose(self, *, avoid: Set[TargetId]) -> TargetRegistration | None:
+        return self._chooser.choose(
+            self._service_id,
+            affinity=self._affinity,
+            tie_break=self._metadata.request_id,
+            avoid=self._history.excluded | avoid,
+            now=self._clock.seconds(),
+            prefix_tokens=self._metadata.affinity_tokens,
+        )
+
+    async def _acquire(
+        self, registration: TargetRegistration, max_wait_s: float
+    ) -> Permit | PermitDenied:
+        now = self._clock.seconds()
+        result = await self._permits.acquire(
+            registration.process, max_wait_s=max_wait_s
+        )
+        self._log.permit_decided(
+            self._metadata, registration, result, asked_at=now
+        )
+        return result
--- a/lycheestall/entry/target_announcements.py
+++ b/lycheestall/entry/target_announcements.py
@@ -77,7 +77,7 @@
         process = registration.process
         before = self._limits.rate_per_s(process)
         report = LimitReport(process, rate_per_s, self._clock.seconds())
-        if self._limits.record(report):
+        if self._limits.observe(report):
             self._log.limit_changed(
                 request, registration, before=before, rate_per_s=rate_per_s
             )
--- a/lycheestall/entry/target_attempt.py
+++ b/lycheestall/entry/target_attempt.py
@@ -13,6 +13,7 @@
     NotRun,
     NotRunReason,
     NotSent,
+    PermitExpired,
     Stopped,
     StreamEnded,
     WholeAnswer,
@@ -75,7 +76,7 @@
         self._is_head_request = is_head_request
         self._connection: HttpClientConnection | None = None
         self._connecting: Deferred[HttpClientConnection] | None = None
-        self._build_request: Callable[[], bytes] | None = None
+        self._build_request: Callable[[], bytes | None] | None = None
         self._head: ResponseHead | None = None
         self._metadata: ResponseMetadata | None = None
         self._body: list[bytes] = []
@@ -85,11 +86,12 @@
         self.sent = False
         self.outcome: Deferred[AttemptOutcome] = Deferred()
 
-    def start(self, build: Callable[[], bytes]) -> None:
+    def start(self, build: Callable[[], bytes | None]) -> None:
         """Acquires a connection and sends the request.
 
         Args:
-            build: Encodes the request; called just before it is sent.
+            build: Encodes the request; called just before it is sent. None
+                if the permit to send it has expired.
         """
         self._build_request = build
         self._connecting = self._pool.acquire()
@@ -199,11 +201,14 @@
         if self._ended or self._build_request is None:
             self._pool.release(connection)
             return
+        data = self._build_request()
+        if data is None:
+            self._pool.release(connection)
+            self._end(PermitExpired())
+            return
         self._connection = connection
         self.sent = True
-        connection.send(
-            self._build_request(), self, is_head_request=self._is_head_request
-        )
+        connection.send(data, self, is_head_request=self._is_head_request)
 
     def _not_connected(self, failure: Failure) -> None:
         if failure.check(CancelledError):
--- a/lycheestall/entry/target_limits.py
+++ b/lycheestall/entry/target_limits.py
@@ -38,9 +38,30 @@
 
     def __init__(self) -> None:
         self._by_process: dict[TargetProcess, LimitReport] = {}
+        self._changed: set[TargetProcess] = set()
+
+    def observe(self, report: LimitReport) -> bool:
+        """Records a report of this VM's own, to be told to other VMs.
+
+        Returns:
+            Whether the limit has changed.
+        """
+        changed = self.record(report)
+        if changed:
+            self._changed.add(report.process)
+        return changed
+
+    def take_changes(self) -> list[LimitReport]:
+        """Returns what this VM has observed to change since the last call."""
+        changed, self._changed = self._changed, set()
+        return [
+            report
+            for process, report in self._by_process.items()
+            if process in changed
+        ]
 
     def record(self, report: LimitReport) -> bool:
-        """Records a report unless a newer one is known.
+        """Records a report of any VM unless a newer one is known.
 
         Returns:
             Whether the limit has changed.
--- /dev/null
+++ b/lycheestall/entry/target_request.py
@@ -0,0 +1,78 @@
+"""Encodes a caller's request for a target."""
+
+from __future__ import annotations
+
+from ..clock import Clock
+from ..ids import TargetId
+from .configuration import Route, Service
+from .header_codec import HeaderCodec
+from .http_messages import Request, encode_request
+from .message_metadata import RequestMetadata
+from .urgency import urgency
+
+__all__ = ["TargetRequest"]
+
+
+class TargetRequest:
+    """A request as its targets receive it.
+
+    Args:
+        headers: Writes the headers.
+        clock: Tells how much time is left.
+        request: The caller's request.
+        metadata: Its metadata.
+        route: Its route.
+        service: Settings of the route's service, None if it is not
+            configured.
+        deadline: When the request must have been answered.
+    """
+
+    def __init__(
+        self,
+        headers: HeaderCodec,
+        clock: Clock,
+        request: Request,
+        metadata: RequestMetadata,
+        route: Route,
+        service: Service | None,
+        *,
+        deadline: float,
+    ) -> None:
+        self._headers = headers
+        self._clock = clock
+        self._request = request
+        self._metadata = metadata
+        self._route = route
+        self._is_engine = service is not None and service.engine is not None
+        self._deadline = deadline
+
+    def encode(
+        self, target: TargetId, body: bytes, *, resume_after: int | None
+    ) -> bytes:
+        """Returns the bytes to send now.
+
+        Args:
+            target: The only target that may run the request.
+            body: The body, which may differ from the caller's.
+            resume_after: ID of the last event that was received, if the
+                stream is resumed.
+        """
+        request = self._request
+        headers = self._headers.target_headers(
+            request.headers,
+            target=target,
+            remaining_s=self._deadline - self._clock.seconds(),
+            urgency=self._urgency(),
+            resume_after=resume_after,
+        )
+        return encode_request(request.method, request.url, headers, body)
+
+    def _urgency(self) -> int | None:
+        if not self._is_engine:
+            return None
+        deadline_s = self._metadata.program_deadline_s
+        return urgency(
+            self._route.priority,
+            program_deadline_s=deadline_s,
+            late=deadline_s is not None and deadline_s <= 0,
+        )
--- /dev/null
+++ b/lycheestall/entry/target_service.py
@@ -0,0 +1,132 @@
+"""What a VM knows of the targets, and shares with other VMs."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from ..logs import Logger
+from .attempt_timeouts import AttemptTimeouts
+from .decision_log import DecisionLog
+from .entry_metrics import EntryMetrics
+from .limit_reporter import LimitReporter
+from .members import Members
+from .peer_messages import (
+    ChangedLimits,
+    PeerMessage,
+    PeerReply,
+    SlowTargets,
+    Understood,
+)
+from .peer_rpc import PeerClient
+from .permit_deciders import PermitDeciders
+from .permit_messages import AskPermit
+from .permit_service import PermitService
+from .slow_target_reporter import SlowTargetReporter
+from .target_announcements import TargetAnnouncements
+from .target_chooser import TargetChooser
+from .target_limits import TargetLimits
+from .target_table import TargetTable
+from .token_ledger import HolderId
+
+__all__ = ["TargetService"]
+
+
+class TargetService:
+    """Connects the table of targets, their choice and their limits.
+
+    Args:
+        holder: This VM's ID in the ledger.
+        vm: Name of this VM.
+        members: The VMs of the system.
+        peers: Calls them.
+        clock: Time source.
+        log: Logs decisions about requests.
+        logger: Logs what other VMs report.
+        metrics: Receives the gauges.
+
+    Attributes:
+        table: The registered targets.
+        chooser: Chooses among them.
+        timeouts: Computes attempts' timeouts.
+        announcements: Takes note of what targets say about themselves.
+        permits: Keeps to the limits that targets name.
+    """
+
+    def __init__(
+        self,
+        *,
+        holder: HolderId,
+        vm: str,
+        members: Members,
+        peers: PeerClient,
+        clock: Any,
+        log: DecisionLog,
+        logger: Logger,
+        metrics: EntryMetrics,
+    ) -> None:
+        self._limits = TargetLimits()
+        self._metrics = metrics
+        self.table = TargetTable()
+        self.chooser = TargetChooser(self.table, vm=vm)
+        self.timeouts = AttemptTimeouts(self.chooser.baselines)
+        self.announcements = TargetAnnouncements(
+            table=self.table, limits=self._limits, log=log, clock=clock
+        )
+        deciders = PermitDeciders(members)
+        self.permits = PermitService(
+            holder=holder,
+            limits=self._limits,
+            members=members,
+            deciders=deciders,
+            peers=peers,
+            clock=clock,
+            logger=logger,
+        )
+        self._limit_reporter = LimitReporter(
+            holder=holder,
+            limits=self._limits,
+            permits=self.permits,
+            members=members,
+            deciders=deciders,
+            peers=peers,
+            clock=clock,
+        )
+        self._slow_target_reporter = SlowTargetReporter(
+            holder=holder,
+            members=members,
+            peers=peers,
+            chooser=self.chooser,
+            clock=clock,
+            logger=logger,
+        )
+
+    async def send_reports(self) -> None:
+        """Tells other VMs what was observed since the last reports."""
+        await self._limit_reporter.send_report()
+        await self._slow_target_reporter.send_report()
+
+    def handle_message(
+        self, message: PeerMessage | PeerReply
+    ) -> PeerReply | None:
+        """Returns the reply to a peer's message about targets.
+
+        Returns:
+            None if the message is about something else.
+        """
+        if isinstance(message, SlowTargets):
+            self._slow_target_reporter.receive_report(message)
+            return Understood()
+        if isinstance(message, ChangedLimits):
+            self._limit_reporter.receive_report(message)
+            return Understood()
+        if isinstance(message, AskPermit):
+            return self.permits.decide(message)
+        return None
+
+    def update_gauges(self) -> None:
+        """Sets the gauges of the targets."""
+        self._metrics.set_gauge(
+            "limited_targets",
+            len(self._limits.limited()),
+            description="Targets that name a request limit.",
+        )
--- a/lycheestall/entry/turn_budget.py
+++ b/lycheestall/entry/turn_budget.py
@@ -63,6 +63,17 @@
             return None
         return self._reservations.recorded_tokens(self._program)
 
+    @property
+    def is_first_turn(self) -> bool:
+        """Whether the program has no tokens but those of this turn.
+
+        True only for a turn whose tokens have been reserved.
+        """
+        recorded = self.recorded_tokens
+        if recorded is None:
+            return False
+        return recorded <= self._max_output_tokens + self._tokens_per_event
+
     def tokens_for_events(self, events: int) -> int:
         """Returns the number of tokens in that many stream events."""
         return events * self._tokens_per_event
--- a/tests/entry/fleet.py
+++ b/tests/entry/fleet.py
@@ -15,7 +15,12 @@
 )
 from lycheestall.entry.vm_settings import Address
 from tests.entry.entry_vm_harness import EntryVmHarness
-from tests.entry.fake_network import FakeReactor, FakeTarget, RequestCallback
+from tests.entry.fake_network import (
+    FakeReactor,
+    FakeTarget,
+    RecordingCaller,
+    RequestCallback,
+)
 from tests.entry.memory_store import MemoryLog
 
 PEER_DELAY_S = 0.001
@@ -123,7 +128,7 @@
 
     def send(
         self, path: str, *, vm: int | None = None, headers: str = ""
-    ) -> Any:
+    ) -> RecordingCaller:
         """Sends a request to a VM, or to each in turn.
 
         Returns:
@@ -133,6 +138,7 @@
         number = self._sent % len(self.vms) if vm is None else vm
         harness = self.vms[number]
         caller = harness.connect()
+        received: RecordingCaller = caller.protocol
         harness.send_request(
             path,
             method="POST",
@@ -141,7 +147,7 @@
             run_s=0.0,
             caller=caller,
         )
-        return caller.protocol
+        return received
 
     def _add(self, number: int, *, incarnation: int) -> EntryVmHarness:
         address = Address(f"10.0.1.{number + 1}", 4)
