Split running attempts and routing requests from large modules

AttemptRunner runs one attempt after the other and feeds the outcomes back; RequestRouter finds the route of a request and counts those in progress. No behaviour changes.

--- a/lycheestall/entry/entry_vm.py
+++ b/lycheestall/entry/entry_vm.py
@@ -5,8 +5,7 @@
 import time
 from typing import Any, cast
 
-from twisted.internet.defer import Deferred, ensureDeferred
-from twisted.python.failure import Failure
+from twisted.internet.defer import Deferred
 
 from ..logs import Logger
 from ..polling import Poller
@@ -18,22 +17,20 @@
 from .entry_metrics import EntryMetrics
 from .exchange import Exchange, RequestHandler
 from .failure_detector import MEMBER_CHECK_INTERVAL_S
-from .header_codec import HeaderCodec, InvalidRequest
+from .header_codec import HeaderCodec
 from .members import Members
-from .message_metadata import RequestMetadata
 from .outage import OutageMode
 from .peer_messages import PeerMessage, PeerReply
 from .peer_rpc import PeerClient, PeerHandler
 from .record_decoder import RecordDecoder
 from .relay_messages import AskConfiguration
 from .request_dependencies import RequestDependencies
-from .request_processor import RequestProcessor
+from .request_router import RequestRouter
 from .routed_store import RoutedStore
 from .store import Store
 from .store_health import StoreHealth
 from .store_view import StoreView
 from .target_service import TargetService
-from .token_allocator import TurnId
 from .token_ledger import HolderId
 from .token_service import TokenService
 from .turn_messages import TurnMessage
@@ -93,7 +90,6 @@
     Attributes:
         token_service: Token budgets.
         conversations: Conversations kept for callers.
-        running: Number of requests in progress.
     """
 
     def __init__(
@@ -110,14 +106,10 @@
         metrics: EntryMetrics,
     ) -> None:
         self._settings = settings
-        self._headers = headers
         self._reactor = reactor
-        self._logger = logger
         self._metrics = metrics
         self._peers = peers
         self._draining = False
-        self._last_turn = 0
-        self.running = 0
         self._log = DecisionLog(
             logger, metrics, context=self._observed_state, clock=reactor
         )
@@ -184,7 +176,7 @@
             logger=logger,
             metrics=metrics,
         )
-        self._dependencies = RequestDependencies(
+        dependencies = RequestDependencies(
             clock=reactor,
             headers=headers,
             chooser=self._targets.chooser,
@@ -201,8 +193,19 @@
             max_body_bytes=lambda: self.limits().body_bytes,
             max_record_bytes=settings.store_record_bytes,
         )
+        self._router = RequestRouter(
+            dependencies,
+            self._view.configuration,
+            loaded=lambda: self.loaded,
+            logger=logger,
+        )
         self._supervisor = Supervisor(clock=reactor, logger=logger)
 
+    @property
+    def running(self) -> int:
+        """Number of requests in progress."""
+        return self._router.running
+
     @property
     def ready(self) -> bool:
         """Whether the VM accepts new callers."""
@@ -285,43 +288,7 @@
 
     def handle(self, exchange: Exchange) -> None:
         """Handles one request of a caller."""
-        request = exchange.request
-        metadata = self._headers.parse_request_headers(request)
-        version = self._view.configuration.version
-        if isinstance(metadata, InvalidRequest):
-            exchange.send_error(400, metadata.reason)
-            self._log.request_refused(
-                "", status=400, version=version, reason=metadata.reason
-            )
-            return
-        if not self.loaded:
-            self._refuse(exchange, metadata, 503, "not ready yet", 0.5)
-            return
-        route = self._view.configuration.routes.find(
-            metadata.host, request.path
-        )
-        if route is None:
-            self._refuse(exchange, metadata, 404, "no route")
-            return
-        configuration = self._view.configuration.current
-        assert configuration is not None
-        hash_key = metadata.session_id.encode() or metadata.request_id
-        service_id = route.service_for(hash_key)
-        self._last_turn += 1
-        processor = RequestProcessor(
-            self._dependencies,
-            exchange,
-            metadata,
-            route,
-            configuration.service_by_id.get(service_id),
-            service_id,
-            version=version,
-            turn=TurnId(self._last_turn),
-        )
-        self.running += 1
-        finished = ensureDeferred(processor.process())
-        finished.addErrback(self._on_request_failed, metadata)
-        finished.addCallback(self._on_request_ended)
+        self._router.handle(exchange)
 
     def handle_message(
         self, message: PeerMessage | PeerReply
@@ -337,34 +304,6 @@
             return self.conversations.handle_message(message)
         return self.token_service.handle_message(message)
 
-    def _on_request_ended(self, _: object) -> None:
-        self.running -= 1
-
-    def _on_request_failed(
-        self, failure: Failure, metadata: RequestMetadata
-    ) -> None:
-        self._logger.error(
-            "unhandled error in a request",
-            request=metadata.request_id.decode("latin-1"),
-            error=failure.getTraceback(),
-        )
-
-    def _refuse(
-        self,
-        exchange: Exchange,
-        metadata: RequestMetadata,
-        status: int,
-        reason: str,
-        retry_after_s: float | None = None,
-    ) -> None:
-        exchange.send_error(status, reason, retry_after_s=retry_after_s)
-        self._log.request_refused(
-            metadata.request_id.decode("latin-1"),
-            status=status,
-            version=self._view.configuration.version,
-            reason=reason,
-        )
-
     def _observed_state(self) -> DecisionContext:
         now = self._reactor.seconds()
         ledger = self.token_service.follower
--- a/lycheestall/entry/request_processor.py
+++ b/lycheestall/entry/request_processor.py
@@ -14,6 +14,7 @@
     StreamEnded,
     WholeAnswer,
 )
+from .attempt_runner import AttemptRunner
 from .configuration import RetrySafety, Route, Service, ServiceId
 from .crash_reports import fingerprint_request
 from .exchange import Exchange
@@ -21,12 +22,10 @@
 from .kept_turn import KeptTurn
 from .limit_waits import max_wait_s, retry_after_s
 from .message_metadata import RequestMetadata
-from .overdue_timer import start_overdue_timer
 from .request_dependencies import RequestDependencies
 from .retry_policy import AttemptHistory, NextStep, choose_next_step
 from .stream_forwarder import StreamForwarder
 from .target_admission import Admission, AtLimits, TargetAdmission
-from .target_attempt import TargetAttempt
 from .target_request import TargetRequest
 from .target_table import TargetRegistration
 from .token_allocator import ReservationDecision, TurnId
@@ -69,10 +68,8 @@
     ) -> None:
         self._deps = deps
         self._exchange = exchange
-        self._request = exchange.request
         self._metadata = metadata
         self._route = route
-        self._service = service
         self._service_id = service_id
         self._history = AttemptHistory()
         self._budget = TurnBudget(
@@ -100,19 +97,29 @@
         limit_s = route.timeout_s
         if metadata.deadline_s is not None:
             limit_s = min(limit_s, metadata.deadline_s)
-        self._deadline = self._request.received_at + limit_s
+        self._deadline = exchange.request.received_at + limit_s
         self._feedback = AttemptFeedback(
             deps,
             route_name=route.name,
             fingerprint=fingerprint_request(exchange.request),
         )
-        self._target_request = TargetRequest(
-            deps.headers,
-            deps.clock,
-            exchange.request,
+        self._attempts = AttemptRunner(
+            deps,
+            exchange,
             metadata,
             route,
-            service,
+            self._forwarder,
+            self._feedback,
+            TargetRequest(
+                deps.headers,
+                deps.clock,
+                exchange.request,
+                metadata,
+                route,
+                service,
+                deadline=self._deadline,
+            ),
+            body=lambda: self._turn.body,
             deadline=self._deadline,
         )
         self._admission = TargetAdmission(
@@ -126,10 +133,8 @@
             service_id=service_id,
             history=self._history,
         )
-        self._attempt: TargetAttempt | None = None
         self._sleeping: Deferred[None] | None = None
         self._early_end: EarlyEnd | None = None
-        self._attempt_started_at = 0.0
 
     async def process(self) -> None:
         """Processes the request until its response has ended."""
@@ -213,7 +218,14 @@
                 same_target = None
                 continue
             registration = admission.registration
-            outcome = await self._attempt_target(admission)
+            self._history.last_target = registration.target
+            outcome = await self._attempts.run(
+                admission,
+                can_retry_elsewhere=self._can_retry_elsewhere(registration),
+                deadline_passed=lambda: (
+                    self._early_end is EarlyEnd.DEADLINE_PASSED
+                ),
+            )
             if isinstance(outcome, PermitExpired):
                 continue
             self._history.record(registration.target, outcome)
@@ -267,7 +279,8 @@
         now = self._deps.clock.seconds()
         first_turn = self._starts_program()
         wait_s = max_wait_s(
-            first_turn=first_turn, remaining_s=self._deadline - now
+            first_turn=first_turn,
+            remaining_s=self._deadline - now,
         )
         admission: Admission | AtLimits | None
         if same_target is not None:
@@ -289,57 +302,6 @@
             return False
         return self._budget.is_first_turn
 
-    async def _attempt_target(self, admission: Admission) -> AttemptOutcome:
-        registration = admission.registration
-        deps = self._deps
-        attempt = TargetAttempt(
-            deps.pool_of(registration),
-            deps.headers,
-            request_id=self._metadata.request_id,
-            forwarder=self._forwarder,
-            is_head_request=self._request.method == b"HEAD",
-            on_response=lambda head, response: deps.announcements.observe(
-                self._metadata, registration, head, response
-            ),
-        )
-        self._attempt = attempt
-        self._history.last_target = registration.target
-        deps.chooser.request_started(registration.target)
-        self._attempt_started_at = deps.clock.seconds()
-        timer = start_overdue_timer(
-            deps,
-            self._route,
-            attempt,
-            can_retry_elsewhere=self._can_retry_elsewhere(registration),
-            remaining_s=self._deadline - self._attempt_started_at,
-            on_overdue=lambda: self._report_overdue(registration),
-        )
-        try:
-            attempt.start(lambda: self._encode_for(admission))
-            outcome = await attempt.outcome
-        finally:
-            self._attempt = None
-            deps.chooser.request_ended(registration.target)
-            if timer is not None and timer.active():
-                timer.cancel()
-        first_event_at = None
-        if self._forwarder is not None:
-            first_event_at = self._forwarder.first_event_at
-        self._feedback.record_outcome(
-            registration.target,
-            outcome,
-            started_at=self._attempt_started_at,
-            first_event_at=first_event_at,
-            deadline_passed=self._early_end is EarlyEnd.DEADLINE_PASSED,
-        )
-        return outcome
-
-    def _report_overdue(self, registration: TargetRegistration) -> None:
-        if not self._exchange.started:
-            self._feedback.record_overdue(
-                registration.target, started_at=self._attempt_started_at
-            )
-
     def _can_retry_elsewhere(self, registration: TargetRegistration) -> bool:
         if self._exchange.started or self._retry_safety() is RetrySafety.ONCE:
             return False
@@ -348,18 +310,6 @@
             return False
         return self._admission.has_other_target(excluding=registration)
 
-    def _encode_for(self, admission: Admission) -> bytes | None:
-        if self._deps.clock.seconds() >= admission.permit.expires_at:
-            return None
-        resume_after = self._metadata.resume_after
-        if self._forwarder is not None:
-            resume_after = self._forwarder.last_event_id
-        return self._target_request.encode(
-            admission.registration.target,
-            self._turn.body,
-            resume_after=resume_after,
-        )
-
     def _finish_with(
         self, registration: TargetRegistration, outcome: AttemptOutcome
     ) -> bool:
@@ -413,9 +363,9 @@
         if self._early_end is not None:
             return
         self._early_end = reason
-        if self._attempt is not None:
-            self._attempt.stop()
-        elif self._sleeping is not None:
+        if self._attempts.stop():
+            return
+        if self._sleeping is not None:
             self._sleeping.cancel()
         else:
             self._budget.cancel_reservation()
