--- a/lycheestall/entry/limit_waits.py
+++ b/lycheestall/entry/limit_waits.py
@@ -15,6 +15,10 @@
 """Longest wait of a request; beyond that, its caller is better off asking
 another VM or giving up."""
 
+RESUME_WAIT_S = 1.5
+"""Longest wait of a request that may have run or whose stream has begun; it
+can't be refused any more, only broken off."""
+
 WAIT_SHARE = 0.25
 """Largest share of a request's remaining time that it waits."""
 
@@ -25,13 +29,18 @@
 """Shortest retry delay for a new program; it needs a running one to end."""
 
 
-def max_wait_s(*, first_turn: bool, remaining_s: float) -> float:
+def max_wait_s(
+    *, first_turn: bool, may_have_run: bool, remaining_s: float
+) -> float:
     """Returns the seconds that a request may wait for a target.
 
     Args:
         first_turn: Whether it would start a new program.
+        may_have_run: Whether a target may have run it.
         remaining_s: Seconds until its deadline.
     """
+    if may_have_run:
+        return max(0.0, min(RESUME_WAIT_S, remaining_s))
     if first_turn:
         return 0.0
     return max(0.0, min(STARTED_WAIT_S, remaining_s * WAIT_SHARE))
--- a/lycheestall/entry/request_processor.py
+++ b/lycheestall/entry/request_processor.py
@@ -280,6 +280,7 @@
         first_turn = self._starts_program()
         wait_s = max_wait_s(
             first_turn=first_turn,
+            may_have_run=self._history.may_have_run,
             remaining_s=self._deadline - now,
         )
         admission: Admission | AtLimits | None
--- a/tests/entry/test_limit_waits.py
+++ b/tests/entry/test_limit_waits.py
@@ -53,7 +53,9 @@
 
     def _ask(self, now: float, program: int, turn: int, tries: int) -> None:
         first = self._yields and turn == 0
-        wait_s = max_wait_s(first_turn=first, remaining_s=DEADLINE_S)
+        wait_s = max_wait_s(
+            first_turn=first, may_have_run=False, remaining_s=DEADLINE_S
+        )
         slot = self._bucket.take(RATE_PER_S, now, max_wait_s=wait_s)
         if not slot.taken:
             if tries + 1 >= TRIES:
--- a/tests/entry/test_permits.py
+++ b/tests/entry/test_permits.py
@@ -8,6 +8,7 @@
 
 from lycheestall.entry.limit_waits import (
     FIRST_TURN_RETRY_S,
+    RESUME_WAIT_S,
     STARTED_WAIT_S,
     max_wait_s,
     retry_after_s,
@@ -126,12 +127,28 @@
 
 
 def test_a_new_program_does_not_wait_and_comes_back_later() -> None:
-    assert max_wait_s(first_turn=True, remaining_s=3.0) == 0.0
+    wait_s = max_wait_s(first_turn=True, may_have_run=False, remaining_s=3.0)
+    assert wait_s == 0.0
     assert retry_after_s(0.0, first_turn=True) == FIRST_TURN_RETRY_S
     assert retry_after_s(2.0, first_turn=True) == 2.0
 
 
-def test_other_requests_wait_within_their_deadline() -> None:
-    assert max_wait_s(first_turn=False, remaining_s=3.0) == STARTED_WAIT_S
-    assert max_wait_s(first_turn=False, remaining_s=0.4) == 0.1
-    assert max_wait_s(first_turn=False, remaining_s=-1.0) == 0.0
+@pytest.mark.parametrize(
+    ("remaining_s", "expected_s"),
+    [(3.0, STARTED_WAIT_S), (0.4, 0.1), (-1.0, 0.0)],
+)
+def test_other_requests_wait_within_their_deadline(
+    remaining_s: float, expected_s: float
+) -> None:
+    wait_s = max_wait_s(
+        first_turn=False, may_have_run=False, remaining_s=remaining_s
+    )
+    assert wait_s == expected_s
+
+
+def test_a_request_that_may_have_run_waits_longest() -> None:
+    for first_turn in (False, True):
+        wait_s = max_wait_s(
+            first_turn=first_turn, may_have_run=True, remaining_s=3.0
+        )
+        assert wait_s == RESUME_WAIT_S
