Let two targets of the soak name a limit, and check what they get

The soak ran real processes, but no target ever named a limit, so it could not see the incident. One target of each service now names 2/s; a window of 4 s above one and a half times that, + 5, + 3 for each VM started or paused near it, is a violation.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -40,6 +40,7 @@
             click.echo(
                 f"seed {seed}: statuses {dict(report.statuses)}, "
                 f"conversations {dict(report.conversations)}, "
+                f"limited {report.limited_requests}, "
                 f"faults {dict(report.faults)}, logs {directory}"
             )
             for line in report.violations[:10]:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -20,8 +20,10 @@
 from tests.entry.entry_vm_harness import ENGINE, ROUTES
 from tests.entry.fake_store_server import FakeStoreServer
 from tests.entry.memory_store import MemoryLog
-from tests.soak.loopback_proxy import LoopbackProxy, ProxyMode
+from tests.soak.loopback_proxy import ProxyMode
 from tests.soak.soak_conversations import AnsweredTurn, SoakConversations
+from tests.soak.soak_faults import SoakFaults
+from tests.soak.soak_limits import SoakLimits
 from tests.soak.soak_targets import EVENTS, TOKENS_PER_EVENT, SoakTarget
 from tests.soak.soak_vm import ReceivedAnswer, SoakVm
 
@@ -31,6 +33,9 @@
 START_LIMIT_S = 60.0
 """Seconds within which a request must be served before the first fault."""
 
+LIMITS_PER_S = (None, 2.0)
+"""The limit that each service's first and second target names."""
+
 NOT_EXECUTED_STATUSES = (402, 408, 421, 429, 503)
 
 
@@ -43,12 +48,14 @@
         faults: Number of faults by name.
         violations: Descriptions of violated guarantees.
         conversations: Number of turns of conversations by how they ended.
+        limited_requests: Number of requests to targets that name a limit.
     """
 
     conversations: Counter[str] = field(default_factory=Counter)
     statuses: Counter[int] = field(default_factory=Counter)
     faults: Counter[str] = field(default_factory=Counter)
     violations: list[str] = field(default_factory=list)
+    limited_requests: int = 0
 
 
 class Soak:
@@ -80,8 +87,8 @@
         self._orders: set[str] = set()
         self._tokens: Counter[str] = Counter()
         self._budgets: dict[str, int] = {}
-        self._store_disturbed_until = 0.0
         self._conversations = SoakConversations(random.Random(seed + 1))
+        self._limits = SoakLimits()
         self._finished = False
         self._version = 0
         self.report = Report()
@@ -96,6 +103,7 @@
                 reactor,
                 self._run_counts,
                 self._conversations.received,
+                limit_per_s=LIMITS_PER_S[n],
             )
             for service in ("app", "engines")
             for n in range(2)
@@ -113,6 +121,16 @@
             )
             for n in range(vms)
         ]
+        self._faults = SoakFaults(
+            reactor,
+            self._random,
+            vms=self._vms,
+            targets=self._targets,
+            limits=self._limits,
+            counts=self.report.faults,
+            change_configuration=self._configure,
+            finished=lambda: self._finished,
+        )
 
     async def run(self) -> Report:
         """Runs the whole test."""
@@ -123,7 +141,7 @@
         clients = [ensureDeferred(self._client(n)) for n in range(CLIENTS)]
         clients += [ensureDeferred(self._chat(n)) for n in range(CHATS)]
         await self.wait_until_served()
-        await self._inject_faults()
+        await self._faults.inject(self._seconds)
         await sleep(self._reactor, 2.0)
         self._finished = True
         await DeferredList(clients, consumeErrors=True)
@@ -227,7 +245,7 @@
             status=received.status,
             whole=whole,
             body=received.body,
-            store_undisturbed=now > self._store_disturbed_until + 1.0,
+            store_undisturbed=now > self._faults.store_disturbed_until + 1.0,
         )
 
     async def _order(self, program: str, turn: int) -> None:
@@ -284,78 +302,6 @@
         if body.count(request.encode()) != body.count(b"data: "):
             self.report.violations.append(f"answer: {request} got another's")
 
-    async def _inject_faults(self) -> None:
-        deadline = self._reactor.seconds() + self._seconds
-        while self._reactor.seconds() < deadline:
-            await sleep(self._reactor, self._random.uniform(0.2, 1.2))
-            fault = self._random.choice(
-                (
-                    self._kill,
-                    self._pause,
-                    self._terminate,
-                    self._disturb_one_store_link,
-                    self._disturb_all_store_links,
-                    self._disturb_one_target,
-                    self._change_configuration,
-                    self._kill_all,
-                )
-            )
-            self.report.faults[fault.__name__.strip("_")] += 1
-            fault()
-
-    def _kill(self) -> None:
-        self._restart(self._random.choice(self._vms), signal.SIGKILL)
-
-    def _kill_all(self) -> None:
-        for vm in self._vms:
-            self._restart(vm, signal.SIGKILL)
-
-    def _terminate(self) -> None:
-        self._restart(self._random.choice(self._vms), signal.SIGTERM)
-
-    def _restart(self, vm: SoakVm, number: signal.Signals) -> None:
-        vm.signal(signal.SIGCONT)
-        vm.signal(number)
-        ensureDeferred(self._start_when_exited(vm))
-
-    async def _start_when_exited(self, vm: SoakVm) -> None:
-        process = vm.process
-        while process is not None and process.poll() is None:
-            await sleep(self._reactor, 0.05)
-        if vm.process is process and not self._finished:
-            vm.start()
-
-    def _pause(self) -> None:
-        vm = self._random.choice(self._vms)
-        vm.signal(signal.SIGSTOP)
-        pause_s = self._random.uniform(0.3, 2.0)
-        self._reactor.callLater(pause_s, vm.signal, signal.SIGCONT)
-
-    def _disturb_one_store_link(self) -> None:
-        self._disturb_proxies([self._random.choice(self._vms).store_proxy])
-
-    def _disturb_all_store_links(self) -> None:
-        self._disturb_proxies([vm.store_proxy for vm in self._vms])
-
-    def _disturb_one_target(self) -> None:
-        self._disturb_proxies([self._random.choice(self._targets).proxy])
-
-    def _disturb_proxies(self, proxies: list[LoopbackProxy]) -> None:
-        modes = [mode for mode in ProxyMode if mode is not ProxyMode.PASS]
-        mode = self._random.choice(modes)
-        duration_s = self._random.uniform(0.3, 3.0)
-        if any(vm.store_proxy in proxies for vm in self._vms):
-            until = self._reactor.seconds() + duration_s
-            self._store_disturbed_until = max(
-                self._store_disturbed_until, until
-            )
-        for proxy in proxies:
-            proxy.set_mode(mode)
-            self._reactor.callLater(duration_s, proxy.set_mode, ProxyMode.PASS)
-
-    def _change_configuration(self) -> None:
-        self._configure()
-
     async def _stop_all(self) -> None:
         for vm in self._vms:
             vm.store_proxy.set_mode(ProxyMode.PASS)
@@ -398,5 +344,14 @@
         for program, tokens in self._tokens.items():
             if tokens > self._budgets[program] + MAX_TURN_TOKENS:
                 violations.append(f"budget: {program} used {tokens}")
+        for target in self._targets:
+            if target.limit_per_s is None:
+                continue
+            self.report.limited_requests += len(target.received_at)
+            violations.extend(
+                self._limits.violations(
+                    target.name, target.limit_per_s, target.received_at
+                )
+            )
         if not self.report.statuses[200]:
             violations.append("service: no request was served")
--- /dev/null
+++ b/tests/soak/soak_faults.py
@@ -0,0 +1,136 @@
+"""Random faults of the soak test."""
+
+from __future__ import annotations
+
+import random
+import signal
+from collections import Counter
+from collections.abc import Callable, Sequence
+from typing import Any
+
+from twisted.internet.defer import ensureDeferred
+
+from lycheestall.clock import sleep
+from tests.soak.loopback_proxy import LoopbackProxy, ProxyMode
+from tests.soak.soak_limits import SoakLimits
+from tests.soak.soak_targets import SoakTarget
+from tests.soak.soak_vm import SoakVm
+
+
+class SoakFaults:
+    """Injects faults from outside the processes.
+
+    Args:
+        reactor: Times the faults.
+        rng: Chooses them.
+        vms: The VMs to disturb.
+        targets: The targets to disturb.
+        limits: Learns when VMs are disturbed.
+        counts: Receives the number of faults by name.
+        change_configuration: Publishes another configuration.
+        finished: Returns whether the run has ended.
+
+    Attributes:
+        store_disturbed_until: When the last disturbance of a VM's link to
+            the store ends.
+    """
+
+    def __init__(
+        self,
+        reactor: Any,
+        rng: random.Random,
+        *,
+        vms: Sequence[SoakVm],
+        targets: Sequence[SoakTarget],
+        limits: SoakLimits,
+        counts: Counter[str],
+        change_configuration: Callable[[], None],
+        finished: Callable[[], bool],
+    ) -> None:
+        self._reactor = reactor
+        self._random = rng
+        self._vms = vms
+        self._targets = targets
+        self._limits = limits
+        self._counts = counts
+        self._configure = change_configuration
+        self._finished = finished
+        self.store_disturbed_until = 0.0
+
+    async def inject(self, seconds: float) -> None:
+        """Injects faults for some seconds."""
+        deadline = self._reactor.seconds() + seconds
+        while self._reactor.seconds() < deadline:
+            await sleep(self._reactor, self._random.uniform(0.2, 1.2))
+            fault = self._random.choice(
+                (
+                    self._kill,
+                    self._pause,
+                    self._terminate,
+                    self._disturb_one_store_link,
+                    self._disturb_all_store_links,
+                    self._disturb_one_target,
+                    self._change_configuration,
+                    self._kill_all,
+                )
+            )
+            self._counts[fault.__name__.strip("_")] += 1
+            fault()
+
+    def _kill(self) -> None:
+        self._restart(self._random.choice(self._vms), signal.SIGKILL)
+
+    def _kill_all(self) -> None:
+        for vm in self._vms:
+            self._restart(vm, signal.SIGKILL)
+
+    def _terminate(self) -> None:
+        self._restart(self._random.choice(self._vms), signal.SIGTERM)
+
+    def _restart(self, vm: SoakVm, number: signal.Signals) -> None:
+        self._limits.vm_disturbed(self._reactor.seconds())
+        vm.signal(signal.SIGCONT)
+        vm.signal(number)
+        ensureDeferred(self._start_when_exited(vm))
+
+    async def _start_when_exited(self, vm: SoakVm) -> None:
+        process = vm.process
+        while process is not None and process.poll() is None:
+            await sleep(self._reactor, 0.05)
+        if vm.process is process and not self._finished():
+            self._limits.vm_disturbed(self._reactor.seconds())
+            vm.start()
+
+    def _pause(self) -> None:
+        vm = self._random.choice(self._vms)
+        vm.signal(signal.SIGSTOP)
+        pause_s = self._random.uniform(0.3, 2.0)
+        self._limits.vm_disturbed(self._reactor.seconds())
+        self._reactor.callLater(pause_s, self._resume, vm)
+
+    def _resume(self, vm: SoakVm) -> None:
+        self._limits.vm_disturbed(self._reactor.seconds())
+        vm.signal(signal.SIGCONT)
+
+    def _disturb_one_store_link(self) -> None:
+        self._disturb_proxies([self._random.choice(self._vms).store_proxy])
+
+    def _disturb_all_store_links(self) -> None:
+        self._disturb_proxies([vm.store_proxy for vm in self._vms])
+
+    def _disturb_one_target(self) -> None:
+        self._disturb_proxies([self._random.choice(self._targets).proxy])
+
+    def _disturb_proxies(self, proxies: list[LoopbackProxy]) -> None:
+        modes = [mode for mode in ProxyMode if mode is not ProxyMode.PASS]
+        mode = self._random.choice(modes)
+        duration_s = self._random.uniform(0.3, 3.0)
+        if any(vm.store_proxy in proxies for vm in self._vms):
+            until = self._reactor.seconds() + duration_s
+            self.store_disturbed_until = max(self.store_disturbed_until, until)
+        for proxy in proxies:
+            proxy.set_mode(mode)
+            self._reactor.callLater(duration_s, proxy.set_mode, ProxyMode.PASS)
+
+    def _change_configuration(self) -> None:
+        self._configure()
--- a/tests/soak/soak_targets.py
+++ b/tests/soak/soak_targets.py
@@ -23,6 +23,10 @@
         reactor: Listens and times answers.
         run_counts: Number of runs by request ID, over all targets.
         received: Bodies by request ID, over all targets.
+        limit_per_s: The limit that it names in its responses; None for none.
+
+    Attributes:
+        received_at: When it received its requests.
     """
 
     def __init__(
@@ -32,12 +36,16 @@
         reactor: Any,
         run_counts: Counter[str],
         received: dict[str, bytes],
+        *,
+        limit_per_s: float | None = None,
     ) -> None:
         self.name = name
         self.service = service
         self._reactor = reactor
         self._run_counts = run_counts
         self._received = received
+        self.limit_per_s = limit_per_s
+        self.received_at: list[float] = []
         factory = CallerFactory(self, reactor)
         self._port = reactor.listenTCP(0, factory, interface="127.0.0.1")
         self.proxy = LoopbackProxy(reactor, self._port.getHost().port)
@@ -54,12 +62,16 @@
         """Runs a request."""
         headers = {n.lower(): v for n, v in exchange.request.headers}
         request_id = headers[b"x-request-id"]
+        self.received_at.append(self._reactor.seconds())
         self._run_counts[request_id.decode()] += 1
         self._received[request_id.decode()] = exchange.request.body
         common_headers = [
             (b"X-Request-Id", request_id),
             (b"X-Response-Seal", b"seal"),
         ]
+        if self.limit_per_s is not None:
+            limit = b"%.1f" % self.limit_per_s
+            common_headers.append((b"Server-Limit", limit))
         if self.service == "app":
             self._reactor.callLater(
                 0.02, exchange.respond, 200, common_headers, request_id * 20
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -66,6 +66,8 @@
     soak._check_stream(
         "r", b"id: 1\ndata: r\n\nid: 3\ndata: q\n\n", whole=True
     )
+    limited = soak._targets[1]
+    limited.received_at = [0.1 * number for number in range(18)]
     soak._check_guarantees()
     kinds = {line.split(":")[0] for line in soak.report.violations}
     assert kinds == {
@@ -76,6 +78,7 @@
         "end",
         "answer",
         "service",
+        "limit",
         "lost",
         "prompt",
     }
