Make the test of expired permits able to fail, and log such attempts

With permits that never run out the test still passed: what a VM sends after a suspension stayed within the burst. An expired permit leaves 'attempt failed' with any_target.

--- a/lycheestall/entry/request_processor.py
+++ b/lycheestall/entry/request_processor.py
@@ -227,6 +227,12 @@
                 ),
             )
             if isinstance(outcome, PermitExpired):
+                self._deps.log.attempt_failed(
+                    self._metadata,
+                    registration,
+                    outcome,
+                    next_step=NextStep.ANY_TARGET,
+                )
                 continue
             self._history.record(registration.target, outcome)
             if isinstance(outcome, StreamEnded):
--- a/lycheestall/entry/retry_policy.py
+++ b/lycheestall/entry/retry_policy.py
@@ -28,6 +28,7 @@
     GIVE_UP = "give_up"
     SAME_TARGET = "same_target"
     OTHER_TARGET = "other_target"
+    ANY_TARGET = "any_target"
 
 
 @dataclass(slots=True)
--- a/tests/entry/test_limited_fleet.py
+++ b/tests/entry/test_limited_fleet.py
@@ -191,19 +191,27 @@
 ) -> None:
     target = LimitedTarget(fleet, "only", 5.0)
     fleet.start()
-    for _ in range(VMS):
-        fleet.send("/orders/x")
-        fleet.reactor.run(0.3)
+    send_for(fleet, 2.0, per_s=5)
     waiting = [fleet.send("/orders/x") for _ in range(8)]
     fleet.reactor.run(0.05)
-    before = len(target.received_at)
+    granted_before = permits_granted(fleet)
     fleet.reactor.advance(1.2)
     resumed_at = fleet.reactor.seconds()
     fleet.reactor.run(1.5)
     after = [at for at in target.received_at if at >= resumed_at]
-    assert before + len(after) >= VMS
-    assert most_in_window(after, 0.2) <= 0.2 * 5.0 + 0.5 * 5.0 + 1
-    assert statuses(waiting) <= {200, 503}
+    assert after
+    assert permits_granted(fleet) - granted_before >= len(after)
+    assert statuses(waiting) == {200, 503}
+
+
+def permits_granted(fleet: Fleet) -> int:
+    """Returns the number of permits that all VMs have got."""
+    granted = 0.0
+    for harness in fleet.vms:
+        for line in harness.metrics.render().decode().splitlines():
+            if "permits_total{" in line and 'granted="true"' in line:
+                granted += float(line.rsplit(" ", 1)[1])
+    return int(granted)
 
 
 def statuses(answers: Sequence[RecordingCaller]) -> set[int]:
