Count a request once towards a VM's rate, whatever its permits

Cause: each time a limited target denied a permit, the next choice counted as another request, so the subset of targets of a VM in a large fleet grew with the denials: 6 of 40 targets used after requests that nine targets denied, 3 with this change (the new test fails with is_new_attempt=True throughout). More targets mean more connections. Change: only the first choice of an attempt counts.

--- a/lycheestall/entry/target_admission.py
+++ b/lycheestall/entry/target_admission.py
@@ -111,12 +111,14 @@
                 others wait.
         """
         denied: dict[TargetId, PermitDenied] = {}
+        is_new = True
         while True:
             denied |= self._permits.denied()
             limited = self._first_free(denied)
             if yields and limited is not None and denied[limited].queued:
                 return self._at_limit(denied[limited])
-            registration = self._choose(avoid=denied.keys())
+            registration = self._choose(denied.keys(), is_new_attempt=is_new)
+            is_new = False
             if registration is None:
                 break
             result = await self._acquire(registration, 0.0)
@@ -166,7 +168,9 @@
         ]
         return min(limited, key=lambda t: denied[t].until, default=None)
 
-    def _choose(self, *, avoid: Set[TargetId]) -> TargetRegistration | None:
+    def _choose(
+        self, avoid: Set[TargetId], *, is_new_attempt: bool
+    ) -> TargetRegistration | None:
         return self._chooser.choose(
             self._service_id,
             affinity=self._affinity,
@@ -174,6 +178,7 @@
             avoid=self._history.excluded | avoid,
             now=self._clock.seconds(),
             prefix_tokens=self._metadata.affinity_tokens,
+            is_new_attempt=is_new_attempt,
         )
 
     async def _acquire(
--- a/lycheestall/entry/target_chooser.py
+++ b/lycheestall/entry/target_chooser.py
@@ -71,6 +71,7 @@
         avoid: Collection[TargetId],
         now: float,
         prefix_tokens: int = 0,
+        is_new_attempt: bool = True,
     ) -> TargetRegistration | None:
         """Returns a target, or None if none is available.
 
@@ -84,8 +85,12 @@
             now: Current time.
             prefix_tokens: Prompt tokens that requests of the same affinity
                 have in common and others have not.
+            is_new_attempt: Whether no target has been chosen for this
+                attempt yet; only then it counts towards the rate of
+                requests, which determines how many targets are used.
         """
-        self._subset.record_request(service, now)
+        if is_new_attempt:
+            self._subset.record_request(service, now)
         candidates = [
             registration
             for registration in self._table.usable(service)
--- a/tests/entry/test_target_subset.py
+++ b/tests/entry/test_target_subset.py
@@ -133,3 +133,28 @@
     after = subset(60)
     assert len(before) == len(after) == MIN_TARGETS
     assert len(before & after) == MIN_TARGETS - 1
+
+
+def choose(chooser: TargetChooser, now: float, *, denials: int) -> TargetId:
+    """Chooses a target for a request that several others don't take."""
+    denied: set[TargetId] = set()
+    for number in range(denials + 1):
+        chosen = chooser.choose(
+            SERVICE,
+            affinity=None,
+            tie_break=b"%d" % int(now * 1000),
+            avoid=denied,
+            now=now,
+            is_new_attempt=number == 0,
+        )
+        assert chosen is not None
+        denied.add(chosen.target)
+    return chosen.target
+
+
+def test_targets_at_their_limits_do_not_widen_the_subset() -> None:
+    chooser = TargetChooser(new_table(40), vm="vm")
+    for step in range(40):
+        choose(chooser, float(step), denials=9)
+    used = {choose(chooser, 40.0 + step, denials=0) for step in range(40)}
+    assert len(used) == MIN_TARGETS
