Take a trial back out of the code

Also gone: a property that nobody uses, and entries of silent deciding VMs after their time. Measured: permit, fleet and subset tests pass.

--- a/lycheestall/entry/permit_service.py
+++ b/lycheestall/entry/permit_service.py
@@ -58,11 +58,6 @@
     decider: str = ""
     rate_per_s: float | None = None
 
-    @property
-    def limited(self) -> bool:
-        """Whether the target names a limit."""
-        return self.rate_per_s is not None
-
 
 @dataclass(frozen=True, slots=True)
 class PermitDenied:
@@ -192,13 +187,12 @@
         message = AskPermit(self._holder, max_wait_s, news)
         if member.holder == self._holder:
             return self.decide(message)
-        if now < self._silent_until.get(member.holder, now):
+        if self._is_silent(member.holder, now):
             return None
         reply = await self._peers.call(
             member.address, message, timeout_s=ASK_TIMEOUT_S
         )
         if isinstance(reply, PermitAnswer):
-            self._silent_until.pop(member.holder, None)
             self.add_news(reply.news, member.holder)
             return reply
         self._silent_until[member.holder] = self._clock.seconds() + SILENT_S
@@ -210,6 +204,12 @@
         )
         return None
 
+    def _is_silent(self, holder: HolderId, now: float) -> bool:
+        if now < self._silent_until.get(holder, now):
+            return True
+        self._silent_until.pop(holder, None)
+        return False
+
     def _decided(
         self,
         process: TargetProcess,
--- a/lycheestall/entry/retry_policy.py
+++ b/lycheestall/entry/retry_policy.py
@@ -10,7 +10,6 @@
     AttemptOutcome,
     Broken,
     NotRun,
-    NotRunReason,
     NotSent,
     WholeAnswer,
 )
@@ -44,7 +43,6 @@
             including one that is gone.
         excluded: Targets that must not be chosen again.
         last_target: The target of the last attempt.
-        refused_as_full: Whether a target was too full to run the request.
     """
 
     attempts: int = 0
@@ -52,7 +50,6 @@
     may_have_run: bool = False
     excluded: set[TargetId] = field(default_factory=set)
     last_target: TargetId | None = None
-    refused_as_full: bool = False
 
     def record(self, target: TargetId, outcome: AttemptOutcome) -> None:
         """Adds an attempt and its outcome."""
@@ -63,8 +60,6 @@
             self.excluded.add(target)
         elif isinstance(outcome, NotRun):
             self.excluded.add(target)
-            if outcome.reason is NotRunReason.FULL:
-                self.refused_as_full = True
         elif isinstance(outcome, Broken | WholeAnswer):
             self.possible_executors.add(target)
             self.may_have_run = True
--- a/lycheestall/entry/target_admission.py
+++ b/lycheestall/entry/target_admission.py
@@ -115,9 +115,8 @@
         while True:
             denied |= self._permits.denied()
             limited = self._first_free(denied)
-            if yields and limited is not None:
-                if denied[limited].queued or self._history.refused_as_full:
-                    return self._at_limit(denied[limited])
+            if yields and limited is not None and denied[limited].queued:
+                return self._at_limit(denied[limited])
             registration = self._choose(denied.keys(), is_new_attempt=is_new)
             is_new = False
             if registration is None:
