Leave failing targets out while the sound ones are at their limits

Cause: the other target was at its limit and so not among the candidates; ejection, which keeps half of its candidates in use, was left with the failing one alone. Change: ejection sees all targets that a request may go to; those at their limits are taken out after it. Where only such are left, the request waits for one or is refused as not run.

--- a/lycheestall/entry/target_admission.py
+++ b/lycheestall/entry/target_admission.py
@@ -169,14 +169,15 @@
         return min(limited, key=lambda t: denied[t].until, default=None)
 
     def _choose(
-        self, avoid: Set[TargetId], *, is_new_attempt: bool
+        self, at_limit: Set[TargetId], *, is_new_attempt: bool
     ) -> TargetRegistration | None:
         return self._chooser.choose(
             self._service_id,
             affinity=self._affinity,
             tie_break=self._metadata.request_id,
-            avoid=self._history.excluded | avoid,
+            avoid=self._history.excluded,
             now=self._clock.seconds(),
+            at_limit=at_limit,
             prefix_tokens=self._metadata.affinity_tokens,
             is_new_attempt=is_new_attempt,
         )
--- a/lycheestall/entry/target_chooser.py
+++ b/lycheestall/entry/target_chooser.py
@@ -71,6 +71,7 @@
         avoid: Collection[TargetId],
         now: float,
         prefix_tokens: int = 0,
+        at_limit: Collection[TargetId] = (),
         is_new_attempt: bool = True,
     ) -> TargetRegistration | None:
         """Returns a target, or None if none is available.
@@ -85,6 +86,8 @@
             now: Current time.
             prefix_tokens: Prompt tokens that requests of the same affinity
                 have in common and others have not.
+            at_limit: Targets that take no request now. They are in use, so
+                they count when failing ones are left out.
             is_new_attempt: Whether no target has been chosen for this
                 attempt yet; only then it counts towards the rate of
                 requests, which determines how many targets are used.
@@ -105,7 +108,10 @@
             registration
             for registration in candidates
             if registration.target in usable
+            and registration.target not in at_limit
         ]
+        if not candidates:
+            return None
         slow = self._latencies.slow([c.target for c in candidates], now)
         candidates = [c for c in candidates if c.target not in slow]
         if affinity is None or prefix_tokens < SHARED_PREFIX_TOKENS:
--- a/tests/entry/test_limited_fleet.py
+++ b/tests/entry/test_limited_fleet.py
@@ -77,8 +77,8 @@
         The callers, which record what they receive.
     """
     callers: list[RecordingCaller] = []
-    for _ in range(round(seconds * per_s)):
-        callers.append(fleet.send("/orders/x"))
+    for number in range(round(seconds * per_s)):
+        callers.append(fleet.send(f"/orders/{number}"))
         fleet.reactor.run(1.0 / per_s)
     return callers
 
@@ -223,3 +223,19 @@
     """Returns the retry delay of a refusal."""
     line = data.partition(b"Retry-After: ")[2].partition(b"\r\n")[0]
     return float(line)
+
+
+# Guards against requests that may run once being sent, and lost, at a target
+# that fails them all while the sound ones are at their limits.
+def test_a_failing_target_gets_no_more_because_others_are_at_their_limits(
+    fleet: Fleet,
+) -> None:
+    LimitedTarget(fleet, "limited", 2.0)
+    failing = fleet.add_target("failing", lambda request: request.reset())
+    fleet.start()
+    send_for(fleet, 3.0, per_s=40)
+    failed_before = len(failing.requests)
+    answers = send_for(fleet, 3.0, per_s=40)
+    fleet.reactor.run(1.0)
+    assert len(failing.requests) - failed_before <= VMS
+    assert sum(status_of(answer.data) == 502 for answer in answers) <= VMS
