--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Callable, Coroutine
 from pathlib import Path
 from typing import Any
 
 import pytest
 
+from lycheestall.clock import sleep
 from tests.soak.soak import MAX_TURN_TOKENS, Soak
+from tests.soak.soak_conversations import SoakConversations
 
 Run = Callable[[Coroutine[Any, Any, Any]], Any]
 
@@ -33,6 +36,29 @@
     soak.close()
 
 
+def test_a_kept_turn_that_is_never_found_is_reported(
+    reactor: Any, run: Run
+) -> None:
+    chat = SoakConversations(random.Random(1))
+    chat.begin("c1", b"in;", None)
+    body = b"id: 1\ndata: out\n\n"
+    chat.end(
+        "c1",
+        None,
+        status=200,
+        whole=True,
+        body=body,
+        store_undisturbed=True,
+    )
+    times = iter(range(100))
+
+    async def ask(turn: object) -> None:
+        await sleep(reactor, 0.0)
+
+    run(chat.check_all_found(ask, lambda: float(next(times))))
+    assert chat.violations == ["lost: c1 is not found"]
+
+
 def test_each_check_can_fail(reactor: Any, tmp_path: Path) -> None:
     soak = Soak(reactor, seed=402, seconds=0.0, directory=tmp_path)
     chat = soak._conversations
