--- a/tests/entry/test_kept_turns.py
+++ b/tests/entry/test_kept_turns.py
@@ -6,7 +6,11 @@
 
 from lycheestall.entry.store import Topic
 from tests.entry.entry_vm_harness import ROUTES, EntryVmHarness, status_of
-from tests.entry.fake_network import FakeTarget, ReceivedRequest
+from tests.entry.fake_network import (
+    FakeTarget,
+    FakeTransport,
+    ReceivedRequest,
+)
 from tests.entry.memory_store import Fault
 
 EVENTS = 3
@@ -58,6 +62,22 @@
 ANSWER = b"piece 1\npiece 2\npiece 3\n"
 
 
+def begin_turn(
+    harness: EntryVmHarness, *, run_s: float = 0.1
+) -> FakeTransport:
+    """Sends a first turn and returns its caller, which stays connected."""
+    caller = harness.connect()
+    harness.send_request(
+        "/chat/x",
+        method="POST",
+        body="one;",
+        request_id="t1",
+        caller=caller,
+        run_s=run_s,
+    )
+    return caller
+
+
 def test_a_turn_is_run_with_the_whole_conversation(
     harness: EntryVmHarness, engine: FakeTarget
 ) -> None:
@@ -203,10 +223,7 @@
     harness: EntryVmHarness, engine: FakeTarget
 ) -> None:
     harness.store.held_appends = []
-    caller = harness.connect()
-    harness.send_request(
-        "/chat/x", method="POST", body="one;", request_id="t1", caller=caller
-    )
+    caller = begin_turn(harness)
     assert b"piece 3" in caller.protocol.data
     assert not caller.protocol.data.endswith(b"0\r\n\r\n")
     harness.store.release_held_appends()
@@ -218,15 +235,7 @@
     harness: EntryVmHarness, engine: FakeTarget
 ) -> None:
     harness.store.refused_topics = {Topic.TURNS}
-    caller = harness.connect()
-    harness.send_request(
-        "/chat/x",
-        method="POST",
-        body="one;",
-        request_id="t1",
-        caller=caller,
-        run_s=4.0,
-    )
+    caller = begin_turn(harness, run_s=4.0)
     assert b"piece 3" in caller.protocol.data
     assert not caller.protocol.data.endswith(b"0\r\n\r\n")
     assert caller.protocol.lost is not None
@@ -237,10 +246,7 @@
     harness: EntryVmHarness, engine: FakeTarget
 ) -> None:
     harness.store.refused_topics = {Topic.TURNS}
-    caller = harness.connect()
-    harness.send_request(
-        "/chat/x", method="POST", body="one;", request_id="t1", caller=caller
-    )
+    caller = begin_turn(harness)
     assert harness.vm.running == 1
     caller.abortConnection()
     harness.reactor.run(0.05)
--- a/tests/entry/test_silent_targets.py
+++ b/tests/entry/test_silent_targets.py
@@ -27,6 +27,14 @@
             request.end_stream()
 
 
+def expire_in_an_outage(harness: EntryVmHarness, target: str) -> None:
+    """Lets a target's registration lapse while the store is away."""
+    harness.store.fault = Fault.REFUSES
+    harness.reactor.run(2.5)
+    harness.log.put(Topic.TARGETS, KeyedWrite(target.encode(), None))
+    harness.store.fault = Fault.NONE
+
+
 def test_running_work_goes_on_when_its_targets_registration_lapses(
     harness: EntryVmHarness,
 ) -> None:
@@ -51,10 +59,7 @@
     engine = SlowEngine()
     harness.add_target("engine", engine.respond, service="engines")
     harness.start()
-    harness.store.fault = Fault.REFUSES
-    harness.reactor.run(2.5)
-    harness.log.put(Topic.TARGETS, KeyedWrite(b"engine", None))
-    harness.store.fault = Fault.NONE
+    expire_in_an_outage(harness, "engine")
     harness.reactor.run(1.0)
     harness.send_request("/plan/x", method="POST", request_id="r1")
     harness.register("engine", "10.1.0.1", service="engines")
@@ -69,10 +74,7 @@
     engine = SlowEngine()
     harness.add_target("engine", engine.respond, service="engines")
     harness.start()
-    harness.store.fault = Fault.REFUSES
-    harness.reactor.run(2.5)
-    harness.log.put(Topic.TARGETS, KeyedWrite(b"engine", None))
-    harness.store.fault = Fault.NONE
+    expire_in_an_outage(harness, "engine")
     harness.reactor.run(4.0)
     harness.send_request("/plan/x", method="POST")
     assert not engine.requests
