--- a/lycheestall/entry/request_processor.py
+++ b/lycheestall/entry/request_processor.py
@@ -291,7 +291,7 @@
         )
         admission: Admission | AtLimits | None
         if same_target is not None:
-            admission = await self._admission.choose_same(
+            admission = await self._admission.wait_for(
                 same_target, max_wait_s=wait_s
             )
         else:
--- a/lycheestall/entry/target_admission.py
+++ b/lycheestall/entry/target_admission.py
@@ -130,16 +130,16 @@
         first = self._table.get_usable(limited)
         if first is None:
             return None
-        return await self.choose_same(first, max_wait_s=max_wait_s)
+        return await self.wait_for(first, max_wait_s=max_wait_s)
 
-    async def choose_same(
+    async def wait_for(
         self, registration: TargetRegistration, *, max_wait_s: float
     ) -> Admission | AtLimits:
-        """Returns another admission to a target that was used before.
+        """Returns an admission to one target only, even if it has to wait.
 
         Args:
             registration: The target.
-            max_wait_s: Seconds that the request waits for it.
+            max_wait_s: Seconds that the request may wait for it.
         """
         result = await self._acquire(registration, max_wait_s)
         if isinstance(result, Permit):
