Log which software version a target runs and which stream is resumed

Registrations' version and the caller's Resumes are decoded once, in the adapter; the lines target registered, attempt failed and the new stream resumed show them. A record without a version, or with another type, names no target, as any other missing field. No change of routing. Measured: tests/entry pass.

--- a/lycheestall/entry/attempt_runner.py
+++ b/lycheestall/entry/attempt_runner.py
@@ -145,6 +145,12 @@
         resume_after = self._metadata.resume_after
         if self._forwarder is not None:
             resume_after = self._forwarder.last_event_id
+        if resume_after is not None:
+            self._deps.log.stream_resumed(
+                self._metadata,
+                admission.registration,
+                resume_after=resume_after,
+            )
         return self._target_request.encode(
             admission.registration.target,
             self._body(),
--- a/lycheestall/entry/decision_log.py
+++ b/lycheestall/entry/decision_log.py
@@ -110,11 +110,37 @@
             request=_decode(metadata.request_id),
             target=registration.target,
             target_started_ms=registration.started_ms,
+            software_version=registration.software_version,
             outcome=outcome_name,
             next_step=next_step.value,
             **_outcome_fields(outcome),
         )
 
+    def stream_resumed(
+        self,
+        metadata: RequestMetadata,
+        registration: TargetRegistration,
+        *,
+        resume_after: int,
+    ) -> None:
+        """Logs an attempt that continues a stream after one of its events.
+
+        Args:
+            metadata: The request's metadata.
+            registration: The target of the attempt.
+            resume_after: ID of the last event that was received.
+        """
+        resumed_request = metadata.resumed_request
+        self._write(
+            "stream resumed",
+            request=_decode(metadata.request_id),
+            resumed_request=_decode(resumed_request or b"") or None,
+            resume_after=resume_after,
+            target=registration.target,
+            target_started_ms=registration.started_ms,
+            software_version=registration.software_version,
+        )
+
     def request_ended(
         self,
         metadata: RequestMetadata,
--- a/lycheestall/entry/message_metadata.py
+++ b/lycheestall/entry/message_metadata.py
@@ -46,6 +46,8 @@
         max_output_tokens: Maximum tokens that this turn generates.
         prompt_parts: The prompt's parts, in order.
         resume_after: ID of the last event that the caller received.
+        resumed_request: ID of the caller's attempt that received the first
+            event of the stream that this one resumes, if given.
         previous_turn: ID of the turn that this one continues from, if any.
     """
 
@@ -59,6 +61,7 @@
     max_output_tokens: int = 0
     prompt_parts: tuple[PromptPart, ...] = ()
     resume_after: int | None = None
+    resumed_request: bytes | None = None
     previous_turn: str | None = None
 
     @property
--- a/lycheestall/entry/store_view.py
+++ b/lycheestall/entry/store_view.py
@@ -222,6 +222,7 @@
             "target registered",
             target=registration.target,
             service=registration.service,
+            software_version=registration.software_version,
             draining=registration.draining,
             started_ms=registration.started_ms,
             offset=record.offset,
--- a/lycheestall/entry/target_table.py
+++ b/lycheestall/entry/target_table.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from ..ids import TargetId, ZoneId
+from ..ids import SoftwareVersion, TargetId, ZoneId
 from .configuration import ServiceId
 
 __all__ = ["TargetProcess", "TargetRegistration", "TargetTable"]
@@ -44,6 +44,7 @@
         host: IP address.
         port: TCP port.
         zone: Availability zone.
+        software_version: Version of the program that the target runs.
         slots: Number of requests that the target runs concurrently.
         draining: Whether the target is shutting down and takes no new
             requests.
@@ -55,6 +56,7 @@
     host: str
     port: int
     zone: ZoneId
+    software_version: SoftwareVersion
     slots: int
     draining: bool
 
--- a/lycheestall/ids.py
+++ b/lycheestall/ids.py
@@ -16,6 +16,7 @@
     "ProgramId",
     "RequestId",
     "SessionId",
+    "SoftwareVersion",
     "StreamName",
     "TargetId",
     "VmId",
@@ -47,6 +48,9 @@
 ZoneId = NewType("ZoneId", str)
 """An availability zone."""
 
+SoftwareVersion = NewType("SoftwareVersion", str)
+"""A version of the program that a target runs, not of its model weights."""
+
 TargetId = NewType("TargetId", str)
 """A model engine, application, tool service or a group of them."""
 
--- a/lycheestall/platform/headers.py
+++ b/lycheestall/platform/headers.py
@@ -22,6 +22,8 @@
 _DEADLINE_MS = b"x-deadline-ms"
 _PROMPT_PREFIX = b"x-prompt-prefix"
 _LAST_EVENT_ID = b"last-event-id"
+# ID of the attempt that received the first event of a resumed stream.
+_RESUMES = b"resumes"
 _RESPONSE_SEAL = b"x-response-seal"
 _EXPECT_INSTANCE = b"x-expect-instance"
 _NOT_EXECUTED = b"x-not-executed"
@@ -116,6 +118,7 @@
             max_output_tokens=limits[1] if len(limits) == 2 else 0,
             prompt_parts=_prompt_parts(by_name.get(_PROMPT_PREFIX, b"")),
             resume_after=_integer(by_name.get(_LAST_EVENT_ID)),
+            resumed_request=by_name.get(_RESUMES) or None,
             previous_turn=previous.decode("latin-1") if previous else None,
         )
 
--- a/lycheestall/platform/store_records.py
+++ b/lycheestall/platform/store_records.py
@@ -19,7 +19,7 @@
 )
 from ..entry.record_decoder import RecordDecoder, UnreadableRecord
 from ..entry.target_table import TargetRegistration
-from ..ids import TargetId, ZoneId
+from ..ids import SoftwareVersion, TargetId, ZoneId
 
 __all__ = ["PlatformRecordDecoder"]
 
@@ -157,7 +157,9 @@
     address = document["address"]
     slots = document["slots"]
     zone = document["zone"]
-    texts = (service, address, zone)
+    # "version" is that of the target's program, not of a record or weights.
+    software_version = document["version"]
+    texts = (service, address, zone, software_version)
     if not all(isinstance(text, str) for text in texts):
         return UnreadableRecord("a text field has another type")
     if not isinstance(slots, int) or isinstance(slots, bool):
@@ -174,6 +176,7 @@
         host=host,
         port=int(port),
         zone=ZoneId(zone),
+        software_version=SoftwareVersion(software_version),
         slots=slots,
         draining=state == "draining",
     )
--- a/tests/entry/choosers.py
+++ b/tests/entry/choosers.py
@@ -5,7 +5,7 @@
 from lycheestall.entry.configuration import ServiceId
 from lycheestall.entry.target_chooser import TargetChooser
 from lycheestall.entry.target_table import TargetRegistration, TargetTable
-from lycheestall.ids import TargetId, ZoneId
+from lycheestall.ids import SoftwareVersion, TargetId, ZoneId
 
 SERVICE = ServiceId("app")
 
@@ -22,6 +22,7 @@
                 host="10.0.0.1",
                 port=number,
                 zone=ZoneId("z"),
+                software_version=SoftwareVersion("v1"),
                 slots=6,
                 draining=False,
             )
--- a/tests/entry/entry_vm_harness.py
+++ b/tests/entry/entry_vm_harness.py
@@ -184,6 +184,7 @@
             "service": service,
             "address": f"{host}:80",
             "zone": "zone-a",
+            "version": "v1",
             "slots": 8,
             "state": "ready",
             "born": 1,
--- a/tests/entry/test_platform_adapter.py
+++ b/tests/entry/test_platform_adapter.py
@@ -199,6 +199,7 @@
         "service": "app",
         "address": f"127.0.0.1:{target.getHost().port}",
         "zone": "zone-a",
+        "version": "v1",
         "slots": 4,
         "state": "ready",
         "born": 1,
--- a/tests/entry/test_target_table.py
+++ b/tests/entry/test_target_table.py
@@ -107,13 +107,17 @@
         b"{}",
         b'{"service": 3}',
         b'{"service":"app","address":"10.0.0.1:80","zone":"z","slots":"8",'
-        b'"state":"ready","born":1}',
+        b'"version":"v1","state":"ready","born":1}',
         b'{"service":"app","address":"10.0.0.1:80","zone":"z","slots":8,'
-        b'"state":"waking","born":1}',
+        b'"version":"v1","state":"waking","born":1}',
         b'{"service":"app","address":"10.0.0.1","zone":"z","slots":8,'
+        b'"version":"v1","state":"ready","born":1}',
+        b'{"service":"app","address":"10.0.0.1:80","zone":"z","slots":8,'
+        b'"version":"v1","state":"ready","born":"now"}',
+        b'{"service":"app","address":"10.0.0.1:80","zone":"z","slots":8,'
         b'"state":"ready","born":1}',
         b'{"service":"app","address":"10.0.0.1:80","zone":"z","slots":8,'
-        b'"state":"ready","born":"now"}',
+        b'"version":2,"state":"ready","born":1}',
     ],
 )
 def test_an_invalid_record_registers_no_target(value: bytes) -> None:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -182,6 +182,7 @@
                     "service": target.service,
                     "address": f"127.0.0.1:{target.proxy.port}",
                     "zone": "zone-a",
+                    "version": "v1",
                     "slots": 8,
                     "state": "ready",
                     "born": 1,
