--- a/tests/entry/entry_vm_harness.py
+++ b/tests/entry/entry_vm_harness.py
@@ -166,14 +166,26 @@
         )
 
     def add_target(
-        self, name: str, on_request: RequestCallback, *, service: str = "app"
+        self,
+        name: str,
+        on_request: RequestCallback,
+        *,
+        service: str = "app",
+        **fields: Any,
     ) -> FakeTarget:
-        """Registers a target."""
+        """Registers a target.
+
+        Args:
+            name: Its ID.
+            on_request: Handles its requests.
+            service: Its service.
+            **fields: Fields of its registration that differ from the usual.
+        """
         self._last_address += 1
         host = f"10.1.0.{self._last_address}"
         target = FakeTarget(on_request)
         self.reactor.target_by_address[(host, 80)] = target
-        self.register(name, host, service=service)
+        self.register(name, host, service=service, **fields)
         return target
 
     def register(
--- a/tests/entry/fleet.py
+++ b/tests/entry/fleet.py
@@ -18,6 +18,7 @@
 from tests.entry.fake_network import (
     FakeReactor,
     FakeTarget,
+    FakeTransport,
     RecordingCaller,
     RequestCallback,
 )
@@ -99,6 +100,7 @@
         self.log = MemoryLog()
         self.links = PeerLinks(self.reactor)
         self._sent = 0
+        self._connections_by_vm: dict[int, list[FakeTransport]] = {}
         self.vms: list[EntryVmHarness] = []
         for number in range(vms):
             self.vms.append(self._add(number, incarnation=1))
@@ -109,10 +111,16 @@
             vm.vm.start()
         self.reactor.run(2.5)
 
-    def restart(self, number: int) -> None:
-        """Kills a VM and starts a new process at its address."""
+    def kill(self, number: int) -> None:
+        """Kills a VM's process, with its callers' connections."""
         address = self.vms[number].address
         self.links.handle_by_address.pop(address, None)
+        for connection in self._connections_by_vm.pop(number, ()):
+            connection.abortConnection()
+
+    def restart(self, number: int) -> None:
+        """Kills a VM and starts a new process at its address."""
+        self.kill(number)
         self.vms[number] = self._add(number, incarnation=2)
         self.vms[number].vm.start()
 
@@ -121,16 +129,34 @@
         self.links.cut.add(self.vms[number].address)
 
     def add_target(
-        self, name: str, on_request: RequestCallback, *, service: str = "app"
+        self,
+        name: str,
+        on_request: RequestCallback,
+        *,
+        service: str = "app",
+        **fields: Any,
     ) -> FakeTarget:
-        """Registers a target."""
-        return self.vms[0].add_target(name, on_request, service=service)
+        """Registers a target; see ``EntryVmHarness.add_target``."""
+        return self.vms[0].add_target(
+            name, on_request, service=service, **fields
+        )
 
     def send(
-        self, path: str, *, vm: int | None = None, headers: str = ""
+        self,
+        path: str,
+        *,
+        vm: int | None = None,
+        headers: str = "",
+        request_id: str | None = None,
     ) -> RecordingCaller:
         """Sends a request to a VM, or to each in turn.
 
+        Args:
+            path: The path.
+            vm: Number of the VM; the next one if None.
+            headers: Further header lines.
+            request_id: ID of the request; a new one if None.
+
         Returns:
             The caller's protocol, which records what it receives.
         """
@@ -138,12 +164,13 @@
         number = self._sent % len(self.vms) if vm is None else vm
         harness = self.vms[number]
         caller = harness.connect()
+        self._connections_by_vm.setdefault(number, []).append(caller)
         received: RecordingCaller = caller.protocol
         harness.send_request(
             path,
             method="POST",
             headers=headers,
-            request_id=f"r{self._sent}",
+            request_id=request_id or f"r{self._sent}",
             run_s=0.0,
             caller=caller,
         )
