Resume a broken stream at the software version that began it

Callers got one response with events of two software versions, after the target that began it had crashed. Cause: the VM that resumes a stream took any target of the service. Change: the first event that is forwarded binds the request to the version of its target (StreamVersion); the choice, the permits and the repeat at the same target keep to it, and without such a target the response breaks off at once, without looking complete.

--- a/lycheestall/entry/attempt_runner.py
+++ b/lycheestall/entry/attempt_runner.py
@@ -33,6 +33,9 @@
         target_request: Encodes the request.
         body: Returns the body to send.
         deadline: When the request must have been answered.
+
+    Attributes:
+        registration: The target of the last attempt; None before the first.
     """
 
     def __init__(
@@ -57,6 +60,7 @@
         self._target_request = target_request
         self._body = body
         self._deadline = deadline
+        self.registration: TargetRegistration | None = None
         self._attempt: TargetAttempt | None = None
         self._started_at = 0.0
 
@@ -76,6 +80,7 @@
             deadline_passed: Returns whether the deadline ended the attempt.
         """
         registration = admission.registration
+        self.registration = registration
         deps = self._deps
         attempt = TargetAttempt(
             deps.pool_of(registration),
--- a/lycheestall/entry/request_processor.py
+++ b/lycheestall/entry/request_processor.py
@@ -25,6 +25,7 @@
 from .request_dependencies import RequestDependencies
 from .retry_policy import AttemptHistory, NextStep, choose_next_step
 from .stream_forwarder import StreamForwarder
+from .stream_version import StreamVersion
 from .target_admission import Admission, AtLimits, TargetAdmission
 from .target_request import TargetRequest
 from .target_table import TargetRegistration
@@ -76,12 +77,14 @@
             deps.reservations, deps.clock, metadata, service, turn=turn
         )
         self._turn = KeptTurn(deps, metadata, route, exchange.request.body)
+        self._stream_version = StreamVersion()
         self._forwarder: StreamForwarder | None = None
         if route.is_stream:
             self._forwarder = StreamForwarder(
                 exchange,
                 resume_after=metadata.resume_after,
                 clock=deps.clock,
+                on_first_event=self._bind_stream,
                 keep_output=self._turn.kept,
             )
         self._final = FinalResponse(
@@ -132,6 +135,7 @@
             service=service,
             service_id=service_id,
             history=self._history,
+            stream_version=self._stream_version,
         )
         self._sleeping: Deferred[None] | None = None
         self._early_end: EarlyEnd | None = None
@@ -261,9 +265,14 @@
                 ):
                     step = NextStep.SAME_TARGET
             if step is NextStep.SAME_TARGET:
-                same_target = self._deps.table.get_usable(registration.target)
+                same_target = self._admission.get_usable(registration.target)
                 await self._sleep(SAME_TARGET_RETRY_DELAY_S)
 
+    def _bind_stream(self) -> None:
+        registration = self._attempts.registration
+        assert registration is not None
+        self._stream_version.bind(registration)
+
     async def _finish_stream(self) -> None:
         assert self._forwarder is not None
         kept = await self._turn.keep(
--- a/lycheestall/entry/stream_forwarder.py
+++ b/lycheestall/entry/stream_forwarder.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from ..clock import Clock
 from .event_splitter import EventSplitter, ServerSentEvent
 from .exchange import Exchange
@@ -27,6 +29,7 @@
         exchange: Receives the events.
         resume_after: ID of the last event that the caller received.
         clock: Tells when the first event arrived.
+        on_first_event: Called before the first event is forwarded.
         keep_output: Whether to collect the events' data. Then the target has
             to send the whole stream, also to a caller that resumes one: what
             the caller has already received is only collected.
@@ -44,10 +47,12 @@
         *,
         resume_after: int | None,
         clock: Clock,
+        on_first_event: Callable[[], None],
         keep_output: bool = False,
     ) -> None:
         self._exchange = exchange
         self._clock = clock
+        self._on_first_event = on_first_event
         self.first_event_at: float | None = None
         self._splitter = EventSplitter()
         self._head: ResponseHead | None = None
@@ -107,6 +112,7 @@
         if ready:
             if self.first_event_at is None:
                 self.first_event_at = self._clock.seconds()
+                self._on_first_event()
             self._start_response()
             self._exchange.write(b"".join(ready))
         if self._output_bytes > MAX_KEPT_BYTES:
--- a/lycheestall/entry/target_admission.py
+++ b/lycheestall/entry/target_admission.py
@@ -12,6 +12,7 @@
 from .message_metadata import RequestMetadata
 from .permit_service import Permit, PermitDenied, PermitService
 from .retry_policy import AttemptHistory
+from .stream_version import StreamVersion
 from .target_chooser import TargetChooser
 from .target_table import TargetRegistration, TargetTable
 
@@ -56,6 +57,7 @@
             configured.
         service_id: ID of the service.
         history: The request's attempts so far.
+        stream_version: The software version that must run it.
     """
 
     def __init__(
@@ -70,6 +72,7 @@
         service: Service | None,
         service_id: ServiceId,
         history: AttemptHistory,
+        stream_version: StreamVersion,
     ) -> None:
         self._chooser = chooser
         self._permits = permits
@@ -79,6 +82,7 @@
         self._metadata = metadata
         self._service_id = service_id
         self._history = history
+        self._stream_version = stream_version
         self._affinity: str | None = None
         if service is not None and service.engine is not None:
             self._affinity = metadata.affinity
@@ -94,7 +98,11 @@
         avoid = self._history.excluded | self._permits.denied().keys()
         if excluding is not None:
             avoid = avoid | {excluding.target}
-        return self._chooser.can_choose(self._service_id, avoid=avoid)
+        return self._chooser.can_choose(
+            self._service_id,
+            avoid=avoid,
+            software_version=self._stream_version.required,
+        )
 
     async def choose(
         self, *, max_wait_s: float, yields: bool
@@ -127,7 +135,7 @@
             denied[registration.target] = result
         if limited is None:
             return None
-        first = self._table.get_usable(limited)
+        first = self.get_usable(limited)
         if first is None:
             return None
         return await self.wait_for(first, max_wait_s=max_wait_s)
@@ -148,12 +156,20 @@
 
     def is_usable(self, admission: Admission) -> bool:
         """Returns whether a target still takes requests after a wait."""
-        registration = admission.registration
         return (
-            self._table.get_usable(registration.target) is not None
+            self.get_usable(admission.registration.target) is not None
             and self._clock.seconds() < admission.permit.expires_at
         )
 
+    def get_usable(self, target: TargetId) -> TargetRegistration | None:
+        """Returns a target's registration if it may run the request now."""
+        registration = self._table.get_usable(target)
+        if registration is None:
+            return None
+        if not self._stream_version.allows(registration):
+            return None
+        return registration
+
     def _at_limit(self, denied: PermitDenied) -> AtLimits:
         return AtLimits(denied.until - self._clock.seconds())
 
@@ -162,7 +178,9 @@
     ) -> TargetId | None:
         limited = [
             registration.target
-            for registration in self._table.usable(self._service_id)
+            for registration in self._table.usable(
+                self._service_id, self._stream_version.required
+            )
             if registration.target in denied
             and registration.target not in self._history.excluded
         ]
@@ -178,6 +196,7 @@
             avoid=self._history.excluded,
             now=self._clock.seconds(),
             at_limit=at_limit,
+            software_version=self._stream_version.required,
             prefix_tokens=self._metadata.affinity_tokens,
             is_new_attempt=is_new_attempt,
         )
--- a/lycheestall/entry/target_chooser.py
+++ b/lycheestall/entry/target_chooser.py
@@ -8,7 +8,7 @@
 import xxhash
 
 from ..ejection import OutlierEjection
-from ..ids import TargetId
+from ..ids import SoftwareVersion, TargetId
 from .configuration import ServiceId
 from .latency_baselines import LatencyBaselines
 from .target_latencies import SlowResponses, TargetLatencies
@@ -72,6 +72,7 @@
         now: float,
         prefix_tokens: int = 0,
         at_limit: Collection[TargetId] = (),
+        software_version: SoftwareVersion | None = None,
         is_new_attempt: bool = True,
     ) -> TargetRegistration | None:
         """Returns a target, or None if none is available.
@@ -88,6 +89,8 @@
                 have in common and others have not.
             at_limit: Targets that take no request now. They are in use, so
                 they count when failing ones are left out.
+            software_version: The version that the target must run; None for
+                any.
             is_new_attempt: Whether no target has been chosen for this
                 attempt yet; only then it counts towards the rate of
                 requests, which determines how many targets are used.
@@ -96,7 +99,7 @@
             self._subset.record_request(service, now)
         candidates = [
             registration
-            for registration in self._table.usable(service)
+            for registration in self._table.usable(service, software_version)
             if registration.target not in avoid
         ]
         if not candidates:
@@ -155,17 +158,23 @@
         return candidates if busy else list(subset)
 
     def can_choose(
-        self, service: ServiceId, *, avoid: Collection[TargetId]
+        self,
+        service: ServiceId,
+        *,
+        avoid: Collection[TargetId],
+        software_version: SoftwareVersion | None = None,
     ) -> bool:
         """Returns whether a service has a target outside ``avoid``.
 
         Args:
             service: Service that the request is routed to.
             avoid: Targets that must not be selected.
+            software_version: The version that the target must run; None for
+                any.
         """
         return any(
             registration.target not in avoid
-            for registration in self._table.usable(service)
+            for registration in self._table.usable(service, software_version)
         )
 
     def request_started(self, target: TargetId) -> None:
--- a/lycheestall/entry/target_table.py
+++ b/lycheestall/entry/target_table.py
@@ -162,8 +162,31 @@
             return None
         return registration
 
-    def usable(self, service: ServiceId) -> list[TargetRegistration]:
-        """Returns the targets of a service that accept new requests."""
+    def usable(
+        self,
+        service: ServiceId,
+        software_version: SoftwareVersion | None = None,
+    ) -> list[TargetRegistration]:
+        """Returns the targets of a service that accept new requests.
+
+        Args:
+            service: The service.
+            software_version: The version that they run; None for any.
+        """
+        usable = self._usable(service)
+        if software_version is None:
+            return usable
+        return [
+            registration
+            for registration in usable
+            if registration.software_version == software_version
+        ]
+
+    def services(self) -> set[ServiceId]:
+        """Returns the services that have registered targets."""
+        return {registration.service for registration in self._by_id.values()}
+
+    def _usable(self, service: ServiceId) -> list[TargetRegistration]:
         usable = self._usable_by_service.get(service)
         if usable is None:
             usable = [
@@ -175,10 +198,6 @@
             self._usable_by_service[service] = usable
         return usable
 
-    def services(self) -> set[ServiceId]:
-        """Returns the services that have registered targets."""
-        return {registration.service for registration in self._by_id.values()}
-
     def _is_usable(self, registration: TargetRegistration) -> bool:
         if registration.draining:
             return False
--- a/tests/entry/test_stream_versions.py
+++ b/tests/entry/test_stream_versions.py
@@ -119,7 +119,7 @@
 def begin_stream(fleet: Fleet, number: int) -> RecordingCaller:
     """Begins stream ``s0``, ``s1`` and so on, each at the next VM."""
     return fleet.send(
-        "/plan/x",
+        f"/plan/{number}",
         vm=number % VMS,
         headers=f"X-Session-Id: session-{number}\r\n",
         request_id=f"s{number}",
@@ -129,7 +129,7 @@
 def take_up_stream(fleet: Fleet, number: int, *, vm: int) -> RecordingCaller:
     """Sends the caller's next attempt after it has got some events."""
     return fleet.send(
-        "/plan/x",
+        f"/plan/{number}",
         vm=vm,
         headers=(
             f"X-Session-Id: session-{number}\r\n"
@@ -176,3 +176,23 @@
         engines.bring_up()
         assert event_ids(first) + event_ids(second) == ALL_EVENTS
     assert not engines.mixed()
+
+
+# Guards against a response that goes on at another version, or looks
+# complete, when no target of the version that began it is left.
+def test_a_stream_breaks_off_when_no_target_of_its_version_is_left(
+    fleet: Fleet,
+) -> None:
+    engines = Engines(fleet)
+    engines.add("old", "v1")
+    engines.add("new", "v2")
+    fleet.start()
+    callers: list[RecordingCaller] = []
+    for number in range(STREAMS):
+        callers.append(begin_stream(fleet, number))
+        fleet.reactor.run(0.3)
+        engines.bring_up()
+    assert not engines.mixed()
+    assert {len(event_ids(caller)) for caller in callers} == {BREAK_AFTER}
+    assert all(caller.lost is not None for caller in callers)
+    assert not any(caller.data.endswith(b"0\r\n\r\n") for caller in callers)
