Find the software version of a stream that a caller takes up

Callers got streams with events of two software versions when they took a stream up again at another VM, after theirs or its target was lost. Cause: only the VM that began a stream could know its version, and that knowledge ended with the attempt; Resumes was passed on unread. Change: a VM remembers where the streams that it begins come from and, as it forwards the first event, tells two other VMs in other zones, chosen by the request's ID (StreamOriginService). The VM that gets the next attempt asks them. Nothing is sent while a service has run one version for 30 s: then whoever has followed the targets knows it. A stream whose version nobody knows is refused as not run, and so is one of a version without a target; the caller starts anew.

--- a/lycheestall/conversations/copy_holders.py
+++ b/lycheestall/conversations/copy_holders.py
@@ -1,4 +1,4 @@
-"""Chooses the VMs that hold copies of a program's turns."""
+"""Chooses the VMs that hold copies of what another one knows."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 
 import xxhash
 
-from ..ids import ProgramId, ZoneId
+from ..ids import ZoneId
 
 __all__ = ["CopyCandidate", "choose_copy_holders"]
 
@@ -17,7 +17,7 @@
     """A VM that can hold copies.
 
     Attributes:
-        name: Unique name; it decides about which programs it holds.
+        name: Unique name; it decides which copies it holds.
         zone: Its availability zone.
     """
 
@@ -26,21 +26,21 @@
 
 
 def choose_copy_holders(
-    program: ProgramId, candidates: Iterable[CopyCandidate], count: int
+    key: str, candidates: Iterable[CopyCandidate], count: int
 ) -> list[str]:
-    """Returns the names of the VMs to hold a program's turns, best first.
+    """Returns the names of the VMs to hold what a key names, best first.
 
     All VMs choose the same ones without asking each other. A zone gets a
     second copy only when every zone has one.
 
     Args:
-        program: The program.
+        key: A program, for its turns, or a request, for its stream.
         candidates: All VMs that can be chosen.
         count: Number of VMs to choose.
     """
 
     def weight(candidate: CopyCandidate) -> int:
-        return xxhash.xxh3_64_intdigest(f"{program}:{candidate.name}".encode())
+        return xxhash.xxh3_64_intdigest(f"{key}:{candidate.name}".encode())
 
     chosen: list[str] = []
     remaining = sorted(candidates, key=weight, reverse=True)
--- a/lycheestall/entry/decision_log.py
+++ b/lycheestall/entry/decision_log.py
@@ -22,6 +22,7 @@
 from .message_metadata import RequestMetadata, UnreadableLimit
 from .permit_service import Permit, PermitDenied
 from .retry_policy import NextStep
+from .stream_origin_service import OriginLookup
 from .target_table import TargetRegistration
 
 __all__ = ["DecisionContext", "DecisionLog"]
@@ -116,6 +117,33 @@
             **_outcome_fields(outcome),
         )
 
+    def stream_origin_found(
+        self,
+        metadata: RequestMetadata,
+        lookup: OriginLookup,
+        *,
+        took_s: float,
+    ) -> None:
+        """Logs which software version began a stream that is resumed.
+
+        Args:
+            metadata: The request's metadata.
+            lookup: What was found.
+            took_s: Seconds that the search took.
+        """
+        self._metrics.stream_origin_found(lookup.source.value)
+        self._write(
+            "stream origin found",
+            request=_decode(metadata.request_id),
+            resumed_request=_decode(metadata.resumed_request or b"") or None,
+            resume_after=metadata.resume_after,
+            source=lookup.source.value,
+            software_version=lookup.software_version,
+            peers_asked=lookup.asked,
+            peers_replied=lookup.replied,
+            took_ms=round(took_s * 1000, 1),
+        )
+
     def stream_resumed(
         self,
         metadata: RequestMetadata,
--- a/lycheestall/entry/entry_metrics.py
+++ b/lycheestall/entry/entry_metrics.py
@@ -34,6 +34,11 @@
             "permits_total",
             "Decisions on requests to targets with a limit, by result.",
         )
+        self._stream_origins = self.counter(
+            "stream_origins_total",
+            "Streams resumed from other requests, by how their software "
+            "version was found.",
+        )
         self._turns_kept = self.counter(
             "turns_kept_total", "Turns made durable, by how."
         )
@@ -46,6 +51,10 @@
         """Counts a decision on a request to a target with a limit."""
         self._permits.inc({"granted": str(granted).lower()})
 
+    def stream_origin_found(self, source: str) -> None:
+        """Counts a stream that a caller resumes with another request."""
+        self._stream_origins.inc({"source": source})
+
     def request_ended(
         self, route_name: str, status: int, outcome: str, took_s: float
     ) -> None:
--- a/lycheestall/entry/entry_vm.py
+++ b/lycheestall/entry/entry_vm.py
@@ -183,6 +183,7 @@
             timeouts=self._targets.timeouts,
             permits=self._targets.permits,
             table=self._targets.table,
+            stream_origins=self._targets.stream_origins,
             announcements=self._targets.announcements,
             reservations=self.token_service.reservations,
             report_crash=self.token_service.writer.report_crash,
@@ -331,6 +332,9 @@
 
     async def _housekeeping(self) -> None:
         self._view.remove_expired()
+        self._targets.stream_origins.versions.observe(
+            self._view.targets_read_at
+        )
         self.conversations.remove_expired()
         self.token_service.forget_idle()
         self._metrics.set_gauge(
--- a/lycheestall/entry/final_response.py
+++ b/lycheestall/entry/final_response.py
@@ -12,6 +12,7 @@
 from .request_dependencies import RequestDependencies
 from .retry_policy import AttemptHistory
 from .stream_forwarder import StreamForwarder
+from .stream_version import StreamVersion
 from .token_allocator import ReservationDecision
 from .turn_budget import TurnBudget
 
@@ -26,6 +27,10 @@
 UNPROVEN_RETRY_S = 0.9
 """Retry delay for callers when a program's tokens may be unrecorded."""
 
+UNKNOWN_VERSION_RETRY_S = 0.1
+"""Retry delay for callers when nobody knows which software version began the
+stream that they resume; waiting for long would not help."""
+
 HELD_RETRY_S = 0.4
 """Retry delay for callers until tokens that another VM holds in advance
 should be free again."""
@@ -49,6 +54,7 @@
         history: The attempts so far.
         budget: The token accounting of the request.
         forwarder: Forwards the stream; None if the route has none.
+        stream_version: The software version that must run the request.
         version: Version of the configuration that was used.
 
     Attributes:
@@ -65,6 +71,7 @@
         history: AttemptHistory,
         budget: TurnBudget,
         forwarder: StreamForwarder | None,
+        stream_version: StreamVersion,
         *,
         version: int,
     ) -> None:
@@ -76,6 +83,7 @@
         self._budget = budget
         self._version = version
         self._forwarder = forwarder
+        self._stream_version = stream_version
         self.fallback: WholeAnswer | None = None
 
     @property
@@ -125,6 +133,14 @@
             retry_s = self._deps.reservations.decider_retry_s()
             self.refuse(503, "budgets can't be checked now", retry_s)
 
+    def refuse_unknown_version(self) -> None:
+        """Refuses to resume a stream whose software version is unknown."""
+        self.refuse(
+            503,
+            "the software version of the stream is unknown",
+            UNKNOWN_VERSION_RETRY_S,
+        )
+
     def end_at_limits(self, retry_after_s: float) -> None:
         """Ends a request whose targets are all at their limits.
 
@@ -145,8 +161,17 @@
         if self._history.may_have_run:
             self.fail("no target to repeat it at")
             return
-        if self._deps.table.usable(service) and self._history.attempts:
+        usable = self._deps.table.usable(
+            service, self._stream_version.required
+        )
+        if usable and self._history.attempts:
             self.refuse(503, "all targets are full", BUSY_RETRY_S)
+        elif self._stream_version.required is not None:
+            self.refuse(
+                503,
+                "no target of the stream's software version is up",
+                NO_TARGET_RETRY_S,
+            )
         else:
             self.refuse(503, "no target is up", NO_TARGET_RETRY_S)
 
--- a/lycheestall/entry/members.py
+++ b/lycheestall/entry/members.py
@@ -76,13 +76,19 @@
             excluding: Members that have handed over their grants.
         """
         excluded = set(excluding)
+        candidates = [
+            holder
+            for holder in self.group_for(program)
+            if holder not in excluded
+        ]
+        return rendezvous(program, candidates)
+
+    def group_for(self, key: str) -> tuple[HolderId, ...]:
+        """Returns the group that a key is assigned to, empty if none is."""
         groups = [group for group in self.groups if group]
         if not groups:
-            return None
-        group_hash = xxhash.xxh3_64_intdigest(program.encode())
-        group = groups[group_hash % len(groups)]
-        candidates = [holder for holder in group if holder not in excluded]
-        return rendezvous(program, candidates)
+            return ()
+        return groups[xxhash.xxh3_64_intdigest(key.encode()) % len(groups)]
 
 
 def majority_size(group: tuple[HolderId, ...]) -> int:
--- a/lycheestall/entry/peer_messages.py
+++ b/lycheestall/entry/peer_messages.py
@@ -9,6 +9,11 @@
 import cbor2
 
 from ..ids import ProgramId
+from .origin_messages import (
+    FindStreamOrigin,
+    FoundStreamOrigin,
+    HoldStreamOrigin,
+)
 from .outage_allocator import OutageGrant
 from .permit_messages import (
     AskPermit,
@@ -223,6 +228,8 @@
     | HoldTurns
     | FindTurns
     | AskConfiguration
+    | HoldStreamOrigin
+    | FindStreamOrigin
 )
 PeerReply: TypeAlias = (
     StoreReport
@@ -239,6 +246,7 @@
     | FoundTurns
     | RelayedConfiguration
     | PermitAnswer
+    | FoundStreamOrigin
 )
 
 _POSITIONAL_TYPES: dict[str, Callable[..., Any]] = {
@@ -258,6 +266,9 @@
         HistoryGone,
         AskConfiguration,
         RelayedConfiguration,
+        HoldStreamOrigin,
+        FindStreamOrigin,
+        FoundStreamOrigin,
     )
 }
 
--- a/lycheestall/entry/request_dependencies.py
+++ b/lycheestall/entry/request_dependencies.py
@@ -12,6 +12,7 @@
 from .decision_log import DecisionLog
 from .header_codec import HeaderCodec
 from .permit_service import PermitService
+from .stream_origin_service import StreamOriginService
 from .target_announcements import TargetAnnouncements
 from .target_chooser import TargetChooser
 from .target_table import TargetRegistration, TargetTable
@@ -31,6 +32,7 @@
         timeouts: Computes attempts' timeouts.
         permits: Keeps to the limits that targets name.
         table: The registered targets.
+        stream_origins: Knows which software versions began streams.
         announcements: Takes note of what targets say about themselves.
         reservations: Reserves and settles the tokens of turns.
         report_crash: Reports the fingerprint of a request whose target
@@ -50,6 +52,7 @@
     timeouts: AttemptTimeouts
     permits: PermitService
     table: TargetTable
+    stream_origins: StreamOriginService
     announcements: TargetAnnouncements
     reservations: TurnReservations
     report_crash: Callable[[str], object]
--- a/lycheestall/entry/request_processor.py
+++ b/lycheestall/entry/request_processor.py
@@ -77,7 +77,7 @@
             deps.reservations, deps.clock, metadata, service, turn=turn
         )
         self._turn = KeptTurn(deps, metadata, route, exchange.request.body)
-        self._stream_version = StreamVersion()
+        self._stream_version = StreamVersion(deps, metadata, route, service_id)
         self._forwarder: StreamForwarder | None = None
         if route.is_stream:
             self._forwarder = StreamForwarder(
@@ -95,6 +95,7 @@
             self._history,
             self._budget,
             self._forwarder,
+            self._stream_version,
             version=version,
         )
         limit_s = route.timeout_s
@@ -162,6 +163,8 @@
         if self._feedback.crashes_targets:
             self._final.refuse(503, "the request crashes its targets", 5.0)
             return
+        if not await self._find_stream_version():
+            return
         # The conversation is looked up while the tokens are reserved.
         self._turn.start_loading()
         if not self._budget.has_budget:
@@ -175,6 +178,17 @@
         finally:
             self._budget.settle(self._final.events_sent)
 
+    async def _find_stream_version(self) -> bool:
+        if not self._stream_version.must_be_found:
+            return True
+        found = await self._stream_version.find()
+        if self._early_end is not None:
+            self._final.end_early(self._early_end, sent=False)
+            return False
+        if not found:
+            self._final.refuse_unknown_version()
+        return found
+
     async def _run_turn(self) -> None:
         refusal = await self._turn.loaded()
         if self._early_end is not None:
--- a/lycheestall/entry/stream_version.py
+++ b/lycheestall/entry/stream_version.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 from ..ids import SoftwareVersion
+from .configuration import RetrySafety, Route, ServiceId
+from .message_metadata import RequestMetadata
+from .request_dependencies import RequestDependencies
 from .target_table import TargetRegistration
 
 __all__ = ["StreamVersion"]
@@ -14,17 +17,63 @@
     Events of different versions don't fit together, and targets don't check
     which version began a stream that they resume.
 
+    Args:
+        deps: Dependencies shared by all requests.
+        metadata: The request's metadata.
+        route: The request's route.
+        service_id: ID of the route's service.
+
     Attributes:
         required: The only version that may run the request; None as long as
             the caller has received no event.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        deps: RequestDependencies,
+        metadata: RequestMetadata,
+        route: Route,
+        service_id: ServiceId,
+    ) -> None:
+        self._deps = deps
+        self._metadata = metadata
+        self._service_id = service_id
+        self._resumable = (
+            route.is_stream and route.retry_safety is RetrySafety.RESUMABLE
+        )
         self.required: SoftwareVersion | None = None
 
+    @property
+    def must_be_found(self) -> bool:
+        """Whether the request resumes a stream of an earlier request."""
+        return self._resumable and self._metadata.resume_after is not None
+
+    async def find(self) -> bool:
+        """Finds the version that began the stream that is resumed.
+
+        Returns:
+            Whether it was found; if not, no target may run the request.
+        """
+        asked_at = self._deps.clock.seconds()
+        lookup = await self._deps.stream_origins.find(
+            self._metadata.resumed_request, self._service_id
+        )
+        self.required = lookup.software_version
+        took_s = self._deps.clock.seconds() - asked_at
+        self._deps.log.stream_origin_found(
+            self._metadata, lookup, took_s=took_s
+        )
+        return self.required is not None
+
     def bind(self, registration: TargetRegistration) -> None:
-        """Notes that a target has sent an event of the stream."""
+        """Notes that a target has sent the first event to the caller."""
+        if self.required is not None:
+            return
         self.required = registration.software_version
+        if self._resumable:
+            self._deps.stream_origins.record(
+                self._metadata.request_id, registration
+            )
 
     def allows(self, registration: TargetRegistration) -> bool:
         """Returns whether a target may run the request."""
--- a/lycheestall/entry/target_service.py
+++ b/lycheestall/entry/target_service.py
@@ -22,6 +22,7 @@
 from .permit_messages import AskPermit
 from .permit_service import PermitService
 from .slow_target_reporter import SlowTargetReporter
+from .stream_origin_service import StreamOriginService
 from .target_announcements import TargetAnnouncements
 from .target_chooser import TargetChooser
 from .target_limits import TargetLimits
@@ -50,6 +51,7 @@
         timeouts: Computes attempts' timeouts.
         announcements: Takes note of what targets say about themselves.
         permits: Keeps to the limits that targets name.
+        stream_origins: Remembers which software versions began streams.
     """
 
     def __init__(
@@ -72,6 +74,13 @@
         self.announcements = TargetAnnouncements(
             table=self.table, limits=self._limits, log=log, clock=clock
         )
+        self.stream_origins = StreamOriginService(
+            holder=holder,
+            table=self.table,
+            members=members,
+            peers=peers,
+            clock=clock,
+        )
         deciders = PermitDeciders(members)
         self.permits = PermitService(
             holder=holder,
@@ -121,7 +130,7 @@
             return Understood()
         if isinstance(message, AskPermit):
             return self.permits.decide(message)
-        return None
+        return self.stream_origins.handle_message(message)
 
     def update_gauges(self) -> None:
         """Sets the gauges of the targets."""
--- a/lycheestall/entry/target_table.py
+++ b/lycheestall/entry/target_table.py
@@ -83,6 +83,7 @@
         self._lapsed: set[TargetId] = set()
         self._leaving: dict[TargetProcess, None] = {}
         self._usable_by_service: dict[ServiceId, list[TargetRegistration]] = {}
+        self._versions_by_service: dict[ServiceId, set[SoftwareVersion]] = {}
         self._grace_ends_at = 0.0
         self.revision = 0
 
@@ -186,6 +187,18 @@
         """Returns the services that have registered targets."""
         return {registration.service for registration in self._by_id.values()}
 
+    def versions(self, service: ServiceId) -> set[SoftwareVersion]:
+        """Returns the software versions of a service's registered targets."""
+        versions = self._versions_by_service.get(service)
+        if versions is None:
+            versions = {
+                registration.software_version
+                for registration in self._by_id.values()
+                if registration.service == service
+            }
+            self._versions_by_service[service] = versions
+        return versions
+
     def _usable(self, service: ServiceId) -> list[TargetRegistration]:
         usable = self._usable_by_service.get(service)
         if usable is None:
@@ -210,4 +223,5 @@
 
     def _on_change(self) -> None:
         self._usable_by_service.clear()
+        self._versions_by_service.clear()
         self.revision += 1
--- a/tests/entry/fleet.py
+++ b/tests/entry/fleet.py
@@ -13,6 +13,7 @@
     decode,
     encode,
 )
+from lycheestall.entry.store import KeyedWrite, Topic
 from lycheestall.entry.vm_settings import Address
 from tests.entry.entry_vm_harness import EntryVmHarness
 from tests.entry.fake_network import (
@@ -141,6 +142,10 @@
             name, on_request, service=service, **fields
         )
 
+    def remove_target(self, name: str) -> None:
+        """Deletes a target's registration."""
+        self.log.put(Topic.TARGETS, KeyedWrite(name.encode(), None))
+
     def send(
         self,
         path: str,
--- a/tests/entry/test_kept_turns.py
+++ b/tests/entry/test_kept_turns.py
@@ -154,12 +154,20 @@
 def test_a_caller_that_resumes_gets_the_rest_of_a_turn_kept_whole(
     harness: EntryVmHarness, engine: FakeTarget
 ) -> None:
+    def stall(request: ReceivedRequest) -> None:
+        request.start_stream()
+        send_piece(request, 1)
+        send_piece(request, 2)
+
+    engine.on_request = stall
+    ask(harness, "t0", "one;", path="/resumed-chat/x")
+    engine.on_request = answer_whole
     data = ask(
         harness,
         "t1",
         "one;",
         path="/resumed-chat/x",
-        headers="Last-Event-Id: 2\r\n",
+        headers="Last-Event-Id: 2\r\nResumes: t0\r\n",
     )
     assert b"piece 2" not in data
     assert b"piece 3" in data
--- a/tests/entry/test_stream_versions.py
+++ b/tests/entry/test_stream_versions.py
@@ -6,6 +6,8 @@
 
 import pytest
 
+from lycheestall.entry.software_versions import STREAM_LIFETIME_S
+from tests.entry.entry_vm_harness import status_of
 from tests.entry.fake_network import (
     FakeTarget,
     ReceivedRequest,
@@ -196,3 +198,52 @@
     assert {len(event_ids(caller)) for caller in callers} == {BREAK_AFTER}
     assert all(caller.lost is not None for caller in callers)
     assert not any(caller.data.endswith(b"0\r\n\r\n") for caller in callers)
+
+
+# Guards against a stream whose origin was lost going on at either version.
+def test_a_stream_of_unknown_version_is_refused_as_not_run(
+    fleet: Fleet, engines: Engines
+) -> None:
+    fleet.start()
+    answer = take_up_stream(fleet, 0, vm=0)
+    fleet.reactor.run(0.5)
+    assert status_of(answer.data) == 503
+    assert b"Retry-After: " in answer.data
+    assert not engines.versions_by_stream
+
+
+# Guards against refusing resumed streams of services that run one version.
+def test_a_stream_of_the_only_version_goes_on_at_a_vm_that_has_restarted(
+    fleet: Fleet,
+) -> None:
+    engines = Engines(fleet)
+    engines.add("only-0", "v1")
+    engines.add("only-1", "v1")
+    fleet.start()
+    fleet.reactor.run(STREAM_LIFETIME_S + 1.0)
+    for number in range(VMS - 1):
+        fleet.restart(number)
+    fleet.reactor.run(2.5)
+    answer = take_up_stream(fleet, 0, vm=0)
+    fleet.reactor.run(0.5)
+    assert event_ids(answer) == ALL_EVENTS[BREAK_AFTER:]
+
+
+# Guards against taking a version that has just come for the only one while
+# streams of the version before it can still be resumed.
+def test_a_version_that_has_left_still_counts(
+    fleet: Fleet,
+) -> None:
+    engines = Engines(fleet)
+    engines.crash = False
+    engines.add("old", "v1")
+    fleet.start()
+    fleet.reactor.run(STREAM_LIFETIME_S + 1.0)
+    engines.add("new", "v2")
+    fleet.reactor.run(1.0)
+    fleet.remove_target("old")
+    fleet.reactor.run(2.0)
+    answer = take_up_stream(fleet, 0, vm=0)
+    fleet.reactor.run(0.5)
+    assert status_of(answer.data) == 503
+    assert not engines.versions_by_stream
