Serve callers that resume a stream without naming its request

Change: such a caller gets the only version that the VM has seen; with a second one it is refused. How long a version that has left still counts follows the route's timeout (twice as long), in place of 30 s. VMs join what they have seen of versions, so that one that has not read the newest registrations outvotes nobody. A stream's key is a digest, so long request IDs take no memory.

--- a/lycheestall/entry/origin_messages.py
+++ b/lycheestall/entry/origin_messages.py
@@ -6,6 +6,7 @@
 
 from ..ids import SoftwareVersion
 from .configuration import ServiceId
+from .stream_origins import StreamKey
 
 __all__ = ["FindStreamOrigin", "FoundStreamOrigin", "HoldStreamOrigin"]
 
@@ -15,12 +16,12 @@
     """Asks a peer to remember where a stream began.
 
     Attributes:
-        stream: ID of the request that received its first event.
+        stream: The stream.
         service: Service of the target that began it.
         software_version: Version of that target's program.
     """
 
-    stream: bytes
+    stream: StreamKey
     service: ServiceId
     software_version: SoftwareVersion
 
@@ -30,12 +31,14 @@
     """Asks a peer where a stream began.
 
     Attributes:
-        stream: ID of the request that received its first event.
+        stream: The stream.
         service: Service that the stream is to go on at.
+        lifetime_s: Seconds for which callers may resume such a stream.
     """
 
-    stream: bytes
+    stream: StreamKey
     service: ServiceId
+    lifetime_s: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,10 +48,12 @@
     Attributes:
         service: Service of the target that began it; None if unknown.
         software_version: Version of that target's program; None if unknown.
-        sole_version: The only version that can have begun a stream of the
-            service asked about; None if there are several, or if unknown.
+        recent_versions: Versions of the service asked about that the peer has
+            seen lately.
+        recent_complete: Whether the peer can have missed none.
     """
 
     service: ServiceId | None
     software_version: SoftwareVersion | None
-    sole_version: SoftwareVersion | None
+    recent_versions: tuple[SoftwareVersion, ...]
+    recent_complete: bool
--- a/lycheestall/entry/peer_messages.py
+++ b/lycheestall/entry/peer_messages.py
@@ -268,7 +268,6 @@
         RelayedConfiguration,
         HoldStreamOrigin,
         FindStreamOrigin,
-        FoundStreamOrigin,
     )
 }
 
@@ -350,6 +349,11 @@
         return AskPermit(fields[0], fields[1], LimitNews(*fields[2]))
     if name == PermitAnswer.__name__:
         return PermitAnswer(fields[0], fields[1], LimitNews(*fields[2]))
+    if name == FoundStreamOrigin.__name__:
+        service, version, recent_versions, complete = fields
+        return FoundStreamOrigin(
+            service, version, tuple(recent_versions), complete
+        )
     if name == RelayAppend.__name__:
         writes = tuple(KeyedWrite(key, value) for key, value in fields[1])
         fence = None if fields[2] is None else WriterFence(*fields[2])
--- a/lycheestall/entry/software_versions.py
+++ b/lycheestall/entry/software_versions.py
@@ -3,24 +3,54 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Iterable
+from dataclasses import dataclass
 
 from ..ids import SoftwareVersion
 from .configuration import ServiceId
 from .target_table import TargetTable
 
-__all__ = ["SoftwareVersions"]
-
-STREAM_LIFETIME_S = 30.0
-"""Longest time for which callers resume a stream, so that a version that was
-last registered before can have begun none."""
+__all__ = ["RecentVersions", "SoftwareVersions"]
 
 MAX_READ_GAP_S = 4.0
 """Longest time between two reads of the targets in which no version comes,
 serves and leaves unnoticed."""
 
 
+@dataclass(frozen=True, slots=True)
+class RecentVersions:
+    """The software versions of a service's targets in the recent past.
+
+    Attributes:
+        versions: The versions that were registered.
+        complete: Whether there can have been no others: the targets were
+            followed without a gap all the while.
+    """
+
+    versions: frozenset[SoftwareVersion]
+    complete: bool
+
+    @property
+    def only_seen(self) -> SoftwareVersion | None:
+        """The version, if no second one was seen."""
+        return next(iter(self.versions)) if len(self.versions) == 1 else None
+
+    @property
+    def only_possible(self) -> SoftwareVersion | None:
+        """The version, if there can have been no second one."""
+        return self.only_seen if self.complete else None
+
+    def merge(self, others: Iterable[RecentVersions]) -> RecentVersions:
+        """Returns what several VMs know together."""
+        known = (self, *others)
+        return RecentVersions(
+            frozenset().union(*(recent.versions for recent in known)),
+            any(recent.complete for recent in known),
+        )
+
+
 class SoftwareVersions:
-    """Tells whether a service has run only one version for some time.
+    """Keeps the software versions of each service's targets for some time.
 
     Args:
         table: The registered targets.
@@ -46,25 +76,23 @@
             for version in self._table.versions(service):
                 seen_at[version] = read_at
 
-    def sole_version(
-        self, service: ServiceId, now: float
-    ) -> SoftwareVersion | None:
-        """Returns the only version that can have begun a stream.
+    def recent(
+        self, service: ServiceId, now: float, *, lifetime_s: float
+    ) -> RecentVersions:
+        """Returns the versions that can have begun a service's streams.
 
         Args:
-            service: The service of the stream.
+            service: The service.
             now: Current time.
-
-        Returns:
-            None if there are several, or if this VM has not followed the
-            targets without a gap for long enough.
+            lifetime_s: Seconds for which callers may resume a stream. A
+                version that was last registered before can have begun none.
         """
-        if now - self._read_at > MAX_READ_GAP_S:
-            return None
-        if now - self._known_since < STREAM_LIFETIME_S:
-            return None
         versions = set(self._table.versions(service))
         for version, seen_at in self._seen_at.get(service, {}).items():
-            if now - seen_at < STREAM_LIFETIME_S:
+            if now - seen_at < lifetime_s:
                 versions.add(version)
-        return versions.pop() if len(versions) == 1 else None
+        complete = (
+            now - self._read_at <= MAX_READ_GAP_S
+            and now - self._known_since >= lifetime_s
+        )
+        return RecentVersions(frozenset(versions), complete)
--- a/lycheestall/entry/stream_origin_service.py
+++ b/lycheestall/entry/stream_origin_service.py
@@ -18,8 +18,13 @@
 )
 from .peer_messages import PeerMessage, PeerReply, Understood
 from .peer_rpc import PeerClient, call_all
-from .software_versions import SoftwareVersions
-from .stream_origins import StreamOrigin, StreamOrigins
+from .software_versions import RecentVersions, SoftwareVersions
+from .stream_origins import (
+    StreamKey,
+    StreamOrigin,
+    StreamOrigins,
+    stream_key,
+)
 from .target_table import TargetRegistration, TargetTable
 from .token_ledger import HolderId
 
@@ -102,25 +107,35 @@
         self.versions = SoftwareVersions(table)
 
     def record(
-        self, request_id: bytes, registration: TargetRegistration
+        self,
+        request_id: bytes,
+        registration: TargetRegistration,
+        *,
+        lifetime_s: float,
     ) -> None:
         """Remembers that a target has sent a stream's first event.
 
         Args:
             request_id: ID of the request that receives it.
             registration: The target.
+            lifetime_s: Seconds for which callers may resume the stream.
         """
         service = registration.service
         version = registration.software_version
-        self._origins.add(request_id, StreamOrigin(service, version))
-        if self._sole_version(service) == version:
+        stream = stream_key(request_id)
+        self._origins.add(stream, StreamOrigin(service, version))
+        if self._recent(service, lifetime_s).only_possible == version:
             return
-        message = HoldStreamOrigin(request_id, service, version)
-        for member in self._ranked_peers(request_id)[:HOLDERS]:
+        message = HoldStreamOrigin(stream, service, version)
+        for member in self._ranked_peers(stream)[:HOLDERS]:
             self._peers.call(member.address, message, timeout_s=HOLD_TIMEOUT_S)
 
     async def find(
-        self, request_id: bytes | None, service: ServiceId
+        self,
+        request_id: bytes | None,
+        service: ServiceId,
+        *,
+        lifetime_s: float,
     ) -> OriginLookup:
         """Finds the version that began a stream.
 
@@ -128,21 +143,24 @@
             request_id: ID of the request that received its first event; None
                 if the caller does not say.
             service: Service at which the stream is to go on.
+            lifetime_s: Seconds for which callers may resume the stream.
         """
         if request_id is None:
-            return self._without_origin(service, (), asked=0)
-        origin = self._origins.get(request_id)
+            return self._find_unnamed(service, lifetime_s)
+        stream = stream_key(request_id)
+        origin = self._origins.get(stream)
         if origin is not None:
             return _lookup_of(origin, service, OriginSource.MEMORY)
-        peers = self._ranked_peers(request_id)
+        message = FindStreamOrigin(stream, service, lifetime_s)
+        peers = self._ranked_peers(stream)
         replies: list[FoundStreamOrigin] = []
         asked = 0
         for some in (peers[:ASKED_FIRST], peers[ASKED_FIRST:]):
             asked += len(some)
-            replies += await self._ask(some, request_id, service)
+            replies += await self._ask(some, message)
             origin = _origin_in(replies)
             if origin is not None:
-                self._origins.add(request_id, origin)
+                self._origins.add(stream, origin)
                 return _lookup_of(
                     origin,
                     service,
@@ -150,7 +168,7 @@
                     asked=asked,
                     replied=len(replies),
                 )
-            lookup = self._without_origin(service, replies, asked=asked)
+            lookup = self._without_origin(message, replies, asked=asked)
             if lookup.software_version is not None:
                 return lookup
         return lookup
@@ -169,49 +187,61 @@
             return Understood()
         if isinstance(message, FindStreamOrigin):
             known = self._origins.get(message.stream)
+            recent = self._recent(message.service, message.lifetime_s)
             return FoundStreamOrigin(
                 None if known is None else known.service,
                 None if known is None else known.software_version,
-                self._sole_version(message.service),
+                tuple(recent.versions),
+                recent.complete,
             )
         return None
 
+    def _find_unnamed(
+        self, service: ServiceId, lifetime_s: float
+    ) -> OriginLookup:
+        # Such a caller knows nothing of versions. It is served wherever no
+        # second one has been seen, also by a VM that has just started.
+        version = self._recent(service, lifetime_s).only_seen
+        if version is None:
+            return OriginLookup(None, OriginSource.UNKNOWN)
+        return OriginLookup(version, OriginSource.SOLE_VERSION)
+
     def _without_origin(
         self,
-        service: ServiceId,
+        message: FindStreamOrigin,
         replies: Sequence[FoundStreamOrigin],
         *,
         asked: int,
     ) -> OriginLookup:
-        # No VM remembers the stream, but some may know that only one version
-        # can have begun it.
-        versions = {reply.sole_version for reply in replies}
-        versions.add(self._sole_version(service))
-        versions.discard(None)
-        if len(versions) == 1:
-            version, source = versions.pop(), OriginSource.SOLE_VERSION
-        else:
-            version, source = None, OriginSource.UNKNOWN
+        # No VM remembers the stream, but together they may know that only
+        # one version can have begun it.
+        recent = self._recent(message.service, message.lifetime_s).merge(
+            RecentVersions(
+                frozenset(reply.recent_versions), reply.recent_complete
+            )
+            for reply in replies
+        )
+        version = recent.only_possible
+        source = OriginSource.SOLE_VERSION
+        if version is None:
+            source = OriginSource.UNKNOWN
         return OriginLookup(version, source, asked, len(replies))
 
     async def _ask(
-        self, members: Sequence[Member], request_id: bytes, service: ServiceId
+        self, members: Sequence[Member], message: FindStreamOrigin
     ) -> list[FoundStreamOrigin]:
         replies = await call_all(
-            self._peers,
-            members,
-            FindStreamOrigin(request_id, service),
-            timeout_s=FIND_TIMEOUT_S,
+            self._peers, members, message, timeout_s=FIND_TIMEOUT_S
         )
         return [r for r in replies if isinstance(r, FoundStreamOrigin)]
 
-    def _ranked_peers(self, request_id: bytes) -> list[Member]:
+    def _ranked_peers(self, stream: StreamKey) -> list[Member]:
         """Returns the VMs that may remember a stream, the likeliest first.
 
         A VM that began it leaves out itself. So either it is among the first
         ones that another VM asks, or those that it has told are.
         """
-        key = request_id.decode("latin-1")
+        key = stream.hex()
         group = self._members.view().group_for(key)
         member_by_name: dict[str, Member] = {}
         for name in group:
@@ -225,8 +255,10 @@
         names = choose_copy_holders(key, candidates, len(candidates))
         return [member_by_name[name] for name in names]
 
-    def _sole_version(self, service: ServiceId) -> SoftwareVersion | None:
-        return self.versions.sole_version(service, self._clock.seconds())
+    def _recent(self, service: ServiceId, lifetime_s: float) -> RecentVersions:
+        return self.versions.recent(
+            service, self._clock.seconds(), lifetime_s=lifetime_s
+        )
 
 
 def _origin_in(replies: Sequence[FoundStreamOrigin]) -> StreamOrigin | None:
--- a/lycheestall/entry/stream_origins.py
+++ b/lycheestall/entry/stream_origins.py
@@ -4,11 +4,17 @@
 
 from collections import OrderedDict
 from dataclasses import dataclass
+from typing import NewType
+
+import xxhash
 
 from ..ids import SoftwareVersion
 from .configuration import ServiceId
 
-__all__ = ["StreamOrigin", "StreamOrigins"]
+__all__ = ["StreamKey", "StreamOrigin", "StreamOrigins", "stream_key"]
+
+StreamKey = NewType("StreamKey", bytes)
+"""Digest of the ID of the request that received a stream's first event."""
 
 MAX_STREAMS = 10_000
 """Streams remembered, the newest ones."""
@@ -27,22 +33,30 @@
     software_version: SoftwareVersion
 
 
+def stream_key(request_id: bytes) -> StreamKey:
+    """Returns the key of the stream that a request began.
+
+    It has a fixed length, while callers choose the length of their IDs.
+    """
+    return StreamKey(xxhash.xxh3_128_digest(request_id))
+
+
 class StreamOrigins:
-    """The origins of streams by the request that received the first event."""
+    """The origins of the streams that began last."""
 
     def __init__(self) -> None:
-        self._by_request: OrderedDict[bytes, StreamOrigin] = OrderedDict()
+        self._by_key: OrderedDict[StreamKey, StreamOrigin] = OrderedDict()
 
     def __len__(self) -> int:
         """Returns the number of streams."""
-        return len(self._by_request)
+        return len(self._by_key)
 
-    def add(self, request_id: bytes, origin: StreamOrigin) -> None:
+    def add(self, key: StreamKey, origin: StreamOrigin) -> None:
         """Remembers a stream; what is known of it stays."""
-        self._by_request.setdefault(request_id, origin)
-        if len(self._by_request) > MAX_STREAMS:
-            self._by_request.popitem(last=False)
+        self._by_key.setdefault(key, origin)
+        if len(self._by_key) > MAX_STREAMS:
+            self._by_key.popitem(last=False)
 
-    def get(self, request_id: bytes) -> StreamOrigin | None:
+    def get(self, key: StreamKey) -> StreamOrigin | None:
         """Returns a stream's origin, or None if it is unknown."""
-        return self._by_request.get(request_id)
+        return self._by_key.get(key)
--- a/lycheestall/entry/stream_version.py
+++ b/lycheestall/entry/stream_version.py
@@ -10,6 +10,10 @@
 
 __all__ = ["StreamVersion"]
 
+LIFETIME_TIMEOUTS = 2.0
+"""How long callers may resume a stream, as a multiple of its route's timeout:
+the first attempt takes up to the timeout, and so does the last one."""
+
 
 class StreamVersion:
     """Binds a stream to the software version that sent its first event.
@@ -41,6 +45,7 @@
         self._resumable = (
             route.is_stream and route.retry_safety is RetrySafety.RESUMABLE
         )
+        self._lifetime_s = LIFETIME_TIMEOUTS * route.timeout_s
         self.required: SoftwareVersion | None = None
 
     @property
@@ -56,7 +61,9 @@
         """
         asked_at = self._deps.clock.seconds()
         lookup = await self._deps.stream_origins.find(
-            self._metadata.resumed_request, self._service_id
+            self._metadata.resumed_request,
+            self._service_id,
+            lifetime_s=self._lifetime_s,
         )
         self.required = lookup.software_version
         took_s = self._deps.clock.seconds() - asked_at
@@ -72,7 +79,9 @@
         self.required = registration.software_version
         if self._resumable:
             self._deps.stream_origins.record(
-                self._metadata.request_id, registration
+                self._metadata.request_id,
+                registration,
+                lifetime_s=self._lifetime_s,
             )
 
     def allows(self, registration: TargetRegistration) -> bool:
--- a/tests/entry/test_stream_versions.py
+++ b/tests/entry/test_stream_versions.py
@@ -6,7 +6,20 @@
 
 import pytest
 
-from lycheestall.entry.software_versions import STREAM_LIFETIME_S
+from lycheestall.entry.configuration import ServiceId
+from lycheestall.entry.origin_messages import (
+    FindStreamOrigin,
+    FoundStreamOrigin,
+    HoldStreamOrigin,
+)
+from lycheestall.entry.peer_messages import (
+    PeerMessage,
+    PeerReply,
+    decode,
+    encode,
+)
+from lycheestall.entry.stream_origins import stream_key
+from lycheestall.ids import SoftwareVersion
 from tests.entry.entry_vm_harness import status_of
 from tests.entry.fake_network import (
     FakeTarget,
@@ -19,6 +32,11 @@
 STREAMS = 12
 BREAK_AFTER = 2
 LAST_EVENT = 5
+STREAM_LIFETIME_S = 6.0
+"""Twice the timeout of the streams' route."""
+STREAM = stream_key(b"s0")
+SERVICE = ServiceId("engines")
+VERSION = SoftwareVersion("v1")
 ALL_EVENTS = list(range(1, LAST_EVENT + 1))
 
 
@@ -247,3 +265,42 @@
     fleet.reactor.run(0.5)
     assert status_of(answer.data) == 503
     assert not engines.versions_by_stream
+
+
+# Guards against failing callers that name no earlier request, where only one
+# version serves.
+def test_a_caller_that_names_no_request_gets_the_only_version(
+    fleet: Fleet,
+) -> None:
+    engines = Engines(fleet)
+    engines.add("only", "v1")
+    fleet.start()
+    answer = fleet.send("/plan/x", headers="Last-Event-Id: 2\r\n")
+    fleet.reactor.run(0.5)
+    assert event_ids(answer) == ALL_EVENTS[BREAK_AFTER:]
+
+
+# Guards against guessing the version for callers that name no earlier request.
+def test_a_caller_that_names_no_request_is_refused_among_versions(
+    fleet: Fleet, engines: Engines
+) -> None:
+    fleet.start()
+    answer = fleet.send("/plan/x", headers="Last-Event-Id: 2\r\n")
+    fleet.reactor.run(0.5)
+    assert status_of(answer.data) == 503
+    assert not engines.versions_by_stream
+
+
+@pytest.mark.parametrize(
+    "message",
+    [
+        HoldStreamOrigin(STREAM, SERVICE, VERSION),
+        FindStreamOrigin(STREAM, SERVICE, 6.0),
+        FoundStreamOrigin(SERVICE, VERSION, (VERSION,), True),
+        FoundStreamOrigin(None, None, (), False),
+    ],
+)
+def test_a_message_about_origins_is_decoded_as_it_was(
+    message: PeerMessage | PeerReply,
+) -> None:
+    assert decode(encode(message)) == message
