Let targets of two software versions serve the soak's streams

It checks that no stream holds events of two versions. The check of streams moved to soak_streams and asks for the same as before.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -41,6 +41,7 @@
                 f"seed {seed}: statuses {dict(report.statuses)}, "
                 f"conversations {dict(report.conversations)}, "
                 f"limited {report.limited_requests}, "
+                f"resumed {dict(report.resumed)}, "
                 f"faults {dict(report.faults)}, logs {directory}"
             )
             for line in report.violations[:10]:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -24,7 +24,12 @@
 from tests.soak.soak_conversations import AnsweredTurn, SoakConversations
 from tests.soak.soak_faults import SoakFaults
 from tests.soak.soak_limits import SoakLimits
-from tests.soak.soak_targets import EVENTS, TOKENS_PER_EVENT, SoakTarget
+from tests.soak.soak_streams import (
+    SOFTWARE_VERSIONS,
+    SoakStream,
+    SoakStreams,
+)
+from tests.soak.soak_targets import TOKENS_PER_EVENT, SoakTarget
 from tests.soak.soak_vm import ReceivedAnswer, SoakVm
 
 MAX_TURN_TOKENS = 80
@@ -34,7 +39,11 @@
 """Seconds within which a request must be served before the first fault."""
 
 LIMITS_PER_S = (None, 2.0)
-"""The limit that each service's first and second target names."""
+"""The limit that each service's first and second target of a software version
+names."""
+
+RESUME_LIMIT_S = 4.0
+"""Seconds for which a caller takes up a stream that broke."""
 
 NOT_EXECUTED_STATUSES = (402, 408, 421, 429, 503)
 
@@ -49,6 +58,7 @@
         violations: Descriptions of violated guarantees.
         conversations: Number of turns of conversations by how they ended.
         limited_requests: Number of requests to targets that name a limit.
+        resumed: Number of requests that take up a stream by how they ended.
     """
 
     conversations: Counter[str] = field(default_factory=Counter)
@@ -56,6 +66,7 @@
     faults: Counter[str] = field(default_factory=Counter)
     violations: list[str] = field(default_factory=list)
     limited_requests: int = 0
+    resumed: Counter[str] = field(default_factory=Counter)
 
 
 class Soak:
@@ -89,6 +100,7 @@
         self._budgets: dict[str, int] = {}
         self._conversations = SoakConversations(random.Random(seed + 1))
         self._limits = SoakLimits()
+        self._streams = SoakStreams()
         self._finished = False
         self._version = 0
         self.report = Report()
@@ -98,15 +110,20 @@
         )
         self._targets = [
             SoakTarget(
-                f"{service}-{n}",
+                f"{service}-{version}-{n}",
                 service,
                 reactor,
                 self._run_counts,
                 self._conversations.received,
-                limit_per_s=LIMITS_PER_S[n],
+                software_version=version,
+                limit_per_s=limit_per_s,
+            )
+            for service, versions in (
+                ("app", SOFTWARE_VERSIONS[:1]),
+                ("engines", SOFTWARE_VERSIONS),
             )
-            for service in ("app", "engines")
-            for n in range(2)
+            for version in versions
+            for n, limit_per_s in enumerate(LIMITS_PER_S)
         ]
         store_port = self._store.getHost().port
         # Below the kernel's range of ephemeral ports.
@@ -182,7 +199,7 @@
                     "service": target.service,
                     "address": f"127.0.0.1:{target.proxy.port}",
                     "zone": "zone-a",
-                    "version": "v1",
+                    "version": target.software_version,
                     "slots": 8,
                     "state": "ready",
                     "born": 1,
@@ -216,12 +233,35 @@
             (b"X-Token-Budget", b"%d" % self._budgets[program]),
             (b"X-Token-Usage", b"100,%d" % MAX_TURN_TOKENS),
         ]
+        stream = SoakStream(request)
+        status, whole = await self._stream(stream, request, program, headers)
+        resume_until = self._reactor.seconds() + RESUME_LIMIT_S
+        while self._reactor.seconds() < resume_until:
+            if not stream.last_event or (whole and status in (200, 402)):
+                break
+            resume = self._streams.resume_headers(stream)
+            request = f"{program}-t{turn}-{self._random.getrandbits(32):x}"
+            status, whole = await self._stream(
+                stream, request, program, [*headers, *resume]
+            )
+            end = "whole" if whole and status == 200 else "not whole"
+            self._streams.resumed[f"{status} {end}"] += 1
+        return status
+
+    async def _stream(
+        self,
+        stream: SoakStream,
+        request: str,
+        program: str,
+        headers: list[tuple[bytes, bytes]],
+    ) -> tuple[int, bool]:
         received, whole = await self._send(request, b"/plan/x", headers)
-        events = received.body.count(b"\n\n")
         if received.status == 200:
+            events = self._streams.received(
+                stream, request, received.body, whole=whole
+            )
             self._tokens[program] += events * TOKENS_PER_EVENT
-            self._check_stream(request, received.body, whole=whole)
-        return received.status
+        return received.status, whole
 
     async def _chat(self, number: int) -> None:
         while not self._finished:
@@ -294,17 +334,6 @@
             await sleep(self._reactor, 0.05)
         return received, whole
 
-    def _check_stream(self, request: str, body: bytes, *, whole: bool) -> None:
-        numbers = [
-            int(line[4:]) for line in body.split(b"\n") if line[:4] == b"id: "
-        ]
-        if numbers != list(range(1, len(numbers) + 1)):
-            self.report.violations.append(f"order: {request} got {numbers}")
-        if whole and len(numbers) != EVENTS:
-            self.report.violations.append(f"end: {request} ended at {numbers}")
-        if body.count(request.encode()) != body.count(b"data: "):
-            self.report.violations.append(f"answer: {request} got another's")
-
     async def _stop_all(self) -> None:
         for vm in self._vms:
             vm.store_proxy.set_mode(ProxyMode.PASS)
@@ -335,6 +364,8 @@
         violations = self.report.violations
         self._conversations.check_prompts()
         violations.extend(self._conversations.violations)
+        violations.extend(self._streams.violations)
+        self.report.resumed.update(self._streams.resumed)
         self.report.conversations.update(self._conversations.counts)
         for request in self._orders:
             if self._run_counts[request] > 1:
--- a/tests/soak/soak_targets.py
+++ b/tests/soak/soak_targets.py
@@ -12,6 +12,8 @@
 
 EVENTS = 5
 TOKENS_PER_EVENT = 10
+EVENT_INTERVAL_S = 0.03
+"""Seconds between two events of a stream."""
 
 
 class SoakTarget(RequestHandler):
@@ -23,6 +25,7 @@
         reactor: Listens and times answers.
         run_counts: Number of runs by request ID, over all targets.
         received: Bodies by request ID, over all targets.
+        software_version: Version of its software, named in its events.
         limit_per_s: The limit that it names in its responses; None for none.
 
     Attributes:
@@ -37,10 +40,12 @@
         run_counts: Counter[str],
         received: dict[str, bytes],
         *,
+        software_version: str,
         limit_per_s: float | None = None,
     ) -> None:
         self.name = name
         self.service = service
+        self.software_version = software_version
         self._reactor = reactor
         self._run_counts = run_counts
         self._received = received
@@ -94,7 +99,14 @@
         if number > EVENTS:
             exchange.finish()
             return
-        exchange.write(b"id: %d\ndata: %s\n\n" % (number, request_id))
+        version = self.software_version.encode()
+        exchange.write(
+            b"id: %d\nevent: %s\ndata: %s\n\n" % (number, version, request_id)
+        )
         self._reactor.callLater(
-            0.01, self._send_event, exchange, request_id, number + 1
+            EVENT_INTERVAL_S,
+            self._send_event,
+            exchange,
+            request_id,
+            number + 1,
         )
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -12,6 +12,7 @@
 from lycheestall.clock import sleep
 from tests.soak.soak import MAX_TURN_TOKENS, Soak
 from tests.soak.soak_conversations import SoakConversations
+from tests.soak.soak_streams import SoakStream
 
 Run = Callable[[Coroutine[Any, Any, Any]], Any]
 
@@ -89,8 +90,12 @@
     soak._run_counts["refused"] = 1
     soak._budgets["program"] = 100
     soak._tokens["program"] = 100 + MAX_TURN_TOKENS + 1
-    soak._check_stream(
-        "r", b"id: 1\ndata: r\n\nid: 3\ndata: q\n\n", whole=True
+    stream = SoakStream("r", versions={"v2"})
+    soak._streams.received(
+        stream,
+        "r",
+        b"id: 1\nevent: v1\ndata: r\n\nid: 3\nevent: v1\ndata: q\n\n",
+        whole=True,
     )
     limited = soak._targets[1]
     limited.received_at = [0.1 * number for number in range(18)]
@@ -107,5 +112,6 @@
         "limit",
         "lost",
         "prompt",
+        "version",
     }
     soak.close()
