Split retry options and the rate-limited writer from large modules

Whether a request may be retried is RetryOptions, the rate limit of log lines DecisionWriter, the fields of lines _log_fields.

--- /dev/null
+++ b/lycheestall/entry/_log_fields.py
@@ -0,0 +1,42 @@
+"""Fields of log lines about requests."""
+
+from __future__ import annotations
+
+from dataclasses import asdict
+
+from .attempt_outcomes import (
+    AttemptOutcome,
+    Broken,
+    NotRun,
+    NotSent,
+    Stopped,
+    WholeAnswer,
+)
+
+__all__ = ["decode_id", "milliseconds", "outcome_fields"]
+
+
+def outcome_fields(outcome: AttemptOutcome) -> dict[str, object]:
+    """Returns what a log line says of an attempt's outcome."""
+    if isinstance(outcome, NotRun):
+        return {"reason": outcome.reason.value, "status": outcome.status}
+    if isinstance(outcome, Broken):
+        return {
+            "reason": outcome.reason.value,
+            "answered": outcome.response_started,
+        }
+    if isinstance(outcome, WholeAnswer):
+        return {"status": outcome.head.status}
+    if isinstance(outcome, NotSent | Stopped):
+        return asdict(outcome)
+    return {}
+
+
+def milliseconds(seconds: float) -> int | None:
+    """Returns whole milliseconds, None for an infinite time."""
+    return None if seconds == float("inf") else round(seconds * 1000)
+
+
+def decode_id(value: bytes | None) -> str | None:
+    """Returns the ID of a request as text; None stays None."""
+    return None if value is None else value.decode("latin-1")
--- a/lycheestall/entry/decision_log.py
+++ b/lycheestall/entry/decision_log.py
@@ -3,21 +3,16 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import asdict, dataclass
+from dataclasses import dataclass
 from http import HTTPStatus
 
 from ..clock import Clock
 from ..logs import Logger
-from .attempt_outcomes import (
-    AttemptOutcome,
-    Broken,
-    NotRun,
-    NotSent,
-    Stopped,
-    WholeAnswer,
-)
+from ._log_fields import decode_id, milliseconds, outcome_fields
+from .attempt_outcomes import AttemptOutcome
 from .configuration import Route
 from .conversation_lookup import TurnNotFound
+from .decision_writer import DecisionWriter
 from .entry_metrics import EntryMetrics
 from .message_metadata import RequestMetadata, UnreadableLimit
 from .permit_service import Permit, PermitDenied
@@ -27,13 +22,6 @@
 
 __all__ = ["DecisionContext", "DecisionLog"]
 
-WINDOW_S = 1.0
-"""Seconds over which log lines are counted for the rate limit."""
-
-MAX_LINES_PER_WINDOW = 300
-"""Log lines per window; further ones are only counted, so that logging a
-flood of refusals costs no more than handling the requests."""
-
 
 @dataclass(frozen=True, slots=True)
 class DecisionContext:
@@ -77,23 +65,7 @@
         self._metrics = metrics
         self._context = context
         self._clock = clock
-        self._window_start = 0.0
-        self._lines = 0
-        self._suppressed = 0
-
-    def _write(self, event: str, **fields: object) -> None:
-        now = self._clock.seconds()
-        if now - self._window_start >= WINDOW_S:
-            if self._suppressed:
-                self._logger.warning("lines left out", lines=self._suppressed)
-            self._window_start = now
-            self._lines = 0
-            self._suppressed = 0
-        self._lines += 1
-        if self._lines > MAX_LINES_PER_WINDOW:
-            self._suppressed += 1
-            return
-        self._logger.info(event, **fields)
+        self._write = DecisionWriter(logger, clock).write
 
     def attempt_failed(
         self,
@@ -108,13 +80,13 @@
         self._metrics.attempt_failed(outcome_name)
         self._write(
             "attempt failed",
-            request=_decode(metadata.request_id),
+            request=decode_id(metadata.request_id),
             target=registration.target,
             target_started_ms=registration.started_ms,
             software_version=registration.software_version,
             outcome=outcome_name,
             next_step=next_step.value,
-            **_outcome_fields(outcome),
+            **outcome_fields(outcome),
         )
 
     def stream_origin_found(
@@ -134,8 +106,8 @@
         self._metrics.stream_origin_found(lookup.source.value)
         self._write(
             "stream origin found",
-            request=_decode(metadata.request_id),
-            resumed_request=_decode(metadata.resumed_request or b"") or None,
+            request=decode_id(metadata.request_id),
+            resumed_request=decode_id(metadata.resumed_request),
             resume_after=metadata.resume_after,
             source=lookup.source.value,
             software_version=lookup.software_version,
@@ -161,8 +133,8 @@
         resumed_request = metadata.resumed_request
         self._write(
             "stream resumed",
-            request=_decode(metadata.request_id),
-            resumed_request=_decode(resumed_request or b"") or None,
+            request=decode_id(metadata.request_id),
+            resumed_request=decode_id(resumed_request or b"") or None,
             resume_after=resume_after,
             target=registration.target,
             target_started_ms=registration.started_ms,
@@ -201,7 +173,7 @@
         self._metrics.request_ended(route.name, status, outcome, took_s)
         self._write(
             "request ended",
-            request=_decode(metadata.request_id),
+            request=decode_id(metadata.request_id),
             program=metadata.program,
             route=route.name,
             version=version,
@@ -223,7 +195,7 @@
         """Logs that a target's response says that it is shutting down."""
         self._write(
             "target leaving",
-            request=_decode(metadata.request_id),
+            request=decode_id(metadata.request_id),
             target=registration.target,
             target_started_ms=registration.started_ms,
         )
@@ -247,7 +219,7 @@
         """
         self._write(
             "target limit",
-            request=_decode(metadata.request_id),
+            request=decode_id(metadata.request_id),
             target=registration.target,
             target_started_ms=registration.started_ms,
             before=before,
@@ -263,7 +235,7 @@
         """Logs a limit that is not a number; what was known stays."""
         self._write(
             "target limit unreadable",
-            request=_decode(metadata.request_id),
+            request=decode_id(metadata.request_id),
             target=registration.target,
             target_started_ms=registration.started_ms,
             limit=limit.text,
@@ -294,7 +266,7 @@
         self._metrics.permit_decided(granted=granted)
         self._write(
             "permit decided",
-            request=_decode(metadata.request_id),
+            request=decode_id(metadata.request_id),
             program=metadata.program,
             target=registration.target,
             target_started_ms=registration.started_ms,
@@ -326,7 +298,7 @@
         self._metrics.conversation_loaded(source)
         self._write(
             "conversation loaded",
-            request=_decode(metadata.request_id),
+            request=decode_id(metadata.request_id),
             program=metadata.program,
             previous=metadata.previous_turn,
             source=source,
@@ -342,7 +314,7 @@
         self._metrics.conversation_loaded("not found")
         self._write(
             "conversation not found",
-            request=_decode(metadata.request_id),
+            request=decode_id(metadata.request_id),
             program=metadata.program,
             previous=metadata.previous_turn,
             missing=result.missing,
@@ -371,7 +343,7 @@
         self._metrics.turn_kept(how)
         self._write(
             "turn kept",
-            request=_decode(metadata.request_id),
+            request=decode_id(metadata.request_id),
             program=metadata.program,
             previous=metadata.previous_turn,
             how=how,
@@ -383,7 +355,7 @@
         """Logs an unexpected error while a turn was made durable."""
         self._logger.error(
             "keeping a turn failed",
-            request=_decode(metadata.request_id),
+            request=decode_id(metadata.request_id),
             error=error,
         )
 
@@ -408,30 +380,7 @@
         return {
             "store": context.store,
             "outage": context.outage,
-            "targets_age_ms": _milliseconds(context.targets_age_s),
-            "ledger_age_ms": _milliseconds(context.ledger_age_s),
+            "targets_age_ms": milliseconds(context.targets_age_s),
+            "ledger_age_ms": milliseconds(context.ledger_age_s),
             "ledger_position": context.ledger_position,
         }
-
-
-def _outcome_fields(outcome: AttemptOutcome) -> dict[str, object]:
-    if isinstance(outcome, NotRun):
-        return {"reason": outcome.reason.value, "status": outcome.status}
-    if isinstance(outcome, Broken):
-        return {
-            "reason": outcome.reason.value,
-            "answered": outcome.response_started,
-        }
-    if isinstance(outcome, WholeAnswer):
-        return {"status": outcome.head.status}
-    if isinstance(outcome, NotSent | Stopped):
-        return asdict(outcome)
-    return {}
-
-
-def _milliseconds(seconds: float) -> int | None:
-    return None if seconds == float("inf") else round(seconds * 1000)
-
-
-def _decode(value: bytes) -> str:
-    return value.decode("latin-1")
--- a/lycheestall/entry/request_processor.py
+++ b/lycheestall/entry/request_processor.py
@@ -15,7 +15,7 @@
     WholeAnswer,
 )
 from .attempt_runner import AttemptRunner
-from .configuration import RetrySafety, Route, Service, ServiceId
+from .configuration import Route, Service, ServiceId
 from .crash_reports import fingerprint_request
 from .exchange import Exchange
 from .final_response import EarlyEnd, FinalResponse
@@ -23,6 +23,7 @@
 from .limit_waits import max_wait_s, retry_after_s
 from .message_metadata import RequestMetadata
 from .request_dependencies import RequestDependencies
+from .retry_options import RetryOptions
 from .retry_policy import AttemptHistory, NextStep, choose_next_step
 from .stream_forwarder import StreamForwarder
 from .stream_version import StreamVersion
@@ -37,8 +38,6 @@
 SAME_TARGET_RETRY_DELAY_S = 0.03
 """Delay before a retry at the same target."""
 
-_GATEWAY_TIMEOUT = 504
-
 
 class RequestProcessor:
     """Processes one request.
@@ -138,6 +137,9 @@
             history=self._history,
             stream_version=self._stream_version,
         )
+        self._options = RetryOptions(
+            exchange, route, self._history, self._admission, self._forwarder
+        )
         self._sleeping: Deferred[None] | None = None
         self._early_end: EarlyEnd | None = None
 
@@ -239,7 +241,9 @@
             self._history.last_target = registration.target
             outcome = await self._attempts.run(
                 admission,
-                can_retry_elsewhere=self._can_retry_elsewhere(registration),
+                can_retry_elsewhere=self._options.can_retry_elsewhere(
+                    registration
+                ),
                 deadline_passed=lambda: (
                     self._early_end is EarlyEnd.DEADLINE_PASSED
                 ),
@@ -261,7 +265,7 @@
             step = choose_next_step(
                 outcome,
                 self._history,
-                retry_safety=self._retry_safety(),
+                retry_safety=self._options.retry_safety,
                 max_attempts=self._route.max_attempts,
             )
             self._deps.log.attempt_failed(
@@ -332,14 +336,6 @@
             return False
         return self._budget.is_first_turn
 
-    def _can_retry_elsewhere(self, registration: TargetRegistration) -> bool:
-        if self._exchange.started or self._retry_safety() is RetrySafety.ONCE:
-            return False
-        executors = self._history.possible_executors | {registration.target}
-        if len(executors) >= self._route.max_attempts:
-            return False
-        return self._admission.has_other_target(excluding=registration)
-
     def _finish_with(
         self, registration: TargetRegistration, outcome: AttemptOutcome
     ) -> bool:
@@ -349,7 +345,7 @@
                 self._exchange.abort()
                 self._final.log_end("broken off")
                 return True
-            if outcome.failed and self._should_retry_elsewhere(
+            if outcome.failed and self._options.should_retry_elsewhere(
                 registration, outcome
             ):
                 self._final.fallback = outcome
@@ -364,22 +360,6 @@
             return True
         return False
 
-    def _should_retry_elsewhere(
-        self, registration: TargetRegistration, outcome: WholeAnswer
-    ) -> bool:
-        if outcome.head.status == _GATEWAY_TIMEOUT:
-            return False
-        return self._can_retry_elsewhere(registration)
-
-    def _retry_safety(self) -> RetrySafety:
-        retry_safety = self._route.retry_safety
-        if retry_safety is not RetrySafety.RESUMABLE:
-            return retry_safety
-        forwarder = self._forwarder
-        if forwarder is not None and forwarder.events_sent > 0:
-            return retry_safety if forwarder.resumable else RetrySafety.ONCE
-        return retry_safety
-
     async def _sleep(self, delay_s: float) -> None:
         self._sleeping = sleep(self._deps.clock, delay_s)
         try:
