Look for a target in one step, decide on the wait in another

And the soak's check of limits could pass without a request to a limited target; it asks for some now, with a test that it can fail.

--- a/lycheestall/entry/target_admission.py
+++ b/lycheestall/entry/target_admission.py
@@ -119,23 +119,11 @@
                 others wait.
         """
         denied: dict[TargetId, PermitDenied] = {}
-        is_new = True
-        while True:
-            denied |= self._permits.denied()
-            limited = self._first_free(denied)
-            if yields and limited is not None and denied[limited].queued:
-                return self._at_limit(denied[limited])
-            registration = self._choose(denied.keys(), is_new_attempt=is_new)
-            is_new = False
-            if registration is None:
-                break
-            result = await self._acquire(registration, 0.0)
-            if isinstance(result, Permit):
-                return Admission(registration, result)
-            denied[registration.target] = result
-        if limited is None:
-            return None
-        first = self.get_usable(limited)
+        admission = await self._choose_now(denied, yields=yields)
+        if admission is not None:
+            return admission
+        limited = self._first_free(denied)
+        first = None if limited is None else self.get_usable(limited)
         if first is None:
             return None
         return await self.wait_for(first, max_wait_s=max_wait_s)
@@ -170,6 +158,30 @@
             return None
         return registration
 
+    async def _choose_now(
+        self, denied: dict[TargetId, PermitDenied], *, yields: bool
+    ) -> Admission | AtLimits | None:
+        """Returns a target that takes the request at once, if there is one.
+
+        Args:
+            denied: Receives the targets that are at their limits.
+            yields: Whether to refuse the request while others wait.
+        """
+        is_new = True
+        while True:
+            denied |= self._permits.denied()
+            limited = self._first_free(denied)
+            if yields and limited is not None and denied[limited].queued:
+                return self._at_limit(denied[limited])
+            registration = self._choose(denied.keys(), is_new_attempt=is_new)
+            is_new = False
+            if registration is None:
+                return None
+            result = await self._acquire(registration, 0.0)
+            if isinstance(result, Permit):
+                return Admission(registration, result)
+            denied[registration.target] = result
+
     def _at_limit(self, denied: PermitDenied) -> AtLimits:
         return AtLimits(denied.until - self._clock.seconds())
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -387,5 +387,7 @@
                     target.name, target.limit_per_s, target.received_at
                 )
             )
+        if not self.report.limited_requests:
+            violations.append("limited: no target with a limit got a request")
         if not self.report.statuses[200]:
             violations.append("service: no request was served")
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -60,6 +60,16 @@
     assert chat.violations == ["lost: c1 is not found"]
 
 
+def test_a_run_that_spares_the_limited_targets_is_reported(
+    reactor: Any, tmp_path: Path
+) -> None:
+    soak = Soak(reactor, seed=404, seconds=0.0, directory=tmp_path)
+    soak._check_guarantees()
+    kinds = {line.split(":")[0] for line in soak.report.violations}
+    assert kinds == {"limited", "service"}
+    soak.close()
+
+
 def test_each_check_can_fail(reactor: Any, tmp_path: Path) -> None:
     soak = Soak(reactor, seed=402, seconds=0.0, directory=tmp_path)
     chat = soak._conversations
