Wait for full targets before a stream is broken off

A stream that has begun can go on at the targets of one version only; when they were full for a moment its response was broken off at once, though a refusal that is full lasts some milliseconds. Evidence: test_a_stream_waits_for_full_targets_of_its_version failed before (callers had 2 of 5 events) and passes; tests/entry pass.

--- a/lycheestall/entry/request_processor.py
+++ b/lycheestall/entry/request_processor.py
@@ -35,6 +35,9 @@
 
 __all__ = ["RequestProcessor"]
 
+FULL_TARGETS_RETRY_DELAY_S = 0.05
+"""Delay before a stream is sent again to targets that were full."""
+
 SAME_TARGET_RETRY_DELAY_S = 0.03
 """Delay before a retry at the same target."""
 
@@ -223,6 +226,9 @@
                     self._early_end, sent=self._history.may_have_run
                 )
                 return
+            if admission is None and self._waits_for_full_targets():
+                await self._sleep(FULL_TARGETS_RETRY_DELAY_S)
+                continue
             if admission is None:
                 self._final.end_without_target(self._service_id)
                 return
@@ -286,6 +292,12 @@
                 same_target = self._admission.get_usable(registration.target)
                 await self._sleep(SAME_TARGET_RETRY_DELAY_S)
 
+    def _waits_for_full_targets(self) -> bool:
+        # A stream that has begun can't go on at any other target.
+        if self._stream_version.required is None:
+            return False
+        return self._history.readmit_full()
+
     def _bind_stream(self) -> None:
         registration = self._attempts.registration
         assert registration is not None
--- a/lycheestall/entry/retry_policy.py
+++ b/lycheestall/entry/retry_policy.py
@@ -10,6 +10,7 @@
     AttemptOutcome,
     Broken,
     NotRun,
+    NotRunReason,
     NotSent,
     WholeAnswer,
 )
@@ -42,6 +43,7 @@
         may_have_run: Whether any target may have run the request,
             including one that is gone.
         excluded: Targets that must not be chosen again.
+        full: Those of them that refused the request because they were full.
         last_target: The target of the last attempt.
     """
 
@@ -49,6 +51,7 @@
     possible_executors: set[TargetId] = field(default_factory=set)
     may_have_run: bool = False
     excluded: set[TargetId] = field(default_factory=set)
+    full: set[TargetId] = field(default_factory=set)
     last_target: TargetId | None = None
 
     def record(self, target: TargetId, outcome: AttemptOutcome) -> None:
@@ -60,10 +63,19 @@
             self.excluded.add(target)
         elif isinstance(outcome, NotRun):
             self.excluded.add(target)
+            if outcome.reason is NotRunReason.FULL:
+                self.full.add(target)
         elif isinstance(outcome, Broken | WholeAnswer):
             self.possible_executors.add(target)
             self.may_have_run = True
 
+    def readmit_full(self) -> bool:
+        """Allows targets that were full again; returns whether any were."""
+        readmitted = bool(self.full)
+        self.excluded -= self.full
+        self.full.clear()
+        return readmitted
+
 
 def choose_next_step(
     outcome: AttemptOutcome,
--- a/tests/entry/test_stream_versions.py
+++ b/tests/entry/test_stream_versions.py
@@ -37,6 +37,7 @@
 STREAM = stream_key(b"s0")
 SERVICE = ServiceId("engines")
 VERSION = SoftwareVersion("v1")
+NOT_RUN = ((b"X-Not-Executed", b"1"),)
 ALL_EVENTS = list(range(1, LAST_EVENT + 1))
 
 
@@ -51,6 +52,8 @@
             which is named by the request that began it.
         crash: Whether the target that begins a stream crashes on the way;
             otherwise it sends no more after the same event.
+        refusals_left: How many requests that resume a stream are refused
+            because the target is full.
     """
 
     def __init__(self, fleet: Fleet) -> None:
@@ -60,6 +63,7 @@
         self._target_by_stream: dict[str, FakeTarget] = {}
         self.versions_by_stream: dict[str, list[str]] = defaultdict(list)
         self.crash = True
+        self.refusals_left = 0
 
     def add(self, name: str, version: str) -> None:
         """Registers a target."""
@@ -102,6 +106,10 @@
         headers = request.headers
         stream = headers.get(b"resumes", headers[b"x-request-id"]).decode()
         first = int(headers.get(b"last-event-id", b"0")) + 1
+        if first > 1 and self.refusals_left:
+            self.refusals_left -= 1
+            request.respond(503, headers=NOT_RUN, sealed=False)
+            return
         self.versions_by_stream[stream].append(version)
         request.start_stream()
         if first > 1:
@@ -146,6 +154,16 @@
     )
 
 
+def crash_in_streams(fleet: Fleet, engines: Engines) -> list[RecordingCaller]:
+    """Begins streams whose targets crash, and start again after each."""
+    callers: list[RecordingCaller] = []
+    for number in range(STREAMS):
+        callers.append(begin_stream(fleet, number))
+        fleet.reactor.run(0.3)
+        engines.bring_up()
+    return callers
+
+
 def take_up_stream(fleet: Fleet, number: int, *, vm: int) -> RecordingCaller:
     """Sends the caller's next attempt after it has got some events."""
     return fleet.send(
@@ -170,11 +188,7 @@
     fleet: Fleet, engines: Engines
 ) -> None:
     fleet.start()
-    callers: list[RecordingCaller] = []
-    for number in range(STREAMS):
-        callers.append(begin_stream(fleet, number))
-        fleet.reactor.run(0.3)
-        engines.bring_up()
+    callers = crash_in_streams(fleet, engines)
     assert not engines.mixed()
     assert [event_ids(caller) for caller in callers] == [ALL_EVENTS] * STREAMS
 
@@ -207,17 +221,30 @@
     engines.add("old", "v1")
     engines.add("new", "v2")
     fleet.start()
-    callers: list[RecordingCaller] = []
-    for number in range(STREAMS):
-        callers.append(begin_stream(fleet, number))
-        fleet.reactor.run(0.3)
-        engines.bring_up()
+    callers = crash_in_streams(fleet, engines)
     assert not engines.mixed()
     assert {len(event_ids(caller)) for caller in callers} == {BREAK_AFTER}
     assert all(caller.lost is not None for caller in callers)
     assert not any(caller.data.endswith(b"0\r\n\r\n") for caller in callers)
 
 
+# Guards against breaking off a stream because the targets of its version are
+# full for a moment, though no other target may run it.
+def test_a_stream_waits_for_full_targets_of_its_version(
+    fleet: Fleet, engines: Engines
+) -> None:
+    fleet.start()
+    received: list[list[int]] = []
+    for number in range(STREAMS):
+        engines.refusals_left = 3
+        caller = begin_stream(fleet, number)
+        fleet.reactor.run(0.4)
+        received.append(event_ids(caller))
+        engines.bring_up()
+    assert not engines.mixed()
+    assert received == [ALL_EVENTS] * STREAMS
+
+
 # Guards against a stream whose origin was lost going on at either version.
 def test_a_stream_of_unknown_version_is_refused_as_not_run(
     fleet: Fleet, engines: Engines
