--- a/lycheestall/entry/decision_log.py
+++ b/lycheestall/entry/decision_log.py
@@ -130,11 +130,10 @@
             registration: The target of the attempt.
             resume_after: ID of the last event that was received.
         """
-        resumed_request = metadata.resumed_request
         self._write(
             "stream resumed",
             request=decode_id(metadata.request_id),
-            resumed_request=decode_id(resumed_request or b"") or None,
+            resumed_request=decode_id(metadata.resumed_request),
             resume_after=resume_after,
             target=registration.target,
             target_started_ms=registration.started_ms,
