--- a/lycheestall/bench/_slopes_cell.py
+++ b/lycheestall/bench/_slopes_cell.py
@@ -8,7 +8,8 @@
 from twisted.internet.defer import Deferred, succeed
 from twisted.internet.task import Clock
 
-from ..cell_agent import CellAgent, CellDependencies
+from ..cell_agent import CellAgent
+from ..cell_dependencies import CellDependencies
 from ..cell_fold import CellFold
 from ..cell_session import CellIdentity
 from ..cell_view import PartitionWatcher
--- a/lycheestall/cell_agent.py
+++ b/lycheestall/cell_agent.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from twisted.internet.defer import Deferred, succeed
 
+from .cell_dependencies import CellDependencies
 from .cell_fold import CellFold
 from .cell_relay import choose_relay
 from .cell_session import CellIdentity, CellSession
@@ -14,7 +14,7 @@
 from .cell_view import CellView, PartitionWatcher, WriteResult
 from .checkpoints import CheckpointAssembler, CheckpointSchedule
 from .claims import NO_SESSION
-from .clock import Clock, Timer
+from .clock import Timer
 from .fold import Fold, Verdict
 from .heartbeats import Heartbeats, LoadHandler, LoadSource
 from .ids import Offset, PartitionId, SessionId, StreamName, VmId
@@ -22,7 +22,7 @@
 from .log_streams import LogStreams
 from .log_writer import LogWriter
 from .membership import Membership
-from .mesh import Mesh, MessageHandler, PeerLostHandler
+from .mesh import MessageHandler, PeerLostHandler
 from .messages import (
     Hello,
     MeshMessage,
@@ -31,7 +31,7 @@
 )
 from .outcomes import Reason, Refused, Step
 from .peer_addresses import PeerAddresses
-from .platform_services import LogService, VmListing
+from .platform_services import VmListing
 from .records import (
     NO_OFFSET,
     CellRecord,
@@ -42,30 +42,11 @@
 )
 from .settings import TuningSettings
 
-__all__ = ["CellAgent", "CellDependencies"]
+__all__ = ["CellAgent"]
 
 TICK_INTERVAL_S = 0.25
 PEER_DROP_DELAY_S = 1.0
 
-_MEMBERSHIP_RECORDS = (SessionJoined, SessionLeft, SessionDeposed)
-
-
-@dataclass(frozen=True, slots=True)
-class CellDependencies:
-    """Services that an agent depends on.
-
-    Attributes:
-        clock: Monotonic clock.
-        log: The platform's log service.
-        mesh: Connections to the other daemons.
-        new_session: Returns a session id that was never used before.
-    """
-
-    clock: Clock
-    log: LogService
-    mesh: Mesh
-    new_session: Callable[[], SessionId]
-
 
 class CellAgent(CellView):
     """Joins the cell, renews the lease, owns and hands over partitions.
--- a/lycheestall/node.py
+++ b/lycheestall/node.py
@@ -13,6 +13,7 @@
 )
 
 from . import __version__
+from ._owner_partition_watcher import OwnerPartitionWatcher
 from .application_directory import ApplicationDirectory
 from .calls import (
     Call,
@@ -21,10 +22,10 @@
     CallKind,
     CallSink,
 )
-from .cell_agent import CellAgent, CellDependencies
+from .cell_agent import CellAgent
+from .cell_dependencies import CellDependencies
 from .cell_fold import CellFold
 from .cell_session import CellIdentity
-from .cell_view import PartitionWatcher
 from .clock import Clock, sleep
 from .counted_call import CallCounter
 from .engine_directory import EngineDirectory
@@ -34,7 +35,6 @@
     AccountId,
     Offset,
     OperatorName,
-    PartitionId,
     ProgramId,
     SessionId,
     StreamName,
@@ -119,7 +119,7 @@
             ),
             StreamName(settings.platform.cell_stream),
             self.fold,
-            _OwnerPartitionWatcher(self),
+            OwnerPartitionWatcher(lambda: self.owner),
             CellDependencies(
                 clock=dependencies.clock,
                 log=dependencies.log,
@@ -392,31 +392,3 @@
         if line is None:
             return ""
         return f"line {line.number}, asked for by {line.member}"
-
-
-class _OwnerPartitionWatcher(PartitionWatcher):
-    """Forwards changes of partition ownership to the program owner."""
-
-    def __init__(self, node: Node) -> None:
-        self._node = node
-
-    def partition_gained(
-        self,
-        partition: PartitionId,
-        epoch: Offset,
-        *,
-        program_states: dict[str, bytes],
-        may_miss_programs: bool,
-    ) -> None:
-        self._node.owner.partition_gained(
-            partition,
-            epoch,
-            program_states=program_states,
-            may_miss_programs=may_miss_programs,
-        )
-
-    def partition_lost(self, partition: PartitionId) -> None:
-        self._node.owner.partition_lost(partition)
-
-    def quiesce(self, partition: PartitionId) -> Deferred[dict[str, bytes]]:
-        return self._node.owner.quiesce(partition)
--- a/tests/simulated_cell.py
+++ b/tests/simulated_cell.py
@@ -12,7 +12,8 @@
 from simulation import NodeClock, Simulation
 from twisted.internet.defer import Deferred, ensureDeferred
 
-from lycheestall.cell_agent import CellAgent, CellDependencies
+from lycheestall.cell_agent import CellAgent
+from lycheestall.cell_dependencies import CellDependencies
 from lycheestall.cell_fold import CellFold
 from lycheestall.cell_session import CellIdentity
 from lycheestall.cell_view import PartitionWatcher
