--- a/tests/entry/test_stream_versions.py
+++ b/tests/entry/test_stream_versions.py
@@ -212,6 +212,33 @@
     assert not engines.mixed()
 
 
+# Guards against refusing most of the streams that callers take up after
+# several VMs were lost at once, as if their versions were unknown.
+def test_most_streams_go_on_after_the_loss_of_half_of_the_vms(
+    fleet: Fleet, engines: Engines
+) -> None:
+    engines.crash = False
+    fleet.start()
+    streams = range(8 * VMS)
+    for number in streams:
+        begin_stream(fleet, number)
+    fleet.reactor.run(0.1)
+    lost = range(VMS // 2)
+    for vm in lost:
+        fleet.restart(vm)
+    fleet.reactor.run(0.2)
+    broken = [number for number in streams if number % VMS in lost]
+    answers = [
+        take_up_stream(fleet, number, vm=VMS // 2 + number % (VMS // 2))
+        for number in broken
+    ]
+    fleet.reactor.run(0.7)
+    gone_on = sum(event_ids(a) == ALL_EVENTS[BREAK_AFTER:] for a in answers)
+    # All new streams would begin; half of that share is asked for.
+    assert gone_on >= len(broken) / 2
+    assert not engines.mixed()
+
+
 # Guards against a response that goes on at another version, or looks
 # complete, when no target of the version that began it is left.
 def test_a_stream_breaks_off_when_no_target_of_its_version_is_left(
