--- a/lycheestall/entry/stream_origin_service.py
+++ b/lycheestall/entry/stream_origin_service.py
@@ -155,9 +155,9 @@
         peers = self._ranked_peers(stream)
         replies: list[FoundStreamOrigin] = []
         asked = 0
-        for some in (peers[:ASKED_FIRST], peers[ASKED_FIRST:]):
-            asked += len(some)
-            replies += await self._ask(some, message)
+        for members in (peers[:ASKED_FIRST], peers[ASKED_FIRST:]):
+            asked += len(members)
+            replies += await self._ask(members, message)
             origin = _origin_in(replies)
             if origin is not None:
                 self._origins.add(stream, origin)
