Log when a VM has last heard from targets

Cause: the log can't tell a VM without links from targets that are down: no line says when anything was last heard from this or from any target, nor whether an attempt asked for a new connection. Change: TargetLinks notes contacts; `attempt failed` shows them.

--- a/lycheestall/entry/attempt_runner.py
+++ b/lycheestall/entry/attempt_runner.py
@@ -36,6 +36,7 @@
 
     Attributes:
         registration: The target of the last attempt; None before the first.
+        new_connection: Whether the last attempt asked for a new connection.
     """
 
     def __init__(
@@ -61,6 +62,7 @@
         self._body = body
         self._deadline = deadline
         self.registration: TargetRegistration | None = None
+        self.new_connection = False
         self._attempt: TargetAttempt | None = None
         self._started_at = 0.0
 
@@ -91,6 +93,9 @@
             on_response=lambda head, response: deps.announcements.observe(
                 self._metadata, registration, head, response
             ),
+            on_heard=lambda: deps.links.heard(
+                registration.target, deps.clock.seconds()
+            ),
         )
         self._attempt = attempt
         deps.chooser.request_started(registration.target)
@@ -111,6 +116,7 @@
             deps.chooser.request_ended(registration.target)
             if timer is not None and timer.active():
                 timer.cancel()
+        self.new_connection = attempt.new_connection
         self._record(registration, outcome, deadline_passed())
         return outcome
 
--- a/lycheestall/entry/decision_log.py
+++ b/lycheestall/entry/decision_log.py
@@ -18,6 +18,7 @@
 from .permit_service import Permit, PermitDenied
 from .retry_policy import NextStep
 from .stream_origin_service import OriginLookup
+from .target_links import LinkContact
 from .target_table import TargetRegistration
 
 __all__ = ["DecisionContext", "DecisionLog"]
@@ -74,8 +75,19 @@
         outcome: AttemptOutcome,
         *,
         next_step: NextStep,
+        contact: LinkContact,
+        new_connection: bool,
     ) -> None:
-        """Logs an attempt that gave no final response."""
+        """Logs an attempt that gave no final response.
+
+        Args:
+            metadata: The request's metadata.
+            registration: The target of the attempt.
+            outcome: How the attempt ended.
+            next_step: What follows.
+            contact: When the VM has last heard from targets.
+            new_connection: Whether it asked for a new connection.
+        """
         outcome_name = type(outcome).__name__
         self._metrics.attempt_failed(outcome_name)
         self._write(
@@ -86,6 +98,9 @@
             software_version=registration.software_version,
             outcome=outcome_name,
             next_step=next_step.value,
+            target_heard_ms=milliseconds(contact.target_s),
+            targets_heard_ms=milliseconds(contact.any_s),
+            new_connection=new_connection,
             **outcome_fields(outcome),
         )
 
--- a/lycheestall/entry/entry_vm.py
+++ b/lycheestall/entry/entry_vm.py
@@ -183,6 +183,7 @@
             timeouts=self._targets.timeouts,
             permits=self._targets.permits,
             table=self._targets.table,
+            links=self._targets.links,
             stream_origins=self._targets.stream_origins,
             announcements=self._targets.announcements,
             reservations=self.token_service.reservations,
--- a/lycheestall/entry/request_dependencies.py
+++ b/lycheestall/entry/request_dependencies.py
@@ -15,6 +15,7 @@
 from .stream_origin_service import StreamOriginService
 from .target_announcements import TargetAnnouncements
 from .target_chooser import TargetChooser
+from .target_links import TargetLinks
 from .target_table import TargetRegistration, TargetTable
 from .turn_reservations import TurnReservations
 
@@ -32,6 +33,7 @@
         timeouts: Computes attempts' timeouts.
         permits: Keeps to the limits that targets name.
         table: The registered targets.
+        links: What this VM observes of its links to them.
         stream_origins: Knows which software versions began streams.
         announcements: Takes note of what targets say about themselves.
         reservations: Reserves and settles the tokens of turns.
@@ -52,6 +54,7 @@
     timeouts: AttemptTimeouts
     permits: PermitService
     table: TargetTable
+    links: TargetLinks
     stream_origins: StreamOriginService
     announcements: TargetAnnouncements
     reservations: TurnReservations
--- a/lycheestall/entry/target_attempt.py
+++ b/lycheestall/entry/target_attempt.py
@@ -52,8 +52,11 @@
         is_head_request: Whether the method is HEAD, so that the response
             has no body.
         on_response: Called with the head of the response and its metadata.
+        on_heard: Called when the target accepts a new connection or sends
+            data.
 
     Attributes:
+        new_connection: Whether no open connection was free.
         sent: Whether the request was written to a connection.
         outcome: Fires with the outcome.
     """
@@ -67,9 +70,11 @@
         forwarder: StreamForwarder | None,
         is_head_request: bool,
         on_response: Callable[[ResponseHead, ResponseMetadata], None],
+        on_heard: Callable[[], None],
     ) -> None:
         self._pool = pool
         self._on_response = on_response
+        self._on_heard = on_heard
         self._headers = headers
         self._request_id = request_id
         self._forwarder = forwarder
@@ -83,6 +88,7 @@
         self._body_bytes = 0
         self._streaming = False
         self._ended = False
+        self.new_connection = False
         self.sent = False
         self.outcome: Deferred[AttemptOutcome] = Deferred()
 
@@ -95,6 +101,7 @@
         """
         self._build_request = build
         self._connecting = self._pool.acquire()
+        self.new_connection = not self._connecting.called
         self._connecting.addCallbacks(self._connected, self._not_connected)
 
     def stop(self) -> None:
@@ -116,6 +123,7 @@
 
     def response_started(self, head: ResponseHead) -> bool:
         """Handles a head; a response to another request is skipped."""
+        self._on_heard()
         metadata = self._headers.parse_response_headers(head)
         if metadata.request_id != self._request_id:
             return metadata.request_id is None and self._accept_without_id(
@@ -133,6 +141,7 @@
 
     def response_body(self, data: bytes) -> None:
         """Forwards or buffers a part of the body."""
+        self._on_heard()
         if self._ended:
             return
         if not self._streaming or self._forwarder is None:
@@ -198,6 +207,8 @@
         return WholeAnswer(head, body)
 
     def _connected(self, connection: HttpClientConnection) -> None:
+        if self.new_connection:
+            self._on_heard()
         if self._ended or self._build_request is None:
             self._pool.release(connection)
             return
