Show with tests that VMs without links fail their callers

Links of one, four or five of six VMs to all targets go silent, are reset, or refuse new connections while open ones live on. The fake network gains links of one VM that fail, with what was on the way held back.

--- a/tests/entry/entry_vm_harness.py
+++ b/tests/entry/entry_vm_harness.py
@@ -22,6 +22,7 @@
     FakeTarget,
     FakeTransport,
     RequestCallback,
+    VmReactor,
 )
 from tests.entry.memory_store import MemoryLog, MemoryStore
 
@@ -111,14 +112,14 @@
     def __init__(
         self,
         *,
-        reactor: FakeReactor | None = None,
+        reactor: FakeReactor | VmReactor | None = None,
         log: MemoryLog | None = None,
         peers: Any = None,
         name: str = "vm",
         incarnation: int = 1,
         address: Address = PEERS_ADDRESS,
     ) -> None:
-        self.reactor = reactor or FakeReactor()
+        self.reactor: Any = reactor or FakeReactor()
         self.log = log or MemoryLog()
         self.address = address
         self.version = 0
--- a/tests/entry/fake_network.py
+++ b/tests/entry/fake_network.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from enum import Enum
 from typing import Any
 
 import httptools
@@ -10,6 +11,7 @@
     ConnectionDone,
     ConnectionLost,
     ConnectionRefusedError,
+    TimeoutError,  # noqa: A004
 )
 from twisted.internet.task import Clock
 from twisted.python.failure import Failure
@@ -20,11 +22,66 @@
 """Handles a request that a target received."""
 
 
+class LinkFault(Enum):
+    """How the links between a VM and its targets fail.
+
+    Attributes:
+        SILENT: Nothing arrives; connections neither open nor close.
+        REFUSED: Open connections live on, new ones are refused.
+        RESET: Open connections are reset, new ones are refused.
+    """
+
+    SILENT = "silent"
+    REFUSED = "refused"
+    RESET = "reset"
+
+
+class TargetLink:
+    """The links of one VM to its targets.
+
+    Attributes:
+        fault: How they fail now; None while they work.
+    """
+
+    def __init__(self) -> None:
+        self.fault: LinkFault | None = None
+        self._held: list[Callable[[], None]] = []
+        self._connections: list[FakeTransport] = []
+
+    def cut(self, fault: LinkFault) -> None:
+        """Lets the links fail."""
+        self.fault = fault
+        if fault is LinkFault.RESET:
+            for transport in self._connections:
+                transport.abortConnection()
+
+    def heal(self) -> None:
+        """Lets the links work again; what was on the way arrives."""
+        self.fault = None
+        held, self._held = self._held, []
+        for deliver in held:
+            deliver()
+
+    def add(self, transport: FakeTransport) -> None:
+        """Adds an open connection."""
+        self._connections.append(transport)
+
+    def deliver(self, call: Callable[[], None]) -> None:
+        """Delivers something now, or once the links are no longer silent."""
+        if self.fault is LinkFault.SILENT:
+            self._held.append(call)
+        else:
+            call()
+
+
 class FakeTransport:
     """Transport of one end; delivers written bytes to the other end."""
 
-    def __init__(self, reactor: FakeReactor) -> None:
+    def __init__(
+        self, reactor: FakeReactor, link: TargetLink | None = None
+    ) -> None:
         self._reactor = reactor
+        self._link = link
         self.protocol: Any = None
         self.peer: FakeTransport | None = None
         self.written = b""
@@ -36,7 +93,7 @@
         if self.closed:
             return
         self.written += data
-        self._reactor.callLater(0, self._deliver, data)
+        self._reactor.callLater(0, self._send, lambda: self._deliver(data))
 
     def loseConnection(self) -> None:  # noqa: N802
         """Closes the connection after all written bytes."""
@@ -59,6 +116,12 @@
     def resumeProducing(self) -> None:  # noqa: N802
         """Does nothing."""
 
+    def _send(self, deliver: Callable[[], None]) -> None:
+        if self._link is None:
+            deliver()
+        else:
+            self._link.deliver(deliver)
+
     def _deliver(self, data: bytes) -> None:
         peer = self.peer
         if peer is not None and not peer.closed:
@@ -71,7 +134,9 @@
         self._reactor.callLater(
             0, self.protocol.connectionLost, Failure(ConnectionDone())
         )
-        self._reactor.callLater(0, self._close_peer, reason)
+        self._reactor.callLater(
+            0, self._send, lambda: self._close_peer(reason)
+        )
 
     def _close_peer(self, reason: Exception) -> None:
         peer = self.peer
@@ -239,11 +304,22 @@
         self.target_by_address: dict[tuple[str, int], FakeTarget] = {}
 
     def connectTCP(  # noqa: N802
-        self, host: str, port: int, factory: Any, timeout: float = 30
+        self,
+        host: str,
+        port: int,
+        factory: Any,
+        timeout: float = 30,
+        link: TargetLink | None = None,
     ) -> Any:
         """Connects a client to a target, or refuses the connection."""
+        fault = None if link is None else link.fault
+        if fault is LinkFault.SILENT:
+            self.callLater(timeout, self._fail, factory, TimeoutError())
+            return _Connector()
         target = self.target_by_address.get((host, port))
-        self.callLater(0.001, self._connected, target, factory)
+        if fault is not None:
+            target = None
+        self.callLater(0.001, self._connected, target, factory, link)
         return _Connector()
 
     def open_connection(self, protocol: Any) -> FakeTransport:
@@ -259,13 +335,21 @@
         for _ in range(int(seconds * 1000)):
             self.advance(0.001)
 
-    def _connected(self, target: FakeTarget | None, factory: Any) -> None:
+    def _fail(self, factory: Any, error: Exception) -> None:
+        factory.clientConnectionFailed(None, Failure(error))
+
+    def _connected(
+        self,
+        target: FakeTarget | None,
+        factory: Any,
+        link: TargetLink | None,
+    ) -> None:
         if target is None:
-            factory.clientConnectionFailed(
-                None, Failure(ConnectionRefusedError())
-            )
+            self._fail(factory, ConnectionRefusedError())
             return
-        local, remote = self._transport_pair()
+        local, remote = self._transport_pair(link)
+        if link is not None:
+            link.add(local)
         local.protocol = factory.buildProtocol(None)
         if local.protocol is None:
             return
@@ -274,12 +358,40 @@
         target.connections.append(connection)
         local.protocol.makeConnection(local)
 
-    def _transport_pair(self) -> tuple[FakeTransport, FakeTransport]:
-        one, other = FakeTransport(self), FakeTransport(self)
+    def _transport_pair(
+        self, link: TargetLink | None = None
+    ) -> tuple[FakeTransport, FakeTransport]:
+        one, other = FakeTransport(self, link), FakeTransport(self, link)
         one.peer, other.peer = other, one
         return one, other
 
 
+class VmReactor:
+    """The reactor as one VM sees it, with its own links to the targets.
+
+    Args:
+        reactor: The reactor that all VMs share.
+
+    Attributes:
+        link: The VM's links to its targets.
+    """
+
+    def __init__(self, reactor: FakeReactor) -> None:
+        self._reactor = reactor
+        self.link = TargetLink()
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._reactor, name)
+
+    def connectTCP(  # noqa: N802
+        self, host: str, port: int, factory: Any, timeout: float = 30
+    ) -> Any:
+        """Connects to a target over the VM's links."""
+        return self._reactor.connectTCP(
+            host, port, factory, timeout=timeout, link=self.link
+        )
+
+
 class _Connector:
     """The return value of ``connectTCP``."""
 
--- a/tests/entry/fleet.py
+++ b/tests/entry/fleet.py
@@ -22,6 +22,8 @@
     FakeTransport,
     RecordingCaller,
     RequestCallback,
+    TargetLink,
+    VmReactor,
 )
 from tests.entry.memory_store import MemoryLog
 
@@ -94,12 +96,16 @@
 
     Args:
         vms: Number of VMs.
+
+    Attributes:
+        link_by_vm: Each VM's links to the targets.
     """
 
     def __init__(self, *, vms: int) -> None:
         self.reactor = FakeReactor()
         self.log = MemoryLog()
         self.links = PeerLinks(self.reactor)
+        self.link_by_vm: dict[int, TargetLink] = {}
         self._sent = 0
         self._connections_by_vm: dict[int, list[FakeTransport]] = {}
         self.vms: list[EntryVmHarness] = []
@@ -183,8 +189,10 @@
 
     def _add(self, number: int, *, incarnation: int) -> EntryVmHarness:
         address = Address(f"10.0.1.{number + 1}", 4)
+        reactor = VmReactor(self.reactor)
+        self.link_by_vm[number] = reactor.link
         harness = EntryVmHarness(
-            reactor=self.reactor,
+            reactor=reactor,
             log=self.log,
             peers=self.links.connect(address),
             name=f"vm-{number}",
--- /dev/null
+++ b/tests/entry/test_lost_links.py
@@ -0,0 +1,192 @@
+"""VMs that have lost their links to targets, while others reach them."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import pytest
+
+from tests.entry.entry_vm_harness import status_of
+from tests.entry.fake_network import (
+    LinkFault,
+    ReceivedRequest,
+    RecordingCaller,
+)
+from tests.entry.fleet import Fleet
+
+VMS = 6
+APPLICATIONS = 6
+ENGINES = 4
+LAST_EVENT = 8
+WORK_S = 0.05
+EVENT_GAP_S = 0.02
+REQUESTS_PER_S = 60
+
+SETTLE_S = 3.0
+"""Seconds after which VMs without links must serve about as well as others."""
+
+MIN_RELATIVE_SHARE = 2 / 3
+"""Least share served by VMs without links, relative to the others' share."""
+
+TOLERATED_FAILURES = 10
+TOLERATED_FAILURE_SHARE = 1 / 50
+
+PATHS = ("/maps/", "/orders/", "/plan/")
+
+
+class Targets:
+    """Applications and engines that work for a while on each request.
+
+    Args:
+        fleet: The VMs that send to them.
+
+    Attributes:
+        runs_by_request: How often each request was run.
+    """
+
+    def __init__(self, fleet: Fleet) -> None:
+        self._reactor = fleet.reactor
+        self.runs_by_request: dict[str, int] = {}
+        for number in range(APPLICATIONS):
+            fleet.add_target(f"app-{number}", self._work)
+        for number in range(ENGINES):
+            fleet.add_target(
+                f"engine-{number}", self._stream, service="engines"
+            )
+
+    def _note(self, request: ReceivedRequest) -> None:
+        name = request.headers[b"x-request-id"].decode()
+        self.runs_by_request[name] = self.runs_by_request.get(name, 0) + 1
+
+    def _work(self, request: ReceivedRequest) -> None:
+        self._note(request)
+        self._reactor.callLater(WORK_S, request.respond, 200, b"whole")
+
+    def _stream(self, request: ReceivedRequest) -> None:
+        self._note(request)
+        first = int(request.headers.get(b"last-event-id", b"0")) + 1
+        request.start_stream()
+        for number in range(first, LAST_EVENT + 1):
+            delay_s = EVENT_GAP_S * (number - first + 1)
+            self._reactor.callLater(delay_s, request.send_event, number)
+        end_s = EVENT_GAP_S * (LAST_EVENT - first + 2)
+        self._reactor.callLater(end_s, request.end_stream)
+
+
+class Callers:
+    """Sends requests of all kinds to all VMs at a steady rate.
+
+    Args:
+        fleet: The VMs.
+    """
+
+    def __init__(self, fleet: Fleet) -> None:
+        self._fleet = fleet
+        self._sent = 0
+        self.callers_by_vm: dict[int, list[RecordingCaller]] = {}
+
+    def send_for(self, seconds: float) -> None:
+        """Sends requests for some time."""
+        for _ in range(round(seconds * REQUESTS_PER_S)):
+            # Each VM gets requests of each kind.
+            vm = self._sent % VMS
+            path = PATHS[self._sent // VMS % len(PATHS)]
+            caller = self._fleet.send(
+                f"{path}{self._sent}",
+                vm=vm,
+                headers=f"X-Session-Id: s{self._sent}\r\n",
+                request_id=f"q{self._sent}",
+            )
+            self.callers_by_vm.setdefault(vm, []).append(caller)
+            self._sent += 1
+            self._fleet.reactor.run(1 / REQUESTS_PER_S)
+
+    def forget(self) -> None:
+        """Forgets the callers so far."""
+        self.callers_by_vm.clear()
+
+    def served(self, vms: Iterable[int]) -> tuple[int, int]:
+        """Returns how many callers of some VMs were served, of how many."""
+        callers = [c for vm in vms for c in self.callers_by_vm.get(vm, ())]
+        return sum(is_whole(caller) for caller in callers), len(callers)
+
+
+def is_whole(caller: RecordingCaller) -> bool:
+    """Returns whether a caller has received a complete answer."""
+    data = caller.data
+    if status_of(data) != 200:
+        return False
+    if b"text/event-stream" not in data:
+        return data.endswith(b"whole")
+    lines = data.split(b"\n")
+    events = [int(line[4:]) for line in lines if line[:4] == b"id: "]
+    return events == list(range(1, LAST_EVENT + 1)) and data.endswith(
+        b"0\r\n\r\n"
+    )
+
+
+@pytest.fixture
+def fleet() -> Fleet:
+    """VMs that know each other and have no targets yet."""
+    return Fleet(vms=VMS)
+
+
+@pytest.fixture
+def targets(fleet: Fleet) -> Targets:
+    """The targets of the VMs."""
+    return Targets(fleet)
+
+
+@pytest.fixture
+def callers(fleet: Fleet, targets: Targets) -> Callers:
+    """Callers of the VMs, which have all served some requests."""
+    fleet.start()
+    callers = Callers(fleet)
+    callers.send_for(2.0)
+    fleet.reactor.run(1.0)
+    callers.forget()
+    return callers
+
+
+# Guards against VMs without links to the targets serving their callers far
+# worse than VMs that reach them.
+@pytest.mark.parametrize("fault", list(LinkFault))
+@pytest.mark.parametrize("cut", [range(4), range(5), range(1)])
+def test_vms_without_links_serve_about_as_well_as_others(
+    fleet: Fleet, callers: Callers, fault: LinkFault, cut: range
+) -> None:
+    for vm in cut:
+        fleet.link_by_vm[vm].cut(fault)
+    callers.send_for(SETTLE_S)
+    callers.forget()
+    callers.send_for(6.0)
+    fleet.reactor.run(1.5)
+    served, sent = callers.served(cut)
+    others_served, others_sent = callers.served(set(range(VMS)) - set(cut))
+    share, others_share = served / sent, others_served / others_sent
+    assert share >= MIN_RELATIVE_SHARE * others_share
+    failures = sent - served
+    tolerated = TOLERATED_FAILURE_SHARE * (sent + others_sent)
+    assert failures <= TOLERATED_FAILURES + tolerated
+
+
+# Guards against orders that run twice because the VM that sent them lost its
+# link to the target on the way.
+@pytest.mark.parametrize("fault", list(LinkFault))
+def test_orders_run_once_when_links_are_lost_on_the_way(
+    fleet: Fleet, targets: Targets, callers: Callers, fault: LinkFault
+) -> None:
+    for _ in range(3):
+        for vm in range(4):
+            fleet.link_by_vm[vm].cut(fault)
+        callers.send_for(2.0)
+        for vm in range(4):
+            fleet.link_by_vm[vm].heal()
+        callers.send_for(1.0)
+    fleet.reactor.run(3.0)
+    twice = {
+        name
+        for name, runs in targets.runs_by_request.items()
+        if runs > 1 and int(name[1:]) // VMS % len(PATHS) == 1
+    }
+    assert not twice
