--- a/lycheestall/entry/_log_fields.py
+++ b/lycheestall/entry/_log_fields.py
@@ -10,6 +10,7 @@
     NotRun,
     NotSent,
     Stopped,
+    Unreachable,
     WholeAnswer,
 )
 
@@ -27,7 +28,7 @@
         }
     if isinstance(outcome, WholeAnswer):
         return {"status": outcome.head.status}
-    if isinstance(outcome, NotSent | Stopped):
+    if isinstance(outcome, NotSent | Stopped | Unreachable):
         return asdict(outcome)
     return {}
 
--- a/lycheestall/entry/attempt_feedback.py
+++ b/lycheestall/entry/attempt_feedback.py
@@ -11,6 +11,7 @@
     PermitExpired,
     Stopped,
     StreamEnded,
+    Unreachable,
     WholeAnswer,
 )
 from .http_client_connection import BreakReason
@@ -64,11 +65,13 @@
         """
         chooser = self._deps.chooser
         now: float = self._deps.clock.seconds()
-        if isinstance(outcome, PermitExpired):
+        if isinstance(outcome, PermitExpired | Unreachable):
             return
         if isinstance(outcome, NotSent):
             chooser.record_failure(target, now, down=True)
         elif isinstance(outcome, Broken):
+            if outcome.reason is BreakReason.LINK_LOST:
+                return
             chooser.record_failure(target, now, down=False)
             if outcome.reason is BreakReason.OVERDUE:
                 self._record_no_response(target, now - started_at, now)
--- a/lycheestall/entry/attempt_outcomes.py
+++ b/lycheestall/entry/attempt_outcomes.py
@@ -18,6 +18,7 @@
     "PermitExpired",
     "Stopped",
     "StreamEnded",
+    "Unreachable",
     "WholeAnswer",
 ]
 
@@ -32,9 +33,30 @@
 
 @dataclass(frozen=True, slots=True)
 class NotSent:
-    """No connection was made; the target has not received the request."""
+    """No connection was made; the target has not received the request.
+
+    Attributes:
+        error: Why.
+        timed_out: Whether nothing was heard; otherwise the connection was
+            refused.
+    """
 
     error: str
+    timed_out: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Unreachable:
+    """The VM has lost its link to the target, and no peer sent the request.
+
+    Attributes:
+        reason: Why no peer did.
+        target_lost: Whether a peer that reaches other targets doesn't reach
+            this one; otherwise nothing is known of the target.
+    """
+
+    reason: str
+    target_lost: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,6 +126,7 @@
 
 AttemptOutcome: TypeAlias = (
     NotSent
+    | Unreachable
     | PermitExpired
     | NotRun
     | WholeAnswer
--- a/lycheestall/entry/attempt_runner.py
+++ b/lycheestall/entry/attempt_runner.py
@@ -4,25 +4,43 @@
 
 from collections.abc import Callable
 
+from .attempt import Attempt
 from .attempt_feedback import AttemptFeedback
-from .attempt_outcomes import AttemptOutcome
+from .attempt_messages import SendAttempt
+from .attempt_outcomes import (
+    AttemptOutcome,
+    NotSent,
+    Unreachable,
+)
 from .configuration import Route
 from .exchange import Exchange
+from .members import Member
 from .message_metadata import RequestMetadata
 from .overdue_timer import start_overdue_timer
+from .peer_rpc import encode_call
+from .relay_client import MAX_PEERS_ASKED
 from .request_dependencies import RequestDependencies
 from .stream_forwarder import StreamForwarder
 from .target_admission import Admission
 from .target_attempt import TargetAttempt
 from .target_request import TargetRequest
 from .target_table import TargetRegistration
+from .token_ledger import HolderId
 
 __all__ = ["AttemptRunner"]
 
+OTHERS_HEARD_S = 0.5
+"""Age of the last contact with any target up to which a target that doesn't
+accept a connection is taken to be down itself."""
+
 
 class AttemptRunner:
     """Sends a request to admitted targets and feeds the outcomes back.
 
+    An attempt goes over this VM's own link, or through a peer where that
+    link is lost. The peer only carries it: whatever is decided or counted
+    about the request is decided and counted here.
+
     Args:
         deps: Dependencies shared by all requests.
         exchange: The request and its response.
@@ -32,11 +50,12 @@
         feedback: Learns how the attempts end.
         target_request: Encodes the request.
         body: Returns the body to send.
-        deadline: When the request must have been answered.
+        may_repeat: Returns whether a target may run the request again.
 
     Attributes:
         registration: The target of the last attempt; None before the first.
         new_connection: Whether the last attempt asked for a new connection.
+        relayed_by: The peer that sent the last attempt; None if none did.
     """
 
     def __init__(
@@ -50,7 +69,7 @@
         target_request: TargetRequest,
         *,
         body: Callable[[], bytes],
-        deadline: float,
+        may_repeat: Callable[[], bool],
     ) -> None:
         self._deps = deps
         self._exchange = exchange
@@ -60,10 +79,11 @@
         self._feedback = feedback
         self._target_request = target_request
         self._body = body
-        self._deadline = deadline
+        self._may_repeat = may_repeat
         self.registration: TargetRegistration | None = None
         self.new_connection = False
-        self._attempt: TargetAttempt | None = None
+        self.relayed_by: HolderId | None = None
+        self._attempt: Attempt | None = None
         self._started_at = 0.0
 
     async def run(
@@ -82,8 +102,69 @@
             deadline_passed: Returns whether the deadline ended the attempt.
         """
         registration = admission.registration
+        target = registration.target
         self.registration = registration
+        self._deps.chooser.request_started(target)
+        try:
+            outcome = await self._send(
+                admission, can_retry_elsewhere=can_retry_elsewhere
+            )
+        finally:
+            self._deps.chooser.request_ended(target)
+        self._record(registration, outcome, deadline_passed())
+        return outcome
+
+    def stop(self) -> bool:
+        """Ends the attempt in progress; returns whether there is one."""
+        if self._attempt is None:
+            return False
+        self._attempt.stop()
+        return True
+
+    async def _send(
+        self, admission: Admission, *, can_retry_elsewhere: bool
+    ) -> AttemptOutcome:
+        links = self._deps.link_monitor.links
+        target = admission.registration.target
+        direct: AttemptOutcome | None = None
+        if links.is_up(target):
+            direct = await self._send_directly(admission, can_retry_elsewhere)
+            if not isinstance(direct, NotSent) or self._is_down(direct):
+                return direct
+        else:
+            links.want(target, self._deps.clock.seconds())
+        relayed = await self._send_through_peers(
+            admission, can_retry_elsewhere
+        )
+        if isinstance(relayed, Unreachable):
+            if direct is not None:
+                return direct
+            if relayed.target_lost and not links.all_lost:
+                relayed = NotSent(relayed.reason)
+        if isinstance(relayed, NotSent):
+            links.target_failed(target)
+        return relayed
+
+    def _is_down(self, outcome: NotSent) -> bool:
+        # A connection that is refused is worth a question to a peer, which
+        # costs little. One that has timed out has cost enough to go to
+        # another target at once, if others are heard.
+        if not outcome.timed_out:
+            return False
+        registration = self.registration
+        assert registration is not None
+        now = self._deps.clock.seconds()
+        links = self._deps.link_monitor.links
+        contact = links.contact(registration.target, now)
+        return contact.any_s < OTHERS_HEARD_S
+
+    async def _send_directly(
+        self, admission: Admission, can_retry_elsewhere: bool
+    ) -> AttemptOutcome:
         deps = self._deps
+        registration = admission.registration
+        self.relayed_by = None
+        link = deps.link_monitor.use(registration.target)
         attempt = TargetAttempt(
             deps.pool_of(registration),
             deps.headers,
@@ -93,39 +174,100 @@
             on_response=lambda head, response: deps.announcements.observe(
                 self._metadata, registration, head, response
             ),
-            on_heard=lambda: deps.links.heard(
-                registration.target, deps.clock.seconds()
+            link=link,
+        )
+        link.on_lost = lambda: attempt.link_lost(may_repeat=self._may_repeat())
+        try:
+            return await self._run(
+                attempt,
+                lambda: self._encode_for(admission),
+                can_retry_elsewhere=can_retry_elsewhere,
+            )
+        finally:
+            link.end()
+
+    async def _send_through_peers(
+        self, admission: Admission, can_retry_elsewhere: bool
+    ) -> AttemptOutcome:
+        target = admission.registration.target
+        asked: set[HolderId] = set()
+        outcome = Unreachable("no peer to send it")
+        while len(asked) < MAX_PEERS_ASKED:
+            member = self._deps.relay.choose(target, avoid=asked)
+            if member is None:
+                break
+            asked.add(member.holder)
+            result = await self._send_through(
+                member, admission, can_retry_elsewhere
+            )
+            if not isinstance(result, Unreachable):
+                return result
+            if not result.target_lost:
+                self._deps.relay.shun(member)
+            target_lost = outcome.target_lost or result.target_lost
+            outcome = Unreachable(result.reason, target_lost)
+        return outcome
+
+    async def _send_through(
+        self,
+        member: Member,
+        admission: Admission,
+        can_retry_elsewhere: bool,
+    ) -> AttemptOutcome:
+        deps = self._deps
+        registration = admission.registration
+        self.relayed_by = member.holder
+        deps.log.attempt_relayed(
+            self._metadata,
+            registration,
+            member.holder,
+            summary=deps.link_monitor.links.summary(),
+            report_age_s=deps.relay.report_age_s(member),
+        )
+        attempt = deps.relay.create_attempt(
+            member,
+            sink=self._forwarder,
+            on_response=lambda head, response: deps.announcements.observe(
+                self._metadata, registration, head, response
             ),
         )
+        deps.relay.relay_peers.started(member.holder)
+        try:
+            return await self._run(
+                attempt,
+                lambda: self._encode_for_peer(admission, member),
+                can_retry_elsewhere=can_retry_elsewhere,
+            )
+        finally:
+            deps.relay.relay_peers.ended(member.holder)
+
+    async def _run(
+        self,
+        attempt: Attempt,
+        build: Callable[[], bytes | None],
+        *,
+        can_retry_elsewhere: bool,
+    ) -> AttemptOutcome:
+        registration = self.registration
+        assert registration is not None
         self._attempt = attempt
-        deps.chooser.request_started(registration.target)
-        self._started_at = deps.clock.seconds()
+        self._started_at = self._deps.clock.seconds()
         timer = start_overdue_timer(
-            deps,
+            self._deps,
             self._route,
             attempt,
             can_retry_elsewhere=can_retry_elsewhere,
-            remaining_s=self._deadline - self._started_at,
+            remaining_s=self._target_request.remaining_s,
             on_overdue=lambda: self._report_overdue(registration),
         )
         try:
-            attempt.start(lambda: self._encode_for(admission))
-            outcome = await attempt.outcome
+            attempt.start(build)
+            return await attempt.outcome
         finally:
             self._attempt = None
-            deps.chooser.request_ended(registration.target)
+            self.new_connection = attempt.new_connection
             if timer is not None and timer.active():
                 timer.cancel()
-        self.new_connection = attempt.new_connection
-        self._record(registration, outcome, deadline_passed())
-        return outcome
-
-    def stop(self) -> bool:
-        """Ends the attempt in progress; returns whether there is one."""
-        if self._attempt is None:
-            return False
-        self._attempt.stop()
-        return True
 
     def _record(
         self,
@@ -153,6 +295,39 @@
     def _encode_for(self, admission: Admission) -> bytes | None:
         if self._deps.clock.seconds() >= admission.permit.expires_at:
             return None
+        return self._target_request.encode(
+            admission.registration.target,
+            self._body(),
+            resume_after=self._resume_after(admission),
+        )
+
+    def _encode_for_peer(
+        self, admission: Admission, member: Member
+    ) -> bytes | None:
+        expires_in_s = admission.permit.expires_at - self._deps.clock.seconds()
+        if expires_in_s <= 0:
+            return None
+        request = self._exchange.request
+        target = admission.registration.target
+        headers = self._target_request.headers(
+            target, resume_after=self._resume_after(admission)
+        )
+        message = SendAttempt(
+            holder=self._deps.relay.holder,
+            request_id=self._metadata.request_id,
+            target=target,
+            started_ms=admission.registration.started_ms,
+            method=request.method,
+            url=request.url,
+            headers=tuple(headers),
+            body=self._body(),
+            is_stream=self._forwarder is not None,
+            remaining_s=self._target_request.remaining_s,
+            send_within_s=expires_in_s,
+        )
+        return encode_call(member.address, message)
+
+    def _resume_after(self, admission: Admission) -> int | None:
         resume_after = self._metadata.resume_after
         if self._forwarder is not None:
             resume_after = self._forwarder.last_event_id
@@ -162,8 +337,4 @@
                 admission.registration,
                 resume_after=resume_after,
             )
-        return self._target_request.encode(
-            admission.registration.target,
-            self._body(),
-            resume_after=resume_after,
-        )
+        return resume_after
--- a/lycheestall/entry/caller_connection.py
+++ b/lycheestall/entry/caller_connection.py
@@ -344,6 +344,11 @@
         for connection in list(self._open):
             connection.close_if_idle()
 
+    @property
+    def connections(self) -> frozenset[CallerConnection]:
+        """The open connections."""
+        return frozenset(self._open)
+
     @property
     def busy_connections(self) -> int:
         """Number of connections with a request in progress."""
--- a/lycheestall/entry/connection_pool.py
+++ b/lycheestall/entry/connection_pool.py
@@ -5,13 +5,14 @@
 from typing import Any
 
 from twisted.internet.defer import Deferred, succeed
+from twisted.internet.error import TCPTimedOutError, TimeoutError  # noqa: A004
 from twisted.internet.interfaces import IAddress
 from twisted.internet.protocol import ClientFactory
 from twisted.python.failure import Failure
 
 from .http_client_connection import HttpClientConnection
 
-__all__ = ["ConnectionPool"]
+__all__ = ["ConnectionPool", "is_timeout"]
 
 MAX_IDLE_CONNECTIONS = 16
 """Maximum number of idle connections to one peer."""
@@ -60,7 +61,15 @@
             if connection.open and self._is_fresh(connection, now):
                 return succeed(connection)
             connection.abort()
-        return self._connect()
+        return self._connect(self._connect_timeout_s)
+
+    def probe(self, *, timeout_s: float) -> Deferred[None]:
+        """Opens a connection and keeps it as an idle one.
+
+        Args:
+            timeout_s: Timeout for opening it.
+        """
+        return self._connect(timeout_s).addCallback(self.release)
 
     def release(self, connection: HttpClientConnection) -> None:
         """Returns a connection to the pool, or closes it if unusable."""
@@ -84,10 +93,10 @@
             limit_s = max(connection.idle_timeout_s - IDLE_MARGIN_S, 0.5)
         return now - connection.idle_since < limit_s
 
-    def _connect(self) -> Deferred[HttpClientConnection]:
+    def _connect(self, timeout_s: float) -> Deferred[HttpClientConnection]:
         factory = _ConnectionFactory(self._remove)
         connector = self._reactor.connectTCP(
-            self._host, self._port, factory, timeout=self._connect_timeout_s
+            self._host, self._port, factory, timeout=timeout_s
         )
         factory.connector = connector
         return factory.connected
@@ -97,6 +106,11 @@
             self._idle.remove(connection)
 
 
+def is_timeout(failure: Failure) -> bool:
+    """Returns whether nothing was heard from the peer of a connection."""
+    return failure.check(TimeoutError, TCPTimedOutError) is not None
+
+
 class _ConnectionFactory(ClientFactory):
     """Opens a single connection for the pool."""
 
--- a/lycheestall/entry/decision_log.py
+++ b/lycheestall/entry/decision_log.py
@@ -9,6 +9,7 @@
 from ..clock import Clock
 from ..logs import Logger
 from ._log_fields import decode_id, milliseconds, outcome_fields
+from .attempt_messages import SendAttempt
 from .attempt_outcomes import AttemptOutcome
 from .configuration import Route
 from .conversation_lookup import TurnNotFound
@@ -18,8 +19,9 @@
 from .permit_service import Permit, PermitDenied
 from .retry_policy import NextStep
 from .stream_origin_service import OriginLookup
-from .target_links import LinkContact
+from .target_links import LinkContact, LinkSummary
 from .target_table import TargetRegistration
+from .token_ledger import HolderId
 
 __all__ = ["DecisionContext", "DecisionLog"]
 
@@ -77,6 +79,7 @@
         next_step: NextStep,
         contact: LinkContact,
         new_connection: bool,
+        relayed_by: HolderId | None,
     ) -> None:
         """Logs an attempt that gave no final response.
 
@@ -87,6 +90,7 @@
             next_step: What follows.
             contact: When the VM has last heard from targets.
             new_connection: Whether it asked for a new connection.
+            relayed_by: The peer that sent it, if one did.
         """
         outcome_name = type(outcome).__name__
         self._metrics.attempt_failed(outcome_name)
@@ -101,6 +105,60 @@
             target_heard_ms=milliseconds(contact.target_s),
             targets_heard_ms=milliseconds(contact.any_s),
             new_connection=new_connection,
+            relayed_by=relayed_by,
+            **outcome_fields(outcome),
+        )
+
+    def attempt_relayed(
+        self,
+        metadata: RequestMetadata,
+        registration: TargetRegistration,
+        peer: HolderId,
+        *,
+        summary: LinkSummary,
+        report_age_s: float,
+    ) -> None:
+        """Logs that a peer is asked to send an attempt.
+
+        Args:
+            metadata: The request's metadata.
+            registration: The target of the attempt.
+            peer: The peer.
+            summary: The links of this VM that are lost.
+            report_age_s: Age of the peer's report on its links.
+        """
+        self._metrics.attempt_relayed()
+        self._write(
+            "attempt relayed",
+            request=decode_id(metadata.request_id),
+            target=registration.target,
+            target_started_ms=registration.started_ms,
+            peer=peer,
+            all_lost=summary.all_lost,
+            lost=len(summary.lost),
+            report_age_ms=milliseconds(report_age_s),
+        )
+
+    def attempt_sent_for_peer(
+        self, message: SendAttempt, outcome: AttemptOutcome, *, took_s: float
+    ) -> None:
+        """Logs the outcome of an attempt that was sent for a peer.
+
+        Args:
+            message: What the peer has asked for.
+            outcome: How the attempt ended.
+            took_s: Seconds since the message arrived.
+        """
+        outcome_name = type(outcome).__name__
+        self._metrics.attempt_sent_for_peer(outcome_name)
+        self._write(
+            "attempt sent for a peer",
+            request=decode_id(message.request_id),
+            peer=message.holder,
+            target=message.target,
+            target_started_ms=message.started_ms,
+            outcome=outcome_name,
+            took_ms=round(took_s * 1000, 1),
             **outcome_fields(outcome),
         )
 
--- a/lycheestall/entry/entry_metrics.py
+++ b/lycheestall/entry/entry_metrics.py
@@ -30,6 +30,13 @@
             "failed_attempts_total",
             "Attempts at targets that gave no answer, by outcome.",
         )
+        self._relayed = self.counter(
+            "relayed_attempts_total", "Attempts that a peer was asked to send."
+        )
+        self._sent_for_peers = self.counter(
+            "attempts_for_peers_total",
+            "Attempts sent for peers, by outcome.",
+        )
         self._permits = self.counter(
             "permits_total",
             "Decisions on requests to targets with a limit, by result.",
@@ -47,6 +54,14 @@
             "Conversations continued, by where their turns were found.",
         )
 
+    def attempt_relayed(self) -> None:
+        """Counts an attempt that a peer is asked to send."""
+        self._relayed.inc({})
+
+    def attempt_sent_for_peer(self, outcome: str) -> None:
+        """Counts an attempt that was sent for a peer."""
+        self._sent_for_peers.inc({"outcome": outcome})
+
     def permit_decided(self, *, granted: bool) -> None:
         """Counts a decision on a request to a target with a limit."""
         self._permits.inc({"granted": str(granted).lower()})
--- a/lycheestall/entry/entry_vm.py
+++ b/lycheestall/entry/entry_vm.py
@@ -10,6 +10,8 @@
 from ..logs import Logger
 from ..polling import Poller
 from ..supervisor import Supervisor
+from .attempt_messages import AskLinks, SendAttempt
+from .attempt_relay import AttemptRelay
 from .configuration import CallerLimits
 from .configuration_relay import ConfigurationRelay
 from .conversation_service import ConversationService
@@ -18,11 +20,13 @@
 from .exchange import Exchange, RequestHandler
 from .failure_detector import MEMBER_CHECK_INTERVAL_S
 from .header_codec import HeaderCodec
+from .link_monitor import LinkMonitor
 from .members import Members
 from .outage import OutageMode
 from .peer_messages import PeerMessage, PeerReply
-from .peer_rpc import PeerClient, PeerHandler
+from .peer_rpc import PeerClient, RelayingPeerHandler
 from .record_decoder import RecordDecoder
+from .relay_client import RelayClient
 from .relay_messages import AskConfiguration
 from .request_dependencies import RequestDependencies
 from .request_router import RequestRouter
@@ -60,6 +64,9 @@
 TARGET_REPORT_S = 0.4
 """Seconds between reports about targets to the peers."""
 
+LINK_CHECK_S = 0.1
+"""Seconds between checks of the links to the targets."""
+
 HOUSEKEEPING_S = 0.5
 """Seconds between removals of expired state."""
 
@@ -73,7 +80,7 @@
 """Age of the ledger up to which its members count as all there are."""
 
 
-class EntryVm(RequestHandler, PeerHandler):
+class EntryVm(RequestHandler, RelayingPeerHandler):
     """All components of an entry VM except its listeners.
 
     Args:
@@ -176,6 +183,35 @@
             logger=logger,
             metrics=metrics,
         )
+        self._link_monitor = LinkMonitor(
+            table=self._targets.table,
+            pool_of=self._view.pool_of,
+            clock=reactor,
+            logger=logger,
+            metrics=metrics,
+        )
+        self._relay_client = RelayClient(
+            holder=holder,
+            settings=settings,
+            members=members,
+            peers=peers,
+            links=self._link_monitor.links,
+            headers=headers,
+            clock=reactor,
+        )
+        self._attempt_relay = AttemptRelay(
+            holder=holder,
+            table=self._targets.table,
+            chooser=self._targets.chooser,
+            monitor=self._link_monitor,
+            announcements=self._targets.announcements,
+            headers=headers,
+            pool_of=self._view.pool_of,
+            clock=reactor,
+            log=self._log,
+            logger=logger,
+            draining=lambda: self._draining,
+        )
         dependencies = RequestDependencies(
             clock=reactor,
             headers=headers,
@@ -183,7 +219,8 @@
             timeouts=self._targets.timeouts,
             permits=self._targets.permits,
             table=self._targets.table,
-            links=self._targets.links,
+            link_monitor=self._link_monitor,
+            relay=self._relay_client,
             stream_origins=self._targets.stream_origins,
             announcements=self._targets.announcements,
             reservations=self.token_service.reservations,
@@ -205,15 +242,15 @@
 
     @property
     def running(self) -> int:
-        """Number of requests in progress."""
-        return self._router.running
+        """Number of requests in progress, those of peers included."""
+        return self._router.running + self._attempt_relay.running
 
     @property
     def ready(self) -> bool:
         """Whether the VM accepts new callers."""
         if not self.loaded or self._draining:
             return False
-        return not self._isolated()
+        return not self._isolated() and not self._relay_client.isolated
 
     def _isolated(self) -> bool:
         if not self._health.unavailable:
@@ -258,6 +295,8 @@
                 self.conversations.recorder.write_due,
                 TURN_RECORDS_S,
             ),
+            ("target links", self._link_monitor.step, LINK_CHECK_S),
+            ("relay peers", self._relay_client.step, LINK_CHECK_S),
             ("shard sweep", self.conversations.sweep, SHARD_SWEEP_S),
         )
         for name, step, interval_s in pollers:
@@ -283,10 +322,12 @@
     def should_close(self) -> bool:
         """Returns whether to close connections after the next response.
 
-        While this VM is isolated from the store, its callers may reach
-        another VM that is not.
+        While this VM is isolated from the store or the targets, its callers
+        may reach another VM that is not.
         """
-        return self._draining or self._isolated()
+        if self._draining or self._isolated():
+            return True
+        return self._relay_client.isolated
 
     def handle(self, exchange: Exchange) -> None:
         """Handles one request of a caller."""
@@ -299,6 +340,8 @@
         reply = self._targets.handle_message(message)
         if reply is not None:
             return reply
+        if isinstance(message, AskLinks):
+            return self._attempt_relay.report(message)
         if isinstance(message, AskConfiguration):
             relayed: Any = self._relay.answer(message)
             return cast("Deferred[PeerReply]", relayed)
@@ -306,6 +349,10 @@
             return self.conversations.handle_message(message)
         return self.token_service.handle_message(message)
 
+    def relay_attempt(self, message: SendAttempt, exchange: Exchange) -> None:
+        """Sends an attempt for a peer that has lost its link to the target."""
+        self._attempt_relay.handle(message, exchange)
+
     def _observed_state(self) -> DecisionContext:
         now = self._reactor.seconds()
         ledger = self.token_service.follower
@@ -333,6 +380,7 @@
 
     async def _housekeeping(self) -> None:
         self._view.remove_expired()
+        self._link_monitor.remove_expired()
         self._targets.stream_origins.versions.observe(
             self._view.targets_read_at
         )
--- a/lycheestall/entry/final_response.py
+++ b/lycheestall/entry/final_response.py
@@ -4,7 +4,13 @@
 
 from enum import Enum
 
-from .attempt_outcomes import AttemptOutcome, NotRun, NotSent, WholeAnswer
+from .attempt_outcomes import (
+    AttemptOutcome,
+    NotRun,
+    NotSent,
+    Unreachable,
+    WholeAnswer,
+)
 from .configuration import Route, ServiceId
 from .exchange import Exchange
 from .ledger_writer import ReservationResult
@@ -31,6 +37,10 @@
 """Retry delay for callers when nobody knows which software version began the
 stream that they resume; waiting for long would not help."""
 
+ISOLATED_RETRY_S = 0.6
+"""Retry delay for callers when neither this VM nor its peers reach targets;
+lost links are probed more often than that."""
+
 HELD_RETRY_S = 0.4
 """Retry delay for callers until tokens that another VM holds in advance
 should be free again."""
@@ -133,6 +143,10 @@
             retry_s = self._deps.reservations.decider_retry_s()
             self.refuse(503, "budgets can't be checked now", retry_s)
 
+    def refuse_isolated(self) -> None:
+        """Refuses a request because no VM is known to reach any target."""
+        self.refuse(503, "no target is reached", ISOLATED_RETRY_S)
+
     def refuse_unknown_version(self) -> None:
         """Refuses to resume a stream whose software version is unknown."""
         self.refuse(
@@ -180,7 +194,10 @@
         if self._send_fallback():
             return
         may_have_run = self._history.may_have_run
-        if isinstance(outcome, NotRun | NotSent) and not may_have_run:
+        if (
+            isinstance(outcome, NotRun | NotSent | Unreachable)
+            and not may_have_run
+        ):
             self.refuse(503, "no target took the request", BUSY_RETRY_S)
             return
         self.fail("the answer was lost")
--- a/lycheestall/entry/header_codec.py
+++ b/lycheestall/entry/header_codec.py
@@ -63,6 +63,17 @@
             resume_after: ID of the last event to skip, if any.
         """
 
+    @abstractmethod
+    def replace_deadline(
+        self, headers: Sequence[Header], *, remaining_s: float
+    ) -> list[Header]:
+        """Returns a request's headers to a target with another deadline.
+
+        Args:
+            headers: The headers from ``target_headers``.
+            remaining_s: Seconds left until the deadline.
+        """
+
     @abstractmethod
     def parse_response_headers(self, head: ResponseHead) -> ResponseMetadata:
         """Parses the headers of a target's response."""
--- a/lycheestall/entry/http_client_connection.py
+++ b/lycheestall/entry/http_client_connection.py
@@ -43,6 +43,7 @@
         MALFORMED: The data is not a valid HTTP response.
         OVERDUE: The response did not arrive in time.
         TOO_LARGE: More bytes arrived than any sound response has.
+        LINK_LOST: This VM no longer reaches the peer.
     """
 
     CLOSED = "closed"
@@ -50,6 +51,7 @@
     MALFORMED = "malformed"
     OVERDUE = "overdue"
     TOO_LARGE = "too large"
+    LINK_LOST = "link lost"
 
 
 class ResponseReceiver(ABC):
--- /dev/null
+++ b/lycheestall/entry/link_monitor.py
@@ -0,0 +1,177 @@
+"""Watches the links to the targets, and probes those that are in doubt."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet.error import ConnectError
+from twisted.python.failure import Failure
+
+from ..ids import TargetId
+from ..logs import Logger
+from .connection_pool import ConnectionPool, is_timeout
+from .entry_metrics import EntryMetrics
+from .target_links import LinkSummary, TargetLinks
+from .target_table import TargetRegistration, TargetTable
+
+__all__ = ["LinkMonitor", "LinkUse"]
+
+PROBE_TIMEOUT_S = 0.25
+"""Timeout for opening a connection as a probe."""
+
+MAX_LOGGED_TARGETS = 20
+"""Targets named in one log line; the others are only counted."""
+
+
+class LinkUse:
+    """One attempt's use of the link to its target.
+
+    Args:
+        monitor: Learns what the attempt observes.
+        target: The target.
+
+    Attributes:
+        on_lost: Called when the link is lost and has been silent since.
+    """
+
+    def __init__(self, monitor: LinkMonitor, target: TargetId) -> None:
+        self._monitor = monitor
+        self._target = target
+        self.on_lost: Callable[[], None] | None = None
+
+    def heard(self) -> None:
+        """Notes that the target has sent data."""
+        self._monitor.links.heard(self._target, self._monitor.now())
+
+    def connected(self) -> None:
+        """Notes that the target has accepted a new connection."""
+        self._monitor.links.connected(self._target, self._monitor.now())
+
+    def connect_failed(self) -> None:
+        """Notes that a new connection could not be opened."""
+        self._monitor.links.connect_failed(self._target, self._monitor.now())
+
+    def end(self) -> None:
+        """Ends the use."""
+        self._monitor.end_use(self, self._target)
+
+
+class LinkMonitor:
+    """Connects the decisions about links with connections and logs.
+
+    Args:
+        table: The registered targets.
+        pool_of: Returns the connection pool of a target.
+        clock: Tells the time.
+        logger: Logs which links are lost or work again.
+        metrics: Receives the gauges.
+
+    Attributes:
+        links: Decides which links work.
+    """
+
+    def __init__(
+        self,
+        *,
+        table: TargetTable,
+        pool_of: Callable[[TargetRegistration], ConnectionPool],
+        clock: Any,
+        logger: Logger,
+        metrics: EntryMetrics,
+    ) -> None:
+        self._table = table
+        self._pool_of = pool_of
+        self._clock = clock
+        self._logger = logger
+        self._metrics = metrics
+        self._uses_by_target: dict[TargetId, set[LinkUse]] = {}
+        self._logged = LinkSummary()
+        self.links = TargetLinks()
+
+    def now(self) -> float:
+        """Returns the current time."""
+        seconds: float = self._clock.seconds()
+        return seconds
+
+    def use(self, target: TargetId) -> LinkUse:
+        """Notes that an attempt uses the link to a target from now on."""
+        use = LinkUse(self, target)
+        self.links.request_started(target, self.now())
+        self._uses_by_target.setdefault(target, set()).add(use)
+        return use
+
+    def end_use(self, use: LinkUse, target: TargetId) -> None:
+        """Notes that an attempt no longer uses the link to its target."""
+        self.links.request_ended(target)
+        uses = self._uses_by_target.get(target, set())
+        uses.discard(use)
+        if not uses:
+            self._uses_by_target.pop(target, None)
+
+    async def step(self) -> None:
+        """Starts the probes that are due and logs what has changed."""
+        for target in self.links.start_probes(self.now()):
+            self._probe(target)
+        self._log_changes()
+
+    def remove_expired(self) -> None:
+        """Forgets targets that are no longer registered."""
+        self.links.keep_only(self._table.targets())
+
+    def _probe(self, target: TargetId) -> None:
+        registration = self._table.get(target)
+        if registration is None:
+            self.links.target_failed(target)
+            return
+        pool = self._pool_of(registration)
+        probe = pool.probe(timeout_s=PROBE_TIMEOUT_S)
+        probe.addCallbacks(
+            lambda _: self.links.connected(target, self.now()),
+            lambda failure: self._probe_failed(target, pool, failure),
+        )
+
+    def _probe_failed(
+        self, target: TargetId, pool: ConnectionPool, failure: Failure
+    ) -> None:
+        failure.trap(ConnectError)
+        refused = not is_timeout(failure)
+        self.links.probe_failed(target, self.now(), refused=refused)
+        if self.links.is_silent(target):
+            # Its idle connections may have ended unnoticed.
+            pool.close()
+        for used in list(self._uses_by_target):
+            if self.links.is_silent(used):
+                self._break_off(used)
+
+    def _break_off(self, target: TargetId) -> None:
+        for use in list(self._uses_by_target.get(target, ())):
+            if use.on_lost is not None:
+                use.on_lost()
+
+    def _log_changes(self) -> None:
+        summary = self.links.summary()
+        if summary == self._logged:
+            return
+        before, self._logged = self._logged, summary
+        lost = sorted(set(summary.lost) - set(before.lost))
+        restored = sorted(set(before.lost) - set(summary.lost))
+        contact = self.links.contact(TargetId(""), self.now())
+        self._logger.info(
+            "target links",
+            all_lost=summary.all_lost,
+            lost=lost[:MAX_LOGGED_TARGETS],
+            restored=restored[:MAX_LOGGED_TARGETS],
+            lost_now=len(summary.lost),
+            targets_heard_ms=round(min(contact.any_s, 1e6) * 1000),
+        )
+        self._metrics.set_gauge(
+            "lost_target_links",
+            len(summary.lost),
+            description="Targets that this VM doesn't reach itself.",
+        )
+        self._metrics.set_gauge(
+            "all_target_links_lost",
+            float(summary.all_lost),
+            description="1 if this VM reaches no target itself.",
+        )
--- a/lycheestall/entry/overdue_timer.py
+++ b/lycheestall/entry/overdue_timer.py
@@ -5,9 +5,9 @@
 from collections.abc import Callable
 
 from ..clock import Timer
+from .attempt import Attempt
 from .configuration import Route
 from .request_dependencies import RequestDependencies
-from .target_attempt import TargetAttempt
 
 __all__ = ["start_overdue_timer"]
 
@@ -22,7 +22,7 @@
 def start_overdue_timer(
     deps: RequestDependencies,
     route: Route,
-    attempt: TargetAttempt,
+    attempt: Attempt,
     *,
     can_retry_elsewhere: bool,
     remaining_s: float,
--- a/lycheestall/entry/peer_messages.py
+++ b/lycheestall/entry/peer_messages.py
@@ -9,6 +9,15 @@
 import cbor2
 
 from ..ids import ProgramId
+from .attempt_messages import (
+    AskLinks,
+    AttemptMessage,
+    AttemptResult,
+    LinkReport,
+    SendAttempt,
+    decode_attempt_fields,
+    encode_attempt_fields,
+)
 from .origin_messages import (
     FindStreamOrigin,
     FoundStreamOrigin,
@@ -230,6 +239,8 @@
     | AskConfiguration
     | HoldStreamOrigin
     | FindStreamOrigin
+    | SendAttempt
+    | AskLinks
 )
 PeerReply: TypeAlias = (
     StoreReport
@@ -247,6 +258,8 @@
     | RelayedConfiguration
     | PermitAnswer
     | FoundStreamOrigin
+    | AttemptResult
+    | LinkReport
 )
 
 _POSITIONAL_TYPES: dict[str, Callable[..., Any]] = {
@@ -315,6 +328,8 @@
         return [message.topic.value, message.after, message.shard]
     if isinstance(message, TurnMessage):
         return encode_turn_fields(message)
+    if isinstance(message, AttemptMessage):
+        return encode_attempt_fields(message)
     if isinstance(message, StoreReport):
         return [
             message.holder,
@@ -374,6 +389,9 @@
     turn_message = decode_turn_fields(name, fields)
     if turn_message is not None:
         return turn_message
+    attempt_message = decode_attempt_fields(name, fields)
+    if attempt_message is not None:
+        return attempt_message
     message: PeerMessage | PeerReply = _POSITIONAL_TYPES[name](*fields)
     return message
 
--- a/lycheestall/entry/peer_rpc.py
+++ b/lycheestall/entry/peer_rpc.py
@@ -14,6 +14,7 @@
 from twisted.python.failure import Failure
 
 from ..logs import Logger
+from .attempt_messages import SendAttempt
 from .configuration import CallerLimits
 from .connection_pool import ConnectionPool
 from .exchange import Exchange, RequestHandler
@@ -23,7 +24,14 @@
 from .peer_messages import PeerMessage, PeerReply, decode, encode
 from .vm_settings import Address
 
-__all__ = ["PeerClient", "PeerEndpoint", "PeerHandler", "call_all"]
+__all__ = [
+    "PeerClient",
+    "PeerEndpoint",
+    "PeerHandler",
+    "RelayingPeerHandler",
+    "call_all",
+    "encode_call",
+]
 
 CONNECT_TIMEOUT_S = 0.3
 """Timeout for connecting to a peer."""
@@ -31,7 +39,12 @@
 IDLE_TIMEOUT_S = 20.0
 """Seconds after which an idle connection to a peer is closed."""
 
-_ENDPOINT_LIMITS = CallerLimits(idle_timeout_s=30.0)
+MAX_MESSAGE_BYTES = 8_388_608
+"""Largest message; it holds the body of a caller's request."""
+
+_ENDPOINT_LIMITS = CallerLimits(
+    body_bytes=MAX_MESSAGE_BYTES, idle_timeout_s=30.0
+)
 _CONTENT_TYPE = [(b"Content-Type", b"application/cbor")]
 
 
@@ -45,6 +58,14 @@
         """Returns the reply to a message."""
 
 
+class RelayingPeerHandler(PeerHandler):
+    """Handles messages of peers, and sends attempts for them."""
+
+    @abstractmethod
+    def relay_attempt(self, message: SendAttempt, exchange: Exchange) -> None:
+        """Sends an attempt for a peer; the exchange receives the outcome."""
+
+
 class PeerEndpoint(RequestHandler):
     """Accepts calls of peers.
 
@@ -53,7 +74,7 @@
         logger: Receives malformed messages.
     """
 
-    def __init__(self, handler: PeerHandler, logger: Logger) -> None:
+    def __init__(self, handler: RelayingPeerHandler, logger: Logger) -> None:
         self._handler = handler
         self._logger = logger
 
@@ -65,6 +86,9 @@
             self._logger.warning("malformed peer message", error=str(error))
             exchange.send_error(400, "unreadable message")
             return
+        if isinstance(message, SendAttempt):
+            self._handler.relay_attempt(message, exchange)
+            return
         reply = maybeDeferred(self._handler.handle_message, message)
         reply.addCallbacks(
             lambda value: exchange.respond(200, _CONTENT_TYPE, encode(value)),
@@ -109,6 +133,14 @@
             message: The message to send.
             timeout_s: Timeout of the call.
         """
+        data = encode_call(address, message)
+        outcome = call(
+            self._reactor, self.pool(address), data, timeout_s=timeout_s
+        )
+        return outcome.addCallback(self._reply, address)
+
+    def pool(self, address: Address) -> ConnectionPool:
+        """Returns the connections to a peer."""
         pool = self._pool_by_address.get(address)
         if pool is None:
             pool = ConnectionPool(
@@ -119,12 +151,7 @@
                 idle_s=IDLE_TIMEOUT_S,
             )
             self._pool_by_address[address] = pool
-        host = f"{address.host}:{address.port}".encode()
-        data = encode_request(
-            b"POST", b"/", [(b"Host", host)], encode(message)
-        )
-        outcome = call(self._reactor, pool, data, timeout_s=timeout_s)
-        return outcome.addCallback(self._reply, address)
+        return pool
 
     def close(self) -> None:
         """Closes the idle connections."""
@@ -153,6 +180,12 @@
             return None
 
 
+def encode_call(address: Address, message: PeerMessage) -> bytes:
+    """Returns the request with which a message is sent to a peer."""
+    host = f"{address.host}:{address.port}".encode()
+    return encode_request(b"POST", b"/", [(b"Host", host)], encode(message))
+
+
 async def call_all(
     peers: PeerClient,
     members: Iterable[Member],
--- /dev/null
+++ b/lycheestall/entry/relayed_attempt.py
@@ -0,0 +1,221 @@
+"""An attempt that a peer sends to the target over its own link."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from twisted.internet.defer import CancelledError, Deferred
+from twisted.python.failure import Failure
+
+from .attempt import Attempt, StreamSink
+from .attempt_messages import AttemptResult
+from .attempt_outcomes import (
+    AttemptOutcome,
+    Broken,
+    PermitExpired,
+    Stopped,
+    StreamEnded,
+    Unreachable,
+)
+from .connection_pool import ConnectionPool
+from .header_codec import HeaderCodec
+from .http_client_connection import (
+    BreakReason,
+    HttpClientConnection,
+    ResponseReceiver,
+)
+from .http_messages import Header, ResponseHead
+from .message_metadata import ResponseMetadata
+from .peer_messages import decode
+
+__all__ = ["RELAYED_HEADER", "RelayedAttempt", "RelayedKind"]
+
+RELAYED_HEADER = b"lycheestall-relayed"
+"""Header of a peer's reply that tells a target's stream from a result."""
+
+MAX_RESULT_BYTES = 8_388_608
+"""Largest result; it holds a target's whole answer."""
+
+
+class RelayedKind:
+    """Values of the header that says what a peer's reply holds.
+
+    Attributes:
+        STREAM: The target's stream, as it arrives.
+        RESULT: An encoded ``AttemptResult``.
+    """
+
+    STREAM = b"stream"
+    RESULT = b"result"
+
+
+class RelayedAttempt(Attempt, ResponseReceiver):
+    """One attempt that a peer sends to one target.
+
+    Args:
+        pool: Connections to the peer.
+        headers: Parses the headers of responses.
+        sink: Receives a successful stream; None if the response is buffered.
+        on_response: Called with the head of the target's response and its
+            metadata.
+    """
+
+    def __init__(
+        self,
+        pool: ConnectionPool,
+        headers: HeaderCodec,
+        *,
+        sink: StreamSink | None,
+        on_response: Callable[[ResponseHead, ResponseMetadata], None],
+    ) -> None:
+        super().__init__()
+        self._pool = pool
+        self._headers = headers
+        self._sink = sink
+        self._on_response = on_response
+        self._connection: HttpClientConnection | None = None
+        self._connecting: Deferred[HttpClientConnection] | None = None
+        self._build: Callable[[], bytes | None] | None = None
+        self._kind: bytes | None = None
+        self._result: list[bytes] = []
+        self._result_bytes = 0
+        self._ended = False
+
+    def start(self, build: Callable[[], bytes | None]) -> None:
+        """Acquires a connection to the peer and sends the message.
+
+        Args:
+            build: Encodes the message to the peer; called just before it is
+                sent. None if the permit to send the request has expired.
+        """
+        self._build = build
+        self._connecting = self._pool.acquire()
+        self.new_connection = not self._connecting.called
+        self._connecting.addCallbacks(self._connected, self._not_connected)
+
+    def stop(self) -> None:
+        """Cancels the attempt; the peer then stops it at the target."""
+        if self._ended:
+            return
+        self._disconnect()
+        self._end(Stopped(sent=self.sent))
+
+    def time_out(self) -> None:
+        """Ends the attempt unless the response has started."""
+        if self._ended or self._kind is not None:
+            return
+        self._disconnect()
+        if self.sent:
+            self._end(Broken(BreakReason.OVERDUE, response_started=False))
+        else:
+            self._end(Unreachable("no connection to the peer in time"))
+
+    def response_started(self, head: ResponseHead) -> bool:
+        """Handles the head of the peer's reply."""
+        headers, self._kind = _take_kind(head.headers)
+        if self._kind != RelayedKind.STREAM or self._sink is None:
+            return True
+        target_head = ResponseHead(
+            head.status, tuple(headers), head.framed, head.keep_alive
+        )
+        self._observe(target_head)
+        self._sink.start_attempt(
+            target_head, self._headers.caller_headers(headers)
+        )
+        return True
+
+    def response_body(self, data: bytes) -> None:
+        """Forwards a part of the stream, or buffers the result."""
+        if self._ended:
+            return
+        if self._kind == RelayedKind.STREAM and self._sink is not None:
+            if not self._sink.feed(data):
+                self._break(BreakReason.MALFORMED)
+            return
+        self._result.append(data)
+        self._result_bytes += len(data)
+        if self._result_bytes > MAX_RESULT_BYTES:
+            self._break(BreakReason.TOO_LARGE)
+
+    def response_ended(self) -> None:
+        """Ends the attempt with the peer's complete reply."""
+        if self._ended:
+            return
+        if self._connection is not None:
+            self._pool.release(self._connection)
+        if self._kind == RelayedKind.STREAM and self._sink is not None:
+            if self._sink.complete:
+                self._end(StreamEnded())
+            else:
+                self._end(Broken(BreakReason.MALFORMED, response_started=True))
+            return
+        self._end(self._decode_result())
+
+    def response_failed(self, reason: BreakReason) -> None:
+        """Ends the attempt without a complete reply."""
+        self._end(Broken(reason, response_started=self._kind is not None))
+
+    def _decode_result(self) -> AttemptOutcome:
+        malformed = Broken(BreakReason.MALFORMED, response_started=False)
+        if self._kind != RelayedKind.RESULT:
+            return malformed
+        try:
+            message = decode(b"".join(self._result))
+        except ValueError:
+            return malformed
+        if not isinstance(message, AttemptResult):
+            return malformed
+        head = getattr(message.outcome, "head", None)
+        if head is not None:
+            self._observe(head)
+        return message.outcome
+
+    def _observe(self, head: ResponseHead) -> None:
+        self._on_response(head, self._headers.parse_response_headers(head))
+
+    def _connected(self, connection: HttpClientConnection) -> None:
+        if self._ended or self._build is None:
+            self._pool.release(connection)
+            return
+        data = self._build()
+        if data is None:
+            self._pool.release(connection)
+            self._end(PermitExpired())
+            return
+        self._connection = connection
+        self.sent = True
+        connection.send(data, self)
+
+    def _not_connected(self, failure: Failure) -> None:
+        if failure.check(CancelledError):
+            return
+        self._end(Unreachable(f"peer: {failure.getErrorMessage()}"))
+
+    def _disconnect(self) -> None:
+        if self._connection is not None:
+            self._connection.abort()
+        elif self._connecting is not None:
+            self._connecting.cancel()
+
+    def _break(self, reason: BreakReason) -> None:
+        self._disconnect()
+        self._end(Broken(reason, response_started=True))
+
+    def _end(self, outcome: AttemptOutcome) -> None:
+        if self._ended:
+            return
+        self._ended = True
+        self.outcome.callback(outcome)
+
+
+def _take_kind(
+    headers: tuple[Header, ...],
+) -> tuple[list[Header], bytes]:
+    kind = b""
+    rest: list[Header] = []
+    for name, value in headers:
+        if name.lower() == RELAYED_HEADER:
+            kind = value
+        else:
+            rest.append((name, value))
+    return rest, kind
--- a/lycheestall/entry/request_dependencies.py
+++ b/lycheestall/entry/request_dependencies.py
@@ -11,11 +11,12 @@
 from .conversation_service import ConversationService
 from .decision_log import DecisionLog
 from .header_codec import HeaderCodec
+from .link_monitor import LinkMonitor
 from .permit_service import PermitService
+from .relay_client import RelayClient
 from .stream_origin_service import StreamOriginService
 from .target_announcements import TargetAnnouncements
 from .target_chooser import TargetChooser
-from .target_links import TargetLinks
 from .target_table import TargetRegistration, TargetTable
 from .turn_reservations import TurnReservations
 
@@ -33,7 +34,8 @@
         timeouts: Computes attempts' timeouts.
         permits: Keeps to the limits that targets name.
         table: The registered targets.
-        links: What this VM observes of its links to them.
+        link_monitor: Knows which of them this VM reaches itself.
+        relay: Has attempts sent by peers that reach others.
         stream_origins: Knows which software versions began streams.
         announcements: Takes note of what targets say about themselves.
         reservations: Reserves and settles the tokens of turns.
@@ -54,7 +56,8 @@
     timeouts: AttemptTimeouts
     permits: PermitService
     table: TargetTable
-    links: TargetLinks
+    link_monitor: LinkMonitor
+    relay: RelayClient
     stream_origins: StreamOriginService
     announcements: TargetAnnouncements
     reservations: TurnReservations
--- a/lycheestall/entry/request_processor.py
+++ b/lycheestall/entry/request_processor.py
@@ -15,7 +15,7 @@
     WholeAnswer,
 )
 from .attempt_runner import AttemptRunner
-from .configuration import Route, Service, ServiceId
+from .configuration import RetrySafety, Route, Service, ServiceId
 from .crash_reports import fingerprint_request
 from .exchange import Exchange
 from .final_response import EarlyEnd, FinalResponse
@@ -126,7 +126,9 @@
                 deadline=self._deadline,
             ),
             body=lambda: self._turn.body,
-            deadline=self._deadline,
+            may_repeat=lambda: (
+                self._options.retry_safety is not RetrySafety.ONCE
+            ),
         )
         self._admission = TargetAdmission(
             chooser=deps.chooser,
@@ -168,6 +170,9 @@
         if self._feedback.crashes_targets:
             self._final.refuse(503, "the request crashes its targets", 5.0)
             return
+        if self._deps.relay.isolated:
+            self._final.refuse_isolated()
+            return
         if not await self._find_stream_version():
             return
         # The conversation is looked up while the tokens are reserved.
@@ -297,8 +302,11 @@
             registration,
             outcome,
             next_step=next_step,
-            contact=self._deps.links.contact(registration.target, now),
+            contact=self._deps.link_monitor.links.contact(
+                registration.target, now
+            ),
             new_connection=self._attempts.new_connection,
+            relayed_by=self._attempts.relayed_by,
         )
 
     def _waits_for_full_targets(self) -> bool:
--- a/lycheestall/entry/retry_policy.py
+++ b/lycheestall/entry/retry_policy.py
@@ -12,6 +12,7 @@
     NotRun,
     NotRunReason,
     NotSent,
+    Unreachable,
     WholeAnswer,
 )
 from .configuration import RetrySafety
@@ -61,6 +62,8 @@
             # The target no longer accepts connections, so a run there ended.
             self.possible_executors.discard(target)
             self.excluded.add(target)
+        elif isinstance(outcome, Unreachable):
+            self.excluded.add(target)
         elif isinstance(outcome, NotRun):
             self.excluded.add(target)
             if outcome.reason is NotRunReason.FULL:
@@ -101,7 +104,7 @@
     """
     if history.attempts >= MAX_TOTAL_ATTEMPTS:
         return NextStep.GIVE_UP
-    if isinstance(outcome, NotSent | NotRun):
+    if isinstance(outcome, NotSent | NotRun | Unreachable):
         return NextStep.OTHER_TARGET
     if retry_safety is RetrySafety.ONCE:
         return NextStep.GIVE_UP
--- a/lycheestall/entry/stream_forwarder.py
+++ b/lycheestall/entry/stream_forwarder.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from ..clock import Clock
+from .attempt import StreamSink
 from .event_splitter import EventSplitter, ServerSentEvent
 from .exchange import Exchange
 from .http_messages import Header, ResponseHead
@@ -18,7 +19,7 @@
 """Largest output of a turn that is collected to be kept."""
 
 
-class StreamForwarder:
+class StreamForwarder(StreamSink):
     """Forwards complete events as they arrive.
 
     The head is sent with the first event, so that an attempt that breaks
--- a/lycheestall/entry/target_attempt.py
+++ b/lycheestall/entry/target_attempt.py
@@ -7,6 +7,7 @@
 from twisted.internet.defer import CancelledError, Deferred
 from twisted.python.failure import Failure
 
+from .attempt import Attempt, StreamSink
 from .attempt_outcomes import (
     AttemptOutcome,
     Broken,
@@ -18,7 +19,7 @@
     StreamEnded,
     WholeAnswer,
 )
-from .connection_pool import ConnectionPool
+from .connection_pool import ConnectionPool, is_timeout
 from .header_codec import HeaderCodec
 from .http_client_connection import (
     BreakReason,
@@ -26,8 +27,8 @@
     ResponseReceiver,
 )
 from .http_messages import ResponseHead
+from .link_monitor import LinkUse
 from .message_metadata import ResponseMetadata
-from .stream_forwarder import StreamForwarder
 
 __all__ = ["TargetAttempt"]
 
@@ -40,7 +41,7 @@
 _MISDIRECTED_REQUEST = 421
 
 
-class TargetAttempt(ResponseReceiver):
+class TargetAttempt(Attempt, ResponseReceiver):
     """One attempt to send a request to one target.
 
     Args:
@@ -52,13 +53,7 @@
         is_head_request: Whether the method is HEAD, so that the response
             has no body.
         on_response: Called with the head of the response and its metadata.
-        on_heard: Called when the target accepts a new connection or sends
-            data.
-
-    Attributes:
-        new_connection: Whether no open connection was free.
-        sent: Whether the request was written to a connection.
-        outcome: Fires with the outcome.
+        link: Learns what is heard from the target.
     """
 
     def __init__(
@@ -67,14 +62,15 @@
         headers: HeaderCodec,
         *,
         request_id: bytes,
-        forwarder: StreamForwarder | None,
+        forwarder: StreamSink | None,
         is_head_request: bool,
         on_response: Callable[[ResponseHead, ResponseMetadata], None],
-        on_heard: Callable[[], None],
+        link: LinkUse,
     ) -> None:
+        super().__init__()
         self._pool = pool
         self._on_response = on_response
-        self._on_heard = on_heard
+        self._link = link
         self._headers = headers
         self._request_id = request_id
         self._forwarder = forwarder
@@ -88,9 +84,6 @@
         self._body_bytes = 0
         self._streaming = False
         self._ended = False
-        self.new_connection = False
-        self.sent = False
-        self.outcome: Deferred[AttemptOutcome] = Deferred()
 
     def start(self, build: Callable[[], bytes | None]) -> None:
         """Acquires a connection and sends the request.
@@ -119,11 +112,34 @@
         if self.sent:
             self._end(Broken(BreakReason.OVERDUE, response_started=False))
         else:
-            self._end(NotSent("timed out waiting for a connection"))
+            self._end(
+                NotSent("timed out waiting for a connection", timed_out=True)
+            )
+
+    def link_lost(self, *, may_repeat: bool) -> None:
+        """Ends the attempt because the link to the target is lost.
+
+        Args:
+            may_repeat: Whether to end it if it has been sent; otherwise its
+                response may still arrive if the link comes back.
+        """
+        if self._ended:
+            return
+        if not self.sent:
+            self._disconnect()
+            self._end(NotSent("link lost", timed_out=True))
+        elif may_repeat:
+            self._disconnect()
+            self._end(
+                Broken(
+                    BreakReason.LINK_LOST,
+                    response_started=self._head is not None,
+                )
+            )
 
     def response_started(self, head: ResponseHead) -> bool:
         """Handles a head; a response to another request is skipped."""
-        self._on_heard()
+        self._link.heard()
         metadata = self._headers.parse_response_headers(head)
         if metadata.request_id != self._request_id:
             return metadata.request_id is None and self._accept_without_id(
@@ -141,7 +157,7 @@
 
     def response_body(self, data: bytes) -> None:
         """Forwards or buffers a part of the body."""
-        self._on_heard()
+        self._link.heard()
         if self._ended:
             return
         if not self._streaming or self._forwarder is None:
@@ -208,7 +224,7 @@
 
     def _connected(self, connection: HttpClientConnection) -> None:
         if self.new_connection:
-            self._on_heard()
+            self._link.connected()
         if self._ended or self._build_request is None:
             self._pool.release(connection)
             return
@@ -224,7 +240,10 @@
     def _not_connected(self, failure: Failure) -> None:
         if failure.check(CancelledError):
             return
-        self._end(NotSent(failure.getErrorMessage()))
+        self._link.connect_failed()
+        self._end(
+            NotSent(failure.getErrorMessage(), timed_out=is_timeout(failure))
+        )
 
     def _break(self, reason: BreakReason) -> None:
         if self._connection is not None:
--- a/lycheestall/entry/target_links.py
+++ b/lycheestall/entry/target_links.py
@@ -1,12 +1,59 @@
-"""What a VM observes of its network links to the targets."""
+"""Which targets a VM reaches over its own network links.
+
+A VM can lose its links to some or all targets while the targets are well and
+other VMs reach them. Silence or refused connections raise the suspicion; a
+probe, which is a new connection, decides.
+"""
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass
+from enum import Enum
 
 from ..ids import TargetId
 
-__all__ = ["LinkContact", "TargetLinks"]
+__all__ = ["LinkContact", "LinkState", "LinkSummary", "TargetLinks"]
+
+ALL_SILENT_S = 0.25
+"""Silence of all targets, while several owe a response, after which their
+links are probed."""
+
+SILENT_S = 0.6
+"""Silence of one target that owes a response after which its link is probed;
+longer than the work of most requests."""
+
+MIN_SILENT_TARGETS = 2
+"""Targets that have to be silent together, so that one slow target isn't
+taken for the loss of all links."""
+
+PROBE_INTERVAL_S = 0.5
+"""Seconds between probes of a lost link."""
+
+CALM_PROBE_INTERVAL_S = 2.0
+"""Seconds between probes of a link that works, to a target that is slow."""
+
+MAX_PROBES_AT_ONCE = 4
+"""Probes started in one step, so that VMs whose links come back together
+open few connections at once."""
+
+WANTED_S = 5.0
+"""Seconds after the last request for a target in which a lost link to it is
+probed."""
+
+
+class LinkState(Enum):
+    """What is known of the link to one target.
+
+    Attributes:
+        UP: Nothing speaks against it.
+        DOUBTFUL: It is being probed, since the target is silent.
+        LOST: A connection could not be opened.
+    """
+
+    UP = "up"
+    DOUBTFUL = "doubtful"
+    LOST = "lost"
 
 
 @dataclass(frozen=True, slots=True)
@@ -23,19 +70,231 @@
     any_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class LinkSummary:
+    """The links that don't work.
+
+    Attributes:
+        all_lost: Whether no target is reached.
+        lost: Targets whose own link is known to be lost, sorted.
+    """
+
+    all_lost: bool = False
+    lost: tuple[TargetId, ...] = ()
+
+
+@dataclass(slots=True)
+class _Link:
+    """The link to one target.
+
+    Attributes:
+        state: Whether it works.
+        heard_at: When anything was last heard over it.
+        waiting: Requests that have been sent over it and are not complete.
+        silent_since: Since when a response was due and nothing came; of no
+            meaning unless a request is waiting.
+        probed_at: When the last probe started.
+        wanted_at: When a request last wanted to use it.
+    """
+
+    state: LinkState = LinkState.UP
+    heard_at: float = float("-inf")
+    waiting: int = 0
+    silent_since: float = 0.0
+    probed_at: float = float("-inf")
+    wanted_at: float = float("-inf")
+
+    def silent_s(self, now: float) -> float:
+        """Returns for how long a response has been due and nothing came."""
+        return now - self.silent_since if self.waiting else 0.0
+
+
 class TargetLinks:
-    """Notes when something was last heard from each target."""
+    """Decides which links work and which are to be probed.
+
+    It reads no clock and opens no connection: it is told what happens.
+    """
 
     def __init__(self) -> None:
-        self._heard_at: dict[TargetId, float] = {}
+        self._by_target: dict[TargetId, _Link] = {}
         self._any_heard_at = float("-inf")
+        self._suspected_at = float("-inf")
+        self._round_at = float("-inf")
+        self.all_lost = False
 
-    def heard(self, target: TargetId, now: float) -> None:
-        """Notes that a target has accepted a connection or sent data."""
-        self._heard_at[target] = now
-        self._any_heard_at = now
+    def is_up(self, target: TargetId) -> bool:
+        """Returns whether requests are to be sent over the link."""
+        if self.all_lost:
+            return False
+        link = self._by_target.get(target)
+        return link is None or link.state is LinkState.UP
 
     def contact(self, target: TargetId, now: float) -> LinkContact:
         """Returns how long ago the target and any target were heard."""
-        heard_at = self._heard_at.get(target, float("-inf"))
+        link = self._by_target.get(target)
+        heard_at = float("-inf") if link is None else link.heard_at
         return LinkContact(now - heard_at, now - self._any_heard_at)
+
+    def summary(self) -> LinkSummary:
+        """Returns the links that don't work."""
+        lost = [
+            target
+            for target, link in self._by_target.items()
+            if link.state is LinkState.LOST
+        ]
+        return LinkSummary(self.all_lost, tuple(sorted(lost)))
+
+    def want(self, target: TargetId, now: float) -> None:
+        """Notes that a request is for a target, whatever way it takes."""
+        self._link(target).wanted_at = now
+
+    def request_started(self, target: TargetId, now: float) -> None:
+        """Notes that a request is sent over the link."""
+        link = self._link(target)
+        link.wanted_at = now
+        if not link.waiting:
+            link.silent_since = now
+        link.waiting += 1
+
+    def request_ended(self, target: TargetId) -> None:
+        """Notes that such a request is complete or given up."""
+        link = self._link(target)
+        link.waiting = max(0, link.waiting - 1)
+
+    def heard(self, target: TargetId, now: float) -> None:
+        """Notes that a target has sent data."""
+        link = self._link(target)
+        link.heard_at = now
+        link.silent_since = now
+        self._any_heard_at = now
+        if link.state is LinkState.DOUBTFUL:
+            link.state = LinkState.UP
+
+    def connected(self, target: TargetId, now: float) -> None:
+        """Notes that a target has accepted a new connection."""
+        self.heard(target, now)
+        self._by_target[target].state = LinkState.UP
+        self.all_lost = False
+
+    def connect_failed(self, target: TargetId, now: float) -> None:
+        """Notes that a new connection to a target could not be opened."""
+        link = self._link(target)
+        link.state = LinkState.LOST
+        link.probed_at = now
+        self._check_all_lost(now)
+
+    def probe_failed(
+        self, target: TargetId, now: float, *, refused: bool
+    ) -> None:
+        """Notes that a probe could not open a connection.
+
+        Args:
+            target: The target.
+            now: Current time.
+            refused: Whether the connection was refused; otherwise nothing
+                was heard in time.
+        """
+        link = self._link(target)
+        if not refused and link.heard_at >= link.probed_at:
+            # It was heard meanwhile: it is only slow to accept connections.
+            link.state = LinkState.UP
+            return
+        if not refused:
+            self._suspected_at = link.probed_at
+        link.state = LinkState.LOST
+        self._check_all_lost(now)
+
+    def target_failed(self, target: TargetId) -> None:
+        """Notes that other VMs don't reach a target either."""
+        link = self._link(target)
+        if link.state is LinkState.LOST:
+            link.state = LinkState.UP
+
+    def is_silent(self, target: TargetId) -> bool:
+        """Returns whether a lost link has been silent since its probe."""
+        link = self._by_target.get(target)
+        if link is None or self.is_up(target):
+            return False
+        return link.heard_at < self._suspected_at
+
+    def start_probes(self, now: float) -> list[TargetId]:
+        """Returns the targets whose links are to be probed from now on."""
+        self._check_all_lost(now)
+        if self.all_lost:
+            if now - self._round_at < PROBE_INTERVAL_S:
+                return []
+            self._round_at = now
+        all_silent = self._all_silent(now)
+        due = [
+            (link.probed_at, target)
+            for target, link in self._by_target.items()
+            if self._is_probe_due(link, now, all_silent)
+        ]
+        due.sort()
+        targets = [target for _, target in due[:MAX_PROBES_AT_ONCE]]
+        for target in targets:
+            link = self._by_target[target]
+            link.probed_at = now
+            if link.state is LinkState.UP:
+                link.state = LinkState.DOUBTFUL
+        return targets
+
+    def keep_only(self, targets: Iterable[TargetId]) -> None:
+        """Forgets targets that are no longer registered."""
+        kept = set(targets)
+        for target in list(self._by_target):
+            if target not in kept:
+                del self._by_target[target]
+
+    def forget(self, target: TargetId) -> None:
+        """Forgets a target that has started anew."""
+        link = self._by_target.get(target)
+        if link is not None:
+            link.state = LinkState.UP
+
+    def _is_probe_due(self, link: _Link, now: float, all_silent: bool) -> bool:
+        since_probe_s = now - link.probed_at
+        if link.state is LinkState.DOUBTFUL:
+            return False
+        if self.all_lost:
+            return since_probe_s >= PROBE_INTERVAL_S
+        if link.state is LinkState.LOST:
+            is_wanted = now - link.wanted_at < WANTED_S
+            return is_wanted and since_probe_s >= PROBE_INTERVAL_S
+        if self._follows_suspicion(link, now):
+            return True
+        if since_probe_s < CALM_PROBE_INTERVAL_S:
+            return False
+        if link.silent_s(now) >= SILENT_S:
+            return True
+        return all_silent and link.silent_s(now) >= ALL_SILENT_S
+
+    def _follows_suspicion(self, link: _Link, now: float) -> bool:
+        # Links are often lost together: those that were in use and have not
+        # been heard since another one was found silent are probed next.
+        if now - self._suspected_at > CALM_PROBE_INTERVAL_S:
+            return False
+        if now - link.wanted_at > CALM_PROBE_INTERVAL_S:
+            return False
+        return max(link.heard_at, link.probed_at) < self._suspected_at
+
+    def _all_silent(self, now: float) -> bool:
+        if now - self._any_heard_at < ALL_SILENT_S:
+            return False
+        silent = 0
+        for link in self._by_target.values():
+            silent += link.silent_s(now) >= ALL_SILENT_S
+        return silent >= MIN_SILENT_TARGETS
+
+    def _check_all_lost(self, now: float) -> None:
+        if self.all_lost or now - self._any_heard_at < ALL_SILENT_S:
+            return
+        lost = 0
+        for link in self._by_target.values():
+            is_recent = now - link.probed_at < 2 * PROBE_INTERVAL_S
+            lost += is_recent and link.state is LinkState.LOST
+        if lost >= min(MIN_SILENT_TARGETS, len(self._by_target)) > 0:
+            self.all_lost = True
+
+    def _link(self, target: TargetId) -> _Link:
+        return self._by_target.setdefault(target, _Link())
--- a/lycheestall/entry/target_request.py
+++ b/lycheestall/entry/target_request.py
@@ -6,7 +6,7 @@
 from ..ids import TargetId
 from .configuration import Route, Service
 from .header_codec import HeaderCodec
-from .http_messages import Request, encode_request
+from .http_messages import Header, Request, encode_request
 from .message_metadata import RequestMetadata
 from .urgency import urgency
 
@@ -46,6 +46,29 @@
         self._is_engine = service is not None and service.engine is not None
         self._deadline = deadline
 
+    @property
+    def remaining_s(self) -> float:
+        """Seconds left until the request's deadline."""
+        return self._deadline - self._clock.seconds()
+
+    def headers(
+        self, target: TargetId, *, resume_after: int | None
+    ) -> list[Header]:
+        """Returns the headers to send now.
+
+        Args:
+            target: The only target that may run the request.
+            resume_after: ID of the last event that was received, if the
+                stream is resumed.
+        """
+        return self._headers.target_headers(
+            self._request.headers,
+            target=target,
+            remaining_s=self.remaining_s,
+            urgency=self._urgency(),
+            resume_after=resume_after,
+        )
+
     def encode(
         self, target: TargetId, body: bytes, *, resume_after: int | None
     ) -> bytes:
@@ -57,15 +80,10 @@
             resume_after: ID of the last event that was received, if the
                 stream is resumed.
         """
-        request = self._request
-        headers = self._headers.target_headers(
-            request.headers,
-            target=target,
-            remaining_s=self._deadline - self._clock.seconds(),
-            urgency=self._urgency(),
-            resume_after=resume_after,
+        headers = self.headers(target, resume_after=resume_after)
+        return encode_request(
+            self._request.method, self._request.url, headers, body
         )
-        return encode_request(request.method, request.url, headers, body)
 
     def _urgency(self) -> int | None:
         if not self._is_engine:
--- a/lycheestall/entry/target_service.py
+++ b/lycheestall/entry/target_service.py
@@ -26,7 +26,6 @@
 from .target_announcements import TargetAnnouncements
 from .target_chooser import TargetChooser
 from .target_limits import TargetLimits
-from .target_links import TargetLinks
 from .target_table import TargetTable
 from .token_ledger import HolderId
 
@@ -48,7 +47,6 @@
 
     Attributes:
         table: The registered targets.
-        links: What this VM observes of its links to them.
         chooser: Chooses among them.
         timeouts: Computes attempts' timeouts.
         announcements: Takes note of what targets say about themselves.
@@ -71,7 +69,6 @@
         self._limits = TargetLimits()
         self._metrics = metrics
         self.table = TargetTable()
-        self.links = TargetLinks()
         self.chooser = TargetChooser(self.table, vm=vm)
         self.timeouts = AttemptTimeouts(self.chooser.baselines)
         self.announcements = TargetAnnouncements(
--- a/lycheestall/entry/target_table.py
+++ b/lycheestall/entry/target_table.py
@@ -183,6 +183,10 @@
             if registration.software_version == software_version
         ]
 
+    def targets(self) -> set[TargetId]:
+        """Returns all registered targets."""
+        return set(self._by_id)
+
     def services(self) -> set[ServiceId]:
         """Returns the services that have registered targets."""
         return {registration.service for registration in self._by_id.values()}
--- a/lycheestall/platform/headers.py
+++ b/lycheestall/platform/headers.py
@@ -150,8 +150,7 @@
             and lower not in _SYSTEM_HEADERS
             and lower not in dropped
         ]
-        remaining_ms = max(1, int(remaining_s * 1000))
-        kept.append((b"X-Deadline-Ms", b"%d" % remaining_ms))
+        kept.append(_deadline(remaining_s))
         kept.append((b"X-Expect-Instance", target.encode("latin-1")))
         if urgency is not None:
             kept.append((b"X-Request-Urgency", b"%d" % urgency))
@@ -159,6 +158,22 @@
             kept.append((b"Last-Event-Id", b"%d" % resume_after))
         return kept
 
+    def replace_deadline(
+        self, headers: Sequence[Header], *, remaining_s: float
+    ) -> list[Header]:
+        """Returns a request's headers to a target with another deadline.
+
+        Args:
+            headers: The headers from ``target_headers``.
+            remaining_s: Seconds left until the deadline.
+        """
+        kept = [
+            (name, value)
+            for name, value in headers
+            if name.lower() != _DEADLINE_MS
+        ]
+        return [*kept, _deadline(remaining_s)]
+
     def parse_response_headers(self, head: ResponseHead) -> ResponseMetadata:
         """Parses the headers of a target's response."""
         by_name = {name.lower(): value for name, value in head.headers}
@@ -195,6 +210,10 @@
     return frozenset(names)
 
 
+def _deadline(remaining_s: float) -> Header:
+    return b"X-Deadline-Ms", b"%d" % max(1, int(remaining_s * 1000))
+
+
 def _integer(value: bytes | None) -> int | None:
     if value is None or not value.strip().isdigit():
         return None
--- a/tests/entry/entry_vm_harness.py
+++ b/tests/entry/entry_vm_harness.py
@@ -93,6 +93,10 @@
         """Returns no reply."""
         return succeed(None)
 
+    def pool(self, address: Address) -> Any:
+        """Fails: no peer is known that could be asked for connections."""
+        raise AssertionError(f"no peer at {address}")
+
     def close(self) -> None:
         """Does nothing."""
 
--- a/tests/entry/fake_network.py
+++ b/tests/entry/fake_network.py
@@ -302,6 +302,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.target_by_address: dict[tuple[str, int], FakeTarget] = {}
+        self.listener_by_address: dict[tuple[str, int], Any] = {}
 
     def connectTCP(  # noqa: N802
         self,
@@ -312,6 +313,10 @@
         link: TargetLink | None = None,
     ) -> Any:
         """Connects a client to a target, or refuses the connection."""
+        listener = self.listener_by_address.get((host, port))
+        if listener is not None:
+            self.callLater(0.001, self._accept, listener, factory)
+            return _Connector()
         fault = None if link is None else link.fault
         if fault is LinkFault.SILENT:
             self.callLater(timeout, self._fail, factory, TimeoutError())
@@ -335,6 +340,15 @@
         for _ in range(int(seconds * 1000)):
             self.advance(0.001)
 
+    def _accept(self, listener: Any, factory: Any) -> None:
+        local, remote = self._transport_pair()
+        remote.protocol = listener.buildProtocol(None)
+        local.protocol = factory.buildProtocol(None)
+        if local.protocol is None:
+            return
+        remote.protocol.makeConnection(remote)
+        local.protocol.makeConnection(local)
+
     def _fail(self, factory: Any, error: Exception) -> None:
         factory.clientConnectionFailed(None, Failure(error))
 
--- a/tests/entry/fleet.py
+++ b/tests/entry/fleet.py
@@ -7,14 +7,18 @@
 
 from twisted.internet.defer import Deferred, maybeDeferred
 
+from lycheestall.entry.caller_connection import CallerFactory
+from lycheestall.entry.connection_pool import ConnectionPool
 from lycheestall.entry.peer_messages import (
     PeerMessage,
     PeerReply,
     decode,
     encode,
 )
+from lycheestall.entry.peer_rpc import PeerClient, PeerEndpoint
 from lycheestall.entry.store import KeyedWrite, Topic
 from lycheestall.entry.vm_settings import Address
+from lycheestall.logs import get_logger
 from tests.entry.entry_vm_harness import EntryVmHarness
 from tests.entry.fake_network import (
     FakeReactor,
@@ -43,9 +47,14 @@
         self.handle_by_address: dict[Address, Callable[[Any], Any]] = {}
         self.cut: set[Address] = set()
 
-    def connect(self, address: Address) -> LinkedPeers:
-        """Returns the client of the VM at an address."""
-        return LinkedPeers(self, address)
+    def connect(self, address: Address, reactor: Any) -> LinkedPeers:
+        """Returns the client of the VM at an address.
+
+        Args:
+            address: Where the VM's own endpoint is.
+            reactor: Opens the VM's connections.
+        """
+        return LinkedPeers(self, address, reactor)
 
 
 class LinkedPeers:
@@ -54,11 +63,13 @@
     Args:
         links: All links.
         own: Address of the VM that calls.
+        reactor: Opens its connections.
     """
 
-    def __init__(self, links: PeerLinks, own: Address) -> None:
+    def __init__(self, links: PeerLinks, own: Address, reactor: Any) -> None:
         self._links = links
         self._own = own
+        self._client = PeerClient(reactor, get_logger())
 
     def call(
         self, address: Address, message: PeerMessage, *, timeout_s: float
@@ -74,6 +85,10 @@
         reactor.callLater(PEER_DELAY_S, self._deliver, handle, data, reply)
         return reply
 
+    def pool(self, address: Address) -> ConnectionPool:
+        """Returns the connections to a peer."""
+        return self._client.pool(address)
+
     def close(self) -> None:
         """Does nothing."""
 
@@ -122,6 +137,11 @@
         """Kills a VM's process, with its callers' connections."""
         address = self.vms[number].address
         self.links.handle_by_address.pop(address, None)
+        listener = self.reactor.listener_by_address.pop(
+            (address.host, address.port)
+        )
+        for connection in list(listener.connections):
+            connection.transport.abortConnection()
         for connection in self._connections_by_vm.pop(number, ()):
             connection.abortConnection()
 
@@ -194,10 +214,13 @@
         harness = EntryVmHarness(
             reactor=reactor,
             log=self.log,
-            peers=self.links.connect(address),
+            peers=self.links.connect(address, reactor),
             name=f"vm-{number}",
             incarnation=incarnation,
             address=address,
         )
         self.links.handle_by_address[address] = harness.vm.handle_message
+        self.reactor.listener_by_address[address.host, address.port] = (
+            CallerFactory(PeerEndpoint(harness.vm, get_logger()), reactor)
+        )
         return harness
