Ask a peer of another zone before a target is taken for down

A link that no request wanted also stayed lost without a probe. Change: what a peer is refused says only that this peer doesn't reach the target; a peer of another zone decides, or all that are asked where there is none. A lost link counts for a second after its probe. Measured: test_no_target_is_taken_for_down_where_a_zone_has_lost_its_links failed in both cases before and passes; the 15 tests of test_lost_links pass.

--- a/lycheestall/entry/attempt_relay.py
+++ b/lycheestall/entry/attempt_relay.py
@@ -14,6 +14,7 @@
 from .attempt_messages import AskLinks, AttemptResult, LinkReport, SendAttempt
 from .attempt_outcomes import (
     AttemptOutcome,
+    NotSent,
     StreamEnded,
     Unreachable,
 )
@@ -96,7 +97,7 @@
 
     def report(self, message: AskLinks) -> LinkReport:
         """Returns which targets this VM reaches."""
-        summary = self._monitor.links.summary()
+        summary = self._monitor.links.summary(self._clock.seconds())
         return LinkReport(
             self._holder,
             accepts=not summary.all_lost and self._may_accept(),
@@ -152,6 +153,9 @@
                 timer.cancel()
             self._chooser.request_ended(registration.target)
             link.end()
+        if isinstance(outcome, NotSent):
+            # Whether the target is down is for the VM that asks to decide.
+            outcome = Unreachable(outcome.error, target_lost=True)
         self._finish(message, exchange, outcome, received_at)
 
     def _find(self, message: SendAttempt) -> TargetRegistration | Unreachable:
@@ -165,7 +169,7 @@
         links = self._monitor.links
         if links.all_lost:
             return Unreachable("the peer reaches no target")
-        if not links.is_up(message.target):
+        if not links.is_up(message.target, self._clock.seconds()):
             links.want(message.target, self._clock.seconds())
             return Unreachable("the peer has lost its link", target_lost=True)
         return registration
--- a/lycheestall/entry/attempt_runner.py
+++ b/lycheestall/entry/attempt_runner.py
@@ -126,23 +126,23 @@
     ) -> AttemptOutcome:
         links = self._deps.link_monitor.links
         target = admission.registration.target
+        now = self._deps.clock.seconds()
         direct: AttemptOutcome | None = None
-        if links.is_up(target):
+        if links.is_up(target, now):
             direct = await self._send_directly(admission, can_retry_elsewhere)
             if not isinstance(direct, NotSent) or self._is_down(direct):
                 return direct
         else:
-            links.want(target, self._deps.clock.seconds())
+            links.want(target, now)
         relayed = await self._send_through_peers(
             admission, can_retry_elsewhere
         )
-        if isinstance(relayed, Unreachable):
-            if direct is not None:
-                return direct
-            if relayed.target_lost and not links.all_lost:
-                relayed = NotSent(relayed.reason)
-        if isinstance(relayed, NotSent):
-            links.target_failed(target)
+        if not isinstance(relayed, Unreachable):
+            return relayed
+        if direct is not None:
+            return direct
+        if relayed.target_lost and not links.all_lost:
+            return NotSent(relayed.reason)
         return relayed
 
     def _is_down(self, outcome: NotSent) -> bool:
@@ -189,11 +189,19 @@
     async def _send_through_peers(
         self, admission: Admission, can_retry_elsewhere: bool
     ) -> AttemptOutcome:
+        """Asks peers one after the other until one sends the attempt.
+
+        A peer that doesn't reach the target either may have lost its link
+        for the same reason as this VM if it is in the same zone. A peer of
+        another zone decides.
+        """
         target = admission.registration.target
         asked: set[HolderId] = set()
         outcome = Unreachable("no peer to send it")
         while len(asked) < MAX_PEERS_ASKED:
-            member = self._deps.relay.choose(target, avoid=asked)
+            member = self._deps.relay.choose(
+                target, avoid=asked, elsewhere=outcome.target_lost
+            )
             if member is None:
                 break
             asked.add(member.holder)
@@ -206,6 +214,8 @@
                 self._deps.relay.shun(member)
             target_lost = outcome.target_lost or result.target_lost
             outcome = Unreachable(result.reason, target_lost)
+            if result.target_lost and self._deps.relay.in_other_zone(member):
+                break
         return outcome
 
     async def _send_through(
@@ -221,7 +231,7 @@
             self._metadata,
             registration,
             member.holder,
-            summary=deps.link_monitor.links.summary(),
+            summary=deps.link_monitor.links.summary(deps.clock.seconds()),
             report_age_s=deps.relay.report_age_s(member),
         )
         attempt = deps.relay.create_attempt(
--- a/lycheestall/entry/link_monitor.py
+++ b/lycheestall/entry/link_monitor.py
@@ -122,7 +122,7 @@
     def _probe(self, target: TargetId) -> None:
         registration = self._table.get(target)
         if registration is None:
-            self.links.target_failed(target)
+            self.links.forget(target)
             return
         pool = self._pool_of(registration)
         probe = pool.probe(timeout_s=PROBE_TIMEOUT_S)
@@ -137,11 +137,12 @@
         failure.trap(ConnectError)
         refused = not is_timeout(failure)
         self.links.probe_failed(target, self.now(), refused=refused)
-        if self.links.is_silent(target):
+        now = self.now()
+        if self.links.is_silent(target, now):
             # Its idle connections may have ended unnoticed.
             pool.close()
         for used in list(self._uses_by_target):
-            if self.links.is_silent(used):
+            if self.links.is_silent(used, now):
                 self._break_off(used)
 
     def _break_off(self, target: TargetId) -> None:
@@ -150,7 +151,7 @@
                 use.on_lost()
 
     def _log_changes(self) -> None:
-        summary = self.links.summary()
+        summary = self.links.summary(self.now())
         if summary == self._logged:
             return
         before, self._logged = self._logged, summary
--- a/lycheestall/entry/relay_client.py
+++ b/lycheestall/entry/relay_client.py
@@ -78,16 +78,29 @@
         return not self.relay_peers.any_may_help(self._clock.seconds())
 
     def choose(
-        self, target: TargetId, *, avoid: set[HolderId]
+        self,
+        target: TargetId,
+        *,
+        avoid: set[HolderId],
+        elsewhere: bool = False,
     ) -> Member | None:
         """Returns the peer to send an attempt; None if there is none.
 
         Args:
             target: The target of the attempt.
             avoid: Peers that did not take it.
+            elsewhere: Whether a peer in another zone is preferred.
         """
-        now = self._clock.seconds()
-        return self.relay_peers.choose(target, avoid=avoid, now=now)
+        return self.relay_peers.choose(
+            target,
+            avoid=avoid,
+            now=self._clock.seconds(),
+            elsewhere=elsewhere,
+        )
+
+    def in_other_zone(self, member: Member) -> bool:
+        """Returns whether a peer is in another zone than this VM."""
+        return self.relay_peers.in_other_zone(member)
 
     def create_attempt(
         self,
@@ -123,7 +136,7 @@
         """Asks the peers which targets they reach, while links are lost."""
         now = self._clock.seconds()
         self.relay_peers.remove_expired(now)
-        summary = self._links.summary()
+        summary = self._links.summary(now)
         if not summary.all_lost and not summary.lost:
             return
         if now - self._surveyed_at < SURVEY_INTERVAL_S:
--- a/lycheestall/entry/relay_peers.py
+++ b/lycheestall/entry/relay_peers.py
@@ -24,6 +24,9 @@
 """Attempts by which a peer in another zone counts as busier, since what is
 sent between zones is slower and priced."""
 
+SAME_ZONE_COST = 1000.0
+"""The same for one in this VM's zone, where a peer elsewhere is wanted."""
+
 UNKNOWN_COST = 8.0
 """Attempts by which a peer without a valid report counts as busier."""
 
@@ -56,7 +59,12 @@
         self._running_by_holder: dict[HolderId, int] = {}
 
     def choose(
-        self, target: TargetId, *, avoid: Collection[HolderId], now: float
+        self,
+        target: TargetId,
+        *,
+        avoid: Collection[HolderId],
+        now: float,
+        elsewhere: bool = False,
     ) -> Member | None:
         """Returns the peer to send an attempt, or None if there is none.
 
@@ -64,6 +72,7 @@
             target: The target of the attempt.
             avoid: Peers that did not take this attempt.
             now: Current time.
+            elsewhere: Whether any peer in another zone is preferred.
         """
         best: Member | None = None
         best_cost = float("inf")
@@ -73,10 +82,16 @@
             ):
                 continue
             cost = self._cost(member, now)
+            if elsewhere and not self.in_other_zone(member):
+                cost += SAME_ZONE_COST
             if cost < best_cost:
                 best, best_cost = member, cost
         return best
 
+    def in_other_zone(self, member: Member) -> bool:
+        """Returns whether a peer is in another zone than this VM."""
+        return member.zone != self._zone
+
     def age_s(self, holder: HolderId, now: float) -> float:
         """Returns the age of a peer's report; infinite without one."""
         received = self._received_by_holder.get(holder)
@@ -138,7 +153,7 @@
             cost += UNKNOWN_COST
         else:
             cost = max(cost, report.relaying)
-        if member.zone != self._zone:
+        if self.in_other_zone(member):
             cost += OTHER_ZONE_COST
         return cost
 
--- a/lycheestall/entry/target_links.py
+++ b/lycheestall/entry/target_links.py
@@ -33,6 +33,10 @@
 CALM_PROBE_INTERVAL_S = 2.0
 """Seconds between probes of a link that works, to a target that is slow."""
 
+LOST_VALID_S = 1.0
+"""Seconds after a probe in which a link that it found lost counts as lost;
+longer than the interval between probes of a link that is in use."""
+
 MAX_PROBES_AT_ONCE = 4
 """Probes started in one step, so that VMs whose links come back together
 open few connections at once."""
@@ -122,12 +126,18 @@
         self._round_at = float("-inf")
         self.all_lost = False
 
-    def is_up(self, target: TargetId) -> bool:
-        """Returns whether requests are to be sent over the link."""
+    def is_up(self, target: TargetId, now: float) -> bool:
+        """Returns whether requests are to be sent over the link.
+
+        Links that no request has wanted are not probed, so what is known of
+        a lost one becomes outdated.
+        """
         if self.all_lost:
             return False
         link = self._by_target.get(target)
-        return link is None or link.state is LinkState.UP
+        if link is None or link.state is LinkState.UP:
+            return True
+        return now - link.probed_at > LOST_VALID_S
 
     def contact(self, target: TargetId, now: float) -> LinkContact:
         """Returns how long ago the target and any target were heard."""
@@ -135,12 +145,13 @@
         heard_at = float("-inf") if link is None else link.heard_at
         return LinkContact(now - heard_at, now - self._any_heard_at)
 
-    def summary(self) -> LinkSummary:
+    def summary(self, now: float) -> LinkSummary:
         """Returns the links that don't work."""
         lost = [
             target
             for target, link in self._by_target.items()
             if link.state is LinkState.LOST
+            and now - link.probed_at <= LOST_VALID_S
         ]
         return LinkSummary(self.all_lost, tuple(sorted(lost)))
 
@@ -204,16 +215,10 @@
         link.state = LinkState.LOST
         self._check_all_lost(now)
 
-    def target_failed(self, target: TargetId) -> None:
-        """Notes that other VMs don't reach a target either."""
-        link = self._link(target)
-        if link.state is LinkState.LOST:
-            link.state = LinkState.UP
-
-    def is_silent(self, target: TargetId) -> bool:
+    def is_silent(self, target: TargetId, now: float) -> bool:
         """Returns whether a lost link has been silent since its probe."""
         link = self._by_target.get(target)
-        if link is None or self.is_up(target):
+        if link is None or self.is_up(target, now):
             return False
         return link.heard_at < self._suspected_at
 
@@ -244,13 +249,11 @@
         kept = set(targets)
         for target in list(self._by_target):
             if target not in kept:
-                del self._by_target[target]
+                self.forget(target)
 
     def forget(self, target: TargetId) -> None:
-        """Forgets a target that has started anew."""
-        link = self._by_target.get(target)
-        if link is not None:
-            link.state = LinkState.UP
+        """Forgets a target that is no longer registered."""
+        self._by_target.pop(target, None)
 
     def _is_probe_due(self, link: _Link, now: float, all_silent: bool) -> bool:
         since_probe_s = now - link.probed_at
@@ -291,7 +294,7 @@
             return
         lost = 0
         for link in self._by_target.values():
-            is_recent = now - link.probed_at < 2 * PROBE_INTERVAL_S
+            is_recent = now - link.probed_at < LOST_VALID_S
             lost += is_recent and link.state is LinkState.LOST
         if lost >= min(MIN_SILENT_TARGETS, len(self._by_target)) > 0:
             self.all_lost = True
--- a/tests/entry/entry_vm_harness.py
+++ b/tests/entry/entry_vm_harness.py
@@ -111,6 +111,7 @@
         name: Name of the VM.
         incarnation: Number of this run of its process.
         address: Where peers reach the VM.
+        zone: Its availability zone.
     """
 
     def __init__(
@@ -122,6 +123,7 @@
         name: str = "vm",
         incarnation: int = 1,
         address: Address = PEERS_ADDRESS,
+        zone: str = "zone-a",
     ) -> None:
         self.reactor: Any = reactor or FakeReactor()
         self.log = log or MemoryLog()
@@ -133,7 +135,7 @@
         self.store = MemoryStore(self.log)
         self.metrics = EntryMetrics(vm=name)
         self.vm = EntryVm(
-            settings=settings(name, address),
+            settings=settings(name, address, zone),
             store=self.store,
             peers=peers,
             headers=PlatformHeaders(),
@@ -241,17 +243,20 @@
 
 
 def settings(
-    name: str = "vm", address: Address = PEERS_ADDRESS
+    name: str = "vm",
+    address: Address = PEERS_ADDRESS,
+    zone: str = "zone-a",
 ) -> EntrySettings:
     """Returns the settings of a VM.
 
     Args:
         name: Name of the VM.
         address: Where peers reach it.
+        zone: Its availability zone.
     """
     return EntrySettings(
         vm=VmId(name),
-        zone=ZoneId("zone-a"),
+        zone=ZoneId(zone),
         host=address.host,
         callers=Address("10.0.0.1", 1),
         readiness=Address("10.0.0.1", 2),
--- a/tests/entry/fleet.py
+++ b/tests/entry/fleet.py
@@ -111,16 +111,18 @@
 
     Args:
         vms: Number of VMs.
+        zones: Number of availability zones, which they take in turn.
 
     Attributes:
         link_by_vm: Each VM's links to the targets.
     """
 
-    def __init__(self, *, vms: int) -> None:
+    def __init__(self, *, vms: int, zones: int = 1) -> None:
         self.reactor = FakeReactor()
         self.log = MemoryLog()
         self.links = PeerLinks(self.reactor)
         self.link_by_vm: dict[int, TargetLink] = {}
+        self._zones = zones
         self._sent = 0
         self._connections_by_vm: dict[int, list[FakeTransport]] = {}
         self.vms: list[EntryVmHarness] = []
@@ -218,6 +220,7 @@
             name=f"vm-{number}",
             incarnation=incarnation,
             address=address,
+            zone=f"zone-{number % self._zones}",
         )
         self.links.handle_by_address[address] = harness.vm.handle_message
         self.reactor.listener_by_address[address.host, address.port] = (
--- a/tests/entry/test_lost_links.py
+++ b/tests/entry/test_lost_links.py
@@ -15,6 +15,7 @@
 from tests.entry.fleet import Fleet
 
 VMS = 6
+ZONES = 3
 APPLICATIONS = 6
 ENGINES = 4
 LAST_EVENT = 8
@@ -128,7 +129,7 @@
 @pytest.fixture
 def fleet() -> Fleet:
     """VMs that know each other and have no targets yet."""
-    return Fleet(vms=VMS)
+    return Fleet(vms=VMS, zones=ZONES)
 
 
 @pytest.fixture
@@ -170,6 +171,41 @@
     assert failures <= TOLERATED_FAILURES + tolerated
 
 
+# Guards against taking targets for down because the VMs of a zone, which
+# have all lost their links, agree that they are not reached.
+@pytest.mark.parametrize("fault", [LinkFault.RESET, LinkFault.REFUSED])
+def test_no_target_is_taken_for_down_where_a_zone_has_lost_its_links(
+    fleet: Fleet, callers: Callers, fault: LinkFault
+) -> None:
+    zone = range(0, VMS, ZONES)
+    for vm in zone:
+        fleet.link_by_vm[vm].cut(fault)
+    callers.send_for(8.0)
+    fleet.reactor.run(1.5)
+    for vm in zone:
+        assert b'outcome="NotSent"' not in fleet.vms[vm].metrics.render()
+
+
+# Guards against VMs that keep a target that has crashed for one behind a lost
+# link, or the other way round.
+def test_a_target_that_has_crashed_is_left_out_and_used_again(
+    fleet: Fleet, targets: Targets, callers: Callers
+) -> None:
+    address = ("10.1.0.1", 80)
+    crashed = fleet.reactor.target_by_address.pop(address)
+    for connection in crashed.connections:
+        connection.transport.abortConnection()
+    callers.send_for(1.0)
+    callers.forget()
+    callers.send_for(3.0)
+    fleet.reactor.run(1.0)
+    assert callers.served(range(VMS)) == (180, 180)
+    fleet.reactor.target_by_address[address] = crashed
+    before = len(crashed.requests)
+    callers.send_for(8.0)
+    assert len(crashed.requests) > before
+
+
 # Guards against orders that run twice because the VM that sent them lost its
 # link to the target on the way.
 @pytest.mark.parametrize("fault", list(LinkFault))
