Test lost links in parts, again and again, and with peers that are lost

Cause: test_lost_links covered links to all targets only. Besides, every request for a target that is down asked peers again. A target that a peer did not reach either counts as down for a second.

--- a/lycheestall/entry/attempt_runner.py
+++ b/lycheestall/entry/attempt_runner.py
@@ -128,6 +128,9 @@
         target = admission.registration.target
         now = self._deps.clock.seconds()
         direct: AttemptOutcome | None = None
+        if links.is_down(target, now):
+            links.want(target, now)
+            return NotSent("no peer has reached the target")
         if links.is_up(target, now):
             direct = await self._send_directly(admission, can_retry_elsewhere)
             if not isinstance(direct, NotSent) or self._is_down(direct):
@@ -139,11 +142,10 @@
         )
         if not isinstance(relayed, Unreachable):
             return relayed
-        if direct is not None:
-            return direct
         if relayed.target_lost and not links.all_lost:
-            return NotSent(relayed.reason)
-        return relayed
+            links.target_down(target, self._deps.clock.seconds())
+            return direct or NotSent(relayed.reason)
+        return direct or relayed
 
     def _is_down(self, outcome: NotSent) -> bool:
         # A connection that is refused is worth a question to a peer, which
--- a/lycheestall/entry/target_links.py
+++ b/lycheestall/entry/target_links.py
@@ -37,6 +37,10 @@
 """Seconds after a probe in which a link that it found lost counts as lost;
 longer than the interval between probes of a link that is in use."""
 
+DOWN_VALID_S = 1.0
+"""Seconds in which a target that a peer did not reach either counts as down,
+so that not every request for it asks peers."""
+
 MAX_PROBES_AT_ONCE = 4
 """Probes started in one step, so that VMs whose links come back together
 open few connections at once."""
@@ -99,6 +103,7 @@
             meaning unless a request is waiting.
         probed_at: When the last probe started.
         wanted_at: When a request last wanted to use it.
+        down_until: Until when the target counts as down.
     """
 
     state: LinkState = LinkState.UP
@@ -107,6 +112,7 @@
     silent_since: float = 0.0
     probed_at: float = float("-inf")
     wanted_at: float = float("-inf")
+    down_until: float = float("-inf")
 
     def silent_s(self, now: float) -> float:
         """Returns for how long a response has been due and nothing came."""
@@ -139,6 +145,13 @@
             return True
         return now - link.probed_at > LOST_VALID_S
 
+    def is_down(self, target: TargetId, now: float) -> bool:
+        """Returns whether a peer has just not reached a target either."""
+        link = self._by_target.get(target)
+        if link is None or link.state is not LinkState.LOST:
+            return False
+        return now < link.down_until
+
     def contact(self, target: TargetId, now: float) -> LinkContact:
         """Returns how long ago the target and any target were heard."""
         link = self._by_target.get(target)
@@ -215,6 +228,10 @@
         link.state = LinkState.LOST
         self._check_all_lost(now)
 
+    def target_down(self, target: TargetId, now: float) -> None:
+        """Notes that a peer doesn't reach a target either."""
+        self._link(target).down_until = now + DOWN_VALID_S
+
     def is_silent(self, target: TargetId, now: float) -> bool:
         """Returns whether a lost link has been silent since its probe."""
         link = self._by_target.get(target)
--- a/tests/entry/fake_network.py
+++ b/tests/entry/fake_network.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from enum import Enum
 from typing import Any
 
@@ -45,15 +45,31 @@
 
     def __init__(self) -> None:
         self.fault: LinkFault | None = None
+        self._hosts: frozenset[str] | None = None
         self._held: list[Callable[[], None]] = []
         self._connections: list[FakeTransport] = []
 
-    def cut(self, fault: LinkFault) -> None:
-        """Lets the links fail."""
+    def cut(
+        self, fault: LinkFault, *, hosts: Iterable[str] | None = None
+    ) -> None:
+        """Lets the links fail.
+
+        Args:
+            fault: How.
+            hosts: The targets that they lead to; None for all.
+        """
         self.fault = fault
+        self._hosts = None if hosts is None else frozenset(hosts)
         if fault is LinkFault.RESET:
             for transport in self._connections:
-                transport.abortConnection()
+                if self.fault_to(transport.host) is not None:
+                    transport.abortConnection()
+
+    def fault_to(self, host: str) -> LinkFault | None:
+        """Returns how the link to a target fails, None if it works."""
+        if self._hosts is not None and host not in self._hosts:
+            return None
+        return self.fault
 
     def heal(self) -> None:
         """Lets the links work again; what was on the way arrives."""
@@ -66,9 +82,9 @@
         """Adds an open connection."""
         self._connections.append(transport)
 
-    def deliver(self, call: Callable[[], None]) -> None:
-        """Delivers something now, or once the links are no longer silent."""
-        if self.fault is LinkFault.SILENT:
+    def deliver(self, host: str, call: Callable[[], None]) -> None:
+        """Delivers something now, or once the link is no longer silent."""
+        if self.fault_to(host) is LinkFault.SILENT:
             self._held.append(call)
         else:
             call()
@@ -78,10 +94,14 @@
     """Transport of one end; delivers written bytes to the other end."""
 
     def __init__(
-        self, reactor: FakeReactor, link: TargetLink | None = None
+        self,
+        reactor: FakeReactor,
+        link: TargetLink | None = None,
+        host: str = "",
     ) -> None:
         self._reactor = reactor
         self._link = link
+        self.host = host
         self.protocol: Any = None
         self.peer: FakeTransport | None = None
         self.written = b""
@@ -120,7 +140,7 @@
         if self._link is None:
             deliver()
         else:
-            self._link.deliver(deliver)
+            self._link.deliver(self.host, deliver)
 
     def _deliver(self, data: bytes) -> None:
         peer = self.peer
@@ -317,14 +337,14 @@
         if listener is not None:
             self.callLater(0.001, self._accept, listener, factory)
             return _Connector()
-        fault = None if link is None else link.fault
+        fault = None if link is None else link.fault_to(host)
         if fault is LinkFault.SILENT:
             self.callLater(timeout, self._fail, factory, TimeoutError())
             return _Connector()
         target = self.target_by_address.get((host, port))
         if fault is not None:
             target = None
-        self.callLater(0.001, self._connected, target, factory, link)
+        self.callLater(0.001, self._connected, target, factory, link, host)
         return _Connector()
 
     def open_connection(self, protocol: Any) -> FakeTransport:
@@ -357,11 +377,12 @@
         target: FakeTarget | None,
         factory: Any,
         link: TargetLink | None,
+        host: str,
     ) -> None:
         if target is None:
             self._fail(factory, ConnectionRefusedError())
             return
-        local, remote = self._transport_pair(link)
+        local, remote = self._transport_pair(link, host)
         if link is not None:
             link.add(local)
         local.protocol = factory.buildProtocol(None)
@@ -373,9 +394,10 @@
         local.protocol.makeConnection(local)
 
     def _transport_pair(
-        self, link: TargetLink | None = None
+        self, link: TargetLink | None = None, host: str = ""
     ) -> tuple[FakeTransport, FakeTransport]:
-        one, other = FakeTransport(self, link), FakeTransport(self, link)
+        one = FakeTransport(self, link, host)
+        other = FakeTransport(self, link, host)
         one.peer, other.peer = other, one
         return one, other
 
--- a/tests/entry/test_lost_links.py
+++ b/tests/entry/test_lost_links.py
@@ -43,11 +43,13 @@
 
     Attributes:
         runs_by_request: How often each request was run.
+        pause_s: Seconds by which the work of applications takes longer.
     """
 
     def __init__(self, fleet: Fleet) -> None:
         self._reactor = fleet.reactor
         self.runs_by_request: dict[str, int] = {}
+        self.pause_s = 0.0
         for number in range(APPLICATIONS):
             fleet.add_target(f"app-{number}", self._work)
         for number in range(ENGINES):
@@ -55,13 +57,23 @@
                 f"engine-{number}", self._stream, service="engines"
             )
 
+    def orders_run_twice(self) -> set[str]:
+        """Returns the orders that were run more than once."""
+        return {
+            name
+            for name, runs in self.runs_by_request.items()
+            if runs > 1 and is_order(name)
+        }
+
     def _note(self, request: ReceivedRequest) -> None:
         name = request.headers[b"x-request-id"].decode()
         self.runs_by_request[name] = self.runs_by_request.get(name, 0) + 1
 
     def _work(self, request: ReceivedRequest) -> None:
         self._note(request)
-        self._reactor.callLater(WORK_S, request.respond, 200, b"whole")
+        self._reactor.callLater(
+            self.pause_s + WORK_S, request.respond, 200, b"whole"
+        )
 
     def _stream(self, request: ReceivedRequest) -> None:
         self._note(request)
@@ -85,6 +97,7 @@
         self._fleet = fleet
         self._sent = 0
         self.callers_by_vm: dict[int, list[RecordingCaller]] = {}
+        self.by_request: dict[str, RecordingCaller] = {}
 
     def send_for(self, seconds: float) -> None:
         """Sends requests for some time."""
@@ -99,12 +112,14 @@
                 request_id=f"q{self._sent}",
             )
             self.callers_by_vm.setdefault(vm, []).append(caller)
+            self.by_request[f"q{self._sent}"] = caller
             self._sent += 1
             self._fleet.reactor.run(1 / REQUESTS_PER_S)
 
     def forget(self) -> None:
         """Forgets the callers so far."""
         self.callers_by_vm.clear()
+        self.by_request.clear()
 
     def served(self, vms: Iterable[int]) -> tuple[int, int]:
         """Returns how many callers of some VMs were served, of how many."""
@@ -112,6 +127,11 @@
         return sum(is_whole(caller) for caller in callers), len(callers)
 
 
+def is_order(name: str) -> bool:
+    """Returns whether the callers sent an order under a request ID."""
+    return PATHS[int(name[1:]) // VMS % len(PATHS)] == "/orders/"
+
+
 def is_whole(caller: RecordingCaller) -> bool:
     """Returns whether a caller has received a complete answer."""
     data = caller.data
@@ -220,9 +240,116 @@
             fleet.link_by_vm[vm].heal()
         callers.send_for(1.0)
     fleet.reactor.run(3.0)
-    twice = {
-        name
-        for name, runs in targets.runs_by_request.items()
-        if runs > 1 and int(name[1:]) // VMS % len(PATHS) == 1
-    }
-    assert not twice
+    assert not targets.orders_run_twice()
+
+
+# Guards against orders that run twice, or refusals that are not true, because
+# the peer that carries them is lost before, while or after it sends them.
+def test_orders_run_once_when_carrying_peers_are_killed(
+    fleet: Fleet, targets: Targets, callers: Callers
+) -> None:
+    for vm in range(4):
+        fleet.link_by_vm[vm].cut(LinkFault.RESET)
+    for number in range(8):
+        callers.send_for(0.7)
+        fleet.restart(4 + number % 2)
+    fleet.reactor.run(3.0)
+    assert not targets.orders_run_twice()
+    for name, caller in callers.by_request.items():
+        if status_of(caller.data) == 503:
+            assert name not in targets.runs_by_request
+
+
+# Guards against serving badly where only the links to some targets are lost.
+@pytest.mark.parametrize("fault", list(LinkFault))
+def test_links_to_some_targets_may_be_lost(
+    fleet: Fleet, callers: Callers, fault: LinkFault
+) -> None:
+    for vm in range(4):
+        hosts = [f"10.1.0.{n}" for n in (1, 2, 3, 7, 8)]
+        fleet.link_by_vm[vm].cut(fault, hosts=hosts)
+    callers.send_for(SETTLE_S)
+    callers.forget()
+    callers.send_for(3.0)
+    fleet.reactor.run(1.5)
+    served, sent = callers.served(range(VMS))
+    assert sent - served <= TOLERATED_FAILURE_SHARE * sent
+
+
+# Guards against a VM that starts without links and never finds out.
+def test_a_vm_that_restarts_inside_the_cut_serves_through_peers(
+    fleet: Fleet, callers: Callers
+) -> None:
+    fleet.restart(0)
+    fleet.link_by_vm[0].cut(LinkFault.SILENT)
+    callers.send_for(SETTLE_S)
+    callers.forget()
+    callers.send_for(3.0)
+    fleet.reactor.run(1.5)
+    served, sent = callers.served([0])
+    assert served >= sent - 2
+
+
+# Guards against keeping callers waiting where no VM reaches any target.
+def test_requests_are_refused_at_once_where_no_vm_reaches_targets(
+    fleet: Fleet, targets: Targets, callers: Callers
+) -> None:
+    for vm in range(VMS):
+        fleet.link_by_vm[vm].cut(LinkFault.SILENT)
+    callers.send_for(SETTLE_S)
+    runs = dict(targets.runs_by_request)
+    callers.forget()
+    callers.send_for(1.0)
+    fleet.reactor.run(0.1)
+    for caller in callers.by_request.values():
+        assert status_of(caller.data) == 503
+        assert b"Retry-After: 0.60" in caller.data
+    assert targets.runs_by_request == runs
+    assert not any(vm.vm.ready for vm in fleet.vms)
+    for vm in range(VMS):
+        fleet.link_by_vm[vm].heal()
+    fleet.reactor.run(1.5)
+    assert all(vm.vm.ready for vm in fleet.vms)
+    callers.forget()
+    callers.send_for(2.0)
+    fleet.reactor.run(1.0)
+    assert callers.served(range(VMS)) == (120, 120)
+
+
+# Guards against taking targets that pause for a second for unreachable.
+def test_targets_that_pause_for_a_second_run_nothing_twice(
+    fleet: Fleet, targets: Targets, callers: Callers
+) -> None:
+    targets.pause_s = 1.0
+    callers.send_for(0.5)
+    targets.pause_s = 0.0
+    callers.send_for(2.0)
+    fleet.reactor.run(2.0)
+    assert callers.served(range(VMS)) == (150, 150)
+    assert not targets.orders_run_twice()
+
+
+# Guards against VMs that go on through peers after their links are back, or
+# that all open connections at once then.
+def test_links_that_are_back_are_used_again(
+    fleet: Fleet, targets: Targets, callers: Callers
+) -> None:
+    for vm in range(4):
+        fleet.link_by_vm[vm].cut(LinkFault.SILENT)
+    callers.send_for(SETTLE_S)
+    for vm in range(4):
+        fleet.link_by_vm[vm].heal()
+    fleet.reactor.run(0.01)
+    callers.send_for(3.0)
+    relayed = sum(relayed_attempts(fleet, vm) for vm in range(4))
+    assert relayed > 0
+    callers.send_for(2.0)
+    assert sum(relayed_attempts(fleet, vm) for vm in range(4)) == relayed
+
+
+def relayed_attempts(fleet: Fleet, vm: int) -> int:
+    """Returns how many attempts a VM has asked peers to send."""
+    for line in fleet.vms[vm].metrics.render().splitlines():
+        if line.startswith(b"lycheestall_relayed_attempts_total"):
+            return int(float(line.split()[-1]))
+    return 0
