Let a carrying peer end an attempt when it loses its own link

Cause: the peer that carries an attempt did not watch its own link for it. A stream stalled until its deadline if that link went silent on the way. Change: the peer ends attempts that may be repeated, as the VM that asks says; what it could not send is held against the target only while it reaches others.

--- a/lycheestall/entry/attempt_messages.py
+++ b/lycheestall/entry/attempt_messages.py
@@ -49,6 +49,8 @@
         headers: Its headers; the deadline in them is replaced.
         body: Its body.
         is_stream: Whether a successful response is forwarded as it arrives.
+        may_repeat: Whether the peer ends the attempt if it loses its own
+            link; otherwise the response is waited for.
         remaining_s: Seconds until the request's deadline.
         send_within_s: Seconds within which it may be sent.
     """
@@ -62,6 +64,7 @@
     headers: tuple[Header, ...]
     body: bytes
     is_stream: bool
+    may_repeat: bool
     remaining_s: float
     send_within_s: float
 
@@ -124,6 +127,7 @@
         _encode_headers(message.headers),
         message.body,
         message.is_stream,
+        message.may_repeat,
         message.remaining_s,
         message.send_within_s,
     ]
--- a/lycheestall/entry/attempt_relay.py
+++ b/lycheestall/entry/attempt_relay.py
@@ -140,6 +140,7 @@
             ),
             link=link,
         )
+        link.on_lost = lambda: attempt.link_lost(may_repeat=message.may_repeat)
         exchange.on_disconnect = attempt.stop
         timer: Any = self._clock.callLater(
             max(0.0, message.remaining_s), attempt.stop
@@ -155,7 +156,8 @@
             link.end()
         if isinstance(outcome, NotSent):
             # Whether the target is down is for the VM that asks to decide.
-            outcome = Unreachable(outcome.error, target_lost=True)
+            all_lost = self._monitor.links.all_lost
+            outcome = Unreachable(outcome.error, target_lost=not all_lost)
         self._finish(message, exchange, outcome, received_at)
 
     def _find(self, message: SendAttempt) -> TargetRegistration | Unreachable:
--- a/lycheestall/entry/attempt_runner.py
+++ b/lycheestall/entry/attempt_runner.py
@@ -212,8 +212,6 @@
             )
             if not isinstance(result, Unreachable):
                 return result
-            if not result.target_lost:
-                self._deps.relay.shun(member)
             target_lost = outcome.target_lost or result.target_lost
             outcome = Unreachable(result.reason, target_lost)
             if result.target_lost and self._deps.relay.in_other_zone(member):
@@ -245,13 +243,16 @@
         )
         deps.relay.relay_peers.started(member.holder)
         try:
-            return await self._run(
+            outcome = await self._run(
                 attempt,
                 lambda: self._encode_for_peer(admission, member),
                 can_retry_elsewhere=can_retry_elsewhere,
             )
         finally:
             deps.relay.relay_peers.ended(member.holder)
+        if attempt.peer_failed:
+            deps.relay.shun(member)
+        return outcome
 
     async def _run(
         self,
@@ -334,6 +335,7 @@
             headers=tuple(headers),
             body=self._body(),
             is_stream=self._forwarder is not None,
+            may_repeat=self._may_repeat(),
             remaining_s=self._target_request.remaining_s,
             send_within_s=expires_in_s,
         )
--- a/lycheestall/entry/link_monitor.py
+++ b/lycheestall/entry/link_monitor.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable
 from typing import Any
 
-from twisted.internet.error import ConnectError
 from twisted.python.failure import Failure
 
 from ..ids import TargetId
@@ -134,7 +133,6 @@
     def _probe_failed(
         self, target: TargetId, pool: ConnectionPool, failure: Failure
     ) -> None:
-        failure.trap(ConnectError)
         refused = not is_timeout(failure)
         self.links.probe_failed(target, self.now(), refused=refused)
         now = self.now()
--- a/lycheestall/entry/relayed_attempt.py
+++ b/lycheestall/entry/relayed_attempt.py
@@ -58,6 +58,10 @@
         sink: Receives a successful stream; None if the response is buffered.
         on_response: Called with the head of the target's response and its
             metadata.
+
+    Attributes:
+        peer_failed: Whether the peer gave no complete reply, or takes no
+            attempts at present.
     """
 
     def __init__(
@@ -80,6 +84,7 @@
         self._result: list[bytes] = []
         self._result_bytes = 0
         self._ended = False
+        self.peer_failed = False
 
     def start(self, build: Callable[[], bytes | None]) -> None:
         """Acquires a connection to the peer and sends the message.
@@ -105,6 +110,7 @@
         if self._ended or self._kind is not None:
             return
         self._disconnect()
+        self.peer_failed = not self.sent
         if self.sent:
             self._end(Broken(BreakReason.OVERDUE, response_started=False))
         else:
@@ -153,6 +159,7 @@
 
     def response_failed(self, reason: BreakReason) -> None:
         """Ends the attempt without a complete reply."""
+        self.peer_failed = True
         self._end(Broken(reason, response_started=self._kind is not None))
 
     def _decode_result(self) -> AttemptOutcome:
@@ -168,6 +175,8 @@
         head = getattr(message.outcome, "head", None)
         if head is not None:
             self._observe(head)
+        if isinstance(message.outcome, Unreachable):
+            self.peer_failed = not message.outcome.target_lost
         return message.outcome
 
     def _observe(self, head: ResponseHead) -> None:
@@ -189,6 +198,7 @@
     def _not_connected(self, failure: Failure) -> None:
         if failure.check(CancelledError):
             return
+        self.peer_failed = True
         self._end(Unreachable(f"peer: {failure.getErrorMessage()}"))
 
     def _disconnect(self) -> None:
--- a/tests/entry/test_lost_links.py
+++ b/tests/entry/test_lost_links.py
@@ -44,12 +44,14 @@
     Attributes:
         runs_by_request: How often each request was run.
         pause_s: Seconds by which the work of applications takes longer.
+        event_gap_s: Seconds between two events of a stream.
     """
 
     def __init__(self, fleet: Fleet) -> None:
         self._reactor = fleet.reactor
         self.runs_by_request: dict[str, int] = {}
         self.pause_s = 0.0
+        self.event_gap_s = EVENT_GAP_S
         for number in range(APPLICATIONS):
             fleet.add_target(f"app-{number}", self._work)
         for number in range(ENGINES):
@@ -80,9 +82,9 @@
         first = int(request.headers.get(b"last-event-id", b"0")) + 1
         request.start_stream()
         for number in range(first, LAST_EVENT + 1):
-            delay_s = EVENT_GAP_S * (number - first + 1)
+            delay_s = self.event_gap_s * (number - first + 1)
             self._reactor.callLater(delay_s, request.send_event, number)
-        end_s = EVENT_GAP_S * (LAST_EVENT - first + 2)
+        end_s = self.event_gap_s * (LAST_EVENT - first + 2)
         self._reactor.callLater(end_s, request.end_stream)
 
 
@@ -290,6 +292,26 @@
     assert served >= sent - 2
 
 
+# Guards against streams that stall because the peer that carries them loses
+# its own link on the way.
+def test_a_stream_goes_on_when_the_carrying_peer_loses_its_link(
+    fleet: Fleet, targets: Targets, callers: Callers
+) -> None:
+    for vm in range(4):
+        fleet.link_by_vm[vm].cut(LinkFault.SILENT)
+    callers.send_for(SETTLE_S)
+    targets.event_gap_s = 0.15
+    answers = [
+        fleet.send(f"/plan/{n}", vm=n % 4, headers=f"X-Session-Id: s{n}\r\n")
+        for n in range(12)
+    ]
+    fleet.reactor.run(0.4)
+    fleet.link_by_vm[4].cut(LinkFault.SILENT)
+    targets.event_gap_s = EVENT_GAP_S
+    callers.send_for(2.5)
+    assert all(is_whole(answer) for answer in answers)
+
+
 # Guards against keeping callers waiting where no VM reaches any target.
 def test_requests_are_refused_at_once_where_no_vm_reaches_targets(
     fleet: Fleet, targets: Targets, callers: Callers
--- a/tests/entry/test_relay_peers.py
+++ b/tests/entry/test_relay_peers.py
@@ -175,6 +175,7 @@
             headers=((b"X-Any", b"\xff"),),
             body=b"\x00\xff",
             is_stream=True,
+            may_repeat=False,
             remaining_s=1.5,
             send_within_s=float("inf"),
         ),
