Let the soak cut a VM's links to all targets, and check links in one step

Cause: no fault of the soak concerned one VM's links only. Change: each VM of the soak has proxies of its own to the targets, which refuse new connections or reset open ones as well; attempts through peers are counted. One poller checks the links, and surveys peers only while some are lost.

--- a/lycheestall/entry/entry_vm.py
+++ b/lycheestall/entry/entry_vm.py
@@ -295,8 +295,7 @@
                 self.conversations.recorder.write_due,
                 TURN_RECORDS_S,
             ),
-            ("target links", self._link_monitor.step, LINK_CHECK_S),
-            ("relay peers", self._relay_client.step, LINK_CHECK_S),
+            ("target links", self._check_links, LINK_CHECK_S),
             ("shard sweep", self.conversations.sweep, SHARD_SWEEP_S),
         )
         for name, step, interval_s in pollers:
@@ -378,6 +377,11 @@
         self._targets.table.store_recovered(now)
         self.token_service.refresh()
 
+    async def _check_links(self) -> None:
+        summary = self._link_monitor.check()
+        if summary.all_lost or summary.lost:
+            await self._relay_client.survey()
+
     async def _housekeeping(self) -> None:
         self._view.remove_expired()
         self._link_monitor.remove_expired()
--- a/lycheestall/entry/link_monitor.py
+++ b/lycheestall/entry/link_monitor.py
@@ -108,11 +108,18 @@
         if not uses:
             self._uses_by_target.pop(target, None)
 
-    async def step(self) -> None:
-        """Starts the probes that are due and logs what has changed."""
+    def check(self) -> LinkSummary:
+        """Starts the probes that are due and logs what has changed.
+
+        Returns:
+            The links that don't work.
+        """
         for target in self.links.start_probes(self.now()):
             self._probe(target)
-        self._log_changes()
+        summary = self.links.summary(self.now())
+        if summary != self._logged:
+            self._log_change(summary)
+        return summary
 
     def remove_expired(self) -> None:
         """Forgets targets that are no longer registered."""
@@ -148,10 +155,7 @@
             if use.on_lost is not None:
                 use.on_lost()
 
-    def _log_changes(self) -> None:
-        summary = self.links.summary(self.now())
-        if summary == self._logged:
-            return
+    def _log_change(self, summary: LinkSummary) -> None:
         before, self._logged = self._logged, summary
         lost = sorted(set(summary.lost) - set(before.lost))
         restored = sorted(set(before.lost) - set(summary.lost))
--- a/lycheestall/entry/relay_client.py
+++ b/lycheestall/entry/relay_client.py
@@ -132,13 +132,10 @@
         """Notes that a peer did not take an attempt."""
         self.relay_peers.shun(member.holder, self._clock.seconds())
 
-    async def step(self) -> None:
-        """Asks the peers which targets they reach, while links are lost."""
+    async def survey(self) -> None:
+        """Asks the peers which targets they reach, unless it just has."""
         now = self._clock.seconds()
         self.relay_peers.remove_expired(now)
-        summary = self._links.summary(now)
-        if not summary.all_lost and not summary.lost:
-            return
         if now - self._surveyed_at < SURVEY_INTERVAL_S:
             return
         self._surveyed_at = now
--- a/lycheestall/entry/target_links.py
+++ b/lycheestall/entry/target_links.py
@@ -166,6 +166,8 @@
             if link.state is LinkState.LOST
             and now - link.probed_at <= LOST_VALID_S
         ]
+        if not lost and not self.all_lost:
+            return LinkSummary()
         return LinkSummary(self.all_lost, tuple(sorted(lost)))
 
     def want(self, target: TargetId, now: float) -> None:
--- a/tests/entry/fake_store_server.py
+++ b/tests/entry/fake_store_server.py
@@ -4,6 +4,8 @@
 
 import base64
 import struct
+from collections.abc import Callable, Sequence
+from dataclasses import replace
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
@@ -36,11 +38,20 @@
     Args:
         log: The topics.
         reactor: Schedules long polls.
+        translate: Returns a target's registration as this server gives it
+            out; as written by default.
     """
 
-    def __init__(self, log: MemoryLog, reactor: Any) -> None:
+    def __init__(
+        self,
+        log: MemoryLog,
+        reactor: Any,
+        *,
+        translate: Callable[[bytes], bytes] = lambda value: value,
+    ) -> None:
         self.log = log
         self._reactor = reactor
+        self._translate = translate
 
     def limits(self) -> CallerLimits:
         """Returns limits with a long idle timeout."""
@@ -91,7 +102,7 @@
         if start < first:
             _respond_json(exchange, 410, {"first": first})
             return
-        records = self.log.by_topic[topic][start:]
+        records = self._given_out(topic, self.log.by_topic[topic][start:])
         wait_s = int(query.get("wait_ms", 0)) / 1000
         if not records and wait_s > 0:
             query["wait_ms"] = str(int(wait_s * 1000) - 20)
@@ -106,7 +117,8 @@
         self, exchange: Exchange, topic: Topic, query: dict[str, str]
     ) -> None:
         after = query.get("after", "").encode()
-        records = [r for r in self.log.newest(topic) if r.key > after]
+        newest = [r for r in self.log.newest(topic) if r.key > after]
+        records = self._given_out(topic, newest)
         items = [
             {
                 "key": r.key.decode(),
@@ -121,6 +133,18 @@
             exchange, 200, {"items": items, "has_more": more, "end": end}
         )
 
+    def _given_out(
+        self, topic: Topic, records: Sequence[KeyedRecord]
+    ) -> list[KeyedRecord]:
+        if topic is not Topic.TARGETS:
+            return list(records)
+        return [
+            record
+            if record.value is None
+            else replace(record, value=self._translate(record.value))
+            for record in records
+        ]
+
 
 def _topic(name: str) -> Topic:
     # All shards are one list: a listing by key finds the same records.
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -42,6 +42,7 @@
                 f"conversations {dict(report.conversations)}, "
                 f"limited {report.limited_requests}, "
                 f"resumed {dict(report.resumed)}, "
+                f"relayed {report.relayed}, "
                 f"faults {dict(report.faults)}, logs {directory}"
             )
             for line in report.violations[:10]:
--- a/tests/soak/loopback_proxy.py
+++ b/tests/soak/loopback_proxy.py
@@ -21,6 +21,8 @@
         RESET: Resets open and new connections.
         SILENT: Drops the bytes of both directions.
         ONE_WAY: Drops the bytes of the server.
+        REFUSE: Forwards on open connections and refuses new ones.
+        CUT: Resets open connections and refuses new ones.
     """
 
     PASS = "pass"
@@ -28,6 +30,11 @@
     RESET = "reset"
     SILENT = "silent"
     ONE_WAY = "one way"
+    REFUSE = "refuse"
+    CUT = "cut"
+
+
+_REFUSING = (ProxyMode.REFUSE, ProxyMode.CUT)
 
 
 class LoopbackProxy(Factory):
@@ -49,9 +56,14 @@
         self.port: int = self._listening.getHost().port
 
     def set_mode(self, mode: ProxyMode) -> None:
-        """Changes the mode; RESET also resets the open connections."""
+        """Changes the mode, also for the open connections."""
         self.mode = mode
-        if mode is ProxyMode.RESET:
+        if mode in _REFUSING:
+            if self._listening.connected:
+                self._listening.stopListening()
+        elif not self._listening.connected:
+            self._listening.startListening()
+        if mode in (ProxyMode.RESET, ProxyMode.CUT):
             for downstream in list(self._connections):
                 downstream.abort()
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -13,17 +13,16 @@
 from twisted.internet.defer import DeferredList, ensureDeferred
 
 from lycheestall.clock import sleep
-from lycheestall.entry.caller_connection import CallerFactory
 from lycheestall.entry.connection_pool import ConnectionPool
 from lycheestall.entry.http_messages import encode_request
 from lycheestall.entry.store import KeyedWrite, Topic
 from tests.entry.entry_vm_harness import ENGINE, ROUTES
-from tests.entry.fake_store_server import FakeStoreServer
 from tests.entry.memory_store import MemoryLog
 from tests.soak.loopback_proxy import ProxyMode
 from tests.soak.soak_conversations import AnsweredTurn, SoakConversations
 from tests.soak.soak_faults import SoakFaults
 from tests.soak.soak_limits import SoakLimits
+from tests.soak.soak_links import SoakLinks
 from tests.soak.soak_streams import (
     SOFTWARE_VERSIONS,
     SoakStream,
@@ -59,6 +58,7 @@
         conversations: Number of turns of conversations by how they ended.
         limited_requests: Number of requests to targets that name a limit.
         resumed: Number of requests that take up a stream by how they ended.
+        relayed: Number of attempts that VMs asked peers to send.
     """
 
     conversations: Counter[str] = field(default_factory=Counter)
@@ -67,6 +67,7 @@
     violations: list[str] = field(default_factory=list)
     limited_requests: int = 0
     resumed: Counter[str] = field(default_factory=Counter)
+    relayed: int = 0
 
 
 class Soak:
@@ -104,10 +105,6 @@
         self._finished = False
         self._version = 0
         self.report = Report()
-        handler = FakeStoreServer(self._log, reactor)
-        self._store = reactor.listenTCP(
-            0, CallerFactory(handler, reactor), interface="127.0.0.1"
-        )
         self._targets = [
             SoakTarget(
                 f"{service}-{version}-{n}",
@@ -125,7 +122,6 @@
             for version in versions
             for n, limit_per_s in enumerate(LIMITS_PER_S)
         ]
-        store_port = self._store.getHost().port
         # Below the kernel's range of ephemeral ports.
         base = 20_000 + seed % 1000 * 10
         self._vms = [
@@ -133,7 +129,7 @@
                 n,
                 [base + n * 4, base + n * 4 + 1, base + n * 4 + 2],
                 reactor,
-                store_port,
+                SoakLinks(reactor, self._log, self._targets),
                 directory,
             )
             for n in range(vms)
@@ -337,6 +333,7 @@
     async def _stop_all(self) -> None:
         for vm in self._vms:
             vm.store_proxy.set_mode(ProxyMode.PASS)
+            vm.links.set_mode(ProxyMode.PASS)
             vm.signal(signal.SIGCONT)
             vm.signal(signal.SIGTERM)
         for vm in self._vms:
@@ -350,15 +347,16 @@
                     "stop: a VM did not exit in 10 s"
                 )
                 vm.signal(signal.SIGKILL)
+        self.report.relayed = sum(vm.relayed_attempts() for vm in self._vms)
         self.close()
 
     def close(self) -> None:
         """Stops the proxies, the targets and the store."""
         for vm in self._vms:
             vm.store_proxy.stop()
+            vm.links.stop()
         for target in self._targets:
             target.stop()
-        self._store.stopListening()
 
     def _check_guarantees(self) -> None:
         violations = self.report.violations
--- a/tests/soak/soak_faults.py
+++ b/tests/soak/soak_faults.py
@@ -16,6 +16,17 @@
 from tests.soak.soak_targets import SoakTarget
 from tests.soak.soak_vm import SoakVm
 
+CUTTING_MODES = (ProxyMode.REFUSE, ProxyMode.CUT)
+"""How the links of a VM to all targets are lost."""
+
+DISTURBING_MODES = (
+    ProxyMode.DELAY,
+    ProxyMode.RESET,
+    ProxyMode.SILENT,
+    ProxyMode.ONE_WAY,
+)
+"""How the way to the store or to one target is disturbed."""
+
 
 class SoakFaults:
     """Injects faults from outside the processes.
@@ -70,6 +81,7 @@
                     self._disturb_one_store_link,
                     self._disturb_all_store_links,
                     self._disturb_one_target,
+                    self._cut_target_links,
                     self._change_configuration,
                     self._kill_all,
                 )
@@ -122,8 +134,7 @@
         self._disturb_proxies([self._random.choice(self._targets).proxy])
 
     def _disturb_proxies(self, proxies: list[LoopbackProxy]) -> None:
-        modes = [mode for mode in ProxyMode if mode is not ProxyMode.PASS]
-        mode = self._random.choice(modes)
+        mode = self._random.choice(DISTURBING_MODES)
         duration_s = self._random.uniform(0.3, 3.0)
         if any(vm.store_proxy in proxies for vm in self._vms):
             until = self._reactor.seconds() + duration_s
@@ -132,5 +143,15 @@
             proxy.set_mode(mode)
             self._reactor.callLater(duration_s, proxy.set_mode, ProxyMode.PASS)
 
+    def _cut_target_links(self) -> None:
+        vms = self._random.sample(self._vms, self._random.randint(1, 2))
+        mode = self._random.choice(CUTTING_MODES)
+        duration_s = self._random.uniform(0.5, 4.0)
+        for vm in vms:
+            vm.links.set_mode(mode)
+            self._reactor.callLater(
+                duration_s, vm.links.set_mode, ProxyMode.PASS
+            )
+
     def _change_configuration(self) -> None:
         self._configure()
--- a/tests/soak/soak_vm.py
+++ b/tests/soak/soak_vm.py
@@ -16,6 +16,7 @@
 )
 from lycheestall.entry.http_messages import ResponseHead
 from tests.soak.loopback_proxy import LoopbackProxy
+from tests.soak.soak_links import SoakLinks
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 
@@ -39,11 +40,12 @@
         number: int,
         ports: list[int],
         reactor: Any,
-        store_port: int,
+        links: SoakLinks,
         directory: Path,
     ) -> None:
         self.front = ports[0]
-        self.store_proxy = LoopbackProxy(reactor, store_port)
+        self.links = links
+        self.store_proxy = LoopbackProxy(reactor, links.store_port)
         self._directory = directory
         self._name = f"vm-{number}"
         self._settings = directory / f"{self._name}.conf"
@@ -76,6 +78,11 @@
                 stderr=log,
             )
 
+    def relayed_attempts(self) -> int:
+        """Returns how many attempts its log says that peers were to send."""
+        log = (self._directory / f"{self._name}.log").read_text()
+        return log.count('"event": "attempt relayed"')
+
     def signal(self, number: signal.Signals) -> None:
         """Sends a signal if the process is running."""
         if self.process is not None and self.process.poll() is None:
