Probe targets not in use before all links count as lost

Cause: a VM that has used one target, or two, took their crash for the loss of all its links, and refused every other target. A link that was refused also counted as lost up to a second after its target had come back, though no peer knew better. Seen as a failure of an existing test, which passed before links were watched: test_a_stream_goes_on_at_its_version_when_its_vm_and_target_are _lost (resumed streams refused as not run). Change: all links count as lost once four are, targets not in use among them. Where peers say that a target is not reached, one that refused connections is asked once more directly.

--- a/lycheestall/entry/attempt_runner.py
+++ b/lycheestall/entry/attempt_runner.py
@@ -127,23 +127,30 @@
         links = self._deps.link_monitor.links
         target = admission.registration.target
         now = self._deps.clock.seconds()
-        direct: AttemptOutcome | None = None
-        if links.is_down(target, now):
-            links.want(target, now)
+        links.want(target, now)
+        known_down = links.is_down(target, now)
+        if known_down and links.is_silent(target, now):
             return NotSent("no peer has reached the target")
-        if links.is_up(target, now):
+        direct: AttemptOutcome | None = None
+        if known_down or links.is_up(target, now):
             direct = await self._send_directly(admission, can_retry_elsewhere)
-            if not isinstance(direct, NotSent) or self._is_down(direct):
+            if not isinstance(direct, NotSent):
+                return direct
+            if known_down or self._is_down(direct):
                 return direct
-        else:
-            links.want(target, now)
         relayed = await self._send_through_peers(
             admission, can_retry_elsewhere
         )
         if not isinstance(relayed, Unreachable):
             return relayed
-        if relayed.target_lost and not links.all_lost:
-            links.target_down(target, self._deps.clock.seconds())
+        if relayed.target_lost:
+            now = self._deps.clock.seconds()
+            links.target_down(target, now)
+            if direct is None and not links.is_silent(target, now):
+                # The target may have come back since the link was probed.
+                return await self._send_directly(
+                    admission, can_retry_elsewhere
+                )
             return direct or NotSent(relayed.reason)
         return direct or relayed
 
--- a/lycheestall/entry/decision_log.py
+++ b/lycheestall/entry/decision_log.py
@@ -12,7 +12,6 @@
 from .attempt_messages import SendAttempt
 from .attempt_outcomes import AttemptOutcome
 from .configuration import Route
-from .conversation_lookup import TurnNotFound
 from .decision_writer import DecisionWriter
 from .entry_metrics import EntryMetrics
 from .message_metadata import RequestMetadata, UnreadableLimit
@@ -22,6 +21,7 @@
 from .target_links import LinkContact, LinkSummary
 from .target_table import TargetRegistration
 from .token_ledger import HolderId
+from .turn_log import TurnLog
 
 __all__ = ["DecisionContext", "DecisionLog"]
 
@@ -54,6 +54,9 @@
         metrics: Counts requests and failed attempts.
         context: Returns the state that decisions are based on.
         clock: Tells the time for the rate limit.
+
+    Attributes:
+        turns: Logs decisions about turns of conversations.
     """
 
     def __init__(
@@ -69,6 +72,7 @@
         self._context = context
         self._clock = clock
         self._write = DecisionWriter(logger, clock).write
+        self.turns = TurnLog(logger, metrics, self._write)
 
     def attempt_failed(
         self,
@@ -349,88 +353,6 @@
             took_ms=round((now - asked_at) * 1000, 1),
         )
 
-    def conversation_loaded(
-        self,
-        metadata: RequestMetadata,
-        *,
-        source: str,
-        turns: int,
-        size: int,
-        took_s: float,
-    ) -> None:
-        """Logs the conversation that a turn continues.
-
-        Args:
-            metadata: The request's metadata.
-            source: Where its turns were found.
-            turns: Number of turns.
-            size: Bytes of the turns.
-            took_s: Seconds that the search took.
-        """
-        self._metrics.conversation_loaded(source)
-        self._write(
-            "conversation loaded",
-            request=decode_id(metadata.request_id),
-            program=metadata.program,
-            previous=metadata.previous_turn,
-            source=source,
-            turns=turns,
-            size=size,
-            took_ms=round(took_s * 1000, 1),
-        )
-
-    def conversation_not_found(
-        self, metadata: RequestMetadata, result: TurnNotFound
-    ) -> None:
-        """Logs a conversation of which a turn is missing."""
-        self._metrics.conversation_loaded("not found")
-        self._write(
-            "conversation not found",
-            request=decode_id(metadata.request_id),
-            program=metadata.program,
-            previous=metadata.previous_turn,
-            missing=result.missing,
-            certain=result.certain,
-            store_replied=result.store_replied,
-            peers_replied=result.peers_replied,
-            peers_asked=result.peers_asked,
-        )
-
-    def turn_kept(
-        self,
-        metadata: RequestMetadata,
-        *,
-        how: str,
-        size: int,
-        took_s: float,
-    ) -> None:
-        """Logs a turn that was made durable.
-
-        Args:
-            metadata: The request's metadata.
-            how: How it was made durable.
-            size: Bytes of its input and output.
-            took_s: Seconds that the end of the response waited.
-        """
-        self._metrics.turn_kept(how)
-        self._write(
-            "turn kept",
-            request=decode_id(metadata.request_id),
-            program=metadata.program,
-            previous=metadata.previous_turn,
-            how=how,
-            size=size,
-            took_ms=round(took_s * 1000, 1),
-        )
-
-    def turn_not_kept(self, metadata: RequestMetadata, error: str) -> None:
-        """Logs an unexpected error while a turn was made durable."""
-        self._logger.error(
-            "keeping a turn failed",
-            request=decode_id(metadata.request_id),
-            error=error,
-        )
-
     def request_refused(
         self, request: str, *, status: int, version: int, reason: str
     ) -> None:
--- a/lycheestall/entry/entry_vm.py
+++ b/lycheestall/entry/entry_vm.py
@@ -11,7 +11,6 @@
 from ..polling import Poller
 from ..supervisor import Supervisor
 from .attempt_messages import AskLinks, SendAttempt
-from .attempt_relay import AttemptRelay
 from .configuration import CallerLimits
 from .configuration_relay import ConfigurationRelay
 from .conversation_service import ConversationService
@@ -20,13 +19,12 @@
 from .exchange import Exchange, RequestHandler
 from .failure_detector import MEMBER_CHECK_INTERVAL_S
 from .header_codec import HeaderCodec
-from .link_monitor import LinkMonitor
+from .link_service import LinkService
 from .members import Members
 from .outage import OutageMode
 from .peer_messages import PeerMessage, PeerReply
 from .peer_rpc import PeerClient, RelayingPeerHandler
 from .record_decoder import RecordDecoder
-from .relay_client import RelayClient
 from .relay_messages import AskConfiguration
 from .request_dependencies import RequestDependencies
 from .request_router import RequestRouter
@@ -183,33 +181,18 @@
             logger=logger,
             metrics=metrics,
         )
-        self._link_monitor = LinkMonitor(
-            table=self._targets.table,
-            pool_of=self._view.pool_of,
-            clock=reactor,
-            logger=logger,
-            metrics=metrics,
-        )
-        self._relay_client = RelayClient(
+        self._links = LinkService(
             holder=holder,
             settings=settings,
             members=members,
             peers=peers,
-            links=self._link_monitor.links,
-            headers=headers,
-            clock=reactor,
-        )
-        self._attempt_relay = AttemptRelay(
-            holder=holder,
-            table=self._targets.table,
-            chooser=self._targets.chooser,
-            monitor=self._link_monitor,
-            announcements=self._targets.announcements,
-            headers=headers,
+            targets=self._targets,
             pool_of=self._view.pool_of,
+            headers=headers,
             clock=reactor,
             log=self._log,
             logger=logger,
+            metrics=metrics,
             draining=lambda: self._draining,
         )
         dependencies = RequestDependencies(
@@ -219,8 +202,8 @@
             timeouts=self._targets.timeouts,
             permits=self._targets.permits,
             table=self._targets.table,
-            link_monitor=self._link_monitor,
-            relay=self._relay_client,
+            link_monitor=self._links.monitor,
+            relay=self._links.client,
             stream_origins=self._targets.stream_origins,
             announcements=self._targets.announcements,
             reservations=self.token_service.reservations,
@@ -243,14 +226,14 @@
     @property
     def running(self) -> int:
         """Number of requests in progress, those of peers included."""
-        return self._router.running + self._attempt_relay.running
+        return self._router.running + self._links.relaying
 
     @property
     def ready(self) -> bool:
         """Whether the VM accepts new callers."""
         if not self.loaded or self._draining:
             return False
-        return not self._isolated() and not self._relay_client.isolated
+        return not self._isolated() and not self._links.isolated
 
     def _isolated(self) -> bool:
         if not self._health.unavailable:
@@ -295,7 +278,7 @@
                 self.conversations.recorder.write_due,
                 TURN_RECORDS_S,
             ),
-            ("target links", self._check_links, LINK_CHECK_S),
+            ("target links", self._links.check, LINK_CHECK_S),
             ("shard sweep", self.conversations.sweep, SHARD_SWEEP_S),
         )
         for name, step, interval_s in pollers:
@@ -326,7 +309,7 @@
         """
         if self._draining or self._isolated():
             return True
-        return self._relay_client.isolated
+        return self._links.isolated
 
     def handle(self, exchange: Exchange) -> None:
         """Handles one request of a caller."""
@@ -340,7 +323,7 @@
         if reply is not None:
             return reply
         if isinstance(message, AskLinks):
-            return self._attempt_relay.report(message)
+            return self._links.report(message)
         if isinstance(message, AskConfiguration):
             relayed: Any = self._relay.answer(message)
             return cast("Deferred[PeerReply]", relayed)
@@ -350,7 +333,7 @@
 
     def relay_attempt(self, message: SendAttempt, exchange: Exchange) -> None:
         """Sends an attempt for a peer that has lost its link to the target."""
-        self._attempt_relay.handle(message, exchange)
+        self._links.relay_attempt(message, exchange)
 
     def _observed_state(self) -> DecisionContext:
         now = self._reactor.seconds()
@@ -377,14 +360,9 @@
         self._targets.table.store_recovered(now)
         self.token_service.refresh()
 
-    async def _check_links(self) -> None:
-        summary = self._link_monitor.check()
-        if summary.all_lost or summary.lost:
-            await self._relay_client.survey()
-
     async def _housekeeping(self) -> None:
         self._view.remove_expired()
-        self._link_monitor.remove_expired()
+        self._links.remove_expired()
         self._targets.stream_origins.versions.observe(
             self._view.targets_read_at
         )
--- a/lycheestall/entry/kept_turn.py
+++ b/lycheestall/entry/kept_turn.py
@@ -147,7 +147,7 @@
         return self._use(result, deps.clock.seconds() - started_at)
 
     def _use(self, result: LookupResult, took_s: float) -> TurnRefusal | None:
-        log = self._deps.log
+        log = self._deps.log.turns
         if isinstance(result, TurnNotFound):
             log.conversation_not_found(self._metadata, result)
             if result.certain:
@@ -187,7 +187,7 @@
         recorded = await deps.conversations.keep(
             turn, chain, self._metadata.program, give_up_at=give_up_at
         )
-        deps.log.turn_kept(
+        deps.log.turns.turn_kept(
             self._metadata,
             how="recorded" if recorded else "not recorded",
             size=len(turn.input) + len(turn.output),
@@ -196,7 +196,9 @@
         return recorded
 
     def _keeping_failed(self, failure: Failure) -> bool:
-        self._deps.log.turn_not_kept(self._metadata, failure.getTraceback())
+        self._deps.log.turns.turn_not_kept(
+            self._metadata, failure.getTraceback()
+        )
         return False
 
 
--- a/lycheestall/entry/link_monitor.py
+++ b/lycheestall/entry/link_monitor.py
@@ -47,9 +47,15 @@
         """Notes that the target has accepted a new connection."""
         self._monitor.links.connected(self._target, self._monitor.now())
 
-    def connect_failed(self) -> None:
-        """Notes that a new connection could not be opened."""
-        self._monitor.links.connect_failed(self._target, self._monitor.now())
+    def connect_failed(self, *, refused: bool) -> None:
+        """Notes that a new connection could not be opened.
+
+        Args:
+            refused: Whether it was refused; otherwise nothing was heard.
+        """
+        self._monitor.links.connect_failed(
+            self._target, self._monitor.now(), refused=refused
+        )
 
     def end(self) -> None:
         """Ends the use."""
@@ -114,7 +120,8 @@
         Returns:
             The links that don't work.
         """
-        for target in self.links.start_probes(self.now()):
+        registered = self._table.targets()
+        for target in self.links.start_probes(registered, self.now()):
             self._probe(target)
         summary = self.links.summary(self.now())
         if summary != self._logged:
--- a/lycheestall/entry/target_attempt.py
+++ b/lycheestall/entry/target_attempt.py
@@ -240,10 +240,9 @@
     def _not_connected(self, failure: Failure) -> None:
         if failure.check(CancelledError):
             return
-        self._link.connect_failed()
-        self._end(
-            NotSent(failure.getErrorMessage(), timed_out=is_timeout(failure))
-        )
+        timed_out = is_timeout(failure)
+        self._link.connect_failed(refused=not timed_out)
+        self._end(NotSent(failure.getErrorMessage(), timed_out=timed_out))
 
     def _break(self, reason: BreakReason) -> None:
         if self._connection is not None:
--- a/lycheestall/entry/target_links.py
+++ b/lycheestall/entry/target_links.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Collection
 from dataclasses import dataclass
 from enum import Enum
 
@@ -33,6 +33,10 @@
 CALM_PROBE_INTERVAL_S = 2.0
 """Seconds between probes of a link that works, to a target that is slow."""
 
+ALL_LOST_TARGETS = 4
+"""Links that have to be lost, while nothing is heard, before all count as
+lost; fewer if there are fewer targets."""
+
 LOST_VALID_S = 1.0
 """Seconds after a probe in which a link that it found lost counts as lost;
 longer than the interval between probes of a link that is in use."""
@@ -104,6 +108,8 @@
         probed_at: When the last probe started.
         wanted_at: When a request last wanted to use it.
         down_until: Until when the target counts as down.
+        refused: Whether it was lost by a connection that was refused;
+            otherwise nothing was heard.
     """
 
     state: LinkState = LinkState.UP
@@ -113,6 +119,7 @@
     probed_at: float = float("-inf")
     wanted_at: float = float("-inf")
     down_until: float = float("-inf")
+    refused: bool = False
 
     def silent_s(self, now: float) -> float:
         """Returns for how long a response has been due and nothing came."""
@@ -127,6 +134,7 @@
 
     def __init__(self) -> None:
         self._by_target: dict[TargetId, _Link] = {}
+        self._registered = 0
         self._any_heard_at = float("-inf")
         self._suspected_at = float("-inf")
         self._round_at = float("-inf")
@@ -199,13 +207,24 @@
     def connected(self, target: TargetId, now: float) -> None:
         """Notes that a target has accepted a new connection."""
         self.heard(target, now)
-        self._by_target[target].state = LinkState.UP
+        link = self._by_target[target]
+        link.state = LinkState.UP
+        link.refused = False
         self.all_lost = False
 
-    def connect_failed(self, target: TargetId, now: float) -> None:
-        """Notes that a new connection to a target could not be opened."""
+    def connect_failed(
+        self, target: TargetId, now: float, *, refused: bool
+    ) -> None:
+        """Notes that a new connection to a target could not be opened.
+
+        Args:
+            target: The target.
+            now: Current time.
+            refused: Whether it was refused; otherwise nothing was heard.
+        """
         link = self._link(target)
         link.state = LinkState.LOST
+        link.refused = refused
         link.probed_at = now
         self._check_all_lost(now)
 
@@ -228,6 +247,7 @@
         if not refused:
             self._suspected_at = link.probed_at
         link.state = LinkState.LOST
+        link.refused = refused
         self._check_all_lost(now)
 
     def target_down(self, target: TargetId, now: float) -> None:
@@ -237,12 +257,20 @@
     def is_silent(self, target: TargetId, now: float) -> bool:
         """Returns whether a lost link has been silent since its probe."""
         link = self._by_target.get(target)
-        if link is None or self.is_up(target, now):
+        if link is None or link.refused or self.is_up(target, now):
             return False
         return link.heard_at < self._suspected_at
 
-    def start_probes(self, now: float) -> list[TargetId]:
-        """Returns the targets whose links are to be probed from now on."""
+    def start_probes(
+        self, registered: Collection[TargetId], now: float
+    ) -> list[TargetId]:
+        """Returns the targets whose links are to be probed from now on.
+
+        Args:
+            registered: All registered targets.
+            now: Current time.
+        """
+        self._registered = len(registered)
         self._check_all_lost(now)
         if self.all_lost:
             if now - self._round_at < PROBE_INTERVAL_S:
@@ -256,18 +284,20 @@
         ]
         due.sort()
         targets = [target for _, target in due[:MAX_PROBES_AT_ONCE]]
+        if all_silent or self._may_have_lost_all(now):
+            targets += self._not_heard(registered, targets, now)
+            del targets[MAX_PROBES_AT_ONCE:]
         for target in targets:
-            link = self._by_target[target]
+            link = self._link(target)
             link.probed_at = now
             if link.state is LinkState.UP:
                 link.state = LinkState.DOUBTFUL
         return targets
 
-    def keep_only(self, targets: Iterable[TargetId]) -> None:
+    def keep_only(self, targets: Collection[TargetId]) -> None:
         """Forgets targets that are no longer registered."""
-        kept = set(targets)
         for target in list(self._by_target):
-            if target not in kept:
+            if target not in targets:
                 self.forget(target)
 
     def forget(self, target: TargetId) -> None:
@@ -308,15 +338,43 @@
             silent += link.silent_s(now) >= ALL_SILENT_S
         return silent >= MIN_SILENT_TARGETS
 
+    def _may_have_lost_all(self, now: float) -> bool:
+        if self.all_lost or now - self._any_heard_at < ALL_SILENT_S:
+            return False
+        return self._count_lost(now) >= MIN_SILENT_TARGETS
+
+    def _not_heard(
+        self,
+        registered: Collection[TargetId],
+        probed: Collection[TargetId],
+        now: float,
+    ) -> list[TargetId]:
+        # Other targets tell the loss of all links from that of some.
+        candidates: list[tuple[float, TargetId]] = []
+        for target in registered:
+            link = self._by_target.get(target, _Link())
+            if target in probed or link.state is not LinkState.UP:
+                continue
+            if now - link.heard_at < ALL_SILENT_S:
+                continue
+            if now - link.probed_at < PROBE_INTERVAL_S:
+                continue
+            candidates.append((-link.heard_at, target))
+        return [target for _, target in sorted(candidates)]
+
     def _check_all_lost(self, now: float) -> None:
         if self.all_lost or now - self._any_heard_at < ALL_SILENT_S:
             return
+        needed = min(ALL_LOST_TARGETS, self._registered)
+        if self._count_lost(now) >= needed > 0:
+            self.all_lost = True
+
+    def _count_lost(self, now: float) -> int:
         lost = 0
         for link in self._by_target.values():
             is_recent = now - link.probed_at < LOST_VALID_S
             lost += is_recent and link.state is LinkState.LOST
-        if lost >= min(MIN_SILENT_TARGETS, len(self._by_target)) > 0:
-            self.all_lost = True
+        return lost
 
     def _link(self, target: TargetId) -> _Link:
         return self._by_target.setdefault(target, _Link())
--- a/lycheestall/entry/target_table.py
+++ b/lycheestall/entry/target_table.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from dataclasses import dataclass
 
 from ..ids import SoftwareVersion, TargetId, ZoneId
@@ -183,9 +184,9 @@
             if registration.software_version == software_version
         ]
 
-    def targets(self) -> set[TargetId]:
+    def targets(self) -> Collection[TargetId]:
         """Returns all registered targets."""
-        return set(self._by_id)
+        return self._by_id.keys()
 
     def services(self) -> set[ServiceId]:
         """Returns the services that have registered targets."""
--- a/tests/entry/fleet.py
+++ b/tests/entry/fleet.py
@@ -20,13 +20,13 @@
 from lycheestall.entry.vm_settings import Address
 from lycheestall.logs import get_logger
 from tests.entry.entry_vm_harness import EntryVmHarness
+from tests.entry.fake_links import TargetLink
 from tests.entry.fake_network import (
     FakeReactor,
     FakeTarget,
     FakeTransport,
     RecordingCaller,
     RequestCallback,
-    TargetLink,
     VmReactor,
 )
 from tests.entry.memory_store import MemoryLog
--- a/tests/entry/test_lost_links.py
+++ b/tests/entry/test_lost_links.py
@@ -7,11 +7,8 @@
 import pytest
 
 from tests.entry.entry_vm_harness import status_of
-from tests.entry.fake_network import (
-    LinkFault,
-    ReceivedRequest,
-    RecordingCaller,
-)
+from tests.entry.fake_links import LinkFault
+from tests.entry.fake_network import ReceivedRequest, RecordingCaller
 from tests.entry.fleet import Fleet
 
 VMS = 6
