Blame no request for the reset of a VM's links

Cause: a request whose connection is reset counts as one that crashes its target. The same class of fault: what a link did is held against what is at its end. If connections to targets that this request has not lost were reset as well, idle ones included, the link is to blame. The VM that carries an attempt reports for it.

--- a/lycheestall/entry/attempt_feedback.py
+++ b/lycheestall/entry/attempt_feedback.py
@@ -14,13 +14,11 @@
     Unreachable,
     WholeAnswer,
 )
-from .http_client_connection import BreakReason
+from .http_client_connection import CONNECTION_LOST, BreakReason
 from .request_dependencies import RequestDependencies
 
 __all__ = ["AttemptFeedback"]
 
-_CONNECTION_LOST = (BreakReason.CLOSED, BreakReason.RESET)
-
 
 class AttemptFeedback:
     """Reports the outcomes of one request's attempts.
@@ -38,12 +36,12 @@
     ) -> None:
         self._deps = deps
         self._route_name = route_name
-        self._fingerprint = fingerprint
+        self.fingerprint = fingerprint
 
     @property
     def crashes_targets(self) -> bool:
         """Whether the request is blocked because it crashes targets."""
-        return self._deps.is_blocked(self._fingerprint)
+        return self._deps.is_blocked(self.fingerprint)
 
     def record_outcome(
         self,
@@ -53,6 +51,7 @@
         started_at: float,
         first_event_at: float | None,
         deadline_passed: bool,
+        relayed: bool,
     ) -> None:
         """Reports the outcome of an attempt.
 
@@ -62,6 +61,7 @@
             started_at: When the attempt started.
             first_event_at: When the first event arrived, if any did.
             deadline_passed: Whether the request's deadline has passed.
+            relayed: Whether a peer has sent it, which then reports crashes.
         """
         chooser = self._deps.chooser
         now: float = self._deps.clock.seconds()
@@ -76,8 +76,10 @@
             if outcome.reason is BreakReason.OVERDUE:
                 self._record_no_response(target, now - started_at, now)
                 self._deps.timeouts.record_retry()
-            elif outcome.reason in _CONNECTION_LOST:
-                self._deps.report_crash(self._fingerprint)
+            elif outcome.reason in CONNECTION_LOST and not relayed:
+                self._deps.crash_reporter.connection_lost(
+                    target, self.fingerprint
+                )
         elif isinstance(outcome, Stopped):
             if outcome.sent and first_event_at is None:
                 self._record_no_response(target, now - started_at, now)
--- a/lycheestall/entry/attempt_messages.py
+++ b/lycheestall/entry/attempt_messages.py
@@ -48,6 +48,7 @@
         url: Its path and query.
         headers: Its headers; the deadline in them is replaced.
         body: Its body.
+        fingerprint: Identifies the request in crash reports.
         is_stream: Whether a successful response is forwarded as it arrives.
         may_repeat: Whether the peer ends the attempt if it loses its own
             link; otherwise the response is waited for.
@@ -63,6 +64,7 @@
     url: bytes
     headers: tuple[Header, ...]
     body: bytes
+    fingerprint: str
     is_stream: bool
     may_repeat: bool
     remaining_s: float
@@ -126,6 +128,7 @@
         message.url,
         _encode_headers(message.headers),
         message.body,
+        message.fingerprint,
         message.is_stream,
         message.may_repeat,
         message.remaining_s,
--- a/lycheestall/entry/attempt_relay.py
+++ b/lycheestall/entry/attempt_relay.py
@@ -14,14 +14,17 @@
 from .attempt_messages import AskLinks, AttemptResult, LinkReport, SendAttempt
 from .attempt_outcomes import (
     AttemptOutcome,
+    Broken,
     NotSent,
     StreamEnded,
     Unreachable,
 )
 from .connection_pool import ConnectionPool
+from .crash_reporter import CrashReporter
 from .decision_log import DecisionLog
 from .exchange import Exchange
 from .header_codec import HeaderCodec
+from .http_client_connection import CONNECTION_LOST
 from .http_messages import Header, ResponseHead, encode_request
 from .link_monitor import LinkMonitor
 from .message_metadata import RequestMetadata
@@ -57,6 +60,7 @@
         monitor: Knows which links work.
         announcements: Takes note of what targets say about themselves.
         headers: Parses and writes headers.
+        crash_reporter: Reports requests that crash targets.
         pool_of: Returns the connection pool of a target.
         clock: Times the attempts.
         log: Logs them.
@@ -76,6 +80,7 @@
         monitor: LinkMonitor,
         announcements: TargetAnnouncements,
         headers: HeaderCodec,
+        crash_reporter: CrashReporter,
         pool_of: Callable[[TargetRegistration], ConnectionPool],
         clock: Clock,
         log: DecisionLog,
@@ -88,6 +93,7 @@
         self._monitor = monitor
         self._announcements = announcements
         self._headers = headers
+        self._crash_reporter = crash_reporter
         self._pool_of = pool_of
         self._clock = clock
         self._log = log
@@ -154,6 +160,10 @@
                 timer.cancel()
             self._chooser.request_ended(registration.target)
             link.end()
+        if isinstance(outcome, Broken) and outcome.reason in CONNECTION_LOST:
+            self._crash_reporter.connection_lost(
+                registration.target, message.fingerprint
+            )
         if isinstance(outcome, NotSent):
             # Whether the target is down is for the VM that asks to decide.
             all_lost = self._monitor.links.all_lost
--- a/lycheestall/entry/attempt_runner.py
+++ b/lycheestall/entry/attempt_runner.py
@@ -304,6 +304,7 @@
             started_at=self._started_at,
             first_event_at=first_event_at,
             deadline_passed=deadline_passed,
+            relayed=self.relayed_by is not None,
         )
 
     def _report_overdue(self, registration: TargetRegistration) -> None:
@@ -341,6 +342,7 @@
             url=request.url,
             headers=tuple(headers),
             body=self._body(),
+            fingerprint=self._feedback.fingerprint,
             is_stream=self._forwarder is not None,
             may_repeat=self._may_repeat(),
             remaining_s=self._target_request.remaining_s,
--- a/lycheestall/entry/entry_vm.py
+++ b/lycheestall/entry/entry_vm.py
@@ -14,6 +14,7 @@
 from .configuration import CallerLimits
 from .configuration_relay import ConfigurationRelay
 from .conversation_service import ConversationService
+from .crash_reporter import CrashReporter
 from .decision_log import DecisionContext, DecisionLog
 from .entry_metrics import EntryMetrics
 from .exchange import Exchange, RequestHandler
@@ -157,6 +158,9 @@
             logger=logger,
             relay=self._relay,
             members_known=lambda: self.token_service.loaded,
+            on_idle_reset=lambda target: self._crash_reporter.connection_lost(
+                target, None
+            ),
         )
         self.token_service = TokenService(
             holder=holder,
@@ -181,6 +185,9 @@
             logger=logger,
             metrics=metrics,
         )
+        self._crash_reporter = CrashReporter(
+            reactor, self.token_service.writer.report_crash
+        )
         self._links = LinkService(
             holder=holder,
             settings=settings,
@@ -190,6 +197,7 @@
             pool_of=self._view.pool_of,
             headers=headers,
             clock=reactor,
+            crash_reporter=self._crash_reporter,
             log=self._log,
             logger=logger,
             metrics=metrics,
@@ -207,7 +215,7 @@
             stream_origins=self._targets.stream_origins,
             announcements=self._targets.announcements,
             reservations=self.token_service.reservations,
-            report_crash=self.token_service.writer.report_crash,
+            crash_reporter=self._crash_reporter,
             is_blocked=self.token_service.crashes.is_blocked,
             pool_of=self._view.pool_of,
             log=self._log,
--- a/lycheestall/entry/http_client_connection.py
+++ b/lycheestall/entry/http_client_connection.py
@@ -8,14 +8,19 @@
 from typing import Any
 
 import httptools
-from twisted.internet.error import ConnectionDone
+from twisted.internet.error import ConnectionDone, ConnectionLost
 from twisted.internet.protocol import Protocol
 from twisted.python.failure import Failure
 
 from ..logs import get_logger
 from .http_messages import Header, ResponseHead
 
-__all__ = ["BreakReason", "HttpClientConnection", "ResponseReceiver"]
+__all__ = [
+    "CONNECTION_LOST",
+    "BreakReason",
+    "HttpClientConnection",
+    "ResponseReceiver",
+]
 
 UNACKNOWLEDGED_MS = 1500
 """Milliseconds that sent data may remain unacknowledged before the kernel
@@ -54,6 +59,10 @@
     LINK_LOST = "link lost"
 
 
+CONNECTION_LOST = (BreakReason.CLOSED, BreakReason.RESET)
+"""Reasons for which the peer may have crashed."""
+
+
 class ResponseReceiver(ABC):
     """Callbacks for the parts of one response."""
 
@@ -87,6 +96,7 @@
         idle_since: When the last response ended; set by the pool.
         idle_timeout_s: Idle timeout announced by the peer, if any.
         on_lost: Called with the connection when it is closed.
+        was_reset: Whether the peer has reset it, or no longer answered.
     """
 
     transport: Any
@@ -96,6 +106,7 @@
         self.idle_since = 0.0
         self.idle_timeout_s: float | None = None
         self.on_lost: Any = None
+        self.was_reset = False
         self._parser = httptools.HttpResponseParser(self)
         self._receiver: ResponseReceiver | None = None
         self._headers: list[Header] = []
@@ -184,6 +195,9 @@
         """Ends the response in progress."""
         self._lost = True
         self.reusable = False
+        self.was_reset = reason is not None and bool(
+            reason.check(ConnectionLost)
+        )
         if self.on_lost is not None:
             self.on_lost(self)
         receiver = self._receiver
--- a/lycheestall/entry/link_service.py
+++ b/lycheestall/entry/link_service.py
@@ -9,6 +9,7 @@
 from .attempt_messages import AskLinks, LinkReport, SendAttempt
 from .attempt_relay import AttemptRelay
 from .connection_pool import ConnectionPool
+from .crash_reporter import CrashReporter
 from .decision_log import DecisionLog
 from .entry_metrics import EntryMetrics
 from .exchange import Exchange
@@ -36,6 +37,7 @@
         targets: What is known of the targets.
         pool_of: Returns the connection pool of a target.
         headers: Parses and writes headers.
+        crash_reporter: Reports requests that crash targets.
         clock: Time source.
         log: Logs decisions about requests.
         logger: Logs what concerns no request.
@@ -57,6 +59,7 @@
         targets: TargetService,
         pool_of: Callable[[TargetRegistration], ConnectionPool],
         headers: HeaderCodec,
+        crash_reporter: CrashReporter,
         clock: Any,
         log: DecisionLog,
         logger: Logger,
@@ -86,6 +89,7 @@
             monitor=self.monitor,
             announcements=targets.announcements,
             headers=headers,
+            crash_reporter=crash_reporter,
             pool_of=pool_of,
             clock=clock,
             log=log,
--- a/lycheestall/entry/request_dependencies.py
+++ b/lycheestall/entry/request_dependencies.py
@@ -9,6 +9,7 @@
 from .attempt_timeouts import AttemptTimeouts
 from .connection_pool import ConnectionPool
 from .conversation_service import ConversationService
+from .crash_reporter import CrashReporter
 from .decision_log import DecisionLog
 from .header_codec import HeaderCodec
 from .link_monitor import LinkMonitor
@@ -39,8 +40,8 @@
         stream_origins: Knows which software versions began streams.
         announcements: Takes note of what targets say about themselves.
         reservations: Reserves and settles the tokens of turns.
-        report_crash: Reports the fingerprint of a request whose target
-            was lost while running it.
+        crash_reporter: Reports requests whose targets crash while running
+            them.
         is_blocked: Returns whether a request, given its fingerprint, is
             blocked because it crashes targets.
         pool_of: Returns the connection pool of a target.
@@ -61,7 +62,7 @@
     stream_origins: StreamOriginService
     announcements: TargetAnnouncements
     reservations: TurnReservations
-    report_crash: Callable[[str], object]
+    crash_reporter: CrashReporter
     is_blocked: Callable[[str], bool]
     pool_of: Callable[[TargetRegistration], ConnectionPool]
     log: DecisionLog
--- a/lycheestall/entry/store_view.py
+++ b/lycheestall/entry/store_view.py
@@ -50,6 +50,8 @@
         logger: Logs changes.
         relay: Passes configurations on within the zone.
         members_known: Returns whether the zone's other VMs are known.
+        on_idle_reset: Called with a target that has reset an idle
+            connection.
     """
 
     def __init__(
@@ -64,7 +66,9 @@
         logger: Logger,
         relay: ConfigurationRelay,
         members_known: Callable[[], bool],
+        on_idle_reset: Callable[[TargetId], None],
     ) -> None:
+        self._on_idle_reset = on_idle_reset
         self._relay = relay
         self._members_known = members_known
         self._configuration_record: KeyedRecord | None = None
@@ -150,6 +154,7 @@
                 registration.host,
                 registration.port,
                 connect_timeout_s=CONNECT_TIMEOUT_S,
+                on_idle_reset=lambda: self._on_idle_reset(process.target),
             )
             self._pool_by_process[process] = pool
         return pool
--- a/tests/entry/fake_links.py
+++ b/tests/entry/fake_links.py
@@ -51,7 +51,8 @@
         if fault is LinkFault.RESET:
             for transport in self._connections:
                 if self.fault_to(transport.host) is not None:
-                    transport.abortConnection()
+                    assert transport.peer is not None
+                    transport.peer.abortConnection()
 
     def fault_to(self, host: str) -> LinkFault | None:
         """Returns how the link to a target fails, None if it works."""
--- a/tests/entry/test_lost_links.py
+++ b/tests/entry/test_lost_links.py
@@ -275,6 +275,26 @@
     assert sent - served <= TOLERATED_FAILURE_SHARE * sent
 
 
+# Guards against blaming a request for the reset of its VM's links, after
+# which every VM refuses it as one that crashes targets.
+def test_no_request_is_blamed_for_links_that_are_reset(
+    fleet: Fleet, callers: Callers
+) -> None:
+    for _ in range(4):
+        for vm in range(4):
+            fleet.send("/maps/same", vm=vm)
+        fleet.reactor.run(0.02)
+        for vm in range(4):
+            fleet.link_by_vm[vm].cut(LinkFault.RESET)
+        fleet.reactor.run(0.5)
+        for vm in range(4):
+            fleet.link_by_vm[vm].heal()
+        callers.send_for(1.5)
+    answer = fleet.send("/maps/same", vm=5)
+    fleet.reactor.run(1.0)
+    assert is_whole(answer)
+
+
 # Guards against a VM that starts without links and never finds out.
 def test_a_vm_that_restarts_inside_the_cut_serves_through_peers(
     fleet: Fleet, callers: Callers
--- a/tests/entry/test_relay_peers.py
+++ b/tests/entry/test_relay_peers.py
@@ -174,6 +174,7 @@
             url=b"/orders/1?x=%20",
             headers=((b"X-Any", b"\xff"),),
             body=b"\x00\xff",
+            fingerprint="f",
             is_stream=True,
             may_repeat=False,
             remaining_s=1.5,
