--- a/lycheestall/entry/link_monitor.py
+++ b/lycheestall/entry/link_monitor.py
@@ -9,6 +9,7 @@
 
 from ..ids import TargetId
 from ..logs import Logger
+from ._log_fields import milliseconds
 from .connection_pool import ConnectionPool, is_timeout
 from .entry_metrics import EntryMetrics
 from .target_links import LinkSummary, TargetLinks
@@ -165,7 +166,9 @@
     def _log_change(self, summary: LinkSummary) -> None:
         before, self._logged = self._logged, summary
         lost = sorted(set(summary.lost) - set(before.lost))
-        restored = sorted(set(before.lost) - set(summary.lost))
+        restored: list[TargetId] = []
+        if not summary.all_lost:
+            restored = sorted(set(before.lost) - set(summary.lost))
         contact = self.links.contact(TargetId(""), self.now())
         self._logger.info(
             "target links",
@@ -173,7 +176,7 @@
             lost=lost[:MAX_LOGGED_TARGETS],
             restored=restored[:MAX_LOGGED_TARGETS],
             lost_now=len(summary.lost),
-            targets_heard_ms=round(min(contact.any_s, 1e6) * 1000),
+            targets_heard_ms=milliseconds(contact.any_s),
         )
         self._metrics.set_gauge(
             "lost_target_links",
--- a/lycheestall/entry/target_links.py
+++ b/lycheestall/entry/target_links.py
@@ -88,7 +88,7 @@
 
     Attributes:
         all_lost: Whether no target is reached.
-        lost: Targets whose own link is known to be lost, sorted.
+        lost: Targets whose own link is lost while others work, sorted.
     """
 
     all_lost: bool = False
@@ -168,15 +168,17 @@
 
     def summary(self, now: float) -> LinkSummary:
         """Returns the links that don't work."""
+        if self.all_lost:
+            return LinkSummary(all_lost=True)
         lost = [
             target
             for target, link in self._by_target.items()
             if link.state is LinkState.LOST
             and now - link.probed_at <= LOST_VALID_S
         ]
-        if not lost and not self.all_lost:
+        if not lost:
             return LinkSummary()
-        return LinkSummary(self.all_lost, tuple(sorted(lost)))
+        return LinkSummary(lost=tuple(sorted(lost)))
 
     def want(self, target: TargetId, now: float) -> None:
         """Notes that a request is for a target, whatever way it takes."""
