--- a/lycheestall/entry/attempt_relay.py
+++ b/lycheestall/entry/attempt_relay.py
@@ -44,7 +44,7 @@
 
 _RESULT_HEADERS: tuple[Header, ...] = (
     (b"Content-Type", b"application/cbor"),
-    (RELAYED_HEADER, RelayedKind.RESULT),
+    (RELAYED_HEADER, RelayedKind.RESULT.value),
 )
 
 
@@ -247,7 +247,7 @@
     def start_attempt(self, head: ResponseHead, headers: list[Header]) -> None:
         """Forwards the head."""
         self._exchange.start(
-            head.status, [*headers, (RELAYED_HEADER, RelayedKind.STREAM)]
+            head.status, [*headers, (RELAYED_HEADER, RelayedKind.STREAM.value)]
         )
 
     def feed(self, data: bytes) -> bool:
--- a/lycheestall/entry/attempt_runner.py
+++ b/lycheestall/entry/attempt_runner.py
@@ -128,6 +128,7 @@
         target = admission.registration.target
         now = self._deps.clock.seconds()
         links.want(target, now)
+        # Peers have just said so; only the target itself is asked again.
         known_down = links.is_down(target, now)
         if known_down and links.is_silent(target, now):
             return NotSent("no peer has reached the target")
@@ -136,7 +137,7 @@
             direct = await self._send_directly(admission, can_retry_elsewhere)
             if not isinstance(direct, NotSent):
                 return direct
-            if known_down or self._is_down(direct):
+            if known_down or self._seems_down(direct):
                 return direct
         relayed = await self._send_through_peers(
             admission, can_retry_elsewhere
@@ -154,10 +155,10 @@
             return direct or NotSent(relayed.reason)
         return direct or relayed
 
-    def _is_down(self, outcome: NotSent) -> bool:
-        # A connection that is refused is worth a question to a peer, which
-        # costs little. One that has timed out has cost enough to go to
-        # another target at once, if others are heard.
+    def _seems_down(self, outcome: NotSent) -> bool:
+        # After a refused connection, asking a peer costs little. One that
+        # timed out has cost enough: if other targets are heard, the request
+        # goes to one of them at once.
         if not outcome.timed_out:
             return False
         registration = self.registration
--- a/lycheestall/entry/relayed_attempt.py
+++ b/lycheestall/entry/relayed_attempt.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from enum import Enum
 
 from twisted.internet.defer import CancelledError, Deferred
 from twisted.python.failure import Failure
@@ -37,8 +38,8 @@
 """Largest result; it holds a target's whole answer."""
 
 
-class RelayedKind:
-    """Values of the header that says what a peer's reply holds.
+class RelayedKind(Enum):
+    """What a peer's reply holds, as its header says.
 
     Attributes:
         STREAM: The target's stream, as it arrives.
@@ -80,7 +81,8 @@
         self._connection: HttpClientConnection | None = None
         self._connecting: Deferred[HttpClientConnection] | None = None
         self._build: Callable[[], bytes | None] | None = None
-        self._kind: bytes | None = None
+        self._kind: RelayedKind | None = None
+        self._started = False
         self._result: list[bytes] = []
         self._result_bytes = 0
         self._ended = False
@@ -107,7 +109,7 @@
 
     def time_out(self) -> None:
         """Ends the attempt unless the response has started."""
-        if self._ended or self._kind is not None:
+        if self._ended or self._started:
             return
         self._disconnect()
         self.peer_failed = not self.sent
@@ -118,8 +120,9 @@
 
     def response_started(self, head: ResponseHead) -> bool:
         """Handles the head of the peer's reply."""
+        self._started = True
         headers, self._kind = _take_kind(head.headers)
-        if self._kind != RelayedKind.STREAM or self._sink is None:
+        if self._kind is not RelayedKind.STREAM or self._sink is None:
             return True
         target_head = ResponseHead(
             head.status, tuple(headers), head.framed, head.keep_alive
@@ -134,7 +137,7 @@
         """Forwards a part of the stream, or buffers the result."""
         if self._ended:
             return
-        if self._kind == RelayedKind.STREAM and self._sink is not None:
+        if self._kind is RelayedKind.STREAM and self._sink is not None:
             if not self._sink.feed(data):
                 self._break(BreakReason.MALFORMED)
             return
@@ -149,7 +152,7 @@
             return
         if self._connection is not None:
             self._pool.release(self._connection)
-        if self._kind == RelayedKind.STREAM and self._sink is not None:
+        if self._kind is RelayedKind.STREAM and self._sink is not None:
             if self._sink.complete:
                 self._end(StreamEnded())
             else:
@@ -160,11 +163,11 @@
     def response_failed(self, reason: BreakReason) -> None:
         """Ends the attempt without a complete reply."""
         self.peer_failed = True
-        self._end(Broken(reason, response_started=self._kind is not None))
+        self._end(Broken(reason, response_started=self._started))
 
     def _decode_result(self) -> AttemptOutcome:
         malformed = Broken(BreakReason.MALFORMED, response_started=False)
-        if self._kind != RelayedKind.RESULT:
+        if self._kind is not RelayedKind.RESULT:
             return malformed
         try:
             message = decode(b"".join(self._result))
@@ -220,12 +223,12 @@
 
 def _take_kind(
     headers: tuple[Header, ...],
-) -> tuple[list[Header], bytes]:
-    kind = b""
+) -> tuple[list[Header], RelayedKind | None]:
+    kind: RelayedKind | None = None
     rest: list[Header] = []
     for name, value in headers:
-        if name.lower() == RELAYED_HEADER:
-            kind = value
-        else:
+        if name.lower() != RELAYED_HEADER:
             rest.append((name, value))
+            continue
+        kind = next((k for k in RelayedKind if k.value == value), None)
     return rest, kind
