Let the soak's proxies listen on their port again after they refused

Cause: a Twisted port that listens again takes a new number if it was opened with number 0, so a VM's links to the targets stayed lost for the rest of the run. Change: the port keeps its number.

--- a/tests/soak/loopback_proxy.py
+++ b/tests/soak/loopback_proxy.py
@@ -54,6 +54,8 @@
         self._connections: set[_Downstream] = set()
         self._listening = reactor.listenTCP(0, self, interface="127.0.0.1")
         self.port: int = self._listening.getHost().port
+        # It listens on the same port again after it has refused connections.
+        self._listening.port = self.port
 
     def set_mode(self, mode: ProxyMode) -> None:
         """Changes the mode, also for the open connections."""
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -8,8 +8,11 @@
 from typing import Any
 
 import pytest
+from twisted.internet.protocol import Factory, Protocol
 
 from lycheestall.clock import sleep
+from lycheestall.entry.connection_pool import ConnectionPool
+from tests.soak.loopback_proxy import LoopbackProxy, ProxyMode
 from tests.soak.soak import MAX_TURN_TOKENS, Soak
 from tests.soak.soak_conversations import SoakConversations
 from tests.soak.soak_streams import SoakStream
@@ -37,6 +40,30 @@
     soak.close()
 
 
+# Guards against links that stay lost for the rest of a run.
+def test_a_proxy_that_refused_connections_accepts_them_again(
+    reactor: Any, run: Run
+) -> None:
+    server = reactor.listenTCP(
+        0, Factory.forProtocol(Protocol), interface="127.0.0.1"
+    )
+    proxy = LoopbackProxy(reactor, server.getHost().port)
+
+    async def connect() -> None:
+        proxy.set_mode(ProxyMode.CUT)
+        await sleep(reactor, 0.05)
+        proxy.set_mode(ProxyMode.PASS)
+        pool = ConnectionPool(
+            reactor, "127.0.0.1", proxy.port, connect_timeout_s=1.0
+        )
+        await pool.probe(timeout_s=1.0)
+        pool.close()
+
+    run(connect())
+    proxy.stop()
+    server.stopListening()
+
+
 def test_a_kept_turn_that_is_never_found_is_reported(
     reactor: Any, run: Run
 ) -> None:
