--- a/lycheestall/entry/attempt_runner.py
+++ b/lycheestall/entry/attempt_runner.py
@@ -20,6 +20,7 @@
 from .peer_rpc import encode_call
 from .relay_client import MAX_PEERS_ASKED
 from .request_dependencies import RequestDependencies
+from .retry_policy import NextStep
 from .stream_forwarder import StreamForwarder
 from .target_admission import Admission
 from .target_attempt import TargetAttempt
@@ -121,6 +122,23 @@
         self._attempt.stop()
         return True
 
+    def log_failed(self, outcome: AttemptOutcome, next_step: NextStep) -> None:
+        """Logs the last attempt, which gave no final response."""
+        deps = self._deps
+        registration = self.registration
+        assert registration is not None
+        deps.log.attempt_failed(
+            self._metadata,
+            registration,
+            outcome,
+            next_step=next_step,
+            contact=deps.link_monitor.links.contact(
+                registration.target, deps.clock.seconds()
+            ),
+            new_connection=self.new_connection,
+            relayed_by=self.relayed_by,
+        )
+
     async def _send(
         self, admission: Admission, *, can_retry_elsewhere: bool
     ) -> AttemptOutcome:
--- a/lycheestall/entry/relayed_attempt.py
+++ b/lycheestall/entry/relayed_attempt.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable
 from enum import Enum
 
-from twisted.internet.defer import CancelledError, Deferred
 from twisted.python.failure import Failure
 
 from .attempt import Attempt, StreamSink
@@ -13,8 +12,6 @@
 from .attempt_outcomes import (
     AttemptOutcome,
     Broken,
-    PermitExpired,
-    Stopped,
     StreamEnded,
     Unreachable,
 )
@@ -22,8 +19,6 @@
 from .header_codec import HeaderCodec
 from .http_client_connection import (
     BreakReason,
-    HttpClientConnection,
-    ResponseReceiver,
 )
 from .http_messages import Header, ResponseHead
 from .message_metadata import ResponseMetadata
@@ -50,7 +45,7 @@
     RESULT = b"result"
 
 
-class RelayedAttempt(Attempt, ResponseReceiver):
+class RelayedAttempt(Attempt):
     """One attempt that a peer sends to one target.
 
     Args:
@@ -73,54 +68,18 @@
         sink: StreamSink | None,
         on_response: Callable[[ResponseHead, ResponseMetadata], None],
     ) -> None:
-        super().__init__()
-        self._pool = pool
+        super().__init__(pool)
         self._headers = headers
         self._sink = sink
         self._on_response = on_response
-        self._connection: HttpClientConnection | None = None
-        self._connecting: Deferred[HttpClientConnection] | None = None
-        self._build: Callable[[], bytes | None] | None = None
         self._kind: RelayedKind | None = None
-        self._started = False
         self._result: list[bytes] = []
         self._result_bytes = 0
-        self._ended = False
         self.peer_failed = False
 
-    def start(self, build: Callable[[], bytes | None]) -> None:
-        """Acquires a connection to the peer and sends the message.
-
-        Args:
-            build: Encodes the message to the peer; called just before it is
-                sent. None if the permit to send the request has expired.
-        """
-        self._build = build
-        self._connecting = self._pool.acquire()
-        self.new_connection = not self._connecting.called
-        self._connecting.addCallbacks(self._connected, self._not_connected)
-
-    def stop(self) -> None:
-        """Cancels the attempt; the peer then stops it at the target."""
-        if self._ended:
-            return
-        self._disconnect()
-        self._end(Stopped(sent=self.sent))
-
-    def time_out(self) -> None:
-        """Ends the attempt unless the response has started."""
-        if self._ended or self._started:
-            return
-        self._disconnect()
-        self.peer_failed = not self.sent
-        if self.sent:
-            self._end(Broken(BreakReason.OVERDUE, response_started=False))
-        else:
-            self._end(Unreachable("no connection to the peer in time"))
-
     def response_started(self, head: ResponseHead) -> bool:
         """Handles the head of the peer's reply."""
-        self._started = True
+        self.started = True
         headers, self._kind = _take_kind(head.headers)
         if self._kind is not RelayedKind.STREAM or self._sink is None:
             return True
@@ -163,7 +122,7 @@
     def response_failed(self, reason: BreakReason) -> None:
         """Ends the attempt without a complete reply."""
         self.peer_failed = True
-        self._end(Broken(reason, response_started=self._started))
+        self._end(Broken(reason, response_started=self.started))
 
     def _decode_result(self) -> AttemptOutcome:
         malformed = Broken(BreakReason.MALFORMED, response_started=False)
@@ -185,40 +144,13 @@
     def _observe(self, head: ResponseHead) -> None:
         self._on_response(head, self._headers.parse_response_headers(head))
 
-    def _connected(self, connection: HttpClientConnection) -> None:
-        if self._ended or self._build is None:
-            self._pool.release(connection)
-            return
-        data = self._build()
-        if data is None:
-            self._pool.release(connection)
-            self._end(PermitExpired())
-            return
-        self._connection = connection
-        self.sent = True
-        connection.send(data, self)
-
-    def _not_connected(self, failure: Failure) -> None:
-        if failure.check(CancelledError):
-            return
+    def _connect_timed_out(self) -> AttemptOutcome:
         self.peer_failed = True
-        self._end(Unreachable(f"peer: {failure.getErrorMessage()}"))
-
-    def _disconnect(self) -> None:
-        if self._connection is not None:
-            self._connection.abort()
-        elif self._connecting is not None:
-            self._connecting.cancel()
+        return Unreachable("no connection to the peer in time")
 
-    def _break(self, reason: BreakReason) -> None:
-        self._disconnect()
-        self._end(Broken(reason, response_started=True))
-
-    def _end(self, outcome: AttemptOutcome) -> None:
-        if self._ended:
-            return
-        self._ended = True
-        self.outcome.callback(outcome)
+    def _connect_failed(self, failure: Failure) -> AttemptOutcome:
+        self.peer_failed = True
+        return Unreachable(f"peer: {failure.getErrorMessage()}")
 
 
 def _take_kind(
--- a/lycheestall/entry/request_processor.py
+++ b/lycheestall/entry/request_processor.py
@@ -260,7 +260,7 @@
                 ),
             )
             if isinstance(outcome, PermitExpired):
-                self._log_failed(registration, outcome, NextStep.ANY_TARGET)
+                self._attempts.log_failed(outcome, NextStep.ANY_TARGET)
                 continue
             self._history.record(registration.target, outcome)
             if isinstance(outcome, StreamEnded):
@@ -274,7 +274,7 @@
                 retry_safety=self._options.retry_safety,
                 max_attempts=self._route.max_attempts,
             )
-            self._log_failed(registration, outcome, step)
+            self._attempts.log_failed(outcome, step)
             if step is NextStep.GIVE_UP:
                 self._final.end_after_failure(outcome)
                 return
@@ -290,25 +290,6 @@
                 same_target = self._admission.get_usable(registration.target)
                 await self._sleep(SAME_TARGET_RETRY_DELAY_S)
 
-    def _log_failed(
-        self,
-        registration: TargetRegistration,
-        outcome: AttemptOutcome,
-        next_step: NextStep,
-    ) -> None:
-        now = self._deps.clock.seconds()
-        self._deps.log.attempt_failed(
-            self._metadata,
-            registration,
-            outcome,
-            next_step=next_step,
-            contact=self._deps.link_monitor.links.contact(
-                registration.target, now
-            ),
-            new_connection=self._attempts.new_connection,
-            relayed_by=self._attempts.relayed_by,
-        )
-
     def _waits_for_full_targets(self) -> bool:
         # A stream that has begun can't go on at any other target.
         if self._stream_version.required is None:
--- a/lycheestall/entry/target_attempt.py
+++ b/lycheestall/entry/target_attempt.py
@@ -4,7 +4,6 @@
 
 from collections.abc import Callable
 
-from twisted.internet.defer import CancelledError, Deferred
 from twisted.python.failure import Failure
 
 from .attempt import Attempt, StreamSink
@@ -14,8 +13,6 @@
     NotRun,
     NotRunReason,
     NotSent,
-    PermitExpired,
-    Stopped,
     StreamEnded,
     WholeAnswer,
 )
@@ -23,8 +20,6 @@
 from .header_codec import HeaderCodec
 from .http_client_connection import (
     BreakReason,
-    HttpClientConnection,
-    ResponseReceiver,
 )
 from .http_messages import ResponseHead
 from .link_monitor import LinkUse
@@ -41,7 +36,7 @@
 _MISDIRECTED_REQUEST = 421
 
 
-class TargetAttempt(Attempt, ResponseReceiver):
+class TargetAttempt(Attempt):
     """One attempt to send a request to one target.
 
     Args:
@@ -67,54 +62,17 @@
         on_response: Callable[[ResponseHead, ResponseMetadata], None],
         link: LinkUse,
     ) -> None:
-        super().__init__()
-        self._pool = pool
+        super().__init__(pool, is_head_request=is_head_request)
         self._on_response = on_response
         self._link = link
         self._headers = headers
         self._request_id = request_id
         self._forwarder = forwarder
-        self._is_head_request = is_head_request
-        self._connection: HttpClientConnection | None = None
-        self._connecting: Deferred[HttpClientConnection] | None = None
-        self._build_request: Callable[[], bytes | None] | None = None
         self._head: ResponseHead | None = None
         self._metadata: ResponseMetadata | None = None
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._streaming = False
-        self._ended = False
-
-    def start(self, build: Callable[[], bytes | None]) -> None:
-        """Acquires a connection and sends the request.
-
-        Args:
-            build: Encodes the request; called just before it is sent. None
-                if the permit to send it has expired.
-        """
-        self._build_request = build
-        self._connecting = self._pool.acquire()
-        self.new_connection = not self._connecting.called
-        self._connecting.addCallbacks(self._connected, self._not_connected)
-
-    def stop(self) -> None:
-        """Cancels the attempt and closes its connection at once."""
-        if self._ended:
-            return
-        self._disconnect()
-        self._end(Stopped(sent=self.sent))
-
-    def time_out(self) -> None:
-        """Ends the attempt unless the response has started."""
-        if self._ended or self._head is not None:
-            return
-        self._disconnect()
-        if self.sent:
-            self._end(Broken(BreakReason.OVERDUE, response_started=False))
-        else:
-            self._end(
-                NotSent("timed out waiting for a connection", timed_out=True)
-            )
 
     def link_lost(self, *, may_repeat: bool) -> None:
         """Ends the attempt because the link to the target is lost.
@@ -133,7 +91,7 @@
             self._end(
                 Broken(
                     BreakReason.LINK_LOST,
-                    response_started=self._head is not None,
+                    response_started=self.started,
                 )
             )
 
@@ -185,13 +143,7 @@
 
     def response_failed(self, reason: BreakReason) -> None:
         """Ends the attempt without a complete response."""
-        self._end(Broken(reason, response_started=self._head is not None))
-
-    def _disconnect(self) -> None:
-        if self._connection is not None:
-            self._connection.abort()
-        elif self._connecting is not None:
-            self._connecting.cancel()
+        self._end(Broken(reason, response_started=self.started))
 
     def _accept_without_id(
         self, head: ResponseHead, metadata: ResponseMetadata
@@ -205,6 +157,7 @@
     def _accept(self, head: ResponseHead, metadata: ResponseMetadata) -> None:
         self._head = head
         self._metadata = metadata
+        self.started = True
         self._on_response(head, metadata)
 
     def _classify_response(self) -> AttemptOutcome:
@@ -222,38 +175,17 @@
             return Broken(BreakReason.MALFORMED, response_started=True)
         return WholeAnswer(head, body)
 
-    def _connected(self, connection: HttpClientConnection) -> None:
-        if self.new_connection:
-            self._link.connected()
-        if self._ended or self._build_request is None:
-            self._pool.release(connection)
-            return
-        data = self._build_request()
-        if data is None:
-            self._pool.release(connection)
-            self._end(PermitExpired())
-            return
-        self._connection = connection
-        self.sent = True
-        connection.send(data, self, is_head_request=self._is_head_request)
+    def _connect_timed_out(self) -> AttemptOutcome:
+        return NotSent("timed out waiting for a connection", timed_out=True)
 
-    def _not_connected(self, failure: Failure) -> None:
-        if failure.check(CancelledError):
-            return
+    def _connect_failed(self, failure: Failure) -> AttemptOutcome:
         timed_out = is_timeout(failure)
         self._link.connect_failed(refused=not timed_out)
-        self._end(NotSent(failure.getErrorMessage(), timed_out=timed_out))
+        return NotSent(failure.getErrorMessage(), timed_out=timed_out)
 
-    def _break(self, reason: BreakReason) -> None:
-        if self._connection is not None:
-            self._connection.abort()
-        self._end(Broken(reason, response_started=True))
-
-    def _end(self, outcome: AttemptOutcome) -> None:
-        if self._ended:
-            return
-        self._ended = True
-        self.outcome.callback(outcome)
+    def _on_connected(self) -> None:
+        if self.new_connection:
+            self._link.connected()
 
 
 def _succeeded(head: ResponseHead, metadata: ResponseMetadata) -> bool:
