Show a budget exceeded by a decision on an outdated ledger

Claim: a deciding VM grants turns while the store is down by a copy of the ledger that may be up to 2 s old. What others recorded in those seconds is granted again.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,118 +1,82 @@
-"""A client sends two requests at once, each of which crashes its runner."""
+"""A deciding VM grants turns by a ledger that it has not read for a while."""
 
 from __future__ import annotations
 
 import asyncio
-import os
 import sys
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent.parent))
 
-from review.standins.http import ask  # noqa: E402
 from review.standins.machines import (  # noqa: E402
     Machine,
     Record,
     run_case,
 )
 from review.standins.programs import (  # noqa: E402
-    HOST,
-    PLAIN_SERVICE,
+    ENGINE_SERVICE,
+    Program,
     configure,
-    new_request_id,
 )
 from review.standins.runner import Runner  # noqa: E402
-from review.standins.store import Store  # noqa: E402
+from review.standins.store import Mode, Store  # noqa: E402
 
-RUNNERS = 9
-DOWN_S = 2.0
-"""Seconds after which a runner that has crashed is back."""
+ROUNDS = 5
+"""Outages; how old a machine's ledger is at their start is left to chance."""
 
-CRASH_AFTER_S = 0.01
-"""Seconds after it has begun to run a request at which the runner crashes."""
+PROGRAMS = 6
+"""New programs in each round."""
 
-BAD_URLS = ("/puxa403/bad1", "/puxa403/bad2")
-ROUNDS = 12
-ROUND_S = 2.5
-STABLE_S = 3.0
-"""The bound ``stable_window_ms`` of the site."""
+EVENT_S = 0.05
+FIRST_TURNS = 7
+"""Turns of a program before the outage, all at once: its sub-agents."""
 
-MAX_LATE_RUNS = 3
+TURN_S = 1.1
+"""Seconds that a turn takes at most."""
 
+LEAD_S = 0.25
+"""Seconds from those turns to the start of the outage."""
 
-class _Crashing(Runner):
-    """A runner that crashes when it begins to run a certain request."""
+OUTAGE_S = 4.5
+LATER_AT_S = 1.6
+"""Seconds into the outage at which the next turns come, through another
+zone."""
 
-    bad_urls: tuple[str, ...] = ()
-    begun_at: dict[str, list[float]]
-
-    async def work(self, url: str) -> None:
-        """Runs a plain request, or crashes."""
-        if url not in self.bad_urls:
-            await super().work(url)
-            return
-        loop = asyncio.get_running_loop()
-        self.begun_at.setdefault(url, []).append(loop.time())
-        await asyncio.sleep(CRASH_AFTER_S)
-        asyncio.get_running_loop().create_task(self._restart())
-        await asyncio.sleep(60)
-
-    async def _restart(self) -> None:
-        await self.crash()
-        await asyncio.sleep(DOWN_S)
-        await self.start()
-
-
-async def _send(
-    machine: Machine, url: str, record: Record, *, after_s: float = 0.0
-) -> None:
-    await asyncio.sleep(after_s)
-    request_id = new_request_id()
-    headers = [
-        ("Host", HOST),
-        ("X-Request-Id", request_id),
-        ("X-Deadline-Ms", "3000"),
-    ]
-    record(f"send {request_id} {url} to {machine.name}")
-    body = f"order of {url}".encode()
-    answer = await ask(machine.front, "POST", url, headers, body)
-    record(f"got {request_id} {url}: {answer.status} {answer.body!r}")
+LATER_TURNS = 3
+CALM_S = 4.3
+"""Seconds between two rounds."""
 
 
 async def _case(folder: Path, record: Record, disturb: bool) -> bool:
     store = Store()
     await store.start()
     configure(store)
-    # For comparison: the same requests, one after the other.
-    apart_s = float(os.environ.get("APART_S", "0"))
-    begun_at: dict[str, list[float]] = {}
     runners = [
-        _Crashing(store, f"i-{n}", PLAIN_SERVICE, record)
-        for n in range(RUNNERS)
+        Runner(store, f"i-{n}", ENGINE_SERVICE, record, event_s=EVENT_S)
+        for n in range(3)
     ]
     for runner in runners:
-        runner.begun_at = begun_at
-        runner.bad_urls = BAD_URLS if disturb else ()
         await runner.start()
     machines = [Machine(f"front-{n}", store, folder, record) for n in range(3)]
+    programs: list[Program] = []
     try:
         for machine in machines:
             machine.start()
         for machine in machines:
             await machine.wait_until_ready()
-        await asyncio.sleep(3.0)
         for number in range(ROUNDS):
-            # The platform sends both channels of a client to one machine.
-            machine = machines[number % len(machines)]
-            bad = [
-                _send(machine, url, record, after_s=n * apart_s)
-                for n, url in enumerate(BAD_URLS)
+            await asyncio.sleep(CALM_S)
+            new = [
+                Program(f"p{number}-{count}", record)
+                for count in range(PROGRAMS)
             ]
-            await asyncio.gather(*bad)
-            await _send(machine, "/puxa403/good", record)
-            await asyncio.sleep(ROUND_S - apart_s)
-        return _judge(begun_at, record)
+            programs += new
+            await _round(store, machines, new, record, disturb)
+        for program in programs:
+            verdict = "over budget" if program.over_budget else "in budget"
+            record(f"{program.name}: {program.tokens} tokens, {verdict}")
+        return not any(program.over_budget for program in programs)
     finally:
         for machine in machines:
             machine.end()
@@ -121,20 +85,30 @@
         await store.stop()
 
 
-def _judge(begun_at: dict[str, list[float]], record: Record) -> bool:
-    held = True
-    for url, times in begun_at.items():
-        late = [at for at in times if at > _third(times) + STABLE_S]
-        record(
-            f"{url} crashed {len(times)} runners, {len(late)} of them later"
-            f" than {STABLE_S} s after the third"
-        )
-        held = held and len(late) <= MAX_LATE_RUNS
-    return held
-
-
-def _third(times: list[float]) -> float:
-    return times[2] if len(times) > 2 else float("inf")
+async def _round(
+    store: Store,
+    machines: list[Machine],
+    programs: list[Program],
+    record: Record,
+    disturb: bool,
+) -> None:
+    first = [_turns(p, machines[0], FIRST_TURNS) for p in programs]
+    running = asyncio.gather(*first)
+    await asyncio.sleep(LEAD_S)
+    if disturb:
+        store.set_mode(Mode.BUSY)
+        record("the store is down")
+    await asyncio.sleep(LATER_AT_S)
+    later = [_turns(p, machines[1], LATER_TURNS) for p in programs]
+    await asyncio.gather(*later, running)
+    await asyncio.sleep(OUTAGE_S - LATER_AT_S - TURN_S)
+    store.set_mode(Mode.UP)
+    record("the store is up")
+
+
+async def _turns(program: Program, machine: Machine, count: int) -> None:
+    lines = [f"{machine.name}-{number}" for number in range(count)]
+    await asyncio.gather(*(program.turn(machine, line) for line in lines))
 
 
 run_case(HERE, _case)
