--- a/review/standins/http.py
+++ b/review/standins/http.py
@@ -3,12 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from urllib.parse import parse_qsl, urlsplit
 
 MAX_HEAD_BYTES = 65_536
 
+RESET_AT_CLOSE = struct.pack("ii", 1, 0)
+"""Value of ``SO_LINGER`` with which closing a socket resets its channel."""
+
 
 @dataclass
 class Request:
@@ -81,6 +86,11 @@
 
     def abort(self) -> None:
         """Resets the channel."""
+        channel_socket = self.writer.get_extra_info("socket")
+        if channel_socket is not None and channel_socket.fileno() >= 0:
+            channel_socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE
+            )
         self.writer.transport.abort()
 
 
