--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -4,8 +4,10 @@
 
 import asyncio
 import base64
+import itertools
 import json
 import struct
+from bisect import bisect_right
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -51,11 +53,15 @@
     Attributes:
         records: Key and value of each record, by offset.
         newest: Offset of the newest record of each key.
+        producers: What is known of each producer.
+        sorted_keys: All keys, sorted when they were last listed.
+        changed: Set at the next append.
     """
 
     records: list[tuple[bytes, bytes]] = field(default_factory=list)
     newest: dict[bytes, int] = field(default_factory=dict)
     producers: dict[str, _Producer] = field(default_factory=dict)
+    sorted_keys: list[bytes] = field(default_factory=list)
     changed: asyncio.Event = field(default_factory=asyncio.Event)
 
     def put(self, key: bytes, value: bytes) -> int:
@@ -195,9 +201,10 @@
         items: list[dict[str, object]] = []
         size = 0
         more = False
-        for key in sorted(partition.newest):
-            if key <= after:
-                continue
+        if len(partition.sorted_keys) != len(partition.newest):
+            partition.sorted_keys = sorted(partition.newest)
+        keys = partition.sorted_keys
+        for key in itertools.islice(keys, bisect_right(keys, after), None):
             offset = partition.newest[key]
             value = partition.records[offset][1]
             if not value:
