--- a/review/2/case.py
+++ b/review/2/case.py
@@ -33,10 +33,10 @@
 EVENT_S = 0.14
 """Seconds between two events; the sheet allows pauses of 150 ms."""
 
-SECOND_VERSION_AT_S = 0.4
+SECOND_VERSION_AT_S = 0.3
 """Seconds after the streams have begun."""
 
-KILL_AT_S = 1.2
+KILL_AT_S = 1.3
 LEFT_S = 3.0
 """Time limit of a client, from its first attempt on."""
 
