--- a/review/3/case.py
+++ b/review/3/case.py
@@ -31,7 +31,7 @@
 TURNS_AT_S = 1.5
 """Seconds into the outage at which the programs begin."""
 
-KILL_AT_S = 3.5
+KILL_AT_S = 3.9
 RESTART_S = 1.0
 MAX_LATER_TURNS = 9
 
@@ -81,7 +81,7 @@
         record("the store is down")
     await asyncio.sleep(TURNS_AT_S)
     turns = [
-        program.turn(machine, str(line), tries=1)
+        program.turn(machine, str(line), tries=4)
         for program in programs
         for line in range(PARALLEL_TURNS)
     ]
