--- a/review/2/case.py
+++ b/review/2/case.py
@@ -10,21 +10,21 @@
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent.parent))
 
-from review.standins.http import Answer, ask  # noqa: E402
-from review.standins.machines import (  # noqa: E402
+from review.standin_http import Answer, ask  # noqa: E402
+from review.standin_machines import (  # noqa: E402
     Machine,
     Record,
     run_case,
 )
-from review.standins.programs import (  # noqa: E402
+from review.standin_programs import (  # noqa: E402
     BUDGET,
     ENGINE_SERVICE,
     HOST,
     configure,
     new_request_id,
 )
-from review.standins.runner import STRIDE, Runner  # noqa: E402
-from review.standins.store import Store  # noqa: E402
+from review.standin_runner import STRIDE, Runner  # noqa: E402
+from review.standin_store import Store  # noqa: E402
 
 STREAMS = 16
 """Streams that run at the machine when it is killed."""
@@ -187,4 +187,4 @@
     return share >= 0.5 * len(began) / len(new)
 
 
-run_case(HERE, _case)
+run_case(HERE / "record.txt", _case)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -9,18 +9,18 @@
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent.parent))
 
-from review.standins.machines import (  # noqa: E402
+from review.standin_machines import (  # noqa: E402
     Machine,
     Record,
     run_case,
 )
-from review.standins.programs import (  # noqa: E402
+from review.standin_programs import (  # noqa: E402
     ENGINE_SERVICE,
     Program,
     configure,
 )
-from review.standins.runner import Runner  # noqa: E402
-from review.standins.store import Mode, Store  # noqa: E402
+from review.standin_runner import Runner  # noqa: E402
+from review.standin_store import Mode, Store  # noqa: E402
 
 ROUNDS = 5
 """Outages; how old a machine's ledger is at their start is left to chance."""
@@ -111,4 +111,4 @@
     await asyncio.gather(*(program.turn(machine, line) for line in lines))
 
 
-run_case(HERE, _case)
+run_case(HERE / "record.txt", _case)
--- a/review/standins/machines.py
+++ b/review/standin_machines.py
@@ -15,10 +15,10 @@
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
-from .http import ask
-from .store import Store
+from .standin_http import ask
+from .standin_store import Store
 
-ROOT = Path(__file__).resolve().parent.parent.parent
+ROOT = Path(__file__).resolve().parent.parent
 
 LIMIT_S = 110.0
 """Longest time of a case."""
@@ -181,12 +181,13 @@
 
 
 def run_case(
-    folder: Path, case: Callable[[Path, Record, bool], Awaitable[bool]]
+    record_path: Path,
+    case: Callable[[Path, Record, bool], Awaitable[bool]],
 ) -> None:
     """Runs a case and exits with its result.
 
     Args:
-        folder: Folder of the case, for its record.
+        record_path: File that its record is written to.
         case: Gets a folder for settings and logs, the record and whether to
             disturb; returns whether the rule held. The folder is a temporary
             one, or that which LOGS names.
@@ -195,7 +196,7 @@
         print("build the system first")
         sys.exit(2)
     disturb = os.environ.get("TROUBLE", "1") != "0"
-    record = Record(folder / "record.txt")
+    record = Record(record_path)
     held: bool | None = None
     try:
         with tempfile.TemporaryDirectory() as temporary:
--- a/review/standins/programs.py
+++ b/review/standin_programs.py
@@ -7,10 +7,10 @@
 import json
 from zlib import crc32
 
-from .http import Answer, ask
-from .machines import Machine, Record
-from .runner import STRIDE
-from .store import Store
+from .standin_http import Answer, ask
+from .standin_machines import Machine, Record
+from .standin_runner import STRIDE
+from .standin_store import Store
 
 HOST = "ficu95.example"
 
--- a/review/standins/runner.py
+++ b/review/standin_runner.py
@@ -7,8 +7,8 @@
 import time
 from collections.abc import Callable
 
-from .http import Request, Server
-from .store import Mode, Store
+from .standin_http import Request, Server
+from .standin_store import Mode, Store
 
 HEARTBEAT_S = 1.2
 
--- a/review/standins/store.py
+++ b/review/standin_store.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from .http import Request, Server
+from .standin_http import Request, Server
 
 ANSWER_S = 0.004
 """Time of an answer."""
--- a/review/trials/dropped_channels.py
+++ b/review/trial_dropped_channels.py
@@ -15,21 +15,21 @@
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
-sys.path.insert(0, str(HERE.parent.parent))
+sys.path.insert(0, str(HERE.parent))
 
-from review.standins.http import Request, ask  # noqa: E402
-from review.standins.machines import (  # noqa: E402
+from review.standin_http import Request, ask  # noqa: E402
+from review.standin_machines import (  # noqa: E402
     Machine,
     Record,
 )
-from review.standins.programs import (  # noqa: E402
+from review.standin_programs import (  # noqa: E402
     HOST,
     PLAIN_SERVICE,
     configure,
     new_request_id,
 )
-from review.standins.runner import Runner  # noqa: E402
-from review.standins.store import Store  # noqa: E402
+from review.standin_runner import Runner  # noqa: E402
+from review.standin_store import Store  # noqa: E402
 
 RUNNERS = 9
 DROPPED_AFTER_S = 1.0
--- a/review/trials/ledger_memory.py
+++ b/review/trial_ledger_memory.py
@@ -5,7 +5,7 @@
 program ids as often as the traffic of some hours would leave it. Then one
 machine starts, and its memory is measured until it is ready.
 
-    python3 review/trials/ledger_memory.py HOURS
+    python3 review/trial_ledger_memory.py HOURS
 """
 
 from __future__ import annotations
@@ -18,16 +18,16 @@
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
-sys.path.insert(0, str(HERE.parent.parent))
+sys.path.insert(0, str(HERE.parent))
 
-from review.standins.machines import Machine, Record  # noqa: E402
-from review.standins.programs import (  # noqa: E402
+from review.standin_machines import Machine, Record  # noqa: E402
+from review.standin_programs import (  # noqa: E402
     ENGINE_SERVICE,
     Program,
     configure,
 )
-from review.standins.runner import Runner  # noqa: E402
-from review.standins.store import Partition, Store  # noqa: E402
+from review.standin_runner import Runner  # noqa: E402
+from review.standin_store import Partition, Store  # noqa: E402
 
 PROGRAMS = 40
 PROGRAMS_PER_S = 12.0
