Log how old a VM's knowledge is when it decides where a stream goes on

Change: the line shows the versions that the VM knows, the age of its listing and for how long it has followed the targets.

--- a/lycheestall/entry/decision_log.py
+++ b/lycheestall/entry/decision_log.py
@@ -17,6 +17,7 @@
 from .message_metadata import RequestMetadata, UnreadableLimit
 from .permit_service import Permit, PermitDenied
 from .retry_policy import NextStep
+from .software_versions import VersionKnowledge
 from .stream_origin_service import OriginLookup
 from .target_links import LinkContact, LinkSummary
 from .target_table import TargetRegistration
@@ -171,6 +172,7 @@
         metadata: RequestMetadata,
         lookup: OriginLookup,
         *,
+        knowledge: VersionKnowledge,
         took_s: float,
     ) -> None:
         """Logs which software version began a stream that is resumed.
@@ -178,6 +180,7 @@
         Args:
             metadata: The request's metadata.
             lookup: What was found.
+            knowledge: What this VM knows of the service's versions.
             took_s: Seconds that the search took.
         """
         self._metrics.stream_origin_found(lookup.source.value)
@@ -190,6 +193,9 @@
             software_version=lookup.software_version,
             peers_asked=lookup.asked,
             peers_replied=lookup.replied,
+            known_versions=knowledge.versions,
+            targets_age_ms=milliseconds(knowledge.read_age_s),
+            targets_followed_ms=milliseconds(knowledge.followed_s),
             took_ms=round(took_s * 1000, 1),
         )
 
--- a/lycheestall/entry/software_versions.py
+++ b/lycheestall/entry/software_versions.py
@@ -10,7 +10,7 @@
 from .configuration import ServiceId
 from .target_table import TargetTable
 
-__all__ = ["RecentVersions", "SoftwareVersions"]
+__all__ = ["RecentVersions", "SoftwareVersions", "VersionKnowledge"]
 
 MAX_READ_GAP_S = 4.0
 """Longest time between two reads of the targets in which no version comes,
@@ -49,6 +49,21 @@
         )
 
 
+@dataclass(frozen=True, slots=True)
+class VersionKnowledge:
+    """How much a VM knows of a service's versions, for the log.
+
+    Attributes:
+        versions: The versions that were registered recently.
+        read_age_s: Seconds since the targets were last read.
+        followed_s: Seconds for which they have been followed without a gap.
+    """
+
+    versions: tuple[SoftwareVersion, ...]
+    read_age_s: float
+    followed_s: float
+
+
 class SoftwareVersions:
     """Keeps the software versions of each service's targets for some time.
 
@@ -96,3 +111,20 @@
             and now - self._known_since >= lifetime_s
         )
         return RecentVersions(frozenset(versions), complete)
+
+    def knowledge(
+        self, service: ServiceId, now: float, *, lifetime_s: float
+    ) -> VersionKnowledge:
+        """Returns how much is known of a service's versions.
+
+        Args:
+            service: The service.
+            now: Current time.
+            lifetime_s: Seconds for which callers may resume a stream.
+        """
+        recent = self.recent(service, now, lifetime_s=lifetime_s)
+        return VersionKnowledge(
+            tuple(sorted(recent.versions)),
+            read_age_s=now - self._read_at,
+            followed_s=max(0.0, now - self._known_since),
+        )
--- a/lycheestall/entry/stream_version.py
+++ b/lycheestall/entry/stream_version.py
@@ -66,9 +66,14 @@
             lifetime_s=self._lifetime_s,
         )
         self.required = lookup.software_version
-        took_s = self._deps.clock.seconds() - asked_at
+        now = self._deps.clock.seconds()
         self._deps.log.stream_origin_found(
-            self._metadata, lookup, took_s=took_s
+            self._metadata,
+            lookup,
+            knowledge=self._deps.stream_origins.versions.knowledge(
+                self._service_id, now, lifetime_s=self._lifetime_s
+            ),
+            took_s=now - asked_at,
         )
         return self.required is not None
 
