--- a/tests/entry/fleet.py
+++ b/tests/entry/fleet.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from twisted.internet.defer import Deferred, maybeDeferred
@@ -29,7 +29,7 @@
     RequestCallback,
     VmReactor,
 )
-from tests.entry.memory_store import MemoryLog
+from tests.entry.memory_store import Fault, MemoryLog
 
 PEER_DELAY_S = 0.001
 """Seconds that a message to a peer, or its reply, is on the way."""
@@ -40,12 +40,23 @@
 
     Args:
         reactor: Times the messages.
+
+    Attributes:
+        cut: VMs that reach no other one.
+        isolated_group: VMs that reach each other, but none of the others.
     """
 
     def __init__(self, reactor: FakeReactor) -> None:
         self.reactor = reactor
         self.handle_by_address: dict[Address, Callable[[Any], Any]] = {}
         self.cut: set[Address] = set()
+        self.isolated_group: set[Address] = set()
+
+    def is_cut(self, one: Address, other: Address) -> bool:
+        """Returns whether two VMs don't reach each other."""
+        if {one, other} & self.cut:
+            return True
+        return (one in self.isolated_group) != (other in self.isolated_group)
 
     def connect(self, address: Address, reactor: Any) -> LinkedPeers:
         """Returns the client of the VM at an address.
@@ -78,7 +89,7 @@
         reply: Deferred[PeerReply | None] = Deferred()
         reactor = self._links.reactor
         handle = self._links.handle_by_address.get(address)
-        if handle is None or {self._own, address} & self._links.cut:
+        if handle is None or self._links.is_cut(self._own, address):
             reactor.callLater(timeout_s, reply.callback, None)
             return reply
         data = encode(message)
@@ -136,12 +147,19 @@
         self.reactor.run(2.5)
 
     def kill(self, number: int) -> None:
-        """Kills a VM's process, with its callers' connections."""
+        """Kills a VM's process, with its callers' connections.
+
+        Nothing happens if it is not running. What the process still does
+        reaches neither callers nor peers nor the store.
+        """
         address = self.vms[number].address
         self.links.handle_by_address.pop(address, None)
+        self.vms[number].store.fault = Fault.REFUSES
         listener = self.reactor.listener_by_address.pop(
-            (address.host, address.port)
+            (address.host, address.port), None
         )
+        if listener is None:
+            return
         for connection in list(listener.connections):
             connection.transport.abortConnection()
         for connection in self._connections_by_vm.pop(number, ()):
@@ -157,6 +175,12 @@
         """Cuts a VM off from all other VMs."""
         self.links.cut.add(self.vms[number].address)
 
+    def cut_group(self, numbers: Iterable[int]) -> None:
+        """Cuts some VMs off from all others, but not from each other."""
+        self.links.isolated_group = {
+            self.vms[number].address for number in numbers
+        }
+
     def add_target(
         self,
         name: str,
