Call a version the only one by what is read after the question, not before

Cause: RecentVersions.complete stayed true for 4 s after the last read of the targets, and find() fell back to it when no peer replied. What was last seen was taken for what is, and silence for consent. Change: a search reads the targets after it has begun (SharedRead: one read for all who ask at the time). While nobody can read them, no version can come; then the replies of most VMs are needed. Otherwise the stream is refused as not run. A VM tells its peers of new streams once its listing is over 1.2 s old, and gives itself out as complete only with a younger one, so VMs of the build before decide by younger knowledge too; the messages are the same.

--- a/lycheestall/entry/decision_log.py
+++ b/lycheestall/entry/decision_log.py
@@ -15,10 +15,10 @@
 from .decision_writer import DecisionWriter
 from .entry_metrics import EntryMetrics
 from .message_metadata import RequestMetadata, UnreadableLimit
+from .origin_search import OriginLookup
 from .permit_service import Permit, PermitDenied
 from .retry_policy import NextStep
 from .software_versions import VersionKnowledge
-from .stream_origin_service import OriginLookup
 from .target_links import LinkContact, LinkSummary
 from .target_table import TargetRegistration
 from .token_ledger import HolderId
@@ -193,6 +193,7 @@
             software_version=lookup.software_version,
             peers_asked=lookup.asked,
             peers_replied=lookup.replied,
+            targets_read=lookup.targets_read,
             known_versions=knowledge.versions,
             targets_age_ms=milliseconds(knowledge.read_age_s),
             targets_followed_ms=milliseconds(knowledge.followed_s),
--- a/lycheestall/entry/entry_vm.py
+++ b/lycheestall/entry/entry_vm.py
@@ -30,6 +30,7 @@
 from .request_dependencies import RequestDependencies
 from .request_router import RequestRouter
 from .routed_store import RoutedStore
+from .shared_read import SharedRead
 from .store import Store
 from .store_health import StoreHealth
 from .store_view import StoreView
@@ -130,6 +131,7 @@
             vm=settings.vm,
             members=members,
             peers=peers,
+            read_targets=lambda: self._targets_read.ask(),
             clock=reactor,
             log=self._log,
             logger=logger,
@@ -162,6 +164,7 @@
                 target, None
             ),
         )
+        self._targets_read = SharedRead(self._read_targets, logger)
         self.token_service = TokenService(
             holder=holder,
             address=address,
@@ -243,6 +246,17 @@
             return False
         return not self._isolated() and not self._links.isolated
 
+    async def _poll_targets(self) -> None:
+        await self._targets_read.ask()
+
+    async def _read_targets(self) -> bool:
+        succeeded = await self._view.read_targets()
+        self._targets.stream_origins.versions.observe(
+            self._view.targets_read_at,
+            listed_at=self._view.targets_listed_at,
+        )
+        return succeeded
+
     def _isolated(self) -> bool:
         if not self._health.unavailable:
             return False
@@ -267,7 +281,7 @@
                 self._view.poll_configuration,
                 CONFIGURATION_POLL_S,
             ),
-            ("targets", self._view.poll_targets, targets_poll_s),
+            ("targets", self._poll_targets, targets_poll_s),
             ("ledger", self.token_service.poll, LEDGER_CHECK_S),
             ("survey", self.token_service.survey, SURVEY_INTERVAL_S),
             (
@@ -371,9 +385,6 @@
     async def _housekeeping(self) -> None:
         self._view.remove_expired()
         self._links.remove_expired()
-        self._targets.stream_origins.versions.observe(
-            self._view.targets_read_at
-        )
         self.conversations.remove_expired()
         self.token_service.forget_idle()
         self._metrics.set_gauge(
--- a/lycheestall/entry/members.py
+++ b/lycheestall/entry/members.py
@@ -91,9 +91,9 @@
         return groups[xxhash.xxh3_64_intdigest(key.encode()) % len(groups)]
 
 
-def majority_size(group: tuple[HolderId, ...]) -> int:
+def majority_size(group_size: int) -> int:
     """Returns the smallest number that is more than half of a group."""
-    return len(group) // 2 + 1
+    return group_size // 2 + 1
 
 
 def join_record(member: Member) -> KeyedWrite:
--- /dev/null
+++ b/lycheestall/entry/origin_search.py
@@ -0,0 +1,198 @@
+"""One search for the software version that began a resumed stream."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, replace
+from enum import Enum
+
+from twisted.internet.defer import Deferred
+
+from .._waiting import result_within
+from ..clock import Clock
+from ..ids import SoftwareVersion
+from .configuration import ServiceId
+from .members import Member, majority_size
+from .origin_messages import FindStreamOrigin, FoundStreamOrigin
+from .peer_rpc import PeerClient, call_all
+from .software_versions import RecentVersions
+from .stream_origins import UNNAMED_STREAM, StreamKey, StreamOrigin
+
+__all__ = ["OriginLookup", "OriginSearch", "OriginSource"]
+
+ASKED_FIRST = 3
+"""VMs asked first; one more than those that are told, in case one of them was
+restarted."""
+
+FIND_TIMEOUT_S = 0.12
+"""Timeout for a peer to say what it knows of an origin."""
+
+READ_TIMEOUT_S = 0.3
+"""Timeout for a read of the targets that a search waits for."""
+
+
+class OriginSource(Enum):
+    """How the version that began a stream was found."""
+
+    MEMORY = "memory"
+    PEERS = "peers"
+    SOLE_VERSION = "sole version"
+    OTHER_SERVICE = "other service"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True, slots=True)
+class OriginLookup:
+    """What was found of a stream's origin.
+
+    Attributes:
+        software_version: The version at which the stream goes on; None if
+            it can't go on.
+        source: How it was found, or why not.
+        asked: Number of VMs that were asked.
+        replied: Number of VMs that replied.
+        targets_read: Whether the targets were read after the search began.
+    """
+
+    software_version: SoftwareVersion | None
+    source: OriginSource
+    asked: int = 0
+    replied: int = 0
+    targets_read: bool = False
+
+
+class OriginSearch:
+    """Finds a stream's origin, or proves that only one version is possible.
+
+    A version is called the only one if no other can have begun the stream:
+
+    * this VM or a peer has followed the targets for as long as the stream
+      may last, and
+    * this VM has read the targets after the search began. While nobody can
+      read them, the replies of most VMs take its place: no version can come
+      meanwhile, and one that came before is known to those that read it.
+
+    Silence proves nothing: a VM that hears neither store nor peers finds only
+    what it remembers.
+
+    Args:
+        stream: The stream; None if the caller does not name it.
+        service: Service at which the stream is to go on.
+        lifetime_s: Seconds for which callers may resume the stream.
+        group: The VMs that may know of it, without this one, the likeliest
+            first.
+        in_group: Whether this VM is one of the group.
+        recent: Returns the versions that this VM has seen lately.
+        read_targets: Reads the targets; returns whether that succeeded.
+        peers: Calls other VMs.
+        clock: Times the reads.
+    """
+
+    def __init__(
+        self,
+        stream: StreamKey | None,
+        service: ServiceId,
+        *,
+        lifetime_s: float,
+        group: Sequence[Member],
+        in_group: bool,
+        recent: Callable[[], RecentVersions],
+        read_targets: Callable[[], Deferred[bool]],
+        peers: PeerClient,
+        clock: Clock,
+    ) -> None:
+        self._stream = stream
+        self._service = service
+        self._lifetime_s = lifetime_s
+        self._group = group
+        self._in_group = in_group
+        self._recent = recent
+        self._read_targets = read_targets
+        self._peers = peers
+        self._clock = clock
+        self._asked = 0
+        self._replies: list[FoundStreamOrigin] = []
+        self._targets_read = False
+
+    async def run(self) -> OriginLookup:
+        """Searches until the version is found or nobody is left to ask."""
+        if self._recent().only_possible is not None:
+            await self._read()
+            if self._targets_read and self._only_possible() is not None:
+                return self._result()
+        if self._stream is not None:
+            await self._ask(self._group[:ASKED_FIRST])
+            if self.origin is not None:
+                return self._result()
+        reading = None if self._targets_read else self._start_read()
+        await self._ask(self._group[self._asked :])
+        if reading is not None:
+            self._targets_read = bool(await reading)
+        return self._result()
+
+    @property
+    def origin(self) -> StreamOrigin | None:
+        """The origin that a peer remembers."""
+        for reply in self._replies:
+            if reply.service is None or reply.software_version is None:
+                continue
+            return StreamOrigin(reply.service, reply.software_version)
+        return None
+
+    def _result(self) -> OriginLookup:
+        origin = self.origin
+        if origin is not None and origin.service != self._service:
+            return self._lookup(None, OriginSource.OTHER_SERVICE)
+        if origin is not None:
+            return self._lookup(origin.software_version, OriginSource.PEERS)
+        version = self._only_possible()
+        if version is None or not (self._targets_read or self._most_replied()):
+            return self._lookup(None, OriginSource.UNKNOWN)
+        return self._lookup(version, OriginSource.SOLE_VERSION)
+
+    def _lookup(
+        self, version: SoftwareVersion | None, source: OriginSource
+    ) -> OriginLookup:
+        return OriginLookup(
+            version,
+            source,
+            asked=self._asked,
+            replied=len(self._replies),
+            targets_read=self._targets_read,
+        )
+
+    def _only_possible(self) -> SoftwareVersion | None:
+        merged = self._recent().merge(
+            RecentVersions(
+                frozenset(reply.recent_versions), reply.recent_complete
+            )
+            for reply in self._replies
+        )
+        if self._stream is None:
+            # Such a caller knows nothing of versions. It is served wherever
+            # no second one has been seen, also by a VM that has just started.
+            return replace(merged, complete=True).only_possible
+        return merged.only_possible
+
+    def _most_replied(self) -> bool:
+        own = int(self._in_group)
+        needed = majority_size(len(self._group) + own)
+        return len(self._replies) + own >= needed
+
+    async def _ask(self, members: Sequence[Member]) -> None:
+        self._asked += len(members)
+        message = FindStreamOrigin(
+            self._stream or UNNAMED_STREAM, self._service, self._lifetime_s
+        )
+        replies = await call_all(
+            self._peers, members, message, timeout_s=FIND_TIMEOUT_S
+        )
+        self._replies += [
+            reply for reply in replies if isinstance(reply, FoundStreamOrigin)
+        ]
+
+    async def _read(self) -> None:
+        self._targets_read = bool(await self._start_read())
+
+    def _start_read(self) -> Deferred[bool | None]:
+        return result_within(self._read_targets(), READ_TIMEOUT_S, self._clock)
--- a/lycheestall/entry/software_versions.py
+++ b/lycheestall/entry/software_versions.py
@@ -12,10 +12,6 @@
 
 __all__ = ["RecentVersions", "SoftwareVersions", "VersionKnowledge"]
 
-MAX_READ_GAP_S = 4.0
-"""Longest time between two reads of the targets in which no version comes,
-serves and leaves unnoticed."""
-
 
 @dataclass(frozen=True, slots=True)
 class RecentVersions:
@@ -23,22 +19,19 @@
 
     Attributes:
         versions: The versions that were registered.
-        complete: Whether there can have been no others: the targets were
-            followed without a gap all the while.
+        complete: Whether there can have been no others when the targets were
+            last read.
     """
 
     versions: frozenset[SoftwareVersion]
     complete: bool
 
-    @property
-    def only_seen(self) -> SoftwareVersion | None:
-        """The version, if no second one was seen."""
-        return next(iter(self.versions)) if len(self.versions) == 1 else None
-
     @property
     def only_possible(self) -> SoftwareVersion | None:
         """The version, if there can have been no second one."""
-        return self.only_seen if self.complete else None
+        if not self.complete or len(self.versions) != 1:
+            return None
+        return next(iter(self.versions))
 
     def merge(self, others: Iterable[RecentVersions]) -> RecentVersions:
         """Returns what several VMs know together."""
@@ -74,22 +67,41 @@
     def __init__(self, table: TargetTable) -> None:
         self._table = table
         self._seen_at: dict[ServiceId, dict[SoftwareVersion, float]] = {}
+        self._registered: set[tuple[ServiceId, SoftwareVersion]] = set()
         self._read_at = -math.inf
-        self._known_since = math.inf
+        self._listed_at = math.inf
 
-    def observe(self, read_at: float) -> None:
-        """Notes the registered versions.
+    def observe(self, read_at: float, *, listed_at: float) -> None:
+        """Notes the versions that a read of the targets has brought.
 
         Args:
-            read_at: When the targets were last read.
+            read_at: When the last read started.
+            listed_at: When the last listing started. What came and left
+                before it was not seen; the reads after it bring all records.
         """
-        if read_at - self._read_at > MAX_READ_GAP_S:
-            self._known_since = read_at
         self._read_at = read_at
-        for service in self._table.services():
-            seen_at = self._seen_at.setdefault(service, {})
-            for version in self._table.versions(service):
-                seen_at[version] = read_at
+        self._listed_at = listed_at
+        registered = {
+            (service, version)
+            for service in self._table.services()
+            for version in self._table.versions(service)
+        }
+        # Those that have left can have stayed until just before this read.
+        seen = self._registered | self._table.take_registered_versions()
+        for service, version in seen | registered:
+            self.note(service, version, read_at)
+        self._registered = registered
+
+    def note(
+        self, service: ServiceId, version: SoftwareVersion, at: float
+    ) -> None:
+        """Notes that a version was registered at some time."""
+        seen_at = self._seen_at.setdefault(service, {})
+        seen_at[version] = max(at, seen_at.get(version, -math.inf))
+
+    def read_age_s(self, now: float) -> float:
+        """Returns the seconds since the targets were last read."""
+        return now - self._read_at
 
     def recent(
         self, service: ServiceId, now: float, *, lifetime_s: float
@@ -106,10 +118,7 @@
         for version, seen_at in self._seen_at.get(service, {}).items():
             if now - seen_at < lifetime_s:
                 versions.add(version)
-        complete = (
-            now - self._read_at <= MAX_READ_GAP_S
-            and now - self._known_since >= lifetime_s
-        )
+        complete = now - self._listed_at >= lifetime_s
         return RecentVersions(frozenset(versions), complete)
 
     def knowledge(
@@ -125,6 +134,6 @@
         recent = self.recent(service, now, lifetime_s=lifetime_s)
         return VersionKnowledge(
             tuple(sorted(recent.versions)),
-            read_age_s=now - self._read_at,
-            followed_s=max(0.0, now - self._known_since),
+            read_age_s=self.read_age_s(now),
+            followed_s=max(0.0, now - self._listed_at),
         )
--- a/lycheestall/entry/store_view.py
+++ b/lycheestall/entry/store_view.py
@@ -140,9 +140,14 @@
             state = ReaderState(record, end, follower.read_at)
             self._relay.update(state)
 
-    async def poll_targets(self) -> None:
-        """Reads new registrations of targets."""
-        await self._targets_follower.read()
+    @property
+    def targets_listed_at(self) -> float:
+        """When the latest listing of the targets started."""
+        return self._targets_follower.listed_at
+
+    async def read_targets(self) -> bool:
+        """Reads new registrations of targets; returns whether it succeeded."""
+        return await self._targets_follower.read()
 
     def pool_of(self, registration: TargetRegistration) -> ConnectionPool:
         """Returns the connection pool of a registered target process."""
--- a/lycheestall/entry/stream_origin_service.py
+++ b/lycheestall/entry/stream_origin_service.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
-from dataclasses import dataclass
-from enum import Enum
+from collections.abc import Callable
+
+from twisted.internet.defer import Deferred
 
 from ..clock import Clock
 from ..conversations import CopyCandidate, choose_copy_holders
-from ..ids import SoftwareVersion
 from .configuration import ServiceId
 from .members import Member, Members
 from .origin_messages import (
@@ -16,10 +15,12 @@
     FoundStreamOrigin,
     HoldStreamOrigin,
 )
+from .origin_search import OriginLookup, OriginSearch, OriginSource
 from .peer_messages import PeerMessage, PeerReply, Understood
-from .peer_rpc import PeerClient, call_all
+from .peer_rpc import PeerClient
 from .software_versions import RecentVersions, SoftwareVersions
 from .stream_origins import (
+    UNNAMED_STREAM,
     StreamKey,
     StreamOrigin,
     StreamOrigins,
@@ -28,47 +29,17 @@
 from .target_table import TargetRegistration, TargetTable
 from .token_ledger import HolderId
 
-__all__ = ["OriginLookup", "OriginSource", "StreamOriginService"]
+__all__ = ["StreamOriginService"]
 
 HOLDERS = 2
 """Other VMs that remember a stream's origin, in different zones."""
 
-ASKED_FIRST = 3
-"""VMs asked first; one more than the holders, in case one was restarted."""
-
 HOLD_TIMEOUT_S = 0.25
 """Timeout for a peer to take note of an origin."""
 
-FIND_TIMEOUT_S = 0.12
-"""Timeout for a peer to say what it knows of an origin."""
-
-
-class OriginSource(Enum):
-    """How the version that began a stream was found."""
-
-    MEMORY = "memory"
-    PEERS = "peers"
-    SOLE_VERSION = "sole version"
-    OTHER_SERVICE = "other service"
-    UNKNOWN = "unknown"
-
-
-@dataclass(frozen=True, slots=True)
-class OriginLookup:
-    """What was found of a stream's origin.
-
-    Attributes:
-        software_version: The version at which the stream goes on; None if
-            it can't go on.
-        source: How it was found, or why not.
-        asked: Number of VMs that were asked.
-        replied: Number of VMs that replied.
-    """
-
-    software_version: SoftwareVersion | None
-    source: OriginSource
-    asked: int = 0
-    replied: int = 0
+CURRENT_S = 1.2
+"""Age of the listing of the targets up to which it counts as current where
+nobody waits for a new one: two of its usual intervals."""
 
 
 class StreamOriginService:
@@ -84,6 +55,7 @@
         table: The registered targets.
         members: The VMs of the system.
         peers: Calls other VMs.
+        read_targets: Reads the targets; returns whether that succeeded.
         clock: Tells the time.
 
     Attributes:
@@ -97,11 +69,13 @@
         table: TargetTable,
         members: Members,
         peers: PeerClient,
+        read_targets: Callable[[], Deferred[bool]],
         clock: Clock,
     ) -> None:
         self._holder = holder
         self._members = members
         self._peers = peers
+        self._read_targets = read_targets
         self._clock = clock
         self._origins = StreamOrigins()
         self.versions = SoftwareVersions(table)
@@ -124,7 +98,7 @@
         version = registration.software_version
         stream = stream_key(request_id)
         self._origins.add(stream, StreamOrigin(service, version))
-        if self._recent(service, lifetime_s).only_possible == version:
+        if self._current(service, lifetime_s).only_possible == version:
             return
         message = HoldStreamOrigin(stream, service, version)
         for member in self._ranked_peers(stream)[:HOLDERS]:
@@ -145,32 +119,16 @@
             service: Service at which the stream is to go on.
             lifetime_s: Seconds for which callers may resume the stream.
         """
-        if request_id is None:
-            return self._find_unnamed(service, lifetime_s)
-        stream = stream_key(request_id)
-        origin = self._origins.get(stream)
-        if origin is not None:
-            return _lookup_of(origin, service, OriginSource.MEMORY)
-        message = FindStreamOrigin(stream, service, lifetime_s)
-        peers = self._ranked_peers(stream)
-        replies: list[FoundStreamOrigin] = []
-        asked = 0
-        for members in (peers[:ASKED_FIRST], peers[ASKED_FIRST:]):
-            asked += len(members)
-            replies += await self._ask(members, message)
-            origin = _origin_in(replies)
-            if origin is not None:
-                self._origins.add(stream, origin)
-                return _lookup_of(
-                    origin,
-                    service,
-                    OriginSource.PEERS,
-                    asked=asked,
-                    replied=len(replies),
-                )
-            lookup = self._without_origin(message, replies, asked=asked)
-            if lookup.software_version is not None:
-                return lookup
+        stream = None if request_id is None else stream_key(request_id)
+        known = None if stream is None else self._origins.get(stream)
+        if known is not None and known.service != service:
+            return OriginLookup(None, OriginSource.OTHER_SERVICE)
+        if known is not None:
+            return OriginLookup(known.software_version, OriginSource.MEMORY)
+        search = self._search(stream, service, lifetime_s)
+        lookup = await search.run()
+        if stream is not None and search.origin is not None:
+            self._origins.add(stream, search.origin)
         return lookup
 
     def handle_message(
@@ -184,10 +142,13 @@
         if isinstance(message, HoldStreamOrigin):
             origin = StreamOrigin(message.service, message.software_version)
             self._origins.add(message.stream, origin)
+            self.versions.note(
+                origin.service, origin.software_version, self._clock.seconds()
+            )
             return Understood()
         if isinstance(message, FindStreamOrigin):
             known = self._origins.get(message.stream)
-            recent = self._recent(message.service, message.lifetime_s)
+            recent = self._current(message.service, message.lifetime_s)
             return FoundStreamOrigin(
                 None if known is None else known.service,
                 None if known is None else known.software_version,
@@ -196,44 +157,22 @@
             )
         return None
 
-    def _find_unnamed(
-        self, service: ServiceId, lifetime_s: float
-    ) -> OriginLookup:
-        # Such a caller knows nothing of versions. It is served wherever no
-        # second one has been seen, also by a VM that has just started.
-        version = self._recent(service, lifetime_s).only_seen
-        if version is None:
-            return OriginLookup(None, OriginSource.UNKNOWN)
-        return OriginLookup(version, OriginSource.SOLE_VERSION)
-
-    def _without_origin(
-        self,
-        message: FindStreamOrigin,
-        replies: Sequence[FoundStreamOrigin],
-        *,
-        asked: int,
-    ) -> OriginLookup:
-        # No VM remembers the stream, but together they may know that only
-        # one version can have begun it.
-        recent = self._recent(message.service, message.lifetime_s).merge(
-            RecentVersions(
-                frozenset(reply.recent_versions), reply.recent_complete
-            )
-            for reply in replies
+    def _search(
+        self, stream: StreamKey | None, service: ServiceId, lifetime_s: float
+    ) -> OriginSearch:
+        key = UNNAMED_STREAM if stream is None else stream
+        group = self._members.view().group_for(key.hex())
+        return OriginSearch(
+            stream,
+            service,
+            lifetime_s=lifetime_s,
+            group=self._ranked_peers(key),
+            in_group=self._holder in group,
+            recent=lambda: self._recent(service, lifetime_s),
+            read_targets=self._read_targets,
+            peers=self._peers,
+            clock=self._clock,
         )
-        version = recent.only_possible
-        source = OriginSource.SOLE_VERSION
-        if version is None:
-            source = OriginSource.UNKNOWN
-        return OriginLookup(version, source, asked, len(replies))
-
-    async def _ask(
-        self, members: Sequence[Member], message: FindStreamOrigin
-    ) -> list[FoundStreamOrigin]:
-        replies = await call_all(
-            self._peers, members, message, timeout_s=FIND_TIMEOUT_S
-        )
-        return [r for r in replies if isinstance(r, FoundStreamOrigin)]
 
     def _ranked_peers(self, stream: StreamKey) -> list[Member]:
         """Returns the VMs that may remember a stream, the likeliest first.
@@ -260,22 +199,12 @@
             service, self._clock.seconds(), lifetime_s=lifetime_s
         )
 
-
-def _origin_in(replies: Sequence[FoundStreamOrigin]) -> StreamOrigin | None:
-    for reply in replies:
-        if reply.service is not None and reply.software_version is not None:
-            return StreamOrigin(reply.service, reply.software_version)
-    return None
-
-
-def _lookup_of(
-    origin: StreamOrigin,
-    service: ServiceId,
-    source: OriginSource,
-    *,
-    asked: int = 0,
-    replied: int = 0,
-) -> OriginLookup:
-    if origin.service != service:
-        return OriginLookup(None, OriginSource.OTHER_SERVICE, asked, replied)
-    return OriginLookup(origin.software_version, source, asked, replied)
+    def _current(
+        self, service: ServiceId, lifetime_s: float
+    ) -> RecentVersions:
+        """Returns the recent versions; complete only by a current listing."""
+        recent = self._recent(service, lifetime_s)
+        age_s = self.versions.read_age_s(self._clock.seconds())
+        return RecentVersions(
+            recent.versions, recent.complete and age_s <= CURRENT_S
+        )
--- a/lycheestall/entry/stream_origins.py
+++ b/lycheestall/entry/stream_origins.py
@@ -11,7 +11,13 @@
 from ..ids import SoftwareVersion
 from .configuration import ServiceId
 
-__all__ = ["StreamKey", "StreamOrigin", "StreamOrigins", "stream_key"]
+__all__ = [
+    "UNNAMED_STREAM",
+    "StreamKey",
+    "StreamOrigin",
+    "StreamOrigins",
+    "stream_key",
+]
 
 StreamKey = NewType("StreamKey", bytes)
 """Digest of the ID of the request that received a stream's first event."""
@@ -41,6 +47,10 @@
     return StreamKey(xxhash.xxh3_128_digest(request_id))
 
 
+UNNAMED_STREAM = stream_key(b"")
+"""Asked for where a caller names no request; no stream has this key."""
+
+
 class StreamOrigins:
     """The origins of the streams that began last."""
 
--- a/lycheestall/entry/target_service.py
+++ b/lycheestall/entry/target_service.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
+from twisted.internet.defer import Deferred
+
 from ..logs import Logger
 from .attempt_timeouts import AttemptTimeouts
 from .decision_log import DecisionLog
@@ -40,6 +43,7 @@
         vm: Name of this VM.
         members: The VMs of the system.
         peers: Calls them.
+        read_targets: Reads the targets; returns whether that succeeded.
         clock: Time source.
         log: Logs decisions about requests.
         logger: Logs what other VMs report.
@@ -61,6 +65,7 @@
         vm: str,
         members: Members,
         peers: PeerClient,
+        read_targets: Callable[[], Deferred[bool]],
         clock: Any,
         log: DecisionLog,
         logger: Logger,
@@ -79,6 +84,7 @@
             table=self.table,
             members=members,
             peers=peers,
+            read_targets=read_targets,
             clock=clock,
         )
         deciders = PermitDeciders(members)
--- a/lycheestall/entry/target_table.py
+++ b/lycheestall/entry/target_table.py
@@ -85,6 +85,9 @@
         self._leaving: dict[TargetProcess, None] = {}
         self._usable_by_service: dict[ServiceId, list[TargetRegistration]] = {}
         self._versions_by_service: dict[ServiceId, set[SoftwareVersion]] = {}
+        self._registered_versions: set[tuple[ServiceId, SoftwareVersion]] = (
+            set()
+        )
         self._grace_ends_at = 0.0
         self.revision = 0
 
@@ -94,9 +97,22 @@
         if self._by_id.get(registration.target) == registration:
             return False
         self._by_id[registration.target] = registration
+        self._registered_versions.add(
+            (registration.service, registration.software_version)
+        )
         self._on_change()
         return True
 
+    def take_registered_versions(
+        self,
+    ) -> set[tuple[ServiceId, SoftwareVersion]]:
+        """Returns the versions that targets have registered since last asked.
+
+        They include those of targets that have left in the meantime.
+        """
+        taken, self._registered_versions = self._registered_versions, set()
+        return taken
+
     def mark_leaving(self, registration: TargetRegistration) -> bool:
         """Notes that a target itself says that it is shutting down.
 
--- a/lycheestall/entry/topic_follower.py
+++ b/lycheestall/entry/topic_follower.py
@@ -39,6 +39,7 @@
     Attributes:
         position: Offset to read from next; None before the first listing.
         read_at: When the last successful read started.
+        listed_at: When the last complete listing started.
     """
 
     def __init__(
@@ -60,6 +61,7 @@
         self._lock = DeferredLock()
         self.position: Offset | None = None
         self.read_at = float("-inf")
+        self.listed_at = float("inf")
 
     @property
     def loaded(self) -> bool:
@@ -152,4 +154,5 @@
             self._on_listed(keys)
         self.position = end
         self.read_at = started_at
+        self.listed_at = started_at
         return True
