Record in the store which software versions services run

Callers saw: after the loss of all VMs, streams that are taken up were joined from two versions (without Resumes: a VM that has just started called the version that it found the only one, though another had left meanwhile), or all refused though only one version had ever served (with Resumes). Cause: what versions have served lately was in the memory of each VM alone, and a VM that starts took what it sees for all there was. Change: each version of a service is recorded in a topic of its own as it appears (VersionRegister) and deleted 60 s after its last target has left. A VM reads the records once, after it has listed the targets. One VM, chosen by a hash, writes first, the others after a second. The first record of a service holds what all peers have seen, VMs of the build before included. Callers that name no request are now served only if one version is possible. Records of a format that a VM can't read prove nothing to it.

--- a/lycheestall/entry/entry_vm.py
+++ b/lycheestall/entry/entry_vm.py
@@ -54,6 +54,9 @@
 LEDGER_CHECK_S = 0.5
 """Seconds between checks whether a read of the ledger is due."""
 
+VERSIONS_CHECK_S = 0.25
+"""Seconds between checks whether software versions have come or gone."""
+
 READY_WITHOUT_STORE_S = 0.7
 """Seconds without the store after which the VM is no longer ready, so that
 callers use another VM."""
@@ -130,6 +133,7 @@
             holder=holder,
             vm=settings.vm,
             members=members,
+            store=self._store,
             peers=peers,
             read_targets=lambda: self._targets_read.ask(),
             clock=reactor,
@@ -249,6 +253,11 @@
     async def _poll_targets(self) -> None:
         await self._targets_read.ask()
 
+    async def _keep_versions(self) -> None:
+        # Members are needed to choose who records a version.
+        if self.token_service.loaded:
+            await self._targets.version_register.step()
+
     async def _read_targets(self) -> bool:
         succeeded = await self._view.read_targets()
         self._targets.stream_origins.versions.observe(
@@ -283,6 +292,7 @@
             ),
             ("targets", self._poll_targets, targets_poll_s),
             ("ledger", self.token_service.poll, LEDGER_CHECK_S),
+            ("versions", self._keep_versions, VERSIONS_CHECK_S),
             ("survey", self.token_service.survey, SURVEY_INTERVAL_S),
             (
                 "target reports",
--- a/lycheestall/entry/origin_search.py
+++ b/lycheestall/entry/origin_search.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from enum import Enum
 
 from twisted.internet.defer import Deferred
@@ -67,7 +67,7 @@
     A version is called the only one if no other can have begun the stream:
 
     * this VM or a peer has followed the targets for as long as the stream
-      may last, and
+      may last, or has read which versions there were before, and
     * this VM has read the targets after the search began. While nobody can
       read them, the replies of most VMs take its place: no version can come
       meanwhile, and one that came before is known to those that read it.
@@ -168,10 +168,6 @@
             )
             for reply in self._replies
         )
-        if self._stream is None:
-            # Such a caller knows nothing of versions. It is served wherever
-            # no second one has been seen, also by a VM that has just started.
-            return replace(merged, complete=True).only_possible
         return merged.only_possible
 
     def _most_replied(self) -> bool:
--- a/lycheestall/entry/software_versions.py
+++ b/lycheestall/entry/software_versions.py
@@ -62,14 +62,18 @@
 
     Args:
         table: The registered targets.
+
+    Attributes:
+        listed_at: When the last listing of the targets started.
     """
 
     def __init__(self, table: TargetTable) -> None:
         self._table = table
+        self._recorded: set[ServiceId] = set()
         self._seen_at: dict[ServiceId, dict[SoftwareVersion, float]] = {}
         self._registered: set[tuple[ServiceId, SoftwareVersion]] = set()
         self._read_at = -math.inf
-        self._listed_at = math.inf
+        self.listed_at = math.inf
 
     def observe(self, read_at: float, *, listed_at: float) -> None:
         """Notes the versions that a read of the targets has brought.
@@ -80,7 +84,9 @@
                 before it was not seen; the reads after it bring all records.
         """
         self._read_at = read_at
-        self._listed_at = listed_at
+        if listed_at != self.listed_at:
+            self._recorded.clear()
+        self.listed_at = listed_at
         registered = {
             (service, version)
             for service in self._table.services()
@@ -99,6 +105,30 @@
         seen_at = self._seen_at.setdefault(service, {})
         seen_at[version] = max(at, seen_at.get(version, -math.inf))
 
+    def set_recorded(self, service: ServiceId) -> None:
+        """Notes that a service's versions before the listing are noted, too.
+
+        Args:
+            service: The service.
+        """
+        self._recorded.add(service)
+
+    def seen_within(
+        self, seconds: float, now: float
+    ) -> list[tuple[ServiceId, SoftwareVersion]]:
+        """Returns the services' versions that were registered lately.
+
+        Args:
+            seconds: How long ago they may have been registered last.
+            now: Current time.
+        """
+        return [
+            (service, version)
+            for service, seen_at in self._seen_at.items()
+            for version, at in seen_at.items()
+            if now - at < seconds
+        ]
+
     def read_age_s(self, now: float) -> float:
         """Returns the seconds since the targets were last read."""
         return now - self._read_at
@@ -118,7 +148,9 @@
         for version, seen_at in self._seen_at.get(service, {}).items():
             if now - seen_at < lifetime_s:
                 versions.add(version)
-        complete = now - self._listed_at >= lifetime_s
+        complete = (
+            service in self._recorded or now - self.listed_at >= lifetime_s
+        )
         return RecentVersions(frozenset(versions), complete)
 
     def knowledge(
@@ -135,5 +167,5 @@
         return VersionKnowledge(
             tuple(sorted(recent.versions)),
             read_age_s=self.read_age_s(now),
-            followed_s=max(0.0, now - self._listed_at),
+            followed_s=max(0.0, now - self.listed_at),
         )
--- a/lycheestall/entry/store.py
+++ b/lycheestall/entry/store.py
@@ -41,6 +41,7 @@
     TARGETS = "targets"
     LEDGER = "ledger"
     TURNS = "turns"
+    VERSIONS = "versions"
 
 
 @dataclass(frozen=True, slots=True)
--- a/lycheestall/entry/target_service.py
+++ b/lycheestall/entry/target_service.py
@@ -25,12 +25,14 @@
 from .permit_messages import AskPermit
 from .permit_service import PermitService
 from .slow_target_reporter import SlowTargetReporter
+from .store import Store
 from .stream_origin_service import StreamOriginService
 from .target_announcements import TargetAnnouncements
 from .target_chooser import TargetChooser
 from .target_limits import TargetLimits
 from .target_table import TargetTable
 from .token_ledger import HolderId
+from .version_register import VersionRegister
 
 __all__ = ["TargetService"]
 
@@ -42,7 +44,8 @@
         holder: This VM's ID in the ledger.
         vm: Name of this VM.
         members: The VMs of the system.
-        peers: Calls them.
+        store: The store.
+        peers: Calls other VMs.
         read_targets: Reads the targets; returns whether that succeeded.
         clock: Time source.
         log: Logs decisions about requests.
@@ -56,6 +59,7 @@
         announcements: Takes note of what targets say about themselves.
         permits: Keeps to the limits that targets name.
         stream_origins: Remembers which software versions began streams.
+        version_register: Keeps in the store which versions there are.
     """
 
     def __init__(
@@ -64,6 +68,7 @@
         holder: HolderId,
         vm: str,
         members: Members,
+        store: Store,
         peers: PeerClient,
         read_targets: Callable[[], Deferred[bool]],
         clock: Any,
@@ -87,6 +92,15 @@
             read_targets=read_targets,
             clock=clock,
         )
+        self.version_register = VersionRegister(
+            holder=holder,
+            versions=self.stream_origins.versions,
+            members=members,
+            store=store,
+            peers=peers,
+            clock=clock,
+            logger=logger,
+        )
         deciders = PermitDeciders(members)
         self.permits = PermitService(
             holder=holder,
--- /dev/null
+++ b/lycheestall/entry/version_register.py
@@ -0,0 +1,232 @@
+"""Keeps in the store which software versions services have run lately."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from ..clock import Clock
+from ..logs import Logger
+from ..rendezvous import rendezvous
+from .configuration import ServiceId
+from .members import Members
+from .origin_messages import FindStreamOrigin, FoundStreamOrigin
+from .peer_rpc import PeerClient, call_all
+from .record_decoder import UnreadableRecord
+from .software_versions import SoftwareVersions
+from .store import Appended, KeyedRecord, NewestPage, Store, Topic
+from .stream_origins import UNNAMED_STREAM
+from .token_ledger import HolderId
+from .version_records import (
+    RecordedVersion,
+    decode_version,
+    delete_version,
+    encode_version,
+)
+
+__all__ = ["VersionRegister"]
+
+KEPT_S = 60.0
+"""Seconds for which a version stays recorded after its last target has left;
+longer than callers resume streams."""
+
+CURRENT_S = 1.2
+"""Age of the listing of the targets up to which a version counts as gone."""
+
+OTHERS_DELAY_S = 1.0
+"""Seconds after which a version is recorded by a VM that is not the one
+chosen for it."""
+
+RETRY_S = 0.5
+"""Seconds after a failed call until the next one."""
+
+SURVEY_TIMEOUT_S = 0.25
+"""Timeout for a peer to say which versions it has seen."""
+
+
+class VersionRegister:
+    """Records each software version as it appears, until it has left for long.
+
+    A VM that starts sees only the versions that are registered then. The
+    records tell it of those that have left while it was down, even if no VM
+    is left that has seen them. They change only when versions come or go.
+
+    Args:
+        holder: This VM.
+        versions: What this VM has seen itself.
+        members: The VMs of the system; one of them records a version first.
+        store: The store.
+        peers: Calls other VMs.
+        clock: Tells the time.
+        logger: Receives changes and unreadable records.
+    """
+
+    def __init__(
+        self,
+        *,
+        holder: HolderId,
+        versions: SoftwareVersions,
+        members: Members,
+        store: Store,
+        peers: PeerClient,
+        clock: Clock,
+        logger: Logger,
+    ) -> None:
+        self._holder = holder
+        self._versions = versions
+        self._members = members
+        self._store = store
+        self._peers = peers
+        self._clock = clock
+        self._logger = logger
+        self._recorded: set[RecordedVersion] = set()
+        self._noticed_at: dict[RecordedVersion, float] = {}
+        self._loaded_for: float | None = None
+        self._all_readable = True
+        self._retry_at = 0.0
+
+    async def step(self) -> None:
+        """Loads the records if necessary and brings them up to date."""
+        now = self._clock.seconds()
+        if self._versions.read_age_s(now) > CURRENT_S or now < self._retry_at:
+            return
+        loaded = self._loaded_for == self._versions.listed_at
+        if not loaded and not await self._load():
+            return
+        await self._record_new()
+        await self._delete_old()
+
+    async def _load(self) -> bool:
+        listed_at = self._versions.listed_at
+        records = await self._list()
+        if records is None:
+            return False
+        decoded = [decode_version(record) for record in records]
+        unreadable = [d for d in decoded if isinstance(d, UnreadableRecord)]
+        known = {d for d in decoded if isinstance(d, RecordedVersion)}
+        now = self._clock.seconds()
+        for recorded in known:
+            self._versions.note(recorded.service, recorded.version, now)
+        self._recorded = known
+        self._loaded_for = listed_at
+        self._all_readable = not unreadable
+        if unreadable:
+            self._logger.warning(
+                "software versions unreadable", reason=unreadable[0].reason
+            )
+        self._tell_recorded(_services(known))
+        return True
+
+    def _tell_recorded(self, services: Iterable[ServiceId]) -> None:
+        # A record that can't be read may name a version of any service.
+        if not self._all_readable:
+            return
+        for service in services:
+            self._versions.set_recorded(service)
+
+    async def _list(self) -> list[KeyedRecord] | None:
+        records: list[KeyedRecord] = []
+        after: str | None = None
+        while True:
+            page = await self._store.newest(Topic.VERSIONS, after=after)
+            if not isinstance(page, NewestPage):
+                self._retry_at = self._clock.seconds() + RETRY_S
+                return None
+            records.extend(page.records)
+            after = page.more_after
+            if after is None:
+                return records
+
+    async def _record_new(self) -> None:
+        missing = self._missing()
+        if not missing:
+            return
+        due = [recorded for recorded in missing if self._is_chosen(recorded)]
+        if not due and self._is_overdue(missing):
+            if not await self._load():
+                return
+            due = self._missing()
+        if not due:
+            return
+        surveyed = await self._surveyed(due)
+        await self._append(sorted({*due, *surveyed}, key=str))
+
+    def _missing(self) -> list[RecordedVersion]:
+        now = self._clock.seconds()
+        missing: list[RecordedVersion] = []
+        for service, version in self._versions.seen_within(KEPT_S / 2, now):
+            recorded = RecordedVersion(service, version)
+            if recorded in self._recorded:
+                continue
+            self._noticed_at.setdefault(recorded, now)
+            missing.append(recorded)
+        return missing
+
+    def _is_overdue(self, missing: Iterable[RecordedVersion]) -> bool:
+        now = self._clock.seconds()
+        return any(
+            now - self._noticed_at[recorded] >= OTHERS_DELAY_S
+            for recorded in missing
+        )
+
+    async def _surveyed(
+        self, due: Iterable[RecordedVersion]
+    ) -> set[RecordedVersion]:
+        # What VMs saw before the first record of a service was written.
+        new_services = _services(due) - _services(self._recorded)
+        surveyed: set[RecordedVersion] = set()
+        for service in new_services:
+            replies = await call_all(
+                self._peers,
+                self._members.group_peers(self._holder),
+                FindStreamOrigin(UNNAMED_STREAM, service, KEPT_S),
+                timeout_s=SURVEY_TIMEOUT_S,
+            )
+            for reply in replies:
+                if not isinstance(reply, FoundStreamOrigin):
+                    continue
+                for version in reply.recent_versions:
+                    surveyed.add(RecordedVersion(service, version))
+        return surveyed
+
+    async def _append(self, new: list[RecordedVersion]) -> None:
+        outcome = await self._store.append(
+            Topic.VERSIONS, [encode_version(one) for one in new], None
+        )
+        if not isinstance(outcome, Appended):
+            self._retry_at = self._clock.seconds() + RETRY_S
+            return
+        now = self._clock.seconds()
+        for recorded in new:
+            self._noticed_at.pop(recorded, None)
+            self._recorded.add(recorded)
+            self._versions.note(recorded.service, recorded.version, now)
+            self._logger.info(
+                "software version recorded",
+                service=recorded.service,
+                software_version=recorded.version,
+            )
+        self._tell_recorded(_services(new))
+
+    async def _delete_old(self) -> None:
+        now = self._clock.seconds()
+        kept = {
+            RecordedVersion(service, version)
+            for service, version in self._versions.seen_within(KEPT_S, now)
+        }
+        old = self._recorded - kept
+        if not old:
+            return
+        self._recorded &= kept
+        writes = [delete_version(one) for one in old if self._is_chosen(one)]
+        if writes:
+            # If this fails, the next VM that loads the records deletes them.
+            await self._store.append(Topic.VERSIONS, writes, None)
+
+    def _is_chosen(self, recorded: RecordedVersion) -> bool:
+        key = f"{recorded.service}\x1f{recorded.version}"
+        holders = [member.holder for member in self._members.all()]
+        return rendezvous(key, holders) == self._holder
+
+
+def _services(recorded: Iterable[RecordedVersion]) -> set[ServiceId]:
+    return {one.service for one in recorded}
--- a/lycheestall/platform/store_client.py
+++ b/lycheestall/platform/store_client.py
@@ -40,6 +40,7 @@
     Topic.TARGETS: "keyed.servers",
     Topic.LEDGER: "keyed.lycheestall",
     Topic.TURNS: "keyed.lycheestall-turns",
+    Topic.VERSIONS: "keyed.lycheestall-versions",
 }
 
 TURN_TOPICS = 4
--- a/tests/entry/memory_store.py
+++ b/tests/entry/memory_store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from enum import Enum
@@ -124,6 +125,7 @@
         applies_before_hold: Whether held appends take effect at once or
             only when they are released.
         calls: Number of calls.
+        calls_by_topic: Number of calls for each topic.
     """
 
     def __init__(self, log: MemoryLog, *, page: int = 500) -> None:
@@ -137,6 +139,7 @@
         self.applies_before_hold = True
         self._page = page
         self.calls = 0
+        self.calls_by_topic: Counter[Topic] = Counter()
 
     @property
     def turn_shards(self) -> int:
@@ -152,7 +155,7 @@
         shard: int = 0,
     ) -> Deferred[AppendOutcome]:
         """Appends records atomically."""
-        self.calls += 1
+        self._count(topic)
         if self._is_refused(topic):
             return succeed(StoreFailed("refused"))
         if self.fault is Fault.DELAYS_APPENDS:
@@ -169,6 +172,10 @@
             return succeed(outcome)
         return self._hold().addCallback(lambda _: outcome)
 
+    def _count(self, topic: Topic) -> None:
+        self.calls += 1
+        self.calls_by_topic[topic] += 1
+
     def _hold(self) -> Deferred[None]:
         waiting: Deferred[None] = Deferred(lambda _: None)
         assert self.held_appends is not None
@@ -195,7 +202,7 @@
         self, topic: Topic, start: Offset, *, wait_s: float = 0.0
     ) -> Deferred[ReadOutcome]:
         """Reads records from an offset on."""
-        self.calls += 1
+        self._count(topic)
         if self._is_refused(topic):
             return succeed(StoreFailed("refused"))
         first = self.log.first_by_topic[topic]
@@ -208,7 +215,7 @@
         self, topic: Topic, *, after: str | None = None, shard: int = 0
     ) -> Deferred[NewestOutcome]:
         """Lists the newest record of each key, one page per call."""
-        self.calls += 1
+        self._count(topic)
         if self._is_refused(topic):
             return succeed(StoreFailed("refused"))
         records = [
