Keep the origins of streams in the store while several versions serve

Cause: the version that began a stream was in the memory of three VMs only. Change: where more than one version is possible, a VM also appends the origin to the store, with those of the next 0.1 s (OriginJournal), in records that expire. A VM that looks for an origin reads them after its first peers don't know it. Nothing waits for an append; a stream that began less than 0.1 s before all VMs died is refused as before. While one version serves, nothing is written.

--- a/lycheestall/entry/decision_log.py
+++ b/lycheestall/entry/decision_log.py
@@ -194,6 +194,7 @@
             peers_asked=lookup.asked,
             peers_replied=lookup.replied,
             targets_read=lookup.targets_read,
+            journal_read=lookup.journal_read,
             known_versions=knowledge.versions,
             targets_age_ms=milliseconds(knowledge.read_age_s),
             targets_followed_ms=milliseconds(knowledge.followed_s),
--- a/lycheestall/entry/origin_search.py
+++ b/lycheestall/entry/origin_search.py
@@ -28,7 +28,7 @@
 """Timeout for a peer to say what it knows of an origin."""
 
 READ_TIMEOUT_S = 0.3
-"""Timeout for a read of the targets that a search waits for."""
+"""Timeout for a read of the store that a search waits for."""
 
 
 class OriginSource(Enum):
@@ -36,6 +36,7 @@
 
     MEMORY = "memory"
     PEERS = "peers"
+    STORE = "store"
     SOLE_VERSION = "sole version"
     OTHER_SERVICE = "other service"
     UNKNOWN = "unknown"
@@ -52,6 +53,7 @@
         asked: Number of VMs that were asked.
         replied: Number of VMs that replied.
         targets_read: Whether the targets were read after the search began.
+        journal_read: Whether the origins in the store were read.
     """
 
     software_version: SoftwareVersion | None
@@ -59,11 +61,14 @@
     asked: int = 0
     replied: int = 0
     targets_read: bool = False
+    journal_read: bool = False
 
 
 class OriginSearch:
     """Finds a stream's origin, or proves that only one version is possible.
 
+    Peers that were told of the stream are asked first, then the store.
+
     A version is called the only one if no other can have begun the stream:
 
     * this VM or a peer has followed the targets for as long as the stream
@@ -83,7 +88,10 @@
             first.
         in_group: Whether this VM is one of the group.
         recent: Returns the versions that this VM has seen lately.
+        remembered: Returns the origin that this VM remembers.
         read_targets: Reads the targets; returns whether that succeeded.
+        read_journal: Reads the origins in the store; returns whether that
+            succeeded.
         peers: Calls other VMs.
         clock: Times the reads.
     """
@@ -97,7 +105,9 @@
         group: Sequence[Member],
         in_group: bool,
         recent: Callable[[], RecentVersions],
+        remembered: Callable[[], StreamOrigin | None],
         read_targets: Callable[[], Deferred[bool]],
+        read_journal: Callable[[], Deferred[bool]],
         peers: PeerClient,
         clock: Clock,
     ) -> None:
@@ -107,29 +117,42 @@
         self._group = group
         self._in_group = in_group
         self._recent = recent
+        self._remembered = remembered
         self._read_targets = read_targets
+        self._read_journal = read_journal
         self._peers = peers
         self._clock = clock
         self._asked = 0
         self._replies: list[FoundStreamOrigin] = []
         self._targets_read = False
+        self._journal_read = False
 
     async def run(self) -> OriginLookup:
         """Searches until the version is found or nobody is left to ask."""
         if self._recent().only_possible is not None:
-            await self._read()
+            self._targets_read = await self._within(self._read_targets())
             if self._targets_read and self._only_possible() is not None:
                 return self._result()
         if self._stream is not None:
             await self._ask(self._group[:ASKED_FIRST])
             if self.origin is not None:
                 return self._result()
-        reading = None if self._targets_read else self._start_read()
-        await self._ask(self._group[self._asked :])
-        if reading is not None:
-            self._targets_read = bool(await reading)
+        await self._read_and_ask()
         return self._result()
 
+    async def _read_and_ask(self) -> None:
+        """Reads what has not been read and asks the other VMs meanwhile."""
+        targets = journal = None
+        if not self._targets_read:
+            targets = self._within(self._read_targets())
+        if self._stream is not None:
+            journal = self._within(self._read_journal())
+        await self._ask(self._group[self._asked :])
+        if targets is not None:
+            self._targets_read = await targets
+        if journal is not None:
+            self._journal_read = await journal
+
     @property
     def origin(self) -> StreamOrigin | None:
         """The origin that a peer remembers."""
@@ -140,11 +163,15 @@
         return None
 
     def _result(self) -> OriginLookup:
+        source = OriginSource.PEERS
         origin = self.origin
+        if origin is None:
+            source = OriginSource.STORE
+            origin = self._remembered()
         if origin is not None and origin.service != self._service:
             return self._lookup(None, OriginSource.OTHER_SERVICE)
         if origin is not None:
-            return self._lookup(origin.software_version, OriginSource.PEERS)
+            return self._lookup(origin.software_version, source)
         version = self._only_possible()
         if version is None or not (self._targets_read or self._most_replied()):
             return self._lookup(None, OriginSource.UNKNOWN)
@@ -159,6 +186,7 @@
             asked=self._asked,
             replied=len(self._replies),
             targets_read=self._targets_read,
+            journal_read=self._journal_read,
         )
 
     def _only_possible(self) -> SoftwareVersion | None:
@@ -187,8 +215,6 @@
             reply for reply in replies if isinstance(reply, FoundStreamOrigin)
         ]
 
-    async def _read(self) -> None:
-        self._targets_read = bool(await self._start_read())
-
-    def _start_read(self) -> Deferred[bool | None]:
-        return result_within(self._read_targets(), READ_TIMEOUT_S, self._clock)
+    def _within(self, read: Deferred[bool]) -> Deferred[bool]:
+        result = result_within(read, READ_TIMEOUT_S, self._clock)
+        return result.addCallback(bool)
--- a/lycheestall/entry/store.py
+++ b/lycheestall/entry/store.py
@@ -32,9 +32,10 @@
 
 
 class Topic(Enum):
-    """The compacted topics that an entry VM uses.
+    """The topics that an entry VM uses.
 
-    All have one shard except ``TURNS``, which has ``Store.turn_shards``.
+    All are compacted but ``ORIGINS``, whose records expire after a time. All
+    have one shard except ``TURNS``, which has ``Store.turn_shards``.
     """
 
     CONFIGURATION = "configuration"
@@ -42,6 +43,7 @@
     LEDGER = "ledger"
     TURNS = "turns"
     VERSIONS = "versions"
+    ORIGINS = "origins"
 
 
 @dataclass(frozen=True, slots=True)
--- a/lycheestall/entry/stream_origin_service.py
+++ b/lycheestall/entry/stream_origin_service.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import Any
 
 from twisted.internet.defer import Deferred
 
-from ..clock import Clock
 from ..conversations import CopyCandidate, choose_copy_holders
+from ..logs import Logger
 from .configuration import ServiceId
 from .members import Member, Members
+from .origin_journal import OriginJournal
 from .origin_messages import (
     FindStreamOrigin,
     FoundStreamOrigin,
@@ -19,6 +21,7 @@
 from .peer_messages import PeerMessage, PeerReply, Understood
 from .peer_rpc import PeerClient
 from .software_versions import RecentVersions, SoftwareVersions
+from .store import Store
 from .stream_origins import (
     UNNAMED_STREAM,
     StreamKey,
@@ -48,15 +51,18 @@
     While a service runs one version only, nothing is sent: every VM that has
     followed the targets for long enough knows the version. Otherwise each VM
     tells two others as it forwards a stream's first event, so that the loss
-    of the VM leaves the stream resumable.
+    of the VM leaves the stream resumable, and writes it to the store soon
+    after, for the loss of all VMs.
 
     Args:
         holder: This VM.
         table: The registered targets.
         members: The VMs of the system.
+        store: The store.
         peers: Calls other VMs.
         read_targets: Reads the targets; returns whether that succeeded.
         clock: Tells the time.
+        logger: Receives failed calls of the store.
 
     Attributes:
         versions: Which versions the services have run lately.
@@ -68,9 +74,11 @@
         holder: HolderId,
         table: TargetTable,
         members: Members,
+        store: Store,
         peers: PeerClient,
         read_targets: Callable[[], Deferred[bool]],
-        clock: Clock,
+        clock: Any,
+        logger: Logger,
     ) -> None:
         self._holder = holder
         self._members = members
@@ -78,6 +86,13 @@
         self._read_targets = read_targets
         self._clock = clock
         self._origins = StreamOrigins()
+        self._journal = OriginJournal(
+            origins=self._origins,
+            members=members,
+            store=store,
+            clock=clock,
+            logger=logger,
+        )
         self.versions = SoftwareVersions(table)
 
     def record(
@@ -97,12 +112,11 @@
         service = registration.service
         version = registration.software_version
         stream = stream_key(request_id)
-        self._origins.add(stream, StreamOrigin(service, version))
+        origin = StreamOrigin(service, version)
+        self._origins.add(stream, origin)
         if self._current(service, lifetime_s).only_possible == version:
             return
-        message = HoldStreamOrigin(stream, service, version)
-        for member in self._ranked_peers(stream)[:HOLDERS]:
-            self._peers.call(member.address, message, timeout_s=HOLD_TIMEOUT_S)
+        self._tell(stream, origin, lifetime_s)
 
     async def find(
         self,
@@ -157,6 +171,18 @@
             )
         return None
 
+    def _tell(
+        self, stream: StreamKey, origin: StreamOrigin, lifetime_s: float
+    ) -> None:
+        message = HoldStreamOrigin(
+            stream, origin.service, origin.software_version
+        )
+        for member in self._ranked_peers(stream)[:HOLDERS]:
+            self._peers.call(member.address, message, timeout_s=HOLD_TIMEOUT_S)
+        recent = self._recent(origin.service, lifetime_s)
+        if recent.only_possible is None:
+            self._journal.add(stream, origin)
+
     def _search(
         self, stream: StreamKey | None, service: ServiceId, lifetime_s: float
     ) -> OriginSearch:
@@ -169,7 +195,9 @@
             group=self._ranked_peers(key),
             in_group=self._holder in group,
             recent=lambda: self._recent(service, lifetime_s),
+            remembered=lambda: self._origins.get(key),
             read_targets=self._read_targets,
+            read_journal=self._journal.read.ask,
             peers=self._peers,
             clock=self._clock,
         )
--- a/lycheestall/entry/stream_origins.py
+++ b/lycheestall/entry/stream_origins.py
@@ -12,6 +12,7 @@
 from .configuration import ServiceId
 
 __all__ = [
+    "STREAM_KEY_BYTES",
     "UNNAMED_STREAM",
     "StreamKey",
     "StreamOrigin",
@@ -22,6 +23,8 @@
 StreamKey = NewType("StreamKey", bytes)
 """Digest of the ID of the request that received a stream's first event."""
 
+STREAM_KEY_BYTES = 16
+
 MAX_STREAMS = 10_000
 """Streams remembered, the newest ones."""
 
--- a/lycheestall/entry/target_service.py
+++ b/lycheestall/entry/target_service.py
@@ -88,9 +88,11 @@
             holder=holder,
             table=self.table,
             members=members,
+            store=store,
             peers=peers,
             read_targets=read_targets,
             clock=clock,
+            logger=logger,
         )
         self.version_register = VersionRegister(
             holder=holder,
--- a/lycheestall/platform/store_client.py
+++ b/lycheestall/platform/store_client.py
@@ -41,6 +41,8 @@
     Topic.LEDGER: "keyed.lycheestall",
     Topic.TURNS: "keyed.lycheestall-turns",
     Topic.VERSIONS: "keyed.lycheestall-versions",
+    # Only topics whose names begin with "keyed." are compacted.
+    Topic.ORIGINS: "lycheestall-origins",
 }
 
 TURN_TOPICS = 4
