Tell others of streams that began before a second version came

Cause: while one version is known nothing is told to peers, and it wasn't told later when that changed. Change: a VM keeps the streams that it has told nobody of, until they have ended whole or can't be resumed any more. When their version is no longer the only one, or the listing of the targets is out of date, it tells two peers, and the store if several versions are possible. Reading the targets and telling follow each other in TargetsReader.

--- a/lycheestall/entry/entry_vm.py
+++ b/lycheestall/entry/entry_vm.py
@@ -30,11 +30,11 @@
 from .request_dependencies import RequestDependencies
 from .request_router import RequestRouter
 from .routed_store import RoutedStore
-from .shared_read import SharedRead
 from .store import Store
 from .store_health import StoreHealth
 from .store_view import StoreView
 from .target_service import TargetService
+from .targets_reader import TargetsReader
 from .token_ledger import HolderId
 from .token_service import TokenService
 from .turn_messages import TurnMessage
@@ -135,7 +135,7 @@
             members=members,
             store=self._store,
             peers=peers,
-            read_targets=lambda: self._targets_read.ask(),
+            read_targets=lambda: self._targets_reader.ask(),
             clock=reactor,
             log=self._log,
             logger=logger,
@@ -168,7 +168,11 @@
                 target, None
             ),
         )
-        self._targets_read = SharedRead(self._read_targets, logger)
+        self._targets_reader = TargetsReader(
+            view=self._view,
+            stream_origins=self._targets.stream_origins,
+            logger=logger,
+        )
         self.token_service = TokenService(
             holder=holder,
             address=address,
@@ -250,22 +254,11 @@
             return False
         return not self._isolated() and not self._links.isolated
 
-    async def _poll_targets(self) -> None:
-        await self._targets_read.ask()
-
     async def _keep_versions(self) -> None:
         # Members are needed to choose who records a version.
         if self.token_service.loaded:
             await self._targets.version_register.step()
 
-    async def _read_targets(self) -> bool:
-        succeeded = await self._view.read_targets()
-        self._targets.stream_origins.versions.observe(
-            self._view.targets_read_at,
-            listed_at=self._view.targets_listed_at,
-        )
-        return succeeded
-
     def _isolated(self) -> bool:
         if not self._health.unavailable:
             return False
@@ -290,7 +283,7 @@
                 self._view.poll_configuration,
                 CONFIGURATION_POLL_S,
             ),
-            ("targets", self._poll_targets, targets_poll_s),
+            ("targets", self._targets_reader.poll, targets_poll_s),
             ("ledger", self.token_service.poll, LEDGER_CHECK_S),
             ("versions", self._keep_versions, VERSIONS_CHECK_S),
             ("survey", self.token_service.survey, SURVEY_INTERVAL_S),
@@ -395,6 +388,7 @@
     async def _housekeeping(self) -> None:
         self._view.remove_expired()
         self._links.remove_expired()
+        self._targets.stream_origins.tell_due()
         self.conversations.remove_expired()
         self.token_service.forget_idle()
         self._metrics.set_gauge(
--- a/lycheestall/entry/request_processor.py
+++ b/lycheestall/entry/request_processor.py
@@ -308,6 +308,7 @@
         )
         if kept:
             self._forwarder.finish()
+            self._stream_version.ended()
             self._final.log_end("served")
             return
         if self._early_end is EarlyEnd.CALLER_DISCONNECTED:
--- a/lycheestall/entry/stream_origin_service.py
+++ b/lycheestall/entry/stream_origin_service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 
 from twisted.internet.defer import Deferred
@@ -45,6 +46,25 @@
 nobody waits for a new one: two of its usual intervals."""
 
 
+MAX_UNTOLD = 10_000
+"""Streams that others are told of only if a second version comes."""
+
+
+@dataclass(frozen=True, slots=True)
+class _UntoldStream:
+    """A stream that no other VM has been told of.
+
+    Attributes:
+        origin: Where it began.
+        lifetime_s: Seconds for which callers may resume it.
+        expires_at: When that ends.
+    """
+
+    origin: StreamOrigin
+    lifetime_s: float
+    expires_at: float
+
+
 class StreamOriginService:
     """Remembers where streams began, together with some other VMs.
 
@@ -52,7 +72,9 @@
     followed the targets for long enough knows the version. Otherwise each VM
     tells two others as it forwards a stream's first event, so that the loss
     of the VM leaves the stream resumable, and writes it to the store soon
-    after, for the loss of all VMs.
+    after, for the loss of all VMs. When a second version comes, or the VM can
+    no longer read the targets, it does so for the streams that began before
+    and have not ended.
 
     Args:
         holder: This VM.
@@ -86,6 +108,7 @@
         self._read_targets = read_targets
         self._clock = clock
         self._origins = StreamOrigins()
+        self._untold: dict[StreamKey, _UntoldStream] = {}
         self._journal = OriginJournal(
             origins=self._origins,
             members=members,
@@ -114,9 +137,39 @@
         stream = stream_key(request_id)
         origin = StreamOrigin(service, version)
         self._origins.add(stream, origin)
-        if self._current(service, lifetime_s).only_possible == version:
+        if not self._is_only_version(origin, lifetime_s):
+            self._tell(stream, origin, lifetime_s)
             return
-        self._tell(stream, origin, lifetime_s)
+        expires_at = self._clock.seconds() + lifetime_s
+        self._untold[stream] = _UntoldStream(origin, lifetime_s, expires_at)
+        if len(self._untold) > MAX_UNTOLD:
+            del self._untold[next(iter(self._untold))]
+
+    def ended(self, request_id: bytes) -> None:
+        """Notes that a caller has received the whole stream of a request."""
+        self._untold.pop(stream_key(request_id), None)
+
+    def observe_targets(self, read_at: float, *, listed_at: float) -> None:
+        """Notes what a read of the targets has brought.
+
+        Args:
+            read_at: When the last read started.
+            listed_at: When the last listing started.
+        """
+        self.versions.observe(read_at, listed_at=listed_at)
+        self.tell_due()
+
+    def tell_due(self) -> None:
+        """Tells others of streams whose version is no longer the only one."""
+        now = self._clock.seconds()
+        for stream, untold in list(self._untold.items()):
+            if untold.expires_at <= now:
+                del self._untold[stream]
+                continue
+            if self._is_only_version(untold.origin, untold.lifetime_s):
+                continue
+            del self._untold[stream]
+            self._tell(stream, untold.origin, untold.lifetime_s)
 
     async def find(
         self,
@@ -222,6 +275,12 @@
         names = choose_copy_holders(key, candidates, len(candidates))
         return [member_by_name[name] for name in names]
 
+    def _is_only_version(
+        self, origin: StreamOrigin, lifetime_s: float
+    ) -> bool:
+        recent = self._current(origin.service, lifetime_s)
+        return recent.only_possible == origin.software_version
+
     def _recent(self, service: ServiceId, lifetime_s: float) -> RecentVersions:
         return self.versions.recent(
             service, self._clock.seconds(), lifetime_s=lifetime_s
--- a/lycheestall/entry/stream_version.py
+++ b/lycheestall/entry/stream_version.py
@@ -89,6 +89,10 @@
                 lifetime_s=self._lifetime_s,
             )
 
+    def ended(self) -> None:
+        """Notes that the caller has received the whole stream."""
+        self._deps.stream_origins.ended(self._metadata.request_id)
+
     def allows(self, registration: TargetRegistration) -> bool:
         """Returns whether a target may run the request."""
         return self.required in (None, registration.software_version)
--- a/tests/entry/fleet.py
+++ b/tests/entry/fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable, Iterable
 from typing import Any
 
@@ -44,6 +45,7 @@
     Attributes:
         cut: VMs that reach no other one.
         isolated_group: VMs that reach each other, but none of the others.
+        sent: Number of messages by their type.
     """
 
     def __init__(self, reactor: FakeReactor) -> None:
@@ -51,6 +53,7 @@
         self.handle_by_address: dict[Address, Callable[[Any], Any]] = {}
         self.cut: set[Address] = set()
         self.isolated_group: set[Address] = set()
+        self.sent: Counter[type] = Counter()
 
     def is_cut(self, one: Address, other: Address) -> bool:
         """Returns whether two VMs don't reach each other."""
@@ -86,6 +89,7 @@
         self, address: Address, message: PeerMessage, *, timeout_s: float
     ) -> Deferred[PeerReply | None]:
         """Returns the reply, or None without one in time."""
+        self._links.sent[type(message)] += 1
         reply: Deferred[PeerReply | None] = Deferred()
         reactor = self._links.reactor
         handle = self._links.handle_by_address.get(address)
--- a/tests/entry/test_stream_knowledge.py
+++ b/tests/entry/test_stream_knowledge.py
@@ -6,6 +6,8 @@
 
 import pytest
 
+from lycheestall.entry.origin_messages import HoldStreamOrigin
+from lycheestall.entry.store import Topic
 from tests.entry.entry_vm_harness import status_of
 from tests.entry.fake_network import RecordingCaller
 from tests.entry.fleet import Fleet
@@ -203,3 +205,25 @@
     fleet.kill(1)
     answers = take_up(fleet, numbers, vm=CUT, named=named)
     assert gone_on(answers) >= STREAMS / 2
+
+
+# Guards against messages about streams that nobody can take up any more, at
+# the moment at which a second version appears.
+def test_nobody_is_told_of_streams_that_have_ended(
+    fleet: Fleet, engines: Engines
+) -> None:
+    engines.breaks = False
+    begin_streams(fleet, range(VMS))
+    add_second_version(engines)
+    fleet.reactor.run(1.5)
+    assert not fleet.links.sent[HoldStreamOrigin]
+    assert not fleet.log.by_topic[Topic.ORIGINS]
+
+
+def test_a_quiet_service_of_one_version_costs_no_messages_or_appends(
+    fleet: Fleet, engines: Engines
+) -> None:
+    begin_streams(fleet, range(VMS))
+    fleet.reactor.run(20.0)
+    assert not fleet.links.sent[HoldStreamOrigin]
+    assert not fleet.log.by_topic[Topic.ORIGINS]
--- a/tests/entry/versioned_engines.py
+++ b/tests/entry/versioned_engines.py
@@ -28,6 +28,7 @@
     Attributes:
         versions_by_stream: The versions that sent events of each stream,
             ``s1`` is that of ``/plan/1``.
+        breaks: Whether new streams break; otherwise they are sent whole.
         crash: Whether the target that begins a stream crashes on the way;
             otherwise it sends no more after the same event.
         refusals_left: How many requests that resume a stream are refused
@@ -41,6 +42,7 @@
         self._down: dict[tuple[str, int], FakeTarget] = {}
         self._target_by_stream: dict[str, FakeTarget] = {}
         self.versions_by_stream: dict[str, list[str]] = defaultdict(list)
+        self.breaks = True
         self.crash = True
         self.refusals_left = 0
         self.full_versions: set[str] = set()
@@ -96,6 +98,10 @@
             request.end_stream()
             return
         self._target_by_stream[stream] = target
+        if not self.breaks:
+            self._send_events(request, first, LAST_EVENT)
+            request.end_stream()
+            return
         self._send_events(request, first, BREAK_AFTER)
         if self.crash:
             self._fleet.reactor.callLater(0.01, self._take_down, target)
