Expect callers of a stream for as long as they may come

Callers saw: a stream is taken up 8 s after it began at a version that has left, and goes on at the version that came after it, answered 200. Cause: the versions of the last two timeouts of the route counted (6 s). Callers with three retries that wait between them come later, and so do those that have given a long deadline. Change: five timeouts count, or the deadline that the caller gives, if longer. Measured: test_a_caller_that_comes_late_gets_no_other_version failed in both its cases (streams mixed), passes now. The constant of test_stream_versions.py that repeats the lifetime follows it.

--- a/lycheestall/entry/stream_version.py
+++ b/lycheestall/entry/stream_version.py
@@ -10,9 +10,10 @@
 
 __all__ = ["StreamVersion"]
 
-LIFETIME_TIMEOUTS = 2.0
+LIFETIME_TIMEOUTS = 5.0
 """How long callers may resume a stream, as a multiple of its route's timeout:
-the first attempt takes up to the timeout, and so does the last one."""
+a target may take as long to begin it, and a caller for each of four attempts.
+A caller that gives a longer deadline may come up to then."""
 
 
 class StreamVersion:
@@ -45,7 +46,9 @@
         self._resumable = (
             route.is_stream and route.retry_safety is RetrySafety.RESUMABLE
         )
-        self._lifetime_s = LIFETIME_TIMEOUTS * route.timeout_s
+        self._lifetime_s = max(
+            LIFETIME_TIMEOUTS * route.timeout_s, metadata.deadline_s or 0.0
+        )
         self.required: SoftwareVersion | None = None
 
     @property
--- a/tests/entry/test_stream_knowledge.py
+++ b/tests/entry/test_stream_knowledge.py
@@ -227,3 +227,22 @@
     fleet.reactor.run(20.0)
     assert not fleet.links.sent[HoldStreamOrigin]
     assert not fleet.log.by_topic[Topic.ORIGINS]
+
+
+# Guards against forgetting a version while callers of its streams may still
+# come: they wait between their attempts, and have given a long deadline.
+@pytest.mark.parametrize(("late_s", "deadline_ms"), [(8.0, 0), (20.0, 30000)])
+def test_a_caller_that_comes_late_gets_no_other_version(
+    fleet: Fleet, engines: Engines, late_s: float, deadline_ms: int
+) -> None:
+    numbers = begin_streams(fleet, [1])
+    fleet.kill(1)
+    add_second_version(engines)
+    for number in range(2):
+        fleet.remove_target(f"old-{number}")
+    fleet.reactor.run(late_s)
+    deadline = f"X-Deadline-Ms: {deadline_ms}\r\n" if deadline_ms else ""
+    for number in numbers:
+        take_up_stream(fleet, number, vm=CUT, headers=deadline)
+    fleet.reactor.run(1.5)
+    assert not engines.mixed()
--- a/tests/entry/test_stream_versions.py
+++ b/tests/entry/test_stream_versions.py
@@ -32,8 +32,8 @@
 
 VMS = 6
 STREAMS = 12
-STREAM_LIFETIME_S = 6.0
-"""Twice the timeout of the streams' route."""
+STREAM_LIFETIME_S = 15.0
+"""Five times the timeout of the streams' route."""
 STREAM = stream_key(b"s0")
 SERVICE = ServiceId("engines")
 VERSION = SoftwareVersion("v1")
--- a/tests/entry/versioned_engines.py
+++ b/tests/entry/versioned_engines.py
@@ -132,7 +132,12 @@
 
 
 def take_up_stream(
-    fleet: Fleet, number: int, *, vm: int, named: bool = True
+    fleet: Fleet,
+    number: int,
+    *,
+    vm: int,
+    named: bool = True,
+    headers: str = "",
 ) -> RecordingCaller:
     """Sends the caller's next attempt after it has got some events.
 
@@ -141,6 +146,7 @@
         number: Number of the stream.
         vm: Number of the VM that gets the attempt.
         named: Whether the caller names the request that began the stream.
+        headers: Further header lines.
     """
     resumes = f"Resumes: s{number}\r\n" if named else ""
     return fleet.send(
@@ -148,7 +154,7 @@
         vm=vm,
         headers=(
             f"X-Session-Id: session-{number}\r\n"
-            f"Last-Event-Id: {BREAK_AFTER}\r\n{resumes}"
+            f"Last-Event-Id: {BREAK_AFTER}\r\n{resumes}{headers}"
         ),
     )
 
