--- a/lycheestall/entry/entry_vm.py
+++ b/lycheestall/entry/entry_vm.py
@@ -46,11 +46,6 @@
 """Seconds between two reads of the configuration; limits the rate if the
 store does not hold them as long polls."""
 
-TARGETS_POLL_SHARE = 0.3
-"""Interval of reads of the targets, as a share of ``drain_s``, so that a
-draining target is noticed well before it must get no new requests. The reads
-are not long polls, which would return at every registration of any target."""
-
 LEDGER_CHECK_S = 0.5
 """Seconds between checks whether a read of the ledger is due."""
 
@@ -171,6 +166,7 @@
         self._targets_reader = TargetsReader(
             view=self._view,
             stream_origins=self._targets.stream_origins,
+            drain_s=settings.drain_s,
             logger=logger,
         )
         self.token_service = TokenService(
@@ -252,14 +248,9 @@
         """Whether the VM accepts new callers."""
         if not self.loaded or self._draining:
             return False
-        return not self._isolated() and not self._links.isolated
-
-    async def _keep_versions(self) -> None:
-        # Members are needed to choose who records a version.
-        if self.token_service.loaded:
-            await self._targets.version_register.step()
+        return not self._lacks_store() and not self._links.isolated
 
-    def _isolated(self) -> bool:
+    def _lacks_store(self) -> bool:
         if not self._health.unavailable:
             return False
         if self.token_service.mode is OutageMode.DECIDERS:
@@ -276,35 +267,25 @@
 
     def start(self) -> None:
         """Starts following the store."""
-        targets_poll_s = self._settings.drain_s * TARGETS_POLL_SHARE
+        tokens, targets = self.token_service, self._targets
+        turns, reader = self.conversations, self._targets_reader
+        register = targets.version_register
         pollers = (
             (
                 "configuration",
                 self._view.poll_configuration,
                 CONFIGURATION_POLL_S,
             ),
-            ("targets", self._targets_reader.poll, targets_poll_s),
-            ("ledger", self.token_service.poll, LEDGER_CHECK_S),
-            ("versions", self._keep_versions, VERSIONS_CHECK_S),
-            ("survey", self.token_service.survey, SURVEY_INTERVAL_S),
-            (
-                "target reports",
-                self._targets.send_reports,
-                TARGET_REPORT_S,
-            ),
-            (
-                "member sweep",
-                self.token_service.detect_failures,
-                MEMBER_CHECK_INTERVAL_S,
-            ),
+            ("targets", reader.poll, reader.interval_s),
+            ("ledger", tokens.poll, LEDGER_CHECK_S),
+            ("versions", register.step, VERSIONS_CHECK_S),
+            ("survey", tokens.survey, SURVEY_INTERVAL_S),
+            ("target reports", targets.send_reports, TARGET_REPORT_S),
+            ("member sweep", tokens.detect_failures, MEMBER_CHECK_INTERVAL_S),
             ("housekeeping", self._housekeeping, HOUSEKEEPING_S),
-            (
-                "turn records",
-                self.conversations.recorder.write_due,
-                TURN_RECORDS_S,
-            ),
+            ("turn records", turns.recorder.write_due, TURN_RECORDS_S),
             ("target links", self._links.check, LINK_CHECK_S),
-            ("shard sweep", self.conversations.sweep, SHARD_SWEEP_S),
+            ("shard sweep", turns.sweep, SHARD_SWEEP_S),
         )
         for name, step, interval_s in pollers:
             self._supervisor.add(
@@ -332,7 +313,7 @@
         While this VM is isolated from the store or the targets, its callers
         may reach another VM that is not.
         """
-        if self._draining or self._isolated():
+        if self._draining or self._lacks_store():
             return True
         return self._links.isolated
 
--- a/lycheestall/entry/targets_reader.py
+++ b/lycheestall/entry/targets_reader.py
@@ -12,13 +12,23 @@
 __all__ = ["TargetsReader"]
 
 
+POLL_SHARE = 0.3
+"""Interval of reads of the targets, as a share of the time for which a
+draining target still takes requests, so that it is noticed well before. The
+reads are not long polls, which would return at every registration."""
+
+
 class TargetsReader:
     """Reads the targets and tells what follows their software versions.
 
     Args:
         view: Holds the registrations.
         stream_origins: Learns of each read.
+        drain_s: Seconds for which a draining target still takes requests.
         logger: Receives reads that end with an exception.
+
+    Attributes:
+        interval_s: Seconds between two regular reads.
     """
 
     def __init__(
@@ -26,10 +36,12 @@
         *,
         view: StoreView,
         stream_origins: StreamOriginService,
+        drain_s: float,
         logger: Logger,
     ) -> None:
         self._view = view
         self._stream_origins = stream_origins
+        self.interval_s = drain_s * POLL_SHARE
         self._reads = SharedRead(self._read, logger)
 
     def ask(self) -> Deferred[bool]:
--- a/lycheestall/entry/version_register.py
+++ b/lycheestall/entry/version_register.py
@@ -85,10 +85,15 @@
         self._retry_at = 0.0
 
     async def step(self) -> None:
-        """Loads the records if necessary and brings them up to date."""
+        """Loads the records if necessary and brings them up to date.
+
+        Nothing happens before this VM has read the targets and the members.
+        """
         now = self._clock.seconds()
         if self._versions.read_age_s(now) > CURRENT_S or now < self._retry_at:
             return
+        if not self._members.all():
+            return
         loaded = self._loaded_for == self._versions.listed_at
         if not loaded and not await self._load():
             return
