Follow the targets past an entry whose state is nested

Callers and operators saw: VMs stopped following the targets once another writer had left an entry whose state was a list nested 1,000 deep. Targets that left were still used, those that joined were missing, and a VM that was restarted refused all requests with 503 "not ready yet".

Cause: the JSON decoder accepts up to 1,024 levels, and the reason for refusing the entry quoted the state with repr(), which raises RecursionError from about 1,000 levels on. That ended the reading of the registrations, at every attempt: the position moves only after a record.

Evidence: before the fix the new test fails for the nested state alone (1 failed, 4 passed): "child failed child=targets error='maximum recursion depth exceeded while getting the repr of an object'" again and again, and after the restart six of twelve requests answered 503.

Why it works: the reason names the type of a nested value, and quotes at most 40 characters of any other one.

--- a/lycheestall/platform/store_records.py
+++ b/lycheestall/platform/store_records.py
@@ -28,6 +28,9 @@
 _DEFAULT_MAX_ATTEMPTS = 3
 """Targets per request for routes without ``max_attempts``."""
 
+MAX_QUOTED_CHARACTERS = 40
+"""Characters of an unsound value that the reason quotes."""
+
 
 class PlatformRecordDecoder(RecordDecoder):
     """Decodes the platform's JSON records."""
@@ -152,7 +155,7 @@
 ) -> TargetRegistration | UnreadableRecord:
     state = document["state"]
     if state not in _TARGET_STATES:
-        return UnreadableRecord(f"unknown state {state!r}")
+        return UnreadableRecord(f"unknown state {_quote(state)}")
     service = document["service"]
     address = document["address"]
     slots = document["slots"]
@@ -180,3 +183,10 @@
         slots=slots,
         draining=state == "draining",
     )
+
+
+def _quote(found: object) -> str:
+    # The representation of a nested value may exceed the recursion limit.
+    if isinstance(found, dict | list):
+        return f"a {type(found).__name__}"
+    return repr(found)[:MAX_QUOTED_CHARACTERS]
