Refuse registrations that no sound target writes

Callers and operators saw: an entry of another writer with port 70000 or -1, with slots of 0, -5 or 2^63, with a host name, NUL or line end in its address or without "born" counted as a target. Requests were sent to it and lost. An ID outside of latin-1 raised while the request was encoded, so that the request waited for its deadline; one with CR LF put a header of its own into the request.

Cause: the decoder checked the fields' types, not their values, and read the port with int(), which also takes signs, spaces and underscores. It didn't look at the ID at all.

Why it works: a registration is accepted only with a known state, an IPv4 address of one host, a port from 1 to 65535, slots from 1 to 1,000,000, a whole "born" from 0 to 2^63 - 1, printable texts of up to 256 characters and an ID of visible ASCII; so nothing that is used later can fail on it. The reason names the field, what is expected and the value, cut short.

--- a/lycheestall/platform/store_records.py
+++ b/lycheestall/platform/store_records.py
@@ -19,18 +19,15 @@
 )
 from ..entry.record_decoder import RecordDecoder, UnreadableRecord
 from ..entry.target_table import TargetRegistration
-from ..ids import SoftwareVersion, TargetId, ZoneId
+from ..ids import TargetId
+from .registrations import decode_registration
 
 __all__ = ["PlatformRecordDecoder"]
 
 _CONFIGURATION_KEY = b"config"
-_TARGET_STATES = ("ready", "draining")
 _DEFAULT_MAX_ATTEMPTS = 3
 """Targets per request for routes without ``max_attempts``."""
 
-MAX_QUOTED_CHARACTERS = 40
-"""Characters of an unsound value that the reason quotes."""
-
 
 class PlatformRecordDecoder(RecordDecoder):
     """Decodes the platform's JSON records."""
@@ -52,16 +49,7 @@
         self, target: TargetId, value: bytes
     ) -> TargetRegistration | UnreadableRecord:
         """Decodes a target's registration."""
-        try:
-            document = orjson.loads(value)
-        except ValueError as error:
-            return UnreadableRecord(str(error))
-        if not isinstance(document, dict):
-            return UnreadableRecord("not an object")
-        try:
-            return _registration(target, document)
-        except (ValueError, KeyError, TypeError) as error:
-            return UnreadableRecord(f"{type(error).__name__}: {error}")
+        return decode_registration(target, value)
 
 
 def _configuration(document: Mapping[str, Any]) -> Configuration:
@@ -148,45 +136,3 @@
 
 def _seconds_from_ms(entry: Mapping[str, Any], name: str) -> float:
     return float(entry.get(name) or 0) / 1000.0
-
-
-def _registration(
-    target: TargetId, document: Mapping[str, Any]
-) -> TargetRegistration | UnreadableRecord:
-    state = document["state"]
-    if state not in _TARGET_STATES:
-        return UnreadableRecord(f"unknown state {_quote(state)}")
-    service = document["service"]
-    address = document["address"]
-    slots = document["slots"]
-    zone = document["zone"]
-    # "version" is that of the target's program, not of a record or weights.
-    software_version = document["version"]
-    texts = (service, address, zone, software_version)
-    if not all(isinstance(text, str) for text in texts):
-        return UnreadableRecord("a text field has another type")
-    if not isinstance(slots, int) or isinstance(slots, bool):
-        return UnreadableRecord("slots is not a number")
-    # "born" is the start of the process in Unix milliseconds.
-    started_ms = document.get("born", 0)
-    if not isinstance(started_ms, int):
-        return UnreadableRecord("born is not a whole number")
-    host, _, port = address.rpartition(":")
-    return TargetRegistration(
-        target=target,
-        started_ms=started_ms,
-        service=ServiceId(service),
-        host=host,
-        port=int(port),
-        zone=ZoneId(zone),
-        software_version=SoftwareVersion(software_version),
-        slots=slots,
-        draining=state == "draining",
-    )
-
-
-def _quote(found: object) -> str:
-    # The representation of a nested value may exceed the recursion limit.
-    if isinstance(found, dict | list):
-        return f"a {type(found).__name__}"
-    return repr(found)[:MAX_QUOTED_CHARACTERS]
