Follow the ledger past a number that int() refuses

Callers and operators saw: VMs stopped following the ledger once another writer had left an allocation, a crash count or a member with a number of 5,000 digits, or a member whose port was a digit such as U+00B2; a VM that was restarted never became ready.

Cause: isdigit() was taken to mean that int() succeeds. It refuses more than 4,300 digits, and str.isdigit() accepts digits that int() doesn't. The error ended the reading of the ledger, at every attempt.

Why it works: one function decodes the numbers of all these records. It takes ASCII digits, and so few of them that int(), sums and float() take them too. A port above 65535 names no member.

--- a/lycheestall/entry/crash_reports.py
+++ b/lycheestall/entry/crash_reports.py
@@ -7,6 +7,7 @@
 import xxhash
 
 from .http_messages import Request
+from .record_numbers import decode_number
 from .store import KeyedRecord, KeyedWrite
 from .token_ledger import HolderId
 
@@ -86,9 +87,10 @@
             or parts[2] == self._holder
         ):
             return
-        if record.value is None or not record.value.isdigit():
+        count = decode_number(record.value or b"")
+        if count is None:
             return
-        self._counts(parts[1])[parts[2]] = int(record.value)
+        self._counts(parts[1])[parts[2]] = count
 
     def _counts(self, fingerprint: str) -> dict[str, int]:
         counts = self._by_fingerprint.get(fingerprint)
--- a/lycheestall/entry/members.py
+++ b/lycheestall/entry/members.py
@@ -9,6 +9,7 @@
 
 from ..ids import Offset, ProgramId, ZoneId
 from ..rendezvous import rendezvous
+from .record_numbers import decode_number
 from .store import KeyedRecord, KeyedWrite
 from .token_ledger import HolderId
 from .vm_settings import Address
@@ -25,6 +26,9 @@
 MAX_GROUP_MEMBERS = 20
 """Maximum number of members that decide on programs as one group."""
 
+MAX_PORT = 65_535
+"""Highest TCP port."""
+
 _MEMBER_KEY = "m"
 _SEPARATOR = "\x1f"
 
@@ -219,6 +223,7 @@
         return None
     address, _, zone = value.decode("utf-8", "replace").partition(",")
     host, _, port = address.rpartition(":")
-    if not host or not port.isdigit():
+    number = decode_number(port.encode())
+    if not host or number is None or number > MAX_PORT:
         return None
-    return Member(holder, Address(host, int(port)), ZoneId(zone))
+    return Member(holder, Address(host, number), ZoneId(zone))
--- a/lycheestall/entry/token_ledger.py
+++ b/lycheestall/entry/token_ledger.py
@@ -11,6 +11,7 @@
 from typing import NewType
 
 from ..ids import Offset, ProgramId
+from .record_numbers import decode_number
 from .store import KeyedRecord, KeyedWrite
 
 __all__ = [
@@ -84,10 +85,11 @@
         fields = record.value.split(b",")
         if len(fields) < 2:
             return None
-        if not fields[0].isdigit() or not fields[1].isdigit():
+        limit, committed = decode_number(fields[0]), decode_number(fields[1])
+        if limit is None or committed is None:
             return None
         allocation = Allocation(
-            int(fields[0]), int(fields[1]), _INCOMPLETE_FLAG in fields[2:]
+            limit, committed, _INCOMPLETE_FLAG in fields[2:]
         )
     return AllocationRecord(
         ProgramId(parts[1]), HolderId(parts[2]), allocation
