Find a turn past a record whose retention time is too large

Callers and operators saw: a conversation wasn't found (503, the caller asks again in vain) while another writer's record under the same turn held a retention time such as 2^2000: "looking up a conversation failed".

Cause: the decoder turned the number into a float, which raises OverflowError; that failed the whole search, though the turn's own record stood beside. It also took negative, infinite and NaN retention times.

Why it works: a retention time is accepted from 0 to about 30 years, which is checked before it becomes a float.

--- a/lycheestall/conversations/turn_records.py
+++ b/lycheestall/conversations/turn_records.py
@@ -34,6 +34,9 @@
 """Lifetime of a record in retention times, so that the earlier turns of a
 conversation seldom have to be recorded again for the sake of later ones."""
 
+MAX_RETENTION_S = 1e9
+"""Longest retention time of a turn, about 30 years."""
+
 _FORMAT = 1
 _KEY_DIGEST_BYTES = 16
 _EXPIRY_SEPARATOR = "."
@@ -133,6 +136,8 @@
         return UnreadableTurn("input or output has another type")
     if not isinstance(retention_s, int | float):
         return UnreadableTurn("the retention time has another type")
+    if not 0 <= retention_s <= MAX_RETENTION_S:
+        return UnreadableTurn("the retention time is out of range")
     return ConversationTurn(
         turn_id=ConversationTurnId(turn_id),
         ancestors=tuple(ConversationTurnId(name) for name in ancestors),
--- a/tests/conversations/test_turn_records.py
+++ b/tests/conversations/test_turn_records.py
@@ -23,7 +23,10 @@
     EXPIRY_SLACK_S,
     MAX_DELAY_S,
 )
-from lycheestall.conversations.turn_records import ShardNumber
+from lycheestall.conversations.turn_records import (
+    MAX_RETENTION_S,
+    ShardNumber,
+)
 
 SHARD = ShardNumber(3)
 
@@ -59,6 +62,11 @@
         cbor2.dumps([1, "a", [7], b"", b"", 1.0]),
         cbor2.dumps([1, "a", [], "text", b"", 1.0]),
         cbor2.dumps([1, "a", [], b"", b"", "60"]),
+        cbor2.dumps([1, "a", [], b"", b"", 2**2000]),
+        cbor2.dumps([1, "a", [], b"", b"", -1]),
+        cbor2.dumps([1, "a", [], b"", b"", float("inf")]),
+        cbor2.dumps([1, "a", [], b"", b"", float("nan")]),
+        b"\x81" * 200_000,
     ],
 )
 def test_a_record_that_cannot_be_read_is_named_as_such(data: bytes) -> None:
@@ -70,6 +78,15 @@
     decode_turn(data)
 
 
+@given(st.integers(min_value=-(2**2000), max_value=2**2000) | st.floats())
+def test_only_sound_retention_times_are_accepted(
+    retention_s: float,
+) -> None:
+    turn = decode_turn(cbor2.dumps([1, "a", [], b"", b"", retention_s]))
+    if isinstance(turn, ConversationTurn):
+        assert 0 <= turn.retention_s <= MAX_RETENTION_S
+
+
 def test_a_later_record_of_a_turn_has_another_key() -> None:
     turn = ConversationTurn(ConversationTurnId("a"), (), b"", b"", 60.0)
     early, late = TurnRecord(turn, 100), TurnRecord(turn, 200)
--- a/tests/entry/test_conversations.py
+++ b/tests/entry/test_conversations.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import cbor2
 import pytest
 from twisted.internet.defer import succeed
 
@@ -202,15 +203,21 @@
     assert not result.certain
 
 
+# Guards against a record with a number too large that fails the search.
+@pytest.mark.parametrize(
+    "odd",
+    [b"?", b"\x81" * 200_000, cbor2.dumps([1, "a", [], b"", b"", 2**2000])],
+    ids=["bytes", "nested", "number too large"],
+)
 def test_an_unreadable_record_does_not_hide_others(
-    simulation: ConversationSimulation,
+    simulation: ConversationSimulation, odd: bytes
 ) -> None:
     answer = answered(simulation.ask(simulation.vms[0]))
     for vm in simulation.vms:
         simulation.restart(vm)
     good = simulation.log.by_topic[Topic.TURNS][0]
     prefix = record_key_prefix(answer.turn.turn_id)
-    simulation.log.put(Topic.TURNS, KeyedWrite(f"{prefix}0".encode(), b"?"))
+    simulation.log.put(Topic.TURNS, KeyedWrite(f"{prefix}0".encode(), odd))
     assert good.key in simulation.record_keys()
     result = simulation.check(simulation.vms[0], answer)
     assert isinstance(result, FoundConversation)
