Read listings that hold a key which isn't UTF-8

Callers and operators saw: with one such key among those of a topic every listing of it failed ("invalid listing: invalid high surrogate in string"), so a VM that was started never became ready.

Cause: JSON can only hold such a key as lone surrogates or as its bytes, and the fast decoder refuses both; the key couldn't be named in "after" either.

Evidence: before the fix the new test fails with that message (1 failed, 5 passed); with it all 6 pass. The fake store writes such keys as lone surrogates now; before, it could not list them at all.

Why it works: a body that the fast decoder refuses is read by one that takes both forms, and the key goes back to the store as its own bytes.

--- a/lycheestall/platform/store_client.py
+++ b/lycheestall/platform/store_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import base64
+import json
 import struct
 from collections.abc import Sequence
 from typing import Any
@@ -155,7 +156,8 @@
         *,
         wait_s: float = 0.0,
     ) -> Deferred[CallOutcome]:
-        url = f"{path}?{urlencode(query)}".encode()
+        parameters = urlencode(query, errors="surrogateescape")
+        url = f"{path}?{parameters}".encode()
         data = encode_request(method, url, [(b"Host", self._host)], body)
         timeout_s = self._smoothed_latency_s * TIMEOUT_FACTOR
         timeout_s = min(max(timeout_s, MIN_TIMEOUT_S), MAX_TIMEOUT_S)
@@ -248,11 +250,20 @@
     if outcome.status != 200:
         return StoreFailed(f"status {outcome.status}")
     try:
-        return _decode_page(orjson.loads(outcome.body))
+        return _decode_page(_decode_listing(outcome.body))
     except (ValueError, KeyError, TypeError) as error:
         return StoreFailed(f"invalid listing: {error}")
 
 
+def _decode_listing(body: bytes) -> Any:
+    try:
+        return orjson.loads(body)
+    except ValueError:
+        # A key that isn't UTF-8 may come as lone surrogates or as its bytes,
+        # which only this decoder takes.
+        return json.loads(body.decode("utf-8", "surrogateescape"))
+
+
 def _decode_page(document: dict[str, Any]) -> NewestPage:
     records: list[KeyedRecord] = []
     last_key: str | None = None
--- a/tests/entry/fake_store_server.py
+++ b/tests/entry/fake_store_server.py
@@ -3,14 +3,13 @@
 from __future__ import annotations
 
 import base64
+import json
 import struct
 from collections.abc import Callable, Sequence
 from dataclasses import replace
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
-import orjson
-
 from lycheestall.entry.configuration import CallerLimits
 from lycheestall.entry.exchange import Exchange, RequestHandler
 from lycheestall.entry.store import (
@@ -65,7 +64,10 @@
         """Handles one call."""
         parts = urlsplit(exchange.request.url.decode())
         query = {
-            name: values[0] for name, values in parse_qs(parts.query).items()
+            name: values[0]
+            for name, values in parse_qs(
+                parts.query, errors="surrogateescape"
+            ).items()
         }
         topic = _topic(query["topic"])
         if parts.path == "/api/log-append":
@@ -116,12 +118,12 @@
     def _newest(
         self, exchange: Exchange, topic: Topic, query: dict[str, str]
     ) -> None:
-        after = query.get("after", "").encode()
+        after = query.get("after", "").encode("utf-8", "surrogateescape")
         newest = [r for r in self.log.newest(topic) if r.key > after]
         records = self._given_out(topic, newest)
         items = [
             {
-                "key": r.key.decode(),
+                "key": r.key.decode("utf-8", "surrogateescape"),
                 "value": base64.b64encode(r.value or b"").decode(),
                 "offset": r.offset,
             }
@@ -157,7 +159,8 @@
     exchange.respond(
         status,
         [(b"Content-Type", b"application/json")],
-        orjson.dumps(document),
+        # Keys that aren't UTF-8 are written as lone surrogates.
+        json.dumps(document).encode(),
     )
 
 
--- a/tests/entry/test_platform_adapter.py
+++ b/tests/entry/test_platform_adapter.py
@@ -111,6 +111,29 @@
     run(work())
 
 
+# Guards against one odd key that makes every listing of its topic fail.
+def test_a_listing_with_keys_that_are_not_text_can_be_read(
+    reactor: Any, run: Run, store_port: int, log: MemoryLog
+) -> None:
+    keys = [b"a", b"b\0", b"b\xff", b"b\xff\xfe", b"c\r\n", b"d"]
+
+    async def work() -> None:
+        log.put(Topic.TARGETS, *[KeyedWrite(key, b"1") for key in keys])
+        store = HttpStore(reactor, "127.0.0.1", store_port)
+        listed: list[bytes] = []
+        after: str | None = None
+        while True:
+            page = await store.newest(Topic.TARGETS, after=after)
+            assert isinstance(page, NewestPage)
+            listed.extend(record.key for record in page.records)
+            after = page.more_after
+            if after is None:
+                break
+        assert listed == keys
+
+    run(work())
+
+
 def test_reading_expired_records_is_reported(
     reactor: Any, run: Run, store_port: int, log: MemoryLog
 ) -> None:
