Log an unreadable registration once

Operators saw: an odd entry that its writer wrote again every second gave a warning in the log of each VM each time, for ever.

Cause: each unreadable record was logged, whatever was known of its ID.

Evidence: before the fix 20 rewrites gave 40 lines at two VMs in the new test, which allows one for each VM; with it they give 2.

Why it works: a VM remembers the IDs whose record is unreadable, 1,024 at most, until a readable one comes.

--- a/lycheestall/entry/store_view.py
+++ b/lycheestall/entry/store_view.py
@@ -34,6 +34,10 @@
 CONNECT_TIMEOUT_S = 0.5
 """Timeout for opening a connection to a target."""
 
+MAX_UNREADABLE = 1024
+"""IDs whose records are known to be unreadable, the newest ones; only the
+first such record of an ID is logged."""
+
 
 class StoreView:
     """Follows the configuration and targets topics.
@@ -78,6 +82,7 @@
         self._chooser = chooser
         self._reactor = reactor
         self._logger = logger
+        self._unreadable: dict[TargetId, None] = {}
         self._pool_by_process: dict[TargetProcess, ConnectionPool] = {}
         self.configuration = ConfigurationState(logger)
         self._configuration_follower = TopicFollower(
@@ -203,15 +208,30 @@
             return
         decoded = self._decoder.decode_registration(target, record.value)
         if isinstance(decoded, UnreadableRecord):
-            self._logger.warning(
-                "target record unreadable",
-                target=target,
-                offset=record.offset,
-                reason=decoded.reason,
-            )
+            self._log_unreadable(target, record, decoded)
             return
+        self._unreadable.pop(target, None)
         self._register(decoded, record)
 
+    def _log_unreadable(
+        self,
+        target: TargetId,
+        record: KeyedRecord,
+        unreadable: UnreadableRecord,
+    ) -> None:
+        # Its writer may write it again every second.
+        if target in self._unreadable:
+            return
+        self._unreadable[target] = None
+        if len(self._unreadable) > MAX_UNREADABLE:
+            del self._unreadable[next(iter(self._unreadable))]
+        self._logger.warning(
+            "target record unreadable",
+            target=target,
+            offset=record.offset,
+            reason=unreadable.reason,
+        )
+
     def _register(
         self, registration: TargetRegistration, record: KeyedRecord
     ) -> None:
--- a/tests/entry/test_odd_registrations.py
+++ b/tests/entry/test_odd_registrations.py
@@ -9,6 +9,7 @@
 import pytest
 from hypothesis import example, given
 from hypothesis import strategies as st
+from structlog.testing import capture_logs
 
 from lycheestall.entry.record_decoder import UnreadableRecord
 from lycheestall.entry.store import KeyedWrite, Topic
@@ -238,3 +239,17 @@
 ) -> None:
     odd = put_odd(fleet, key, orjson.dumps(SOUND))
     assert_targets_are_followed(fleet, odd)
+
+
+# Guards against a line in the log each time that an odd entry is rewritten.
+def test_an_entry_that_is_rewritten_is_logged_once(fleet: Fleet) -> None:
+    with capture_logs() as lines:
+        for number in range(20):
+            value = with_field("slots", b"-%d" % number)
+            put_odd(fleet, b"odd", value)
+            fleet.reactor.run(0.7)
+    unreadable = [
+        line for line in lines if line["event"] == "target record unreadable"
+    ]
+    assert len(unreadable) == len(fleet.vms)
+    assert "slots" in unreadable[0]["reason"]
