Take registrations without their start as before, and deep listings as failed

The examples of entries that the platform prints have no start, so one that is missing stays 0; one of another type is refused. A listing that is nested too deeply for the second decoder raised RecursionError, which ends what follows the topic (test_a_listing_that_cannot_be_decoded_is_a_failed_call failed with it).

--- a/lycheestall/platform/registrations.py
+++ b/lycheestall/platform/registrations.py
@@ -80,8 +80,7 @@
     address = _address(document)
     return TargetRegistration(
         target=target,
-        # "born" is the start of the process in Unix milliseconds.
-        started_ms=_integer(document, "born", low=0, high=MAX_STARTED_MS),
+        started_ms=_started_ms(document),
         service=ServiceId(_text(document, "service")),
         host=address.host,
         port=address.port,
@@ -127,6 +126,14 @@
     return number
 
 
+def _started_ms(document: Mapping[str, Any]) -> int:
+    # "born" is the start of the process in Unix milliseconds; not all
+    # examples of entries have it.
+    if "born" not in document:
+        return 0
+    return _integer(document, "born", low=0, high=MAX_STARTED_MS)
+
+
 def _address(document: Mapping[str, Any]) -> Address:
     text = document.get("address")
     unsound = _UnsoundFieldError("address", "IPv4:PORT of one host", text)
--- a/lycheestall/platform/store_client.py
+++ b/lycheestall/platform/store_client.py
@@ -254,7 +254,7 @@
         return StoreFailed(f"status {outcome.status}")
     try:
         return _decode_page(_decode_listing(outcome.body))
-    except (ValueError, KeyError, TypeError) as error:
+    except (ValueError, KeyError, TypeError, RecursionError) as error:
         return StoreFailed(f"invalid listing: {error}")
 
 
--- a/tests/entry/test_platform_adapter.py
+++ b/tests/entry/test_platform_adapter.py
@@ -28,6 +28,7 @@
     KeyedWrite,
     NewestPage,
     Records,
+    StoreFailed,
     Topic,
     WriterFence,
 )
@@ -112,6 +113,38 @@
 
 
 # Guards against one odd key that makes every listing of its topic fail.
+class NestedListing(RequestHandler):
+    """A store whose listings are nested too deeply to be decoded."""
+
+    def limits(self) -> CallerLimits:
+        """Returns the default limits."""
+        return CallerLimits()
+
+    def should_close(self) -> bool:
+        """Returns False."""
+        return False
+
+    def handle(self, exchange: Exchange) -> None:
+        """Handles one call."""
+        exchange.respond(200, [], b"[" * 200_000)
+
+
+# Guards against a listing whose decoding ends what follows the topic.
+def test_a_listing_that_cannot_be_decoded_is_a_failed_call(
+    reactor: Any, run: Run
+) -> None:
+    async def work() -> None:
+        port = reactor.listenTCP(
+            0, CallerFactory(NestedListing(), reactor), interface="127.0.0.1"
+        )
+        store = HttpStore(reactor, "127.0.0.1", port.getHost().port)
+        page = await store.newest(Topic.TARGETS)
+        port.stopListening()
+        assert isinstance(page, StoreFailed)
+
+    run(work())
+
+
 def test_a_listing_with_keys_that_are_not_text_can_be_read(
     reactor: Any, run: Run, store_port: int, log: MemoryLog
 ) -> None:
