Read the targets before a stream goes on at one of them

Cause: the registration by which a stream goes on is up to 0.6 s old: again something is decided by knowledge whose age nobody asks about. Change: before an attempt that is bound to a version, the VM reads the targets unless it has within 0.05 s, and waits 0.1 s at most; an admitted target must still be the same process. Requests that are not bound are not affected. A target that takes requests before it has registered anew can't be told apart: its responses name no version.

--- a/lycheestall/entry/request_processor.py
+++ b/lycheestall/entry/request_processor.py
@@ -225,6 +225,9 @@
     async def _attempt_until_final(self) -> None:
         same_target: TargetRegistration | None = None
         while True:
+            await self._stream_version.check_targets()
+            if same_target is not None:
+                same_target = self._admission.get_usable(same_target.target)
             admission = await self._admit(same_target)
             if self._early_end is not None:
                 self._final.end_early(
--- a/lycheestall/entry/stream_origin_service.py
+++ b/lycheestall/entry/stream_origin_service.py
@@ -8,6 +8,7 @@
 
 from twisted.internet.defer import Deferred
 
+from .._waiting import result_within
 from ..conversations import CopyCandidate, choose_copy_holders
 from ..logs import Logger
 from .configuration import ServiceId
@@ -46,6 +47,13 @@
 nobody waits for a new one: two of its usual intervals."""
 
 
+CHECKED_S = 0.05
+"""Age of the listing up to which a stream goes on at a target by it."""
+
+CHECK_TIMEOUT_S = 0.1
+"""Timeout for reading the targets before a stream goes on. If nobody can read
+them, no target can register at another version either."""
+
 MAX_UNTOLD = 10_000
 """Streams that others are told of only if a second version comes."""
 
@@ -198,6 +206,14 @@
             self._origins.add(stream, search.origin)
         return lookup
 
+    async def check_targets(self) -> None:
+        """Reads the targets unless they have just been read."""
+        age_s = self.versions.read_age_s(self._clock.seconds())
+        if age_s > CHECKED_S:
+            await result_within(
+                self._read_targets(), CHECK_TIMEOUT_S, self._clock
+            )
+
     def handle_message(
         self, message: PeerMessage | PeerReply
     ) -> PeerReply | None:
--- a/lycheestall/entry/stream_version.py
+++ b/lycheestall/entry/stream_version.py
@@ -80,6 +80,14 @@
         )
         return self.required is not None
 
+    async def check_targets(self) -> None:
+        """Reads the targets before the stream goes on at one of them.
+
+        One that has started again under its ID may run another version.
+        """
+        if self.required is not None:
+            await self._deps.stream_origins.check_targets()
+
     def bind(self, registration: TargetRegistration) -> None:
         """Notes that a target has sent the first event to the caller."""
         if self.required is not None:
--- a/lycheestall/entry/target_admission.py
+++ b/lycheestall/entry/target_admission.py
@@ -144,10 +144,12 @@
 
     def is_usable(self, admission: Admission) -> bool:
         """Returns whether a target still takes requests after a wait."""
-        return (
-            self.get_usable(admission.registration.target) is not None
-            and self._clock.seconds() < admission.permit.expires_at
-        )
+        registration = self.get_usable(admission.registration.target)
+        if registration is None:
+            return False
+        if registration.process != admission.registration.process:
+            return False
+        return self._clock.seconds() < admission.permit.expires_at
 
     def get_usable(self, target: TargetId) -> TargetRegistration | None:
         """Returns a target's registration if it may run the request now."""
--- a/tests/entry/test_stream_versions.py
+++ b/tests/entry/test_stream_versions.py
@@ -138,6 +138,23 @@
     assert not any(caller.data.endswith(b"0\r\n\r\n") for caller in callers)
 
 
+# Guards against a stream that goes on at its target after that has started
+# again at another version under its ID, by a listing from before.
+@pytest.mark.parametrize("targets", [1, 3])
+def test_a_stream_does_not_go_on_at_a_target_that_restarts_at_another_version(
+    fleet: Fleet, targets: int
+) -> None:
+    engines = Engines(fleet)
+    for number in range(targets):
+        engines.add(f"target-{number}", "v1")
+    fleet.start()
+    engines.replace_by("v2")
+    for number in range(STREAMS):
+        begin_stream(fleet, number)
+    fleet.reactor.run(3.0)
+    assert not engines.mixed()
+
+
 # Guards against breaking off a stream because the targets of its version are
 # full for a moment, though no other target may run it.
 def test_a_stream_waits_for_full_targets_of_its_version(
--- a/tests/entry/versioned_engines.py
+++ b/tests/entry/versioned_engines.py
@@ -46,6 +46,8 @@
         self.crash = True
         self.refusals_left = 0
         self.full_versions: set[str] = set()
+        self._replacing_version: str | None = None
+        self._name_by_target: dict[FakeTarget, str] = {}
 
     def add(self, name: str, version: str) -> None:
         """Registers a target."""
@@ -56,6 +58,14 @@
         target = self._fleet.add_target(
             name, run, service="engines", version=version
         )
+        self._name_by_target[target] = name
+
+    def replace_by(self, version: str) -> None:
+        """Lets each target restart at a version as soon as it crashes.
+
+        It keeps its ID and its address, and registers at once.
+        """
+        self._replacing_version = version
 
     def take_down_target_of(self, stream: str) -> None:
         """Crashes the target that began a stream."""
@@ -79,9 +89,29 @@
         for address, other in list(self._network.items()):
             if other is target:
                 self._down[address] = self._network.pop(address)
+        if self._replacing_version is not None:
+            self._start_again(target, self._replacing_version)
         for connection in target.connections:
             connection.transport.abortConnection()
 
+    def _start_again(self, target: FakeTarget, version: str) -> None:
+        def run(request: ReceivedRequest) -> None:
+            self._run(request, process, version)
+
+        process = FakeTarget(run)
+        for address, other in list(self._down.items()):
+            if other is not target:
+                continue
+            del self._down[address]
+            self._network[address] = process
+            self._fleet.vms[0].register(
+                self._name_by_target[target],
+                address[0],
+                service="engines",
+                version=version,
+                born=2,
+            )
+
     def _run(
         self, request: ReceivedRequest, target: FakeTarget, version: str
     ) -> None:
