Test streams over versions with VMs as processes

Four stories with VMs as processes, judged by what callers and targets saw. The soak's requests, its configuration and the targets' registrations move to where the stories find them too.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -9,16 +9,14 @@
 from pathlib import Path
 from typing import Any
 
-import orjson
 from twisted.internet.defer import DeferredList, ensureDeferred
+from twisted.internet.error import ConnectError
 
 from lycheestall.clock import sleep
-from lycheestall.entry.connection_pool import ConnectionPool
-from lycheestall.entry.http_messages import encode_request
-from lycheestall.entry.store import KeyedWrite, Topic
-from tests.entry.entry_vm_harness import ENGINE, ROUTES
+from lycheestall.entry.store import Topic
 from tests.entry.memory_store import MemoryLog
 from tests.soak.loopback_proxy import ProxyMode
+from tests.soak.soak_calls import configuration, send_request
 from tests.soak.soak_conversations import AnsweredTurn, SoakConversations
 from tests.soak.soak_faults import SoakFaults
 from tests.soak.soak_limits import SoakLimits
@@ -177,31 +175,13 @@
 
     def _configure(self) -> None:
         self._version += 1
-        document = {
-            "version": self._version,
-            "routes": ROUTES,
-            "services": [
-                {"name": "app"},
-                {"name": "engines", "engine": ENGINE},
-            ],
-        }
-        write = KeyedWrite(b"config", orjson.dumps(document))
+        write = configuration(self._version)
         self._log.put(Topic.CONFIGURATION, write)
 
     async def _register_targets(self) -> None:
         while not self._finished:
             for target in self._targets:
-                entry = {
-                    "service": target.service,
-                    "address": f"127.0.0.1:{target.proxy.port}",
-                    "zone": "zone-a",
-                    "version": target.software_version,
-                    "slots": 8,
-                    "state": "ready",
-                    "born": 1,
-                }
-                write = KeyedWrite(target.name.encode(), orjson.dumps(entry))
-                self._log.put(Topic.TARGETS, write)
+                self._log.put(Topic.TARGETS, target.registration())
             await sleep(self._reactor, 0.5)
 
     async def _client(self, number: int) -> None:
@@ -306,24 +286,13 @@
         body: bytes = b"{}",
     ) -> tuple[ReceivedAnswer, bool]:
         vm = self._random.choice(self._vms)
-        pool = ConnectionPool(
-            self._reactor, "127.0.0.1", vm.front, connect_timeout_s=1.0
-        )
-        received = ReceivedAnswer()
         try:
-            connection = await pool.acquire()
-        except Exception:
+            received, whole = await send_request(
+                self._reactor, vm.front, request, url, headers, body=body
+            )
+        except ConnectError:
             await sleep(self._reactor, 0.1)
-            return received, False
-        own = [(b"Host", b"crew.example"), (b"X-Request-Id", request.encode())]
-        connection.send(
-            encode_request(b"POST", url, [*own, *headers], body), received
-        )
-        timer = self._reactor.callLater(4.0, received.end, whole=False)
-        whole = await received.done
-        if timer.active():
-            timer.cancel()
-        connection.abort()
+            return ReceivedAnswer(), False
         self.report.statuses[received.status] += 1
         if whole and received.status in NOT_EXECUTED_STATUSES:
             self._not_run.add(request)
--- a/tests/soak/soak_streams.py
+++ b/tests/soak/soak_streams.py
@@ -29,13 +29,17 @@
 class SoakStreams:
     """Checks the streams that callers get.
 
+    Args:
+        events: Number of events of each stream.
+
     Attributes:
         violations: Descriptions of violated guarantees.
         resumed: Number of requests that take up a stream, by status and by
             whether they brought the rest of it.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, events: int = EVENTS) -> None:
+        self._events = events
         self.violations: list[str] = []
         self.resumed: Counter[str] = Counter()
 
@@ -64,7 +68,7 @@
             self.violations.append(f"order: {request} got {numbers}")
         if numbers:
             stream.last_event = numbers[-1]
-        if whole and stream.last_event != EVENTS:
+        if whole and stream.last_event != self._events:
             self.violations.append(f"end: {request} ended at {numbers}")
         if body.count(request.encode()) != body.count(b"data: "):
             self.violations.append(f"answer: {request} got another's")
--- a/tests/soak/soak_targets.py
+++ b/tests/soak/soak_targets.py
@@ -5,9 +5,12 @@
 from collections import Counter
 from typing import Any
 
+import orjson
+
 from lycheestall.entry.caller_connection import CallerFactory
 from lycheestall.entry.configuration import CallerLimits
 from lycheestall.entry.exchange import Exchange, RequestHandler
+from lycheestall.entry.store import KeyedWrite
 from tests.soak.loopback_proxy import LoopbackProxy
 
 EVENTS = 5
@@ -15,6 +18,8 @@
 EVENT_INTERVAL_S = 0.03
 """Seconds between two events of a stream."""
 
+NOT_EXECUTED = (b"X-Not-Executed", b"1")
+
 
 class SoakTarget(RequestHandler):
     """An application or engine behind a proxy.
@@ -27,9 +32,12 @@
         received: Bodies by request ID, over all targets.
         software_version: Version of its software, named in its events.
         limit_per_s: The limit that it names in its responses; None for none.
+        events: Number of events of each stream.
+        event_interval_s: Seconds between two events of a stream.
 
     Attributes:
         received_at: When it received its requests.
+        full_for_new: Whether it refuses requests that resume no stream.
     """
 
     def __init__(
@@ -42,6 +50,8 @@
         *,
         software_version: str,
         limit_per_s: float | None = None,
+        events: int = EVENTS,
+        event_interval_s: float = EVENT_INTERVAL_S,
     ) -> None:
         self.name = name
         self.service = service
@@ -49,12 +59,28 @@
         self._reactor = reactor
         self._run_counts = run_counts
         self._received = received
+        self._events = events
+        self._event_interval_s = event_interval_s
         self.limit_per_s = limit_per_s
+        self.full_for_new = False
         self.received_at: list[float] = []
         factory = CallerFactory(self, reactor)
         self._port = reactor.listenTCP(0, factory, interface="127.0.0.1")
         self.proxy = LoopbackProxy(reactor, self._port.getHost().port)
 
+    def registration(self) -> KeyedWrite:
+        """Returns its entry in the store."""
+        document = {
+            "service": self.service,
+            "address": f"127.0.0.1:{self.proxy.port}",
+            "zone": "zone-a",
+            "version": self.software_version,
+            "slots": 8,
+            "state": "ready",
+            "born": 1,
+        }
+        return KeyedWrite(self.name.encode(), orjson.dumps(document))
+
     def limits(self) -> CallerLimits:
         """Returns the default limits."""
         return CallerLimits()
@@ -68,6 +94,10 @@
         headers = {n.lower(): v for n, v in exchange.request.headers}
         request_id = headers[b"x-request-id"]
         self.received_at.append(self._reactor.seconds())
+        if self.full_for_new and b"last-event-id" not in headers:
+            refusal = [(b"X-Request-Id", request_id), NOT_EXECUTED]
+            exchange.respond(503, refusal, b"full\n")
+            return
         self._run_counts[request_id.decode()] += 1
         self._received[request_id.decode()] = exchange.request.body
         common_headers = [
@@ -96,7 +126,7 @@
     def _send_event(
         self, exchange: Exchange, request_id: bytes, number: int
     ) -> None:
-        if number > EVENTS:
+        if number > self._events:
             exchange.finish()
             return
         version = self.software_version.encode()
@@ -104,7 +134,7 @@
             b"id: %d\nevent: %s\ndata: %s\n\n" % (number, version, request_id)
         )
         self._reactor.callLater(
-            EVENT_INTERVAL_S,
+            self._event_interval_s,
             self._send_event,
             exchange,
             request_id,
--- a/tests/soak/soak_vm.py
+++ b/tests/soak/soak_vm.py
@@ -44,6 +44,7 @@
         directory: Path,
     ) -> None:
         self.front = ports[0]
+        self.ready = ports[1]
         self.links = links
         self.store_proxy = LoopbackProxy(reactor, links.store_port)
         self._directory = directory
@@ -90,16 +91,27 @@
 
 
 class ReceivedAnswer(ResponseReceiver):
-    """Collects an answer, whether it is complete or not."""
+    """Collects an answer, whether it is complete or not.
+
+    Attributes:
+        status: Its status; 0 if no answer came.
+        retry_after_s: The delay that it asks for before another attempt.
+        body: What was received of its body.
+        done: Fires with whether the answer is complete.
+    """
 
     def __init__(self) -> None:
         self.status = 0
+        self.retry_after_s: float | None = None
         self.body = b""
         self.done: Deferred[bool] = Deferred()
 
     def response_started(self, head: ResponseHead) -> bool:
-        """Stores the status."""
+        """Stores the status and when to send the request again."""
         self.status = head.status
+        for name, value in head.headers:
+            if name.lower() == b"retry-after":
+                self.retry_after_s = float(value)
         return True
 
     def response_body(self, data: bytes) -> None:
