--- a/tests/entry/fake_store_server.py
+++ b/tests/entry/fake_store_server.py
@@ -27,6 +27,8 @@
     "keyed.op": Topic.CONFIGURATION,
     "keyed.servers": Topic.TARGETS,
     "keyed.lycheestall": Topic.LEDGER,
+    "keyed.lycheestall-versions": Topic.VERSIONS,
+    "lycheestall-origins": Topic.ORIGINS,
 }
 TURNS_PREFIX = "keyed.lycheestall-turns-"
 
--- a/tests/soak/version_story.py
+++ b/tests/soak/version_story.py
@@ -29,8 +29,7 @@
 """Seconds between two events, so that a stream lasts 2.2 s."""
 
 FOLLOWED_S = 6.5
-"""Seconds that VMs follow the targets before a story begins; longer than the
-time within which callers may resume a stream."""
+"""Seconds that VMs follow the targets before a story begins."""
 
 START_LIMIT_S = 15.0
 """Seconds within which a VM must become ready."""
