Report a crash inside an event of a stream without chunks

Operators and callers saw: a request that crashed its targets in the middle of a stream was sent to one target after the other without end, if the stream had neither a length nor chunks: it was never blocked.

Cause: the system closes the connections of a process that has crashed, and such a stream ends with its connection. The end inside an event was noticed, but took the reason "malformed" instead of "closed", and only lost connections count as crashes. A peer that sent the attempt didn't look at the events at all and counted none either, nor does the VM that asks.

Why it works: a stream without length and chunks that ends inside an event counts as a closed connection, as a body that ends before its length does; the peer tells by the last bytes, without buffering the events.

--- a/lycheestall/entry/attempt_relay.py
+++ b/lycheestall/entry/attempt_relay.py
@@ -22,6 +22,7 @@
 from .connection_pool import ConnectionPool
 from .crash_reporter import CrashReporter
 from .decision_log import DecisionLog
+from .event_splitter import EVENT_SEPARATORS
 from .exchange import Exchange
 from .header_codec import HeaderCodec
 from .http_client_connection import CONNECTION_LOST
@@ -42,6 +43,7 @@
 """Attempts for peers at a time, so that this VM's own callers are served as
 before; peers then ask another VM."""
 
+_LONGEST_SEPARATOR = max(map(len, EVENT_SEPARATORS))
 _RESULT_HEADERS: tuple[Header, ...] = (
     (b"Content-Type", b"application/cbor"),
     (RELAYED_HEADER, RelayedKind.RESULT.value),
@@ -235,7 +237,7 @@
 
 
 class _ForwardedStream(StreamSink):
-    """Forwards a target's stream to the peer, unread.
+    """Forwards a target's stream to the peer.
 
     Args:
         exchange: The peer's request.
@@ -243,6 +245,7 @@
 
     def __init__(self, exchange: Exchange) -> None:
         self._exchange = exchange
+        self._last_bytes = b""
 
     def start_attempt(self, head: ResponseHead, headers: list[Header]) -> None:
         """Forwards the head."""
@@ -253,9 +256,16 @@
     def feed(self, data: bytes) -> bool:
         """Forwards a part of the stream."""
         self._exchange.write(data)
+        last_bytes = self._last_bytes + data[-_LONGEST_SEPARATOR:]
+        self._last_bytes = last_bytes[-_LONGEST_SEPARATOR:]
         return not self._exchange.ended
 
     @property
     def complete(self) -> bool:
-        """Always true: the VM that asked checks the events."""
-        return True
+        """Whether the stream is between two events.
+
+        The VM that asked checks the events themselves.
+        """
+        if not self._last_bytes:
+            return True
+        return self._last_bytes.endswith(EVENT_SEPARATORS)
--- a/lycheestall/entry/event_splitter.py
+++ b/lycheestall/entry/event_splitter.py
@@ -5,9 +5,10 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
-__all__ = ["ServerSentEvent", "EventSplitter"]
+__all__ = ["EVENT_SEPARATORS", "EventSplitter", "ServerSentEvent"]
 
-_SEPARATORS = (b"\n\n", b"\r\n\r\n", b"\r\r")
+EVENT_SEPARATORS = (b"\n\n", b"\r\n\r\n", b"\r\r")
+"""Line ends with which an event ends."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,7 +57,7 @@
 
     def _event_end(self) -> int | None:
         ends: list[int] = []
-        for separator in _SEPARATORS:
+        for separator in EVENT_SEPARATORS:
             at = self._buffer.find(separator)
             if at >= 0:
                 ends.append(at + len(separator))
--- a/lycheestall/entry/target_attempt.py
+++ b/lycheestall/entry/target_attempt.py
@@ -137,7 +137,7 @@
             if self._forwarder.complete:
                 self._end(StreamEnded())
             else:
-                self._end(Broken(BreakReason.MALFORMED, response_started=True))
+                self._end(Broken(self._break_reason(), response_started=True))
             return
         self._end(self._classify_response())
 
@@ -145,6 +145,13 @@
         """Ends the attempt without a complete response."""
         self._end(Broken(reason, response_started=self.started))
 
+    def _break_reason(self) -> BreakReason:
+        # Without a length or chunks, only the events tell a connection that
+        # was lost in the middle from one that was closed at the end.
+        if self._head is not None and not self._head.framed:
+            return BreakReason.CLOSED
+        return BreakReason.MALFORMED
+
     def _accept_without_id(
         self, head: ResponseHead, metadata: ResponseMetadata
     ) -> bool:
