Take no stream that closes before its first event for whole

Callers saw: a stream of a target that has neither a length nor chunks, and whose connection closed before its first event, as the system closes those of a process that has crashed, was answered 200 with an empty text that looked complete; on routes that keep conversations the empty turn was kept.

Cause: only the end inside an event counted as broken off.

Why it works: a stream that only ends with its connection is whole if an event of it has been received, in this attempt, an earlier one or, where the caller resumes, before; otherwise it is broken off and goes on elsewhere or fails. A peer that sends the attempt passes the stream on in chunks, so it says in a header of its own that the target did not.

--- a/lycheestall/entry/attempt_relay.py
+++ b/lycheestall/entry/attempt_relay.py
@@ -30,7 +30,7 @@
 from .link_monitor import LinkMonitor
 from .message_metadata import RequestMetadata
 from .peer_messages import encode
-from .relayed_attempt import RELAYED_HEADER, RelayedKind
+from .relayed_attempt import RELAYED_HEADER, UNTIL_CLOSE_HEADER, RelayedKind
 from .target_announcements import TargetAnnouncements
 from .target_attempt import TargetAttempt
 from .target_chooser import TargetChooser
@@ -249,9 +249,10 @@
 
     def start_attempt(self, head: ResponseHead, headers: list[Header]) -> None:
         """Forwards the head."""
-        self._exchange.start(
-            head.status, [*headers, (RELAYED_HEADER, RelayedKind.STREAM.value)]
-        )
+        own = [(RELAYED_HEADER, RelayedKind.STREAM.value)]
+        if not head.framed:
+            own.append((UNTIL_CLOSE_HEADER, b"1"))
+        self._exchange.start(head.status, [*headers, *own])
 
     def feed(self, data: bytes) -> bool:
         """Forwards a part of the stream."""
--- a/lycheestall/entry/relayed_attempt.py
+++ b/lycheestall/entry/relayed_attempt.py
@@ -20,15 +20,24 @@
 from .http_client_connection import (
     BreakReason,
 )
-from .http_messages import Header, ResponseHead
+from .http_messages import ResponseHead
 from .message_metadata import ResponseMetadata
 from .peer_messages import decode
 
-__all__ = ["RELAYED_HEADER", "RelayedAttempt", "RelayedKind"]
+__all__ = [
+    "RELAYED_HEADER",
+    "UNTIL_CLOSE_HEADER",
+    "RelayedAttempt",
+    "RelayedKind",
+]
 
 RELAYED_HEADER = b"lycheestall-relayed"
 """Header of a peer's reply that tells a target's stream from a result."""
 
+UNTIL_CLOSE_HEADER = b"lycheestall-until-close"
+"""Header of a peer's reply with a target's stream that had neither a length
+nor chunks, so that it ended with its connection."""
+
 MAX_RESULT_BYTES = 8_388_608
 """Largest result; it holds a target's whole answer."""
 
@@ -80,15 +89,13 @@
     def response_started(self, head: ResponseHead) -> bool:
         """Handles the head of the peer's reply."""
         self.started = True
-        headers, self._kind = _take_kind(head.headers)
+        self._kind = _kind(head)
         if self._kind is not RelayedKind.STREAM or self._sink is None:
             return True
-        target_head = ResponseHead(
-            head.status, tuple(headers), head.framed, head.keep_alive
-        )
+        target_head = _target_head(head)
         self._observe(target_head)
         self._sink.start_attempt(
-            target_head, self._headers.caller_headers(headers)
+            target_head, self._headers.caller_headers(target_head.headers)
         )
         return True
 
@@ -153,14 +160,21 @@
         return Unreachable(f"peer: {failure.getErrorMessage()}")
 
 
-def _take_kind(
-    headers: tuple[Header, ...],
-) -> tuple[list[Header], RelayedKind | None]:
-    kind: RelayedKind | None = None
-    rest: list[Header] = []
-    for name, value in headers:
+def _kind(head: ResponseHead) -> RelayedKind | None:
+    # The peer's own header follows those of the target.
+    for name, value in reversed(head.headers):
         if name.lower() != RELAYED_HEADER:
-            rest.append((name, value))
             continue
-        kind = next((k for k in RelayedKind if k.value == value), None)
-    return rest, kind
+        return next((k for k in RelayedKind if k.value == value), None)
+    return None
+
+
+def _target_head(head: ResponseHead) -> ResponseHead:
+    names = {name.lower() for name, _ in head.headers}
+    headers = tuple(
+        (name, value)
+        for name, value in head.headers
+        if name.lower() not in (RELAYED_HEADER, UNTIL_CLOSE_HEADER)
+    )
+    framed = UNTIL_CLOSE_HEADER not in names
+    return ResponseHead(head.status, headers, framed, head.keep_alive)
--- a/lycheestall/entry/stream_forwarder.py
+++ b/lycheestall/entry/stream_forwarder.py
@@ -57,6 +57,7 @@
         self.first_event_at: float | None = None
         self._splitter = EventSplitter()
         self._head: ResponseHead | None = None
+        self._framed = True
         self._headers: list[Header] = []
         self._output: list[bytes] | None = [] if keep_output else None
         self._output_bytes = 0
@@ -82,6 +83,7 @@
             headers: The headers of it that the caller receives.
         """
         self._splitter = EventSplitter()
+        self._framed = head.framed
         if not self._exchange.started:
             self._head = head
             self._headers = headers
@@ -122,8 +124,18 @@
 
     @property
     def complete(self) -> bool:
-        """Whether the attempt's stream may end now, between two events."""
-        return not self._splitter.partial_bytes
+        """Whether the attempt's stream may end now, between two events.
+
+        A stream that only ends with its connection has to have begun: every
+        whole one has an event.
+        """
+        if self._splitter.partial_bytes:
+            return False
+        return self._framed or self._begun
+
+    @property
+    def _begun(self) -> bool:
+        return self.events_sent > 0 or self.last_event_id is not None
 
     def finish(self) -> None:
         """Ends the response."""
--- a/tests/entry/test_closed_responses.py
+++ b/tests/entry/test_closed_responses.py
@@ -116,6 +116,7 @@
     "reset in an event": broken_off_in_an_event(reset),
     "reset between events": broken_off_between_events(reset),
     "reset before events": broken_off_before_events(reset),
+    "closed before events": broken_off_before_events(close),
 }
 
 
@@ -127,6 +128,16 @@
     return caller.data.endswith(LAST_CHUNK)
 
 
+# Guards against a stream without an event that looks complete to its caller.
+@pytest.mark.parametrize("path", STREAM_PATHS)
+def test_no_stream_is_whole_before_its_first_event(
+    fleet: Fleet, path: str
+) -> None:
+    add_engine(fleet, broken_off_before_events(close))
+    caller = ask(fleet, path)
+    assert status_of(caller.data) != 200
+
+
 @pytest.mark.parametrize("path", STREAM_PATHS)
 def test_a_stream_closed_after_its_last_event_is_whole(
     fleet: Fleet, path: str
