Refuse registrations from the far future

Callers and operators saw: an entry of another writer under the ID of a sound target, with a "born" such as 2^62, replaced it for good: whatever the target wrote later counted as an older process, and requests went on to the odd entry's address.

Cause: "born" was bounded by 2^63 only, and a later one outranks all others of the ID.

Why it works: "born" is a Unix time in milliseconds, accepted up to the year 2100. One that is only a little ahead still outranks the target until its clock gets there or the ID is deleted.

--- a/lycheestall/platform/registrations.py
+++ b/lycheestall/platform/registrations.py
@@ -25,8 +25,9 @@
 MAX_PORT = 65_535
 """Highest TCP port."""
 
-MAX_STARTED_MS = 2**63 - 1
-"""Latest start of a process, in Unix milliseconds."""
+MAX_STARTED_MS = 4_102_444_800_000
+"""Latest start of a process, in Unix milliseconds: the year 2100. One that is
+later would outrank all processes that start under the same ID."""
 
 MAX_QUOTED_CHARACTERS = 40
 """Characters of an unsound value that the reason quotes."""
--- a/tests/entry/test_odd_registrations.py
+++ b/tests/entry/test_odd_registrations.py
@@ -77,6 +77,7 @@
     "slots is a fraction": ("slots", "1.5"),
     "born -1": ("born", "-1"),
     "born 2^63": ("born", str(2**63)),
+    "born 2^62": ("born", str(2**62)),
     "born is true": ("born", "true"),
     "born is null": ("born", "null"),
     "empty zone": ("zone", '""'),
@@ -260,3 +261,15 @@
     ]
     assert len(unreadable) == len(fleet.vms)
     assert "slots" in unreadable[0]["reason"]
+
+
+# Guards against an entry that outranks all later ones of its ID.
+def test_an_entry_from_the_far_future_does_not_hide_its_target(
+    fleet: Fleet,
+) -> None:
+    odd = put_odd(fleet, b"sound", with_field("born", str(2**62).encode()))
+    fleet.reactor.run(1.0)
+    fleet.vms[0].register("sound", "10.1.0.1", born=2)
+    fleet.reactor.run(1.0)
+    assert_all_served(fleet)
+    assert not odd.requests
