Answer a request with a number in a header that int() refuses

Callers saw: a request whose token budget, token counts, prompt parts or last event ID had more than 4,300 digits got no response.

Cause: as in the ledger, isdigit() was taken to mean that int() succeeds; the error left the handling of the request.

Evidence: before the fix the 4 new tests fail with "Exceeds the limit (4300 digits) for integer string conversion" (4 failed, 17 passed); with it all 21 pass.

Why it works: the headers' numbers are decoded by the function that decodes those of the ledger. One that it refuses counts as absent, as any other value that isn't a number did before.

--- a/lycheestall/entry/record_numbers.py
+++ b/lycheestall/entry/record_numbers.py
@@ -1,11 +1,11 @@
-"""Decodes numbers in records, which any process may write."""
+"""Decodes numbers in records and headers, which any process may write."""
 
 from __future__ import annotations
 
 __all__ = ["decode_number"]
 
 MAX_DIGITS = 300
-"""Most digits of a number in a record; ``int`` and ``float`` take as many."""
+"""Most digits of a number; ``int`` and ``float`` take as many."""
 
 
 def decode_number(digits: bytes) -> int | None:
--- a/lycheestall/platform/headers.py
+++ b/lycheestall/platform/headers.py
@@ -14,6 +14,7 @@
     ResponseMetadata,
     UnreadableLimit,
 )
+from ..entry.record_numbers import decode_number
 from ..ids import ProgramId, TargetId
 
 __all__ = ["PlatformHeaders"]
@@ -215,9 +216,7 @@
 
 
 def _integer(value: bytes | None) -> int | None:
-    if value is None or not value.strip().isdigit():
-        return None
-    return int(value)
+    return None if value is None else decode_number(value.strip())
 
 
 def _integers(value: bytes) -> list[int]:
@@ -252,10 +251,11 @@
 def _prompt_parts(value: bytes) -> tuple[PromptPart, ...]:
     parts: list[PromptPart] = []
     for entry in value.split(b","):
-        name, colon, tokens = entry.strip().partition(b":")
-        if not colon or not tokens.isdigit():
+        name, _, digits = entry.strip().partition(b":")
+        tokens = decode_number(digits)
+        if tokens is None:
             continue
-        parts.append(PromptPart(name.decode("latin-1"), int(tokens)))
+        parts.append(PromptPart(name.decode("latin-1"), tokens))
     return tuple(parts)
 
 
--- a/tests/entry/test_request_path.py
+++ b/tests/entry/test_request_path.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from lycheestall.entry.store import KeyedWrite, Topic
 from tests.entry.entry_vm_harness import ROUTES, EntryVmHarness, status_of
 from tests.entry.fake_network import ReceivedRequest
@@ -285,3 +287,26 @@
     assert sum(len(target.requests) for target in targets) == 3
     data = harness.send_request("/orders/x", method="POST", request_id="again")
     assert status_of(data) == 503
+
+
+# Guards against a number in a header that int() refuses, which left the
+# request without a response.
+@pytest.mark.parametrize(
+    "header",
+    [
+        "X-Token-Budget: {}",
+        "X-Token-Usage: 1,{}",
+        "X-Prompt-Prefix: aa:{}",
+        "Last-Event-Id: {}",
+    ],
+)
+def test_a_request_with_a_number_too_large_is_served(
+    harness: EntryVmHarness, header: str
+) -> None:
+    harness.add_target("one", serve)
+    harness.start()
+    data = harness.send_request(
+        "/maps/x",
+        headers="X-Program-Id: p\r\n" + header.format("9" * 5000) + "\r\n",
+    )
+    assert status_of(data) == 200
