Let the soak run VMs of two builds side by side

`--other-build DIR` lets each second VM start with the build in that folder, and each restart choose its build by the seed. The checks stay the same, and the faults of a seed too.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -22,10 +22,17 @@
 
 
 @click.command()
-@click.option("--first", default=1, help="First seed.")
+@click.option("--first", "--seed", "first", default=1, help="First seed.")
 @click.option("--seeds", default=1, help="How many seeds.")
 @click.option("--seconds", default=10.0, help="Seconds of faults per seed.")
-def main(first: int, seeds: int, seconds: float) -> None:
+@click.option(
+    "--other-build",
+    type=click.Path(exists=True, file_okay=False, path_type=Path),
+    help="Folder of another build that some of the VMs run.",
+)
+def main(
+    first: int, seeds: int, seconds: float, other_build: Path | None
+) -> None:
     """Runs the seeds in sequence; exits with 1 if a guarantee is violated."""
     configure_logs(level="error")
     failed: list[int] = []
@@ -34,15 +41,21 @@
         for seed in range(first, first + seeds):
             directory = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
             soak = Soak(
-                reactor, seed=seed, seconds=seconds, directory=directory
+                reactor,
+                seed=seed,
+                seconds=seconds,
+                directory=directory,
+                other_build=other_build,
             )
             report = await soak.run()
+            starts = {str(b): n for b, n in report.starts.items()}
             click.echo(
                 f"seed {seed}: statuses {dict(report.statuses)}, "
                 f"conversations {dict(report.conversations)}, "
                 f"limited {report.limited_requests}, "
                 f"resumed {dict(report.resumed)}, "
                 f"relayed {report.relayed}, "
+                f"starts {starts}, "
                 f"faults {dict(report.faults)}, logs {directory}"
             )
             for line in report.violations[:10]:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -27,7 +27,7 @@
     SoakStreams,
 )
 from tests.soak.soak_targets import TOKENS_PER_EVENT, SoakTarget
-from tests.soak.soak_vm import ReceivedAnswer, SoakVm
+from tests.soak.soak_vm import ROOT, ReceivedAnswer, SoakVm
 
 MAX_TURN_TOKENS = 80
 CLIENTS = 6
@@ -57,6 +57,7 @@
         limited_requests: Number of requests to targets that name a limit.
         resumed: Number of requests that take up a stream by how they ended.
         relayed: Number of attempts that VMs asked peers to send.
+        starts: Number of starts of VMs by the folder of the build.
     """
 
     conversations: Counter[str] = field(default_factory=Counter)
@@ -66,6 +67,7 @@
     limited_requests: int = 0
     resumed: Counter[str] = field(default_factory=Counter)
     relayed: int = 0
+    starts: Counter[Path] = field(default_factory=Counter)
 
 
 class Soak:
@@ -77,6 +79,8 @@
         seconds: How long clients run under faults.
         directory: Directory for settings and logs.
         vms: Number of entry VMs.
+        other_build: Folder of another build, which each second VM runs at
+            first, and any VM after a restart.
     """
 
     def __init__(
@@ -87,6 +91,7 @@
         seconds: float,
         directory: Path,
         vms: int = 3,
+        other_build: Path | None = None,
     ) -> None:
         self._reactor = reactor
         self._random = random.Random(seed)
@@ -129,12 +134,14 @@
                 reactor,
                 SoakLinks(reactor, self._log, self._targets),
                 directory,
+                builds=(ROOT,) if other_build is None else (ROOT, other_build),
             )
             for n in range(vms)
         ]
         self._faults = SoakFaults(
             reactor,
             self._random,
+            builds_rng=random.Random(seed + 2),
             vms=self._vms,
             targets=self._targets,
             limits=self._limits,
@@ -317,6 +324,8 @@
                 )
                 vm.signal(signal.SIGKILL)
         self.report.relayed = sum(vm.relayed_attempts() for vm in self._vms)
+        for vm in self._vms:
+            self.report.starts.update(vm.starts)
         self.close()
 
     def close(self) -> None:
--- a/tests/soak/soak_faults.py
+++ b/tests/soak/soak_faults.py
@@ -34,6 +34,7 @@
     Args:
         reactor: Times the faults.
         rng: Chooses them.
+        builds_rng: Chooses the build that a VM runs after each restart.
         vms: The VMs to disturb.
         targets: The targets to disturb.
         limits: Learns when VMs are disturbed.
@@ -51,6 +52,7 @@
         reactor: Any,
         rng: random.Random,
         *,
+        builds_rng: random.Random,
         vms: Sequence[SoakVm],
         targets: Sequence[SoakTarget],
         limits: SoakLimits,
@@ -60,6 +62,7 @@
     ) -> None:
         self._reactor = reactor
         self._random = rng
+        self._builds_random = builds_rng
         self._vms = vms
         self._targets = targets
         self._limits = limits
@@ -111,6 +114,7 @@
             await sleep(self._reactor, 0.05)
         if vm.process is process and not self._finished():
             self._limits.vm_disturbed(self._reactor.seconds())
+            vm.build = self._builds_random.choice(vm.builds)
             vm.start()
 
     def _pause(self) -> None:
--- a/tests/soak/soak_vm.py
+++ b/tests/soak/soak_vm.py
@@ -5,6 +5,8 @@
 import signal
 import subprocess
 import sys
+from collections import Counter
+from collections.abc import Sequence
 from pathlib import Path
 from typing import Any
 
@@ -33,7 +35,21 @@
 
 
 class SoakVm:
-    """One entry VM's process and its connection to the store."""
+    """One entry VM's process and its connection to the store.
+
+    Args:
+        number: Its number, which is also in its name.
+        ports: Its ports for callers and for readiness, and its first
+            internal one.
+        reactor: Listens and connects.
+        links: Its links to the store and the targets.
+        directory: Directory for settings and logs.
+        builds: Folders of the builds that it may run.
+
+    Attributes:
+        build: Folder of the build that its next start runs.
+        starts: Number of starts by the folder of the build.
+    """
 
     def __init__(
         self,
@@ -42,7 +58,12 @@
         reactor: Any,
         links: SoakLinks,
         directory: Path,
+        *,
+        builds: Sequence[Path] = (ROOT,),
     ) -> None:
+        self.builds = builds
+        self.build = builds[number % len(builds)]
+        self.starts: Counter[Path] = Counter()
         self.front = ports[0]
         self.ready = ports[1]
         self.links = links
@@ -64,6 +85,7 @@
 
     def start(self) -> None:
         """Starts the process."""
+        self.starts[self.build] += 1
         with (self._directory / f"{self._name}.log").open("ab") as log:
             self.process = subprocess.Popen(
                 [
@@ -74,7 +96,7 @@
                     "--settings",
                     str(self._settings),
                 ],
-                cwd=ROOT,
+                cwd=self.build,
                 stdout=log,
                 stderr=log,
             )
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -16,6 +16,7 @@
 from tests.soak.soak import MAX_TURN_TOKENS, Soak
 from tests.soak.soak_conversations import SoakConversations
 from tests.soak.soak_streams import SoakStream
+from tests.soak.soak_vm import ROOT
 
 Run = Callable[[Coroutine[Any, Any, Any]], Any]
 
@@ -40,6 +41,18 @@
     soak.close()
 
 
+# Guards against a soak of two builds in which all VMs run the same one.
+def test_each_second_vm_starts_with_the_other_build(
+    reactor: Any, tmp_path: Path
+) -> None:
+    other = tmp_path / "other"
+    soak = Soak(
+        reactor, seed=405, seconds=0.0, directory=tmp_path, other_build=other
+    )
+    assert [vm.build for vm in soak._vms] == [ROOT, other, ROOT]
+    soak.close()
+
+
 # Guards against links that stay lost for the rest of a run.
 def test_a_proxy_that_refused_connections_accepts_them_again(
     reactor: Any, run: Run
