Keep a proxy's port while it refuses connections

A proxy of the soak that refuses connections gave its port back to the kernel, which could give it to a connection; the proxy then failed to listen again, and the VM's other links stayed lost too. A bound socket that doesn't listen now keeps the port.

The new test fails without the change: another socket gets the port.

--- a/tests/soak/loopback_proxy.py
+++ b/tests/soak/loopback_proxy.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from enum import Enum
 from typing import Any
 
@@ -52,10 +53,14 @@
         self.target_port = port
         self.mode = ProxyMode.PASS
         self._connections: set[_Downstream] = set()
-        self._listening = reactor.listenTCP(0, self, interface="127.0.0.1")
-        self.port: int = self._listening.getHost().port
-        # It listens on the same port again after it has refused connections.
-        self._listening.port = self.port
+        # Keeps the port for this proxy while it refuses connections.
+        self._reserved = socket.socket()
+        self._reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._reserved.bind(("127.0.0.1", 0))
+        self.port: int = self._reserved.getsockname()[1]
+        self._listening = reactor.listenTCP(
+            self.port, self, interface="127.0.0.1"
+        )
 
     def set_mode(self, mode: ProxyMode) -> None:
         """Changes the mode, also for the open connections."""
@@ -82,6 +87,7 @@
     def stop(self) -> None:
         """Stops listening."""
         self._listening.stopListening()
+        self._reserved.close()
 
 
 class _Downstream(Protocol):
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import random
+import socket
 from collections.abc import Callable, Coroutine
 from pathlib import Path
 from typing import Any
 
 import pytest
+from twisted.internet.error import ConnectionRefusedError  # noqa: A004
 from twisted.internet.protocol import Factory, Protocol
 
 from lycheestall.clock import sleep
@@ -77,6 +79,27 @@
     server.stopListening()
 
 
+# Guards against links that stay lost because others took a proxy's port.
+def test_a_proxy_keeps_its_port_while_it_refuses_connections(
+    reactor: Any, run: Run
+) -> None:
+    proxy = LoopbackProxy(reactor, 1)
+
+    async def refuse() -> None:
+        proxy.set_mode(ProxyMode.CUT)
+        await sleep(reactor, 0.05)
+        pool = ConnectionPool(
+            reactor, "127.0.0.1", proxy.port, connect_timeout_s=1.0
+        )
+        with pytest.raises(ConnectionRefusedError):
+            await pool.probe(timeout_s=1.0)
+
+    run(refuse())
+    with socket.socket() as other, pytest.raises(OSError, match="in use"):
+        other.bind(("127.0.0.1", proxy.port))
+    proxy.stop()
+
+
 def test_a_kept_turn_that_is_never_found_is_reported(
     reactor: Any, run: Run
 ) -> None:
