Let engines leave and join during a soak

A further fault removes an engine's entry from the store for 0.5 to 4 s, unless its version has no other one; the engine serves on meanwhile.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -142,6 +142,7 @@
             reactor,
             self._random,
             builds_rng=random.Random(seed + 2),
+            log=self._log,
             vms=self._vms,
             targets=self._targets,
             limits=self._limits,
@@ -188,7 +189,8 @@
     async def _register_targets(self) -> None:
         while not self._finished:
             for target in self._targets:
-                self._log.put(Topic.TARGETS, target.registration())
+                if target.registered:
+                    self._log.put(Topic.TARGETS, target.registration())
             await sleep(self._reactor, 0.5)
 
     async def _client(self, number: int) -> None:
--- a/tests/soak/soak_faults.py
+++ b/tests/soak/soak_faults.py
@@ -11,11 +11,16 @@
 from twisted.internet.defer import ensureDeferred
 
 from lycheestall.clock import sleep
+from lycheestall.entry.store import KeyedWrite, Topic
+from tests.entry.memory_store import MemoryLog
 from tests.soak.loopback_proxy import LoopbackProxy, ProxyMode
 from tests.soak.soak_limits import SoakLimits
 from tests.soak.soak_targets import SoakTarget
 from tests.soak.soak_vm import SoakVm
 
+ENGINES = "engines"
+"""Service of the targets that leave and join."""
+
 CUTTING_MODES = (ProxyMode.REFUSE, ProxyMode.CUT)
 """How the links of a VM to all targets are lost."""
 
@@ -35,6 +40,7 @@
         reactor: Times the faults.
         rng: Chooses them.
         builds_rng: Chooses the build that a VM runs after each restart.
+        log: The store's content.
         vms: The VMs to disturb.
         targets: The targets to disturb.
         limits: Learns when VMs are disturbed.
@@ -53,6 +59,7 @@
         rng: random.Random,
         *,
         builds_rng: random.Random,
+        log: MemoryLog,
         vms: Sequence[SoakVm],
         targets: Sequence[SoakTarget],
         limits: SoakLimits,
@@ -63,6 +70,7 @@
         self._reactor = reactor
         self._random = rng
         self._builds_random = builds_rng
+        self._log = log
         self._vms = vms
         self._targets = targets
         self._limits = limits
@@ -87,6 +95,7 @@
                     self._cut_target_links,
                     self._change_configuration,
                     self._kill_all,
+                    self._remove_engine,
                 )
             )
             self._counts[fault.__name__.strip("_")] += 1
@@ -157,5 +166,27 @@
                 duration_s, vm.links.set_mode, ProxyMode.PASS
             )
 
+    def _remove_engine(self) -> None:
+        """Removes an engine's entry, unless its version has no other one."""
+        engines = [t for t in self._targets if t.service == ENGINES]
+        engine = self._random.choice(engines)
+        away_s = self._random.uniform(0.5, 4.0)
+        version = engine.software_version
+        peers = [
+            t
+            for t in engines
+            if t.software_version == version and t.registered
+        ]
+        if len(peers) < 2:
+            return
+        engine.registered = False
+        removal = KeyedWrite(engine.registration().key, None)
+        self._log.put(Topic.TARGETS, removal)
+        self._reactor.callLater(away_s, self._add_engine, engine)
+
+    def _add_engine(self, engine: SoakTarget) -> None:
+        engine.registered = True
+        self._log.put(Topic.TARGETS, engine.registration())
+
     def _change_configuration(self) -> None:
         self._configure()
--- a/tests/soak/soak_targets.py
+++ b/tests/soak/soak_targets.py
@@ -38,6 +38,7 @@
     Attributes:
         received_at: When it received its requests.
         full_for_new: Whether it refuses requests that resume no stream.
+        registered: Whether it has an entry in the store.
     """
 
     def __init__(
@@ -63,6 +64,7 @@
         self._event_interval_s = event_interval_s
         self.limit_per_s = limit_per_s
         self.full_for_new = False
+        self.registered = True
         self.received_at: list[float] = []
         factory = CallerFactory(self, reactor)
         self._port = reactor.listenTCP(0, factory, interface="127.0.0.1")
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -14,6 +14,7 @@
 
 from lycheestall.clock import sleep
 from lycheestall.entry.connection_pool import ConnectionPool
+from lycheestall.entry.store import Topic
 from tests.soak.loopback_proxy import LoopbackProxy, ProxyMode
 from tests.soak.soak import MAX_TURN_TOKENS, Soak
 from tests.soak.soak_conversations import SoakConversations
@@ -55,6 +56,24 @@
     soak.close()
 
 
+# Guards against a fault that leaves a software version without an engine.
+def test_removed_engines_leave_one_of_each_version(
+    reactor: Any, tmp_path: Path
+) -> None:
+    soak = Soak(reactor, seed=406, seconds=0.0, directory=tmp_path)
+    for _ in range(20):
+        soak._faults._remove_engine()
+    registered = [
+        target.software_version
+        for target in soak._targets
+        if target.service == "engines" and target.registered
+    ]
+    assert sorted(registered) == ["v1", "v2"]
+    removals = [r for r in soak._log.by_topic[Topic.TARGETS] if not r.value]
+    assert len(removals) == 2
+    soak.close()
+
+
 # Guards against links that stay lost for the rest of a run.
 def test_a_proxy_that_refused_connections_accepts_them_again(
     reactor: Any, run: Run
