--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -3,19 +3,23 @@
 from __future__ import annotations
 
 import random
+import socket
 from collections.abc import Callable, Coroutine
 from pathlib import Path
 from typing import Any
 
 import pytest
+from twisted.internet.error import ConnectionRefusedError  # noqa: A004
 from twisted.internet.protocol import Factory, Protocol
 
 from lycheestall.clock import sleep
 from lycheestall.entry.connection_pool import ConnectionPool
+from lycheestall.entry.store import Topic
 from tests.soak.loopback_proxy import LoopbackProxy, ProxyMode
 from tests.soak.soak import MAX_TURN_TOKENS, Soak
 from tests.soak.soak_conversations import SoakConversations
 from tests.soak.soak_streams import SoakStream
+from tests.soak.soak_vm import ROOT
 
 Run = Callable[[Coroutine[Any, Any, Any]], Any]
 
@@ -40,6 +44,36 @@
     soak.close()
 
 
+# Guards against a soak of two builds in which all VMs run the same one.
+def test_each_second_vm_starts_with_the_other_build(
+    reactor: Any, tmp_path: Path
+) -> None:
+    other = tmp_path / "other"
+    soak = Soak(
+        reactor, seed=405, seconds=0.0, directory=tmp_path, other_build=other
+    )
+    assert [vm.build for vm in soak._vms] == [ROOT, other, ROOT]
+    soak.close()
+
+
+# Guards against a fault that leaves a software version without an engine.
+def test_removed_engines_leave_one_of_each_version(
+    reactor: Any, tmp_path: Path
+) -> None:
+    soak = Soak(reactor, seed=406, seconds=0.0, directory=tmp_path)
+    for _ in range(20):
+        soak._faults._remove_engine()
+    registered = [
+        target.software_version
+        for target in soak._targets
+        if target.service == "engines" and target.registered
+    ]
+    assert sorted(registered) == ["v1", "v2"]
+    removals = [r for r in soak._log.by_topic[Topic.TARGETS] if not r.value]
+    assert len(removals) == 2
+    soak.close()
+
+
 # Guards against links that stay lost for the rest of a run.
 def test_a_proxy_that_refused_connections_accepts_them_again(
     reactor: Any, run: Run
@@ -64,6 +98,27 @@
     server.stopListening()
 
 
+# Guards against links that stay lost because others took a proxy's port.
+def test_a_proxy_keeps_its_port_while_it_refuses_connections(
+    reactor: Any, run: Run
+) -> None:
+    proxy = LoopbackProxy(reactor, 1)
+
+    async def refuse() -> None:
+        proxy.set_mode(ProxyMode.CUT)
+        await sleep(reactor, 0.05)
+        pool = ConnectionPool(
+            reactor, "127.0.0.1", proxy.port, connect_timeout_s=1.0
+        )
+        with pytest.raises(ConnectionRefusedError):
+            await pool.probe(timeout_s=1.0)
+
+    run(refuse())
+    with socket.socket() as other, pytest.raises(OSError, match="in use"):
+        other.bind(("127.0.0.1", proxy.port))
+    proxy.stop()
+
+
 def test_a_kept_turn_that_is_never_found_is_reported(
     reactor: Any, run: Run
 ) -> None:
