--- a/tests/soak/test_version_stories.py
+++ b/tests/soak/test_version_stories.py
@@ -101,10 +101,10 @@
         await story.pause(0.1)
         story.begin_only_at("v2")
         story.register("v2")
-        await story.pause(0.3)
+        await story.wait_until_begun(beginner)
         streams = await story.begin(beginner, 20)
         # Later on, the VM would reach the store through its peers.
-        await story.pause(0.5)
+        await story.pause(0.4)
         for vm in others:
             vm.signal(signal.SIGSTOP)
         await story.kill([beginner])
--- a/tests/soak/version_story.py
+++ b/tests/soak/version_story.py
@@ -207,6 +207,15 @@
             await sleep(self._reactor, BEGIN_INTERVAL_S)
         return streams
 
+    async def wait_until_begun(self, vm: SoakVm) -> None:
+        """Waits until a target begins streams that a VM sends."""
+        deadline = self._reactor.seconds() + START_LIMIT_S
+        probes: list[StoryStream] = []
+        while not any(probe.last_event for probe in probes):
+            assert self._reactor.seconds() < deadline, "no stream begins"
+            probes = await self.begin(vm, 1, patience_s=POLL_INTERVAL_S)
+            await self.broken(probes)
+
     async def broken(
         self, streams: Sequence[StoryStream]
     ) -> list[StoryStream]:
