--- a/tests/entry/test_stream_proofs.py
+++ b/tests/entry/test_stream_proofs.py
@@ -274,3 +274,28 @@
     answer = take_up(fleet, [1], vm=CUT)[0]
     assert status_of(answer.data) == 503
     assert b"Retry-After: " in answer.data
+
+
+# Guards against joining streams of a version that served so shortly before
+# the loss of all VMs that no record of it was written.
+def test_a_version_that_is_lost_together_with_all_vms_is_not_joined(
+    fleet: Fleet, engines: Engines
+) -> None:
+    add_second_version(engines)
+    probes = 0
+    while not engines.began_at("v2"):
+        probes += 1
+        begin_stream(fleet, probes)
+        fleet.reactor.run(0.02)
+    numbers = range(1000, 1000 + STREAMS)
+    for number in numbers:
+        begin_stream(fleet, number)
+    fleet.reactor.run(0.02)
+    for number in range(VMS):
+        fleet.kill(number)
+    for number in range(2):
+        fleet.remove_target(f"new-{number}")
+    restart_all(fleet)
+    began = engines.began_at("v2")
+    take_up(fleet, [n for n in numbers if f"s{n}" in began], vm=CUT)
+    assert not engines.mixed()
--- a/tests/entry/versioned_engines.py
+++ b/tests/entry/versioned_engines.py
@@ -84,6 +84,14 @@
             if len(set(versions)) > 1
         }
 
+    def began_at(self, version: str) -> set[str]:
+        """Returns the streams that targets of a version began."""
+        return {
+            stream
+            for stream, versions in self.versions_by_stream.items()
+            if versions[0] == version
+        }
+
     def _take_down(self, target: FakeTarget) -> None:
         # It loses its connections and refuses others.
         for address, other in list(self._network.items()):
