Ask in one place whether a service runs one version

Both the telling of peers and the writing of origins ask what a VM that has just started would count.

--- a/lycheestall/entry/stream_origin_service.py
+++ b/lycheestall/entry/stream_origin_service.py
@@ -156,7 +156,7 @@
         origin = StreamOrigin(service, version)
         self._origins.add(stream, origin)
         if not self._is_only_version(origin, lifetime_s):
-            self._tell(stream, origin, lifetime_s)
+            self._tell(stream, origin)
             return
         expires_at = self._clock.seconds() + lifetime_s
         self._untold[stream] = _UntoldStream(origin, lifetime_s, expires_at)
@@ -197,7 +197,7 @@
             if is_only[key]:
                 continue
             del self._untold[stream]
-            self._tell(stream, untold.origin, untold.lifetime_s)
+            self._tell(stream, untold.origin)
             told += 1
             if told == MAX_TOLD_AT_ONCE:
                 return
@@ -263,18 +263,13 @@
             )
         return None
 
-    def _tell(
-        self, stream: StreamKey, origin: StreamOrigin, lifetime_s: float
-    ) -> None:
+    def _tell(self, stream: StreamKey, origin: StreamOrigin) -> None:
         message = HoldStreamOrigin(
             stream, origin.service, origin.software_version
         )
         for member in self._ranked_peers(stream)[:HOLDERS]:
             self._peers.call(member.address, message, timeout_s=HOLD_TIMEOUT_S)
-        # A VM that has just started counts all recorded versions.
-        recorded_s = max(lifetime_s, RECORDED_S)
-        recent = self._recent(origin.service, recorded_s)
-        if len(recent.versions) != 1:
+        if not self._runs_one_version(origin.service):
             self._journal.add(stream, origin)
 
     def _search(
@@ -324,9 +319,11 @@
         current = self._current(origin.service, lifetime_s)
         if current.only_possible != origin.software_version:
             return False
+        return self._runs_one_version(origin.service)
+
+    def _runs_one_version(self, service: ServiceId) -> bool:
         # A VM that has just started counts all recorded versions.
-        recent = self._recent(origin.service, RECORDED_S)
-        return len(recent.versions) == 1
+        return len(self._recent(service, RECORDED_S).versions) == 1
 
     def _recent(self, service: ServiceId, lifetime_s: float) -> RecentVersions:
         return self.versions.recent(
