--- a/tests/entry/test_software_versions.py
+++ b/tests/entry/test_software_versions.py
@@ -171,3 +171,18 @@
     )
     assert one.merge([one]).only_possible == "v1"
     assert one.merge([two]).only_possible is None
+
+
+# Guards against records that prove something of the time before a new listing,
+# although they were read before it.
+def test_records_have_to_be_read_again_after_a_new_listing() -> None:
+    table = TargetTable()
+    versions = SoftwareVersions(table)
+    table.register(registration("a", "v1"))
+    versions.observe(100.0, listed_at=100.0)
+    versions.set_recorded(SERVICE)
+    recent = versions.recent(SERVICE, 101.0, lifetime_s=LIFETIME_S)
+    assert recent.only_possible == "v1"
+    versions.observe(102.0, listed_at=102.0)
+    recent = versions.recent(SERVICE, 102.0, lifetime_s=LIFETIME_S)
+    assert recent.only_possible is None
--- a/tests/entry/test_stream_proofs.py
+++ b/tests/entry/test_stream_proofs.py
@@ -8,9 +8,15 @@
 import pytest
 from twisted.internet.defer import Deferred
 
-from lycheestall.entry.origin_messages import HoldStreamOrigin
+from lycheestall.entry.configuration import ServiceId
+from lycheestall.entry.origin_messages import (
+    FindStreamOrigin,
+    FoundStreamOrigin,
+    HoldStreamOrigin,
+)
 from lycheestall.entry.store import KeyedWrite, Records, Topic
-from lycheestall.ids import Offset
+from lycheestall.entry.stream_origins import stream_key
+from lycheestall.ids import Offset, SoftwareVersion
 from tests.entry import entry_vm_harness
 from tests.entry.entry_vm_harness import status_of
 from tests.entry.fleet import Fleet
@@ -32,6 +38,7 @@
     take_up_stream,
 )
 
+STREAM = stream_key(b"never begun")
 PAGE_RECORDS = 10
 """Records that a read of a paged store brings at most."""
 
@@ -276,6 +283,60 @@
     assert b"Retry-After: " in answer.data
 
 
+# Guards against a VM that missed a part of the history taking what it lists
+# for all there was.
+def test_a_version_that_came_and_left_in_a_gap_of_the_history_counts(
+    fleet: Fleet, engines: Engines
+) -> None:
+    cut = fleet.vms[CUT].store
+    cut.fault = Fault.REFUSES
+    fleet.cut_peers(CUT)
+    add_second_version(engines)
+    fleet.reactor.run(2.0)
+    numbers = begin_streams(fleet, [1])
+    for number in range(2):
+        fleet.remove_target(f"new-{number}")
+    fleet.reactor.run(1.0)
+    fleet.log.forget_history(Topic.TARGETS)
+    cut.fault = Fault.NONE
+    fleet.links.cut.clear()
+    fleet.reactor.run(1.5)
+    take_up(fleet, numbers, vm=CUT, named=False)
+    assert not engines.mixed()
+
+
+def ask(fleet: Fleet, vm: int) -> FoundStreamOrigin:
+    """Asks a VM what it knows of a stream that it has never heard of."""
+    message = FindStreamOrigin(STREAM, ServiceId("engines"), 6.0)
+    reply = fleet.vms[vm].vm.handle_message(message)
+    assert isinstance(reply, FoundStreamOrigin)
+    return reply
+
+
+# Guards against VMs of the build before concluding from outdated knowledge of
+# this one.
+def test_a_vm_that_cannot_read_the_targets_calls_nothing_complete(
+    fleet: Fleet, engines: Engines
+) -> None:
+    assert ask(fleet, CUT).recent_complete
+    fleet.vms[CUT].store.fault = Fault.REFUSES
+    fleet.cut_peers(CUT)
+    fleet.reactor.run(1.0)
+    assert not ask(fleet, CUT).recent_complete
+
+
+# Guards against forgetting what a message says about a version that this VM
+# has not read of.
+def test_a_version_that_a_peer_tells_of_counts(
+    fleet: Fleet, engines: Engines
+) -> None:
+    message = HoldStreamOrigin(
+        stream_key(b"other"), ServiceId("engines"), SoftwareVersion("v2")
+    )
+    fleet.vms[CUT].vm.handle_message(message)
+    assert set(ask(fleet, CUT).recent_versions) == {"v1", "v2"}
+
+
 # Guards against joining streams of a version that served so shortly before
 # the loss of all VMs that no record of it was written.
 def test_a_version_that_is_lost_together_with_all_vms_is_not_joined(
