Name what declares a service's versions complete

set_recorded and _tell_recorded didn't say that they declare a proof; they are mark_complete now. No change of behaviour; the tests of versions pass.

--- a/lycheestall/entry/software_versions.py
+++ b/lycheestall/entry/software_versions.py
@@ -128,10 +128,11 @@
         seen_at = self._seen_at.setdefault(service, {})
         seen_at[version] = max(at, seen_at.get(version, -math.inf))
 
-    def set_recorded(self, service: ServiceId) -> None:
+    def mark_complete(self, service: ServiceId) -> None:
         """Notes that the records named all versions before the listing.
 
-        From then on what is known of the service counts as complete.
+        What is known of the service counts as complete from then on, for
+        lifetimes up to ``RECORDED_S``.
 
         Args:
             service: The service.
--- a/lycheestall/entry/version_register.py
+++ b/lycheestall/entry/version_register.py
@@ -115,15 +115,15 @@
             self._logger.warning(
                 "software versions unreadable", reason=unreadable[0].reason
             )
-        self._tell_recorded(_services(known))
+        self._mark_complete(_services(known))
         return True
 
-    def _tell_recorded(self, services: Iterable[ServiceId]) -> None:
+    def _mark_complete(self, services: Iterable[ServiceId]) -> None:
         # A record that can't be read may name a version of any service.
         if not self._all_readable:
             return
         for service in services:
-            self._versions.set_recorded(service)
+            self._versions.mark_complete(service)
 
     async def _list(self) -> list[KeyedRecord] | None:
         records: list[KeyedRecord] = []
@@ -194,7 +194,7 @@
                 service=recorded.service,
                 software_version=recorded.version,
             )
-        self._tell_recorded(_services(new))
+        self._mark_complete(_services(new))
 
     async def _delete_old(self) -> None:
         now = self._clock.seconds()
--- a/tests/entry/test_software_versions.py
+++ b/tests/entry/test_software_versions.py
@@ -180,7 +180,7 @@
     versions = SoftwareVersions(table)
     table.register(registration("a", "v1"))
     versions.observe(100.0, listed_at=100.0)
-    versions.set_recorded(SERVICE)
+    versions.mark_complete(SERVICE)
     recent = versions.recent(SERVICE, 101.0, lifetime_s=LIFETIME_S)
     assert recent.only_possible == "v1"
     versions.observe(102.0, listed_at=102.0)
