--- a/lycheestall/entry/origin_journal.py
+++ b/lycheestall/entry/origin_journal.py
@@ -26,7 +26,8 @@
 __all__ = ["OriginJournal"]
 
 MIN_DELAY_S = 0.04
-"""Seconds for which origins are collected before they are appended."""
+"""Seconds for which origins are collected before they are appended. Those that
+wait are lost if all VMs are."""
 
 APPENDS_PER_S = 300
 """Appends a second of all VMs together; with more VMs each collects for
--- a/lycheestall/entry/stream_origin_service.py
+++ b/lycheestall/entry/stream_origin_service.py
@@ -47,14 +47,16 @@
 """Timeout for a peer to take note of an origin."""
 
 CHECKED_S = 0.05
-"""Age of the listing up to which a stream goes on at a target by it."""
+"""Age of the listing up to which a stream goes on at a target by it; much
+shorter than a target takes to start again."""
 
 CHECK_TIMEOUT_S = 0.1
 """Timeout for reading the targets before a stream goes on. If nobody can read
 them, no target can register at another version either."""
 
 MAX_TOLD_AT_ONCE = 100
-"""Streams that others are told of in one go."""
+"""Streams that others are told of in one go; each message may open a
+connection."""
 
 MAX_UNTOLD = 10_000
 """Streams that others are told of only if a second version comes."""
--- a/lycheestall/entry/targets_reader.py
+++ b/lycheestall/entry/targets_reader.py
@@ -19,7 +19,8 @@
 
 
 CURRENT_INTERVALS = 2.5
-"""Age of the listing up to which it counts as current, in intervals."""
+"""Age of the listing up to which it counts as current, in intervals; one late
+read doesn't count as a failed one."""
 
 
 def current_s(drain_s: float) -> float:
--- a/lycheestall/entry/version_register.py
+++ b/lycheestall/entry/version_register.py
@@ -28,7 +28,7 @@
 
 OTHERS_DELAY_S = 1.0
 """Seconds after which a version is recorded by a VM that is not the one
-chosen for it."""
+chosen for it, which may be gone."""
 
 RETRY_S = 0.5
 """Seconds after a failed call until the next one."""
