Count turns that began without the store as long as they run

Cause: a turn that a deciding VM granted got into the ledger only when it ended. All VMs go by the ledger alone 1.2 s after the outage, whether or not such turns still run. The check that was to fill the gap after 0.7 s left out the turns that a deciding VM runs itself, and those of VMs that have written any record of the program since; an asking VM always had, as its refused attempt to write leaves an empty record.

Change: the VM that runs a turn takes it into its allocator when it is granted. It holds its maximum there like any other turn, is recorded as soon as the store is back, and is settled in the ordinary way.

--- a/lycheestall/entry/_program_tokens.py
+++ b/lycheestall/entry/_program_tokens.py
@@ -23,6 +23,8 @@
         used: Tokens of ended turns.
         reserved_by_turn: Maximum tokens of each running turn.
         pending_by_turn: Maximum tokens of each turn that waits for a decision.
+        unrecorded_turns: Running turns that were granted without the ledger
+            and are part of ``limit``, but not of any record yet.
         limit: Tokens that may be used without another record.
         recorded: The newest record known to be written, or None if that is
             unknown.
@@ -43,6 +45,7 @@
     used: int = 0
     reserved_by_turn: dict[TurnId, int] = field(default_factory=dict)
     pending_by_turn: dict[TurnId, int] = field(default_factory=dict)
+    unrecorded_turns: set[TurnId] = field(default_factory=set)
     limit: int = 0
     recorded: Allocation | None = EMPTY_ALLOCATION
     largest_turn: int = 0
--- a/lycheestall/entry/token_allocator.py
+++ b/lycheestall/entry/token_allocator.py
@@ -149,13 +149,45 @@
         if max_tokens is None:
             return
         state.used += used
+        if turn in state.unrecorded_turns:
+            state.unrecorded_turns.remove(turn)
+            state.limit -= max_tokens - used
         state.last_used_at = now
         self._mark_dirty(program, state)
 
+    def add_outage_turn(
+        self,
+        program: ProgramId,
+        turn: TurnId,
+        *,
+        max_tokens: int,
+        budget: int,
+        now: float,
+    ) -> None:
+        """Adds a turn on this VM that was granted without the ledger.
+
+        It holds its maximum until it is settled, as any other turn, and is
+        recorded as soon as the store is available. The tokens still available
+        from the recorded allocation stay the same.
+
+        Args:
+            program: The program.
+            turn: The turn.
+            max_tokens: Maximum tokens that the turn generates.
+            budget: The program's budget.
+            now: Current time.
+        """
+        state = self._state_for(program, budget)
+        state.reserved_by_turn[turn] = max_tokens
+        state.unrecorded_turns.add(turn)
+        state.limit += max_tokens
+        state.last_used_at = now
+        self._mark_dirty(program, state, urgent=True)
+
     def add_outage_grant(
         self, program: ProgramId, tokens: int, *, budget: int, now: float
     ) -> None:
-        """Adds tokens that were granted without the ledger.
+        """Adds tokens that another VM was granted without the ledger.
 
         They have yet to be recorded. The tokens still available from the
         recorded allocation stay the same.
@@ -250,6 +282,7 @@
         if state is None:
             return []
         state.recorded = write.allocation
+        state.unrecorded_turns.clear()
         others = self._ledger.total_except(write.program, self._holder)
         state.maybe_incomplete = (
             state.maybe_incomplete or others.maybe_incomplete
--- a/lycheestall/entry/turn_reservations.py
+++ b/lycheestall/entry/turn_reservations.py
@@ -146,18 +146,9 @@
             turn: The turn, which was granted.
             used: Tokens that were sent to the caller.
         """
-        if not self._deciders.decided(turn):
-            self._writer.settle(program, turn, used)
-            return
-        if used:
-            self._allocator.add_outage_grant(
-                program,
-                used,
-                budget=self._deciders.budget(program),
-                now=self._clock.seconds(),
-            )
-            self._writer.wake()
-        self._deciders.settle(program, turn, used)
+        self._writer.settle(program, turn, used)
+        if self._deciders.decided(turn):
+            self._deciders.settle(program, turn, used)
 
     def outage_ended(self, position: Offset) -> None:
         """Makes sure that all grants of the outage get into the ledger.
@@ -316,6 +307,33 @@
     ) -> Deferred[ReservationResult] | ReservationResult:
         if result is not None:
             return result
-        return self._deciders.ask(
+        decision = self._deciders.ask(
             program, turn, max_tokens=max_tokens, budget=budget
         )
+        if isinstance(decision, Deferred):
+            final_decision: Deferred[ReservationResult] = decision.addCallback(
+                self._decider_replied, program, turn, max_tokens, budget
+            )
+            return final_decision
+        return self._decider_replied(
+            decision, program, turn, max_tokens, budget
+        )
+
+    def _decider_replied(
+        self,
+        decision: ReservationResult,
+        program: ProgramId,
+        turn: TurnId,
+        max_tokens: int,
+        budget: int,
+    ) -> ReservationResult:
+        if decision is ReservationDecision.GRANTED:
+            self._allocator.add_outage_turn(
+                program,
+                turn,
+                max_tokens=max_tokens,
+                budget=budget,
+                now=self._clock.seconds(),
+            )
+            self._writer.wake()
+        return decision
--- a/tests/entry/test_store_outage.py
+++ b/tests/entry/test_store_outage.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from collections import Counter
+
 import pytest
 from twisted.internet.defer import ensureDeferred
 
@@ -443,3 +445,31 @@
     used += sum(MAX_TOKENS for turn in running if turn.granted)
     assert served > 5
     assert used <= BUDGET
+
+
+# Guards against handing out tokens twice that turns still hold which began
+# without the store and outlast the recovery.
+def test_turns_that_outlast_a_recovery_count_at_other_vms() -> None:
+    budget = 2240
+    simulation = OutageSimulation(vms=3)
+    one, other, _ = simulation.vms
+    programs = [f"program-{number}" for number in range(15)]
+    simulation.fail_store()
+    simulation.advance(4.3)
+    turns = [
+        simulation.ask(one, program, max_tokens=MAX_TOKENS, budget=budget)
+        for program in programs
+        for _ in range(3)
+    ]
+    simulation.advance(0.2)
+    assert all(turn.granted for turn in turns)
+    simulation.restore_store()
+    simulation.advance(RECOVERY_S + 0.4)
+    turns += [
+        simulation.ask(other, program, max_tokens=MAX_TOKENS, budget=budget)
+        for program in programs
+        for _ in range(8)
+    ]
+    simulation.advance(1.0)
+    granted = Counter(turn.program for turn in turns if turn.granted)
+    assert max(granted.values()) * MAX_TOKENS <= budget + MAX_TOKENS
