--- a/lycheestall/entry/_program_tokens.py
+++ b/lycheestall/entry/_program_tokens.py
@@ -6,7 +6,7 @@
 from typing import NewType
 
 from .outage_allocator import outage_allowance
-from .token_ledger import EMPTY_ALLOCATION, Allocation
+from .token_ledger import EMPTY_ALLOCATION, Allocation, TurnRef
 
 __all__ = ["ProgramTokens", "TurnId"]
 
@@ -36,8 +36,11 @@
         dirty: Whether a record is due.
         urgent: Whether the due record must be written without waiting for a
             batch.
-        unrecorded_outage_tokens: Tokens granted in an outage that may not be
-            recorded yet.
+        outage_turns: Turns that were granted without the ledger and that this
+            VM names in its records: its own, and those that it records for
+            other VMs.
+        tokens_for_others: Tokens that this VM records for a turn of another
+            VM.
         last_used_at: Time of the last reservation or settlement.
     """
 
@@ -53,7 +56,8 @@
     no_preallocation_until: float = 0.0
     dirty: bool = False
     urgent: bool = False
-    unrecorded_outage_tokens: int = 0
+    outage_turns: set[TurnRef] = field(default_factory=set)
+    tokens_for_others: dict[TurnRef, int] = field(default_factory=dict)
     last_used_at: float = 0.0
 
     def committed(self) -> int:
--- a/lycheestall/entry/deciding_vms.py
+++ b/lycheestall/entry/deciding_vms.py
@@ -14,16 +14,30 @@
 from .members import Members
 from .outage import OutageTracker
 from .outage_allocator import OutageAllocator, OutageDecision
-from .peer_messages import AskTokens, SettleTokens, TokenAnswer, Understood
+from .peer_messages import (
+    AskTokens,
+    HoldGrant,
+    SettleTokens,
+    TokenAnswer,
+    Understood,
+)
 from .peer_rpc import PeerClient
-from .token_allocator import ReservationDecision, TurnId
-from .token_ledger import HolderId, TokenLedger
+from .token_allocator import ReservationDecision, TokenAllocator, TurnId
+from .token_ledger import HolderId, TokenLedger, TurnRef
+from .unrecorded_grants import TurnGrant, UnrecordedGrants
 
 __all__ = ["DECIDER_TIMEOUT_S", "DecidingVms"]
 
 DECIDER_TIMEOUT_S = 0.3
 """Timeout of a call to a deciding VM."""
 
+COPY_TIMEOUT_S = 0.12
+"""Timeout of a call that asks a peer to remember a grant; two of them fit into
+the time that the asking VM waits."""
+
+COPY_ATTEMPTS = 2
+"""Peers that are asked to remember a grant before the turn is refused."""
+
 SETTLE_ATTEMPTS = 3
 """Attempts to report a turn's usage to its deciding VM."""
 
@@ -34,11 +48,15 @@
 class DecidingVms:
     """Asks deciding VMs for turns, and decides for other VMs.
 
+    A grant counts once two VMs of the deciding VM's group know of it.
+
     Args:
         holder: This VM's ID in the ledger.
         ledger: Allocations of all VMs.
         outage: Tracks outages of the store.
         outage_allocator: What this VM grants as a deciding VM.
+        grants: Unrecorded grants.
+        allocator: Names turns whose grants may be known to others only.
         members: The VMs of the system.
         peers: Calls them.
         clock: Times the calls.
@@ -52,6 +70,8 @@
         ledger: TokenLedger,
         outage: OutageTracker,
         outage_allocator: OutageAllocator,
+        grants: UnrecordedGrants,
+        allocator: TokenAllocator,
         members: Members,
         peers: PeerClient,
         clock: Any,
@@ -61,25 +81,18 @@
         self._ledger = ledger
         self._outage = outage
         self._outage_allocator = outage_allocator
+        self._grants = grants
+        self._allocator = allocator
         self._members = members
         self._peers = peers
         self._clock = clock
         self._logger = logger
         self._decider_by_turn: dict[TurnId, HolderId] = {}
-        self._budget_by_program: dict[ProgramId, int] = {}
 
     def decided(self, turn: TurnId) -> bool:
         """Returns whether a deciding VM was asked for a turn."""
         return turn in self._decider_by_turn
 
-    def budget(self, program: ProgramId) -> int:
-        """Returns the budget of a program that was asked about."""
-        return self._budget_by_program.get(program, 0)
-
-    def forget_budgets(self) -> None:
-        """Forgets the budgets of the programs of an outage."""
-        self._budget_by_program.clear()
-
     def ask(
         self, program: ProgramId, turn: TurnId, *, max_tokens: int, budget: int
     ) -> Deferred[ReservationResult] | ReservationResult:
@@ -91,7 +104,6 @@
         decider = self._outage.decider(program, self._clock.seconds())
         if decider is None:
             return None
-        self._budget_by_program[program] = budget
         message = AskTokens(
             self._holder,
             self._outage.view_digest,
@@ -102,29 +114,34 @@
             self._ledger.total(program).limit,
         )
         self._decider_by_turn[turn] = decider
+        reply: Any
         if decider == self._holder:
-            return self._decided(self.decide(message), program, turn)
-        member = self._members.get(decider)
-        if member is None:
-            del self._decider_by_turn[turn]
-            return None
-        reply = self._peers.call(
-            member.address, message, timeout_s=DECIDER_TIMEOUT_S
-        )
+            reply = self.decide(message)
+            if not isinstance(reply, Deferred):
+                return self._decided(reply, program, turn, budget)
+        else:
+            member = self._members.get(decider)
+            if member is None:
+                del self._decider_by_turn[turn]
+                return None
+            reply = self._peers.call(
+                member.address, message, timeout_s=DECIDER_TIMEOUT_S
+            )
         decided: Deferred[ReservationResult] = reply.addCallbacks(
             self._decided,
             self._ask_failed,
-            callbackArgs=(program, turn),
-            errbackArgs=(program, turn),
+            callbackArgs=(program, turn, budget),
+            errbackArgs=(program, turn, budget),
         )
         return decided
 
-    def decide(self, message: AskTokens) -> TokenAnswer:
+    def decide(
+        self, message: AskTokens
+    ) -> Deferred[TokenAnswer] | TokenAnswer:
         """Decides on a turn of any VM as its deciding VM."""
         now = self._clock.seconds()
         if not self._outage.is_decider(message.program, message.view, now):
             return TokenAnswer(granted=False, spent=False)
-        self._budget_by_program[message.program] = message.budget
         decision = self._outage_allocator.reserve(
             message.program,
             message.holder,
@@ -132,33 +149,63 @@
             max_tokens=message.max_tokens,
             budget=message.budget,
             recorded_limit=message.recorded_limit,
+            now=now,
         )
-        return TokenAnswer(
-            granted=decision is OutageDecision.GRANTED,
-            spent=decision is OutageDecision.SPENT,
-        )
+        if decision is not OutageDecision.GRANTED:
+            spent = decision is OutageDecision.SPENT
+            return TokenAnswer(granted=False, spent=spent)
+        group = self._outage.group
+        if len(group) == 1:
+            return TokenAnswer(granted=True, spent=False)
+        if message.holder != self._holder and message.holder in group:
+            return TokenAnswer(granted=True, spent=False)
+        turn = TurnRef(message.holder, message.turn)
+        grant = TurnGrant(message.program, turn, message.max_tokens)
+        return ensureDeferred(self._copied(grant, message.budget))
 
     def settle(self, program: ProgramId, turn: TurnId, used: int) -> None:
         """Tells a turn's deciding VM what the turn has used."""
         decider = self._decider_by_turn.pop(turn)
+        self._grants.settle(program, TurnRef(self._holder, turn), used)
         if decider == self._holder:
-            self._outage_allocator.settle(program, self._holder, turn, used)
             return
         result = ensureDeferred(
             self._settle_at_decider(decider, program, turn, used)
         )
         result.addErrback(self._settle_failed, program)
 
+    async def _copied(self, grant: TurnGrant, budget: int) -> TokenAnswer:
+        candidates = self._outage.second_holders(grant.program)
+        for holder in candidates[:COPY_ATTEMPTS]:
+            member = self._members.get(holder)
+            if member is None:
+                continue
+            reply = await self._peers.call(
+                member.address, HoldGrant(grant), timeout_s=COPY_TIMEOUT_S
+            )
+            if isinstance(reply, Understood):
+                return TokenAnswer(granted=True, spent=False)
+        self._logger.warning(
+            "no other VM remembers a grant",
+            program=grant.program,
+            holder=grant.turn.holder,
+            turn=grant.turn.turn,
+            asked=len(candidates[:COPY_ATTEMPTS]),
+        )
+        self._grants.settle(grant.program, grant.turn, 0)
+        # One of them may remember it, with its reply lost.
+        self._allocator.name_turn(grant.program, grant.turn, budget=budget)
+        return TokenAnswer(granted=False, spent=False)
+
     def _ask_failed(
-        self, failure: Failure, program: ProgramId, turn: TurnId
+        self, failure: Failure, program: ProgramId, turn: TurnId, budget: int
     ) -> Failure:
-        # The caller has stopped waiting, but the decider may have granted
-        # the turn.
-        self.settle(program, turn, 0)
+        # The caller has stopped waiting.
+        self._give_up(program, turn, budget)
         return failure
 
     def _decided(
-        self, reply: Any, program: ProgramId, turn: TurnId
+        self, reply: Any, program: ProgramId, turn: TurnId, budget: int
     ) -> ReservationResult:
         granted = isinstance(reply, TokenAnswer) and reply.granted
         self._logger.info(
@@ -172,14 +219,19 @@
         if granted:
             return ReservationDecision.GRANTED
         if reply is None:
-            # The decider may have granted the turn, with its reply lost.
-            self.settle(program, turn, 0)
+            self._give_up(program, turn, budget)
             return None
         self._decider_by_turn.pop(turn, None)
         if isinstance(reply, TokenAnswer) and reply.spent:
             return ReservationDecision.SPENT
         return None
 
+    def _give_up(self, program: ProgramId, turn: TurnId, budget: int) -> None:
+        # The decider may have granted the turn, with its reply lost.
+        self.settle(program, turn, 0)
+        ref = TurnRef(self._holder, turn)
+        self._allocator.name_turn(program, ref, budget=budget)
+
     async def _settle_at_decider(
         self, decider: HolderId, program: ProgramId, turn: TurnId, used: int
     ) -> None:
--- a/lycheestall/entry/final_response.py
+++ b/lycheestall/entry/final_response.py
@@ -135,8 +135,8 @@
         elif decision is ReservationDecision.HELD_ELSEWHERE:
             self.refuse(503, "tokens are held by another VM", HELD_RETRY_S)
         elif decision is ReservationDecision.RECOVERING:
-            recovery_left_s = self._deps.reservations.recovery_left_s()
-            self.refuse(503, "an outage is being settled", recovery_left_s)
+            retry_s = self._deps.reservations.recovery_retry_s()
+            self.refuse(503, "an outage is being settled", retry_s)
         elif decision is ReservationDecision.UNPROVEN:
             self.refuse(503, "tokens may be unrecorded", UNPROVEN_RETRY_S)
         else:
--- a/lycheestall/entry/ledger_writer.py
+++ b/lycheestall/entry/ledger_writer.py
@@ -75,7 +75,7 @@
         health: Records the outcomes of store calls.
         logger: Receives appends with an unknown result.
         recovering: Returns whether other VMs' grants of an outage may be
-            unrecorded, so that no turn may start by the ledger alone.
+            unrecorded, so that nothing is allocated in advance.
     """
 
     def __init__(
@@ -118,7 +118,7 @@
         *,
         max_tokens: int,
         budget: int,
-        outage_grants_known: bool = False,
+        grants_known: bool = True,
     ) -> Deferred[ReservationResult] | ReservationDecision | None:
         """Reserves tokens for a turn.
 
@@ -127,8 +127,8 @@
             turn: The turn.
             max_tokens: Maximum tokens that the turn generates.
             budget: The program's token budget.
-            outage_grants_known: Whether the allocator knows the program's
-                grants of the last outage.
+            grants_known: Whether all grants of the program that are not in
+                the ledger are known.
 
         Returns:
             The decision if it is known at once, None if it needs a record
@@ -143,8 +143,7 @@
         )
         if decision is not ReservationDecision.NEEDS_RECORD:
             return decision
-        grants_unknown = self._recovering() and not outage_grants_known
-        if self._health.unavailable or grants_unknown:
+        if self._health.unavailable or not grants_known:
             self._allocator.cancel(program, turn)
             self.wake()
             return (
--- a/lycheestall/entry/members.py
+++ b/lycheestall/entry/members.py
@@ -8,7 +8,7 @@
 import xxhash
 
 from ..ids import Offset, ProgramId, ZoneId
-from ..rendezvous import rendezvous
+from ..rendezvous import rendezvous_order
 from .record_numbers import decode_number
 from .store import KeyedRecord, KeyedWrite
 from .token_ledger import HolderId
@@ -80,12 +80,14 @@
             excluding: Members that have handed over their grants.
         """
         excluded = set(excluding)
-        candidates = [
-            holder
-            for holder in self.group_for(program)
-            if holder not in excluded
-        ]
-        return rendezvous(program, candidates)
+        for holder in self.ranking(program):
+            if holder not in excluded:
+                return holder
+        return None
+
+    def ranking(self, program: ProgramId) -> list[HolderId]:
+        """Returns a program's group in the order in which its VMs decide."""
+        return rendezvous_order(program, self.group_for(program))
 
     def group_for(self, key: str) -> tuple[HolderId, ...]:
         """Returns the group that a key is assigned to, empty if none is."""
--- a/lycheestall/entry/outage.py
+++ b/lycheestall/entry/outage.py
@@ -63,7 +63,11 @@
         holder: This VM's ID in the ledger.
 
     Attributes:
-        participated: Whether another VM has agreed on the current outage.
+        participated: Whether another VM may count this one as agreeing on the
+            current outage.
+        handed_over: Members that are shutting down and no longer decide.
+        last_view: The view that determined the deciders of the last outage;
+            None if there was none.
     """
 
     def __init__(self, holder: HolderId) -> None:
@@ -71,8 +75,9 @@
         self._view: MemberView | None = None
         self._agreed_at = float("-inf")
         self._ended_at = float("-inf")
-        self._handed_over: set[HolderId] = set()
-        self._last_outage_view: MemberView | None = None
+        self._agreeing: frozenset[HolderId] = frozenset()
+        self.handed_over: set[HolderId] = set()
+        self.last_view: MemberView | None = None
         self.participated = False
 
     def add_survey(
@@ -87,18 +92,45 @@
         """
         reaching = tuple(r.holder for r in reports if r.store_up)
         group = view.group_of(self._holder)
-        agreeing = 1
-        for report in reports:
-            if report.holder not in group or not report.store_unavailable:
-                continue
-            if report.view == view.digest:
-                agreeing += 1
-        if agreeing > 1:
+        agreeing = {
+            report.holder
+            for report in reports
+            if report.holder in group
+            and report.store_unavailable
+            and report.view == view.digest
+        }
+        if agreeing:
             self.participated = True
-        if not reaching and group and agreeing >= majority_size(group):
+        majority = majority_size(group)
+        if not reaching and group and len(agreeing) + 1 >= majority:
             self._view = view
             self._agreed_at = now
-        return SurveyResult(reaching, agreeing)
+            self._agreeing = frozenset(agreeing)
+        return SurveyResult(reaching, len(agreeing) + 1)
+
+    def report_unavailable(self) -> None:
+        """Notes that a peer was told that the store is unavailable."""
+        self.participated = True
+
+    def second_holders(self, program: ProgramId) -> list[HolderId]:
+        """Returns the VMs that can remember a grant of this one, best first.
+
+        They have agreed on the outage lately.
+
+        Args:
+            program: The program of the grant.
+        """
+        if self._view is None:
+            return []
+        ranking = self._view.ranking(program)
+        return [holder for holder in ranking if holder in self._agreeing]
+
+    @property
+    def group(self) -> tuple[HolderId, ...]:
+        """This VM's group in the view agreed on, empty without one."""
+        if self._view is None:
+            return ()
+        return self._view.group_of(self._holder)
 
     def mode(self, now: float) -> OutageMode:
         """Returns what this VM may do now."""
@@ -112,7 +144,7 @@
         """Returns a program's deciding VM, or None if it has none now."""
         if self.mode(now) is not OutageMode.DECIDERS or self._view is None:
             return None
-        return self._view.decider(program, excluding=self._handed_over)
+        return self._view.decider(program, excluding=self.handed_over)
 
     def is_decider(self, program: ProgramId, view: str, now: float) -> bool:
         """Returns whether this VM decides, for a peer with that view."""
@@ -120,54 +152,34 @@
             return False
         return self.decider(program, now) == self._holder
 
-    def last_outage_view(self, members: MemberView) -> MemberView:
-        """Returns the view that determined the deciders of the last outage.
-
-        Args:
-            members: The current members; they are used if no view was agreed
-                on, since then no other view can have had deciders.
-        """
-        return self._last_outage_view or members
-
-    def last_outage_decider(
-        self, program: ProgramId, members: MemberView
-    ) -> HolderId | None:
-        """Returns the only VM that could decide on a program in the outage."""
-        view = self.last_outage_view(members)
-        return view.decider(program, excluding=self._handed_over)
-
     def was_decider(
-        self, program: ProgramId, view: str, members: MemberView, now: float
+        self, program: ProgramId, view: str, members: MemberView
     ) -> bool:
         """Returns whether only this VM could grant a program's turns.
 
         Args:
             program: The program.
             view: Digest of the view by which a peer chose this VM.
-            members: The members that this VM knows.
-            now: Current time.
+            members: The members that this VM knows; they are used if no view
+                was agreed on, since then no other view can have had deciders.
         """
-        own = self._view
-        if own is None and self.recovering(now):
-            own = self._last_outage_view
-        own = own or members
+        own = self._view or self.last_view or members
         if own.digest != view:
             return False
-        return (
-            own.decider(program, excluding=self._handed_over) == self._holder
-        )
+        return own.decider(program, excluding=self.handed_over) == self._holder
 
     def mark_handed_over(self, holder: HolderId) -> None:
         """Notes that a member is shutting down and no longer decides."""
-        self._handed_over.add(holder)
+        self.handed_over.add(holder)
 
     def outage_ended(self, now: float) -> None:
         """Notes that the store is available again."""
         if self.participated:
             self._ended_at = now
-            self._last_outage_view = self._view
+            self.last_view = self._view
         self._view = None
         self._agreed_at = float("-inf")
+        self._agreeing = frozenset()
         self.participated = False
 
     def recovering(self, now: float) -> bool:
--- /dev/null
+++ b/lycheestall/entry/outage_recovery.py
@@ -0,0 +1,213 @@
+"""Finds a program's unrecorded grants before its turns go by the ledger."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from enum import Enum
+from typing import Any
+
+from twisted.internet.defer import DeferredList
+
+from ..ids import ProgramId
+from ..logs import Logger
+from .members import Members, MemberView
+from .outage import RECOVERY_S, OutageTracker
+from .peer_rpc import PeerClient
+from .token_ledger import HolderId
+from .token_messages import AskUnrecorded, UnrecordedReport
+from .unrecorded_grants import UnrecordedGrants
+
+__all__ = ["GrantKnowledge", "OutageRecovery"]
+
+REPORT_TIMEOUT_S = 0.3
+"""Timeout of a peer's report."""
+
+RECOVERY_LIMIT_S = 60.0
+"""Seconds after an outage in which programs may be running whose grants are
+unrecorded."""
+
+DOUBT_S = 2.0
+"""Seconds for which a group is not asked again after too many of its VMs were
+silent."""
+
+RETRY_S = 0.3
+"""Retry delay for a caller whose program's grants are not known yet."""
+
+TOLERATED_LOSSES = 1
+"""VMs of a group whose loss loses no grant, as another one knows each of
+theirs."""
+
+
+class GrantKnowledge(Enum):
+    """What a VM knows of a program's unrecorded grants.
+
+    Attributes:
+        KNOWN: All of them.
+        UNKNOWN: Not all; more may be granted or reported soon.
+        DOUBTFUL: Not all; too many VMs that may know of them are lost.
+    """
+
+    KNOWN = "known"
+    UNKNOWN = "unknown"
+    DOUBTFUL = "doubtful"
+
+
+class OutageRecovery:
+    """Asks other VMs for unrecorded grants after an outage or a start.
+
+    A program's deciding VM knows of all its grants. Without a report of that
+    VM, the whole group is asked: each grant is known to two of its VMs.
+
+    Args:
+        holder: This VM's ID in the ledger.
+        outage: Tracks outages of the store.
+        members: The VMs of the system.
+        grants: Receives the grants.
+        peers: Calls other VMs.
+        clock: Provides the time.
+        logger: Receives what was found out.
+    """
+
+    def __init__(
+        self,
+        *,
+        holder: HolderId,
+        outage: OutageTracker,
+        members: Members,
+        grants: UnrecordedGrants,
+        peers: PeerClient,
+        clock: Any,
+        logger: Logger,
+    ) -> None:
+        self._holder = holder
+        self._outage = outage
+        self._members = members
+        self._grants = grants
+        self._peers = peers
+        self._clock = clock
+        self._logger = logger
+        self._began_at = float("-inf")
+        self._known_programs: set[ProgramId] = set()
+        self._settled_deciders: set[HolderId] = set()
+        self._doubt_until: dict[tuple[HolderId, ...], float] = {}
+
+    def begin(self) -> None:
+        """Notes that grants may be unrecorded from now on."""
+        self._began_at = self._clock.seconds()
+        self._known_programs.clear()
+        self._settled_deciders.clear()
+        self._doubt_until.clear()
+
+    def is_settled(self, program: ProgramId) -> bool:
+        """Returns whether all unrecorded grants of a program are known."""
+        if self._outage.participated:
+            return False
+        if self._clock.seconds() - self._began_at > RECOVERY_LIMIT_S:
+            return True
+        if program in self._known_programs:
+            return True
+        return self._decider(program) in self._settled_deciders
+
+    def retry_s(self) -> float:
+        """Returns the retry delay for a caller whose grants are unknown."""
+        return max(RETRY_S, self._waits_for_silent_s())
+
+    async def find(self, program: ProgramId) -> GrantKnowledge:
+        """Collects a program's unrecorded grants from other VMs."""
+        view = self._outage.last_view
+        knowledge = GrantKnowledge.UNKNOWN
+        if view is not None:
+            knowledge = await self._ask_decider(program, view)
+        if knowledge is GrantKnowledge.UNKNOWN:
+            knowledge = await self._ask_group(program)
+        if knowledge is not GrantKnowledge.UNKNOWN:
+            self._known_programs.add(program)
+        self._logger.info(
+            "looked for grants of an outage",
+            program=program,
+            result=knowledge.value,
+            tokens=self._grants.tokens(program),
+        )
+        return knowledge
+
+    def _decider(self, program: ProgramId) -> HolderId | None:
+        view = self._outage.last_view or self._members.view()
+        return view.decider(program, excluding=self._outage.handed_over)
+
+    async def _ask_decider(
+        self, program: ProgramId, view: MemberView
+    ) -> GrantKnowledge:
+        decider = self._decider(program)
+        if decider is None:
+            return GrantKnowledge.UNKNOWN
+        if decider == self._holder:
+            return GrantKnowledge.KNOWN
+        reports = await self._reports([decider], program, view)
+        for report in reports:
+            if report.holder != decider or not report.was_decider:
+                continue
+            if report.clean:
+                self._settled_deciders.add(decider)
+            return GrantKnowledge.KNOWN
+        return GrantKnowledge.UNKNOWN
+
+    async def _ask_group(self, program: ProgramId) -> GrantKnowledge:
+        after_outage = self._outage.last_view is not None
+        view = self._outage.last_view or self._members.view()
+        group = view.group_for(program)
+        if self._clock.seconds() < self._doubt_until.get(group, 0.0):
+            return GrantKnowledge.DOUBTFUL
+        others = [
+            holder
+            for holder in group
+            if holder != self._holder
+            and holder not in self._outage.handed_over
+        ]
+        reports = await self._reports(others, program, view)
+        if any(report.deciding for report in reports):
+            return GrantKnowledge.UNKNOWN
+        lost = len(others)
+        lost -= sum(report.holder in others for report in reports)
+        if lost and after_outage and self._waits_for_silent_s() > 0:
+            return GrantKnowledge.UNKNOWN
+        if not after_outage:
+            lost += self._crashed_in(group)
+        if lost > (TOLERATED_LOSSES if len(group) > 1 else 0):
+            self._doubt_until[group] = self._clock.seconds() + DOUBT_S
+            return GrantKnowledge.DOUBTFUL
+        if all(report.clean for report in reports):
+            self._settled_deciders.update(group)
+        return GrantKnowledge.KNOWN
+
+    async def _reports(
+        self, holders: Sequence[HolderId], program: ProgramId, view: MemberView
+    ) -> list[UnrecordedReport]:
+        message = AskUnrecorded(self._holder, view.digest, program)
+        members = [self._members.get(holder) for holder in holders]
+        calls = [
+            self._peers.call(
+                member.address, message, timeout_s=REPORT_TIMEOUT_S
+            )
+            for member in members
+            if member is not None
+        ]
+        replies = await DeferredList(calls, consumeErrors=True)
+        reports = [
+            reply
+            for ok, reply in replies
+            if ok and isinstance(reply, UnrecordedReport)
+        ]
+        now = self._clock.seconds()
+        for report in reports:
+            self._grants.add_all(report.grants, now=now)
+        return reports
+
+    def _crashed_in(self, group: Sequence[HolderId]) -> int:
+        members = [self._members.get(holder) for holder in group]
+        addresses = {m.address for m in members if m is not None}
+        crashed = [self._members.get(h) for h in self._members.crashed()]
+        return sum(m is not None and m.address in addresses for m in crashed)
+
+    def _waits_for_silent_s(self) -> float:
+        # Until then a silent VM may grant turns by an earlier agreement.
+        return float(self._began_at + RECOVERY_S - self._clock.seconds())
--- a/lycheestall/entry/peer_messages.py
+++ b/lycheestall/entry/peer_messages.py
@@ -22,7 +22,6 @@
     FoundStreamOrigin,
     HoldStreamOrigin,
 )
-from .outage_allocator import OutageGrant
 from .permit_messages import (
     AskPermit,
     ChangedLimits,
@@ -54,10 +53,18 @@
 from .token_messages import (
     AskGranted,
     AskTokens,
+    AskUnrecorded,
     GrantedTokens,
+    GrantMessage,
     Handover,
+    HandoverGrants,
+    HoldGrant,
+    OutageGrant,
     SettleTokens,
     TokenAnswer,
+    UnrecordedReport,
+    decode_grant_fields,
+    encode_grant_fields,
 )
 from .turn_messages import (
     FindTurns,
@@ -72,9 +79,12 @@
     "AskGranted",
     "AskPermit",
     "AskTokens",
+    "AskUnrecorded",
     "ChangedLimits",
     "GrantedTokens",
     "Handover",
+    "HandoverGrants",
+    "HoldGrant",
     "PeerMessage",
     "PeerReply",
     "PermitAnswer",
@@ -84,6 +94,7 @@
     "Survey",
     "TokenAnswer",
     "Understood",
+    "UnrecordedReport",
     "decode",
     "encode",
 ]
@@ -145,8 +156,11 @@
     Survey
     | AskTokens
     | AskGranted
+    | AskUnrecorded
     | SettleTokens
+    | HoldGrant
     | Handover
+    | HandoverGrants
     | RelayAppend
     | RelayRead
     | RelayNewest
@@ -165,6 +179,7 @@
     StoreReport
     | TokenAnswer
     | GrantedTokens
+    | UnrecordedReport
     | Understood
     | Appended
     | AppendConflict
@@ -189,6 +204,7 @@
         TokenAnswer,
         AskGranted,
         GrantedTokens,
+        AskUnrecorded,
         SettleTokens,
         Understood,
         Appended,
@@ -245,6 +261,8 @@
         return [message.topic.value, message.start, message.wait_s]
     if isinstance(message, RelayNewest):
         return [message.topic.value, message.after, message.shard]
+    if isinstance(message, GrantMessage):
+        return encode_grant_fields(message)
     if isinstance(message, TurnMessage):
         return encode_turn_fields(message)
     if isinstance(message, AttemptMessage):
@@ -305,6 +323,9 @@
         return Records(_decode_records(fields[0]), fields[1])
     if name == NewestPage.__name__:
         return NewestPage(_decode_records(fields[0]), fields[1], fields[2])
+    grant_message = decode_grant_fields(name, fields)
+    if grant_message is not None:
+        return grant_message
     turn_message = decode_turn_fields(name, fields)
     if turn_message is not None:
         return turn_message
--- a/lycheestall/entry/peer_survey.py
+++ b/lycheestall/entry/peer_survey.py
@@ -91,6 +91,8 @@
     def _report(self, store_up: bool, peer_view: str) -> PeerReply:
         digest = self._members.view().digest
         same_view = digest == peer_view
+        if not self._store.direct_up:
+            self._outage.report_unavailable()
         return StoreReport(
             self._holder,
             store_up=store_up,
--- a/lycheestall/entry/token_allocator.py
+++ b/lycheestall/entry/token_allocator.py
@@ -7,13 +7,19 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 
 from ..ids import ProgramId
 from ._program_tokens import ProgramTokens, TurnId
-from .token_ledger import EMPTY_ALLOCATION, Allocation, HolderId, TokenLedger
+from .token_ledger import (
+    EMPTY_ALLOCATION,
+    Allocation,
+    HolderId,
+    TokenLedger,
+    TurnRef,
+)
+from .unrecorded_grants import TurnGrant, UnrecordedGrants
 
 __all__ = [
     "ReservationDecision",
@@ -74,20 +80,16 @@
     Args:
         holder: This VM's ID in the ledger.
         ledger: Allocations of all VMs.
-        maybe_incomplete: Returns whether grants of an outage may have been
-            lost; a program without records is then not known to be new.
+        grants: Grants that are not in the ledger yet; what other VMs were
+            granted is left to them.
     """
 
     def __init__(
-        self,
-        holder: HolderId,
-        ledger: TokenLedger,
-        *,
-        maybe_incomplete: Callable[[], bool],
+        self, holder: HolderId, ledger: TokenLedger, grants: UnrecordedGrants
     ) -> None:
-        self._maybe_incomplete = maybe_incomplete
         self._holder = holder
         self._ledger = ledger
+        self._grants = grants
         self._by_program: dict[ProgramId, ProgramTokens] = {}
         self._dirty: set[ProgramId] = set()
 
@@ -180,46 +182,47 @@
         state = self._state_for(program, budget)
         state.reserved_by_turn[turn] = max_tokens
         state.unrecorded_turns.add(turn)
+        state.outage_turns.add(TurnRef(self._holder, turn))
         state.limit += max_tokens
         state.last_used_at = now
         self._mark_dirty(program, state, urgent=True)
 
-    def add_outage_grant(
-        self, program: ProgramId, tokens: int, *, budget: int, now: float
+    def name_turn(
+        self, program: ProgramId, turn: TurnRef, *, budget: int
     ) -> None:
-        """Adds tokens that another VM was granted without the ledger.
+        """Names a turn that did not run in this VM's next record.
 
-        They have yet to be recorded. The tokens still available from the
-        recorded allocation stay the same.
+        Another VM may believe that it was granted without the ledger.
 
         Args:
             program: The program.
-            tokens: Number of tokens.
+            turn: The turn.
             budget: The program's budget.
-            now: Current time.
         """
         state = self._state_for(program, budget)
-        state.used += tokens
-        state.limit += tokens
-        state.last_used_at = now
+        state.outage_turns.add(turn)
         self._mark_dirty(program, state, urgent=True)
 
-    def set_unrecorded_outage_tokens(
-        self, program: ProgramId, tokens: int, *, budget: int
-    ) -> None:
-        """Sets aside tokens that the decider of an outage has granted.
+    def record_for_other(self, grant: TurnGrant, *, now: float) -> None:
+        """Records a grant of another VM, which has not recorded it.
 
         Args:
-            program: The program.
-            tokens: Number of tokens; those recorded by now count twice.
-            budget: The program's budget.
+            grant: The grant.
+            now: Current time.
         """
-        self._state_for(program, budget).unrecorded_outage_tokens = tokens
+        state = self._state_for(grant.program, None)
+        if grant.turn in state.outage_turns:
+            return
+        state.outage_turns.add(grant.turn)
+        state.tokens_for_others[grant.turn] = grant.tokens
+        state.used += grant.tokens
+        state.limit += grant.tokens
+        state.last_used_at = now
+        self._mark_dirty(grant.program, state, urgent=True)
 
-    def clear_unrecorded_outage_tokens(self) -> None:
-        """Releases the tokens set aside, as their grants are recorded."""
-        for state in self._by_program.values():
-            state.unrecorded_outage_tokens = 0
+    def doubt(self, program: ProgramId, *, budget: int) -> None:
+        """Notes that grants of a program may be lost."""
+        self._state_for(program, budget).maybe_incomplete = True
 
     def take_writes(
         self, now: float, *, preallocate: bool
@@ -290,7 +293,7 @@
         available = (
             state.usable_budget()
             - others.limit
-            - state.unrecorded_outage_tokens
+            - self._unrecorded_elsewhere(write.program)
         )
         state.limit = max(0, min(write.allocation.limit, available))
         if write.allocation.limit > max(available, state.committed()):
@@ -313,14 +316,17 @@
         return decisions
 
     def other_vm_recorded(self, program: ProgramId, now: float) -> None:
-        """Releases tokens allocated in advance if another VM runs short.
+        """Releases tokens that another VM needs or has recorded itself.
 
         Args:
             program: The program that another VM has a new record for.
             now: Current time.
         """
         state = self._by_program.get(program)
-        if state is None or state.limit <= state.committed():
+        if state is None:
+            return
+        self._withdraw_records(program, state)
+        if state.limit <= state.committed():
             return
         others = self._ledger.total_except(program, self._holder)
         if others.limit + state.limit > state.usable_budget():
@@ -352,23 +358,39 @@
         for program, state in self._by_program.items():
             self._mark_dirty(program, state)
 
-    def _state_for(self, program: ProgramId, budget: int) -> ProgramTokens:
+    def _withdraw_records(
+        self, program: ProgramId, state: ProgramTokens
+    ) -> None:
+        # The VM that a turn was granted to has recorded it after all.
+        for turn, tokens in list(state.tokens_for_others.items()):
+            own_record = self._ledger.allocation_of(program, turn.holder)
+            if turn not in own_record.outage_turns:
+                continue
+            del state.tokens_for_others[turn]
+            state.used -= tokens
+            state.limit = max(0, state.limit - tokens)
+            self._mark_dirty(program, state, urgent=True)
+
+    def _unrecorded_elsewhere(self, program: ProgramId) -> int:
+        return self._grants.tokens(program, excluding=self._holder)
+
+    def _state_for(
+        self, program: ProgramId, budget: int | None
+    ) -> ProgramTokens:
         state = self._by_program.get(program)
         if state is None:
-            state = ProgramTokens(budget)
+            state = ProgramTokens(budget or 0)
             # All tokens recorded before an eviction count as used.
-            state.used = self._ledger.allocation_of(
-                program, self._holder
-            ).limit
+            recorded = self._ledger.allocation_of(program, self._holder)
+            state.used = recorded.limit
+            state.outage_turns |= recorded.outage_turns
             state.recorded = None if state.used else EMPTY_ALLOCATION
-            if self._ledger.has_records(program):
-                state.maybe_incomplete = self._ledger.total(
-                    program
-                ).maybe_incomplete
-            else:
-                state.maybe_incomplete = self._maybe_incomplete()
+            state.maybe_incomplete = self._ledger.total(
+                program
+            ).maybe_incomplete
             self._by_program[program] = state
-        state.budget = budget
+        if budget is not None:
+            state.budget = budget
         return state
 
     def _desired_allocation(
@@ -379,7 +401,7 @@
         free = (
             state.usable_budget()
             - others.limit
-            - state.unrecorded_outage_tokens
+            - self._unrecorded_elsewhere(program)
             - committed
         )
         turns = 0
@@ -387,7 +409,12 @@
             turns = int(free * PREALLOCATION_SHARE) // state.largest_turn
         turns = max(0, min(turns, PREALLOCATED_TURNS))
         limit = committed + turns * state.largest_turn
-        return Allocation(limit, committed, state.maybe_incomplete)
+        return Allocation(
+            limit,
+            committed,
+            state.maybe_incomplete,
+            frozenset(state.outage_turns),
+        )
 
     def _mark_dirty(
         self, program: ProgramId, state: ProgramTokens, *, urgent: bool = False
--- a/lycheestall/entry/token_ledger.py
+++ b/lycheestall/entry/token_ledger.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import NewType
 
@@ -19,6 +20,7 @@
     "HolderId",
     "Allocation",
     "TokenLedger",
+    "TurnRef",
     "encode_allocation",
     "decode_allocation",
 ]
@@ -27,10 +29,27 @@
 """Identifies one run of a VM's process in the ledger; each restart has its own
 ID."""
 
+MAX_RECORDED_TURNS = 100
+"""Turns named in a record; for older ones a VM that has not read an earlier
+record counts the tokens twice."""
+
 _ALLOCATION_KEY = "t"
 _SEPARATOR = "\x1f"
 
 
+@dataclass(frozen=True, order=True, slots=True)
+class TurnRef:
+    """Identifies a turn in the whole system.
+
+    Attributes:
+        holder: The VM that ran it.
+        turn: Its number on that VM.
+    """
+
+    holder: HolderId
+    turn: int
+
+
 @dataclass(frozen=True, slots=True)
 class Allocation:
     """Tokens of one program that a VM, or all VMs together, may use.
@@ -40,16 +59,22 @@
         committed: Part of the limit that was used or that running turns
             may still generate.
         maybe_incomplete: Whether earlier grants may be missing in the ledger.
+        outage_turns: Turns that were granted without the ledger and are part
+            of the limit.
     """
 
     limit: int
     committed: int
     maybe_incomplete: bool = False
+    outage_turns: frozenset[TurnRef] = frozenset()
 
 
 EMPTY_ALLOCATION = Allocation(0, 0)
 
 _INCOMPLETE_FLAG = b"d"
+_TURNS_PREFIX = b"g"
+_TURN_SEPARATOR = b";"
+_HOLDER_SEPARATOR = b"~"
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,6 +94,8 @@
     value = b"%d,%d" % (allocation.limit, allocation.committed)
     if allocation.maybe_incomplete:
         value += b"," + _INCOMPLETE_FLAG
+    if allocation.outage_turns:
+        value += b"," + _encode_turns(allocation.outage_turns, holder)
     return KeyedWrite(key, value)
 
 
@@ -89,7 +116,10 @@
         if limit is None or committed is None:
             return None
         allocation = Allocation(
-            limit, committed, _INCOMPLETE_FLAG in fields[2:]
+            limit,
+            committed,
+            _INCOMPLETE_FLAG in fields[2:],
+            _decode_turns(fields[2:], HolderId(parts[2])),
         )
     return AllocationRecord(
         ProgramId(parts[1]), HolderId(parts[2]), allocation
@@ -149,9 +179,50 @@
         by_holder = self._by_program.get(program, {})
         return by_holder.get(holder, (Offset(-1), EMPTY_ALLOCATION))[0]
 
+    def is_recorded(self, program: ProgramId, turn: TurnRef) -> bool:
+        """Returns whether a turn granted without the ledger is in it now."""
+        return any(
+            turn in allocation.outage_turns
+            for _, allocation in self._by_program.get(program, {}).values()
+        )
+
+    def newest_offset(self, program: ProgramId) -> Offset:
+        """Returns the offset of a program's newest record, or -1."""
+        offsets = (o for o, _ in self._by_program.get(program, {}).values())
+        return max(offsets, default=Offset(-1))
+
     def has_records(self, program: ProgramId) -> bool:
         """Returns whether any VM has a record for the program."""
         return program in self._by_program
 
     def __len__(self) -> int:
         return len(self._by_program)
+
+
+def _encode_turns(turns: Iterable[TurnRef], holder: HolderId) -> bytes:
+    # A VM's own turns are named by their numbers alone.
+    newest = sorted(turns, key=lambda turn: turn.turn)[-MAX_RECORDED_TURNS:]
+    names: list[bytes] = []
+    for turn in newest:
+        name = b"%d" % turn.turn
+        if turn.holder != holder:
+            name = turn.holder.encode() + _HOLDER_SEPARATOR + name
+        names.append(name)
+    return _TURNS_PREFIX + _TURN_SEPARATOR.join(names)
+
+
+def _decode_turns(
+    fields: Iterable[bytes], holder: HolderId
+) -> frozenset[TurnRef]:
+    turns: set[TurnRef] = set()
+    for field in fields:
+        if not field.startswith(_TURNS_PREFIX):
+            continue
+        for name in field.removeprefix(_TURNS_PREFIX).split(_TURN_SEPARATOR):
+            other, _, digits = name.rpartition(_HOLDER_SEPARATOR)
+            number = decode_number(digits)
+            if number is None:
+                continue
+            owner = HolderId(other.decode("utf-8", "replace")) or holder
+            turns.add(TurnRef(owner, number))
+    return frozenset(turns)
--- a/lycheestall/entry/token_service.py
+++ b/lycheestall/entry/token_service.py
@@ -2,15 +2,17 @@
 
 from __future__ import annotations
 
-from typing import Any
+from collections.abc import Iterable
+from typing import Any, cast
 
 from twisted.internet.defer import Deferred, ensureDeferred
 from twisted.python.failure import Failure
 
-from ..ids import Offset, ZoneId
+from ..ids import Offset, ProgramId, ZoneId
 from ..logs import Logger
 from .crash_reports import CrashReports
 from .failure_detector import FailureDetector
+from .grant_recorder import GrantRecorder
 from .ledger_writer import LedgerWriter
 from .members import Member, Members, join_record, leave_record
 from .outage import OutageMode, OutageTracker
@@ -18,8 +20,11 @@
 from .peer_messages import (
     AskGranted,
     AskTokens,
+    AskUnrecorded,
     GrantedTokens,
     Handover,
+    HandoverGrants,
+    HoldGrant,
     PeerMessage,
     PeerReply,
     SettleTokens,
@@ -34,9 +39,11 @@
 from .store import KeyedRecord, Topic
 from .store_health import StoreHealth
 from .token_allocator import TokenAllocator
-from .token_ledger import HolderId, TokenLedger
+from .token_ledger import HolderId, TokenLedger, TurnRef
+from .token_messages import UNNAMED_TURN, OutageGrant
 from .topic_follower import TopicFollower
 from .turn_reservations import TurnReservations
+from .unrecorded_grants import TurnGrant, UnrecordedGrants
 from .vm_settings import Address
 
 __all__ = ["TokenService"]
@@ -45,16 +52,9 @@
 """Seconds after the last read of the ledger at which it is read again;
 writes read it as well."""
 
-LOST_GRANTS_WINDOW_S = 60.0
-"""Seconds after a crash of VMs in which programs may still be running whose
-grants were lost."""
-
-CRASHES_THAT_LOSE_GRANTS = 2
-"""VMs whose simultaneous crash can lose a grant: the VM that ran the turn and
-the one that decided on it."""
-
-PEER_RESTART_S = 2.0
-"""Seconds within which VMs that crashed together are up again."""
+CRASHED_MEMBERS_KEPT_S = 60.0
+"""Seconds after a start for which a crash of this VM's process before it stays
+in the ledger, so that other VMs learn of it."""
 
 HANDOVER_TIMEOUT_S = 0.4
 """Timeout for a peer to take over this VM's grants."""
@@ -107,15 +107,13 @@
         self._refreshing = False
         self._logger = logger
         self._joined = False
-        self._loaded_at = float("-inf")
+        self._grants_handed_over_by: set[HolderId] = set()
         self.members = members
         self.ledger = TokenLedger()
         self.crashes = CrashReports(holder)
         self.outage = OutageTracker(holder)
-        self._outage_allocator = OutageAllocator(self.ledger)
-        self._allocator = TokenAllocator(
-            holder, self.ledger, maybe_incomplete=self._grants_may_be_lost
-        )
+        self._grants = UnrecordedGrants(self.ledger)
+        self._allocator = TokenAllocator(holder, self.ledger, self._grants)
         self.follower = TopicFollower(
             store,
             Topic.LEDGER,
@@ -140,12 +138,24 @@
             allocator=self._allocator,
             ledger=self.ledger,
             outage=self.outage,
-            outage_allocator=self._outage_allocator,
+            outage_allocator=OutageAllocator(self.ledger, self._grants),
+            grants=self._grants,
             members=self.members,
             peers=peers,
             clock=reactor,
             logger=logger,
         )
+        self._grant_recorder = GrantRecorder(
+            holder=holder,
+            grants=self._grants,
+            allocator=self._allocator,
+            writer=self.writer,
+            follower=self.follower,
+            members=self.members,
+            outage=self.outage,
+            clock=reactor,
+            logger=logger,
+        )
         self._peer_survey = PeerSurvey(
             holder=holder,
             zone=zone,
@@ -191,8 +201,16 @@
         read.addCallbacks(self._refreshed, self._refresh_failed)
 
     async def survey(self) -> None:
-        """Looks for a peer that reaches the store while this VM doesn't."""
+        """Looks for a peer that reaches the store while this VM doesn't.
+
+        While it does, records what other VMs have left unrecorded.
+        """
         await self._peer_survey.step()
+        reached = self._store.direct_up and not self.writer.store_unavailable
+        if self.outage.participated and reached:
+            # No call failed here, but a peer was told of a failure.
+            self.reservations.outage_ended()
+        await self._grant_recorder.step()
 
     async def detect_failures(self) -> None:
         """Removes a failed member from the ledger."""
@@ -208,7 +226,7 @@
 
     def store_recovered(self) -> None:
         """Ends the outage, since the store is available again."""
-        self.reservations.outage_ended(self._position())
+        self.reservations.outage_ended()
 
     async def leave(self) -> None:
         """Hands over this VM's grants and writes its last records."""
@@ -225,17 +243,26 @@
         if isinstance(message, AskTokens):
             if self._handed_over:
                 return TokenAnswer(granted=False, spent=False)
-            return self.reservations.decide(message)
+            answer: Any = self.reservations.decide(message)
+            return cast("Deferred[PeerReply]", answer)
         if isinstance(message, AskGranted):
             if self._handed_over:
                 return GrantedTokens(known=False, tokens=0)
             return self.reservations.report_grants(message)
+        if isinstance(message, AskUnrecorded):
+            return self.reservations.report_unrecorded(message)
         if isinstance(message, SettleTokens):
             self.reservations.settle_for_peer(message)
             return Understood()
+        if isinstance(message, HoldGrant):
+            self._grants.add(message.grant, now=self._reactor.seconds())
+            return Understood()
+        if isinstance(message, HandoverGrants):
+            self._grants_handed_over_by.add(message.holder)
+            self._grants.add_all(message.grants, now=self._reactor.seconds())
+            return Understood()
         if isinstance(message, Handover):
-            self.outage.mark_handed_over(message.holder)
-            self._outage_allocator.import_grants(message.grants)
+            self._take_over(message)
             return Understood()
         relayed: Deferred[PeerReply] = self._relayed(message)
         return relayed
@@ -261,16 +288,31 @@
 
     async def _hand_over(self) -> None:
         self._handed_over = True
-        grants = tuple(self._outage_allocator.grants())
-        message = Handover(self._holder, grants)
+        grants = tuple(self._grants.all())
         others = [
             member
             for member in self.members.all()
             if member.holder != self._holder
         ]
-        await call_all(
-            self._peers, others, message, timeout_s=HANDOVER_TIMEOUT_S
+        messages = (
+            HandoverGrants(self._holder, grants),
+            Handover(self._holder, _tokens_by_holder(grants)),
         )
+        for message in messages:
+            await call_all(
+                self._peers, others, message, timeout_s=HANDOVER_TIMEOUT_S
+            )
+
+    def _take_over(self, message: Handover) -> None:
+        self.outage.mark_handed_over(message.holder)
+        if message.holder in self._grants_handed_over_by:
+            return
+        for grant in message.grants:
+            turn = TurnRef(grant.holder, UNNAMED_TURN)
+            self._grants.add(
+                TurnGrant(grant.program, turn, grant.tokens),
+                now=self._reactor.seconds(),
+            )
 
     def _position(self) -> Offset:
         return self.follower.position or Offset(0)
@@ -284,18 +326,10 @@
 
     def _join(self) -> None:
         self._joined = True
-        self._loaded_at = self._reactor.seconds()
+        self.reservations.started()
         member = Member(self._holder, self._address, self._zone)
         self.writer.append_record(join_record(member))
-        self._reactor.callLater(LOST_GRANTS_WINDOW_S, self._remove_crashed)
-
-    def _grants_may_be_lost(self) -> bool:
-        crashed = len(self.members.crashed())
-        if crashed >= CRASHES_THAT_LOSE_GRANTS:
-            return True
-        # Other VMs that crashed at the same time may not be up yet.
-        age_s = self._reactor.seconds() - self._loaded_at
-        return crashed > 0 and bool(age_s < PEER_RESTART_S)
+        self._reactor.callLater(CRASHED_MEMBERS_KEPT_S, self._remove_crashed)
 
     def _remove_crashed(self) -> None:
         for holder in self.members.crashed():
@@ -314,3 +348,11 @@
                 update.program, self._reactor.seconds()
             )
             self.writer.wake()
+
+
+def _tokens_by_holder(grants: Iterable[TurnGrant]) -> tuple[OutageGrant, ...]:
+    tokens: dict[tuple[ProgramId, HolderId], int] = {}
+    for grant in grants:
+        key = (grant.program, grant.turn.holder)
+        tokens[key] = tokens.get(key, 0) + grant.tokens
+    return tuple(OutageGrant(*key, total) for key, total in tokens.items())
--- a/lycheestall/entry/turn_reservations.py
+++ b/lycheestall/entry/turn_reservations.py
@@ -4,25 +4,29 @@
 
 from typing import Any
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, ensureDeferred
 
-from ..ids import Offset, ProgramId
+from ..ids import ProgramId
 from ..logs import Logger
-from .deciding_vms import DECIDER_TIMEOUT_S, DecidingVms
+from .deciding_vms import DecidingVms
 from .ledger_writer import LedgerWriter, ReservationResult
 from .members import Members
 from .outage import OutageMode, OutageTracker
-from .outage_allocator import OutageAllocator, OutageGrant
+from .outage_allocator import OutageAllocator
+from .outage_recovery import GrantKnowledge, OutageRecovery
 from .peer_messages import (
     AskGranted,
     AskTokens,
+    AskUnrecorded,
     GrantedTokens,
     SettleTokens,
     TokenAnswer,
+    UnrecordedReport,
 )
 from .peer_rpc import PeerClient
 from .token_allocator import ReservationDecision, TokenAllocator, TurnId
-from .token_ledger import HolderId, TokenLedger
+from .token_ledger import HolderId, TokenLedger, TurnRef
+from .unrecorded_grants import TurnGrant, UnrecordedGrants
 
 __all__ = ["TurnReservations"]
 
@@ -36,14 +40,6 @@
 """Retry delay for a caller while no VM can decide; callers accept a delay of
 at most a third of the time left to their deadline."""
 
-RECORD_CHECK_S = 0.5
-"""Seconds between checks whether all grants are recorded."""
-
-OWN_RECORD_WINDOW_S = 0.7
-"""Seconds after an outage in which each VM records its own turns; shorter than
-``outage.RECOVERY_S``, so that the grants of VMs that are gone are recorded
-before turns may start by the ledger alone."""
-
 
 class TurnReservations:
     """Reserves and settles the tokens of turns.
@@ -55,6 +51,7 @@
         ledger: Allocations of all VMs.
         outage: Tracks outages of the store.
         outage_allocator: What this VM grants as a deciding VM.
+        grants: Unrecorded grants.
         members: The VMs of the system.
         peers: Calls them.
         clock: Times the calls.
@@ -70,6 +67,7 @@
         ledger: TokenLedger,
         outage: OutageTracker,
         outage_allocator: OutageAllocator,
+        grants: UnrecordedGrants,
         members: Members,
         peers: PeerClient,
         clock: Any,
@@ -81,21 +79,30 @@
         self._ledger = ledger
         self._outage = outage
         self._outage_allocator = outage_allocator
+        self._grants = grants
         self._members = members
-        self._peers = peers
         self._clock = clock
-        self._logger = logger
         self._deciders = DecidingVms(
             holder=holder,
             ledger=ledger,
             outage=outage,
             outage_allocator=outage_allocator,
+            grants=grants,
+            allocator=allocator,
+            members=members,
+            peers=peers,
+            clock=clock,
+            logger=logger,
+        )
+        self._recovery = OutageRecovery(
+            holder=holder,
+            outage=outage,
             members=members,
+            grants=grants,
             peers=peers,
             clock=clock,
             logger=logger,
         )
-        self._programs_with_known_grants: set[ProgramId] = set()
 
     def reserve(
         self, program: ProgramId, turn: TurnId, *, max_tokens: int, budget: int
@@ -107,12 +114,16 @@
         """
         result: Deferred[ReservationResult] | ReservationResult = (
             self._writer.reserve(
-                program, turn, max_tokens=max_tokens, budget=budget
+                program,
+                turn,
+                max_tokens=max_tokens,
+                budget=budget,
+                grants_known=self._recovery.is_settled(program),
             )
         )
         if result is ReservationDecision.RECOVERING:
-            result = self._reserve_in_recovery(
-                program, turn, max_tokens, budget
+            result = ensureDeferred(
+                self._reserve_in_recovery(program, turn, max_tokens, budget)
             )
         if isinstance(result, Deferred):
             final_result: Deferred[ReservationResult] = result.addCallback(
@@ -129,6 +140,10 @@
         """Returns the seconds until the grants of an outage are recorded."""
         return self._outage.recovery_left_s(self._clock.seconds())
 
+    def recovery_retry_s(self) -> float:
+        """Returns the retry delay for a caller whose grants are unknown."""
+        return self._recovery.retry_s()
+
     def decider_retry_s(self) -> float:
         """Returns the retry delay for a caller that no VM could decide for."""
         now = self._clock.seconds()
@@ -150,152 +165,76 @@
         if self._deciders.decided(turn):
             self._deciders.settle(program, turn, used)
 
-    def outage_ended(self, position: Offset) -> None:
-        """Makes sure that all grants of the outage get into the ledger.
-
-        Each VM records the turns that it ran. Grants still missing after
-        ``OWN_RECORD_WINDOW_S`` belong to VMs that are gone; the deciding VM
-        records those.
+    def started(self) -> None:
+        """Notes that this VM has read the ledger for the first time."""
+        self._recovery.begin()
 
-        Args:
-            position: Ledger offset read so far.
-        """
+    def outage_ended(self) -> None:
+        """Goes back to the ledger, which grants of the outage may lack."""
         self._outage.outage_ended(self._clock.seconds())
-        grants = self._outage_allocator.grants()
         self._outage_allocator.end_outage()
-        self._programs_with_known_grants.clear()
-        recovery_left_s = self.recovery_left_s()
-        if recovery_left_s > 0:
-            self._clock.callLater(recovery_left_s, self._recovery_ended)
-        if grants:
-            self._clock.callLater(
-                OWN_RECORD_WINDOW_S,
-                self._record_missing_grants,
-                grants,
-                position,
-            )
-
-    def _record_missing_grants(
-        self, grants: list[OutageGrant], position: Offset
-    ) -> None:
-        missing = 0
-        for grant in grants:
-            if grant.holder == self._holder:
-                continue
-            last_offset = self._ledger.last_offset(grant.program, grant.holder)
-            if last_offset >= position:
-                continue
-            missing += 1
-            self._allocator.add_outage_grant(
-                grant.program,
-                grant.tokens,
-                budget=self._deciders.budget(grant.program),
-                now=self._clock.seconds(),
-            )
-        self._deciders.forget_budgets()
-        self._logger.info(
-            "outage grants checked", granted=len(grants), missing=missing
-        )
-        self._writer.wake()
+        self._recovery.begin()
 
-    def decide(self, message: AskTokens) -> TokenAnswer:
+    def decide(
+        self, message: AskTokens
+    ) -> Deferred[TokenAnswer] | TokenAnswer:
         """Decides on a turn of any VM as its deciding VM."""
         return self._deciders.decide(message)
 
+    def report_unrecorded(self, message: AskUnrecorded) -> UnrecordedReport:
+        """Reports a program's unrecorded grants to a peer.
+
+        If this VM decides on the program, it stops granting its turns.
+        """
+        deciding = (
+            self._outage.mode(self._clock.seconds()) is OutageMode.DECIDERS
+        )
+        clean = not deciding and not self._writer.store_unavailable
+        return UnrecordedReport(
+            self._holder,
+            was_decider=self._close_program(message),
+            deciding=deciding,
+            clean=clean and not self._grants.all(),
+            grants=tuple(self._grants.of(message.program)),
+        )
+
     def report_grants(self, message: AskGranted) -> GrantedTokens:
-        """Reports a program's grants to a peer and stops granting more."""
-        members = self._members.view()
-        now = self._clock.seconds()
-        if not self._outage.was_decider(
-            message.program, message.view, members, now
-        ):
+        """Reports a program's grants to a peer of an earlier build."""
+        if not self._close_program(message):
             return GrantedTokens(known=False, tokens=0)
-        tokens = self._outage_allocator.close_program(
-            message.program, message.holder
-        )
+        tokens = self._grants.tokens(message.program)
         return GrantedTokens(known=True, tokens=tokens)
 
     def settle_for_peer(self, message: SettleTokens) -> None:
         """Settles a peer's turn that this VM granted."""
-        self._outage_allocator.settle(
-            message.program, message.holder, message.turn, message.used
-        )
+        turn = TurnRef(message.holder, message.turn)
+        self._grants.settle(message.program, turn, message.used)
 
-    def _reserve_in_recovery(
-        self, program: ProgramId, turn: TurnId, max_tokens: int, budget: int
-    ) -> Deferred[ReservationResult] | ReservationResult:
-        if program in self._programs_with_known_grants:
-            return self._writer.reserve(
-                program,
-                turn,
-                max_tokens=max_tokens,
-                budget=budget,
-                outage_grants_known=True,
-            )
+    def _close_program(self, message: AskUnrecorded | AskGranted) -> bool:
+        # Returns whether this VM was the program's only decider.
         members = self._members.view()
-        decider = self._outage.last_outage_decider(program, members)
-        if decider is None:
-            return ReservationDecision.RECOVERING
-        view = self._outage.last_outage_view(members)
-        message = AskGranted(self._holder, view.digest, program)
-        if decider == self._holder:
-            reply = self.report_grants(message)
-            return self._grants_reported(
-                reply, program, turn, max_tokens, budget
-            )
-        member = self._members.get(decider)
-        if member is None:
-            return ReservationDecision.RECOVERING
-        asked = self._peers.call(
-            member.address, message, timeout_s=DECIDER_TIMEOUT_S
-        )
-        result: Deferred[ReservationResult] = asked.addCallback(
-            self._grants_reported, program, turn, max_tokens, budget
-        )
-        return result
+        if not self._outage.was_decider(
+            message.program, message.view, members
+        ):
+            return False
+        self._outage_allocator.close_program(message.program, message.holder)
+        return True
 
-    def _grants_reported(
-        self,
-        reply: Any,
-        program: ProgramId,
-        turn: TurnId,
-        max_tokens: int,
-        budget: int,
-    ) -> Deferred[ReservationResult] | ReservationResult:
-        known = isinstance(reply, GrantedTokens) and reply.known
-        self._logger.info(
-            "asked what an outage's decider granted",
-            program=program,
-            turn=turn,
-            known=known,
-            tokens=reply.tokens if known else None,
-        )
-        if not known:
+    async def _reserve_in_recovery(
+        self, program: ProgramId, turn: TurnId, max_tokens: int, budget: int
+    ) -> ReservationResult:
+        knowledge = await self._recovery.find(program)
+        if knowledge is GrantKnowledge.UNKNOWN:
             return ReservationDecision.RECOVERING
-        if self.recovery_left_s() > 0:
-            self._allocator.set_unrecorded_outage_tokens(
-                program, reply.tokens, budget=budget
-            )
-            self._programs_with_known_grants.add(program)
-        return self._writer.reserve(
-            program,
-            turn,
-            max_tokens=max_tokens,
-            budget=budget,
-            outage_grants_known=True,
+        if knowledge is GrantKnowledge.DOUBTFUL:
+            self._allocator.doubt(program, budget=budget)
+        result = self._writer.reserve(
+            program, turn, max_tokens=max_tokens, budget=budget
         )
-
-    def _recovery_ended(self) -> None:
-        if self.recovery_left_s() > 0:
-            return
-        self._programs_with_known_grants.clear()
-        self._allocator.clear_unrecorded_outage_tokens()
-        if self._writer.store_unavailable:
-            return
-        if self._allocator.has_due_records():
-            self._clock.callLater(RECORD_CHECK_S, self._recovery_ended)
-            return
-        self._outage_allocator.forget_previous()
+        if isinstance(result, Deferred):
+            decision: ReservationResult = await result
+            return decision
+        return result
 
     def _or_ask_decider(
         self,
@@ -328,12 +267,11 @@
         budget: int,
     ) -> ReservationResult:
         if decision is ReservationDecision.GRANTED:
+            now = self._clock.seconds()
+            ref = TurnRef(self._holder, turn)
+            self._grants.add(TurnGrant(program, ref, max_tokens), now=now)
             self._allocator.add_outage_turn(
-                program,
-                turn,
-                max_tokens=max_tokens,
-                budget=budget,
-                now=self._clock.seconds(),
+                program, turn, max_tokens=max_tokens, budget=budget, now=now
             )
             self._writer.wake()
         return decision
--- a/lycheestall/rendezvous.py
+++ b/lycheestall/rendezvous.py
@@ -7,7 +7,7 @@
 
 import xxhash
 
-__all__ = ["rendezvous"]
+__all__ = ["rendezvous", "rendezvous_order"]
 
 _Member = TypeVar("_Member", bound=str)
 
@@ -17,6 +17,16 @@
 
     When a member joins or leaves, only the keys assigned to it move.
 
+    Args:
+        key: The key to assign.
+        members: The members, in any order.
+    """
+    return next(iter(rendezvous_order(key, members)), None)
+
+
+def rendezvous_order(key: str, members: Iterable[_Member]) -> list[_Member]:
+    """Returns the members in the order in which a key is assigned to them.
+
     Args:
         key: The key to assign.
         members: The members, in any order.
@@ -25,4 +35,4 @@
     def weight(member: _Member) -> int:
         return xxhash.xxh3_64_intdigest(f"{key}:{member}".encode())
 
-    return max(members, key=weight, default=None)
+    return sorted(members, key=weight, reverse=True)
--- a/tests/entry/ledger_simulation.py
+++ b/tests/entry/ledger_simulation.py
@@ -22,6 +22,7 @@
 )
 from lycheestall.entry.token_ledger import HolderId, TokenLedger
 from lycheestall.entry.topic_follower import TopicFollower
+from lycheestall.entry.unrecorded_grants import UnrecordedGrants
 from lycheestall.ids import ProgramId
 from lycheestall.logs import get_logger
 from tests.entry.memory_store import Fault, MemoryLog, MemoryStore
@@ -36,7 +37,7 @@
         self.store = MemoryStore(log, page=3)
         self.ledger = TokenLedger()
         self.allocator = TokenAllocator(
-            self.holder, self.ledger, maybe_incomplete=lambda: False
+            self.holder, self.ledger, UnrecordedGrants(self.ledger)
         )
         self.crashes = CrashReports(self.holder)
         logger = get_logger()
--- a/tests/entry/outage_simulation.py
+++ b/tests/entry/outage_simulation.py
@@ -45,10 +45,13 @@
 
     def __init__(self) -> None:
         self.by_address: dict[Address, OutageVm] = {}
+        self.frozen: set[Address] = set()
         self.cut_links: set[frozenset[Address]] = set()
 
     def reaches(self, one: Address, other: Address) -> bool:
         """Returns whether a call gets through."""
+        if other in self.frozen:
+            return False
         return frozenset((one, other)) not in self.cut_links
 
 
@@ -58,12 +61,15 @@
     def __init__(self, network: Network, own: Address) -> None:
         self._network = network
         self._own = own
+        self.ended = False
 
     def call(
         self, address: Address, message: PeerMessage, *, timeout_s: float
     ) -> Deferred[PeerReply | None]:
         """Returns the reply, or None if the peer is gone or cut off."""
         peer = self._network.by_address.get(address)
+        if self.ended or self._own in self._network.frozen:
+            return succeed(None)
         if peer is None or not self._network.reaches(self._own, address):
             return succeed(None)
         received: Any = decode(encode(message))
@@ -84,7 +90,8 @@
         logger = get_logger()
         self.address = address
         self.direct = MemoryStore(log)
-        peers: Any = FakePeerClient(network, address)
+        self.peers = FakePeerClient(network, address)
+        peers: Any = self.peers
         self.store = RoutedStore(self.direct, peers, clock, logger)
         health = StoreHealth(logger, "ledger", on_recovered=self._on_recovered)
         self.service = TokenService(
@@ -159,6 +166,7 @@
         self.network = Network()
         self._incarnations = 0
         self._turns = 0
+        self._store_fails = False
         self.vms: list[OutageVm] = []
         for number in range(vms):
             self.vms.append(self._vm(Address(f"10.0.0.{number + 1}", 1)))
@@ -168,11 +176,13 @@
         """Advances the clock and runs all VMs' loops."""
         for _ in range(max(1, round(seconds / STEP_S))):
             for vm in self.vms:
-                vm.step()
+                if vm.address not in self.network.frozen:
+                    vm.step()
             self.clock.advance(STEP_S)
 
     def fail_store(self, *vms: OutageVm) -> None:
         """Makes the store fail for some VMs, or for all if none is given."""
+        self._store_fails = not vms
         for vm in vms or tuple(self.vms):
             vm.direct.fault = Fault.REFUSES
 
@@ -183,20 +193,38 @@
 
     def restore_store(self) -> None:
         """Makes the store available to all VMs."""
+        self._store_fails = False
         for vm in self.vms:
-            vm.direct.fault = Fault.NONE
+            if vm.address not in self.network.frozen:
+                vm.direct.fault = Fault.NONE
             vm.direct.refused_topics = set()
 
     def kill(self, vm: OutageVm) -> None:
         """Kills a VM for good."""
         self.vms.remove(vm)
+        vm.peers.ended = True
         del self.network.by_address[vm.address]
         vm.direct.fault = Fault.REFUSES
 
-    def restart(self, vm: OutageVm) -> None:
+    def restart(self, vm: OutageVm) -> OutageVm:
         """Kills a VM and starts a new one at its address."""
         self.kill(vm)
-        self.vms.append(self._vm(vm.address))
+        restarted = self._vm(vm.address)
+        if self._store_fails:
+            restarted.direct.fault = Fault.REFUSES
+        self.vms.append(restarted)
+        return restarted
+
+    def freeze(self, vm: OutageVm) -> None:
+        """Stops a VM's process; it calls nobody and doesn't reply."""
+        self.network.frozen.add(vm.address)
+        vm.direct.fault = Fault.REFUSES
+
+    def wake(self, vm: OutageVm) -> None:
+        """Lets a frozen VM go on."""
+        self.network.frozen.discard(vm.address)
+        if not self._store_fails:
+            vm.direct.fault = Fault.NONE
 
     def ask(
         self, vm: OutageVm, program: str, *, max_tokens: int, budget: int
--- a/tests/entry/test_boot_clock.py
+++ b/tests/entry/test_boot_clock.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 import pytest
+from twisted.internet.defer import maybeDeferred
 from twisted.internet.task import Clock
 
 from lycheestall.entry.boot_clock import BootClockReactor
@@ -56,7 +57,10 @@
         1000,
         0,
     )
-    answer = vm.service.handle_message(message)
+    replied = maybeDeferred(vm.service.handle_message, message)
+    answers: list[Any] = []
+    replied.addCallback(answers.append)
+    (answer,) = answers
     assert isinstance(answer, TokenAnswer)
     return answer
 
--- a/tests/entry/test_store_outage.py
+++ b/tests/entry/test_store_outage.py
@@ -7,11 +7,13 @@
 from __future__ import annotations
 
 from collections import Counter
+from enum import Enum
 
 import pytest
 from twisted.internet.defer import ensureDeferred
 
 from lycheestall.entry.entry_vm import SURVEY_INTERVAL_S
+from lycheestall.entry.grant_recorder import OWN_RECORD_WINDOW_S
 from lycheestall.entry.members import MemberView
 from lycheestall.entry.outage import (
     AGREEMENT_VALID_S,
@@ -24,7 +26,6 @@
 from lycheestall.entry.store import Topic
 from lycheestall.entry.token_allocator import ReservationDecision
 from lycheestall.entry.token_ledger import HolderId
-from lycheestall.entry.turn_reservations import OWN_RECORD_WINDOW_S
 from tests.entry.memory_store import Fault
 from tests.entry.outage_simulation import OutageSimulation, Turn
 
@@ -473,3 +474,57 @@
     simulation.advance(1.0)
     granted = Counter(turn.program for turn in turns if turn.granted)
     assert max(granted.values()) * MAX_TOKENS <= budget + MAX_TOKENS
+
+
+class DeciderFault(Enum):
+    """What happens to the VM that granted turns to itself."""
+
+    KILLED = "killed"
+    RESTARTS_INSIDE = "killed, and starts again inside the outage"
+    FROZEN = "stands still, and goes on after the outage"
+
+
+# Guards against the loss of grants that a VM made to its own turns and that no
+# other VM knew of.
+@pytest.mark.parametrize("fault", DeciderFault)
+def test_grants_of_a_vm_to_itself_outlast_its_loss(
+    fault: DeciderFault,
+) -> None:
+    budget = 2240
+    simulation = OutageSimulation(vms=3)
+    one, other, _ = simulation.vms
+    programs = [f"program-{number}" for number in range(18)]
+    simulation.fail_store()
+    simulation.advance(1.5)
+    turns = [
+        simulation.ask(one, program, max_tokens=MAX_TOKENS, budget=budget)
+        for program in programs
+        for _ in range(3)
+    ]
+    simulation.advance(1.0)
+    assert all(turn.granted for turn in turns)
+    for turn in turns:
+        one.reservations.settle(turn.program, turn.turn_id, MAX_TOKENS)
+    simulation.advance(1.4)
+    if fault is DeciderFault.FROZEN:
+        simulation.freeze(one)
+    elif fault is DeciderFault.RESTARTS_INSIDE:
+        simulation.restart(one)
+    else:
+        simulation.kill(one)
+    simulation.advance(0.6)
+    simulation.restore_store()
+    simulation.advance(0.5)
+    for _ in range(9):
+        turns += [
+            simulation.ask(
+                other, program, max_tokens=MAX_TOKENS, budget=budget
+            )
+            for program in programs
+        ]
+        simulation.advance(0.5)
+        if fault is DeciderFault.FROZEN:
+            simulation.wake(one)
+    granted = Counter(turn.program for turn in turns if turn.granted)
+    assert max(granted.values()) * MAX_TOKENS <= budget + MAX_TOKENS
+    assert min(granted.values()) * MAX_TOKENS > budget - 2 * MAX_TOKENS
