--- a/tests/entry/test_builds_side_by_side.py
+++ b/tests/entry/test_builds_side_by_side.py
@@ -1,4 +1,4 @@
-"""VMs of this build beside VMs of the build before, 7d78535."""
+"""VMs of this build beside VMs of earlier builds, 7d78535 and 4ad4a61."""
 
 from __future__ import annotations
 
@@ -15,17 +15,32 @@
     HoldStreamOrigin,
 )
 from lycheestall.entry.peer_messages import (
+    AskGranted,
+    AskTokens,
+    GrantedTokens,
+    Handover,
     PeerMessage,
     PeerReply,
+    SettleTokens,
+    StoreReport,
+    Survey,
+    TokenAnswer,
     decode,
     encode,
 )
 from lycheestall.entry.routed_store import RoutedStore
-from lycheestall.entry.store import Records, Topic
+from lycheestall.entry.store import KeyedRecord, Records, Topic
 from lycheestall.entry.stream_origins import stream_key
-from lycheestall.entry.token_ledger import HolderId
+from lycheestall.entry.token_ledger import (
+    Allocation,
+    HolderId,
+    TurnRef,
+    decode_allocation,
+    encode_allocation,
+)
+from lycheestall.entry.token_messages import OutageGrant
 from lycheestall.entry.vm_settings import Address
-from lycheestall.ids import Offset, SoftwareVersion, ZoneId
+from lycheestall.ids import Offset, ProgramId, SoftwareVersion, ZoneId
 from lycheestall.logs import get_logger
 from tests.entry.fake_network import FakeReactor
 from tests.entry.memory_store import MemoryLog, MemoryStore
@@ -114,3 +129,58 @@
 ) -> None:
     assert encode(message).hex() == data
     assert decode(bytes.fromhex(data)) == message
+
+
+A, B, P = HolderId("a"), HolderId("b"), ProgramId("p")
+
+
+# The bytes are those of 4ad4a61.
+@pytest.mark.parametrize(
+    ("message", "data"),
+    [
+        (Survey(A, "v"), "82665375727665798261616176"),
+        (
+            AskTokens(A, "v", P, 3, 280, 2240, 560),
+            "826941736b546f6b656e7387616161766170031901181908c0190230",
+        ),
+        (TokenAnswer(True, False), "826b546f6b656e416e7377657282f5f4"),
+        (AskGranted(A, "v", P), "826a41736b4772616e74656483616161766170"),
+        (GrantedTokens(True, 280), "826d4772616e746564546f6b656e7382f5190118"),
+        (
+            SettleTokens(A, P, 3, 70),
+            "826c536574746c65546f6b656e738461616170031846",
+        ),
+        (
+            Handover(A, (OutageGrant(P, B, 280),)),
+            "826848616e646f766572826161818361706162190118",
+        ),
+        (
+            StoreReport(
+                A, False, True, "v", (KeyedRecord(Offset(4), b"k", b"w"),)
+            ),
+            "826b53746f72655265706f7274856161f4f56176818304416b4177",
+        ),
+    ],
+)
+def test_messages_about_tokens_are_those_of_the_build_before(
+    message: PeerMessage | PeerReply, data: str
+) -> None:
+    assert encode(message).hex() == data
+    assert decode(bytes.fromhex(data)) == message
+
+
+# 4ad4a61 reads the first two fields of a record, and any other field that is
+# exactly the flag; it must not take the turns for the flag.
+def test_turns_in_a_record_are_a_field_that_the_build_before_skips() -> None:
+    turns = frozenset({TurnRef(A, 5), TurnRef(B, 7)})
+    allocation = Allocation(
+        560, 280, maybe_incomplete=True, outage_turns=turns
+    )
+    write = encode_allocation(P, A, allocation)
+    assert write.value == b"560,280,d,g5;b~7"
+    record = decode_allocation(KeyedRecord(Offset(1), write.key, write.value))
+    assert record is not None
+    assert record.allocation == allocation
+    plain = decode_allocation(KeyedRecord(Offset(1), write.key, b"560,280"))
+    assert plain is not None
+    assert plain.allocation == Allocation(560, 280)
