Take no repeated refusal for the response to another request

Cause: a refusal without an ID was taken for the response to the request in progress. Refusals may lack the ID on the wire, so it can't be asked of all.

Change: after a refusal, a later one without an ID on the same connection belongs to no request and is skipped, as any other response without an ID; the connection is not used again. Any other first refusal counts as before.

--- a/lycheestall/entry/http_client_connection.py
+++ b/lycheestall/entry/http_client_connection.py
@@ -97,6 +97,7 @@
         idle_timeout_s: Idle timeout announced by the peer, if any.
         on_lost: Called with the connection when it is closed.
         was_reset: Whether the peer has reset it, or no longer answered.
+        refused: Whether the peer has refused a request on it.
     """
 
     transport: Any
@@ -107,6 +108,7 @@
         self.idle_timeout_s: float | None = None
         self.on_lost: Any = None
         self.was_reset = False
+        self.refused = False
         self._parser = httptools.HttpResponseParser(self)
         self._receiver: ResponseReceiver | None = None
         self._headers: list[Header] = []
--- a/lycheestall/entry/target_attempt.py
+++ b/lycheestall/entry/target_attempt.py
@@ -131,8 +131,7 @@
         """Ends the attempt with a complete response."""
         if self._ended:
             return
-        if self._connection is not None:
-            self._pool.release(self._connection)
+        self._release()
         if self._streaming and self._forwarder is not None:
             if self._forwarder.complete:
                 self._end(StreamEnded())
@@ -145,6 +144,17 @@
         """Ends the attempt without a complete response."""
         self._end(Broken(reason, response_started=self.started))
 
+    def _release(self) -> None:
+        head, metadata = self._head, self._metadata
+        connection = self._connection
+        if connection is None:
+            return
+        if head and metadata and _is_refusal(head, metadata):
+            connection.refused = True
+            if metadata.request_id is None:
+                connection.reusable = False
+        self._pool.release(connection)
+
     def _break_reason(self) -> BreakReason:
         # Without a length or chunks, only the events tell a connection that
         # was lost in the middle from one that was closed at the end.
@@ -155,8 +165,11 @@
     def _accept_without_id(
         self, head: ResponseHead, metadata: ResponseMetadata
     ) -> bool:
-        # A refusal may lack the request ID.
-        if not metadata.not_run and head.status != _MISDIRECTED_REQUEST:
+        # A refusal may lack the request ID. After another refusal on the same
+        # connection, it may be that one, sent again by a faulty target.
+        if not _is_refusal(head, metadata):
+            return False
+        if self._connection is None or self._connection.refused:
             return False
         self._accept(head, metadata)
         return True
@@ -172,7 +185,7 @@
         if head is None or metadata is None:
             return Broken(BreakReason.MALFORMED, response_started=False)
         body = b"".join(self._body)
-        if metadata.not_run or head.status == _MISDIRECTED_REQUEST:
+        if _is_refusal(head, metadata):
             return NotRun(
                 _not_run_reason(head.status), head.status, head, body
             )
@@ -199,6 +212,10 @@
     return head.status == 200 and metadata.sealed and not metadata.encoded
 
 
+def _is_refusal(head: ResponseHead, metadata: ResponseMetadata) -> bool:
+    return metadata.not_run or head.status == _MISDIRECTED_REQUEST
+
+
 def _not_run_reason(status: int) -> NotRunReason:
     if status == _MISDIRECTED_REQUEST:
         return NotRunReason.OTHER_INSTANCE
--- a/tests/entry/fake_network.py
+++ b/tests/entry/fake_network.py
@@ -115,6 +115,11 @@
         self.headers = headers
         self.body = body
 
+    @property
+    def connection(self) -> FakeTargetConnection:
+        """The connection that it came over."""
+        return self._connection
+
     @property
     def disconnected(self) -> bool:
         """Whether the connection is closed."""
