--- a/lycheestall/entry/_program_tokens.py
+++ b/lycheestall/entry/_program_tokens.py
@@ -6,6 +6,7 @@
 from typing import NewType
 
 from .outage_allocator import budget_without_lost_grants
+from .reservation_decision import ReservationDecision
 from .token_ledger import EMPTY_ALLOCATION, Allocation, TurnRef
 
 __all__ = ["ProgramTokens", "TurnId"]
@@ -83,3 +84,16 @@
         if not self.maybe_incomplete:
             return self.budget
         return budget_without_lost_grants(self.budget, self.largest_turn)
+
+    def refusal(self, total_committed: int) -> ReservationDecision:
+        """Returns why a turn can't be granted.
+
+        Args:
+            total_committed: Tokens that all VMs have committed, with the
+                turn's maximum.
+        """
+        if total_committed > self.budget:
+            return ReservationDecision.SPENT
+        if total_committed > self.usable_budget():
+            return ReservationDecision.UNPROVEN
+        return ReservationDecision.HELD_ELSEWHERE
--- a/lycheestall/entry/deciding_vms.py
+++ b/lycheestall/entry/deciding_vms.py
@@ -22,7 +22,8 @@
     Understood,
 )
 from .peer_rpc import PeerClient
-from .token_allocator import ReservationDecision, TokenAllocator, TurnId
+from .reservation_decision import ReservationDecision
+from .token_allocator import TokenAllocator, TurnId
 from .token_ledger import HolderId, TokenLedger, TurnRef
 from .unrecorded_grants import TurnGrant, UnrecordedGrants
 
--- a/lycheestall/entry/final_response.py
+++ b/lycheestall/entry/final_response.py
@@ -16,10 +16,10 @@
 from .ledger_writer import ReservationResult
 from .message_metadata import RequestMetadata
 from .request_dependencies import RequestDependencies
+from .reservation_decision import ReservationDecision
 from .retry_policy import AttemptHistory
 from .stream_forwarder import StreamForwarder
 from .stream_version import StreamVersion
-from .token_allocator import ReservationDecision
 from .turn_budget import TurnBudget
 
 __all__ = ["EarlyEnd", "FinalResponse"]
--- a/lycheestall/entry/ledger_catch_up.py
+++ b/lycheestall/entry/ledger_catch_up.py
@@ -66,6 +66,7 @@
         self._collected_groups: set[tuple[HolderId, ...]] = set()
         self._strangers: set[HolderId] = set()
         self._steps = 0
+        self._logged_progress: tuple[int, bool] | None = None
 
     async def step(self) -> None:
         """Asks the VMs whose records are missing."""
@@ -74,18 +75,14 @@
         await self._collect(self._missing_members())
         if self.group_complete:
             await self._collect(self._next_members_of_groups())
-        self._logger.info(
-            "collected the ledger's newest records",
-            vms=len(self._collected_from),
-            group_complete=self.group_complete,
-            complete=self.complete,
-        )
+        self._log_progress()
 
     def reset(self) -> None:
         """Forgets what was collected, since the store is available again."""
         self._collected_from.clear()
         self._collected_groups.clear()
         self._strangers.clear()
+        self._logged_progress = None
 
     def note_vm(self, holder: HolderId) -> None:
         """Notes a VM that takes part in the outage.
@@ -119,6 +116,20 @@
             grants=tuple(self._grants.all()),
         )
 
+    def _log_progress(self) -> None:
+        progress = (len(self._collected_from), self.complete)
+        if progress == self._logged_progress:
+            return
+        self._logged_progress = progress
+        self._logger.info(
+            "collected the ledger's newest records",
+            vms=len(self._collected_from),
+            missing=[m.holder for m in self._missing_members()],
+            group_complete=self.group_complete,
+            complete=self.complete,
+            ledger_position=self._position(),
+        )
+
     def _missing_members(self) -> list[Member]:
         return [
             member
--- a/lycheestall/entry/ledger_writer.py
+++ b/lycheestall/entry/ledger_writer.py
@@ -17,6 +17,7 @@
 from ..ids import Offset, ProgramId
 from ..logs import Logger
 from .crash_reports import CrashReports
+from .reservation_decision import ReservationDecision
 from .store import (
     AppendConflict,
     Appended,
@@ -29,13 +30,8 @@
     WriterFence,
 )
 from .store_health import StoreHealth
-from .token_allocator import (
-    AllocationWrite,
-    ReservationDecision,
-    TokenAllocator,
-    TurnId,
-)
-from .token_ledger import HolderId, encode_allocation
+from .token_allocator import TokenAllocator, TurnId
+from .token_ledger import AllocationWrite, HolderId, encode_allocation
 from .topic_follower import TopicFollower
 
 __all__ = ["LedgerWriter", "ReservationResult"]
--- a/lycheestall/entry/request_processor.py
+++ b/lycheestall/entry/request_processor.py
@@ -23,6 +23,7 @@
 from .limit_waits import max_wait_s, retry_after_s
 from .message_metadata import RequestMetadata
 from .request_dependencies import RequestDependencies
+from .reservation_decision import ReservationDecision
 from .retry_options import RetryOptions
 from .retry_policy import AttemptHistory, NextStep, choose_next_step
 from .stream_forwarder import StreamForwarder
@@ -30,7 +31,7 @@
 from .target_admission import Admission, AtLimits, TargetAdmission
 from .target_request import TargetRequest
 from .target_table import TargetRegistration
-from .token_allocator import ReservationDecision, TurnId
+from .token_allocator import TurnId
 from .turn_budget import TurnBudget
 
 __all__ = ["RequestProcessor"]
--- a/lycheestall/entry/token_allocator.py
+++ b/lycheestall/entry/token_allocator.py
@@ -7,14 +7,13 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-from enum import Enum
-
 from ..ids import ProgramId
 from ._program_tokens import ProgramTokens, TurnId
+from .reservation_decision import ReservationDecision
 from .token_ledger import (
     EMPTY_ALLOCATION,
     Allocation,
+    AllocationWrite,
     HolderId,
     TokenLedger,
     TurnRef,
@@ -22,8 +21,6 @@
 from .unrecorded_grants import TurnGrant, UnrecordedGrants
 
 __all__ = [
-    "ReservationDecision",
-    "AllocationWrite",
     "TokenAllocator",
     "TurnId",
 ]
@@ -45,35 +42,6 @@
 memory; its ledger record remains."""
 
 
-class ReservationDecision(Enum):
-    """Outcome of a token reservation.
-
-    Attributes:
-        GRANTED: The turn may start.
-        SPENT: The budget is used up.
-        HELD_ELSEWHERE: The tokens left are allocated to other VMs.
-        UNPROVEN: The tokens left may have been granted in an outage without a
-            record.
-        RECOVERING: Grants of an outage may still be missing in the ledger.
-        NEEDS_RECORD: The turn waits until a new allocation is recorded.
-    """
-
-    GRANTED = "granted"
-    SPENT = "spent"
-    HELD_ELSEWHERE = "held_elsewhere"
-    UNPROVEN = "unproven"
-    RECOVERING = "settling"
-    NEEDS_RECORD = "needs_record"
-
-
-@dataclass(frozen=True, slots=True)
-class AllocationWrite:
-    """An allocation that this VM writes to the ledger."""
-
-    program: ProgramId
-    allocation: Allocation
-
-
 class TokenAllocator:
     """Decides which turns may start on this VM.
 
@@ -311,7 +279,7 @@
                 continue
             del state.pending_by_turn[turn]
             decisions.append(
-                (turn, _refusal(state, others.committed + required))
+                (turn, state.refusal(others.committed + required))
             )
         return decisions
 
@@ -422,13 +390,3 @@
         state.dirty = True
         state.urgent = state.urgent or urgent
         self._dirty.add(program)
-
-
-def _refusal(
-    state: ProgramTokens, total_committed: int
-) -> ReservationDecision:
-    if total_committed > state.budget:
-        return ReservationDecision.SPENT
-    if total_committed > state.usable_budget():
-        return ReservationDecision.UNPROVEN
-    return ReservationDecision.HELD_ELSEWHERE
--- a/lycheestall/entry/token_ledger.py
+++ b/lycheestall/entry/token_ledger.py
@@ -20,6 +20,7 @@
     "AllocationRecord",
     "HolderId",
     "Allocation",
+    "AllocationWrite",
     "TokenLedger",
     "TurnRef",
     "encode_allocation",
@@ -74,6 +75,14 @@
     outage_turns: frozenset[TurnRef] = frozenset()
 
 
+@dataclass(frozen=True, slots=True)
+class AllocationWrite:
+    """An allocation that this VM writes to the ledger."""
+
+    program: ProgramId
+    allocation: Allocation
+
+
 EMPTY_ALLOCATION = Allocation(0, 0)
 
 _INCOMPLETE_FLAG = b"d"
--- a/lycheestall/entry/turn_reservations.py
+++ b/lycheestall/entry/turn_reservations.py
@@ -25,7 +25,8 @@
     UnrecordedReport,
 )
 from .peer_rpc import PeerClient
-from .token_allocator import ReservationDecision, TokenAllocator, TurnId
+from .reservation_decision import ReservationDecision
+from .token_allocator import TokenAllocator, TurnId
 from .token_ledger import HolderId, TokenLedger, TurnRef
 from .unrecorded_grants import TurnGrant, UnrecordedGrants
 
@@ -141,10 +142,6 @@
         """Returns the program's committed tokens according to the ledger."""
         return self._ledger.total(program).committed
 
-    def recovery_left_s(self) -> float:
-        """Returns the seconds until the grants of an outage are recorded."""
-        return self._outage.recovery_left_s(self._clock.seconds())
-
     def recovery_retry_s(self) -> float:
         """Returns the retry delay for a caller whose grants are unknown."""
         return self._recovery.retry_s()
--- a/tests/entry/outage_simulation.py
+++ b/tests/entry/outage_simulation.py
@@ -25,10 +25,11 @@
     decode,
     encode,
 )
+from lycheestall.entry.reservation_decision import ReservationDecision
 from lycheestall.entry.routed_store import RoutedStore
 from lycheestall.entry.store import Topic
 from lycheestall.entry.store_health import StoreHealth
-from lycheestall.entry.token_allocator import ReservationDecision, TurnId
+from lycheestall.entry.token_allocator import TurnId
 from lycheestall.entry.token_ledger import HolderId, TokenLedger
 from lycheestall.entry.token_service import TokenService
 from lycheestall.entry.turn_reservations import TurnReservations
--- a/tests/entry/test_token_budgets.py
+++ b/tests/entry/test_token_budgets.py
@@ -7,8 +7,8 @@
 
 import pytest
 
+from lycheestall.entry.reservation_decision import ReservationDecision
 from lycheestall.entry.store import Topic
-from lycheestall.entry.token_allocator import ReservationDecision
 from lycheestall.ids import ProgramId
 from tests.entry.ledger_simulation import LedgerSimulation, Turn
 from tests.entry.memory_store import Fault
