Remove VMs from the ledger that left while the store was away

Cause: a VM that is stopped as planned in an outage can't write that it has left. Its successor finds a crash where there was none, although the grants were handed over. Since crashes count for programs with older records too, two such restarts put all programs in doubt for a minute.

Change: when the store is back, one of the VMs to which it handed over writes that it has left.

--- a/lycheestall/entry/token_service.py
+++ b/lycheestall/entry/token_service.py
@@ -10,6 +10,7 @@
 
 from ..ids import Offset, ProgramId, ZoneId
 from ..logs import Logger
+from ..rendezvous import rendezvous
 from .crash_reports import CrashReports
 from .failure_detector import FailureDetector
 from .grant_recorder import GrantRecorder
@@ -304,6 +305,7 @@
 
     def _end_outage(self) -> None:
         self.reservations.outage_ended()
+        self._remove_members_that_left()
 
     def _relayed(self, message: PeerMessage | PeerReply) -> Any:
         store = self._store.direct
@@ -352,6 +354,21 @@
                 now=self._reactor.seconds(),
             )
 
+    def _remove_members_that_left(self) -> None:
+        # Without the store they could not write that themselves, and would
+        # count as crashed. One of the others is enough.
+        gone = self.outage.handed_over
+        others = [
+            member.holder
+            for member in self.members.all()
+            if member.holder not in gone
+        ]
+        for holder in gone:
+            if self.members.get(holder) is None:
+                continue
+            if rendezvous(holder, others) == self._holder:
+                self.writer.append_record(leave_record(holder))
+
     def _position(self) -> Offset:
         return self.follower.position or Offset(0)
 
--- a/tests/entry/test_unrecorded_grants.py
+++ b/tests/entry/test_unrecorded_grants.py
@@ -146,6 +146,27 @@
     assert most_tokens(turns) <= BUDGET + MAX_TOKENS
 
 
+# Guards against taking VMs that were stopped as planned in an outage for
+# crashed ones, after which programs get half of their budgets for a minute.
+def test_vms_that_leave_in_an_outage_lose_no_grants() -> None:
+    simulation = OutageSimulation(vms=5)
+    turns = ask_all(simulation, simulation.vms[0], 1)
+    simulation.advance(1.0)
+    simulation.fail_store()
+    simulation.advance(1.0)
+    for vm in simulation.vms[:3]:
+        vm.leave()
+        simulation.advance(0.1)
+        simulation.restart(vm)
+    simulation.restore_store()
+    simulation.advance(2.0)
+    for vm in simulation.vms:
+        assert not vm.service.members.crashed()
+    turns += ask_all(simulation, simulation.vms[-1], 4)
+    simulation.advance(1.0)
+    assert granted_by_program(turns).total() == 5 * len(PROGRAMS)
+
+
 # Guards against VMs of several groups that never collect the whole ledger, so
 # that programs get a single turn without the store.
 def test_vms_of_several_groups_collect_the_whole_ledger() -> None:
