Split the question to a group, and note strange VMs in an outage alone

A VM that had asked before its join was read, and has left since, would have kept a deciding VM from collecting the whole ledger in the next outage. Found by reading; no behaviour in an outage changes.

--- a/lycheestall/entry/ledger_catch_up.py
+++ b/lycheestall/entry/ledger_catch_up.py
@@ -89,7 +89,7 @@
 
         It may have joined so late that no other VM has read of it.
         """
-        if self._members.get(holder) is None:
+        if self._store_unavailable() and self._members.get(holder) is None:
             self._strangers.add(holder)
 
     @property
--- a/lycheestall/entry/outage_recovery.py
+++ b/lycheestall/entry/outage_recovery.py
@@ -158,7 +158,6 @@
         return GrantKnowledge.UNKNOWN
 
     async def _ask_group(self, program: ProgramId) -> GrantKnowledge:
-        after_outage = self._outage.last_view is not None
         view = self._outage.last_view or self._members.view()
         group = view.group_for(program)
         if self._clock.seconds() < self._doubt_until.get(group, 0.0):
@@ -170,18 +169,32 @@
             and holder not in self._outage.handed_over
         ]
         reports = await self._reports(others, program, view)
+        knowledge = self._judge(group, others, reports)
+        if knowledge is GrantKnowledge.DOUBTFUL:
+            self._doubt_until[group] = self._clock.seconds() + DOUBT_S
+            return knowledge
+        all_clean = all(report.clean for report in reports)
+        if knowledge is GrantKnowledge.KNOWN and all_clean:
+            self._settled_deciders.update(group)
+        return knowledge
+
+    def _judge(
+        self,
+        group: tuple[HolderId, ...],
+        others: Sequence[HolderId],
+        reports: Sequence[UnrecordedReport],
+    ) -> GrantKnowledge:
         if any(report.deciding for report in reports):
             return GrantKnowledge.UNKNOWN
-        lost = len(others)
-        lost -= sum(report.holder in others for report in reports)
+        # A process that has started again replies with another ID.
+        replied = sum(report.holder in others for report in reports)
+        lost = len(others) - replied
+        after_outage = self._outage.last_view is not None
         if lost and after_outage and self._waits_for_silent_s() > 0:
             return GrantKnowledge.UNKNOWN
         lost += len(self._members.crashed_in(group))
         if lost > tolerated_losses(group):
-            self._doubt_until[group] = self._clock.seconds() + DOUBT_S
             return GrantKnowledge.DOUBTFUL
-        if all(report.clean for report in reports):
-            self._settled_deciders.update(group)
         return GrantKnowledge.KNOWN
 
     async def _reports(
