Let the test of VM faults spend what is left of each budget

Tokens that nobody counts show only when a program goes on to its end, and programs in doubt after several restarts hide other faults. A run now ends with turns until budgets are spent, and has 0 to 4 restarts, mostly one.

--- a/tests/entry/test_outage_faults.py
+++ b/tests/entry/test_outage_faults.py
@@ -13,7 +13,8 @@
 BUDGET = 3000
 VMS = 4
 PROGRAMS = 8
-STEPS = 160
+STEPS = 100
+LAST_TURNS = 8
 
 
 class _FaultyOutages:
@@ -30,17 +31,32 @@
         self.frozen: list[OutageVm] = []
         self.used: Counter[str] = Counter()
         self.served = 0
+        # Several restarts put programs in doubt, which hides other faults.
+        self._restarts_left = self.rng.choice((0, 1, 1, 1, 2, 4))
 
     def run(self) -> None:
         """Injects faults and runs turns."""
         for _ in range(STEPS):
             self._fault()
-            self._ask()
+            self._ask(f"loop-{self.rng.randrange(PROGRAMS)}")
             self.simulation.advance(self.rng.choice((0.05, 0.1, 0.2, 0.6)))
             self._end_turns()
+        self._spend_the_rest()
         for turn in self.running:
             self.used[turn.program] += MAX_TOKENS if turn.granted else 0
 
+    def _spend_the_rest(self) -> None:
+        # Tokens that nobody counted are given out again now.
+        while self.frozen:
+            self.simulation.wake(self.frozen.pop())
+        self.simulation.restore_store()
+        self.simulation.advance(4.0)
+        for _ in range(LAST_TURNS):
+            for number in range(PROGRAMS):
+                self._ask(f"loop-{number}")
+            self.simulation.advance(0.2)
+            self._end_turns()
+
     def _fault(self) -> None:
         simulation, rng = self.simulation, self.rng
         event = rng.random()
@@ -54,17 +70,18 @@
             vm.direct.fault = Fault.NONE
         elif event < 0.19:
             simulation.fail_store(vm)
-        elif event < 0.23:
+        elif event < 0.24:
             self._restart(vm)
-        elif event < 0.26 and not self.frozen:
+        elif event < 0.27 and not self.frozen:
             simulation.freeze(vm)
             self.frozen.append(vm)
         elif event < 0.32 and self.frozen:
             simulation.wake(self.frozen.pop())
 
     def _restart(self, vm: OutageVm) -> None:
-        if vm in self.frozen:
+        if vm in self.frozen or not self._restarts_left:
             return
+        self._restarts_left -= 1
         for turn in list(self.running):
             if turn.vm is not vm:
                 continue
@@ -73,10 +90,9 @@
             self.running.remove(turn)
         self.simulation.restart(vm)
 
-    def _ask(self) -> None:
+    def _ask(self, program: str) -> None:
         awake = [vm for vm in self.simulation.vms if vm not in self.frozen]
         vm = self.rng.choice(awake)
-        program = f"loop-{self.rng.randrange(PROGRAMS)}"
         for _ in range(self.rng.randrange(1, 4)):
             self.running.append(
                 self.simulation.ask(
@@ -98,19 +114,9 @@
                 turn.vm.reservations.settle(turn.program, turn.turn_id, tokens)
 
 
-SEEDS = (
-    *range(36),
-    # All VMs die one after the other in an outage, and another one follows.
-    1371,
-    # The VM that decides in a second outage was not the one of the first.
-    1788,
-    1847,
-)
-
-
 # Guards against grants that are lost or counted by nobody when VMs fail in an
 # outage, right after it, or in the next one.
-@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("seed", range(40))
 def test_vm_faults_in_outages_exceed_no_budget(seed: int) -> None:
     outages = _FaultyOutages(seed)
     outages.run()
