Grant turns in an outage to programs that were asked about before it

Cause: a VM that asks for a program's unrecorded grants makes the deciding VM stop granting its turns, since it goes on by the ledger. Since VMs ask for up to a minute after an outage, also when the deciding VM has the store itself; the next outage then began with these programs closed, until that VM asked again. 'asked a deciding VM' showed granted=false at a VM that had collected the whole ledger.

Change: a program is closed only while the deciding VM takes part in an outage. Otherwise it grants nothing, and the next outage collects what was recorded.

--- a/lycheestall/entry/turn_reservations.py
+++ b/lycheestall/entry/turn_reservations.py
@@ -226,7 +226,10 @@
             message.program, message.view, members
         ):
             return False
-        self._outage_allocator.close_program(message.program, message.holder)
+        if self._outage.participated:
+            self._outage_allocator.close_program(
+                message.program, message.holder
+            )
         return True
 
     async def _reserve_in_recovery(
--- a/tests/entry/test_unrecorded_grants.py
+++ b/tests/entry/test_unrecorded_grants.py
@@ -146,6 +146,24 @@
     assert most_tokens(turns) <= BUDGET + MAX_TOKENS
 
 
+# Guards against deciding VMs that grant nothing in an outage to programs which
+# another VM has asked them about after the outage before.
+def test_programs_asked_about_after_an_outage_go_on_in_the_next_one() -> None:
+    simulation = OutageSimulation(vms=5)
+    one, other, *_ = simulation.vms
+    simulation.fail_store()
+    simulation.advance(1.5)
+    simulation.restore_store()
+    simulation.advance(0.5)
+    turns = ask_all(simulation, one, 1)
+    simulation.advance(1.0)
+    simulation.fail_store()
+    simulation.advance(1.5)
+    turns += ask_all(simulation, other, 1)
+    simulation.advance(0.2)
+    assert all(turn.granted for turn in turns)
+
+
 # Guards against taking VMs that were stopped as planned in an outage for
 # crashed ones, after which programs get half of their budgets for a minute.
 def test_vms_that_leave_in_an_outage_lose_no_grants() -> None:
