--- a/lycheestall/entry/token_service.py
+++ b/lycheestall/entry/token_service.py
@@ -223,7 +223,7 @@
     async def survey(self) -> None:
         """Looks for a peer that reaches the store while this VM doesn't.
 
-        While it does, records what other VMs have left unrecorded.
+        While this VM reaches it, records what others have left unrecorded.
         """
         await self._peer_survey.step()
         reached = self._store.direct_up and not self.writer.store_unavailable
