--- a/lycheestall/entry/stream_forwarder.py
+++ b/lycheestall/entry/stream_forwarder.py
@@ -105,19 +105,10 @@
             where the last attempt broke off.
         """
         ready: list[bytes] = []
-        in_order = True
+        sound = True
         for event in self._splitter.feed(data):
-            if event.event_id is not None:
-                if (
-                    self.last_event_id is not None
-                    and event.event_id <= self.last_event_id
-                ):
-                    in_order = False
-                    break
-                self.last_event_id = event.event_id
-                self._awaits_id = False
-            elif self._awaits_id and not event.is_comment:
-                in_order = False
+            if not self._continues(event):
+                sound = False
                 break
             if self._output is not None:
                 self._keep_payload(event.payload + b"\n")
@@ -133,7 +124,7 @@
             self._exchange.write(b"".join(ready))
         if self._output_bytes > MAX_KEPT_BYTES:
             return False
-        return in_order and self._splitter.partial_bytes <= MAX_EVENT_BYTES
+        return sound and self._splitter.partial_bytes <= MAX_EVENT_BYTES
 
     @property
     def complete(self) -> bool:
@@ -155,6 +146,17 @@
         self._start_response()
         self._exchange.finish()
 
+    def _continues(self, event: ServerSentEvent) -> bool:
+        # Notes the event's ID if the event may follow the ones before.
+        if event.event_id is None:
+            return event.is_comment or not self._awaits_id
+        last_id = self.last_event_id
+        if last_id is not None and event.event_id <= last_id:
+            return False
+        self.last_event_id = event.event_id
+        self._awaits_id = False
+        return True
+
     def _keep_payload(self, payload: bytes) -> None:
         assert self._output is not None
         self._output.append(payload)
