Give two windows after an outage their present reasons

RECOVERY_S and OWN_RECORD_WINDOW_S still said that turns go by the ledger alone once they are over, which is not so since.

--- a/lycheestall/entry/grant_recorder.py
+++ b/lycheestall/entry/grant_recorder.py
@@ -16,9 +16,9 @@
 __all__ = ["GrantRecorder"]
 
 OWN_RECORD_WINDOW_S = 0.7
-"""Seconds after an outage in which each VM records its own turns; shorter than
-``outage.RECOVERY_S``, so that the grants of VMs that are gone are recorded
-before turns may start by the ledger alone."""
+"""Seconds after an outage in which each VM records its own turns. Shorter than
+``outage.RECOVERY_S``, so that what VMs that are gone have been granted is
+recorded by the time at which programs go on without their reply."""
 
 NEXT_RECORDER_S = 0.4
 """Seconds after which the next VM of a group records a grant instead."""
--- a/lycheestall/entry/ledger_catch_up.py
+++ b/lycheestall/entry/ledger_catch_up.py
@@ -64,7 +64,7 @@
         self._logger = logger
         self._collected_from: set[HolderId] = set()
         self._collected_groups: set[tuple[HolderId, ...]] = set()
-        self._strangers: set[HolderId] = set()
+        self._unread_vms: set[HolderId] = set()
         self._steps = 0
         self._logged_progress: tuple[int, bool] | None = None
 
@@ -81,7 +81,7 @@
         """Forgets what was collected, since the store is available again."""
         self._collected_from.clear()
         self._collected_groups.clear()
-        self._strangers.clear()
+        self._unread_vms.clear()
         self._logged_progress = None
 
     def note_vm(self, holder: HolderId) -> None:
@@ -90,12 +90,12 @@
         It may have joined so late that no other VM has read of it.
         """
         if self._store_unavailable() and self._members.get(holder) is None:
-            self._strangers.add(holder)
+            self._unread_vms.add(holder)
 
     @property
     def group_complete(self) -> bool:
         """Whether the records of this VM's group are known."""
-        if any(self._members.get(h) is None for h in self._strangers):
+        if any(self._members.get(h) is None for h in self._unread_vms):
             return False
         return not self._missing_members()
 
--- a/lycheestall/entry/outage.py
+++ b/lycheestall/entry/outage.py
@@ -24,8 +24,9 @@
 """Seconds for which the reports of a majority are valid."""
 
 RECOVERY_S = 1.2
-"""Seconds after an outage in which VMs record what they granted in it; longer
-than ``AGREEMENT_VALID_S``, so that no VM still decides at the end."""
+"""Seconds after an outage in which a silent VM may still decide by an earlier
+agreement, and nothing is allocated in advance; longer than
+``AGREEMENT_VALID_S``."""
 
 
 class OutageMode(Enum):
@@ -183,11 +184,11 @@
         self.participated = False
 
     def recovering(self, now: float) -> bool:
-        """Returns whether grants of an outage may still be unrecorded."""
+        """Returns whether a silent VM may still decide after an outage."""
         return self.recovery_left_s(now) > 0
 
     def recovery_left_s(self, now: float) -> float:
-        """Returns the seconds until all grants of an outage are recorded."""
+        """Returns the seconds until no silent VM can decide any more."""
         return max(0.0, self._ended_at + RECOVERY_S - now)
 
     @property
