Agree on the interfaces of accounts, quotas and load

Cause: accounts, quotas, room at engines and bounds on callers are built side by side and meet in one request. Nothing uses them yet.

--- a/lycheestall/entry/configuration.py
+++ b/lycheestall/entry/configuration.py
@@ -9,6 +9,8 @@
 
 import xxhash
 
+from .accounts import Account
+
 __all__ = [
     "CallerLimits",
     "Configuration",
@@ -47,10 +49,13 @@
     Attributes:
         batch_slots: Number of requests that an engine decodes in a batch.
         tokens_per_event: Number of tokens that one stream event carries.
+        memory_tokens: Tokens of running requests and cached prefixes that an
+            engine's memory holds; 0 if unknown.
     """
 
     batch_slots: int
     tokens_per_event: int
+    memory_tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,6 +102,9 @@
         keeps_conversations: Whether requests carry only what is new in
             their conversation, and the earlier turns are kept for them.
         retention_s: Seconds for which such a turn is kept.
+        anonymous: Whether requests need no account.
+        session_affinity: Whether a target that recently handled the object of
+            a request handles its next request faster.
     """
 
     name: str
@@ -112,6 +120,8 @@
     max_attempts: int
     keeps_conversations: bool = False
     retention_s: float = 0.0
+    anonymous: bool = False
+    session_affinity: bool = False
 
     def service_for(self, key: bytes) -> ServiceId:
         """Selects a service by weight; equal keys select the same one.
@@ -154,12 +164,14 @@
         routes: All routes.
         service_by_id: All services by ID.
         limits: Limits for callers.
+        accounts: The client accounts; without any, requests need none.
     """
 
     version: int
     routes: tuple[Route, ...]
     service_by_id: dict[ServiceId, Service]
     limits: CallerLimits = field(default_factory=CallerLimits)
+    accounts: tuple[Account, ...] = ()
 
 
 class RouteTable:
--- a/lycheestall/entry/request_processor.py
+++ b/lycheestall/entry/request_processor.py
@@ -5,6 +5,7 @@
 from twisted.internet.defer import CancelledError, Deferred
 
 from ..clock import sleep
+from .accounts import Account
 from .attempt_feedback import AttemptFeedback
 from .attempt_outcomes import (
     AttemptOutcome,
@@ -56,6 +57,7 @@
         service_id: ID of the route's service.
         version: Version of the configuration that was used.
         turn: Unique number of the request.
+        account: The account that the request belongs to, if any.
     """
 
     def __init__(
@@ -69,8 +71,10 @@
         *,
         version: int,
         turn: TurnId,
+        account: Account | None = None,
     ) -> None:
         self._deps = deps
+        self._account = account
         self._exchange = exchange
         self._metadata = metadata
         self._route = route
--- a/lycheestall/entry/vm_settings.py
+++ b/lycheestall/entry/vm_settings.py
@@ -6,7 +6,7 @@
 
 from ..ids import VmId, ZoneId
 
-__all__ = ["Address", "EntrySettings", "SettingsProblem"]
+__all__ = ["Address", "EntrySettings", "QuotaSettings", "SettingsProblem"]
 
 CONVERSATION_MEMORY_SHARE = 0.2
 """Share of the process's memory for the conversations kept for callers; the
@@ -38,6 +38,21 @@
         )
 
 
+@dataclass(frozen=True, slots=True)
+class QuotaSettings:
+    """How exactly the quotas of accounts are kept.
+
+    Attributes:
+        window_s: Length of the sliding window in which requests are counted.
+        overage: Share by which the requests of a window may exceed the quota.
+        slack: Requests by which they may exceed it besides.
+    """
+
+    window_s: float = 5.0
+    overage: float = 0.0
+    slack: float = 0.0
+
+
 @dataclass(frozen=True, slots=True)
 class EntrySettings:
     """The checked settings of an entry VM.
@@ -57,6 +72,11 @@
         memory_mb: Memory of the VM's process, in MB.
         store_partitions: Number of partitions of each of the store's topics.
         store_record_bytes: Largest record that the store accepts.
+        first_start: Whether the whole system starts for the first time.
+        quotas: How exactly the quotas of accounts are kept.
+        revocation_timeout_s: Seconds after the last proof that its
+            configuration is current in which a VM accepts API keys; None for
+            no limit.
     """
 
     vm: VmId
@@ -72,6 +92,9 @@
     memory_mb: float = 128.0
     store_partitions: int = 1
     store_record_bytes: int = 262_144
+    first_start: bool = False
+    quotas: QuotaSettings = QuotaSettings()
+    revocation_timeout_s: float | None = None
 
     @property
     def conversation_bytes(self) -> int:
--- a/lycheestall/platform/settings_file.py
+++ b/lycheestall/platform/settings_file.py
@@ -6,7 +6,12 @@
 from pathlib import Path
 from typing import NamedTuple
 
-from ..entry.vm_settings import Address, EntrySettings, SettingsProblem
+from ..entry.vm_settings import (
+    Address,
+    EntrySettings,
+    QuotaSettings,
+    SettingsProblem,
+)
 from ..ids import VmId, ZoneId
 
 __all__ = ["SETTINGS_VARIABLE", "load_entry_settings", "settings_path"]
@@ -55,10 +60,22 @@
         store_record_bytes=reader.count(
             "platform.record_bytes", default=262_144
         ),
+        first_start=reader.flag("bootstrap"),
+        quotas=QuotaSettings(
+            window_s=reader.number("bounds.quota_window_s", default=5.0),
+            overage=reader.number("bounds.quota_overage", default=0.0),
+            slack=reader.number("bounds.quota_slack", default=0.0),
+        ),
+        revocation_timeout_s=_revocation_timeout_s(reader),
     )
     return reader.problems or settings
 
 
+def _revocation_timeout_s(reader: _Reader) -> float | None:
+    timeout_s = reader.number("bounds.revoke_ms", default=5000.0) / 1000.0
+    return timeout_s if reader.flag("bounds.enforce_revocation") else None
+
+
 class _Reader:
     """Parses values of the file and collects all problems."""
 
@@ -133,6 +150,15 @@
         )
         return default
 
+    def flag(self, name: str) -> bool:
+        """Returns whether an optional value is ``true``."""
+        line = self._by_name.get(name)
+        if line is None or line.value in ("", "false"):
+            return False
+        if line.value != "true":
+            self._add_problem(line.number, name, line.value, "true or false")
+        return line.value == "true"
+
     def _add_problem(
         self, line_number: int, name: str, found: str, expected: str
     ) -> None:
--- a/lycheestall/platform/store_records.py
+++ b/lycheestall/platform/store_records.py
@@ -70,6 +70,7 @@
             batch_slots=int(engine.get("slots", 1)),
             # "stride" is the number of tokens per stream event.
             tokens_per_event=int(engine.get("stride", 1)),
+            memory_tokens=int(engine.get("kv_tokens") or 0),
         )
     return Service(
         service=ServiceId(entry["name"]),
@@ -105,6 +106,8 @@
         max_attempts=int(entry.get("max_attempts") or _DEFAULT_MAX_ATTEMPTS),
         keeps_conversations=is_stream and bool(entry.get("retain_context")),
         retention_s=float(entry.get("retention_s") or 0.0),
+        anonymous=bool(entry.get("anonymous")),
+        session_affinity=bool(entry.get("session_affinity")),
     )
 
 
