Authenticate requests by account (thin whole path, ready to merge)

The configuration may hold accounts, but no VM read them: keys went on to targets and any caller could name an account.

Decode `tenants` with one reading for each fault, keep digests in place of the keys from the first read on, so that no message between VMs holds a key, and look an account up by one dict access. The router decides after the route: the account goes to the target in X-Tenant and its priority goes before the route's. 401 and 404 are given only while the configuration is known to be current (evidence not older than 3 s); otherwise peers are asked once for all requests, then 503. Without accounts nothing changes.

--- a/lycheestall/entry/_log_fields.py
+++ b/lycheestall/entry/_log_fields.py
@@ -4,6 +4,7 @@
 
 from dataclasses import asdict
 
+from .accounts import Account, AuthenticationEvidence
 from .attempt_outcomes import (
     AttemptOutcome,
     Broken,
@@ -14,7 +15,13 @@
     WholeAnswer,
 )
 
-__all__ = ["decode_id", "milliseconds", "outcome_fields"]
+__all__ = [
+    "account_fields",
+    "decode_id",
+    "evidence_fields",
+    "milliseconds",
+    "outcome_fields",
+]
 
 
 def outcome_fields(outcome: AttemptOutcome) -> dict[str, object]:
@@ -33,6 +40,25 @@
     return {}
 
 
+def account_fields(account: Account | None) -> dict[str, object]:
+    """Returns what a log line says of a request's account."""
+    return {} if account is None else {"account": account.account}
+
+
+def evidence_fields(
+    evidence: AuthenticationEvidence | None,
+) -> dict[str, object]:
+    """Returns what a log line says of how an account was looked for."""
+    if evidence is None:
+        return {}
+    return {
+        "route": evidence.route_name,
+        "configuration_age_ms": milliseconds(evidence.configuration_age_s),
+        "key_mark": evidence.key_mark,
+        "peers_asked": evidence.peers_asked,
+    }
+
+
 def milliseconds(seconds: float) -> int | None:
     """Returns whole milliseconds, None for an infinite time."""
     return None if seconds == float("inf") else round(seconds * 1000)
--- a/lycheestall/entry/accounts/__init__.py
+++ b/lycheestall/entry/accounts/__init__.py
@@ -1,7 +1,38 @@
-"""Client accounts: who sends a request, and what the account may use."""
+"""Client accounts: who sends a request, and what the account may use.
+
+What depends on the configuration is in ``authenticator``.
+"""
 
 from __future__ import annotations
 
-from .account import Account, AccountId, ApiKey
+from .account import Account, AccountId, ApiKey, KeyDigest, digest_key
+from .account_directory import AccountDirectory
+from .account_problem import AccountProblem
+from .authentication_evidence import AuthenticationEvidence
+from .configuration_evidence import ConfigurationEvidence
+from .credentials import (
+    BearerKey,
+    Credentials,
+    NoCredentials,
+    UnusableCredentials,
+    check_key,
+    key_mark,
+)
 
-__all__ = ["Account", "AccountId", "ApiKey"]
+__all__ = [
+    "Account",
+    "AccountDirectory",
+    "AccountId",
+    "AccountProblem",
+    "ApiKey",
+    "AuthenticationEvidence",
+    "BearerKey",
+    "ConfigurationEvidence",
+    "Credentials",
+    "KeyDigest",
+    "NoCredentials",
+    "UnusableCredentials",
+    "check_key",
+    "digest_key",
+    "key_mark",
+]
--- /dev/null
+++ b/lycheestall/entry/accounts/credentials.py
@@ -0,0 +1,71 @@
+"""Credentials that a request carries."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from .account import ApiKey, digest_key
+
+__all__ = [
+    "BearerKey",
+    "Credentials",
+    "NoCredentials",
+    "UnusableCredentials",
+    "check_key",
+    "key_mark",
+]
+
+MAX_KEY_BYTES = 1024
+"""Longest accepted API key."""
+
+_FIRST_PRINTABLE = 0x21
+_LAST_PRINTABLE = 0x7E
+
+
+@dataclass(frozen=True, slots=True)
+class NoCredentials:
+    """The request carries none."""
+
+
+@dataclass(frozen=True, slots=True)
+class BearerKey:
+    """The request carries one API key, which is never shown."""
+
+    api_key: ApiKey = field(repr=False)
+
+
+@dataclass(frozen=True, slots=True)
+class UnusableCredentials:
+    """The request carries something that can't be a key.
+
+    Attributes:
+        reason: What is wrong, without what the caller sent.
+    """
+
+    reason: str
+
+
+Credentials = NoCredentials | BearerKey | UnusableCredentials
+
+
+def check_key(key: bytes) -> str | None:
+    """Returns what is wrong with the form of a key; None if nothing is."""
+    if not key:
+        return "empty key"
+    if len(key) > MAX_KEY_BYTES:
+        return "key too long"
+    if not all(_FIRST_PRINTABLE <= byte <= _LAST_PRINTABLE for byte in key):
+        return "key with unprintable characters"
+    return None
+
+
+MARK_CHARACTERS = 8
+"""Digits of a key's digest by which logs name a key: enough to tell it from
+others, too few to be of use to anybody who guesses keys."""
+
+
+def key_mark(credentials: Credentials) -> str | None:
+    """Returns what logs name a key by, None without a usable key."""
+    if not isinstance(credentials, BearerKey):
+        return None
+    return digest_key(credentials.api_key)[:MARK_CHARACTERS]
--- a/lycheestall/entry/configuration.py
+++ b/lycheestall/entry/configuration.py
@@ -9,7 +9,7 @@
 
 import xxhash
 
-from .accounts import Account
+from .accounts import Account, AccountProblem
 
 __all__ = [
     "CallerLimits",
@@ -164,7 +164,8 @@
         routes: All routes.
         service_by_id: All services by ID.
         limits: Limits for callers.
-        accounts: The client accounts; without any, requests need none.
+        accounts: The usable client accounts.
+        account_problems: What is wrong with the accounts.
     """
 
     version: int
@@ -172,6 +173,12 @@
     service_by_id: dict[ServiceId, Service]
     limits: CallerLimits = field(default_factory=CallerLimits)
     accounts: tuple[Account, ...] = ()
+    account_problems: tuple[AccountProblem, ...] = ()
+
+    @property
+    def has_accounts(self) -> bool:
+        """Whether requests need an account, even if none can be read."""
+        return bool(self.accounts or self.account_problems)
 
 
 class RouteTable:
--- a/lycheestall/entry/configuration_relay.py
+++ b/lycheestall/entry/configuration_relay.py
@@ -12,11 +12,11 @@
 from dataclasses import dataclass
 from typing import Any
 
-from twisted.internet.defer import Deferred, succeed
+from twisted.internet.defer import Deferred, DeferredList, succeed
 
 from ..ids import Offset, ZoneId
 from ..logs import Logger
-from ..rendezvous import rendezvous
+from ..rendezvous import rendezvous, rendezvous_order
 from .members import Members
 from .peer_rpc import PeerClient
 from .relay_messages import AskConfiguration, RelayedConfiguration
@@ -35,6 +35,12 @@
 ASK_TIMEOUT_S = 0.4
 """Timeout of a question, in addition to that time."""
 
+NOW_TIMEOUT_S = 0.25
+"""Timeout of a question whose reply must not be held."""
+
+NOW_PEERS = 3
+"""VMs that are asked such a question, in different zones if possible."""
+
 DIRECT_S = 10.0
 """Seconds for which a VM reads the store itself after a question without a
 fresh reply."""
@@ -145,6 +151,53 @@
             )
         return None
 
+    async def ask_now(self, start: Offset) -> list[RelayedConfiguration]:
+        """Asks some VMs that may read the store for records from an offset on.
+
+        Args:
+            start: Offset from which on records are not known.
+
+        Returns:
+            The replies of those that have read the store recently.
+        """
+        calls = [
+            self._peers.call(
+                address,
+                AskConfiguration(start, 0.0),
+                timeout_s=NOW_TIMEOUT_S,
+            )
+            for address in self._readers()[:NOW_PEERS]
+        ]
+        replies = await DeferredList(calls, consumeErrors=True)
+        return [
+            reply
+            for ok, reply in replies
+            if ok and isinstance(reply, RelayedConfiguration)
+        ]
+
+    def _readers(self) -> list[Address]:
+        """Returns other VMs that read the store, one of each zone first."""
+        by_zone: dict[ZoneId, dict[str, Address]] = {}
+        for member in self._members.all():
+            address = member.address
+            name = f"{address.host}:{address.port}"
+            by_zone.setdefault(member.zone, {})[name] = address
+        first: list[Address] = []
+        further: list[Address] = []
+        own = f"{self._address.host}:{self._address.port}"
+        for zone in sorted(by_zone, key=lambda z: (z != self._zone, z)):
+            by_name = by_zone[zone]
+            reads_alone = len(by_name) >= MIN_ZONE_VMS
+            names = rendezvous_order(zone if reads_alone else own, by_name)
+            others = [
+                by_name[name]
+                for name in (names[:1] if reads_alone else names)
+                if name != own
+            ]
+            first.extend(others[:1])
+            further.extend(others[1:])
+        return first + further
+
     def update(self, state: ReaderState) -> None:
         """Notes what was read from the store; answers held questions."""
         self._state = state
--- a/lycheestall/entry/decision_log.py
+++ b/lycheestall/entry/decision_log.py
@@ -8,7 +8,14 @@
 
 from ..clock import Clock
 from ..logs import Logger
-from ._log_fields import decode_id, milliseconds, outcome_fields
+from ._log_fields import (
+    account_fields,
+    decode_id,
+    evidence_fields,
+    milliseconds,
+    outcome_fields,
+)
+from .accounts import Account, AuthenticationEvidence
 from .attempt_messages import SendAttempt
 from .attempt_outcomes import AttemptOutcome
 from .configuration import Route
@@ -238,6 +245,7 @@
         took_s: float,
         outcome: str,
         recorded_tokens: int | None,
+        account: Account | None = None,
     ) -> None:
         """Logs the end of a request.
 
@@ -253,6 +261,7 @@
             outcome: How the request ended.
             recorded_tokens: The program's tokens recorded in the ledger,
                 if it has a budget.
+            account: The account that it belongs to, if any.
         """
         self._metrics.request_ended(route.name, status, outcome, took_s)
         self._write(
@@ -270,6 +279,7 @@
             most=metadata.max_output_tokens,
             known_tokens=recorded_tokens,
             took_ms=round(took_s * 1000, 1),
+            **account_fields(account),
             **self._context_fields(status),
         )
 
@@ -362,9 +372,26 @@
         )
 
     def request_refused(
-        self, request: str, *, status: int, version: int, reason: str
+        self,
+        request: str,
+        *,
+        status: int,
+        version: int,
+        reason: str,
+        account: Account | None = None,
+        evidence: AuthenticationEvidence | None = None,
     ) -> None:
-        """Logs a request rejected before it was routed."""
+        """Logs a request rejected before it was routed.
+
+        Args:
+            request: ID of the request.
+            status: The status code sent.
+            version: Version of the configuration that was used.
+            reason: Text for the caller.
+            account: The account that it belongs to, if it is known.
+            evidence: What the decision on its account was based on, where
+                the configuration has accounts.
+        """
         self._metrics.request_ended("", status, reason, 0.0)
         self._write(
             "request refused",
@@ -372,6 +399,8 @@
             status=status,
             version=version,
             outcome=reason,
+            **account_fields(account),
+            **evidence_fields(evidence),
             **self._context_fields(status),
         )
 
--- a/lycheestall/entry/entry_vm.py
+++ b/lycheestall/entry/entry_vm.py
@@ -10,6 +10,8 @@
 from ..logs import Logger
 from ..polling import Poller
 from ..supervisor import Supervisor
+from .accounts.authenticator import Authenticator
+from .accounts.keyless_store import KeylessStore
 from .attempt_messages import AskLinks, SendAttempt
 from .configuration import CallerLimits
 from .configuration_relay import ConfigurationRelay
@@ -118,7 +120,8 @@
         self._log = DecisionLog(
             logger, metrics, context=self._observed_state, clock=reactor
         )
-        self._store = RoutedStore(store, peers, reactor, logger)
+        keyless = KeylessStore(store, decoder.conceal_keys)
+        self._store = RoutedStore(keyless, peers, reactor, logger)
         self._health = StoreHealth(
             logger, "ledger", on_recovered=self._on_ledger_recovered
         )
@@ -234,6 +237,12 @@
         self._router = RequestRouter(
             dependencies,
             self._view.configuration,
+            authenticator=Authenticator(
+                self._view.configuration,
+                self._view.evidence,
+                revocation_timeout_s=settings.revocation_timeout_s,
+            ),
+            newer_configuration=self._view.newer_configuration,
             loaded=lambda: self.loaded,
             logger=logger,
         )
--- a/lycheestall/entry/exchange.py
+++ b/lycheestall/entry/exchange.py
@@ -4,6 +4,7 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Callable, Sequence
+from http import HTTPStatus
 
 from .configuration import CallerLimits
 from .http_messages import Header, Request, encode_chunk
@@ -113,6 +114,8 @@
         headers = list(PLAIN_TEXT_HEADERS)
         if retry_after_s is not None:
             headers.append((b"Retry-After", b"%.2f" % retry_after_s))
+        if status == HTTPStatus.UNAUTHORIZED:
+            headers.append((b"WWW-Authenticate", b"Bearer"))
         self.respond(status, headers, reason.encode() + b"\n")
 
     def start(self, status: int, headers: Sequence[Header]) -> None:
--- a/lycheestall/entry/final_response.py
+++ b/lycheestall/entry/final_response.py
@@ -4,6 +4,7 @@
 
 from enum import Enum
 
+from .accounts import Account
 from .attempt_outcomes import (
     AttemptOutcome,
     NotRun,
@@ -66,6 +67,7 @@
         forwarder: Forwards the stream; None if the route has none.
         stream_version: The software version that must run the request.
         version: Version of the configuration that was used.
+        account: The account that the request belongs to, if any.
 
     Attributes:
         fallback: A target's error response, sent if no retry gives a
@@ -84,7 +86,9 @@
         stream_version: StreamVersion,
         *,
         version: int,
+        account: Account | None = None,
     ) -> None:
+        self._account = account
         self._deps = deps
         self._exchange = exchange
         self._metadata = metadata
@@ -231,6 +235,7 @@
             took_s=self._deps.clock.seconds() - received_at,
             outcome=outcome,
             recorded_tokens=self._budget.recorded_tokens,
+            account=self._account,
         )
 
     def _send_fallback(self) -> bool:
--- a/lycheestall/entry/header_codec.py
+++ b/lycheestall/entry/header_codec.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 from ..ids import TargetId
+from .accounts import AccountId
 from .http_messages import Header, Request, ResponseHead
 from .message_metadata import RequestMetadata, ResponseMetadata
 
@@ -52,6 +53,8 @@
         remaining_s: float,
         urgency: int | None,
         resume_after: int | None,
+        authenticated: bool = False,
+        account: AccountId | None = None,
     ) -> list[Header]:
         """Returns the headers of the request to a target.
 
@@ -61,6 +64,10 @@
             remaining_s: Seconds left until the deadline.
             urgency: 0 (most urgent) to 9; None for the target's default.
             resume_after: ID of the last event to skip, if any.
+            authenticated: Whether the configuration has accounts, so that
+                the caller's credentials and what it says of its account are
+                dropped.
+            account: The account that the caller has proven, if any.
         """
 
     @abstractmethod
--- a/lycheestall/entry/message_metadata.py
+++ b/lycheestall/entry/message_metadata.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from ..ids import ProgramId
+from .accounts import Credentials, NoCredentials
 
 __all__ = [
     "PromptPart",
@@ -49,6 +50,7 @@
         resumed_request: ID of the caller's attempt that received the first
             event of the stream that this one resumes, if given.
         previous_turn: ID of the turn that this one continues from, if any.
+        credentials: What proves the request's account.
     """
 
     request_id: bytes
@@ -63,6 +65,7 @@
     resume_after: int | None = None
     resumed_request: bytes | None = None
     previous_turn: str | None = None
+    credentials: Credentials = NoCredentials()
 
     @property
     def affinity(self) -> str:
--- a/lycheestall/entry/record_decoder.py
+++ b/lycheestall/entry/record_decoder.py
@@ -32,6 +32,17 @@
     ) -> Configuration | UnreadableRecord:
         """Decodes a configuration."""
 
+    @abstractmethod
+    def conceal_keys(self, value: bytes) -> bytes:
+        """Returns a configuration without the API keys in it.
+
+        It is decoded with the same result. One without accounts is returned
+        unchanged.
+
+        Args:
+            value: The record's value, possibly unreadable.
+        """
+
     @abstractmethod
     def decode_registration(
         self, target: TargetId, value: bytes
--- a/lycheestall/entry/relay_messages.py
+++ b/lycheestall/entry/relay_messages.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+import zlib
 from dataclasses import dataclass
 
 from ..ids import Offset
-from .store import KeyedWrite, Topic, WriterFence
+from .store import KeyedRecord, KeyedWrite, Topic, WriterFence
 
 __all__ = [
     "AskConfiguration",
@@ -72,3 +73,8 @@
     key: bytes
     value: bytes | None
     end: Offset
+
+    def record(self) -> KeyedRecord:
+        """Returns the record, without a value if it is known already."""
+        value = None if self.value is None else zlib.decompress(self.value)
+        return KeyedRecord(self.offset, self.key, value)
--- a/lycheestall/entry/request_processor.py
+++ b/lycheestall/entry/request_processor.py
@@ -58,6 +58,7 @@
         version: Version of the configuration that was used.
         turn: Unique number of the request.
         account: The account that the request belongs to, if any.
+        authenticated: Whether the configuration has accounts.
     """
 
     def __init__(
@@ -72,6 +73,7 @@
         version: int,
         turn: TurnId,
         account: Account | None = None,
+        authenticated: bool = False,
     ) -> None:
         self._deps = deps
         self._account = account
@@ -104,6 +106,7 @@
             self._forwarder,
             self._stream_version,
             version=version,
+            account=account,
         )
         limit_s = route.timeout_s
         if metadata.deadline_s is not None:
@@ -129,6 +132,8 @@
                 route,
                 service,
                 deadline=self._deadline,
+                authenticated=authenticated,
+                account=account,
             ),
             body=lambda: self._turn.body,
             may_repeat=lambda: (
--- a/lycheestall/entry/request_router.py
+++ b/lycheestall/entry/request_router.py
@@ -8,12 +8,23 @@
 from twisted.python.failure import Failure
 
 from ..logs import Logger
+from .accounts import Account, AuthenticationEvidence, key_mark
+from .accounts.authenticator import (
+    Authenticated,
+    Authentication,
+    Authenticator,
+    InvalidKey,
+    Uncertain,
+    UnknownRoute,
+)
+from .configuration import Route
 from .configuration_state import ConfigurationState
 from .exchange import Exchange
 from .header_codec import InvalidRequest
 from .message_metadata import RequestMetadata
 from .request_dependencies import RequestDependencies
 from .request_processor import RequestProcessor
+from .shared_read import SharedRead
 from .token_allocator import TurnId
 
 __all__ = ["RequestRouter"]
@@ -23,11 +34,14 @@
 
 
 class RequestRouter:
-    """Finds the route of each request and starts its processing.
+    """Finds the route and account of each request, starts its processing.
 
     Args:
         deps: Dependencies shared by all requests.
         configuration: The configuration in force.
+        authenticator: Decides to which account a request belongs.
+        newer_configuration: Asks peers for a newer configuration, before a
+            request is refused that this one may not allow.
         loaded: Returns whether all state that requests need has been read.
         logger: Receives unexpected errors.
 
@@ -40,11 +54,15 @@
         deps: RequestDependencies,
         configuration: ConfigurationState,
         *,
+        authenticator: Authenticator,
+        newer_configuration: SharedRead,
         loaded: Callable[[], bool],
         logger: Logger,
     ) -> None:
         self._deps = deps
         self._configuration = configuration
+        self._authenticator = authenticator
+        self._newer_configuration = newer_configuration
         self._loaded = loaded
         self._logger = logger
         self._last_turn = 0
@@ -66,10 +84,95 @@
                 NOT_READY_RETRY_S,
             )
             return
-        route = self._configuration.routes.find(metadata.host, request.path)
+        self._route(exchange, metadata, peers_asked=False)
+
+    def _route(
+        self,
+        exchange: Exchange,
+        metadata: RequestMetadata,
+        *,
+        peers_asked: bool,
+    ) -> None:
+        now = self._deps.clock.seconds()
+        authenticator = self._authenticator
+        route = self._configuration.routes.find(
+            metadata.host, exchange.request.path
+        )
+        result: Authentication | UnknownRoute
         if route is None:
-            self._refuse(exchange, metadata.request_id, 404, "no route")
-            return
+            result = authenticator.unknown_route(now)
+        else:
+            result = authenticator.authenticate(
+                route, metadata.credentials, now
+            )
+        if isinstance(result, Uncertain) and not peers_asked:
+            self._ask_peers(exchange, metadata)
+        elif isinstance(result, InvalidKey | UnknownRoute | Uncertain):
+            evidence = AuthenticationEvidence(
+                route_name=None if route is None else route.name,
+                configuration_age_s=authenticator.evidence_age_s(now),
+                key_mark=key_mark(metadata.credentials),
+                peers_asked=peers_asked,
+            )
+            self._refuse_account(exchange, metadata, result, evidence)
+        else:
+            assert route is not None
+            account = None
+            if isinstance(result, Authenticated):
+                account = result.account
+            self._process(exchange, metadata, route, account)
+
+    def _ask_peers(
+        self, exchange: Exchange, metadata: RequestMetadata
+    ) -> None:
+        self.running += 1
+        asked = self._newer_configuration.ask()
+        asked.addCallback(self._on_asked, exchange, metadata)
+        asked.addErrback(self._on_failed, metadata)
+        asked.addCallback(self._on_ended)
+
+    def _on_asked(
+        self, _: bool, exchange: Exchange, metadata: RequestMetadata
+    ) -> None:
+        if not exchange.ended:
+            self._route(exchange, metadata, peers_asked=True)
+
+    def _refuse_account(
+        self,
+        exchange: Exchange,
+        metadata: RequestMetadata,
+        result: InvalidKey | UnknownRoute | Uncertain,
+        evidence: AuthenticationEvidence,
+    ) -> None:
+        request_id = metadata.request_id
+        if not self._configuration.has_accounts:
+            self._refuse(exchange, request_id, 404, "no route")
+        elif isinstance(result, UnknownRoute):
+            self._refuse(
+                exchange, request_id, 404, "no route", evidence=evidence
+            )
+        elif isinstance(result, InvalidKey):
+            self._refuse(
+                exchange, request_id, 401, result.reason, evidence=evidence
+            )
+        else:
+            self._refuse(
+                exchange,
+                request_id,
+                503,
+                result.reason,
+                result.retry_after_s,
+                account=result.account,
+                evidence=evidence,
+            )
+
+    def _process(
+        self,
+        exchange: Exchange,
+        metadata: RequestMetadata,
+        route: Route,
+        account: Account | None,
+    ) -> None:
         configuration = self._configuration.current
         assert configuration is not None
         hash_key = metadata.session_id.encode() or metadata.request_id
@@ -84,6 +187,8 @@
             service_id,
             version=self._configuration.version,
             turn=TurnId(self._last_turn),
+            account=account,
+            authenticated=configuration.has_accounts,
         )
         self.running += 1
         finished = ensureDeferred(processor.process())
@@ -107,6 +212,9 @@
         status: int,
         reason: str,
         retry_after_s: float | None = None,
+        *,
+        account: Account | None = None,
+        evidence: AuthenticationEvidence | None = None,
     ) -> None:
         exchange.send_error(status, reason, retry_after_s=retry_after_s)
         self._deps.log.request_refused(
@@ -114,4 +222,6 @@
             status=status,
             version=self._configuration.version,
             reason=reason,
+            account=account,
+            evidence=evidence,
         )
--- a/lycheestall/entry/store_view.py
+++ b/lycheestall/entry/store_view.py
@@ -2,17 +2,19 @@
 
 from __future__ import annotations
 
-import zlib
 from collections.abc import Callable
 from typing import Any
 
 from ..clock import sleep
 from ..ids import Offset, TargetId
 from ..logs import Logger
-from .configuration_relay import ConfigurationRelay, ReaderState
+from .accounts import ConfigurationEvidence
+from .configuration_relay import MAX_AGE_S, ConfigurationRelay, ReaderState
 from .configuration_state import ConfigurationState
 from .connection_pool import ConnectionPool
 from .record_decoder import RecordDecoder, UnreadableRecord
+from .relay_messages import RelayedConfiguration
+from .shared_read import SharedRead
 from .store import KeyedRecord, Store, Topic
 from .store_health import StoreHealth
 from .target_chooser import TargetChooser
@@ -59,6 +61,11 @@
         members_known: Returns whether the zone's other VMs are known.
         on_idle_reset: Called with a target that has reset an idle
             connection.
+
+    Attributes:
+        configuration: The configuration in force.
+        evidence: How recently it was known to be the newest.
+        newer_configuration: Asks peers for a newer one.
     """
 
     def __init__(
@@ -88,6 +95,8 @@
         self._unreadable: dict[TargetId, None] = {}
         self._pool_by_process: dict[TargetProcess, ConnectionPool] = {}
         self.configuration = ConfigurationState(logger)
+        self.evidence = ConfigurationEvidence()
+        self.newer_configuration = SharedRead(self._ask_peers, logger)
         self._configuration_follower = TopicFollower(
             store,
             Topic.CONFIGURATION,
@@ -125,24 +134,39 @@
         if reader is None:
             await self._read_configuration()
             return
-        follower = self._configuration_follower
         asked_at = self._reactor.seconds()
-        reply = await self._relay.ask(reader, follower.position or Offset(0))
+        reply = await self._relay.ask(reader, self._configuration_start)
         if reply is not None:
-            records: list[KeyedRecord] = []
-            if reply.value is not None:
-                value = zlib.decompress(reply.value)
-                records.append(KeyedRecord(reply.offset, reply.key, value))
-            follower.accept(records, reply.end, asked_at)
+            self._accept_relayed(reply, asked_at)
         elif self._relay.starting:
             await sleep(self._reactor, RETRY_S)
 
+    @property
+    def _configuration_start(self) -> Offset:
+        return self._configuration_follower.position or Offset(0)
+
+    def _accept_relayed(
+        self, reply: RelayedConfiguration, asked_at: float
+    ) -> None:
+        records = [] if reply.value is None else [reply.record()]
+        self._configuration_follower.accept(records, reply.end, asked_at)
+        # A peer replies only while what it has read is no older.
+        self.evidence.confirmed(self._reactor.seconds() - MAX_AGE_S)
+
+    async def _ask_peers(self) -> bool:
+        asked_at = self._reactor.seconds()
+        replies = await self._relay.ask_now(self._configuration_start)
+        for reply in replies:
+            self._accept_relayed(reply, asked_at)
+        return bool(replies)
+
     async def _read_configuration(self) -> None:
         follower = self._configuration_follower
         if not await follower.read(wait_s=CONFIGURATION_WAIT_S):
             self._relay.read_failed()
             await sleep(self._reactor, RETRY_S)
             return
+        self.evidence.confirmed(follower.read_at)
         record, end = self._configuration_record, follower.position
         if record is not None and end is not None:
             state = ReaderState(record, end, follower.read_at)
@@ -208,12 +232,14 @@
             return
         decoded = self._decoder.decode_configuration(record.value)
         if isinstance(decoded, UnreadableRecord):
+            self.evidence.record_unreadable(record.offset)
             self._logger.error(
                 "configuration record unreadable",
                 offset=record.offset,
                 reason=decoded.reason,
             )
             return
+        self.evidence.record_readable(record.offset)
         self._configuration_record = record
         self.configuration.update(decoded)
 
--- a/lycheestall/entry/target_request.py
+++ b/lycheestall/entry/target_request.py
@@ -4,6 +4,7 @@
 
 from ..clock import Clock
 from ..ids import TargetId
+from .accounts import Account
 from .configuration import Route, Service
 from .header_codec import HeaderCodec
 from .http_messages import Header, Request, encode_request
@@ -25,6 +26,8 @@
         service: Settings of the route's service, None if it is not
             configured.
         deadline: When the request must have been answered.
+        authenticated: Whether the configuration has accounts.
+        account: The account that the request belongs to, if any.
     """
 
     def __init__(
@@ -37,6 +40,8 @@
         service: Service | None,
         *,
         deadline: float,
+        authenticated: bool = False,
+        account: Account | None = None,
     ) -> None:
         self._headers = headers
         self._clock = clock
@@ -45,6 +50,8 @@
         self._route = route
         self._is_engine = service is not None and service.engine is not None
         self._deadline = deadline
+        self._authenticated = authenticated
+        self._account = account
 
     @property
     def remaining_s(self) -> float:
@@ -67,6 +74,8 @@
             remaining_s=self.remaining_s,
             urgency=self._urgency(),
             resume_after=resume_after,
+            authenticated=self._authenticated,
+            account=self._account.account if self._account else None,
         )
 
     def encode(
@@ -89,8 +98,11 @@
         if not self._is_engine:
             return None
         deadline_s = self._metadata.program_deadline_s
+        priority = self._route.priority
+        if self._account is not None and self._account.priority is not None:
+            priority = self._account.priority
         return urgency(
-            self._route.priority,
+            priority,
             program_deadline_s=deadline_s,
             late=deadline_s is not None and deadline_s <= 0,
         )
--- a/lycheestall/platform/headers.py
+++ b/lycheestall/platform/headers.py
@@ -5,6 +5,15 @@
 import math
 from collections.abc import Iterable, Sequence
 
+from ..entry.accounts import (
+    AccountId,
+    ApiKey,
+    BearerKey,
+    Credentials,
+    NoCredentials,
+    UnusableCredentials,
+    check_key,
+)
 from ..entry.header_codec import HeaderCodec, InvalidRequest
 from ..entry.http_messages import Header, Request, ResponseHead
 from ..entry.message_metadata import (
@@ -37,6 +46,10 @@
 _FINISH_MS = b"x-finish-ms"
 _TOKEN_BUDGET = b"x-token-budget"
 _PREVIOUS_TURN = b"x-previous-turn"
+_AUTHORIZATION = b"authorization"
+_BEARER = b"bearer"
+# Name of the account that a request belongs to.
+_ACCOUNT = b"x-tenant"
 _SERVER_LEAVING = b"server-leaving"
 # Requests per second that the target takes from all VMs together.
 _SERVER_LIMIT = b"server-limit"
@@ -121,6 +134,7 @@
             resume_after=_integer(by_name.get(_LAST_EVENT_ID)),
             resumed_request=by_name.get(_RESUMES) or None,
             previous_turn=previous.decode("latin-1") if previous else None,
+            credentials=_credentials(request.headers),
         )
 
     def target_headers(
@@ -131,6 +145,8 @@
         remaining_s: float,
         urgency: int | None,
         resume_after: int | None,
+        authenticated: bool = False,
+        account: AccountId | None = None,
     ) -> list[Header]:
         """Returns the headers of a request to a target.
 
@@ -142,6 +158,10 @@
                 default.
             resume_after: Id of the last event that was received, if the
                 stream is resumed.
+            authenticated: Whether the configuration has accounts, so that
+                the caller's credentials and what it says of its account are
+                dropped.
+            account: The account that the caller has proven, if any.
         """
         dropped = _connection_options(headers)
         kept = [
@@ -150,6 +170,7 @@
             if (lower := name.lower()) not in _HOP_BY_HOP_HEADERS
             and lower not in _SYSTEM_HEADERS
             and lower not in dropped
+            and not (authenticated and _names_account(lower))
         ]
         kept.append(_deadline(remaining_s))
         kept.append((b"X-Expect-Instance", target.encode("latin-1")))
@@ -157,6 +178,8 @@
             kept.append((b"X-Request-Urgency", b"%d" % urgency))
         if resume_after is not None:
             kept.append((b"Last-Event-Id", b"%d" % resume_after))
+        if account is not None:
+            kept.append((b"X-Tenant", account.encode()))
         return kept
 
     def replace_deadline(
@@ -211,6 +234,29 @@
     return frozenset(names)
 
 
+def _credentials(headers: Iterable[Header]) -> Credentials:
+    values = [v for name, v in headers if name.lower() == _AUTHORIZATION]
+    if not values:
+        return NoCredentials()
+    if len(values) > 1:
+        return UnusableCredentials("repeated header")
+    scheme, _, key = values[0].strip().partition(b" ")
+    if not scheme:
+        return UnusableCredentials("empty header")
+    if scheme.lower() != _BEARER:
+        return UnusableCredentials("another scheme than Bearer")
+    key = key.strip()
+    problem = check_key(key)
+    if problem is not None:
+        return UnusableCredentials(problem)
+    return BearerKey(ApiKey(key.decode("ascii")))
+
+
+def _names_account(lower: bytes) -> bool:
+    # Some targets read "_" in names of headers as "-".
+    return lower.replace(b"_", b"-") in (_AUTHORIZATION, _ACCOUNT)
+
+
 def _deadline(remaining_s: float) -> Header:
     return b"X-Deadline-Ms", b"%d" % max(1, int(remaining_s * 1000))
 
--- a/lycheestall/platform/store_records.py
+++ b/lycheestall/platform/store_records.py
@@ -20,6 +20,7 @@
 from ..entry.record_decoder import RecordDecoder, UnreadableRecord
 from ..entry.target_table import TargetRegistration
 from ..ids import TargetId
+from .account_records import conceal_keys, decode_accounts
 from .registrations import decode_registration
 
 __all__ = ["PlatformRecordDecoder"]
@@ -45,6 +46,10 @@
         except (ValueError, KeyError, TypeError, AttributeError) as error:
             return UnreadableRecord(f"{type(error).__name__}: {error}")
 
+    def conceal_keys(self, value: bytes) -> bytes:
+        """Returns a configuration with digests in place of API keys."""
+        return conceal_keys(value)
+
     def decode_registration(
         self, target: TargetId, value: bytes
     ) -> TargetRegistration | UnreadableRecord:
@@ -54,11 +59,14 @@
 
 def _configuration(document: Mapping[str, Any]) -> Configuration:
     services = [_service(entry) for entry in document["services"]]
+    accounts = decode_accounts(document)
     return Configuration(
         version=int(document["version"]),
         routes=tuple(_route(entry) for entry in document["routes"]),
         service_by_id={service.service: service for service in services},
         limits=_limits(document.get("limits") or {}),
+        accounts=accounts.accounts,
+        account_problems=tuple(accounts.problems),
     )
 
 
--- a/tests/entry/entry_vm_harness.py
+++ b/tests/entry/entry_vm_harness.py
@@ -154,9 +154,19 @@
         self.reactor.run(0.7)
 
     def configure(
-        self, routes: list[dict[str, Any]], *, limits: Any = None
+        self,
+        routes: list[dict[str, Any]],
+        *,
+        limits: Any = None,
+        **fields: Any,
     ) -> None:
-        """Publishes a configuration."""
+        """Publishes a configuration.
+
+        Args:
+            routes: Its routes.
+            limits: Its limits for callers.
+            **fields: Further fields.
+        """
         self.version += 1
         document = {
             "version": self.version,
@@ -166,6 +176,7 @@
                 {"name": "engines", "engine": ENGINE},
             ],
             "limits": limits or {},
+            **fields,
         }
         self.log.put(
             Topic.CONFIGURATION,
