Keep the turns of accounts apart

Any caller could continue a conversation whose turn ID it knew, and a turn of one account could replace one of another with the same ID.

The ID of a kept turn now includes its account, in memory, in copies and in records; another account's turn therefore doesn't exist. Without accounts, records and messages keep their bytes; records without an account aren't found where there are accounts.

--- a/lycheestall/conversations/__init__.py
+++ b/lycheestall/conversations/__init__.py
@@ -6,7 +6,7 @@
 from .chain import Chain, MissingTurns, find_chain, prompt_body
 from .copy_holders import CopyCandidate, choose_copy_holders
 from .expired_records import ExpiredRecords
-from .turn import ConversationTurn, ConversationTurnId
+from .turn import ConversationTurn, ConversationTurnId, own_turn_id
 from .turn_cache import TurnCache
 from .turn_records import (
     RECORD_LIFETIMES,
@@ -34,6 +34,7 @@
     "decode_turn",
     "encode_turn",
     "find_chain",
+    "own_turn_id",
     "prompt_body",
     "record_expiry",
     "record_key_prefix",
--- a/lycheestall/entry/kept_turn.py
+++ b/lycheestall/entry/kept_turn.py
@@ -10,7 +10,7 @@
 from ..conversations import (
     Chain,
     ConversationTurn,
-    ConversationTurnId,
+    own_turn_id,
     prompt_body,
 )
 from .configuration import Route
@@ -60,6 +60,8 @@
         metadata: The request's metadata.
         route: The request's route.
         body: Body of the caller's request.
+        owner: Name of the account that the turn belongs to, empty for none;
+            None where there are no accounts.
     """
 
     def __init__(
@@ -68,7 +70,10 @@
         metadata: RequestMetadata,
         route: Route,
         body: bytes,
+        *,
+        owner: str | None = None,
     ) -> None:
+        self._owner = owner
         self._deps = deps
         self._metadata = metadata
         self._route = route
@@ -139,7 +144,7 @@
             return None
         started_at = deps.clock.seconds()
         result = deps.conversations.find(
-            ConversationTurnId(self._metadata.previous_turn),
+            own_turn_id(self._metadata.previous_turn, self._owner),
             self._metadata.program,
         )
         if isinstance(result, Deferred):
@@ -175,8 +180,8 @@
         deps = self._deps
         chain = self._chain
         turn = ConversationTurn(
-            turn_id=ConversationTurnId(
-                self._metadata.request_id.decode("latin-1")
+            turn_id=own_turn_id(
+                self._metadata.request_id.decode("latin-1"), self._owner
             ),
             ancestors=() if chain is None else chain.ids_newest_first,
             input=self._input,
--- a/lycheestall/entry/request_processor.py
+++ b/lycheestall/entry/request_processor.py
@@ -85,7 +85,14 @@
         self._budget = TurnBudget(
             deps.reservations, deps.clock, metadata, service, turn=turn
         )
-        self._turn = KeptTurn(deps, metadata, route, exchange.request.body)
+        owner = None if account is None else str(account.account)
+        self._turn = KeptTurn(
+            deps,
+            metadata,
+            route,
+            exchange.request.body,
+            owner=owner or ("" if authenticated else None),
+        )
         self._stream_version = StreamVersion(deps, metadata, route, service_id)
         self._forwarder: StreamForwarder | None = None
         if route.is_stream:
