Prefer the target that handled an object before

On routes with `session_affinity` to services that aren't engines, requests with the same X-Affinity-Key cookie go to the same target from all VMs, by rendezvous hashing among those with the fewest running requests of the VM. All targets count, not only the VM's subset, since each VM has another one. Requests without the cookie are placed as before.

--- a/lycheestall/entry/message_metadata.py
+++ b/lycheestall/entry/message_metadata.py
@@ -51,6 +51,7 @@
             event of the stream that this one resumes, if given.
         previous_turn: ID of the turn that this one continues from, if any.
         credentials: What proves the request's account.
+        object_key: Equal for requests about the same object, if given.
     """
 
     request_id: bytes
@@ -66,6 +67,7 @@
     resumed_request: bytes | None = None
     previous_turn: str | None = None
     credentials: Credentials = NoCredentials()
+    object_key: str | None = None
 
     @property
     def affinity(self) -> str:
--- a/lycheestall/entry/request_processor.py
+++ b/lycheestall/entry/request_processor.py
@@ -158,6 +158,7 @@
             service_id=service_id,
             history=self._history,
             stream_version=self._stream_version,
+            object_key=metadata.object_key if route.session_affinity else None,
         )
         self._options = RetryOptions(
             exchange, route, self._history, self._admission, self._forwarder
--- a/lycheestall/entry/target_admission.py
+++ b/lycheestall/entry/target_admission.py
@@ -58,6 +58,8 @@
         service_id: ID of the service.
         history: The request's attempts so far.
         stream_version: The software version that must run it.
+        object_key: Key of the requests whose target, if it isn't an engine,
+            should be the same; None if there is none.
     """
 
     def __init__(
@@ -73,6 +75,7 @@
         service_id: ServiceId,
         history: AttemptHistory,
         stream_version: StreamVersion,
+        object_key: str | None = None,
     ) -> None:
         self._chooser = chooser
         self._permits = permits
@@ -84,8 +87,10 @@
         self._history = history
         self._stream_version = stream_version
         self._affinity: str | None = None
+        self._object_key = object_key
         if service is not None and service.engine is not None:
             self._affinity = metadata.affinity
+            self._object_key = None
 
     def has_other_target(
         self, *, excluding: TargetRegistration | None = None
@@ -212,6 +217,7 @@
             at_limit=at_limit,
             software_version=self._stream_version.required,
             prefix_tokens=self._metadata.affinity_tokens,
+            object_key=self._object_key,
             is_new_attempt=is_new_attempt,
         )
 
--- a/lycheestall/entry/target_chooser.py
+++ b/lycheestall/entry/target_chooser.py
@@ -74,6 +74,7 @@
         at_limit: Collection[TargetId] = (),
         software_version: SoftwareVersion | None = None,
         is_new_attempt: bool = True,
+        object_key: str | None = None,
     ) -> TargetRegistration | None:
         """Returns a target, or None if none is available.
 
@@ -94,6 +95,9 @@
             is_new_attempt: Whether no target has been chosen for this
                 attempt yet; only then it counts towards the rate of
                 requests, which determines how many targets are used.
+            object_key: Key of requests about one object, which its last
+                target handles faster. All VMs prefer the same one of the
+                targets with the fewest running requests.
         """
         if is_new_attempt:
             self._subset.record_request(service, now)
@@ -117,12 +121,15 @@
             return None
         slow = self._latencies.slow([c.target for c in candidates], now)
         candidates = [c for c in candidates if c.target not in slow]
-        if affinity is None or prefix_tokens < SHARED_PREFIX_TOKENS:
+        shares_target = prefix_tokens >= SHARED_PREFIX_TOKENS
+        if affinity is None:
+            shares_target = object_key is not None
+        if not shares_target:
             candidates = self._narrow(service, candidates, now)
         if affinity is None:
             costs = [self._running_cost(c.target) for c in candidates]
             limit = min(costs)
-            seed = tie_break
+            seed = tie_break if object_key is None else object_key.encode()
         else:
             costs = [self._time_cost(c.target, now) for c in candidates]
             limit = min(costs) + AFFINITY_MARGIN
--- a/lycheestall/platform/headers.py
+++ b/lycheestall/platform/headers.py
@@ -46,6 +46,8 @@
 _FINISH_MS = b"x-finish-ms"
 _TOKEN_BUDGET = b"x-token-budget"
 _PREVIOUS_TURN = b"x-previous-turn"
+# Cookie with the same value in all requests about one object.
+_OBJECT_COOKIE = b"X-Affinity-Key"
 _AUTHORIZATION = b"authorization"
 _BEARER = b"bearer"
 # Name of the account that a request belongs to.
@@ -135,6 +137,7 @@
             resumed_request=by_name.get(_RESUMES) or None,
             previous_turn=previous.decode("latin-1") if previous else None,
             credentials=_credentials(request.headers),
+            object_key=_object_key(request.headers),
         )
 
     def target_headers(
@@ -252,6 +255,17 @@
     return BearerKey(ApiKey(key.decode("ascii")))
 
 
+def _object_key(headers: Iterable[Header]) -> str | None:
+    for name, value in headers:
+        if name.lower() != b"cookie":
+            continue
+        for entry in value.split(b";"):
+            cookie, _, key = entry.strip().partition(b"=")
+            if cookie == _OBJECT_COOKIE and key:
+                return key.decode("latin-1")
+    return None
+
+
 def _names_account(lower: bytes) -> bool:
     # Some targets read "_" in names of headers as "-".
     return lower.replace(b"_", b"-") in (_AUTHORIZATION, _ACCOUNT)
