--- a/lycheestall/entry/request_processor.py
+++ b/lycheestall/entry/request_processor.py
@@ -58,6 +58,7 @@
         version: Version of the configuration that was used.
         turn: Unique number of the request.
         account: The account that the request belongs to, if any.
+        authenticated: Whether the configuration has accounts.
     """
 
     def __init__(
@@ -72,6 +73,7 @@
         version: int,
         turn: TurnId,
         account: Account | None = None,
+        authenticated: bool = False,
     ) -> None:
         self._deps = deps
         self._account = account
@@ -83,7 +85,14 @@
         self._budget = TurnBudget(
             deps.reservations, deps.clock, metadata, service, turn=turn
         )
-        self._turn = KeptTurn(deps, metadata, route, exchange.request.body)
+        owner = None if account is None else str(account.account)
+        self._turn = KeptTurn(
+            deps,
+            metadata,
+            route,
+            exchange.request.body,
+            owner=owner or ("" if authenticated else None),
+        )
         self._stream_version = StreamVersion(deps, metadata, route, service_id)
         self._forwarder: StreamForwarder | None = None
         if route.is_stream:
@@ -104,6 +113,7 @@
             self._forwarder,
             self._stream_version,
             version=version,
+            account=account,
         )
         limit_s = route.timeout_s
         if metadata.deadline_s is not None:
@@ -129,6 +139,8 @@
                 route,
                 service,
                 deadline=self._deadline,
+                authenticated=authenticated,
+                account=account,
             ),
             body=lambda: self._turn.body,
             may_repeat=lambda: (
@@ -146,6 +158,7 @@
             service_id=service_id,
             history=self._history,
             stream_version=self._stream_version,
+            object_key=metadata.object_key if route.session_affinity else None,
         )
         self._options = RetryOptions(
             exchange, route, self._history, self._admission, self._forwarder
