--- a/lycheestall/entry/store_view.py
+++ b/lycheestall/entry/store_view.py
@@ -33,6 +33,9 @@
 RETRY_S = 0.2
 """Seconds between configuration reads while they fail."""
 
+ASK_AGAIN_S = 0.3
+"""Seconds in which peers that had nothing to tell aren't asked again."""
+
 CONNECT_TIMEOUT_S = 0.5
 """Timeout for opening a connection to a target."""
 
@@ -97,6 +100,7 @@
         self.configuration = ConfigurationState(logger)
         self.evidence = ConfigurationEvidence()
         self.newer_configuration = SharedRead(self._ask_peers, logger)
+        self._ask_again_at = float("-inf")
         self._configuration_follower = TopicFollower(
             store,
             Topic.CONFIGURATION,
@@ -155,9 +159,13 @@
 
     async def _ask_peers(self) -> bool:
         asked_at = self._reactor.seconds()
+        if asked_at < self._ask_again_at:
+            return False
         replies = await self._relay.ask_now(self._configuration_start)
         for reply in replies:
             self._accept_relayed(reply, asked_at)
+        if not replies:
+            self._ask_again_at = self._reactor.seconds() + ASK_AGAIN_S
         return bool(replies)
 
     async def _read_configuration(self) -> None:
--- a/tests/entry/entry_vm_harness.py
+++ b/tests/entry/entry_vm_harness.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import Any
 
 import orjson
@@ -112,6 +113,8 @@
         incarnation: Number of this run of its process.
         address: Where peers reach the VM.
         zone: Its availability zone.
+        revocation_timeout_s: Seconds without evidence in which it accepts
+            keys; None for no limit.
     """
 
     def __init__(
@@ -124,6 +127,7 @@
         incarnation: int = 1,
         address: Address = PEERS_ADDRESS,
         zone: str = "zone-a",
+        revocation_timeout_s: float | None = None,
     ) -> None:
         self.reactor: Any = reactor or FakeReactor()
         self.log = log or MemoryLog()
@@ -135,7 +139,10 @@
         self.store = MemoryStore(self.log)
         self.metrics = EntryMetrics(vm=name)
         self.vm = EntryVm(
-            settings=settings(name, address, zone),
+            settings=replace(
+                settings(name, address, zone),
+                revocation_timeout_s=revocation_timeout_s,
+            ),
             store=self.store,
             peers=peers,
             headers=PlatformHeaders(),
