--- a/lycheestall/entry/accounts/__init__.py
+++ b/lycheestall/entry/accounts/__init__.py
@@ -17,6 +17,7 @@
     UnusableCredentials,
     check_key,
     key_mark,
+    mark_of,
 )
 
 __all__ = [
@@ -35,4 +36,5 @@
     "check_key",
     "digest_key",
     "key_mark",
+    "mark_of",
 ]
--- a/lycheestall/entry/accounts/credentials.py
+++ b/lycheestall/entry/accounts/credentials.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 
-from .account import ApiKey, digest_key
+from .account import ApiKey, KeyDigest, digest_key
 
 __all__ = [
     "BearerKey",
@@ -13,11 +13,16 @@
     "UnusableCredentials",
     "check_key",
     "key_mark",
+    "mark_of",
 ]
 
 MAX_KEY_BYTES = 1024
 """Longest accepted API key."""
 
+MARK_CHARACTERS = 8
+"""Digits of a key's digest by which logs name a key: enough to tell it from
+others, too few to be of use to anybody who guesses keys."""
+
 _FIRST_PRINTABLE = 0x21
 _LAST_PRINTABLE = 0x7E
 
@@ -59,13 +64,13 @@
     return None
 
 
-MARK_CHARACTERS = 8
-"""Digits of a key's digest by which logs name a key: enough to tell it from
-others, too few to be of use to anybody who guesses keys."""
-
-
 def key_mark(credentials: Credentials) -> str | None:
-    """Returns what logs name a key by, None without a usable key."""
+    """Returns what logs name a request's key by, None without a usable one."""
     if not isinstance(credentials, BearerKey):
         return None
-    return digest_key(credentials.api_key)[:MARK_CHARACTERS]
+    return mark_of(digest_key(credentials.api_key))
+
+
+def mark_of(digest: KeyDigest) -> str:
+    """Returns what logs name a key by, given its digest."""
+    return digest[:MARK_CHARACTERS]
--- a/lycheestall/entry/http_messages.py
+++ b/lycheestall/entry/http_messages.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from http import HTTPStatus
 
 __all__ = [
@@ -27,7 +27,7 @@
     Attributes:
         method: The method.
         url: Path and query, unmodified.
-        headers: In the order received.
+        headers: In the order received; never shown, they may hold keys.
         body: The decoded body, without chunk framing.
         keep_alive: Whether the caller keeps the connection open.
         received_at: Time at which the last byte was read.
@@ -35,7 +35,7 @@
 
     method: bytes
     url: bytes
-    headers: tuple[Header, ...]
+    headers: tuple[Header, ...] = field(repr=False)
     body: bytes
     keep_alive: bool
     received_at: float
--- a/tests/entry/test_accounts.py
+++ b/tests/entry/test_accounts.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+from pathlib import Path
 from typing import Any
 
 import orjson
 import pytest
+from click.testing import CliRunner, Result
 
+from lycheestall.cli import main
 from lycheestall.entry.accounts import AccountId, ApiKey
 from lycheestall.entry.accounts.configuration_evidence import CURRENT_S
 from lycheestall.entry.store import KeyedWrite, Topic
@@ -213,6 +216,28 @@
         assert account.burst >= 1 or not account.has_quota
 
 
+def test_the_command_names_faults_and_no_keys(tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    document = {"version": 7, "routes": ROUTES, "services": []}
+
+    def check(tenants: Any) -> Result:
+        path.write_bytes(orjson.dumps({**document, "tenants": tenants}))
+        arguments = ["entry", "check-configuration", str(path)]
+        result = CliRunner().invoke(main, arguments)
+        assert KEY not in result.output
+        return result
+
+    sound = check([NORTH, SOUTH])
+    assert sound.exit_code == 0
+    assert "version 7, 2 accounts, 0 faults" in sound.output
+    faulty = check([NORTH, {**SOUTH, "api_keys": [KEY]}])
+    assert faulty.exit_code == 2
+    assert "key 0 belongs to account 'north'" in faulty.output
+    path.write_bytes(b"{")
+    arguments = ["entry", "check-configuration", str(path)]
+    assert CliRunner().invoke(main, arguments).exit_code == 2
+
+
 # Guards against a deployment that is open because no account is readable.
 def test_without_a_readable_account_nothing_is_served(
     harness: EntryVmHarness, target: FakeTarget
