Keep all VMs together to the quotas of accounts

Cause: an account's rate and burst hold for all VMs together, and nothing limited it. Change: one VM decides on each account, found as for targets that name a limit; a permit for each attempt, valid for half a second, given back where the attempt has certainly not run; programs that have begun first, others only if the quota carries them to their end; 429 with a Retry-After otherwise. Requests without an account, or of accounts without a quota, send nothing.

--- a/lycheestall/entry/decision_log.py
+++ b/lycheestall/entry/decision_log.py
@@ -17,6 +17,7 @@
 from .message_metadata import RequestMetadata, UnreadableLimit
 from .origin_search import OriginLookup
 from .permit_service import Permit, PermitDenied
+from .quotas.quota_log import QuotaLog
 from .retry_policy import NextStep
 from .software_versions import VersionKnowledge
 from .target_links import LinkContact, LinkSummary
@@ -58,6 +59,7 @@
 
     Attributes:
         turns: Logs decisions about turns of conversations.
+        quotas: Logs decisions about the quotas of accounts.
     """
 
     def __init__(
@@ -74,6 +76,7 @@
         self._clock = clock
         self._write = DecisionWriter(logger, clock).write
         self.turns = TurnLog(logger, metrics, self._write)
+        self.quotas = QuotaLog(metrics, self._write)
 
     def attempt_failed(
         self,
--- a/lycheestall/entry/entry_vm.py
+++ b/lycheestall/entry/entry_vm.py
@@ -5,7 +5,7 @@
 import time
 from typing import Any, cast
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, ensureDeferred
 
 from ..logs import Logger
 from ..polling import Poller
@@ -25,6 +25,8 @@
 from .outage import OutageMode
 from .peer_messages import PeerMessage, PeerReply
 from .peer_rpc import PeerClient, RelayingPeerHandler
+from .quotas.quota_messages import AskQuota, ReturnQuota
+from .quotas.quota_service import QuotaService
 from .record_decoder import RecordDecoder
 from .relay_messages import AskConfiguration
 from .request_dependencies import RequestDependencies
@@ -65,6 +67,9 @@
 LINK_CHECK_S = 0.1
 """Seconds between checks of the links to the targets."""
 
+QUOTA_STEP_S = 0.2
+"""Seconds between two returns of permits that were not used."""
+
 HOUSEKEEPING_S = 0.5
 """Seconds between removals of expired state."""
 
@@ -211,12 +216,23 @@
             metrics=metrics,
             draining=lambda: self._draining,
         )
+        self._quotas = QuotaService(
+            holder=holder,
+            settings=settings.quotas,
+            first_start=settings.first_start,
+            configuration=lambda: self._view.configuration.current,
+            members=members,
+            peers=peers,
+            clock=reactor,
+            logger=logger,
+        )
         dependencies = RequestDependencies(
             clock=reactor,
             headers=headers,
             chooser=self._targets.chooser,
             timeouts=self._targets.timeouts,
             permits=self._targets.permits,
+            quotas=self._quotas,
             table=self._targets.table,
             link_monitor=self._links.monitor,
             relay=self._links.client,
@@ -287,6 +303,7 @@
             ("housekeeping", self._housekeeping, HOUSEKEEPING_S),
             ("turn records", turns.recorder.write_due, TURN_RECORDS_S),
             ("target links", self._links.check, LINK_CHECK_S),
+            ("quotas", self._quotas.step, QUOTA_STEP_S),
             ("shard sweep", turns.sweep, SHARD_SWEEP_S),
         )
         for name, step, interval_s in pollers:
@@ -330,6 +347,9 @@
         reply = self._targets.handle_message(message)
         if reply is not None:
             return reply
+        if isinstance(message, AskQuota | ReturnQuota):
+            decided: Any = ensureDeferred(self._quotas.handle(message))
+            return cast("Deferred[PeerReply]", decided)
         if isinstance(message, AskLinks):
             return self._links.report(message)
         if isinstance(message, AskConfiguration):
--- a/lycheestall/entry/final_response.py
+++ b/lycheestall/entry/final_response.py
@@ -15,6 +15,7 @@
 from .exchange import Exchange
 from .ledger_writer import ReservationResult
 from .message_metadata import RequestMetadata
+from .quotas.quota_permit import QuotaDenied
 from .request_dependencies import RequestDependencies
 from .reservation_decision import ReservationDecision
 from .retry_policy import AttemptHistory
@@ -168,6 +169,16 @@
             return
         self.refuse(503, "all targets are at their limits", retry_after_s)
 
+    def end_over_quota(self, denied: QuotaDenied) -> None:
+        """Ends a request that its account's quota doesn't admit."""
+        if self._send_fallback():
+            return
+        if self._history.may_have_run:
+            self.fail("no quota left to repeat it")
+            return
+        status = 429 if denied.refusal.over_quota else 503
+        self.refuse(status, denied.refusal.value, denied.retry_after_s)
+
     def end_without_target(self, service: ServiceId) -> None:
         """Ends a request for which no target is available."""
         if self._send_fallback():
--- a/lycheestall/entry/peer_messages.py
+++ b/lycheestall/entry/peer_messages.py
@@ -29,6 +29,14 @@
     LimitNews,
     PermitAnswer,
 )
+from .quotas.quota_messages import (
+    AskQuota,
+    QuotaAnswer,
+    QuotaMessage,
+    ReturnQuota,
+    decode_quota_fields,
+    encode_quota_fields,
+)
 from .relay_messages import (
     AskConfiguration,
     RelayAppend,
@@ -180,6 +188,8 @@
     | FindStreamOrigin
     | SendAttempt
     | AskLinks
+    | AskQuota
+    | ReturnQuota
 )
 PeerReply: TypeAlias = (
     StoreReport
@@ -201,6 +211,7 @@
     | FoundStreamOrigin
     | AttemptResult
     | LinkReport
+    | QuotaAnswer
 )
 
 _POSITIONAL_TYPES: dict[str, Callable[..., Any]] = {
@@ -275,6 +286,8 @@
         return encode_turn_fields(message)
     if isinstance(message, AttemptMessage):
         return encode_attempt_fields(message)
+    if isinstance(message, QuotaMessage):
+        return encode_quota_fields(message)
     if isinstance(message, StoreReport):
         return [
             message.holder,
@@ -357,6 +370,9 @@
     attempt_message = decode_attempt_fields(name, fields)
     if attempt_message is not None:
         return attempt_message
+    quota_message = decode_quota_fields(name, fields)
+    if quota_message is not None:
+        return quota_message
     message: PeerMessage | PeerReply = _POSITIONAL_TYPES[name](*fields)
     return message
 
--- a/lycheestall/entry/permit_deciders.py
+++ b/lycheestall/entry/permit_deciders.py
@@ -7,7 +7,7 @@
 from .members import Member, Members
 from .target_table import TargetProcess
 
-__all__ = ["PermitDeciders"]
+__all__ = ["PermitDeciders", "rank_members"]
 
 DECIDERS = 2
 """VMs that may decide on a target: the first, and one in its stead."""
@@ -41,13 +41,16 @@
         return ranked
 
     def _rank(self, process: TargetProcess) -> tuple[Member, ...]:
-        def weight(member: Member) -> int:
-            address = member.address
-            key = (
-                f"{process.target}:{process.started_ms}"
-                f":{address.host}:{address.port}"
-            )
-            return xxhash.xxh3_64_intdigest(key.encode())
-
-        members = sorted(self._members.all(), key=weight, reverse=True)
-        return tuple(members[:DECIDERS])
+        key = f"{process.target}:{process.started_ms}"
+        return rank_members(self._members, key)[:DECIDERS]
+
+
+def rank_members(members: Members, key: str) -> tuple[Member, ...]:
+    """Returns all members, the one that decides on a key first."""
+
+    def weight(member: Member) -> int:
+        address = member.address
+        text = f"{key}:{address.host}:{address.port}"
+        return xxhash.xxh3_64_intdigest(text.encode())
+
+    return tuple(sorted(members.all(), key=weight, reverse=True))
--- /dev/null
+++ b/lycheestall/entry/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Quotas of client accounts, which all VMs keep together."""
--- /dev/null
+++ b/lycheestall/entry/quotas/program_admission.py
@@ -0,0 +1,219 @@
+"""Which programs of an account start where it asks for more than its quota.
+
+The load that this answers: an account sends several times its quota. Only
+whole programs count, so a program that is refused half-way wastes what it
+has used. A program starts when the quota carries it beside those that have
+begun; the others are refused at once and told when there is room.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass
+
+__all__ = ["ProgramAdmission"]
+
+MIN_RETRY_S = 0.3
+"""Shortest retry delay."""
+
+HONOURED_SHARE = 1 / 3
+"""Share of its remaining time that a caller waits before it retries."""
+
+MEMORY_S = 60.0
+"""Seconds for which a program that has ended is remembered as begun."""
+
+MAX_PROGRAMS = 4096
+"""Programs of one account that are remembered, those heard from last."""
+
+SILENT_GAPS = 3.0
+"""Usual gaps between two requests of a program after which it has ended."""
+
+MIN_SILENT_S = 0.5
+MAX_SILENT_S = 6.0
+
+USUAL_GAP_S = 0.5
+USUAL_REQUESTS = 4.0
+"""What programs are taken for before any has been observed."""
+
+LEARNING_SHARE = 0.05
+"""Weight of one observation in the mean."""
+
+MEMORY_RATE_S = 8.0
+"""Time constant in seconds of the requests of an active program."""
+
+LATE_RETURN_S = 0.5
+"""Seconds for which room is kept for a program that was told to return."""
+
+
+@dataclass(slots=True)
+class _Program:
+    seen_at: float
+    requests: int = 0
+
+
+class ProgramAdmission:
+    """The programs of one account, as its deciding VM sees them.
+
+    Attributes:
+        requests_per_program: Mean number of requests of a whole program.
+        gap_s: Mean time between two requests of a program.
+    """
+
+    def __init__(self) -> None:
+        self.requests_per_program = USUAL_REQUESTS
+        self.gap_s = USUAL_GAP_S
+        self._active: OrderedDict[str, _Program] = OrderedDict()
+        self._ended: OrderedDict[str, float] = OrderedDict()
+        self._return_at: OrderedDict[str, float] = OrderedDict()
+        self._last_return_at = float("-inf")
+        self._requests = 1.0 / USUAL_GAP_S
+        self._program_s = 1.0
+        self._counted_at: float | None = None
+
+    @property
+    def active(self) -> int:
+        """Programs that have begun and not ended."""
+        return len(self._active)
+
+    @property
+    def requests_per_s(self) -> float:
+        """Requests per second of one active program."""
+        return self._requests / self._program_s
+
+    def has_begun(self, program: str | None) -> bool:
+        """Returns whether a request of the program was granted."""
+        return program in self._active or program in self._ended
+
+    def may_start(
+        self,
+        program: str | None,
+        *,
+        level: float,
+        capacity: float,
+        rate_per_s: float,
+        now: float,
+    ) -> bool:
+        """Returns whether the quota carries one more program to its end.
+
+        The rate carries as many programs as use it up together; the stock
+        carries whole programs besides.
+
+        Args:
+            program: The program; None for a single request.
+            level: Permits in stock.
+            capacity: Most permits in stock.
+            rate_per_s: Permits per second.
+            now: Current time.
+        """
+        self._update(now)
+        if level < 1.0:
+            return False
+        expected = self._expected_before(program, now)
+        if level >= capacity - 0.5 and not expected:
+            return True
+        carried = rate_per_s / self.requests_per_s
+        carried += level / self.requests_per_program
+        return self.active + expected + 1 <= carried
+
+    def record(self, program: str | None, now: float) -> None:
+        """Records a request that was granted."""
+        self._update(now)
+        if program is None:
+            return
+        self._requests += 1.0
+        self._return_at.pop(program, None)
+        known = self._active.pop(program, None)
+        if known is None:
+            known = _Program(now)
+            self._ended.pop(program, None)
+        else:
+            gap_s = now - known.seen_at
+            self.gap_s += LEARNING_SHARE * (gap_s - self.gap_s)
+        known.seen_at = now
+        known.requests += 1
+        self._active[program] = known
+        if len(self._active) > MAX_PROGRAMS:
+            self._end_oldest()
+
+    def retry_after_s(
+        self,
+        program: str | None,
+        *,
+        rate_per_s: float,
+        remaining_s: float,
+        now: float,
+    ) -> float:
+        """Returns when a program that was refused finds room.
+
+        Programs return one after the other, at the pace at which the quota
+        carries whole programs.
+
+        Args:
+            program: The program; None for a single request.
+            rate_per_s: Permits per second.
+            remaining_s: Seconds until the request's deadline.
+            now: Current time.
+        """
+        earliest = now + MIN_RETRY_S
+        if program is not None and program in self._return_at:
+            # It came in time and found no room; others came after it.
+            self._return_at[program] = earliest
+            return MIN_RETRY_S
+        requests = 1.0
+        if program is not None:
+            requests = self.requests_per_program
+        at = max(earliest, self._last_return_at + requests / rate_per_s)
+        if at - now > remaining_s * HONOURED_SHARE:
+            return at - now
+        self._last_return_at = at
+        if program is not None:
+            self._return_at[program] = at
+        return at - now
+
+    def _expected_before(self, program: str | None, now: float) -> int:
+        """Returns how many programs are to start before this one."""
+        own_at = now + MIN_RETRY_S
+        if program is not None:
+            own_at = self._return_at.get(program, own_at)
+        return sum(at < own_at for at in self._return_at.values())
+
+    def _update(self, now: float) -> None:
+        self._count_time(now)
+        silent_s = min(
+            MAX_SILENT_S, max(MIN_SILENT_S, SILENT_GAPS * self.gap_s)
+        )
+        while self._active:
+            oldest = next(iter(self._active.values()))
+            if oldest.seen_at > now - silent_s:
+                break
+            self._end_oldest()
+        while self._ended:
+            program, ended_at = next(iter(self._ended.items()))
+            if ended_at > now - MEMORY_S and len(self._ended) < MAX_PROGRAMS:
+                break
+            del self._ended[program]
+        late = [
+            program
+            for program, at in self._return_at.items()
+            if at < now - LATE_RETURN_S
+        ]
+        for program in late:
+            del self._return_at[program]
+
+    def _count_time(self, now: float) -> None:
+        before = now if self._counted_at is None else self._counted_at
+        elapsed_s = max(0.0, now - before)
+        self._counted_at = max(now, before)
+        kept = max(0.0, 1.0 - elapsed_s / MEMORY_RATE_S)
+        self._requests *= kept
+        self._program_s = self._program_s * kept + self.active * elapsed_s
+        if self._program_s < 1.0:
+            missing_s = 1.0 - self._program_s
+            self._program_s = 1.0
+            self._requests += missing_s / USUAL_GAP_S
+
+    def _end_oldest(self) -> None:
+        program, known = self._active.popitem(last=False)
+        self._ended[program] = known.seen_at
+        error = known.requests - self.requests_per_program
+        self.requests_per_program += LEARNING_SHARE * error
--- /dev/null
+++ b/lycheestall/entry/quotas/quota_decisions.py
@@ -0,0 +1,212 @@
+"""What this VM grants of the accounts' quotas: as decider or in its stead."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from ..accounts import AccountId
+from ..token_ledger import HolderId
+from ..vm_settings import QuotaSettings
+from .account_decider import AccountDecider, QuotaDecision, QuotaRefusal
+from .account_ranking import DECIDERS, AccountRanking
+from .account_terms import AccountTerms
+from .quota_messages import AskQuota, QuotaAnswer, ReturnedPermits
+from .quota_shares import (
+    initial_level,
+    own_share_terms,
+    stand_in_terms,
+)
+from .quota_terms import QuotaTerms
+
+__all__ = ["QuotaDecisions"]
+
+MISSED_S = 1.0
+"""Gap between two calls after which the VM was suspended; a VM that is only
+busy calls more often."""
+
+FIRST_START_S = 10.0
+"""Seconds after the first start of the whole system in which a new decider
+has a full bucket, since no other one can have granted anything."""
+
+UNREACHABLE_RETRY_S = 0.5
+"""Retry delay for callers when no deciding VM is reached; the caller should
+try another VM."""
+
+
+class QuotaDecisions:
+    """Holds the buckets of this VM; all calls are given the time.
+
+    Args:
+        holder: This VM's ID in the ledger.
+        settings: How exactly the quotas are kept.
+        terms: The accounts' quotas.
+        ranking: Which VMs decide on an account.
+        first_start: Whether the whole system starts for the first time.
+        now: Current time.
+    """
+
+    def __init__(
+        self,
+        *,
+        holder: HolderId,
+        settings: QuotaSettings,
+        terms: AccountTerms,
+        ranking: AccountRanking,
+        first_start: bool,
+        now: float,
+    ) -> None:
+        self._holder = holder
+        self._settings = settings
+        self._terms = terms
+        self._ranking = ranking
+        self._full_until = now + FIRST_START_S if first_start else now
+        self._decider_by_account: dict[AccountId, AccountDecider] = {}
+        self._stand_in_by_account: dict[AccountId, AccountDecider] = {}
+        self._own_share_by_account: dict[AccountId, AccountDecider] = {}
+        self._seen_at = now
+        self._pruned_for: tuple[int, str] = (0, "")
+
+    @property
+    def accounts(self) -> int:
+        """Number of accounts that this VM decides on."""
+        return len(self._decider_by_account)
+
+    def advance(self, now: float) -> None:
+        """Notes the time; must be called more often than ``MISSED_S``.
+
+        Nothing is granted for the time that the VM has missed: another one
+        has decided meanwhile.
+        """
+        missed = now - self._seen_at > MISSED_S
+        self._seen_at = max(now, self._seen_at)
+        if missed:
+            for by_account in self._all():
+                for decider in by_account.values():
+                    decider.bucket.skip(now)
+        self._prune()
+
+    def decide(self, message: AskQuota, now: float) -> QuotaAnswer:
+        """Decides as the first VM of the ranking."""
+        return self._decide(
+            self._decider_by_account,
+            message,
+            now,
+            limit=lambda terms: terms,
+            level=self._first_level,
+        )
+
+    def stand_in(self, message: AskQuota, now: float) -> QuotaAnswer:
+        """Decides as the second VM, which can't reach the first one."""
+        return self._decide(
+            self._stand_in_by_account,
+            message,
+            now,
+            limit=lambda terms: stand_in_terms(self._settings, terms),
+            level=lambda terms, now: terms.capacity,
+        )
+
+    def use_own_share(self, message: AskQuota, now: float) -> QuotaAnswer:
+        """Decides on a request of this VM, which reaches no decider."""
+        # The members that decide need none, so the ones after them have one;
+        # the ranking ends with them.
+        rank = self._ranking.rank_of(message.account, self._holder)
+        entitled = rank is not None and rank >= DECIDERS
+
+        def limit(terms: QuotaTerms) -> QuotaTerms | None:
+            if not entitled:
+                return None
+            return own_share_terms(self._settings, terms)
+
+        return self._decide(
+            self._own_share_by_account,
+            message,
+            now,
+            limit=limit,
+            level=lambda terms, now: terms.capacity,
+        )
+
+    def take_back(self, returned: ReturnedPermits, now: float) -> None:
+        """Takes back permits that this VM granted."""
+        for by_account in self._all():
+            decider = by_account.get(returned.account)
+            if decider is not None:
+                decider.bucket.give_back(
+                    returned.granted_at, returned.permits, now
+                )
+
+    def _decide(
+        self,
+        by_account: dict[AccountId, AccountDecider],
+        message: AskQuota,
+        now: float,
+        *,
+        limit: Callable[[QuotaTerms], QuotaTerms | None],
+        level: Callable[[QuotaTerms, float], float],
+    ) -> QuotaAnswer:
+        self.advance(now)
+        decider = by_account.get(message.account)
+        terms = self._newest_terms(message)
+        if terms is None:
+            return self._refuse(message, QuotaRefusal.REMOVED)
+        if terms.rate_per_s <= 0:
+            return self._answer(QuotaDecision(None, 0.0, now), terms, 0.0)
+        granted = limit(terms)
+        if granted is None:
+            return self._refuse(message, QuotaRefusal.UNREACHABLE)
+        if decider is None:
+            decider = AccountDecider(granted, level(granted, now), now)
+            by_account[message.account] = decider
+        elif granted.version > decider.terms.version:
+            decider.change_terms(granted, now)
+        decision = decider.decide(message, now)
+        return self._answer(decision, terms, now - decider.since)
+
+    def _newest_terms(self, message: AskQuota) -> QuotaTerms | None:
+        known = [message.terms]
+        decider = self._decider_by_account.get(message.account)
+        if decider is not None:
+            known.append(decider.terms)
+        return self._terms.newest(message.account, *known)
+
+    def _first_level(self, terms: QuotaTerms, now: float) -> float:
+        if now < self._full_until:
+            return terms.capacity
+        return initial_level(self._settings)
+
+    def _refuse(self, message: AskQuota, refusal: QuotaRefusal) -> QuotaAnswer:
+        decision = QuotaDecision(refusal, UNREACHABLE_RETRY_S, 0.0)
+        return self._answer(decision, message.terms, 0.0)
+
+    def _answer(
+        self, decision: QuotaDecision, terms: QuotaTerms, known_s: float
+    ) -> QuotaAnswer:
+        refusal = decision.refusal
+        return QuotaAnswer(
+            self._holder,
+            None if refusal is None else refusal.value,
+            decision.wait_s,
+            decision.granted_at,
+            terms,
+            known_s,
+        )
+
+    def _all(self) -> tuple[dict[AccountId, AccountDecider], ...]:
+        return (
+            self._decider_by_account,
+            self._stand_in_by_account,
+            self._own_share_by_account,
+        )
+
+    def _prune(self) -> None:
+        """Forgets accounts that are removed or decided on elsewhere."""
+        state = (self._terms.version, self._ranking.digest)
+        if state == self._pruned_for:
+            return
+        self._pruned_for = state
+        for by_account in self._all():
+            for account, decider in list(by_account.items()):
+                if self._terms.newest(account, decider.terms) is None:
+                    del by_account[account]
+        for account in list(self._decider_by_account):
+            if self._ranking.rank_of(account, self._holder) != 0:
+                del self._decider_by_account[account]
--- a/lycheestall/entry/request_dependencies.py
+++ b/lycheestall/entry/request_dependencies.py
@@ -14,6 +14,7 @@
 from .header_codec import HeaderCodec
 from .link_monitor import LinkMonitor
 from .permit_service import PermitService
+from .quotas.quota_service import QuotaService
 from .relay_client import RelayClient
 from .stream_origin_service import StreamOriginService
 from .target_announcements import TargetAnnouncements
@@ -34,6 +35,7 @@
         chooser: Chooses targets.
         timeouts: Computes attempts' timeouts.
         permits: Keeps to the limits that targets name.
+        quotas: Keeps to the quotas of accounts.
         table: The registered targets.
         link_monitor: Knows which of them this VM reaches itself.
         relay: Has attempts sent by peers that reach others.
@@ -56,6 +58,7 @@
     chooser: TargetChooser
     timeouts: AttemptTimeouts
     permits: PermitService
+    quotas: QuotaService
     table: TargetTable
     link_monitor: LinkMonitor
     relay: RelayClient
--- a/lycheestall/entry/request_processor.py
+++ b/lycheestall/entry/request_processor.py
@@ -23,6 +23,7 @@
 from .kept_turn import KeptTurn
 from .limit_waits import max_wait_s, retry_after_s
 from .message_metadata import RequestMetadata
+from .quotas.request_quota import RequestQuota
 from .request_dependencies import RequestDependencies
 from .reservation_decision import ReservationDecision
 from .retry_options import RetryOptions
@@ -109,6 +110,16 @@
         if metadata.deadline_s is not None:
             limit_s = min(limit_s, metadata.deadline_s)
         self._deadline = exchange.request.received_at + limit_s
+        self._quota = RequestQuota(
+            deps.quotas,
+            deps.log.quotas,
+            metadata,
+            account,
+            now=deps.clock.seconds,
+            version=version,
+            deadline=self._deadline,
+            has_tokens=lambda: bool(self._budget.recorded_tokens),
+        )
         self._feedback = AttemptFeedback(
             deps,
             route_name=route.name,
@@ -168,6 +179,7 @@
         finally:
             if timer.active():
                 timer.cancel()
+            self._quota.release()
             if not self._exchange.ended:
                 self._final.fail("internal error")
 
@@ -178,6 +190,8 @@
         if self._deps.relay.isolated:
             self._final.refuse_isolated()
             return
+        if not await self._acquire_quota():
+            return
         if not await self._find_stream_version():
             return
         # The conversation is looked up while the tokens are reserved.
@@ -193,6 +207,20 @@
         finally:
             self._budget.settle(self._final.events_sent)
 
+    async def _acquire_quota(self) -> bool:
+        """Returns whether the request may go on; otherwise it has ended."""
+        may_have_run = self._history.may_have_run
+        denied = await self._quota.acquire(may_have_run=may_have_run)
+        delay_s = self._quota.delay_s
+        if delay_s > 0 and self._early_end is None:
+            await self._sleep(delay_s)
+        if self._early_end is not None:
+            self._final.end_early(self._early_end, sent=may_have_run)
+            return False
+        if denied is not None:
+            self._final.end_over_quota(denied)
+        return denied is None
+
     async def _find_stream_version(self) -> bool:
         if not self._stream_version.must_be_found:
             return True
@@ -253,13 +281,15 @@
                     )
                 )
                 return
+            if not await self._acquire_quota():
+                return
             if not self._admission.is_usable(admission):
                 same_target = None
                 continue
             registration = admission.registration
             self._history.last_target = registration.target
             outcome = await self._attempts.run(
-                admission,
+                self._quota.limit(admission),
                 can_retry_elsewhere=self._options.can_retry_elsewhere(
                     registration
                 ),
@@ -267,6 +297,7 @@
                     self._early_end is EarlyEnd.DEADLINE_PASSED
                 ),
             )
+            self._quota.record(outcome)
             if isinstance(outcome, PermitExpired):
                 self._attempts.log_failed(outcome, NextStep.ANY_TARGET)
                 continue
--- /dev/null
+++ b/tests/entry/quota_simulation.py
@@ -0,0 +1,232 @@
+"""Many VMs that keep quotas, on a virtual clock and without a network."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.internet.task import Clock
+
+from lycheestall.clock import sleep
+from lycheestall.entry.accounts import Account, AccountId
+from lycheestall.entry.configuration import Configuration
+from lycheestall.entry.members import Member, Members, join_record
+from lycheestall.entry.peer_messages import decode, encode
+from lycheestall.entry.quotas.quota_permit import QuotaDenied, QuotaPermit
+from lycheestall.entry.quotas.quota_service import QuotaService
+from lycheestall.entry.store import KeyedRecord, KeyedWrite
+from lycheestall.entry.token_ledger import HolderId
+from lycheestall.entry.vm_settings import Address, QuotaSettings
+from lycheestall.ids import Offset, ProgramId, ZoneId
+from lycheestall.logs import get_logger
+
+SETTINGS = QuotaSettings(window_s=5.0, overage=0.1, slack=20.0)
+
+HOP_S = 0.002
+"""Seconds that a message or its reply is on the way."""
+
+STEP_S = 0.2
+"""Seconds between two steps of each VM."""
+
+
+class SimulatedVm:
+    """A VM's quota service with its clock and its links."""
+
+    def __init__(
+        self, system: QuotaSystem, number: int, incarnation: int
+    ) -> None:
+        self.system = system
+        self.address = Address(f"10.0.{number // 200}.{number % 200}", 4)
+        self.holder = HolderId(f"vm-{number}.{incarnation}")
+        self.killed = False
+        self.resumes_at = 0.0
+        self.configuration = system.configuration
+        self.service = QuotaService(
+            holder=self.holder,
+            settings=SETTINGS,
+            first_start=False,
+            configuration=lambda: self.configuration,
+            members=system.members,
+            peers=self,  # type: ignore[arg-type]
+            clock=self,
+            logger=get_logger(),
+        )
+        self._step()
+
+    def seconds(self) -> float:
+        """Returns the time."""
+        return float(self.system.clock.seconds())
+
+    def call(
+        self, address: Address, message: Any, *, timeout_s: float
+    ) -> Deferred[Any]:
+        """Calls another VM as ``PeerClient`` does."""
+        clock = self.system.clock
+        reply: Deferred[Any] = Deferred()
+        timer = clock.callLater(timeout_s, reply.callback, None)
+
+        def deliver(answer: Any) -> None:
+            if timer.active():
+                timer.cancel()
+                reply.callback(decode(encode(answer)))
+
+        self.system.messages += 1
+        other = self.system.vm_by_address.get(address)
+        if other is None or self.killed or self.system.is_cut(self, other):
+            return reply
+        data = decode(encode(message))
+        clock.callLater(HOP_S, other.receive, data, deliver)
+        return reply
+
+    def receive(self, message: Any, deliver: Callable[[Any], None]) -> None:
+        """Handles a message once the VM runs."""
+        if self.killed:
+            return
+        clock = self.system.clock
+        if clock.seconds() < self.resumes_at:
+            delay_s = self.resumes_at - clock.seconds()
+            clock.callLater(delay_s, self.receive, message, deliver)
+            return
+        answer = ensureDeferred(self.service.handle(message))
+        answer.addCallback(
+            lambda value: clock.callLater(HOP_S, deliver, value)
+        )
+
+    def _step(self) -> None:
+        if self.killed:
+            return
+        now = self.seconds()
+        if now >= self.resumes_at:
+            ensureDeferred(self.service.step())
+        self.system.clock.callLater(STEP_S, self._step)
+
+
+class QuotaSystem:
+    """VMs, accounts, and what the targets see of them.
+
+    Attributes:
+        run_at_by_account: When targets ran requests of each account.
+    """
+
+    def __init__(self, *, vms: int, accounts: Iterable[Account]) -> None:
+        self.clock: Any = Clock()
+        self.clock.advance(1000.0)
+        self.random = random.Random(vms)
+        self.members = Members()
+        self.configuration = Configuration(1, (), {}, accounts=tuple(accounts))
+        self.messages = 0
+        self.cut: set[HolderId] = set()
+        self.vm_by_address: dict[Address, SimulatedVm] = {}
+        self.vms: list[SimulatedVm] = []
+        self.run_at_by_account: dict[AccountId, list[float]] = {}
+        self._offset = 0
+        for _ in range(vms):
+            self.add()
+
+    def add(self) -> SimulatedVm:
+        """Starts another VM."""
+        vm = self._start(len(self.vms), 1)
+        self.vms.append(vm)
+        return vm
+
+    def kill(self, number: int) -> None:
+        """Ends a VM's process."""
+        self.vms[number].killed = True
+        self.vm_by_address.pop(self.vms[number].address, None)
+
+    def restart(self, number: int) -> None:
+        """Replaces a VM's process by a new one at its address."""
+        self.kill(number)
+        self._offset += 1
+        self.vms[number] = self._start(number, self._offset)
+
+    def remove(self, number: int) -> None:
+        """Removes a killed VM from the members."""
+        write = join_record(self._member(self.vms[number]))
+        self._apply(KeyedWrite(write.key, None))
+
+    def is_cut(self, one: SimulatedVm, other: SimulatedVm) -> bool:
+        """Returns whether two VMs don't reach each other."""
+        return (one.holder in self.cut) != (other.holder in self.cut)
+
+    def decider(self, account: Account, rank: int = 0) -> int:
+        """Returns the number of the VM that decides on an account."""
+        ranking = self.vms[0].service.ranking
+        member = ranking.ranked(account.account)[rank]
+        return self.vms.index(self.vm_by_address[member.address])
+
+    def configure(self, *accounts: Account) -> None:
+        """Applies a new configuration on all VMs."""
+        version = self.configuration.version + 1
+        self.configuration = Configuration(version, (), {}, accounts=accounts)
+        for vm in self.vms:
+            vm.configuration = self.configuration
+
+    async def send(
+        self,
+        account: Account,
+        program: str | None = None,
+        *,
+        vm: int | None = None,
+        remaining_s: float = 6.0,
+        max_wait_s: float = 0.5,
+    ) -> QuotaPermit | QuotaDenied:
+        """Sends one request through a VM, a random one by default."""
+        if vm is None:
+            vm = self.random.randrange(len(self.vms))
+        sender = self.vms[vm]
+        result = await sender.service.acquire(
+            account,
+            None if program is None else ProgramId(program),
+            version=self.configuration.version,
+            starts_program=True,
+            max_wait_s=max_wait_s,
+            remaining_s=remaining_s,
+        )
+        if isinstance(result, QuotaPermit):
+            delay_s = result.starts_at - self.clock.seconds()
+            if delay_s > 0:
+                await sleep(self.clock, delay_s)
+            if self.clock.seconds() < result.expires_at and not sender.killed:
+                self.run_at_by_account.setdefault(account.account, []).append(
+                    self.clock.seconds()
+                )
+        return result
+
+    def run(self, seconds: float) -> None:
+        """Lets time pass."""
+        for _ in range(round(seconds * 1000)):
+            self.clock.advance(0.001)
+
+    def _start(self, number: int, incarnation: int) -> SimulatedVm:
+        vm = SimulatedVm(self, number, incarnation)
+        self.vm_by_address[vm.address] = vm
+        self._apply(join_record(self._member(vm)))
+        return vm
+
+    def _member(self, vm: SimulatedVm) -> Member:
+        return Member(vm.holder, vm.address, ZoneId("z"))
+
+    def _apply(self, write: KeyedWrite) -> None:
+        self._offset += 1
+        offset = Offset(self._offset)
+        self.members.apply(KeyedRecord(offset, write.key, write.value))
+
+
+def most_in_window(times: list[float], window_s: float) -> int:
+    """Returns the most of the times that lie within a window."""
+    most, first = 0, 0
+    times = sorted(times)
+    for last, at in enumerate(times):
+        while times[first] <= at - window_s:
+            first += 1
+        most = max(most, last - first + 1)
+    return most
+
+
+def allowed(account: Account) -> float:
+    """Returns the requests of an account that a window may hold."""
+    quota = account.rate_per_s * SETTINGS.window_s + account.burst
+    return quota * (1 + SETTINGS.overage) + SETTINGS.slack
