Let the two deciding VMs of an account share its quota without contact

Cause: a deciding VM that is lost leaves the members only after half a minute, and a stand-in on the slack alone gave a large account a few per cent of its quota until then; a VM that is added could grant beside the one before it. Change: the first VM grants the whole quota only while the second confirms every 0.4 s that it grants nothing; without contact each grants half. The reply hands over the permits in stock and the programs that have begun.

--- a/lycheestall/entry/entry_vm.py
+++ b/lycheestall/entry/entry_vm.py
@@ -25,7 +25,7 @@
 from .outage import OutageMode
 from .peer_messages import PeerMessage, PeerReply
 from .peer_rpc import PeerClient, RelayingPeerHandler
-from .quotas.quota_messages import AskQuota, ReturnQuota
+from .quotas.quota_messages import AskQuota, HoldQuota, ReturnQuota
 from .quotas.quota_service import QuotaService
 from .record_decoder import RecordDecoder
 from .relay_messages import AskConfiguration
@@ -347,7 +347,7 @@
         reply = self._targets.handle_message(message)
         if reply is not None:
             return reply
-        if isinstance(message, AskQuota | ReturnQuota):
+        if isinstance(message, AskQuota | ReturnQuota | HoldQuota):
             decided: Any = ensureDeferred(self._quotas.handle(message))
             return cast("Deferred[PeerReply]", decided)
         if isinstance(message, AskLinks):
--- a/lycheestall/entry/peer_messages.py
+++ b/lycheestall/entry/peer_messages.py
@@ -31,7 +31,9 @@
 )
 from .quotas.quota_messages import (
     AskQuota,
+    HoldQuota,
     QuotaAnswer,
+    QuotaHeld,
     QuotaMessage,
     ReturnQuota,
     decode_quota_fields,
@@ -190,6 +192,7 @@
     | AskLinks
     | AskQuota
     | ReturnQuota
+    | HoldQuota
 )
 PeerReply: TypeAlias = (
     StoreReport
@@ -212,6 +215,7 @@
     | AttemptResult
     | LinkReport
     | QuotaAnswer
+    | QuotaHeld
 )
 
 _POSITIONAL_TYPES: dict[str, Callable[..., Any]] = {
--- a/lycheestall/entry/quotas/account_decider.py
+++ b/lycheestall/entry/quotas/account_decider.py
@@ -5,9 +5,10 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from ..accounts import AccountId
 from .program_admission import MIN_RETRY_S, ProgramAdmission
 from .quota_bucket import QuotaBucket
-from .quota_messages import AskQuota
+from .quota_messages import AskQuota, HandedQuota
 from .quota_terms import QuotaTerms
 
 __all__ = [
@@ -51,17 +52,22 @@
     """The permits of one account and the programs that they carry.
 
     Args:
-        terms: What it may grant.
+        quota: The account's quota.
+        terms: What this VM grants of it.
         level: Permits in stock.
         now: Current time.
 
     Attributes:
-        terms: What it may grant.
+        quota: The account's quota.
+        terms: What this VM grants of it.
         bucket: The permits.
         since: When this VM began to decide.
     """
 
-    def __init__(self, terms: QuotaTerms, level: float, now: float) -> None:
+    def __init__(
+        self, quota: QuotaTerms, terms: QuotaTerms, level: float, now: float
+    ) -> None:
+        self.quota = quota
         self.terms = terms
         self.bucket = QuotaBucket(
             rate_per_s=terms.rate_per_s,
@@ -72,8 +78,11 @@
         self.since = now
         self._programs = ProgramAdmission()
 
-    def change_terms(self, terms: QuotaTerms, now: float) -> None:
-        """Applies the terms of a newer configuration."""
+    def change_terms(
+        self, quota: QuotaTerms, terms: QuotaTerms, now: float
+    ) -> None:
+        """Applies a newer quota, or another share of it."""
+        self.quota = quota
         before, self.terms = self.terms, terms
         if (before.rate_per_s, before.burst) != (
             terms.rate_per_s,
@@ -83,6 +92,16 @@
                 rate_per_s=terms.rate_per_s, capacity=terms.capacity, now=now
             )
 
+    def hand_over(self, account: AccountId, now: float) -> HandedQuota:
+        """Returns what the next deciding VM needs."""
+        level = max(0.0, self.bucket.level(now))
+        return HandedQuota(account, level, self._programs.programs())
+
+    def take_over(self, handed: HandedQuota, now: float) -> None:
+        """Continues what another VM has decided on until now."""
+        self.bucket.add(handed.level, now)
+        self._programs.add_begun(handed.programs, now)
+
     def decide(self, message: AskQuota, now: float) -> QuotaDecision:
         """Decides on one request."""
         program = message.program
--- a/lycheestall/entry/quotas/program_admission.py
+++ b/lycheestall/entry/quotas/program_admission.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 __all__ = ["ProgramAdmission"]
@@ -41,6 +42,9 @@
 MEMORY_RATE_S = 8.0
 """Time constant in seconds of the requests of an active program."""
 
+MAX_HANDED = 500
+"""Programs that are handed over to another VM."""
+
 LATE_RETURN_S = 0.5
 """Seconds for which room is kept for a program that was told to return."""
 
@@ -65,7 +69,7 @@
         self._active: OrderedDict[str, _Program] = OrderedDict()
         self._ended: OrderedDict[str, float] = OrderedDict()
         self._return_at: OrderedDict[str, float] = OrderedDict()
-        self._last_return_at = float("-inf")
+        self._last_single_at = float("-inf")
         self._requests = 1.0 / USUAL_GAP_S
         self._program_s = 1.0
         self._counted_at: float | None = None
@@ -80,6 +84,16 @@
         """Requests per second of one active program."""
         return self._requests / self._program_s
 
+    def programs(self) -> tuple[str, ...]:
+        """Returns the programs that have begun, the latest last."""
+        return (*self._ended, *self._active)[-MAX_HANDED:]
+
+    def add_begun(self, programs: Iterable[str], now: float) -> None:
+        """Adds programs that another VM has seen begin."""
+        for program in programs:
+            if program not in self._active:
+                self._active[program] = _Program(now)
+
     def has_begun(self, program: str | None) -> bool:
         """Returns whether a request of the program was granted."""
         return program in self._active or program in self._ended
@@ -145,8 +159,8 @@
     ) -> float:
         """Returns when a program that was refused finds room.
 
-        Programs return one after the other, at the pace at which the quota
-        carries whole programs.
+        Programs return in the order in which they were first refused, at the
+        pace at which the quota carries whole programs.
 
         Args:
             program: The program; None for a single request.
@@ -154,20 +168,25 @@
             remaining_s: Seconds until the request's deadline.
             now: Current time.
         """
-        earliest = now + MIN_RETRY_S
-        if program is not None and program in self._return_at:
-            # It came in time and found no room; others came after it.
-            self._return_at[program] = earliest
-            return MIN_RETRY_S
-        requests = 1.0
-        if program is not None:
-            requests = self.requests_per_program
-        at = max(earliest, self._last_return_at + requests / rate_per_s)
-        if at - now > remaining_s * HONOURED_SHARE:
-            return at - now
-        self._last_return_at = at
-        if program is not None:
-            self._return_at[program] = at
+        if program is None:
+            return self._single_retry_s(rate_per_s, remaining_s, now)
+        ahead = len(self._return_at)
+        if program in self._return_at:
+            ahead = list(self._return_at).index(program)
+        interval_s = self.requests_per_program / rate_per_s
+        delay_s = max(MIN_RETRY_S, (ahead + 1) * interval_s)
+        honoured = delay_s <= remaining_s * HONOURED_SHARE
+        if honoured or program in self._return_at:
+            self._return_at[program] = now + delay_s
+        return delay_s
+
+    def _single_retry_s(
+        self, rate_per_s: float, remaining_s: float, now: float
+    ) -> float:
+        """Returns the delay of a request that can't be told from others."""
+        at = max(now + MIN_RETRY_S, self._last_single_at + 1.0 / rate_per_s)
+        if at - now <= remaining_s * HONOURED_SHARE:
+            self._last_single_at = at
         return at - now
 
     def _expected_before(self, program: str | None, now: float) -> int:
--- a/lycheestall/entry/quotas/quota_bucket.py
+++ b/lycheestall/entry/quotas/quota_bucket.py
@@ -61,26 +61,9 @@
         wait_s = max(0.0, (1.0 - self._level) / self.rate_per_s)
         if wait_s > max_wait_s:
             return Slot(taken=False, wait_s=wait_s)
-        self._take(1)
+        self._take()
         return Slot(taken=True, wait_s=wait_s)
 
-    def take_ahead(self, now: float, permits: int, *, leave: float) -> int:
-        """Takes permits for requests to come.
-
-        Args:
-            now: Current time.
-            permits: How many at most.
-            leave: Permits that stay in stock.
-
-        Returns:
-            How many it took.
-        """
-        self._refill(now)
-        taken = max(0, min(permits, int(self._level - leave)))
-        if taken:
-            self._take(taken)
-        return taken
-
     def give_back(self, granted_at: float, permits: int, now: float) -> None:
         """Takes back permits that were not used.
 
@@ -104,13 +87,20 @@
         self.rate_per_s = rate_per_s
         self.capacity = capacity
         self._level = min(capacity, self._level)
-        self._base_level = self._level
-        self._base_at = now
-        self._grants.clear()
+        self._forget_grants()
+
+    def add(self, permits: float, now: float) -> None:
+        """Adds permits that another VM had in stock."""
+        self._refill(now)
+        self._level = min(self.capacity, self._level + permits)
+        self._forget_grants()
 
     def skip(self, until: float) -> None:
         """Adds nothing for the time until now, which the VM has missed."""
         self._at = max(self._at, until)
+        self._forget_grants()
+
+    def _forget_grants(self) -> None:
         self._base_level = self._level
         self._base_at = self._at
         self._grants.clear()
@@ -123,12 +113,12 @@
     def _refilled(self, level: float, seconds: float) -> float:
         return min(self.capacity, level + seconds * self.rate_per_s)
 
-    def _take(self, permits: int) -> None:
-        self._level -= permits
+    def _take(self) -> None:
+        self._level -= 1
         if self._grants and self._grants[-1].at == self._at:
-            self._grants[-1].permits += permits
+            self._grants[-1].permits += 1
         else:
-            self._grants.append(_Grant(self._at, permits))
+            self._grants.append(_Grant(self._at, 1))
         while self._grants[0].at < self._at - HISTORY_S:
             self._fold(self._grants.popleft())
 
--- a/lycheestall/entry/quotas/quota_decisions.py
+++ b/lycheestall/entry/quotas/quota_decisions.py
@@ -2,19 +2,32 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections import defaultdict
+from collections.abc import Callable, Iterable
 
 from ..accounts import AccountId
+from ..members import Member
 from ..token_ledger import HolderId
 from ..vm_settings import QuotaSettings
 from .account_decider import AccountDecider, QuotaDecision, QuotaRefusal
 from .account_ranking import DECIDERS, AccountRanking
 from .account_terms import AccountTerms
-from .quota_messages import AskQuota, QuotaAnswer, ReturnedPermits
+from .quota_leases import Lease, QuotaLeases
+from .quota_messages import (
+    AskQuota,
+    HandedQuota,
+    HoldQuota,
+    QuotaAnswer,
+    QuotaHeld,
+    ReturnedPermits,
+)
 from .quota_shares import (
+    half_terms,
     initial_level,
     own_share_terms,
+    stand_in_level,
     stand_in_terms,
+    unconfirmed_terms,
 )
 from .quota_terms import QuotaTerms
 
@@ -63,6 +76,9 @@
         self._decider_by_account: dict[AccountId, AccountDecider] = {}
         self._stand_in_by_account: dict[AccountId, AccountDecider] = {}
         self._own_share_by_account: dict[AccountId, AccountDecider] = {}
+        # Kept for the next deciding VM, which asks for them.
+        self._retired_by_account: dict[AccountId, AccountDecider] = {}
+        self._leases = QuotaLeases()
         self._seen_at = now
         self._pruned_for: tuple[int, str] = (0, "")
 
@@ -91,8 +107,8 @@
             self._decider_by_account,
             message,
             now,
-            limit=lambda terms: terms,
-            level=self._first_level,
+            limit=lambda terms: self._first_terms(message.account, terms, now),
+            level=lambda terms, now: initial_level(self._settings),
         )
 
     def stand_in(self, message: AskQuota, now: float) -> QuotaAnswer:
@@ -101,8 +117,12 @@
             self._stand_in_by_account,
             message,
             now,
-            limit=lambda terms: stand_in_terms(self._settings, terms),
-            level=lambda terms, now: terms.capacity,
+            limit=lambda terms: self._stand_in_terms(
+                message.account, terms, now
+            ),
+            level=lambda terms, now: min(
+                terms.capacity, stand_in_level(self._settings)
+            ),
         )
 
     def use_own_share(self, message: AskQuota, now: float) -> QuotaAnswer:
@@ -125,6 +145,70 @@
             level=lambda terms, now: terms.capacity,
         )
 
+    def is_first(self, account: AccountId, now: float) -> bool:
+        """Returns whether this VM decides on an account."""
+        if self._ranking.rank_of(account, self._holder) != 0:
+            return False
+        # A VM that this one doesn't know yet may have taken over.
+        return not self._leases.is_held(account, now)
+
+    def holds_due(self, now: float) -> dict[Member, tuple[AccountId, ...]]:
+        """Returns the second VMs to ask for a confirmation."""
+        due: defaultdict[Member, list[AccountId]] = defaultdict(list)
+        for account in self._decider_by_account:
+            ranked = self._ranking.ranked(account)[:DECIDERS]
+            if len(ranked) == DECIDERS and self._leases.take_due(account, now):
+                due[ranked[1]].append(account)
+        return {member: tuple(accounts) for member, accounts in due.items()}
+
+    def hold(self, message: HoldQuota, now: float) -> QuotaHeld:
+        """Confirms that this VM grants nothing, as the second one."""
+        self.advance(now)
+        handed: list[HandedQuota] = []
+        for account in message.accounts:
+            self._leases.hold(account, message.holder, now)
+            for by_account in (
+                self._decider_by_account,
+                self._retired_by_account,
+                self._stand_in_by_account,
+            ):
+                decider = by_account.pop(account, None)
+                if decider is not None:
+                    handed.append(decider.hand_over(account, now))
+        return QuotaHeld(self._holder, tuple(handed))
+
+    def confirmed(
+        self,
+        accounts: Iterable[AccountId],
+        reply: QuotaHeld,
+        *,
+        asked_at: float,
+        now: float,
+    ) -> None:
+        """Notes the confirmation of a second VM.
+
+        Args:
+            accounts: The accounts that were asked for.
+            reply: What the VM hands over.
+            asked_at: When it was asked.
+            now: Current time.
+        """
+        handed_by_account = {handed.account: handed for handed in reply.handed}
+        for account in accounts:
+            decider = self._decider_by_account.get(account)
+            if decider is None:
+                continue
+            is_new = self._leases.lease(account, now) is Lease.NEVER
+            self._leases.confirm(account, asked_at)
+            terms = self._terms.newest(account, decider.quota)
+            if terms is not None and terms.rate_per_s > 0:
+                decider.change_terms(terms, terms, now)
+            handed = handed_by_account.get(account)
+            if handed is not None:
+                decider.take_over(handed, now)
+            elif is_new and now < self._full_until:
+                decider.bucket.add(decider.bucket.capacity, now)
+
     def take_back(self, returned: ReturnedPermits, now: float) -> None:
         """Takes back permits that this VM granted."""
         for by_account in self._all():
@@ -154,10 +238,10 @@
         if granted is None:
             return self._refuse(message, QuotaRefusal.UNREACHABLE)
         if decider is None:
-            decider = AccountDecider(granted, level(granted, now), now)
+            decider = AccountDecider(terms, granted, level(granted, now), now)
             by_account[message.account] = decider
-        elif granted.version > decider.terms.version:
-            decider.change_terms(granted, now)
+        else:
+            decider.change_terms(terms, granted, now)
         decision = decider.decide(message, now)
         return self._answer(decision, terms, now - decider.since)
 
@@ -165,13 +249,29 @@
         known = [message.terms]
         decider = self._decider_by_account.get(message.account)
         if decider is not None:
-            known.append(decider.terms)
+            known.append(decider.quota)
         return self._terms.newest(message.account, *known)
 
-    def _first_level(self, terms: QuotaTerms, now: float) -> float:
-        if now < self._full_until:
-            return terms.capacity
-        return initial_level(self._settings)
+    def _first_terms(
+        self, account: AccountId, terms: QuotaTerms, now: float
+    ) -> QuotaTerms:
+        if len(self._ranking.ranked(account)) < DECIDERS:
+            return terms
+        lease = self._leases.lease(account, now)
+        if lease is Lease.VALID:
+            return terms
+        if lease is Lease.LAPSED:
+            return half_terms(terms)
+        return unconfirmed_terms(self._settings, terms)
+
+    def _stand_in_terms(
+        self, account: AccountId, terms: QuotaTerms, now: float
+    ) -> QuotaTerms | None:
+        ranked = self._ranking.ranked(account)
+        first = ranked[0].holder
+        if self._leases.has_lapsed(account, first, now):
+            return half_terms(terms)
+        return stand_in_terms(self._settings, terms)
 
     def _refuse(self, message: AskQuota, refusal: QuotaRefusal) -> QuotaAnswer:
         decision = QuotaDecision(refusal, UNREACHABLE_RETRY_S, 0.0)
@@ -195,6 +295,7 @@
             self._decider_by_account,
             self._stand_in_by_account,
             self._own_share_by_account,
+            self._retired_by_account,
         )
 
     def _prune(self) -> None:
@@ -205,8 +306,11 @@
         self._pruned_for = state
         for by_account in self._all():
             for account, decider in list(by_account.items()):
-                if self._terms.newest(account, decider.terms) is None:
+                if self._terms.newest(account, decider.quota) is None:
                     del by_account[account]
+                    self._leases.forget(account)
         for account in list(self._decider_by_account):
             if self._ranking.rank_of(account, self._holder) != 0:
-                del self._decider_by_account[account]
+                retired = self._decider_by_account.pop(account)
+                self._retired_by_account[account] = retired
+                self._leases.forget(account)
--- a/lycheestall/entry/quotas/quota_messages.py
+++ b/lycheestall/entry/quotas/quota_messages.py
@@ -11,6 +11,9 @@
 
 __all__ = [
     "AskQuota",
+    "HandedQuota",
+    "HoldQuota",
+    "QuotaHeld",
     "QuotaAnswer",
     "QuotaMessage",
     "ReturnQuota",
@@ -99,7 +102,50 @@
     returned: tuple[ReturnedPermits, ...]
 
 
-QuotaMessage: TypeAlias = AskQuota | QuotaAnswer | ReturnQuota
+@dataclass(frozen=True, slots=True)
+class HoldQuota:
+    """Asks the second VM of some accounts to grant nothing for a while.
+
+    Attributes:
+        holder: The first VM, which asks.
+        accounts: The accounts.
+    """
+
+    holder: HolderId
+    accounts: tuple[AccountId, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class HandedQuota:
+    """What a VM hands over that has decided on an account until now.
+
+    Attributes:
+        account: The account.
+        level: Permits in stock.
+        programs: Programs that have begun.
+    """
+
+    account: AccountId
+    level: float
+    programs: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class QuotaHeld:
+    """The reply to ``HoldQuota``.
+
+    Attributes:
+        holder: The VM that replies.
+        handed: The accounts that it has decided on.
+    """
+
+    holder: HolderId
+    handed: tuple[HandedQuota, ...]
+
+
+QuotaMessage: TypeAlias = (
+    AskQuota | QuotaAnswer | ReturnQuota | HoldQuota | QuotaHeld
+)
 
 
 def encode_quota_fields(message: QuotaMessage) -> list[Any]:
@@ -122,4 +168,12 @@
         holder, decider, rows = fields
         returned = tuple(ReturnedPermits(*row) for row in rows)
         return ReturnQuota(holder, decider, returned)
+    if name == HoldQuota.__name__:
+        return HoldQuota(fields[0], tuple(fields[1]))
+    if name == QuotaHeld.__name__:
+        handed = tuple(
+            HandedQuota(account, level, tuple(programs))
+            for account, level, programs in fields[1]
+        )
+        return QuotaHeld(fields[0], handed)
     return None
--- a/lycheestall/entry/quotas/quota_service.py
+++ b/lycheestall/entry/quotas/quota_service.py
@@ -12,6 +12,8 @@
 from dataclasses import replace
 from typing import Any
 
+from twisted.internet.defer import ensureDeferred
+
 from ...ids import ProgramId
 from ...logs import Logger
 from ..accounts import Account, AccountId
@@ -27,7 +29,9 @@
 from .quota_decisions import QuotaDecisions
 from .quota_messages import (
     AskQuota,
+    HoldQuota,
     QuotaAnswer,
+    QuotaHeld,
     ReturnedPermits,
     ReturnQuota,
 )
@@ -43,6 +47,9 @@
 FORWARD_TIMEOUT_S = 0.1
 """Timeout of the stand-in's own call to the first VM."""
 
+HOLD_TIMEOUT_S = 0.3
+"""Timeout of a call for a confirmation."""
+
 RETURN_TIMEOUT_S = 0.5
 """Timeout of a call that gives permits back."""
 
@@ -85,14 +92,14 @@
         self._peers = peers
         self._clock = clock
         self._logger = logger
-        self.ranking = AccountRanking(
+        self._ranking = AccountRanking(
             members, size=DECIDERS + own_share_holders(settings)
         )
         self._decisions = QuotaDecisions(
             holder=holder,
             settings=settings,
             terms=AccountTerms(configuration),
-            ranking=self.ranking,
+            ranking=self._ranking,
             first_start=first_start,
             now=clock.seconds(),
         )
@@ -144,13 +151,15 @@
         self._unsent[permit.decider].append(returned)
 
     async def handle(
-        self, message: AskQuota | ReturnQuota
-    ) -> QuotaAnswer | Understood:
+        self, message: AskQuota | ReturnQuota | HoldQuota
+    ) -> QuotaAnswer | Understood | QuotaHeld:
         """Returns the reply to a message."""
         if isinstance(message, AskQuota):
             return await self._answer(message)
+        now = self._clock.seconds()
+        if isinstance(message, HoldQuota):
+            return self._decisions.hold(message, now)
         if message.decider == self._holder:
-            now = self._clock.seconds()
             for returned in message.returned:
                 self._decisions.take_back(returned, now)
         return Understood()
@@ -158,12 +167,13 @@
     async def step(self) -> None:
         """Notes the time and sends the permits to be given back."""
         self._decisions.advance(self._clock.seconds())
+        self._ask_for_holds()
         unsent, self._unsent = self._unsent, defaultdict(list)
         for decider, returned in unsent.items():
             self._send_back(decider, tuple(returned))
 
     async def _ask(self, message: AskQuota) -> QuotaAnswer:
-        for member in self.ranking.ranked(message.account)[:DECIDERS]:
+        for member in self._ranking.ranked(message.account)[:DECIDERS]:
             if member.holder == self._holder:
                 return await self._answer(message)
             answer = await self._call(member, message, timeout_s=ASK_TIMEOUT_S)
@@ -173,26 +183,29 @@
 
     async def _answer(self, message: AskQuota) -> QuotaAnswer:
         """Decides on a request of any VM."""
-        ranked = self.ranking.ranked(message.account)
-        if ranked and ranked[0].holder == self._holder:
-            return self._decisions.decide(message, self._clock.seconds())
-        if ranked and not message.forwarded:
+        ranked = self._ranking.ranked(message.account)
+        now = self._clock.seconds()
+        if self._decisions.is_first(message.account, now):
+            answer = self._decisions.decide(message, now)
+            self._ask_for_holds()
+            return answer
+        rank = self._ranking.rank_of(message.account, self._holder)
+        if ranked and rank != 0 and not message.forwarded:
             forwarded = replace(message, forwarded=True)
-            answer = await self._call(
+            reply = await self._call(
                 ranked[0], forwarded, timeout_s=FORWARD_TIMEOUT_S
             )
-            if answer is not None:
-                return answer
+            if reply is not None:
+                return reply
         now = self._clock.seconds()
-        if self.ranking.rank_of(message.account, self._holder) == 1:
+        if rank in (0, 1):
             return self._decisions.stand_in(message, now)
         return self._decisions.use_own_share(message, now)
 
     async def _call(
         self, member: Member, message: AskQuota, *, timeout_s: float
     ) -> QuotaAnswer | None:
-        now = self._clock.seconds()
-        if now < self._silent_until.get(member.holder, now):
+        if self._is_silent(member):
             return None
         reply = await self._peers.call(
             member.address, message, timeout_s=timeout_s
@@ -200,6 +213,8 @@
         if isinstance(reply, QuotaAnswer):
             self._silent_until.pop(member.holder, None)
             return reply
+        if self._is_silent(member):
+            return None
         self._silent_until[member.holder] = self._clock.seconds() + SILENT_S
         self._logger.warning(
             "no decision on an account's quota",
@@ -208,6 +223,32 @@
         )
         return None
 
+    def _is_silent(self, member: Member) -> bool:
+        until = self._silent_until.get(member.holder)
+        return until is not None and self._clock.seconds() < until
+
+    def _ask_for_holds(self) -> None:
+        now = self._clock.seconds()
+        for member, accounts in self._decisions.holds_due(now).items():
+            ensureDeferred(self._hold(member, accounts))
+
+    async def _hold(
+        self, member: Member, accounts: tuple[AccountId, ...]
+    ) -> None:
+        asked_at = self._clock.seconds()
+        reply = await self._peers.call(
+            member.address,
+            HoldQuota(self._holder, accounts),
+            timeout_s=HOLD_TIMEOUT_S,
+        )
+        if isinstance(reply, QuotaHeld):
+            self._decisions.confirmed(
+                accounts,
+                reply,
+                asked_at=asked_at,
+                now=self._clock.seconds(),
+            )
+
     def _decided(
         self, message: AskQuota, answer: QuotaAnswer, asked_at: float
     ) -> QuotaPermit | QuotaDenied:
--- a/lycheestall/entry/quotas/quota_shares.py
+++ b/lycheestall/entry/quotas/quota_shares.py
@@ -7,9 +7,13 @@
 rest, as shares of it:
 
     initial levels of two new deciding VMs, 0.1 each    0.2
-    the stand-in, its rate and its burst                0.45
-    own shares of all VMs                               0.25
-    requests on the way to targets                      0.1
+    the rate of one that is not confirmed               0.2
+    the stand-in, its rate 0.2 and its burst 0.15       0.35
+    own shares of all VMs                               0.2
+    requests on the way to targets                      0.05
+
+The first and the second VM of an account that have lost contact grant half
+of the quota each, which adds nothing.
 """
 
 from __future__ import annotations
@@ -18,10 +22,13 @@
 from .quota_terms import QuotaTerms
 
 __all__ = [
+    "half_terms",
     "initial_level",
     "own_share_holders",
     "own_share_terms",
+    "stand_in_level",
     "stand_in_terms",
+    "unconfirmed_terms",
     "valid_s",
 ]
 
@@ -34,15 +41,19 @@
 INITIAL_SHARE = 0.1
 """Share of the slack that a new deciding VM starts with."""
 
-STAND_IN_RATE_SHARE = 0.3
-"""Share of the slack that a stand-in grants in a window."""
+STAND_IN_RATE_SHARE = 0.2
+"""Share of the slack that a stand-in, or a deciding VM that is not confirmed,
+grants in a window."""
 
 STAND_IN_BURST_SHARE = 0.15
 """Share of the slack that a stand-in may grant at once besides."""
 
-OWN_SHARE = 0.25
+OWN_SHARE = 0.2
 """Share of the slack for VMs that reach no deciding VM."""
 
+MIN_RATE_PER_S = 0.01
+"""Rate in place of zero."""
+
 OWN_SHARE_PER_WINDOW = 2
 """Requests in a window of a VM with a share of its own: one at once, and
 one a window."""
@@ -59,6 +70,30 @@
     return INITIAL_SHARE * settings.slack
 
 
+def stand_in_level(settings: QuotaSettings) -> float:
+    """Returns the permits that a stand-in has in stock at first."""
+    return STAND_IN_BURST_SHARE * settings.slack
+
+
+def half_terms(terms: QuotaTerms) -> QuotaTerms:
+    """Returns what each of two deciding VMs grants without contact."""
+    return QuotaTerms(
+        terms.version, terms.rate_per_s / 2, max(1.0, terms.burst / 2)
+    )
+
+
+def unconfirmed_terms(
+    settings: QuotaSettings, terms: QuotaTerms
+) -> QuotaTerms:
+    """Returns what a deciding VM grants that was never confirmed."""
+    rate_per_s = STAND_IN_RATE_SHARE * settings.slack / settings.window_s
+    return QuotaTerms(
+        terms.version,
+        max(MIN_RATE_PER_S, min(terms.rate_per_s, rate_per_s)),
+        min(terms.burst, initial_level(settings)),
+    )
+
+
 def stand_in_terms(
     settings: QuotaSettings, terms: QuotaTerms
 ) -> QuotaTerms | None:
@@ -67,7 +102,7 @@
     Returns:
         None if the tolerance leaves it nothing.
     """
-    burst = STAND_IN_BURST_SHARE * settings.slack
+    burst = stand_in_level(settings)
     if burst < 1.0:
         return None
     rate_per_s = STAND_IN_RATE_SHARE * settings.slack / settings.window_s
--- a/tests/entry/quota_simulation.py
+++ b/tests/entry/quota_simulation.py
@@ -2,18 +2,23 @@
 
 from __future__ import annotations
 
+import heapq
+import itertools
 import random
 from collections.abc import Callable, Iterable
 from typing import Any
 
 from twisted.internet.defer import Deferred, ensureDeferred
-from twisted.internet.task import Clock
 
 from lycheestall.clock import sleep
 from lycheestall.entry.accounts import Account, AccountId
 from lycheestall.entry.configuration import Configuration
 from lycheestall.entry.members import Member, Members, join_record
 from lycheestall.entry.peer_messages import decode, encode
+from lycheestall.entry.quotas.account_ranking import (
+    DECIDERS,
+    AccountRanking,
+)
 from lycheestall.entry.quotas.quota_permit import QuotaDenied, QuotaPermit
 from lycheestall.entry.quotas.quota_service import QuotaService
 from lycheestall.entry.store import KeyedRecord, KeyedWrite
@@ -31,6 +36,61 @@
 """Seconds between two steps of each VM."""
 
 
+class SimulatedTimer:
+    """A call that is due at some time."""
+
+    def __init__(
+        self, call: Callable[..., Any], args: tuple[Any, ...]
+    ) -> None:
+        self._call: Callable[..., Any] | None = call
+        self._args = args
+
+    def active(self) -> bool:
+        """Returns whether the call is pending."""
+        return self._call is not None
+
+    def cancel(self) -> None:
+        """Cancels the call."""
+        self._call = None
+
+    def run(self) -> None:
+        """Calls unless it was cancelled."""
+        call, self._call = self._call, None
+        if call is not None:
+            call(*self._args)
+
+
+class SimulatedClock:
+    """A virtual clock for many thousands of timers."""
+
+    def __init__(self) -> None:
+        self._now = 1000.0
+        self._numbers = itertools.count()
+        self._due: list[tuple[float, int, SimulatedTimer]] = []
+
+    def seconds(self) -> float:
+        """Returns the time."""
+        return self._now
+
+    def callLater(  # noqa: N802
+        self, delay: float, call: Callable[..., Any], *args: Any
+    ) -> SimulatedTimer:
+        """Schedules a call."""
+        timer = SimulatedTimer(call, args)
+        due = (self._now + delay, next(self._numbers), timer)
+        heapq.heappush(self._due, due)
+        return timer
+
+    def run(self, seconds: float) -> None:
+        """Lets time pass."""
+        end = self._now + seconds
+        while self._due and self._due[0][0] <= end:
+            at, _, timer = heapq.heappop(self._due)
+            self._now = max(self._now, at)
+            timer.run()
+        self._now = end
+
+
 class SimulatedVm:
     """A VM's quota service with its clock and its links."""
 
@@ -43,12 +103,13 @@
         self.killed = False
         self.resumes_at = 0.0
         self.configuration = system.configuration
+        self.members = system.new_members()
         self.service = QuotaService(
             holder=self.holder,
             settings=SETTINGS,
             first_start=False,
             configuration=lambda: self.configuration,
-            members=system.members,
+            members=self.members,
             peers=self,  # type: ignore[arg-type]
             clock=self,
             logger=get_logger(),
@@ -110,11 +171,14 @@
         run_at_by_account: When targets ran requests of each account.
     """
 
-    def __init__(self, *, vms: int, accounts: Iterable[Account]) -> None:
-        self.clock: Any = Clock()
-        self.clock.advance(1000.0)
+    def __init__(
+        self, *, vms: int, accounts: Iterable[Account], skew_s: float = 0.0
+    ) -> None:
+        self.clock = SimulatedClock()
         self.random = random.Random(vms)
-        self.members = Members()
+        self._skew_s = skew_s
+        self._shared_members = Members()
+        self._records: list[KeyedRecord] = []
         self.configuration = Configuration(1, (), {}, accounts=tuple(accounts))
         self.messages = 0
         self.cut: set[HolderId] = set()
@@ -131,6 +195,15 @@
         self.vms.append(vm)
         return vm
 
+    def new_members(self) -> Members:
+        """Returns the members as a VM that starts reads them."""
+        if self._skew_s == 0:
+            return self._shared_members
+        members = Members()
+        for record in self._records:
+            members.apply(record)
+        return members
+
     def kill(self, number: int) -> None:
         """Ends a VM's process."""
         self.vms[number].killed = True
@@ -153,9 +226,9 @@
 
     def decider(self, account: Account, rank: int = 0) -> int:
         """Returns the number of the VM that decides on an account."""
-        ranking = self.vms[0].service.ranking
-        member = ranking.ranked(account.account)[rank]
-        return self.vms.index(self.vm_by_address[member.address])
+        ranking = AccountRanking(self._shared_members, size=DECIDERS)
+        address = ranking.ranked(account.account)[rank].address
+        return [vm.address for vm in self.vms].index(address)
 
     def configure(self, *accounts: Account) -> None:
         """Applies a new configuration on all VMs."""
@@ -197,13 +270,14 @@
 
     def run(self, seconds: float) -> None:
         """Lets time pass."""
-        for _ in range(round(seconds * 1000)):
-            self.clock.advance(0.001)
+        self.clock.run(seconds)
 
     def _start(self, number: int, incarnation: int) -> SimulatedVm:
         vm = SimulatedVm(self, number, incarnation)
         self.vm_by_address[vm.address] = vm
         self._apply(join_record(self._member(vm)))
+        if self._skew_s:
+            vm.members.apply(self._records[-1])
         return vm
 
     def _member(self, vm: SimulatedVm) -> Member:
@@ -211,8 +285,14 @@
 
     def _apply(self, write: KeyedWrite) -> None:
         self._offset += 1
-        offset = Offset(self._offset)
-        self.members.apply(KeyedRecord(offset, write.key, write.value))
+        record = KeyedRecord(Offset(self._offset), write.key, write.value)
+        self._records.append(record)
+        self._shared_members.apply(record)
+        if self._skew_s == 0:
+            return
+        for vm in self.vms:
+            delay_s = self.random.uniform(0.0, self._skew_s)
+            self.clock.callLater(delay_s, vm.members.apply, record)
 
 
 def most_in_window(times: list[float], window_s: float) -> int:
