Let the test of the process find two free ports in sequence

Cause: a VM listens on the port after its first internal one too, which the test didn't check. Change: the test binds both ports of a pair before it uses them.

--- a/tests/entry/test_platform_adapter.py
+++ b/tests/entry/test_platform_adapter.py
@@ -4,6 +4,7 @@
 
 import os
 import signal
+import socket
 import subprocess
 import sys
 from collections.abc import Callable, Coroutine, Iterator
@@ -226,17 +227,19 @@
         )
 
 
-def _free_ports(reactor: Any, count: int) -> list[int]:
-    ports = [
-        reactor.listenTCP(
-            0, CallerFactory(_FakeTarget(), reactor), interface="127.0.0.1"
-        )
-        for _ in range(count)
-    ]
-    numbers = [port.getHost().port for port in ports]
-    for port in ports:
-        port.stopListening()
-    return numbers
+def _free_ports(count: int) -> list[int]:
+    """Returns the first ports of free pairs; a VM uses the next one too."""
+    free: list[int] = []
+    while len(free) < count:
+        with socket.socket() as first, socket.socket() as second:
+            first.bind(("127.0.0.1", 0))
+            port = first.getsockname()[1]
+            try:
+                second.bind(("127.0.0.1", port + 1))
+            except OSError:
+                continue
+            free.append(port)
+    return free
 
 
 def test_the_process_serves_requests_and_shuts_down_gracefully(
@@ -262,7 +265,7 @@
     }
     log.put(Topic.TARGETS, KeyedWrite(b"one", orjson.dumps(registration)))
     front_port, ready_port, first_internal_port, last_internal_port = (
-        _free_ports(reactor, 4)
+        _free_ports(4)
     )
     first_internal_port, last_internal_port = (
         min(first_internal_port, last_internal_port),
