Test quotas under overload, uneven load and failures of VMs

Cause: the bound on every window and whole programs under overload had only a test of four VMs. Requests and length of a program are learned faster at first.

--- a/lycheestall/entry/quotas/program_admission.py
+++ b/lycheestall/entry/quotas/program_admission.py
@@ -26,7 +26,7 @@
 MAX_PROGRAMS = 4096
 """Programs of one account that are remembered, those heard from last."""
 
-SILENT_GAPS = 3.0
+SILENT_GAPS = 4.0
 """Usual gaps between two requests of a program after which it has ended."""
 
 MIN_SILENT_S = 0.5
@@ -36,6 +36,10 @@
 USUAL_REQUESTS = 4.0
 """What programs are taken for before any has been observed."""
 
+USUAL_PROGRAM_S = 5.0
+"""Least observation in seconds of active programs, so that a few requests at
+once don't count as the usual rate."""
+
 LEARNING_SHARE = 0.05
 """Weight of one observation in the mean."""
 
@@ -67,11 +71,12 @@
         self.requests_per_program = USUAL_REQUESTS
         self.gap_s = USUAL_GAP_S
         self._active: OrderedDict[str, _Program] = OrderedDict()
-        self._ended: OrderedDict[str, float] = OrderedDict()
+        self._ended: OrderedDict[str, _Program] = OrderedDict()
         self._return_at: OrderedDict[str, float] = OrderedDict()
         self._last_single_at = float("-inf")
-        self._requests = 1.0 / USUAL_GAP_S
-        self._program_s = 1.0
+        self._programs_ended = 0
+        self._requests = USUAL_PROGRAM_S / USUAL_GAP_S
+        self._program_s = USUAL_PROGRAM_S
         self._counted_at: float | None = None
 
     @property
@@ -137,11 +142,11 @@
         self._requests += 1.0
         self._return_at.pop(program, None)
         known = self._active.pop(program, None)
+        known = known or self._ended.pop(program, None)
         if known is None:
             known = _Program(now)
-            self._ended.pop(program, None)
         else:
-            gap_s = now - known.seen_at
+            gap_s = min(MAX_SILENT_S, now - known.seen_at)
             self.gap_s += LEARNING_SHARE * (gap_s - self.gap_s)
         known.seen_at = now
         known.requests += 1
@@ -207,8 +212,11 @@
                 break
             self._end_oldest()
         while self._ended:
-            program, ended_at = next(iter(self._ended.items()))
-            if ended_at > now - MEMORY_S and len(self._ended) < MAX_PROGRAMS:
+            program, ended = next(iter(self._ended.items()))
+            if (
+                ended.seen_at > now - MEMORY_S
+                and len(self._ended) < MAX_PROGRAMS
+            ):
                 break
             del self._ended[program]
         late = [
@@ -226,13 +234,14 @@
         kept = max(0.0, 1.0 - elapsed_s / MEMORY_RATE_S)
         self._requests *= kept
         self._program_s = self._program_s * kept + self.active * elapsed_s
-        if self._program_s < 1.0:
-            missing_s = 1.0 - self._program_s
-            self._program_s = 1.0
-            self._requests += missing_s / USUAL_GAP_S
+        missing_s = max(0.0, USUAL_PROGRAM_S - self._program_s)
+        self._program_s += missing_s
+        self._requests += missing_s / USUAL_GAP_S
 
     def _end_oldest(self) -> None:
         program, known = self._active.popitem(last=False)
-        self._ended[program] = known.seen_at
+        self._ended[program] = known
+        self._programs_ended += 1
+        share = max(LEARNING_SHARE, 1.0 / (1.0 + self._programs_ended))
         error = known.requests - self.requests_per_program
-        self.requests_per_program += LEARNING_SHARE * error
+        self.requests_per_program += share * error
--- a/tests/entry/quota_simulation.py
+++ b/tests/entry/quota_simulation.py
@@ -5,6 +5,7 @@
 import heapq
 import itertools
 import random
+from collections import defaultdict
 from collections.abc import Callable, Iterable
 from typing import Any
 
@@ -13,6 +14,7 @@
 from lycheestall.clock import sleep
 from lycheestall.entry.accounts import Account, AccountId
 from lycheestall.entry.configuration import Configuration
+from lycheestall.entry.limit_waits import STARTED_WAIT_S
 from lycheestall.entry.members import Member, Members, join_record
 from lycheestall.entry.peer_messages import decode, encode
 from lycheestall.entry.quotas.account_ranking import (
@@ -102,6 +104,7 @@
         self.holder = HolderId(f"vm-{number}.{incarnation}")
         self.killed = False
         self.resumes_at = 0.0
+        self.clock_offset_s = 0.0
         self.configuration = system.configuration
         self.members = system.new_members()
         self.service = QuotaService(
@@ -118,7 +121,7 @@
 
     def seconds(self) -> float:
         """Returns the time."""
-        return float(self.system.clock.seconds())
+        return self.system.clock.seconds() + self.clock_offset_s
 
     def call(
         self, address: Address, message: Any, *, timeout_s: float
@@ -158,8 +161,7 @@
     def _step(self) -> None:
         if self.killed:
             return
-        now = self.seconds()
-        if now >= self.resumes_at:
+        if self.system.clock.seconds() >= self.resumes_at:
             ensureDeferred(self.service.step())
         self.system.clock.callLater(STEP_S, self._step)
 
@@ -167,6 +169,11 @@
 class QuotaSystem:
     """VMs, accounts, and what the targets see of them.
 
+    Args:
+        vms: Number of VMs.
+        accounts: The accounts in the configuration.
+        skew_s: Longest time until a VM knows of a change of the members.
+
     Attributes:
         run_at_by_account: When targets ran requests of each account.
     """
@@ -182,9 +189,11 @@
         self.configuration = Configuration(1, (), {}, accounts=tuple(accounts))
         self.messages = 0
         self.cut: set[HolderId] = set()
+        self.isolated = False
         self.vm_by_address: dict[Address, SimulatedVm] = {}
         self.vms: list[SimulatedVm] = []
-        self.run_at_by_account: dict[AccountId, list[float]] = {}
+        self.run_at_by_account: defaultdict[AccountId, list[float]]
+        self.run_at_by_account = defaultdict(list)
         self._offset = 0
         for _ in range(vms):
             self.add()
@@ -215,6 +224,10 @@
         self._offset += 1
         self.vms[number] = self._start(number, self._offset)
 
+    def freeze(self, number: int, seconds: float) -> None:
+        """Suspends a VM for some time."""
+        self.vms[number].resumes_at = self.clock.seconds() + seconds
+
     def remove(self, number: int) -> None:
         """Removes a killed VM from the members."""
         write = join_record(self._member(self.vms[number]))
@@ -222,6 +235,8 @@
 
     def is_cut(self, one: SimulatedVm, other: SimulatedVm) -> bool:
         """Returns whether two VMs don't reach each other."""
+        if self.isolated:
+            return True
         return (one.holder in self.cut) != (other.holder in self.cut)
 
     def decider(self, account: Account, rank: int = 0) -> int:
@@ -244,9 +259,19 @@
         *,
         vm: int | None = None,
         remaining_s: float = 6.0,
-        max_wait_s: float = 0.5,
+        held_s: float = 0.0,
+        is_run: bool = True,
     ) -> QuotaPermit | QuotaDenied:
-        """Sends one request through a VM, a random one by default."""
+        """Sends one request through a VM, a random one by default.
+
+        Args:
+            account: The request's account.
+            program: Its program.
+            vm: Number of the VM.
+            remaining_s: Seconds until its deadline.
+            held_s: Seconds between the permit and its use.
+            is_run: Whether the target runs the request.
+        """
         if vm is None:
             vm = self.random.randrange(len(self.vms))
         sender = self.vms[vm]
@@ -255,17 +280,20 @@
             None if program is None else ProgramId(program),
             version=self.configuration.version,
             starts_program=True,
-            max_wait_s=max_wait_s,
+            max_wait_s=STARTED_WAIT_S,
             remaining_s=remaining_s,
         )
-        if isinstance(result, QuotaPermit):
-            delay_s = result.starts_at - self.clock.seconds()
-            if delay_s > 0:
-                await sleep(self.clock, delay_s)
-            if self.clock.seconds() < result.expires_at and not sender.killed:
-                self.run_at_by_account.setdefault(account.account, []).append(
-                    self.clock.seconds()
-                )
+        if isinstance(result, QuotaDenied):
+            return result
+        delay_s = result.starts_at - sender.seconds() + held_s
+        await sleep(self.clock, max(0.0, delay_s))
+        if self.clock.seconds() < sender.resumes_at:
+            await sleep(self.clock, sender.resumes_at - self.clock.seconds())
+        if sender.seconds() >= result.expires_at or not is_run:
+            sender.service.give_back(result)
+        elif not sender.killed:
+            now = self.clock.seconds()
+            self.run_at_by_account[account.account].append(now)
         return result
 
     def run(self, seconds: float) -> None:
@@ -310,3 +338,90 @@
     """Returns the requests of an account that a window may hold."""
     quota = account.rate_per_s * SETTINGS.window_s + account.burst
     return quota * (1 + SETTINGS.overage) + SETTINGS.slack
+
+
+class ProgramLoad:
+    """Programs of one account that arrive at random.
+
+    Args:
+        system: The VMs.
+        account: The account.
+        excess: How many times its quota it asks for.
+        requests: Number of requests of a program.
+        gap_s: Mean time between two of them.
+        vms: Number of the VMs that get its requests; all by default.
+
+    Attributes:
+        begun: Programs that had a request granted.
+        finished: Programs that had all of theirs granted.
+        offered: Programs that arrived.
+    """
+
+    def __init__(
+        self,
+        system: QuotaSystem,
+        account: Account,
+        *,
+        excess: float,
+        requests: int = 6,
+        gap_s: float = 0.25,
+        vms: int | None = None,
+    ) -> None:
+        self._system = system
+        self._account = account
+        self._requests = requests
+        self._gap_s = gap_s
+        self._vms = vms or len(system.vms)
+        self._per_s = excess * account.rate_per_s / requests
+        self._stopped = False
+        self.begun = 0
+        self.finished = 0
+        self.offered = 0
+
+    def start(self) -> None:
+        """Lets programs arrive from now on."""
+        delay_s = self._system.random.expovariate(self._per_s)
+        self._system.clock.callLater(delay_s, self._arrive)
+
+    def run(self, seconds: float) -> None:
+        """Lets programs arrive for some time, and the last ones end."""
+        self.start()
+        self._system.run(seconds)
+        self._stopped = True
+        self._system.run(15.0)
+
+    def goodput(self, seconds: float) -> float:
+        """Returns the programs finished per program that was possible."""
+        carried = self._account.rate_per_s * seconds / self._requests
+        return self.finished / min(carried, self.offered)
+
+    def _arrive(self) -> None:
+        if self._stopped:
+            return
+        self.offered += 1
+        program = f"{self._account.account}-{self.offered}"
+        ensureDeferred(self._run_program(program))
+        self.start()
+
+    async def _run_program(self, program: str) -> None:
+        for number in range(self._requests):
+            if not await self._send(program):
+                return
+            self.begun += number == 0
+            gap_s = self._system.random.expovariate(1.0 / self._gap_s)
+            await sleep(self._system.clock, gap_s)
+        self.finished += 1
+
+    async def _send(self, program: str) -> bool:
+        remaining_s = 6.0
+        while remaining_s > 0.1:
+            vm = self._system.random.randrange(self._vms)
+            result = await self._system.send(
+                self._account, program, vm=vm, remaining_s=remaining_s
+            )
+            if isinstance(result, QuotaPermit):
+                return True
+            delay_s = min(result.retry_after_s, remaining_s / 3)
+            remaining_s -= delay_s
+            await sleep(self._system.clock, delay_s)
+        return False
