Begin to decide on accounts before the first request of each

Cause: a bucket that starts with the first request of its account refuses the rest of a burst; each change of the members ranked all of them again for each account. Change: a VM prepares the accounts of its configuration a few at a time; a change of the members compares only those that came. Estimates of programs survive long pauses: a state machine found a division by zero there.

--- a/lycheestall/entry/entry_vm.py
+++ b/lycheestall/entry/entry_vm.py
@@ -225,6 +225,7 @@
             peers=peers,
             clock=reactor,
             logger=logger,
+            log=self._log.quotas,
         )
         dependencies = RequestDependencies(
             clock=reactor,
--- a/lycheestall/entry/permit_deciders.py
+++ b/lycheestall/entry/permit_deciders.py
@@ -6,8 +6,9 @@
 
 from .members import Member, Members
 from .target_table import TargetProcess
+from .vm_settings import Address
 
-__all__ = ["PermitDeciders", "rank_members"]
+__all__ = ["PermitDeciders", "member_weight"]
 
 DECIDERS = 2
 """VMs that may decide on a target: the first, and one in its stead."""
@@ -41,16 +42,15 @@
         return ranked
 
     def _rank(self, process: TargetProcess) -> tuple[Member, ...]:
-        key = f"{process.target}:{process.started_ms}"
-        return rank_members(self._members, key)[:DECIDERS]
+        def weight(member: Member) -> int:
+            key = f"{process.target}:{process.started_ms}"
+            return member_weight(key, member.address)
 
+        members = sorted(self._members.all(), key=weight, reverse=True)
+        return tuple(members[:DECIDERS])
 
-def rank_members(members: Members, key: str) -> tuple[Member, ...]:
-    """Returns all members, the one that decides on a key first."""
 
-    def weight(member: Member) -> int:
-        address = member.address
-        text = f"{key}:{address.host}:{address.port}"
-        return xxhash.xxh3_64_intdigest(text.encode())
-
-    return tuple(sorted(members.all(), key=weight, reverse=True))
+def member_weight(key: str, address: Address) -> int:
+    """Returns the weight of a member; the highest one decides on the key."""
+    text = f"{key}:{address.host}:{address.port}"
+    return xxhash.xxh3_64_intdigest(text.encode())
--- a/lycheestall/entry/quotas/account_decider.py
+++ b/lycheestall/entry/quotas/account_decider.py
@@ -62,6 +62,7 @@
         terms: What this VM grants of it.
         bucket: The permits.
         since: When this VM began to decide.
+        retired_at: When it stopped; zero until then.
     """
 
     def __init__(
@@ -76,6 +77,7 @@
             now=now,
         )
         self.since = now
+        self.retired_at = 0.0
         self._programs = ProgramAdmission()
 
     def change_terms(
--- a/lycheestall/entry/quotas/account_ranking.py
+++ b/lycheestall/entry/quotas/account_ranking.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import heapq
+
 from ..accounts import AccountId
 from ..members import Member, Members
-from ..permit_deciders import rank_members
+from ..permit_deciders import member_weight
 from ..token_ledger import HolderId
+from ..vm_settings import Address
 
 __all__ = ["DECIDERS", "AccountRanking"]
 
@@ -16,6 +19,9 @@
 class AccountRanking:
     """Ranks the members for each account as for targets with a limit.
 
+    Members come and go all day in a large system. A change therefore only
+    compares the members that came with the highest ones of each account.
+
     Args:
         members: The VMs of the system.
         size: Members to rank.
@@ -25,7 +31,8 @@
         self._members = members
         self._size = size
         self._digest = ""
-        self._by_account: dict[AccountId, tuple[Member, ...]] = {}
+        self._member_by_address: dict[Address, Member] = {}
+        self._addresses_by_account: dict[AccountId, list[Address]] = {}
 
     @property
     def digest(self) -> str:
@@ -35,14 +42,12 @@
     def ranked(self, account: AccountId) -> tuple[Member, ...]:
         """Returns the highest members, the deciding one first."""
         if self.digest != self._digest:
-            self._by_account.clear()
-            self._digest = self.digest
-        ranked = self._by_account.get(account)
-        if ranked is None:
-            ranked = rank_members(self._members, f"quota:{account}")
-            ranked = ranked[: self._size]
-            self._by_account[account] = ranked
-        return ranked
+            self._update()
+        addresses = self._addresses_by_account.get(account)
+        if addresses is None:
+            addresses = self._highest(account, list(self._member_by_address))
+            self._addresses_by_account[account] = addresses
+        return tuple(self._member_by_address[at] for at in addresses)
 
     def rank_of(self, account: AccountId, holder: HolderId) -> int | None:
         """Returns a member's rank from 0; None if it is not among them."""
@@ -50,3 +55,27 @@
             if member.holder == holder:
                 return rank
         return None
+
+    def _update(self) -> None:
+        self._digest = self.digest
+        before = self._member_by_address.keys()
+        current = {member.address: member for member in self._members.all()}
+        added = list(current.keys() - before)
+        removed = before - current.keys()
+        self._member_by_address = current
+        for account, addresses in list(self._addresses_by_account.items()):
+            if not removed.isdisjoint(addresses):
+                del self._addresses_by_account[account]
+            elif added:
+                self._addresses_by_account[account] = self._highest(
+                    account, addresses + added
+                )
+
+    def _highest(
+        self, account: AccountId, addresses: list[Address]
+    ) -> list[Address]:
+        return heapq.nlargest(
+            self._size,
+            addresses,
+            key=lambda address: member_weight(f"quota:{account}", address),
+        )
--- a/lycheestall/entry/quotas/account_terms.py
+++ b/lycheestall/entry/quotas/account_terms.py
@@ -32,6 +32,14 @@
         configuration = self._configuration()
         return 0 if configuration is None else configuration.version
 
+    def limited(self) -> list[tuple[AccountId, QuotaTerms]]:
+        """Returns the accounts with a quota, in a fixed order."""
+        return [
+            (account, terms)
+            for account, terms in self._current().items()
+            if terms.rate_per_s > 0
+        ]
+
     def newest(
         self, account: AccountId, *others: QuotaTerms
     ) -> QuotaTerms | None:
--- a/lycheestall/entry/quotas/program_admission.py
+++ b/lycheestall/entry/quotas/program_admission.py
@@ -53,10 +53,15 @@
 """Seconds for which room is kept for a program that was told to return."""
 
 
+MIN_REQUESTS_PER_S = 0.02
+"""Least requests per second of an active program."""
+
+
 @dataclass(slots=True)
 class _Program:
     seen_at: float
     requests: int = 0
+    seen_from_start: bool = True
 
 
 class ProgramAdmission:
@@ -87,7 +92,7 @@
     @property
     def requests_per_s(self) -> float:
         """Requests per second of one active program."""
-        return self._requests / self._program_s
+        return max(MIN_REQUESTS_PER_S, self._requests / self._program_s)
 
     def programs(self) -> tuple[str, ...]:
         """Returns the programs that have begun, the latest last."""
@@ -97,7 +102,7 @@
         """Adds programs that another VM has seen begin."""
         for program in programs:
             if program not in self._active:
-                self._active[program] = _Program(now)
+                self._active[program] = _Program(now, seen_from_start=False)
 
     def has_begun(self, program: str | None) -> bool:
         """Returns whether a request of the program was granted."""
@@ -233,7 +238,9 @@
         self._counted_at = max(now, before)
         kept = max(0.0, 1.0 - elapsed_s / MEMORY_RATE_S)
         self._requests *= kept
-        self._program_s = self._program_s * kept + self.active * elapsed_s
+        self._program_s *= kept
+        if kept > 0:
+            self._program_s += self.active * elapsed_s
         missing_s = max(0.0, USUAL_PROGRAM_S - self._program_s)
         self._program_s += missing_s
         self._requests += missing_s / USUAL_GAP_S
@@ -241,6 +248,8 @@
     def _end_oldest(self) -> None:
         program, known = self._active.popitem(last=False)
         self._ended[program] = known
+        if not known.seen_from_start:
+            return
         self._programs_ended += 1
         share = max(LEARNING_SHARE, 1.0 / (1.0 + self._programs_ended))
         error = known.requests - self.requests_per_program
--- a/lycheestall/entry/quotas/quota_decisions.py
+++ b/lycheestall/entry/quotas/quota_decisions.py
@@ -41,6 +41,13 @@
 """Seconds after the first start of the whole system in which a new decider
 has a full bucket, since no other one can have granted anything."""
 
+RETIRED_S = 5.0
+"""Seconds for which the next deciding VM may ask for an account's state; it
+learns of the members at about the same time."""
+
+PREPARED = 10
+"""Accounts in one call of ``prepare``."""
+
 UNREACHABLE_RETRY_S = 0.5
 """Retry delay for callers when no deciding VM is reached; the caller should
 try another VM."""
@@ -79,6 +86,7 @@
         # Kept for the next deciding VM, which asks for them.
         self._retired_by_account: dict[AccountId, AccountDecider] = {}
         self._leases = QuotaLeases()
+        self._next_prepared = -1
         self._seen_at = now
         self._pruned_for: tuple[int, str] = (0, "")
 
@@ -93,6 +101,9 @@
         Nothing is granted for the time that the VM has missed: another one
         has decided meanwhile.
         """
+        for account, retired in list(self._retired_by_account.items()):
+            if now - retired.retired_at > RETIRED_S:
+                del self._retired_by_account[account]
         missed = now - self._seen_at > MISSED_S
         self._seen_at = max(now, self._seen_at)
         if missed:
@@ -152,6 +163,25 @@
         # A VM that this one doesn't know yet may have taken over.
         return not self._leases.is_held(account, now)
 
+    def prepare(self, now: float) -> None:
+        """Begins to decide on accounts before the first request of each.
+
+        A few accounts a call, since ranking the members of a large system
+        for one takes milliseconds.
+        """
+        accounts = self._terms.limited()
+        for _ in range(min(PREPARED, len(accounts))):
+            self._next_prepared = (self._next_prepared + 1) % len(accounts)
+            account, terms = accounts[self._next_prepared]
+            known = account in self._decider_by_account
+            if not known and self.is_first(account, now):
+                self._decider_by_account[account] = AccountDecider(
+                    terms,
+                    self._first_terms(account, terms, now),
+                    initial_level(self._settings),
+                    now,
+                )
+
     def holds_due(self, now: float) -> dict[Member, tuple[AccountId, ...]]:
         """Returns the second VMs to ask for a confirmation."""
         due: defaultdict[Member, list[AccountId]] = defaultdict(list)
@@ -240,6 +270,7 @@
         if decider is None:
             decider = AccountDecider(terms, granted, level(granted, now), now)
             by_account[message.account] = decider
+            self._retired_by_account.pop(message.account, None)
         else:
             decider.change_terms(terms, granted, now)
         decision = decider.decide(message, now)
@@ -312,5 +343,6 @@
         for account in list(self._decider_by_account):
             if self._ranking.rank_of(account, self._holder) != 0:
                 retired = self._decider_by_account.pop(account)
+                retired.retired_at = self._seen_at
                 self._retired_by_account[account] = retired
                 self._leases.forget(account)
--- a/lycheestall/entry/quotas/quota_log.py
+++ b/lycheestall/entry/quotas/quota_log.py
@@ -33,6 +33,13 @@
             "quota_decisions_total",
             "Decisions on requests of accounts with a quota, by result.",
         )
+        self._messages = metrics.counter(
+            "quota_messages_total", "Messages about quotas, by type."
+        )
+
+    def message_sent(self, message: str) -> None:
+        """Counts a message to another VM."""
+        self._messages.inc({"message": message})
 
     def granted(self, permit: QuotaPermit) -> None:
         """Counts a request that may be sent."""
--- a/lycheestall/entry/quotas/quota_service.py
+++ b/lycheestall/entry/quotas/quota_service.py
@@ -12,21 +12,22 @@
 from dataclasses import replace
 from typing import Any
 
-from twisted.internet.defer import ensureDeferred
+from twisted.internet.defer import Deferred, ensureDeferred
 
 from ...ids import ProgramId
 from ...logs import Logger
 from ..accounts import Account, AccountId
 from ..configuration import Configuration
 from ..members import Member, Members
-from ..peer_messages import Understood
+from ..peer_messages import PeerReply, Understood
 from ..peer_rpc import PeerClient
 from ..token_ledger import HolderId
-from ..vm_settings import QuotaSettings
+from ..vm_settings import Address, QuotaSettings
 from .account_decider import decode_refusal
 from .account_ranking import DECIDERS, AccountRanking
 from .account_terms import AccountTerms
 from .quota_decisions import QuotaDecisions
+from .quota_log import QuotaLog
 from .quota_messages import (
     AskQuota,
     HoldQuota,
@@ -72,6 +73,7 @@
         peers: Calls them.
         clock: Tells the time, also across a suspension of the VM.
         logger: Receives deciding VMs that don't reply.
+        log: Counts messages.
     """
 
     def __init__(
@@ -85,6 +87,7 @@
         peers: PeerClient,
         clock: Any,
         logger: Logger,
+        log: QuotaLog,
     ) -> None:
         self._holder = holder
         self._valid_s = valid_s(settings)
@@ -92,6 +95,7 @@
         self._peers = peers
         self._clock = clock
         self._logger = logger
+        self._log = log
         self._ranking = AccountRanking(
             members, size=DECIDERS + own_share_holders(settings)
         )
@@ -166,7 +170,9 @@
 
     async def step(self) -> None:
         """Notes the time and sends the permits to be given back."""
-        self._decisions.advance(self._clock.seconds())
+        now = self._clock.seconds()
+        self._decisions.advance(now)
+        self._decisions.prepare(now)
         self._ask_for_holds()
         unsent, self._unsent = self._unsent, defaultdict(list)
         for decider, returned in unsent.items():
@@ -207,9 +213,7 @@
     ) -> QuotaAnswer | None:
         if self._is_silent(member):
             return None
-        reply = await self._peers.call(
-            member.address, message, timeout_s=timeout_s
-        )
+        reply = await self._send(member.address, message, timeout_s=timeout_s)
         if isinstance(reply, QuotaAnswer):
             self._silent_until.pop(member.holder, None)
             return reply
@@ -223,6 +227,16 @@
         )
         return None
 
+    def _send(
+        self,
+        address: Address,
+        message: AskQuota | HoldQuota | ReturnQuota,
+        *,
+        timeout_s: float,
+    ) -> Deferred[PeerReply | None]:
+        self._log.message_sent(type(message).__name__)
+        return self._peers.call(address, message, timeout_s=timeout_s)
+
     def _is_silent(self, member: Member) -> bool:
         until = self._silent_until.get(member.holder)
         return until is not None and self._clock.seconds() < until
@@ -236,7 +250,7 @@
         self, member: Member, accounts: tuple[AccountId, ...]
     ) -> None:
         asked_at = self._clock.seconds()
-        reply = await self._peers.call(
+        reply = await self._send(
             member.address,
             HoldQuota(self._holder, accounts),
             timeout_s=HOLD_TIMEOUT_S,
@@ -284,7 +298,7 @@
         member = self._members.get(decider)
         if member is None:
             return
-        self._peers.call(
+        self._send(
             member.address,
             ReturnQuota(self._holder, decider, returned),
             timeout_s=RETURN_TIMEOUT_S,
--- a/tests/entry/quota_simulation.py
+++ b/tests/entry/quota_simulation.py
@@ -21,6 +21,7 @@
     DECIDERS,
     AccountRanking,
 )
+from lycheestall.entry.quotas.quota_log import QuotaLog
 from lycheestall.entry.quotas.quota_permit import QuotaDenied, QuotaPermit
 from lycheestall.entry.quotas.quota_service import QuotaService
 from lycheestall.entry.store import KeyedRecord, KeyedWrite
@@ -28,6 +29,7 @@
 from lycheestall.entry.vm_settings import Address, QuotaSettings
 from lycheestall.ids import Offset, ProgramId, ZoneId
 from lycheestall.logs import get_logger
+from lycheestall.metric_set import MetricSet
 
 SETTINGS = QuotaSettings(window_s=5.0, overage=0.1, slack=20.0)
 
@@ -116,6 +118,7 @@
             peers=self,  # type: ignore[arg-type]
             clock=self,
             logger=get_logger(),
+            log=system.log,
         )
         self._step()
 
@@ -194,6 +197,7 @@
         self.vms: list[SimulatedVm] = []
         self.run_at_by_account: defaultdict[AccountId, list[float]]
         self.run_at_by_account = defaultdict(list)
+        self.log = QuotaLog(MetricSet(vm="vm"), lambda *_, **__: None)
         self._offset = 0
         for _ in range(vms):
             self.add()
