--- a/lycheestall/entry/quotas/program_admission.py
+++ b/lycheestall/entry/quotas/program_admission.py
@@ -26,7 +26,7 @@
 MAX_PROGRAMS = 4096
 """Programs of one account that are remembered, those heard from last."""
 
-SILENT_GAPS = 3.0
+SILENT_GAPS = 4.0
 """Usual gaps between two requests of a program after which it has ended."""
 
 MIN_SILENT_S = 0.5
@@ -36,6 +36,10 @@
 USUAL_REQUESTS = 4.0
 """What programs are taken for before any has been observed."""
 
+USUAL_PROGRAM_S = 5.0
+"""Least observation in seconds of active programs, so that a few requests at
+once don't count as the usual rate."""
+
 LEARNING_SHARE = 0.05
 """Weight of one observation in the mean."""
 
@@ -49,10 +53,15 @@
 """Seconds for which room is kept for a program that was told to return."""
 
 
+MIN_REQUESTS_PER_S = 0.02
+"""Least requests per second of an active program."""
+
+
 @dataclass(slots=True)
 class _Program:
     seen_at: float
     requests: int = 0
+    seen_from_start: bool = True
 
 
 class ProgramAdmission:
@@ -67,11 +76,12 @@
         self.requests_per_program = USUAL_REQUESTS
         self.gap_s = USUAL_GAP_S
         self._active: OrderedDict[str, _Program] = OrderedDict()
-        self._ended: OrderedDict[str, float] = OrderedDict()
+        self._ended: OrderedDict[str, _Program] = OrderedDict()
         self._return_at: OrderedDict[str, float] = OrderedDict()
         self._last_single_at = float("-inf")
-        self._requests = 1.0 / USUAL_GAP_S
-        self._program_s = 1.0
+        self._programs_ended = 0
+        self._requests = USUAL_PROGRAM_S / USUAL_GAP_S
+        self._program_s = USUAL_PROGRAM_S
         self._counted_at: float | None = None
 
     @property
@@ -82,7 +92,7 @@
     @property
     def requests_per_s(self) -> float:
         """Requests per second of one active program."""
-        return self._requests / self._program_s
+        return max(MIN_REQUESTS_PER_S, self._requests / self._program_s)
 
     def programs(self) -> tuple[str, ...]:
         """Returns the programs that have begun, the latest last."""
@@ -92,7 +102,7 @@
         """Adds programs that another VM has seen begin."""
         for program in programs:
             if program not in self._active:
-                self._active[program] = _Program(now)
+                self._active[program] = _Program(now, seen_from_start=False)
 
     def has_begun(self, program: str | None) -> bool:
         """Returns whether a request of the program was granted."""
@@ -137,11 +147,11 @@
         self._requests += 1.0
         self._return_at.pop(program, None)
         known = self._active.pop(program, None)
+        known = known or self._ended.pop(program, None)
         if known is None:
             known = _Program(now)
-            self._ended.pop(program, None)
         else:
-            gap_s = now - known.seen_at
+            gap_s = min(MAX_SILENT_S, now - known.seen_at)
             self.gap_s += LEARNING_SHARE * (gap_s - self.gap_s)
         known.seen_at = now
         known.requests += 1
@@ -207,8 +217,11 @@
                 break
             self._end_oldest()
         while self._ended:
-            program, ended_at = next(iter(self._ended.items()))
-            if ended_at > now - MEMORY_S and len(self._ended) < MAX_PROGRAMS:
+            program, ended = next(iter(self._ended.items()))
+            if (
+                ended.seen_at > now - MEMORY_S
+                and len(self._ended) < MAX_PROGRAMS
+            ):
                 break
             del self._ended[program]
         late = [
@@ -225,14 +238,19 @@
         self._counted_at = max(now, before)
         kept = max(0.0, 1.0 - elapsed_s / MEMORY_RATE_S)
         self._requests *= kept
-        self._program_s = self._program_s * kept + self.active * elapsed_s
-        if self._program_s < 1.0:
-            missing_s = 1.0 - self._program_s
-            self._program_s = 1.0
-            self._requests += missing_s / USUAL_GAP_S
+        self._program_s *= kept
+        if kept > 0:
+            self._program_s += self.active * elapsed_s
+        missing_s = max(0.0, USUAL_PROGRAM_S - self._program_s)
+        self._program_s += missing_s
+        self._requests += missing_s / USUAL_GAP_S
 
     def _end_oldest(self) -> None:
         program, known = self._active.popitem(last=False)
-        self._ended[program] = known.seen_at
+        self._ended[program] = known
+        if not known.seen_from_start:
+            return
+        self._programs_ended += 1
+        share = max(LEARNING_SHARE, 1.0 / (1.0 + self._programs_ended))
         error = known.requests - self.requests_per_program
-        self.requests_per_program += LEARNING_SHARE * error
+        self.requests_per_program += share * error
