Ask all VMs how far they have read at the first failed call

Seen: 73 VMs, the store resets all calls for 7 s: every VM refuses nearly every program for the whole outage. 'collected the ledger's newest records' never gets complete.

All VMs had to send all their newest records; other groups were asked through one member in each step of 0.25 s, only once the own group was complete.

A VM reads its own records back before it uses them, so AskPosition asks only for the offset up to which a VM has read, and the one VM that has read most is asked for records. All groups are asked at once, two members each, which reply for their group. A VM that is asked and has not noticed the outage calls the store first. A survey agrees with a majority after 0.1 s, without silent peers. Handing over moves out of token_service.py into grant_handover.py.

--- a/lycheestall/entry/entry_vm.py
+++ b/lycheestall/entry/entry_vm.py
@@ -120,7 +120,10 @@
         )
         self._store = RoutedStore(store, peers, reactor, logger)
         self._health = StoreHealth(
-            logger, "ledger", on_recovered=self._on_ledger_recovered
+            logger,
+            "ledger",
+            on_recovered=self._on_ledger_recovered,
+            on_unavailable=lambda: self.token_service.store_lost(),
         )
         address = Address(settings.host, settings.peers_port)
         members = Members()
--- a/lycheestall/entry/ledger_catch_up.py
+++ b/lycheestall/entry/ledger_catch_up.py
@@ -2,14 +2,22 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from typing import Any
 
+from twisted.internet.defer import Deferred
+from twisted.python.failure import Failure
+
 from ..ids import Offset
 from ..logs import Logger
-from .ledger_messages import AskLedger, LedgerTail
-from .members import Member, Members
-from .peer_rpc import PeerClient, call_all
+from .ledger_messages import (
+    AskLedger,
+    AskPosition,
+    LedgerPosition,
+    LedgerTail,
+)
+from .members import Members, MemberView
+from .peer_rpc import PeerClient
 from .token_ledger import HolderId, TokenLedger
 from .unrecorded_grants import UnrecordedGrants
 
@@ -18,15 +26,22 @@
 REPLY_TIMEOUT_S = 0.3
 """Timeout of a peer's reply."""
 
+GROUP_WAIT_S = 0.15
+"""Longest wait for the VMs of a group before one of them replies for all;
+shorter than ``REPLY_TIMEOUT_S``."""
+
+ASKED_PER_GROUP = 2
+"""Members of another group that are asked at once, in case one is lost."""
+
 
 class LedgerCatchUp:
     """Collects the records that other VMs have read or written.
 
-    Every VM knows all records that it has written itself. So what all VMs
-    know together is the whole ledger. What they granted in an earlier outage
-    and have not recorded since is collected with it. Members of other groups
-    are asked one for each group, once it has collected the records of its
-    group.
+    A VM has read all records that it may use, its own included. So all VMs are
+    asked only how far they have read, and the one that has read most is asked
+    for the records. What they granted in an earlier outage and have not
+    recorded since is collected with it. In other groups, two members are asked
+    to reply for all.
 
     Args:
         holder: This VM's ID in the ledger.
@@ -62,27 +77,47 @@
         self._store_unavailable = store_unavailable
         self._clock = clock
         self._logger = logger
-        self._collected_from: set[HolderId] = set()
-        self._collected_groups: set[tuple[HolderId, ...]] = set()
+        self._position_by_vm: dict[HolderId, Offset] = {}
+        self._unheard_by_group: dict[
+            tuple[HolderId, ...], frozenset[HolderId]
+        ] = {}
+        self._position_by_group: dict[
+            tuple[HolderId, ...], tuple[Offset, HolderId]
+        ] = {}
+        self._collected_until = Offset(0)
+        self._no_position_from: set[HolderId] = set()
+        self._calls: set[tuple[HolderId, type]] = set()
         self._unread_vms: set[HolderId] = set()
+        self._waiting: list[Deferred[None]] = []
+        self._outages = 0
         self._steps = 0
-        self._logged_progress: tuple[int, bool] | None = None
+        self._logged_progress: tuple[int, int, bool] | None = None
 
     async def step(self) -> None:
-        """Asks the VMs whose records are missing."""
+        """Asks the VMs whose records may be missing."""
         if not self._store_unavailable() or self.complete:
             return
-        await self._collect(self._missing_members())
-        if self.group_complete:
-            await self._collect(self._next_members_of_groups())
-        self._log_progress()
+        self._steps += 1
+        self._ask_group()
+        for group in self._incomplete_groups():
+            for number in range(min(ASKED_PER_GROUP, len(group))):
+                holder = group[(self._steps + number) % len(group)]
+                self._ask_member(holder, whole_group=True)
+        self._collect()
 
     def reset(self) -> None:
         """Forgets what was collected, since the store is available again."""
-        self._collected_from.clear()
-        self._collected_groups.clear()
+        self._outages += 1
+        self._steps = 0
+        self._position_by_vm.clear()
+        self._unheard_by_group.clear()
+        self._position_by_group.clear()
+        self._no_position_from.clear()
+        self._calls.clear()
         self._unread_vms.clear()
+        self._collected_until = Offset(0)
         self._logged_progress = None
+        self._notify()
 
     def note_vm(self, holder: HolderId) -> None:
         """Notes a VM that takes part in the outage.
@@ -97,12 +132,12 @@
         """Whether the records of this VM's group are known."""
         if any(self._members.get(h) is None for h in self._unread_vms):
             return False
-        return not self._missing_members()
+        return not self._unheard_in_group()
 
     @property
     def complete(self) -> bool:
         """Whether the records of all VMs are known."""
-        return self.group_complete and not self._missing_groups()
+        return self.group_complete and not self._incomplete_groups()
 
     def reply(self, message: AskLedger) -> LedgerTail:
         """Returns the records that a peer has not read."""
@@ -116,60 +151,201 @@
             grants=tuple(self._grants.all()),
         )
 
+    async def reply_position(self, message: AskPosition) -> LedgerPosition:
+        """Returns how much of the ledger this VM, or its group, has read."""
+        if message.whole_group:
+            self._ask_group()
+            await self._wait_for_group()
+        unheard: tuple[HolderId, ...] = ()
+        if message.whole_group:
+            unheard = (*self._unheard_in_group(), *self._unread_vms)
+        return LedgerPosition(
+            self._holder,
+            away=self._store_unavailable(),
+            position=self._read_until(),
+            unheard=unheard,
+            grants=tuple(self._grants.all()),
+        )
+
+    def _ask_group(self) -> None:
+        if not self._store_unavailable():
+            return
+        for holder in self._unheard_in_group():
+            self._ask_member(holder, whole_group=False)
+
+    def _wait_for_group(self) -> Deferred[None]:
+        waiting: Deferred[None] = Deferred()
+        if self.group_complete or not self._store_unavailable():
+            waiting.callback(None)
+            return waiting
+        self._waiting.append(waiting)
+        self._clock.callLater(GROUP_WAIT_S, self._stop_waiting, waiting)
+        return waiting
+
+    def _stop_waiting(self, waiting: Deferred[None]) -> None:
+        if waiting in self._waiting:
+            self._waiting.remove(waiting)
+            waiting.callback(None)
+
+    def _notify(self) -> None:
+        for waiting in list(self._waiting):
+            self._stop_waiting(waiting)
+
+    def _read_until(self) -> Offset:
+        return max(self._position(), self._collected_until)
+
     def _log_progress(self) -> None:
-        progress = (len(self._collected_from), self.complete)
+        unheard = self._unheard_in_group()
+        missing = len(self._incomplete_groups())
+        progress = (len(unheard), missing, self.complete)
         if progress == self._logged_progress:
             return
         self._logged_progress = progress
         self._logger.info(
             "collected the ledger's newest records",
-            vms=len(self._collected_from),
-            missing=[m.holder for m in self._missing_members()],
+            vms=len(self._position_by_vm),
+            missing=unheard,
+            missing_groups=missing,
             group_complete=self.group_complete,
             complete=self.complete,
             ledger_position=self._position(),
+            collected_until=self._read_until(),
         )
 
-    def _missing_members(self) -> list[Member]:
+    def _unheard_in_group(self) -> list[HolderId]:
+        until = self._read_until()
         return [
-            member
+            member.holder
             for member in self._members.group_peers(self._holder)
-            if member.holder not in self._collected_from
+            if self._position_by_vm.get(member.holder, until + 1) > until
         ]
 
-    def _missing_groups(self) -> list[tuple[HolderId, ...]]:
+    def _incomplete_groups(self) -> list[tuple[HolderId, ...]]:
+        until = self._read_until()
         return [
             group
             for group in self._members.view().groups
             if group
             and self._holder not in group
-            and group not in self._collected_groups
+            and (
+                self._unheard_by_group.get(group, True)
+                or self._position_by_group[group][0] > until
+            )
         ]
 
-    def _next_members_of_groups(self) -> list[Member]:
-        self._steps += 1
-        members = [
-            self._members.get(group[self._steps % len(group)])
-            for group in self._missing_groups()
+    def _collect(self) -> None:
+        # The VM that has read most has what all others have.
+        positions = [
+            (position, holder)
+            for holder, position in self._position_by_vm.items()
         ]
-        return [member for member in members if member is not None]
+        positions.extend(self._position_by_group.values())
+        if not positions:
+            return
+        position, holder = max(positions)
+        if position > self._read_until():
+            self._ask_records(holder, position)
+
+    def _ask_member(self, holder: HolderId, *, whole_group: bool) -> None:
+        if holder in self._no_position_from:
+            # VMs of an earlier build reply to this question only.
+            self._ask_records(holder, Offset(0))
+        message = AskPosition(self._holder, whole_group)
+        self._call(holder, message, self._add_position, self._members.view())
 
-    async def _collect(self, members: Iterable[Member]) -> None:
-        message = AskLedger(self._holder, self._position())
-        replies = await call_all(
-            self._peers, members, message, timeout_s=REPLY_TIMEOUT_S
+    def _ask_records(self, holder: HolderId, position: Offset) -> None:
+        message = AskLedger(self._holder, self._read_until())
+        self._call(holder, message, self._add_records, position)
+
+    def _call(
+        self,
+        holder: HolderId,
+        message: AskPosition | AskLedger,
+        add: Callable[[HolderId, Any, Any], None],
+        context: Any,
+    ) -> None:
+        member = self._members.get(holder)
+        call = (holder, type(message))
+        if member is None or call in self._calls:
+            return
+        self._calls.add(call)
+        reply = self._peers.call(
+            member.address, message, timeout_s=REPLY_TIMEOUT_S
         )
-        for reply in replies:
-            if isinstance(reply, LedgerTail):
-                self._add(reply)
+        reply.addCallback(self._replied, call, add, context, self._outages)
+        reply.addErrback(self._call_failed, call)
 
-    def _add(self, tail: LedgerTail) -> None:
-        for record in tail.records:
+    def _replied(
+        self,
+        reply: Any,
+        call: tuple[HolderId, type],
+        add: Callable[[HolderId, Any, Any], None],
+        context: Any,
+        outage: int,
+    ) -> None:
+        if outage != self._outages:
+            return
+        self._calls.discard(call)
+        add(call[0], reply, context)
+        self._collect()
+        if self.group_complete:
+            self._notify()
+        self._log_progress()
+
+    def _call_failed(
+        self, failure: Failure, call: tuple[HolderId, type]
+    ) -> None:
+        self._calls.discard(call)
+        self._logger.error(
+            "collecting the ledger failed", error=failure.getTraceback()
+        )
+
+    def _add_position(
+        self, asked: HolderId, reply: Any, view: MemberView
+    ) -> None:
+        if not isinstance(reply, LedgerPosition):
+            self._no_position_from.add(asked)
+            return
+        self._no_position_from.discard(asked)
+        self._grants.add_all(reply.grants, now=self._clock.seconds())
+        # A process that has started again replies with another ID.
+        if reply.holder != asked or not reply.away:
+            return
+        if not self._store_unavailable():
+            return
+        group = view.group_of(asked)
+        if self._holder in group:
+            self._position_by_vm[asked] = reply.position
+            return
+        self._unheard_by_group[group] = frozenset(reply.unheard)
+        self._position_by_group[group] = (reply.position, asked)
+
+    def _add_records(self, asked: HolderId, reply: Any, until: Offset) -> None:
+        if not isinstance(reply, LedgerTail):
+            if until:
+                self._forget_position(asked)
+            return
+        for record in reply.records:
             self._ledger.apply(record)
-        self._grants.add_all(tail.grants, now=self._clock.seconds())
-        if not tail.complete or not self._store_unavailable():
+        self._grants.add_all(reply.grants, now=self._clock.seconds())
+        if reply.holder != asked or not reply.complete:
+            if until:
+                self._forget_position(asked)
             return
-        self._collected_from.add(tail.holder)
-        if tail.group_complete:
-            view = self._members.view()
-            self._collected_groups.add(view.group_of(tail.holder))
+        if not self._store_unavailable():
+            return
+        self._collected_until = max(self._collected_until, until)
+        group = self._members.view().group_of(asked)
+        if self._holder in group:
+            self._position_by_vm.setdefault(asked, Offset(0))
+        elif reply.group_complete:
+            self._unheard_by_group[group] = frozenset()
+            self._position_by_group.setdefault(group, (Offset(0), asked))
+
+    def _forget_position(self, holder: HolderId) -> None:
+        # It has read more than the others, and can't be asked any more.
+        self._position_by_vm.pop(holder, None)
+        for group, (_, asked) in list(self._position_by_group.items()):
+            if asked == holder:
+                del self._position_by_group[group]
+                del self._unheard_by_group[group]
--- a/lycheestall/entry/ledger_messages.py
+++ b/lycheestall/entry/ledger_messages.py
@@ -9,7 +9,7 @@
 from .token_ledger import HolderId
 from .unrecorded_grants import TurnGrant
 
-__all__ = ["AskLedger", "LedgerTail"]
+__all__ = ["AskLedger", "AskPosition", "LedgerPosition", "LedgerTail"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,3 +43,39 @@
     group_complete: bool
     records: tuple[KeyedRecord, ...]
     grants: tuple[TurnGrant, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class AskPosition:
+    """Asks how much of the ledger a peer has read, while the store is away.
+
+    Attributes:
+        holder: The VM that asks.
+        whole_group: Whether the peer replies for its whole group.
+    """
+
+    holder: HolderId
+    whole_group: bool
+
+
+@dataclass(frozen=True, slots=True)
+class LedgerPosition:
+    """How much of the ledger a VM has read.
+
+    A VM reads its own records back before they take effect. So whoever has
+    all records before its position has all that it may use.
+
+    Attributes:
+        holder: The VM that replies.
+        away: Whether the store is away from it too.
+        position: Offset before which it has all records, those of other VMs
+            included.
+        unheard: Members of its group whose records may be missing.
+        grants: All unrecorded grants that it knows of.
+    """
+
+    holder: HolderId
+    away: bool
+    position: Offset
+    unheard: tuple[HolderId, ...]
+    grants: tuple[TurnGrant, ...]
--- a/lycheestall/entry/peer_messages.py
+++ b/lycheestall/entry/peer_messages.py
@@ -17,7 +17,12 @@
     decode_attempt_fields,
     encode_attempt_fields,
 )
-from .ledger_messages import AskLedger, LedgerTail
+from .ledger_messages import (
+    AskLedger,
+    AskPosition,
+    LedgerPosition,
+    LedgerTail,
+)
 from .origin_messages import (
     FindStreamOrigin,
     FoundStreamOrigin,
@@ -84,11 +89,13 @@
     "AskTokens",
     "AskUnrecorded",
     "AskLedger",
+    "AskPosition",
     "ChangedLimits",
     "GrantedTokens",
     "Handover",
     "HandoverGrants",
     "HoldGrant",
+    "LedgerPosition",
     "LedgerTail",
     "PeerMessage",
     "PeerReply",
@@ -163,6 +170,7 @@
     | AskGranted
     | AskUnrecorded
     | AskLedger
+    | AskPosition
     | SettleTokens
     | HoldGrant
     | Handover
@@ -187,6 +195,7 @@
     | GrantedTokens
     | UnrecordedReport
     | LedgerTail
+    | LedgerPosition
     | Understood
     | Appended
     | AppendConflict
@@ -213,6 +222,7 @@
         GrantedTokens,
         AskUnrecorded,
         AskLedger,
+        AskPosition,
         SettleTokens,
         Understood,
         Appended,
@@ -291,6 +301,14 @@
             _encode_records(message.records),
             encode_grants(message.grants),
         ]
+    if isinstance(message, LedgerPosition):
+        return [
+            message.holder,
+            message.away,
+            message.position,
+            list(message.unheard),
+            encode_grants(message.grants),
+        ]
     if isinstance(message, Records):
         return [_encode_records(message.records), message.end]
     if isinstance(message, NewestPage):
@@ -344,6 +362,11 @@
             _decode_records(rows),
             decode_grants(grants),
         )
+    if name == LedgerPosition.__name__:
+        holder, away, position, unheard, grants = fields
+        return LedgerPosition(
+            holder, away, position, tuple(unheard), decode_grants(grants)
+        )
     if name == Records.__name__:
         return Records(_decode_records(fields[0]), fields[1])
     if name == NewestPage.__name__:
--- a/lycheestall/entry/peer_survey.py
+++ b/lycheestall/entry/peer_survey.py
@@ -6,14 +6,14 @@
 from typing import Any
 
 import xxhash
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, DeferredList
 
 from ..ids import Offset, ZoneId
 from ..logs import Logger
-from .members import Member, Members
+from .members import Member, Members, MemberView
 from .outage import OutageTracker, SurveyResult
 from .peer_messages import PeerReply, StoreReport, Survey
-from .peer_rpc import PeerClient, call_all
+from .peer_rpc import PeerClient
 from .routed_store import RoutedStore
 from .token_ledger import HolderId
 
@@ -22,6 +22,9 @@
 SURVEY_TIMEOUT_S = 0.3
 """Timeout of a peer's report."""
 
+MAJORITY_WAIT_S = 0.1
+"""Seconds after which a majority agrees without the peers that are silent."""
+
 PROBE_INTERVAL_S = 1.0
 """Seconds between checks whether the store is available directly again."""
 
@@ -39,6 +42,8 @@
         clock: Times the calls.
         logger: Receives the results.
         position: Returns the ledger offset read so far.
+        store_unavailable: Returns whether a ledger call has failed since the
+            last successful one started.
     """
 
     def __init__(
@@ -53,8 +58,10 @@
         clock: Any,
         logger: Logger,
         position: Callable[[], Offset],
+        store_unavailable: Callable[[], bool],
     ) -> None:
         self._position = position
+        self._store_unavailable = store_unavailable
         self._holder = holder
         self._zone = zone
         self._store = store
@@ -64,6 +71,7 @@
         self._clock = clock
         self._logger = logger
         self._probed_at = 0.0
+        self._surveying = False
         self._last_result: SurveyResult | None = None
 
     async def step(self) -> None:
@@ -71,10 +79,10 @@
         if self._store.relayed:
             await self._probe()
             return
-        if not self._store.direct_unavailable:
-            self._last_result = None
+        if self._store.direct_unavailable or self._is_away():
+            await self._survey()
             return
-        await self._survey()
+        self._last_result = None
 
     def report(self, survey: Survey) -> Deferred[PeerReply]:
         """Reports to a peer whether this VM reaches the store.
@@ -101,6 +109,9 @@
             members=() if same_view else self._members.records(),
         )
 
+    def _is_away(self) -> bool:
+        return not self._store.direct_up and self._store_unavailable()
+
     async def _probe(self) -> None:
         now = self._clock.seconds()
         if now - self._probed_at < PROBE_INTERVAL_S:
@@ -109,32 +120,75 @@
         await self._store.probe(self._position())
 
     async def _survey(self) -> None:
+        if self._surveying:
+            return
+        self._surveying = True
         started = self._clock.seconds()
         view = self._members.view()
-        message = Survey(self._holder, view.digest)
         others = self._members.group_peers(self._holder)
-        replies = await call_all(
-            self._peers, others, message, timeout_s=SURVEY_TIMEOUT_S
+        reports: list[StoreReport] = []
+        timer = self._clock.callLater(
+            MAJORITY_WAIT_S, self._add_majority, view, reports, started
         )
-        reports = [r for r in replies if isinstance(r, StoreReport)]
-        for report in reports:
-            for record in report.members:
-                self._members.apply(record)
+        await self._ask(others, view, reports)
+        if timer.active():
+            timer.cancel()
+        self._surveying = False
         result = self._outage.add_survey(view, reports, started)
-        if result != self._last_result:
-            self._last_result = result
-            self._logger.info(
-                "survey of peers",
-                asked=len(others),
-                answered=len(reports),
-                reaches_store=len(result.reaches_store),
-                agreeing=result.agreeing,
-                group=len(view.group_of(self._holder)),
-            )
+        self._log_result(result, view, asked=len(others), replies=len(reports))
         relay = self._choose_relay(result, others)
         if relay is not None and self._store.direct_unavailable:
             self._store.relay_through(relay)
 
+    def _add_majority(
+        self, view: MemberView, reports: list[StoreReport], started: float
+    ) -> None:
+        # A silent peer doesn't delay the agreement of the others.
+        self._surveying = False
+        self._outage.add_survey(view, reports, started)
+
+    def _ask(
+        self,
+        others: list[Member],
+        view: MemberView,
+        reports: list[StoreReport],
+    ) -> Deferred[Any]:
+        message = Survey(self._holder, view.digest)
+        calls = [
+            self._peers.call(
+                member.address, message, timeout_s=SURVEY_TIMEOUT_S
+            ).addCallback(self._replied, reports)
+            for member in others
+        ]
+        return DeferredList(calls, consumeErrors=True)
+
+    def _replied(self, reply: Any, reports: list[StoreReport]) -> None:
+        if not isinstance(reply, StoreReport):
+            return
+        reports.append(reply)
+        for record in reply.members:
+            self._members.apply(record)
+
+    def _log_result(
+        self,
+        result: SurveyResult,
+        view: MemberView,
+        *,
+        asked: int,
+        replies: int,
+    ) -> None:
+        if result == self._last_result:
+            return
+        self._last_result = result
+        self._logger.info(
+            "survey of peers",
+            asked=asked,
+            answered=replies,
+            reaches_store=len(result.reaches_store),
+            agreeing=result.agreeing,
+            group=len(view.group_of(self._holder)),
+        )
+
     def _choose_relay(
         self, result: SurveyResult, others: list[Member]
     ) -> Member | None:
--- a/lycheestall/entry/token_service.py
+++ b/lycheestall/entry/token_service.py
@@ -2,24 +2,24 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
 from typing import Any, cast
 
 from twisted.internet.defer import Deferred, ensureDeferred
 from twisted.python.failure import Failure
 
-from ..ids import Offset, ProgramId, ZoneId
+from ..ids import Offset, ZoneId
 from ..logs import Logger
-from ..rendezvous import rendezvous
 from .crash_reports import CrashReports
 from .failure_detector import FailureDetector
+from .grant_handover import GrantHandover
 from .grant_recorder import GrantRecorder
 from .ledger_catch_up import LedgerCatchUp
-from .ledger_messages import AskLedger, LedgerTail
+from .ledger_messages import AskLedger, AskPosition, LedgerTail
 from .ledger_writer import LedgerWriter
 from .members import Member, Members, join_record, leave_record
 from .outage import OutageMode, OutageTracker
 from .outage_allocator import OutageAllocator
+from .outage_start import OutageStart
 from .peer_messages import (
     AskGranted,
     AskTokens,
@@ -35,18 +35,17 @@
     TokenAnswer,
     Understood,
 )
-from .peer_rpc import PeerClient, PeerHandler, call_all
+from .peer_rpc import PeerClient, PeerHandler
 from .peer_survey import PeerSurvey
 from .relay_messages import RelayAppend, RelayNewest, RelayRead
 from .routed_store import RoutedStore
 from .store import KeyedRecord, Topic
 from .store_health import StoreHealth
 from .token_allocator import TokenAllocator
-from .token_ledger import HolderId, TokenLedger, TurnRef
-from .token_messages import UNNAMED_TURN, OutageGrant
+from .token_ledger import HolderId, TokenLedger
 from .topic_follower import TopicFollower
 from .turn_reservations import TurnReservations
-from .unrecorded_grants import TurnGrant, UnrecordedGrants
+from .unrecorded_grants import UnrecordedGrants
 from .vm_settings import Address
 
 __all__ = ["TokenService"]
@@ -59,9 +58,6 @@
 """Seconds after a start for which a crash of this VM's process before it stays
 in the ledger, so that other VMs learn of it."""
 
-HANDOVER_TIMEOUT_S = 0.4
-"""Timeout for a peer to take over this VM's grants."""
-
 
 class TokenService(PeerHandler):
     """Connects the ledger, the allocators, the outage tracker and the peers.
@@ -106,11 +102,9 @@
         self._store = store
         self._peers = peers
         self._reactor = reactor
-        self._handed_over = False
         self._refreshing = False
         self._logger = logger
         self._joined = False
-        self._grants_handed_over_by: set[HolderId] = set()
         self.members = members
         self.ledger = TokenLedger()
         self.crashes = CrashReports(holder)
@@ -186,6 +180,27 @@
             clock=reactor,
             logger=logger,
             position=self._position,
+            store_unavailable=lambda: health.unavailable,
+        )
+        self._handover = GrantHandover(
+            holder=holder,
+            members=members,
+            grants=self._grants,
+            outage=self.outage,
+            writer=self.writer,
+            peers=peers,
+            clock=reactor,
+        )
+        self._outage_start = OutageStart(
+            store=store,
+            survey=self._peer_survey,
+            catch_up=self._catch_up,
+            outage=self.outage,
+            refresh=self.refresh,
+            store_unavailable=lambda: health.unavailable,
+            position=self._position,
+            clock=reactor,
+            logger=logger,
         )
         self._failure_detector = FailureDetector(
             holder=holder,
@@ -248,13 +263,18 @@
         """Evicts programs that had no turns for a while."""
         self._allocator.forget_idle(self._reactor.seconds())
 
+    def store_lost(self) -> None:
+        """Agrees with the peers on an outage, since a call has failed."""
+        if self.follower.loaded:
+            self._outage_start.begin()
+
     def store_recovered(self) -> None:
         """Ends the outage, since the store is available again."""
         self._end_outage()
 
     async def leave(self) -> None:
         """Hands over this VM's grants and writes its last records."""
-        await self._hand_over()
+        await self._handover.hand_over()
         self.writer.append_record(leave_record(self._holder))
         await self.writer.flush()
 
@@ -266,16 +286,18 @@
             self._catch_up.note_vm(message.holder)
             return self._peer_survey.report(message)
         if isinstance(message, AskTokens):
-            if self._handed_over:
+            if self._handover.handed_over:
                 return TokenAnswer(granted=False, spent=False)
             answer: Any = self.reservations.decide(message)
             return cast("Deferred[PeerReply]", answer)
         if isinstance(message, AskGranted):
-            if self._handed_over:
+            if self._handover.handed_over:
                 return GrantedTokens(known=False, tokens=0)
             return self.reservations.report_grants(message)
         if isinstance(message, AskLedger):
             return self._reply_ledger(message)
+        if isinstance(message, AskPosition):
+            return ensureDeferred(self._outage_start.reply_position(message))
         if isinstance(message, AskUnrecorded):
             return self.reservations.report_unrecorded(message)
         if isinstance(message, SettleTokens):
@@ -285,11 +307,10 @@
             self._grants.add(message.grant, now=self._reactor.seconds())
             return Understood()
         if isinstance(message, HandoverGrants):
-            self._grants_handed_over_by.add(message.holder)
-            self._grants.add_all(message.grants, now=self._reactor.seconds())
+            self._handover.take_grants(message)
             return Understood()
         if isinstance(message, Handover):
-            self._take_over(message)
+            self._handover.take_over(message)
             return Understood()
         relayed: Deferred[PeerReply] = self._relayed(message)
         return relayed
@@ -305,7 +326,7 @@
 
     def _end_outage(self) -> None:
         self.reservations.outage_ended()
-        self._remove_members_that_left()
+        self._handover.remove_members_that_left()
 
     def _relayed(self, message: PeerMessage | PeerReply) -> Any:
         store = self._store.direct
@@ -326,49 +347,6 @@
             )
         raise ValueError(f"unexpected peer message {type(message).__name__}")
 
-    async def _hand_over(self) -> None:
-        self._handed_over = True
-        grants = tuple(self._grants.all())
-        others = [
-            member
-            for member in self.members.all()
-            if member.holder != self._holder
-        ]
-        messages = (
-            HandoverGrants(self._holder, grants),
-            Handover(self._holder, _tokens_by_holder(grants)),
-        )
-        for message in messages:
-            await call_all(
-                self._peers, others, message, timeout_s=HANDOVER_TIMEOUT_S
-            )
-
-    def _take_over(self, message: Handover) -> None:
-        self.outage.mark_handed_over(message.holder)
-        if message.holder in self._grants_handed_over_by:
-            return
-        for grant in message.grants:
-            turn = TurnRef(grant.holder, UNNAMED_TURN)
-            self._grants.add(
-                TurnGrant(grant.program, turn, grant.tokens),
-                now=self._reactor.seconds(),
-            )
-
-    def _remove_members_that_left(self) -> None:
-        # Without the store they could not write that themselves, and would
-        # count as crashed. One of the others is enough.
-        gone = self.outage.handed_over
-        others = [
-            member.holder
-            for member in self.members.all()
-            if member.holder not in gone
-        ]
-        for holder in gone:
-            if self.members.get(holder) is None:
-                continue
-            if rendezvous(holder, others) == self._holder:
-                self.writer.append_record(leave_record(holder))
-
     def _position(self) -> Offset:
         return self.follower.position or Offset(0)
 
@@ -403,11 +381,3 @@
                 update.program, self._reactor.seconds()
             )
             self.writer.wake()
-
-
-def _tokens_by_holder(grants: Iterable[TurnGrant]) -> tuple[OutageGrant, ...]:
-    tokens: dict[tuple[ProgramId, HolderId], int] = {}
-    for grant in grants:
-        key = (grant.program, grant.turn.holder)
-        tokens[key] = tokens.get(key, 0) + grant.tokens
-    return tuple(OutageGrant(*key, total) for key, total in tokens.items())
--- a/tests/entry/outage_simulation.py
+++ b/tests/entry/outage_simulation.py
@@ -100,7 +100,12 @@
         self.peers = FakePeerClient(network, address)
         peers: Any = self.peers
         self.store = RoutedStore(self.direct, peers, clock, logger)
-        health = StoreHealth(logger, "ledger", on_recovered=self._on_recovered)
+        health = StoreHealth(
+            logger,
+            "ledger",
+            on_recovered=self._on_recovered,
+            on_unavailable=lambda: self.service.store_lost(),
+        )
         self.service = TokenService(
             holder=HolderId(name),
             address=address,
