Let VMs vouch that no grant is unrecorded when others are lost

The doubt is recorded with the program and stays. No turn had been granted without the ledger, since there was no outage.

Change: SettledGroups. Turns are granted without the ledger only in an outage. Once all grants of a group are recorded, a VM knows that this holds until the next outage, whichever VMs are lost. VMs that have started since ask for its word (AskSettled), beside the question to all, and the first word is enough. Crashed members of a group that is vouched for count as lost no more, also in a later outage. A VM that stood still for more than 0.6 s may have missed an outage and vouches for nothing for 60 s. Messages: a VM asks a group's VMs once more, after a start or an outage only.

What remains: a majority that is cut off from the store and from the VM that vouches, grants turns, and is lost.

--- a/lycheestall/entry/ledger_messages.py
+++ b/lycheestall/entry/ledger_messages.py
@@ -3,13 +3,22 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import Any
 
 from ..ids import Offset
 from .store import KeyedRecord
 from .token_ledger import HolderId
+from .token_messages import decode_grants, encode_grants
 from .unrecorded_grants import TurnGrant
 
-__all__ = ["AskLedger", "AskPosition", "LedgerPosition", "LedgerTail"]
+__all__ = [
+    "AskLedger",
+    "AskPosition",
+    "LedgerPosition",
+    "LedgerTail",
+    "decode_position",
+    "encode_position",
+]
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,3 +88,21 @@
     position: Offset
     unheard: tuple[HolderId, ...]
     grants: tuple[TurnGrant, ...]
+
+
+def encode_position(message: LedgerPosition) -> list[Any]:
+    """Returns the fields of a message."""
+    return [
+        message.holder,
+        message.away,
+        message.position,
+        list(message.unheard),
+        encode_grants(message.grants),
+    ]
+
+
+def decode_position(fields: list[Any]) -> LedgerPosition:
+    """Decodes the fields of a message."""
+    holder, away, position, unheard, rows = fields
+    grants = decode_grants(rows)
+    return LedgerPosition(holder, away, position, tuple(unheard), grants)
--- a/lycheestall/entry/members.py
+++ b/lycheestall/entry/members.py
@@ -15,6 +15,7 @@
 from .vm_settings import Address
 
 __all__ = [
+    "GroupId",
     "Member",
     "MemberView",
     "Members",
@@ -49,6 +50,19 @@
     zone: ZoneId
 
 
+@dataclass(frozen=True, slots=True)
+class GroupId:
+    """Identifies a group; a VM that restarts stays in it.
+
+    Attributes:
+        number: Number of the group.
+        groups: Number of groups.
+    """
+
+    number: int
+    groups: int
+
+
 @dataclass(frozen=True, slots=True)
 class MemberView:
     """The members that one VM knows; equal views have equal digests.
@@ -95,7 +109,13 @@
         groups = [group for group in self.groups if group]
         if not groups:
             return ()
-        return groups[xxhash.xxh3_64_intdigest(key.encode()) % len(groups)]
+        return groups[self.group_id(key).number]
+
+    def group_id(self, key: str) -> GroupId:
+        """Returns the ID of the group that a key is assigned to."""
+        groups = sum(1 for group in self.groups if group)
+        key_hash = xxhash.xxh3_64_intdigest(key.encode())
+        return GroupId(key_hash % max(1, groups), groups)
 
 
 def majority_size(group: tuple[HolderId, ...]) -> int:
@@ -129,6 +149,7 @@
 
     def __init__(self) -> None:
         self._by_holder: dict[HolderId, tuple[Offset, Member | None]] = {}
+        self._excused: set[HolderId] = set()
         self._view: MemberView | None = None
 
     def apply(self, record: KeyedRecord) -> bool:
@@ -197,7 +218,13 @@
         ]
 
     def crashed_in(self, group: Iterable[HolderId]) -> list[HolderId]:
-        """Returns the crashed members whose addresses belong to a group."""
+        """Returns the crashed members whose addresses belong to a group.
+
+        Members that left no grants behind are left out.
+
+        Args:
+            group: The group.
+        """
         holders = set(group)
         addresses = {
             member.address
@@ -207,12 +234,29 @@
         crashed: list[HolderId] = []
         for holder in self.crashed():
             member = self.get(holder)
-            if member is None or holder in holders:
+            if member is None or holder in holders | self._excused:
                 continue
             if member.address in addresses:
                 crashed.append(holder)
         return crashed
 
+    def crashed_groups(self) -> list[GroupId]:
+        """Returns the groups of crashed members that may have had grants."""
+        if len(self.crashed()) <= len(self._excused):
+            return []
+        groups = [group for group in self.view().groups if group]
+        return [
+            GroupId(number, len(groups))
+            for number, group in enumerate(groups)
+            if self.crashed_in(group)
+        ]
+
+    def excuse_crashed(self, group: GroupId) -> None:
+        """Notes that the crashed members of a group left no grants behind."""
+        groups = [members for members in self.view().groups if members]
+        if len(groups) == group.groups:
+            self._excused.update(self.crashed_in(groups[group.number]))
+
     def may_have_lost_grants(self, program: ProgramId) -> bool:
         """Returns whether crashes may have lost a program's grants."""
         group = self.view().group_for(program)
--- a/lycheestall/entry/outage_recovery.py
+++ b/lycheestall/entry/outage_recovery.py
@@ -6,13 +6,14 @@
 from enum import Enum
 from typing import Any
 
-from twisted.internet.defer import DeferredList
+from twisted.internet.defer import Deferred, DeferredList, ensureDeferred
 
 from ..ids import ProgramId
 from ..logs import Logger
 from .members import Members, MemberView, tolerated_losses
 from .outage import RECOVERY_S, OutageTracker
 from .peer_rpc import PeerClient
+from .settled_groups import RECOVERY_LIMIT_S, SettledGroups
 from .token_ledger import HolderId
 from .token_messages import AskUnrecorded, UnrecordedReport
 from .unrecorded_grants import UnrecordedGrants
@@ -22,10 +23,6 @@
 REPORT_TIMEOUT_S = 0.3
 """Timeout of a peer's report."""
 
-RECOVERY_LIMIT_S = 60.0
-"""Seconds after an outage in which programs may be running whose grants are
-unrecorded."""
-
 DOUBT_S = 2.0
 """Seconds for which a group is not asked again after too many of its VMs were
 silent."""
@@ -59,6 +56,7 @@
         outage: Tracks outages of the store.
         members: The VMs of the system.
         grants: Receives the grants.
+        settled: Groups without unrecorded grants.
         peers: Calls other VMs.
         clock: Provides the time.
         logger: Receives what was found out.
@@ -71,6 +69,7 @@
         outage: OutageTracker,
         members: Members,
         grants: UnrecordedGrants,
+        settled: SettledGroups,
         peers: PeerClient,
         clock: Any,
         logger: Logger,
@@ -79,6 +78,7 @@
         self._outage = outage
         self._members = members
         self._grants = grants
+        self._settled = settled
         self._peers = peers
         self._clock = clock
         self._logger = logger
@@ -100,6 +100,7 @@
         self._known_programs.clear()
         self._settled_deciders.clear()
         self._doubt_until.clear()
+        self._settled.begin()
 
     def is_settled(self, program: ProgramId) -> bool:
         """Returns whether all unrecorded grants of a program are known."""
@@ -107,7 +108,7 @@
             return False
         if self._clock.seconds() - self._began_at > RECOVERY_LIMIT_S:
             return True
-        if program in self._known_programs:
+        if program in self._known_programs or self._settled.has(program):
             return True
         return self._decider(program) in self._settled_deciders
 
@@ -116,7 +117,28 @@
         return max(RETRY_S, self._waits_for_silent_s())
 
     async def find(self, program: ProgramId) -> GrantKnowledge:
-        """Collects a program's unrecorded grants from other VMs."""
+        """Collects a program's unrecorded grants from other VMs.
+
+        A VM that vouches for the group is enough, whoever else is silent.
+
+        Args:
+            program: The program.
+        """
+        vouched = self._settled.ask(program)
+        found = ensureDeferred(self._find(program))
+        first: list[Deferred[Any]] = [found, vouched]
+        await DeferredList(
+            first,
+            fireOnOneCallback=True,
+            fireOnOneErrback=True,
+            consumeErrors=True,
+        )
+        if vouched.called:
+            return GrantKnowledge.KNOWN
+        vouched.cancel()
+        return await found
+
+    async def _find(self, program: ProgramId) -> GrantKnowledge:
         view = self._outage.last_view
         knowledge = GrantKnowledge.UNKNOWN
         if view is not None:
@@ -174,8 +196,10 @@
             self._doubt_until[group] = self._clock.seconds() + DOUBT_S
             return knowledge
         all_clean = all(report.clean for report in reports)
-        if knowledge is GrantKnowledge.KNOWN and all_clean:
-            self._settled_deciders.update(group)
+        group_id = self._members.view().group_id(program)
+        same_groups = view.group_id(program) == group_id
+        if knowledge is GrantKnowledge.KNOWN and all_clean and same_groups:
+            self._settled.add(program)
         return knowledge
 
     def _judge(
--- a/lycheestall/entry/peer_messages.py
+++ b/lycheestall/entry/peer_messages.py
@@ -22,6 +22,8 @@
     AskPosition,
     LedgerPosition,
     LedgerTail,
+    decode_position,
+    encode_position,
 )
 from .origin_messages import (
     FindStreamOrigin,
@@ -58,6 +60,7 @@
 from .token_ledger import HolderId
 from .token_messages import (
     AskGranted,
+    AskSettled,
     AskTokens,
     AskUnrecorded,
     GrantedTokens,
@@ -66,6 +69,7 @@
     HandoverGrants,
     HoldGrant,
     OutageGrant,
+    SettledReport,
     SettleTokens,
     TokenAnswer,
     UnrecordedReport,
@@ -86,6 +90,7 @@
 __all__ = [
     "AskGranted",
     "AskPermit",
+    "AskSettled",
     "AskTokens",
     "AskUnrecorded",
     "AskLedger",
@@ -100,6 +105,7 @@
     "PeerMessage",
     "PeerReply",
     "PermitAnswer",
+    "SettledReport",
     "SettleTokens",
     "SlowTargets",
     "StoreReport",
@@ -169,6 +175,7 @@
     | AskTokens
     | AskGranted
     | AskUnrecorded
+    | AskSettled
     | AskLedger
     | AskPosition
     | SettleTokens
@@ -194,6 +201,7 @@
     | TokenAnswer
     | GrantedTokens
     | UnrecordedReport
+    | SettledReport
     | LedgerTail
     | LedgerPosition
     | Understood
@@ -221,6 +229,8 @@
         AskGranted,
         GrantedTokens,
         AskUnrecorded,
+        AskSettled,
+        SettledReport,
         AskLedger,
         AskPosition,
         SettleTokens,
@@ -302,13 +312,7 @@
             encode_grants(message.grants),
         ]
     if isinstance(message, LedgerPosition):
-        return [
-            message.holder,
-            message.away,
-            message.position,
-            list(message.unheard),
-            encode_grants(message.grants),
-        ]
+        return encode_position(message)
     if isinstance(message, Records):
         return [_encode_records(message.records), message.end]
     if isinstance(message, NewestPage):
@@ -363,10 +367,7 @@
             decode_grants(grants),
         )
     if name == LedgerPosition.__name__:
-        holder, away, position, unheard, grants = fields
-        return LedgerPosition(
-            holder, away, position, tuple(unheard), decode_grants(grants)
-        )
+        return decode_position(fields)
     if name == Records.__name__:
         return Records(_decode_records(fields[0]), fields[1])
     if name == NewestPage.__name__:
--- a/lycheestall/entry/token_messages.py
+++ b/lycheestall/entry/token_messages.py
@@ -12,6 +12,7 @@
 
 __all__ = [
     "AskGranted",
+    "AskSettled",
     "AskTokens",
     "AskUnrecorded",
     "GrantedTokens",
@@ -20,6 +21,7 @@
     "HoldGrant",
     "OutageGrant",
     "SettleTokens",
+    "SettledReport",
     "TokenAnswer",
     "UNNAMED_TURN",
     "UnrecordedReport",
@@ -149,6 +151,34 @@
     grants: tuple[TurnGrant, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class AskSettled:
+    """Asks whether all grants of a group of VMs are recorded.
+
+    Attributes:
+        holder: The VM that asks.
+        group: Number of the group.
+        groups: Number of groups that the asking VM knows.
+    """
+
+    holder: HolderId
+    group: int
+    groups: int
+
+
+@dataclass(frozen=True, slots=True)
+class SettledReport:
+    """Tells whether all grants of a group of VMs are recorded.
+
+    Attributes:
+        holder: The VM that reports.
+        settled: Whether it knows that no grant is unrecorded.
+    """
+
+    holder: HolderId
+    settled: bool
+
+
 @dataclass(frozen=True, slots=True)
 class SettleTokens:
     """Tells a decider how many tokens a turn has used."""
--- a/lycheestall/entry/token_service.py
+++ b/lycheestall/entry/token_service.py
@@ -22,6 +22,7 @@
 from .outage_start import OutageStart
 from .peer_messages import (
     AskGranted,
+    AskSettled,
     AskTokens,
     AskUnrecorded,
     GrantedTokens,
@@ -39,6 +40,7 @@
 from .peer_survey import PeerSurvey
 from .relay_messages import RelayAppend, RelayNewest, RelayRead
 from .routed_store import RoutedStore
+from .settled_groups import SettledGroups
 from .store import KeyedRecord, Topic
 from .store_health import StoreHealth
 from .token_allocator import TokenAllocator
@@ -140,6 +142,13 @@
             logger=logger,
             recovering=lambda: self.outage.recovering(reactor.seconds()),
         )
+        self._settled = SettledGroups(
+            holder=holder,
+            outage=self.outage,
+            members=members,
+            peers=peers,
+            clock=reactor,
+        )
         self.reservations = TurnReservations(
             holder=holder,
             writer=self.writer,
@@ -153,6 +162,7 @@
                 may_have_lost_grants=self.members.may_have_lost_grants,
             ),
             grants=self._grants,
+            settled=self._settled,
             catch_up=self._catch_up,
             members=self.members,
             peers=peers,
@@ -240,6 +250,7 @@
 
         While this VM reaches it, records what others have left unrecorded.
         """
+        self._settled.step()
         await self._peer_survey.step()
         reached = self._store.direct_up and not self.writer.store_unavailable
         if self.outage.participated and reached:
@@ -298,6 +309,8 @@
             return self._reply_ledger(message)
         if isinstance(message, AskPosition):
             return ensureDeferred(self._outage_start.reply_position(message))
+        if isinstance(message, AskSettled):
+            return self._settled.reply(message)
         if isinstance(message, AskUnrecorded):
             return self.reservations.report_unrecorded(message)
         if isinstance(message, SettleTokens):
--- a/lycheestall/entry/turn_reservations.py
+++ b/lycheestall/entry/turn_reservations.py
@@ -26,6 +26,7 @@
 )
 from .peer_rpc import PeerClient
 from .reservation_decision import ReservationDecision
+from .settled_groups import SettledGroups
 from .token_allocator import TokenAllocator, TurnId
 from .token_ledger import HolderId, TokenLedger, TurnRef
 from .unrecorded_grants import TurnGrant, UnrecordedGrants
@@ -54,6 +55,7 @@
         outage: Tracks outages of the store.
         outage_allocator: What this VM grants as a deciding VM.
         grants: Unrecorded grants.
+        settled: Groups without unrecorded grants.
         catch_up: Collects what this VM must know to decide.
         members: The VMs of the system.
         peers: Calls them.
@@ -71,6 +73,7 @@
         outage: OutageTracker,
         outage_allocator: OutageAllocator,
         grants: UnrecordedGrants,
+        settled: SettledGroups,
         catch_up: LedgerCatchUp,
         members: Members,
         peers: PeerClient,
@@ -104,6 +107,7 @@
             outage=outage,
             members=members,
             grants=grants,
+            settled=settled,
             peers=peers,
             clock=clock,
             logger=logger,
--- a/tests/entry/token_fleet.py
+++ b/tests/entry/token_fleet.py
@@ -308,12 +308,18 @@
         max_tokens: int = 280,
         budget: int = 2240,
         give_up_s: float = 7.0,
+        used_share: float = USED_SHARE,
     ) -> list[float]:
         """Runs turns one by one; returns the seconds that each waited."""
         waits: list[float] = []
         for _ in range(turns):
             wait_s = self._run_turn(
-                vm, ProgramId(program), max_tokens, budget, give_up_s
+                vm,
+                ProgramId(program),
+                max_tokens,
+                budget,
+                give_up_s,
+                used=int(max_tokens * used_share),
             )
             waits.append(wait_s)
         return waits
@@ -325,6 +331,8 @@
         max_tokens: int,
         budget: int,
         give_up_s: float,
+        *,
+        used: int,
     ) -> float:
         began_at = self.clock.seconds()
         while self.clock.seconds() - began_at < give_up_s:
@@ -342,9 +350,7 @@
                 self.advance(0.002)
             if results == [ReservationDecision.GRANTED]:
                 waited_s = self.clock.seconds() - began_at
-                vm.service.reservations.settle(
-                    program, turn, int(max_tokens * USED_SHARE)
-                )
+                vm.service.reservations.settle(program, turn, used)
                 return waited_s
             self.advance(RETRY_S)
         return give_up_s
