--- a/lycheestall/entry/entry_vm.py
+++ b/lycheestall/entry/entry_vm.py
@@ -128,7 +128,10 @@
         keyless = KeylessStore(store, decoder.conceal_keys)
         self._store = RoutedStore(keyless, peers, reactor, logger)
         self._health = StoreHealth(
-            logger, "ledger", on_recovered=self._on_ledger_recovered
+            logger,
+            "ledger",
+            on_recovered=self._on_ledger_recovered,
+            on_unavailable=lambda: self.token_service.store_lost(),
         )
         address = Address(settings.host, settings.peers_port)
         members = Members()
--- a/lycheestall/entry/peer_messages.py
+++ b/lycheestall/entry/peer_messages.py
@@ -17,7 +17,14 @@
     decode_attempt_fields,
     encode_attempt_fields,
 )
-from .ledger_messages import AskLedger, LedgerTail
+from .ledger_messages import (
+    AskLedger,
+    AskPosition,
+    LedgerPosition,
+    LedgerTail,
+    decode_position,
+    encode_position,
+)
 from .origin_messages import (
     FindStreamOrigin,
     FoundStreamOrigin,
@@ -63,6 +70,7 @@
 from .token_ledger import HolderId
 from .token_messages import (
     AskGranted,
+    AskSettled,
     AskTokens,
     AskUnrecorded,
     GrantedTokens,
@@ -71,6 +79,7 @@
     HandoverGrants,
     HoldGrant,
     OutageGrant,
+    SettledReport,
     SettleTokens,
     TokenAnswer,
     UnrecordedReport,
@@ -91,18 +100,22 @@
 __all__ = [
     "AskGranted",
     "AskPermit",
+    "AskSettled",
     "AskTokens",
     "AskUnrecorded",
     "AskLedger",
+    "AskPosition",
     "ChangedLimits",
     "GrantedTokens",
     "Handover",
     "HandoverGrants",
     "HoldGrant",
+    "LedgerPosition",
     "LedgerTail",
     "PeerMessage",
     "PeerReply",
     "PermitAnswer",
+    "SettledReport",
     "SettleTokens",
     "SlowTargets",
     "StoreReport",
@@ -172,7 +185,9 @@
     | AskTokens
     | AskGranted
     | AskUnrecorded
+    | AskSettled
     | AskLedger
+    | AskPosition
     | SettleTokens
     | HoldGrant
     | Handover
@@ -199,7 +214,9 @@
     | TokenAnswer
     | GrantedTokens
     | UnrecordedReport
+    | SettledReport
     | LedgerTail
+    | LedgerPosition
     | Understood
     | Appended
     | AppendConflict
@@ -227,7 +244,10 @@
         AskGranted,
         GrantedTokens,
         AskUnrecorded,
+        AskSettled,
+        SettledReport,
         AskLedger,
+        AskPosition,
         SettleTokens,
         Understood,
         Appended,
@@ -308,6 +328,8 @@
             _encode_records(message.records),
             encode_grants(message.grants),
         ]
+    if isinstance(message, LedgerPosition):
+        return encode_position(message)
     if isinstance(message, Records):
         return [_encode_records(message.records), message.end]
     if isinstance(message, NewestPage):
@@ -361,6 +383,8 @@
             _decode_records(rows),
             decode_grants(grants),
         )
+    if name == LedgerPosition.__name__:
+        return decode_position(fields)
     if name == Records.__name__:
         return Records(_decode_records(fields[0]), fields[1])
     if name == NewestPage.__name__:
