Base evidence on when a peer can have replied

A reply that waited in a suspended VM was taken for news. The evidence now counts from the question, or from the end of the wait for which a reply without a value was held. The reader of a zone, having lost the store, asks the next VM of its zone, and an error while peers are asked ends the request.

--- a/lycheestall/entry/configuration_relay.py
+++ b/lycheestall/entry/configuration_relay.py
@@ -176,7 +176,11 @@
         ]
 
     def _readers(self) -> list[Address]:
-        """Returns other VMs that read the store, one of each zone first."""
+        """Returns other VMs that may read the store, one of each zone first.
+
+        Where a zone has a reader, the next in the ranking is one as well
+        while the reader has lost the store.
+        """
         by_zone: dict[ZoneId, dict[str, Address]] = {}
         for member in self._members.all():
             address = member.address
@@ -191,7 +195,7 @@
             names = rendezvous_order(zone if reads_alone else own, by_name)
             others = [
                 by_name[name]
-                for name in (names[:1] if reads_alone else names)
+                for name in (names[:2] if reads_alone else names)
                 if name != own
             ]
             first.extend(others[:1])
--- a/lycheestall/entry/request_router.py
+++ b/lycheestall/entry/request_router.py
@@ -128,7 +128,7 @@
         self.running += 1
         asked = self._newer_configuration.ask()
         asked.addCallback(self._on_asked, exchange, metadata)
-        asked.addErrback(self._on_failed, metadata)
+        asked.addErrback(self._on_asking_failed, exchange, metadata)
         asked.addCallback(self._on_ended)
 
     def _on_asked(
@@ -198,6 +198,12 @@
     def _on_ended(self, _: object) -> None:
         self.running -= 1
 
+    def _on_asking_failed(
+        self, failure: Failure, exchange: Exchange, metadata: RequestMetadata
+    ) -> None:
+        self._on_failed(failure, metadata)
+        exchange.abort()
+
     def _on_failed(self, failure: Failure, metadata: RequestMetadata) -> None:
         self._logger.error(
             "unhandled error in a request",
--- a/lycheestall/entry/store_view.py
+++ b/lycheestall/entry/store_view.py
@@ -9,7 +9,12 @@
 from ..ids import Offset, TargetId
 from ..logs import Logger
 from .accounts import ConfigurationEvidence
-from .configuration_relay import MAX_AGE_S, ConfigurationRelay, ReaderState
+from .configuration_relay import (
+    ASK_WAIT_S,
+    MAX_AGE_S,
+    ConfigurationRelay,
+    ReaderState,
+)
 from .configuration_state import ConfigurationState
 from .connection_pool import ConnectionPool
 from .record_decoder import RecordDecoder, UnreadableRecord
@@ -141,7 +146,7 @@
         asked_at = self._reactor.seconds()
         reply = await self._relay.ask(reader, self._configuration_start)
         if reply is not None:
-            self._accept_relayed(reply, asked_at)
+            self._accept_relayed(reply, asked_at, wait_s=ASK_WAIT_S)
         elif self._relay.starting:
             await sleep(self._reactor, RETRY_S)
 
@@ -150,12 +155,14 @@
         return self._configuration_follower.position or Offset(0)
 
     def _accept_relayed(
-        self, reply: RelayedConfiguration, asked_at: float
+        self, reply: RelayedConfiguration, asked_at: float, *, wait_s: float
     ) -> None:
         records = [] if reply.value is None else [reply.record()]
         self._configuration_follower.accept(records, reply.end, asked_at)
-        # A peer replies only while what it has read is no older.
-        self.evidence.confirmed(self._reactor.seconds() - MAX_AGE_S)
+        # The time of arrival proves nothing: this VM may have been suspended.
+        # A reply without a value was held for the whole wait.
+        replied_at = asked_at + (wait_s if reply.value is None else 0.0)
+        self.evidence.confirmed(replied_at - MAX_AGE_S)
 
     async def _ask_peers(self) -> bool:
         asked_at = self._reactor.seconds()
@@ -163,7 +170,7 @@
             return False
         replies = await self._relay.ask_now(self._configuration_start)
         for reply in replies:
-            self._accept_relayed(reply, asked_at)
+            self._accept_relayed(reply, asked_at, wait_s=0.0)
         if not replies:
             self._ask_again_at = self._reactor.seconds() + ASK_AGAIN_S
         return bool(replies)
--- a/tests/entry/test_configuration_relay.py
+++ b/tests/entry/test_configuration_relay.py
@@ -242,3 +242,23 @@
     others = [vm for vm in zone.vms if vm is not reader]
     assert all(vm.version == 1 for vm in others)
     assert sum(vm.store.calls for vm in others) == 0
+
+
+# Guards against a final refusal that rests on nothing.
+def test_no_evidence_is_newer_than_the_last_read_of_the_store(
+    zone: SimulatedZone,
+) -> None:
+    cut_at = zone.clock.seconds()
+    for vm in zone.vms:
+        vm.store.fault = Fault.REFUSES
+    for _ in range(100):
+        zone.advance(0.05)
+        now = zone.clock.seconds()
+        for vm in zone.vms:
+            assert now - vm.view.evidence.age_s(now) <= cut_at
+    assert not any(vm.view.evidence.is_current(now) for vm in zone.vms)
+    for vm in zone.vms:
+        vm.store.fault = Fault.NONE
+    zone.advance(BOUND_S)
+    now = zone.clock.seconds()
+    assert all(vm.view.evidence.age_s(now) < 3.7 for vm in zone.vms)
