--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -4,6 +4,8 @@
 id, command and seed, observed failure, issue, date. Lines that start with
 ``#`` are comments. The listed tests run separately: their results are
 printed but do not change the exit code.
+
+Tests that are marked ``serial`` run one at a time, after all others.
 """
 
 from __future__ import annotations
@@ -14,6 +16,9 @@
 from pathlib import Path
 
 MAX_WORKERS = 6
+NO_TESTS_COLLECTED = 5
+"""Exit code of pytest if none of the selected tests are in a run."""
+
 ROOT = Path(__file__).resolve().parent.parent
 
 
@@ -34,27 +39,38 @@
     return ["-n", str(max(1, min(MAX_WORKERS, cores // 2)))]
 
 
+def run(options: list[str]) -> int:
+    """Runs pytest with options and this program's arguments."""
+    command = [sys.executable, "-m", "pytest", *sys.argv[1:], *options]
+    return subprocess.run(command, cwd=ROOT, check=False).returncode
+
+
+def combined(exit_codes: list[int]) -> int:
+    """Returns the first failure; a run without tests isn't one by itself."""
+    for code in exit_codes:
+        if code not in (0, NO_TESTS_COLLECTED):
+            return code
+    return min(exit_codes)
+
+
 def main() -> int:
     """Runs pytest; returns the exit code of the tests that are not listed."""
     known = known_failures()
-    command = [
-        sys.executable,
-        "-m",
-        "pytest",
-        *worker_options(),
-        *sys.argv[1:],
-    ]
+    workers = worker_options()
     deselected = [f"--deselect={entry}" for entry in known]
-    result = subprocess.run([*command, *deselected], cwd=ROOT, check=False)
+    exit_code = combined(
+        [
+            run([*workers, "-m", "not serial", *deselected]),
+            run(["-m", "serial", *deselected]),
+        ]
+    )
     if not known:
-        return result.returncode
+        return exit_code
     print("known failures, excluded from the exit code:", flush=True)
     for entry in known:
         print(f"  {entry}", flush=True)
-    subprocess.run(
-        [*command, "--no-header", "--tb=line", *known], cwd=ROOT, check=False
-    )
-    return result.returncode
+    run([*workers, "--no-header", "--tb=line", *known])
+    return exit_code
 
 
 if __name__ == "__main__":
