--- a/lycheestall/entry/caller_connection.py
+++ b/lycheestall/entry/callers/caller_connection.py
@@ -10,14 +10,14 @@
 from twisted.internet.protocol import Factory, Protocol
 from twisted.python.failure import Failure
 
-from ..clock import Clock, Timer
-from .exchange import (
+from ...clock import Clock, Timer
+from ..exchange import (
     PLAIN_TEXT_HEADERS,
     Exchange,
     RequestHandler,
     ResponseChannel,
 )
-from .http_messages import (
+from ..http_messages import (
     Header,
     Request,
     encode_response,
--- a/lycheestall/entry/entry_process.py
+++ b/lycheestall/entry/entry_process.py
@@ -16,7 +16,7 @@
 from ..log_output import BoundedOutput
 from ..logs import configure_logs, get_logger
 from .boot_clock import BootClockReactor
-from .caller_connection import CallerFactory
+from .callers import CallerFactory
 from .entry_metrics import EntryMetrics
 from .entry_vm import EntryVm
 from .exchange import RequestHandler
--- a/tests/entry/entry_vm_harness.py
+++ b/tests/entry/entry_vm_harness.py
@@ -7,7 +7,7 @@
 import orjson
 from twisted.internet.defer import succeed
 
-from lycheestall.entry.caller_connection import CallerFactory
+from lycheestall.entry.callers import CallerFactory
 from lycheestall.entry.entry_metrics import EntryMetrics
 from lycheestall.entry.entry_vm import EntryVm
 from lycheestall.entry.store import KeyedWrite, Topic
--- a/tests/entry/fleet.py
+++ b/tests/entry/fleet.py
@@ -8,7 +8,7 @@
 
 from twisted.internet.defer import Deferred, maybeDeferred
 
-from lycheestall.entry.caller_connection import CallerFactory
+from lycheestall.entry.callers import CallerFactory
 from lycheestall.entry.connection_pool import ConnectionPool
 from lycheestall.entry.peer_messages import (
     PeerMessage,
--- a/tests/entry/test_attempt_relay.py
+++ b/tests/entry/test_attempt_relay.py
@@ -22,7 +22,7 @@
     WholeAnswer,
 )
 from lycheestall.entry.attempt_relay import MAX_RELAYED
-from lycheestall.entry.caller_connection import CallerFactory
+from lycheestall.entry.callers import CallerFactory
 from lycheestall.entry.http_client_connection import BreakReason
 from lycheestall.entry.peer_messages import decode, encode
 from lycheestall.entry.peer_rpc import PeerEndpoint
--- a/tests/entry/test_platform_adapter.py
+++ b/tests/entry/test_platform_adapter.py
@@ -15,7 +15,7 @@
 from twisted.internet.defer import Deferred
 
 from lycheestall.clock import sleep
-from lycheestall.entry.caller_connection import CallerFactory
+from lycheestall.entry.callers import CallerFactory
 from lycheestall.entry.configuration import CallerLimits
 from lycheestall.entry.connection_pool import ConnectionPool
 from lycheestall.entry.exchange import Exchange, RequestHandler
--- a/tests/soak/soak_links.py
+++ b/tests/soak/soak_links.py
@@ -7,7 +7,7 @@
 
 import orjson
 
-from lycheestall.entry.caller_connection import CallerFactory
+from lycheestall.entry.callers import CallerFactory
 from tests.entry.fake_store_server import FakeStoreServer
 from tests.entry.memory_store import MemoryLog
 from tests.soak.loopback_proxy import LoopbackProxy, ProxyMode
--- a/tests/soak/soak_targets.py
+++ b/tests/soak/soak_targets.py
@@ -7,7 +7,7 @@
 
 import orjson
 
-from lycheestall.entry.caller_connection import CallerFactory
+from lycheestall.entry.callers import CallerFactory
 from lycheestall.entry.configuration import CallerLimits
 from lycheestall.entry.exchange import Exchange, RequestHandler
 from lycheestall.entry.store import KeyedWrite
--- a/tests/untrusted_callers/conftest.py
+++ b/tests/untrusted_callers/conftest.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from lycheestall.entry.caller_connection import CallerFactory
+from lycheestall.entry.callers import CallerFactory
 from tests.entry.fake_store_server import FakeStoreServer
 from tests.entry.memory_store import MemoryLog
 from tests.untrusted_callers.crowd import Crowd, send_ordinary_request
