Bound the memory and descriptors of callers' connections

A process ran out of memory where callers sent bodies that stop short, heads of very many lines, or never read their responses: nothing counted what all connections hold together.

ConnectionBudget counts memory by connection and in total, at its true cost: objects of header lines, the growth of bodies, copies of requests in progress, responses that are collected or unsent. The bounds come from limits.memory_mb and limits.max_fds (new in the settings). Where either is short, connections give way in a fixed order; a request that has not run gets 503 with Retry-After. RequestReader, split from CallerConnection, checks the head's size line by line, keeps a body in one buffer, and bounds empty bytes, trailers and chunk extensions. A caller that falls behind in reading pauses the stream from its target, and gets no further response before it has read the last one. The ports for peers, readiness and metrics have bounds of their own.

--- a/lycheestall/entry/attempt.py
+++ b/lycheestall/entry/attempt.py
@@ -63,6 +63,8 @@
         sent: Whether the request was written to a connection.
         started: Whether the response has started.
         outcome: Fires with the outcome.
+        hold: Notes how much of a response is held until it is complete;
+            returns whether there is memory for it.
     """
 
     def __init__(
@@ -78,6 +80,7 @@
         self.sent = False
         self.started = False
         self.outcome: Deferred[AttemptOutcome] = Deferred()
+        self.hold: Callable[[int], bool] = _hold_unbounded
 
     def start(self, build: Callable[[], bytes | None]) -> None:
         """Acquires a connection and sends the request.
@@ -98,6 +101,11 @@
         self._disconnect()
         self._end(Stopped(sent=self.sent))
 
+    def set_flowing(self, flowing: bool) -> None:
+        """Reads the response, or stops until the caller has caught up."""
+        if self._connection is not None and not self._ended:
+            self._connection.set_reading(flowing)
+
     def time_out(self) -> None:
         """Ends the attempt unless the response has started."""
         if self._ended or self.started:
@@ -153,3 +161,7 @@
             return
         self._ended = True
         self.outcome.callback(outcome)
+
+
+def _hold_unbounded(_: int) -> bool:
+    return True
--- a/lycheestall/entry/attempt_relay.py
+++ b/lycheestall/entry/attempt_relay.py
@@ -149,7 +149,10 @@
             link=link,
         )
         link.on_lost = lambda: attempt.link_lost(may_repeat=message.may_repeat)
+        attempt.hold = exchange.hold
         exchange.on_disconnect = attempt.stop
+        if sink is not None:
+            exchange.on_flow = attempt.set_flowing
         timer: Any = self._clock.callLater(
             max(0.0, message.remaining_s), attempt.stop
         )
--- a/lycheestall/entry/attempt_runner.py
+++ b/lycheestall/entry/attempt_runner.py
@@ -290,6 +290,9 @@
         registration = self.registration
         assert registration is not None
         self._attempt = attempt
+        attempt.hold = self._exchange.hold
+        if self._forwarder is not None:
+            self._exchange.on_flow = attempt.set_flowing
         self._started_at = self._deps.clock.seconds()
         timer = start_overdue_timer(
             self._deps,
--- a/lycheestall/entry/callers/__init__.py
+++ b/lycheestall/entry/callers/__init__.py
@@ -1,5 +1,32 @@
-"""Connections of callers and of other VMs to this VM."""
+"""Connections of callers and of other VMs, and the bounds on them."""
 
-from .caller_connection import CallerConnection, CallerFactory
+from __future__ import annotations
 
-__all__ = ["CallerConnection", "CallerFactory"]
+from .bounds import (
+    ConnectionBounds,
+    LimitCause,
+    caller_bounds,
+    peer_bounds,
+    status_bounds,
+)
+from .caller_connection import CallerConnection
+from .caller_factory import CallerFactory
+from .connection_budget import ConnectionBudget, Decision, Standing, Usage
+from .limit_log import LimitLog
+from .request_reader import RequestReader
+
+__all__ = [
+    "CallerConnection",
+    "CallerFactory",
+    "ConnectionBounds",
+    "ConnectionBudget",
+    "Decision",
+    "LimitCause",
+    "LimitLog",
+    "RequestReader",
+    "Standing",
+    "Usage",
+    "caller_bounds",
+    "peer_bounds",
+    "status_bounds",
+]
--- /dev/null
+++ b/lycheestall/entry/callers/bounds.py
@@ -0,0 +1,136 @@
+"""Bounds on what connections may use, and the causes of refusals."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+__all__ = [
+    "ConnectionBounds",
+    "LimitCause",
+    "Refusal",
+    "caller_bounds",
+    "peer_bounds",
+    "status_bounds",
+]
+
+BASE_BYTES = 56_000_000
+"""Resident memory of a process without connections."""
+
+MAX_SHARE = 0.75
+"""Share of the process's memory for the process itself and the connections of
+callers. The rest holds conversations and the messages of peers."""
+
+MIN_CALLER_BYTES = 12_000_000
+"""A request with the largest body fits into this memory."""
+
+PEER_SHARE = 0.05
+MIN_PEER_BYTES = 6_000_000
+RESERVED_DESCRIPTORS = 200
+"""Descriptors that are not for callers: the store, peers, listeners, idle
+connections to targets, and connections that are being refused."""
+
+MIN_DESCRIPTORS = 50
+PEER_DESCRIPTORS = 64
+"""Connections of peers at a time, where a VM may open few descriptors."""
+
+STATUS_CONNECTIONS = 16
+"""Connections to the readiness or the metrics endpoint at a time."""
+
+STATUS_BYTES = 2_000_000
+
+
+class LimitCause(Enum):
+    """Why a request was refused or a connection closed.
+
+    Attributes:
+        HEAD_BYTES: The head is larger than allowed.
+        HEAD_TIME: The head took too long.
+        EMPTY_BYTES: Too many bytes came between two requests.
+        BODY_BYTES: The body is larger than allowed.
+        BODY_TIME: The body stopped for too long.
+        FRAMING_BYTES: Trailers or chunk extensions are too long.
+        MALFORMED: The request is malformed.
+        MEMORY: The memory for connections is used up.
+        DESCRIPTORS: The descriptors for connections are used up.
+        UNREAD: The caller doesn't read its responses.
+    """
+
+    HEAD_BYTES = "head_bytes"
+    HEAD_TIME = "head_time"
+    EMPTY_BYTES = "empty_bytes"
+    BODY_BYTES = "body_bytes"
+    BODY_TIME = "body_time"
+    FRAMING_BYTES = "framing_bytes"
+    MALFORMED = "malformed"
+    MEMORY = "memory"
+    DESCRIPTORS = "descriptors"
+    UNREAD = "unread"
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """A response that refuses a request, which has not run.
+
+    Attributes:
+        status: The status code.
+        reason: The text of the body.
+        cause: The bound that was reached.
+        retry_after_s: Value of the ``Retry-After`` header, if any.
+    """
+
+    status: int
+    reason: str
+    cause: LimitCause
+    retry_after_s: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class ConnectionBounds:
+    """Bounds on all connections of a port together.
+
+    Attributes:
+        memory_bytes: Memory that connections and their requests may use.
+        descriptors: Descriptors that they may use; a request in progress
+            uses a second one for the connection to its target.
+    """
+
+    memory_bytes: int
+    descriptors: int
+
+
+def caller_bounds(memory_mb: float, max_descriptors: int) -> ConnectionBounds:
+    """Returns the bounds on the port for callers.
+
+    Args:
+        memory_mb: Memory of the VM's process, in MB.
+        max_descriptors: Descriptors that the process may open.
+    """
+    available = int(memory_mb * MAX_SHARE * 1_000_000) - BASE_BYTES
+    return ConnectionBounds(
+        memory_bytes=max(MIN_CALLER_BYTES, available),
+        descriptors=max(
+            MIN_DESCRIPTORS, max_descriptors - RESERVED_DESCRIPTORS
+        ),
+    )
+
+
+def peer_bounds(memory_mb: float, max_descriptors: int) -> ConnectionBounds:
+    """Returns the bounds on the port for peers.
+
+    Args:
+        memory_mb: Memory of the VM's process, in MB.
+        max_descriptors: Descriptors that the process may open.
+    """
+    share = int(memory_mb * PEER_SHARE * 1_000_000)
+    return ConnectionBounds(
+        memory_bytes=max(MIN_PEER_BYTES, share),
+        descriptors=max(PEER_DESCRIPTORS, max_descriptors // 4),
+    )
+
+
+def status_bounds() -> ConnectionBounds:
+    """Returns the bounds on the readiness and the metrics port, each."""
+    return ConnectionBounds(
+        memory_bytes=STATUS_BYTES, descriptors=2 * STATUS_CONNECTIONS
+    )
--- a/lycheestall/entry/callers/caller_connection.py
+++ b/lycheestall/entry/callers/caller_connection.py
@@ -4,10 +4,10 @@
 
 from collections import deque
 from collections.abc import Callable, Sequence
+from dataclasses import dataclass
 from typing import Any
 
-import httptools
-from twisted.internet.protocol import Factory, Protocol
+from twisted.internet.protocol import Protocol
 from twisted.python.failure import Failure
 
 from ...clock import Clock, Timer
@@ -23,16 +23,56 @@
     encode_response,
     encode_response_head,
 )
+from .bounds import LimitCause, Refusal
+from .connection_budget import (
+    STALL_S,
+    ConnectionBudget,
+    Decision,
+    Standing,
+)
+from .request_reader import RequestReader
 
-__all__ = ["CallerConnection", "CallerFactory"]
+__all__ = ["CallerConnection"]
 
 MAX_PIPELINED = 8
 """Complete requests that may be queued on one connection."""
 
+MAX_QUEUED_BYTES = 65_536
+"""Memory of queued requests from which on no more is read."""
+
 LINGER_S = 1.0
 """Seconds to keep reading after the last response; closing at once could
 send a reset that discards the response before the caller reads it."""
 
+RUNNING_BYTES = 4096
+"""Memory of a request in progress besides its head and its body."""
+
+RUNNING_BODY_COPIES = 2
+"""The body of a request in progress, and its copy that is sent to a target."""
+
+SEND_BUFFER_BYTES = 65_536
+"""Unsent bytes from which on the transport pauses the response."""
+
+SIZE_STEP = 4096
+"""Sizes are rounded up to a multiple of this, to change them seldom."""
+
+_OUT_OF_MEMORY = Refusal(
+    503, "no memory for the request now", LimitCause.MEMORY, STALL_S
+)
+_OUT_OF_DESCRIPTORS = Refusal(
+    503, "too many connections now", LimitCause.DESCRIPTORS, STALL_S
+)
+
+
+@dataclass(frozen=True, slots=True)
+class _Queued:
+    request: Request
+    head_bytes: int
+
+    @property
+    def size(self) -> int:
+        return self.head_bytes + len(self.request.body)
+
 
 class CallerConnection(Protocol, ResponseChannel):
     """Parses pipelined requests and handles them one at a time.
@@ -40,7 +80,9 @@
     Args:
         handler: Handles the requests.
         clock: Schedules the timeouts.
+        budget: Decides on the memory and the descriptors that it may use.
         on_closed: Called with the connection once it is closed.
+        on_limited: Called with the bound that the connection has reached.
     """
 
     transport: Any
@@ -49,53 +91,63 @@
         self,
         handler: RequestHandler,
         clock: Clock,
+        budget: ConnectionBudget[CallerConnection],
+        *,
         on_closed: Callable[[CallerConnection], None],
+        on_limited: Callable[[LimitCause], None],
     ) -> None:
         self._handler = handler
         self._clock = clock
+        self._budget = budget
         self._on_closed = on_closed
-        self._limits = handler.limits()
-        self._parser = httptools.HttpRequestParser(self)
-        self._queue: deque[Request] = deque()
+        self._on_limited = on_limited
+        self._reader = RequestReader(
+            handler.limits,
+            clock.seconds,
+            on_request=self._queue_request,
+            on_continue=self._send_continue,
+        )
+        self._usage, self._admission = budget.connect(self, clock.seconds())
+        self._queue: deque[_Queued] = deque()
+        self._queued_bytes = 0
+        self._running_bytes = 0
+        self._response_bytes = 0
+        self._unsent_bytes = 0
         self._current: Exchange | None = None
-        self._error: tuple[int, str] | None = None
+        self._proven = False
+        self._reading_paused = False
+        self._writing_paused = False
         self._closing = False
         self._timer: Timer | None = None
-        self._in_message = False
-        self._head_done = False
-        self._url = b""
-        self._headers: list[Header] = []
-        self._head_bytes = 0
-        self._body: list[bytes] = []
-        self._body_bytes = 0
 
     @property
     def idle(self) -> bool:
         """Whether no request is being read or handled."""
-        return self._current is None and not self._in_message
+        return self._current is None and not self._reader.in_message
 
     def connectionMade(self) -> None:  # noqa: N802
-        """Starts the idle timeout."""
+        """Starts the idle timeout, or closes a connection too many."""
         self.transport.setTcpNoDelay(True)
-        self._set_timer(self._limits.idle_timeout_s, self._idle_timeout)
+        self.transport.registerProducer(self, True)
+        self._evict(self._admission, LimitCause.DESCRIPTORS)
+        if not self._admission.granted:
+            self.give_way(LimitCause.DESCRIPTORS)
+            return
+        self._set_timer(self._reader.limits.idle_timeout_s, self._idle_timeout)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Parses received bytes."""
-        if self._closing or self._error is not None:
+        reader = self._reader
+        if self._closing or reader.refusal is not None:
             return
-        if not self._head_done:
-            self._head_bytes += len(data)
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._reject(400, "protocol upgrades are not supported")
-        except httptools.HttpParserError as error:
-            if self._error is None:
-                self._reject(400, f"malformed request: {error}")
-        if self._error is None and self._in_message:
-            self._check_sizes()
-        if self._error is None and self._in_message and self._head_done:
-            self._set_timer(self._limits.idle_timeout_s, self._body_timeout)
+        messages = reader.messages
+        reader.feed(data)
+        if reader.refusal is not None:
+            self._cancel_timer()
+        elif reader.in_message:
+            self._continue_reading(
+                len(data), begun=reader.messages != messages
+            )
         self._handle_next()
 
     def connectionLost(  # noqa: N802
@@ -104,84 +156,35 @@
         """Drops queued requests and cancels the current one."""
         self._closing = True
         self._cancel_timer()
+        self._budget.disconnect(self._usage)
         self._queue.clear()
         current, self._current = self._current, None
         if current is not None:
             current.caller_disconnected()
         self._on_closed(self)
 
-    def on_message_begin(self) -> None:
-        """Resets the parser state for a new request."""
-        self._in_message = True
-        self._head_done = False
-        self._url = b""
-        self._headers = []
-        self._head_bytes = 0
-        self._body = []
-        self._body_bytes = 0
-        self._limits = self._handler.limits()
-        self._set_timer(self._limits.header_timeout_s, self._head_timeout)
-
-    def on_url(self, url: bytes) -> None:
-        """Appends a part of the URL."""
-        self._url += url
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Adds a header; trailers are dropped."""
-        if not self._head_done:
-            self._headers.append((name, value))
-
-    def on_headers_complete(self) -> None:
-        """Validates the request head."""
-        self._head_done = True
-        size = len(self._url)
-        for name, value in self._headers:
-            size += len(name) + len(value) + 4
-        if size > self._limits.header_bytes:
-            self._reject(431, "request head too large")
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Notes that the caller doesn't read as fast as it is sent to."""
+        if self._writing_paused:
             return
-        for name, value in self._headers:
-            lower = name.lower()
-            if lower == b"transfer-encoding" and value.lower() != b"chunked":
-                self._reject(400, "unsupported transfer encoding")
-            elif lower == b"expect" and value.lower() == b"100-continue":
-                self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-            elif lower == b"content-length" and self._exceeds_body_limit(
-                value
-            ):
-                self._reject(413, "request body too large")
-        if not self._url.startswith(b"/"):
-            self._reject(400, "only paths are supported")
-
-    def on_body(self, body: bytes) -> None:
-        """Appends a part of the body, up to the size limit."""
-        self._body_bytes += len(body)
-        if self._body_bytes <= self._limits.body_bytes:
-            self._body.append(body)
-
-    def on_message_complete(self) -> None:
-        """Queues a complete request."""
-        self._in_message = False
-        self._cancel_timer()
-        if self._error is not None or self._closing:
-            return
-        if self._body_bytes > self._limits.body_bytes:
-            self._reject(413, "request body too large")
+        self._writing_paused = True
+        self._unsent_bytes = SEND_BUFFER_BYTES
+        if self._current is not None:
+            self._current.set_flowing(False)
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Continues once the caller has read all that was sent."""
+        self._writing_paused = False
+        self._unsent_bytes = 0
+        if self._closing:
             return
-        request = Request(
-            method=self._parser.get_method(),
-            url=self._url,
-            headers=tuple(self._headers),
-            body=b"".join(self._body),
-            keep_alive=self._parser.should_keep_alive(),
-            received_at=self._clock.seconds(),
-        )
-        self._body = []
-        self._head_done = False
-        self._head_bytes = 0
-        self._queue.append(request)
-        if len(self._queue) >= MAX_PIPELINED:
-            self.transport.pauseProducing()
+        if self._current is not None:
+            self._current.set_flowing(True)
+        self._update()
+        self._handle_next()
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Does nothing: ``connectionLost`` ends the response."""
 
     def send_response(
         self,
@@ -194,9 +197,8 @@
         if self._closing:
             return
         close = self._should_close_after(exchange.request)
-        self.transport.write(
-            encode_response(status, headers, body, close=close)
-        )
+        self._response_bytes = 0
+        self.write(encode_response(status, headers, body, close=close))
         self.exchange_ended(close=close)
 
     def send_head(
@@ -207,14 +209,27 @@
             return
         all_headers = [*headers, (b"Transfer-Encoding", b"chunked")]
         close = not exchange.request.keep_alive
-        self.transport.write(
-            encode_response_head(status, all_headers, close=close)
-        )
+        self.write(encode_response_head(status, all_headers, close=close))
 
     def write(self, data: bytes) -> None:
         """Writes encoded bytes of the current response."""
-        if not self._closing:
-            self.transport.write(data)
+        if self._closing:
+            return
+        self.transport.write(data)
+        if not self._writing_paused:
+            return
+        self._unsent_bytes += len(data)
+        if not self._update():
+            self.give_way(LimitCause.UNREAD)
+
+    def hold_response(self, size: int) -> bool:
+        """Notes how much of a response is held until it is complete.
+
+        Returns:
+            Whether there is memory for it.
+        """
+        self._response_bytes = size
+        return self._update()
 
     def exchange_ended(self, *, close: bool | None = None) -> None:
         """Continues with the next request, or closes the connection.
@@ -224,6 +239,8 @@
                 None if that depends on the request alone.
         """
         current, self._current = self._current, None
+        self._running_bytes = 0
+        self._response_bytes = 0
         if self._closing:
             return
         if close is None:
@@ -231,9 +248,13 @@
         if close:
             self._close()
             return
-        if not self._queue and not self._in_message:
-            self._set_timer(self._limits.idle_timeout_s, self._idle_timeout)
-        self._clock.callLater(0, self._handle_next)
+        if not self._queue and not self._reader.in_message:
+            self._set_timer(
+                self._reader.limits.idle_timeout_s, self._idle_timeout
+            )
+        self._update()
+        if self._queue or self._reader.refusal is not None:
+            self._clock.callLater(0, self._handle_next)
 
     def abort(self) -> None:
         """Resets the connection."""
@@ -247,53 +268,168 @@
         if self.idle and not self._closing:
             self._close()
 
+    def give_way(self, cause: LimitCause) -> None:
+        """Frees what the connection uses, for others.
+
+        A request that is being read has not run and is refused; in all other
+        cases, the connection is closed.
+
+        Args:
+            cause: The bound that was reached.
+        """
+        self._on_limited(cause)
+        reading = self._current is None and self._reader.in_message
+        if self._closing or self._writing_paused or not reading:
+            self._closing = True
+            self._cancel_timer()
+            self.transport.abortConnection()
+            return
+        self._refuse(_OUT_OF_MEMORY)
+        self._send_refusal()
+
+    def _queue_request(self, request: Request, head_bytes: int) -> None:
+        self._cancel_timer()
+        self._proven = True
+        queued = _Queued(request, head_bytes)
+        self._queue.append(queued)
+        self._queued_bytes += queued.size
+        if (
+            len(self._queue) >= MAX_PIPELINED
+            or self._queued_bytes > MAX_QUEUED_BYTES
+        ):
+            self._pause_reading()
+
+    def _send_continue(self) -> None:
+        self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def _continue_reading(self, received: int, *, begun: bool) -> None:
+        reader = self._reader
+        self._budget.progressed(self._usage, received, self._clock.seconds())
+        if reader.head_done:
+            self._set_timer(reader.limits.idle_timeout_s, self._body_timeout)
+        elif begun:
+            self._set_timer(reader.limits.header_timeout_s, self._head_timeout)
+        if not self._update():
+            self._refuse(_OUT_OF_MEMORY)
+
     def _should_close_after(self, request: Request) -> bool:
         if not request.keep_alive:
             return True
         return self._handler.should_close() and not self._queue
 
     def _handle_next(self) -> None:
-        if self._closing or self._current is not None:
+        if self._closing or self._current is not None or self._writing_paused:
             return
-        if self._queue:
-            request = self._queue.popleft()
-            if len(self._queue) == MAX_PIPELINED - 1:
-                self.transport.resumeProducing()
-            self._current = Exchange(request, self)
+        if self._queue and self._start_next():
+            assert self._current is not None
             self._handler.handle(self._current)
             return
-        if self._error is None:
-            return
-        status, reason = self._error
-        body = reason.encode() + b"\n"
+        if self._reader.refusal is not None:
+            self._on_limited(self._reader.refusal.cause)
+            self._send_refusal()
+
+    def _start_next(self) -> bool:
+        queued = self._queue.popleft()
+        request = queued.request
+        self._queued_bytes -= queued.size
+        self._current = Exchange(request, self)
+        self._running_bytes = (
+            RUNNING_BYTES
+            + queued.head_bytes
+            + RUNNING_BODY_COPIES * len(request.body)
+        )
+        decision = self._budget.start_request(
+            self._usage, self._clock.seconds()
+        )
+        self._evict(decision, LimitCause.DESCRIPTORS)
+        refusal: Refusal | None = None
+        if not decision.granted:
+            refusal = _OUT_OF_DESCRIPTORS
+        elif not self._update():
+            refusal = _OUT_OF_MEMORY
+        if refusal is None:
+            if not self._queue:
+                self._resume_reading()
+            return True
+        self._current = None
+        self._running_bytes = 0
+        self._queue.clear()
+        self._queued_bytes = 0
+        # It has not run, nor will those that follow it.
+        self._reader.refusal = None
+        self._refuse(refusal)
+        return False
+
+    def _update(self) -> bool:
+        # Returns whether there is memory for all that the connection holds.
+        now = self._clock.seconds()
+        standing = self._standing()
+        if standing is not self._usage.standing:
+            self._budget.change(self._usage, standing, now)
+        size = (
+            self._reader.held_bytes
+            + self._queued_bytes
+            + self._running_bytes
+            + self._response_bytes
+            + self._unsent_bytes
+        )
+        size += -size % SIZE_STEP
+        decision = self._budget.resize(self._usage, size, now)
+        self._evict(decision, LimitCause.MEMORY)
+        return decision.granted
+
+    def _standing(self) -> Standing:
+        if self._closing:
+            return Standing.CLOSING
+        if self._current is not None:
+            return Standing.RUNNING
+        if self._writing_paused:
+            return Standing.UNREAD
+        if self._queue or self._reader.in_message:
+            return Standing.READING if self._proven else Standing.UNPROVEN
+        return Standing.IDLE if self._proven else Standing.UNUSED
+
+    def _evict(
+        self, decision: Decision[CallerConnection], cause: LimitCause
+    ) -> None:
+        for connection in decision.evicted:
+            connection.give_way(cause)
+
+    def _refuse(self, refusal: Refusal) -> None:
+        self._reader.refuse(refusal)
+        self._cancel_timer()
+
+    def _send_refusal(self) -> None:
+        refusal = self._reader.refusal
+        assert refusal is not None
+        headers = list(PLAIN_TEXT_HEADERS)
+        if refusal.retry_after_s is not None:
+            headers.append((b"Retry-After", b"%.2f" % refusal.retry_after_s))
+        body = refusal.reason.encode() + b"\n"
         self.transport.write(
-            encode_response(status, PLAIN_TEXT_HEADERS, body, close=True)
+            encode_response(refusal.status, headers, body, close=True)
         )
         self._close()
 
-    def _exceeds_body_limit(self, length: bytes) -> bool:
-        return length.isdigit() and int(length) > self._limits.body_bytes
-
-    def _check_sizes(self) -> None:
-        if not self._head_done:
-            if self._head_bytes > self._limits.header_bytes:
-                self._reject(431, "request head too large")
-        elif self._body_bytes > self._limits.body_bytes:
-            self._reject(413, "request body too large")
+    def _pause_reading(self) -> None:
+        if not self._reading_paused:
+            self._reading_paused = True
+            self.transport.pauseProducing()
 
-    def _reject(self, status: int, reason: str) -> None:
-        if self._error is None:
-            self._error = (status, reason)
-        self._cancel_timer()
+    def _resume_reading(self) -> None:
+        if self._reading_paused:
+            self._reading_paused = False
+            self.transport.resumeProducing()
 
     def _head_timeout(self) -> None:
-        self._timer = None
-        self._reject(408, "request head took too long")
-        self._handle_next()
+        self._time_out("request head took too long", LimitCause.HEAD_TIME)
 
     def _body_timeout(self) -> None:
+        self._time_out("request body took too long", LimitCause.BODY_TIME)
+
+    def _time_out(self, reason: str, cause: LimitCause) -> None:
         self._timer = None
-        self._reject(408, "request body took too long")
+        self._refuse(Refusal(408, reason, cause))
         self._handle_next()
 
     def _idle_timeout(self) -> None:
@@ -303,6 +439,9 @@
     def _close(self) -> None:
         self._closing = True
         self._cancel_timer()
+        self._update()
+        # A paused producer would keep the transport from closing.
+        self.transport.unregisterProducer()
         self.transport.loseConnection()
         self._set_timer(LINGER_S, self.transport.abortConnection)
 
@@ -314,42 +453,3 @@
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
         self._timer = None
-
-
-class CallerFactory(Factory):
-    """Creates callers' connections and tracks the open ones.
-
-    Args:
-        handler: Handles the requests.
-        clock: Schedules the timeouts.
-    """
-
-    noisy = False
-
-    def __init__(self, handler: RequestHandler, clock: Clock) -> None:
-        self._handler = handler
-        self._clock = clock
-        self._open: set[CallerConnection] = set()
-
-    def buildProtocol(self, addr: object) -> CallerConnection:  # noqa: N802
-        """Creates the protocol of a new connection."""
-        connection = CallerConnection(
-            self._handler, self._clock, self._open.discard
-        )
-        self._open.add(connection)
-        return connection
-
-    def close_idle(self) -> None:
-        """Closes the connections without a request in progress."""
-        for connection in list(self._open):
-            connection.close_if_idle()
-
-    @property
-    def connections(self) -> frozenset[CallerConnection]:
-        """The open connections."""
-        return frozenset(self._open)
-
-    @property
-    def busy_connections(self) -> int:
-        """Number of connections with a request in progress."""
-        return sum(not connection.idle for connection in self._open)
--- /dev/null
+++ b/lycheestall/entry/callers/caller_factory.py
@@ -0,0 +1,78 @@
+"""Creates the connections of a port."""
+
+from __future__ import annotations
+
+from functools import partial
+
+from twisted.internet.protocol import Factory
+
+from ...clock import Clock
+from ..exchange import RequestHandler
+from .bounds import ConnectionBounds, LimitCause
+from .caller_connection import CallerConnection
+from .connection_budget import ConnectionBudget
+from .limit_log import LimitLog
+
+__all__ = ["CallerFactory"]
+
+_WITHOUT_BOUNDS = ConnectionBounds(memory_bytes=2**40, descriptors=2**30)
+
+
+class CallerFactory(Factory):
+    """Creates callers' connections and tracks the open ones.
+
+    Args:
+        handler: Handles the requests.
+        clock: Schedules the timeouts.
+        bounds: Bounds on all connections together; none by default.
+        log: Notes the bounds that connections reach, if given.
+    """
+
+    noisy = False
+
+    def __init__(
+        self,
+        handler: RequestHandler,
+        clock: Clock,
+        *,
+        bounds: ConnectionBounds = _WITHOUT_BOUNDS,
+        log: LimitLog | None = None,
+    ) -> None:
+        self._handler = handler
+        self._clock = clock
+        self._log = log
+        self._open: set[CallerConnection] = set()
+        self.budget: ConnectionBudget[CallerConnection] = ConnectionBudget(
+            bounds
+        )
+
+    def buildProtocol(self, addr: object) -> CallerConnection:  # noqa: N802
+        """Creates the protocol of a new connection."""
+        connection = CallerConnection(
+            self._handler,
+            self._clock,
+            self.budget,
+            on_closed=self._open.discard,
+            on_limited=partial(self._limited, addr),
+        )
+        self._open.add(connection)
+        return connection
+
+    def close_idle(self) -> None:
+        """Closes the connections without a request in progress."""
+        for connection in list(self._open):
+            connection.close_if_idle()
+
+    @property
+    def connections(self) -> frozenset[CallerConnection]:
+        """The open connections."""
+        return frozenset(self._open)
+
+    @property
+    def busy_connections(self) -> int:
+        """Number of connections with a request in progress."""
+        return sum(not connection.idle for connection in self._open)
+
+    def _limited(self, addr: object, cause: LimitCause) -> None:
+        if self._log is not None:
+            self._log.reached(cause, getattr(addr, "host", ""))
--- a/lycheestall/entry/entry_metrics.py
+++ b/lycheestall/entry/entry_metrics.py
@@ -53,6 +53,14 @@
             "conversations_loaded_total",
             "Conversations continued, by where their turns were found.",
         )
+        self._connections_limited = self.counter(
+            "connections_limited_total",
+            "Connections refused or closed, by port and the bound reached.",
+        )
+
+    def connection_limited(self, port: str, cause: str) -> None:
+        """Counts a connection that has reached a bound."""
+        self._connections_limited.inc({"port": port, "cause": cause})
 
     def attempt_relayed(self) -> None:
         """Counts an attempt that a peer is asked to send."""
--- a/lycheestall/entry/entry_process.py
+++ b/lycheestall/entry/entry_process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import resource
 import signal
 import sys
 from collections.abc import Callable
@@ -16,7 +17,14 @@
 from ..log_output import BoundedOutput
 from ..logs import configure_logs, get_logger
 from .boot_clock import BootClockReactor
-from .callers import CallerFactory
+from .callers import (
+    CallerFactory,
+    ConnectionBounds,
+    LimitLog,
+    caller_bounds,
+    peer_bounds,
+    status_bounds,
+)
 from .entry_metrics import EntryMetrics
 from .entry_vm import EntryVm
 from .exchange import RequestHandler
@@ -111,22 +119,41 @@
             logger=self._logger,
             metrics=metrics,
         )
-        self._callers = CallerFactory(self._vm, reactor)
         self._metrics = metrics
+        descriptors = _max_descriptors(settings)
+        self._callers = self._factory(
+            "callers",
+            self._vm,
+            caller_bounds(settings.memory_mb, descriptors),
+        )
+        self._peer_bounds = peer_bounds(settings.memory_mb, descriptors)
 
     def start(self) -> None:
         """Opens the listeners and starts to follow the store."""
         settings = self._settings
-        self._listen(settings.readiness, ReadinessHandler(self._ready))
+        self._listen(
+            settings.readiness,
+            self._factory(
+                "readiness", ReadinessHandler(self._ready), status_bounds()
+            ),
+        )
         self._listen(
             Address(settings.host, settings.metrics_port),
-            MetricsHandler(self._metrics.render),
+            self._factory(
+                "metrics",
+                MetricsHandler(self._metrics.render),
+                status_bounds(),
+            ),
         )
         self._listen(
             Address(settings.host, settings.peers_port),
-            PeerEndpoint(self._vm, self._logger),
+            self._factory(
+                "peers",
+                PeerEndpoint(self._vm, self._logger),
+                self._peer_bounds,
+            ),
         )
-        self._listen_with(settings.callers, self._callers)
+        self._listen(settings.callers, self._callers)
         self._vm.start()
         self._flush_log()
         self._logger.info("started", zone=settings.zone)
@@ -200,10 +227,13 @@
         self._output.drain()
         self._reactor.callLater(LOG_FLUSH_INTERVAL_S, self._flush_log)
 
-    def _listen(self, address: Address, handler: RequestHandler) -> None:
-        self._listen_with(address, CallerFactory(handler, self._reactor))
+    def _factory(
+        self, port: str, handler: RequestHandler, bounds: ConnectionBounds
+    ) -> CallerFactory:
+        log = LimitLog(port, self._logger, self._metrics, self._reactor)
+        return CallerFactory(handler, self._reactor, bounds=bounds, log=log)
 
-    def _listen_with(self, address: Address, factory: CallerFactory) -> None:
+    def _listen(self, address: Address, factory: CallerFactory) -> None:
         port = self._reactor.listenTCP(
             address.port,
             factory,
@@ -213,6 +243,13 @@
         self._ports.append(port)
 
 
+def _max_descriptors(settings: EntrySettings) -> int:
+    allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if allowed == resource.RLIM_INFINITY:
+        return settings.max_descriptors
+    return min(settings.max_descriptors, allowed)
+
+
 def run_entry(
     settings: EntrySettings,
     adapter: PlatformAdapter,
--- a/lycheestall/entry/exchange.py
+++ b/lycheestall/entry/exchange.py
@@ -50,6 +50,14 @@
     def abort(self) -> None:
         """Resets the connection."""
 
+    def hold_response(self, size: int) -> bool:
+        """Notes how much of a response is held until it is complete.
+
+        Returns:
+            Whether there is memory for it.
+        """
+        return True
+
 
 class RequestHandler(ABC):
     """Handles requests of callers."""
@@ -76,6 +84,8 @@
         status: The status code sent; 0 before that.
         on_disconnect: Called if the caller disconnects before the
             response is complete.
+        on_flow: Called with False when the caller falls behind in reading
+            the response, and with True when it has caught up.
     """
 
     def __init__(self, request: Request, channel: ResponseChannel) -> None:
@@ -83,6 +93,7 @@
         self.ended = False
         self.status = 0
         self.on_disconnect: Callable[[], None] | None = None
+        self.on_flow: Callable[[bool], None] | None = None
         self._channel = channel
 
     @property
@@ -143,6 +154,19 @@
         self.ended = True
         self._channel.abort()
 
+    def hold(self, size: int) -> bool:
+        """Notes how much of the response is held until it is complete.
+
+        Returns:
+            Whether there is memory for it.
+        """
+        return self.ended or self._channel.hold_response(size)
+
+    def set_flowing(self, flowing: bool) -> None:
+        """Reports whether the caller reads as fast as it is sent to."""
+        if self.on_flow is not None and not self.ended:
+            self.on_flow(flowing)
+
     def caller_disconnected(self) -> None:
         """Ends the exchange and reports the disconnect to its handler."""
         if self.ended:
--- a/lycheestall/entry/http_client_connection.py
+++ b/lycheestall/entry/http_client_connection.py
@@ -118,6 +118,7 @@
         self._is_head_request = False
         self._lost = False
         self._unproductive_bytes = 0
+        self._reading = True
 
     @property
     def open(self) -> bool:
@@ -164,6 +165,16 @@
         self._unproductive_bytes = 0
         self.transport.write(data)
 
+    def set_reading(self, reading: bool) -> None:
+        """Reads from the connection, or stops reading."""
+        if reading is self._reading or self._lost:
+            return
+        self._reading = reading
+        if reading:
+            self.transport.resumeProducing()
+        else:
+            self.transport.pauseProducing()
+
     def abort(self) -> None:
         """Resets the connection without further receiver callbacks."""
         self._receiver = None
@@ -275,6 +286,7 @@
             self._complete()
 
     def _complete(self) -> None:
+        self.set_reading(True)
         receiver, self._receiver = self._receiver, None
         if receiver is not None:
             receiver.response_ended()
--- a/lycheestall/entry/readiness.py
+++ b/lycheestall/entry/readiness.py
@@ -9,6 +9,9 @@
 
 __all__ = ["MetricsHandler", "ReadinessHandler"]
 
+_LIMITS = CallerLimits(body_bytes=1024)
+"""Requests to these endpoints need no body."""
+
 
 class ReadinessHandler(RequestHandler):
     """Responds with 200 while the VM accepts new callers, else with 503.
@@ -28,8 +31,8 @@
             exchange.respond(503, [], b"not ready\n")
 
     def limits(self) -> CallerLimits:
-        """Returns the default limits."""
-        return CallerLimits()
+        """Returns limits without room for bodies."""
+        return _LIMITS
 
     def should_close(self) -> bool:
         """Returns False: connections are kept open."""
@@ -52,8 +55,8 @@
         exchange.respond(200, headers, self._render())
 
     def limits(self) -> CallerLimits:
-        """Returns the default limits."""
-        return CallerLimits()
+        """Returns limits without room for bodies."""
+        return _LIMITS
 
     def should_close(self) -> bool:
         """Returns False: connections are kept open."""
--- a/lycheestall/entry/relayed_attempt.py
+++ b/lycheestall/entry/relayed_attempt.py
@@ -110,7 +110,9 @@
             return
         self._result.append(data)
         self._result_bytes += len(data)
-        if self._result_bytes > MAX_RESULT_BYTES:
+        if self._result_bytes > MAX_RESULT_BYTES or not self.hold(
+            self._result_bytes
+        ):
             self._break(BreakReason.TOO_LARGE)
 
     def response_ended(self) -> None:
--- a/lycheestall/entry/target_attempt.py
+++ b/lycheestall/entry/target_attempt.py
@@ -123,7 +123,9 @@
         if not self._streaming or self._forwarder is None:
             self._body.append(data)
             self._body_bytes += len(data)
-            if self._body_bytes > MAX_BUFFERED_BODY_BYTES:
+            if self._body_bytes > MAX_BUFFERED_BODY_BYTES or not self.hold(
+                self._body_bytes
+            ):
                 self._break(BreakReason.TOO_LARGE)
             return
         if not self._forwarder.feed(data):
--- a/lycheestall/entry/vm_settings.py
+++ b/lycheestall/entry/vm_settings.py
@@ -70,6 +70,7 @@
         drain_s: Seconds after which a draining target must receive no new
             requests.
         memory_mb: Memory of the VM's process, in MB.
+        max_descriptors: Descriptors that the process may open.
         store_partitions: Number of partitions of each of the store's topics.
         store_record_bytes: Largest record that the store accepts.
         first_start: Whether the whole system starts for the first time.
@@ -90,6 +91,7 @@
     grace_s: float
     drain_s: float
     memory_mb: float = 128.0
+    max_descriptors: int = 20_000
     store_partitions: int = 1
     store_record_bytes: int = 262_144
     first_start: bool = False
--- a/lycheestall/platform/settings_file.py
+++ b/lycheestall/platform/settings_file.py
@@ -56,6 +56,7 @@
         grace_s=reader.number("bounds.grace_s", default=8.0),
         drain_s=reader.number("bounds.drain_ms", default=2000.0) / 1000.0,
         memory_mb=reader.number("limits.memory_mb", default=128.0),
+        max_descriptors=reader.count("limits.max_fds", default=20_000),
         store_partitions=reader.count("platform.parts", default=1),
         store_record_bytes=reader.count(
             "platform.record_bytes", default=262_144
--- a/tests/entry/fake_network.py
+++ b/tests/entry/fake_network.py
@@ -68,6 +68,12 @@
     def resumeProducing(self) -> None:  # noqa: N802
         """Does nothing."""
 
+    def registerProducer(self, producer: object, streaming: bool) -> None:  # noqa: N802
+        """Does nothing: every byte is sent at once."""
+
+    def unregisterProducer(self) -> None:  # noqa: N802
+        """Does nothing."""
+
     def _send(self, deliver: Callable[[], None]) -> None:
         if self._link is None:
             deliver()
