--- a/lycheestall/entry/callers/__init__.py
+++ b/lycheestall/entry/callers/__init__.py
@@ -4,7 +4,6 @@
 
 from .bounds import (
     ConnectionBounds,
-    LimitCause,
     caller_bounds,
     peer_bounds,
     status_bounds,
@@ -13,6 +12,7 @@
 from .caller_factory import CallerFactory
 from .connection_budget import ConnectionBudget, Decision, Standing, Usage
 from .limit_log import LimitLog
+from .refusals import LimitCause, Refusal
 from .request_reader import RequestReader
 
 __all__ = [
@@ -23,6 +23,7 @@
     "Decision",
     "LimitCause",
     "LimitLog",
+    "Refusal",
     "RequestReader",
     "Standing",
     "Usage",
--- a/lycheestall/entry/callers/bounds.py
+++ b/lycheestall/entry/callers/bounds.py
@@ -1,14 +1,11 @@
-"""Bounds on what connections may use, and the causes of refusals."""
+"""Bounds on what the connections of a port may use."""
 
 from __future__ import annotations
 
 from dataclasses import dataclass
-from enum import Enum
 
 __all__ = [
     "ConnectionBounds",
-    "LimitCause",
-    "Refusal",
     "caller_bounds",
     "peer_bounds",
     "status_bounds",
@@ -40,51 +37,6 @@
 STATUS_BYTES = 2_000_000
 
 
-class LimitCause(Enum):
-    """Why a request was refused or a connection closed.
-
-    Attributes:
-        HEAD_BYTES: The head is larger than allowed.
-        HEAD_TIME: The head took too long.
-        EMPTY_BYTES: Too many bytes came between two requests.
-        BODY_BYTES: The body is larger than allowed.
-        BODY_TIME: The body stopped for too long.
-        FRAMING_BYTES: Trailers or chunk extensions are too long.
-        MALFORMED: The request is malformed.
-        MEMORY: The memory for connections is used up.
-        DESCRIPTORS: The descriptors for connections are used up.
-        UNREAD: The caller doesn't read its responses.
-    """
-
-    HEAD_BYTES = "head_bytes"
-    HEAD_TIME = "head_time"
-    EMPTY_BYTES = "empty_bytes"
-    BODY_BYTES = "body_bytes"
-    BODY_TIME = "body_time"
-    FRAMING_BYTES = "framing_bytes"
-    MALFORMED = "malformed"
-    MEMORY = "memory"
-    DESCRIPTORS = "descriptors"
-    UNREAD = "unread"
-
-
-@dataclass(frozen=True, slots=True)
-class Refusal:
-    """A response that refuses a request, which has not run.
-
-    Attributes:
-        status: The status code.
-        reason: The text of the body.
-        cause: The bound that was reached.
-        retry_after_s: Value of the ``Retry-After`` header, if any.
-    """
-
-    status: int
-    reason: str
-    cause: LimitCause
-    retry_after_s: float | None = None
-
-
 @dataclass(frozen=True, slots=True)
 class ConnectionBounds:
     """Bounds on all connections of a port together.
--- a/lycheestall/entry/callers/caller_connection.py
+++ b/lycheestall/entry/callers/caller_connection.py
@@ -12,7 +12,6 @@
 
 from ...clock import Clock, Timer
 from ..exchange import (
-    PLAIN_TEXT_HEADERS,
     Exchange,
     RequestHandler,
     ResponseChannel,
@@ -23,12 +22,13 @@
     encode_response,
     encode_response_head,
 )
-from .bounds import LimitCause, Refusal
-from .connection_budget import (
-    STALL_S,
-    ConnectionBudget,
-    Decision,
-    Standing,
+from .connection_budget import ConnectionBudget, Standing
+from .connection_use import ConnectionUse, Displaceable
+from .refusals import (
+    OUT_OF_DESCRIPTORS,
+    OUT_OF_MEMORY,
+    LimitCause,
+    Refusal,
 )
 from .request_reader import RequestReader
 
@@ -44,25 +44,6 @@
 """Seconds to keep reading after the last response; closing at once could
 send a reset that discards the response before the caller reads it."""
 
-RUNNING_BYTES = 4096
-"""Memory of a request in progress besides its head and its body."""
-
-RUNNING_BODY_COPIES = 2
-"""The body of a request in progress, and its copy that is sent to a target."""
-
-SEND_BUFFER_BYTES = 65_536
-"""Unsent bytes from which on the transport pauses the response."""
-
-SIZE_STEP = 4096
-"""Sizes are rounded up to a multiple of this, to change them seldom."""
-
-_OUT_OF_MEMORY = Refusal(
-    503, "no memory for the request now", LimitCause.MEMORY, STALL_S
-)
-_OUT_OF_DESCRIPTORS = Refusal(
-    503, "too many connections now", LimitCause.DESCRIPTORS, STALL_S
-)
-
 
 @dataclass(frozen=True, slots=True)
 class _Queued:
@@ -74,7 +55,7 @@
         return self.head_bytes + len(self.request.body)
 
 
-class CallerConnection(Protocol, ResponseChannel):
+class CallerConnection(Protocol, ResponseChannel, Displaceable):
     """Parses pipelined requests and handles them one at a time.
 
     Args:
@@ -91,14 +72,13 @@
         self,
         handler: RequestHandler,
         clock: Clock,
-        budget: ConnectionBudget[CallerConnection],
+        budget: ConnectionBudget[Displaceable],
         *,
         on_closed: Callable[[CallerConnection], None],
         on_limited: Callable[[LimitCause], None],
     ) -> None:
         self._handler = handler
         self._clock = clock
-        self._budget = budget
         self._on_closed = on_closed
         self._on_limited = on_limited
         self._reader = RequestReader(
@@ -107,12 +87,8 @@
             on_request=self._queue_request,
             on_continue=self._send_continue,
         )
-        self._usage, self._admission = budget.connect(self, clock.seconds())
+        self._use = ConnectionUse(self, budget, clock.seconds())
         self._queue: deque[_Queued] = deque()
-        self._queued_bytes = 0
-        self._running_bytes = 0
-        self._response_bytes = 0
-        self._unsent_bytes = 0
         self._current: Exchange | None = None
         self._proven = False
         self._reading_paused = False
@@ -129,8 +105,8 @@
         """Starts the idle timeout, or closes a connection too many."""
         self.transport.setTcpNoDelay(True)
         self.transport.registerProducer(self, True)
-        self._evict(self._admission, LimitCause.DESCRIPTORS)
-        if not self._admission.granted:
+        self._use.displace_others()
+        if not self._use.accepted:
             self.give_way(LimitCause.DESCRIPTORS)
             return
         self._set_timer(self._reader.limits.idle_timeout_s, self._idle_timeout)
@@ -156,7 +132,7 @@
         """Drops queued requests and cancels the current one."""
         self._closing = True
         self._cancel_timer()
-        self._budget.disconnect(self._usage)
+        self._use.disconnect()
         self._queue.clear()
         current, self._current = self._current, None
         if current is not None:
@@ -168,14 +144,14 @@
         if self._writing_paused:
             return
         self._writing_paused = True
-        self._unsent_bytes = SEND_BUFFER_BYTES
+        self._use.writing_paused()
         if self._current is not None:
             self._current.set_flowing(False)
 
     def resumeProducing(self) -> None:  # noqa: N802
         """Continues once the caller has read all that was sent."""
         self._writing_paused = False
-        self._unsent_bytes = 0
+        self._use.all_sent()
         if self._closing:
             return
         if self._current is not None:
@@ -197,7 +173,7 @@
         if self._closing:
             return
         close = self._should_close_after(exchange.request)
-        self._response_bytes = 0
+        self._use.response_bytes = 0
         self.write(encode_response(status, headers, body, close=close))
         self.exchange_ended(close=close)
 
@@ -218,7 +194,7 @@
         self.transport.write(data)
         if not self._writing_paused:
             return
-        self._unsent_bytes += len(data)
+        self._use.written(len(data))
         if not self._update():
             self.give_way(LimitCause.UNREAD)
 
@@ -228,7 +204,7 @@
         Returns:
             Whether there is memory for it.
         """
-        self._response_bytes = size
+        self._use.response_bytes = size
         return self._update()
 
     def exchange_ended(self, *, close: bool | None = None) -> None:
@@ -239,8 +215,7 @@
                 None if that depends on the request alone.
         """
         current, self._current = self._current, None
-        self._running_bytes = 0
-        self._response_bytes = 0
+        self._use.end_request()
         if self._closing:
             return
         if close is None:
@@ -284,7 +259,7 @@
             self._cancel_timer()
             self.transport.abortConnection()
             return
-        self._refuse(_OUT_OF_MEMORY)
+        self._refuse(OUT_OF_MEMORY)
         self._send_refusal()
 
     def _queue_request(self, request: Request, head_bytes: int) -> None:
@@ -292,10 +267,10 @@
         self._proven = True
         queued = _Queued(request, head_bytes)
         self._queue.append(queued)
-        self._queued_bytes += queued.size
+        self._use.queued_bytes += queued.size
         if (
             len(self._queue) >= MAX_PIPELINED
-            or self._queued_bytes > MAX_QUEUED_BYTES
+            or self._use.queued_bytes > MAX_QUEUED_BYTES
         ):
             self._pause_reading()
 
@@ -304,13 +279,13 @@
 
     def _continue_reading(self, received: int, *, begun: bool) -> None:
         reader = self._reader
-        self._budget.progressed(self._usage, received, self._clock.seconds())
+        self._use.received(received, self._clock.seconds())
         if reader.head_done:
             self._set_timer(reader.limits.idle_timeout_s, self._body_timeout)
         elif begun:
             self._set_timer(reader.limits.header_timeout_s, self._head_timeout)
         if not self._update():
-            self._refuse(_OUT_OF_MEMORY)
+            self._refuse(OUT_OF_MEMORY)
 
     def _should_close_after(self, request: Request) -> bool:
         if not request.keep_alive:
@@ -331,30 +306,23 @@
     def _start_next(self) -> bool:
         queued = self._queue.popleft()
         request = queued.request
-        self._queued_bytes -= queued.size
+        self._use.queued_bytes -= queued.size
         self._current = Exchange(request, self)
-        self._running_bytes = (
-            RUNNING_BYTES
-            + queued.head_bytes
-            + RUNNING_BODY_COPIES * len(request.body)
-        )
-        decision = self._budget.start_request(
-            self._usage, self._clock.seconds()
-        )
-        self._evict(decision, LimitCause.DESCRIPTORS)
         refusal: Refusal | None = None
-        if not decision.granted:
-            refusal = _OUT_OF_DESCRIPTORS
+        if not self._use.start_request(
+            queued.head_bytes, len(request.body), self._clock.seconds()
+        ):
+            refusal = OUT_OF_DESCRIPTORS
         elif not self._update():
-            refusal = _OUT_OF_MEMORY
+            refusal = OUT_OF_MEMORY
         if refusal is None:
             if not self._queue:
                 self._resume_reading()
             return True
         self._current = None
-        self._running_bytes = 0
+        self._use.end_request()
         self._queue.clear()
-        self._queued_bytes = 0
+        self._use.queued_bytes = 0
         # It has not run, nor will those that follow it.
         self._reader.refusal = None
         self._refuse(refusal)
@@ -362,21 +330,9 @@
 
     def _update(self) -> bool:
         # Returns whether there is memory for all that the connection holds.
-        now = self._clock.seconds()
-        standing = self._standing()
-        if standing is not self._usage.standing:
-            self._budget.change(self._usage, standing, now)
-        size = (
-            self._reader.held_bytes
-            + self._queued_bytes
-            + self._running_bytes
-            + self._response_bytes
-            + self._unsent_bytes
+        return self._use.update(
+            self._standing(), self._reader.held_bytes, self._clock.seconds()
         )
-        size += -size % SIZE_STEP
-        decision = self._budget.resize(self._usage, size, now)
-        self._evict(decision, LimitCause.MEMORY)
-        return decision.granted
 
     def _standing(self) -> Standing:
         if self._closing:
@@ -389,12 +345,6 @@
             return Standing.READING if self._proven else Standing.UNPROVEN
         return Standing.IDLE if self._proven else Standing.UNUSED
 
-    def _evict(
-        self, decision: Decision[CallerConnection], cause: LimitCause
-    ) -> None:
-        for connection in decision.evicted:
-            connection.give_way(cause)
-
     def _refuse(self, refusal: Refusal) -> None:
         self._reader.refuse(refusal)
         self._cancel_timer()
@@ -402,13 +352,7 @@
     def _send_refusal(self) -> None:
         refusal = self._reader.refusal
         assert refusal is not None
-        headers = list(PLAIN_TEXT_HEADERS)
-        if refusal.retry_after_s is not None:
-            headers.append((b"Retry-After", b"%.2f" % refusal.retry_after_s))
-        body = refusal.reason.encode() + b"\n"
-        self.transport.write(
-            encode_response(refusal.status, headers, body, close=True)
-        )
+        self.transport.write(refusal.encode())
         self._close()
 
     def _pause_reading(self) -> None:
--- a/lycheestall/entry/callers/caller_factory.py
+++ b/lycheestall/entry/callers/caller_factory.py
@@ -8,10 +8,12 @@
 
 from ...clock import Clock
 from ..exchange import RequestHandler
-from .bounds import ConnectionBounds, LimitCause
+from .bounds import ConnectionBounds
 from .caller_connection import CallerConnection
 from .connection_budget import ConnectionBudget
+from .connection_use import Displaceable
 from .limit_log import LimitLog
+from .refusals import LimitCause
 
 __all__ = ["CallerFactory"]
 
@@ -42,9 +44,7 @@
         self._clock = clock
         self._log = log
         self._open: set[CallerConnection] = set()
-        self.budget: ConnectionBudget[CallerConnection] = ConnectionBudget(
-            bounds
-        )
+        self.budget: ConnectionBudget[Displaceable] = ConnectionBudget(bounds)
 
     def buildProtocol(self, addr: object) -> CallerConnection:  # noqa: N802
         """Creates the protocol of a new connection."""
--- a/lycheestall/entry/callers/limit_log.py
+++ b/lycheestall/entry/callers/limit_log.py
@@ -6,7 +6,7 @@
 from ...logs import Logger
 from ..decision_writer import DecisionWriter
 from ..entry_metrics import EntryMetrics
-from .bounds import LimitCause
+from .refusals import LimitCause
 
 __all__ = ["LimitLog"]
 
--- a/lycheestall/entry/callers/request_reader.py
+++ b/lycheestall/entry/callers/request_reader.py
@@ -8,7 +8,7 @@
 
 from ..configuration import CallerLimits
 from ..http_messages import Header, Request
-from .bounds import LimitCause, Refusal
+from .refusals import LimitCause, Refusal
 
 __all__ = ["RequestReader"]
 
