--- a/lycheestall/entry/callers/caller_connection.py
+++ b/lycheestall/entry/callers/caller_connection.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections import deque
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Any
@@ -11,6 +10,7 @@
 from twisted.python.failure import Failure
 
 from ...clock import Clock, Timer
+from ..configuration import CallerLimits
 from ..exchange import (
     Exchange,
     RequestHandler,
@@ -30,7 +30,7 @@
     LimitCause,
     Refusal,
 )
-from .request_reader import RequestReader
+from .request_reader import RequestListener, RequestReader
 
 __all__ = ["CallerConnection"]
 
@@ -55,7 +55,9 @@
         return self.head_bytes + len(self.request.body)
 
 
-class CallerConnection(Protocol, ResponseChannel, Displaceable):
+class CallerConnection(
+    Protocol, ResponseChannel, RequestListener, Displaceable
+):
     """Parses pipelined requests and handles them one at a time.
 
     Args:
@@ -63,7 +65,9 @@
         clock: Schedules the timeouts.
         budget: Decides on the memory and the descriptors that it may use.
         on_closed: Called with the connection once it is closed.
-        on_limited: Called with the bound that the connection has reached.
+        on_limited: Called with the bound that the connection has reached
+            and the address.
+        address: IP address of the caller.
     """
 
     transport: Any
@@ -75,20 +79,17 @@
         budget: ConnectionBudget[Displaceable],
         *,
         on_closed: Callable[[CallerConnection], None],
-        on_limited: Callable[[LimitCause], None],
+        on_limited: Callable[[LimitCause, str], None],
+        address: str,
     ) -> None:
         self._handler = handler
         self._clock = clock
         self._on_closed = on_closed
         self._on_limited = on_limited
-        self._reader = RequestReader(
-            handler.limits,
-            clock.seconds,
-            on_request=self._queue_request,
-            on_continue=self._send_continue,
-        )
+        self._address = address
+        self._reader = RequestReader(self, clock)
         self._use = ConnectionUse(self, budget, clock.seconds())
-        self._queue: deque[_Queued] = deque()
+        self._queue: list[_Queued] = []
         self._current: Exchange | None = None
         self._proven = False
         self._reading_paused = False
@@ -105,8 +106,7 @@
         """Starts the idle timeout, or closes a connection too many."""
         self.transport.setTcpNoDelay(True)
         self.transport.registerProducer(self, True)
-        self._use.displace_others()
-        if not self._use.accepted:
+        if not self._use.displace_others():
             self.give_way(LimitCause.DESCRIPTORS)
             return
         self._set_timer(self._reader.limits.idle_timeout_s, self._idle_timeout)
@@ -252,7 +252,7 @@
         Args:
             cause: The bound that was reached.
         """
-        self._on_limited(cause)
+        self._on_limited(cause, self._address)
         reading = self._current is None and self._reader.in_message
         if self._closing or self._writing_paused or not reading:
             self._closing = True
@@ -262,7 +262,12 @@
         self._refuse(OUT_OF_MEMORY)
         self._send_refusal()
 
-    def _queue_request(self, request: Request, head_bytes: int) -> None:
+    def next_limits(self) -> CallerLimits:
+        """Returns the limits in force."""
+        return self._handler.limits()
+
+    def request_read(self, request: Request, *, head_bytes: int) -> None:
+        """Queues a complete request."""
         self._cancel_timer()
         self._proven = True
         queued = _Queued(request, head_bytes)
@@ -274,7 +279,8 @@
         ):
             self._pause_reading()
 
-    def _send_continue(self) -> None:
+    def continue_expected(self) -> None:
+        """Asks the caller for the body."""
         self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def _continue_reading(self, received: int, *, begun: bool) -> None:
@@ -300,11 +306,11 @@
             self._handler.handle(self._current)
             return
         if self._reader.refusal is not None:
-            self._on_limited(self._reader.refusal.cause)
+            self._on_limited(self._reader.refusal.cause, self._address)
             self._send_refusal()
 
     def _start_next(self) -> bool:
-        queued = self._queue.popleft()
+        queued = self._queue.pop(0)
         request = queued.request
         self._use.queued_bytes -= queued.size
         self._current = Exchange(request, self)
--- a/lycheestall/entry/callers/caller_factory.py
+++ b/lycheestall/entry/callers/caller_factory.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from functools import partial
-
 from twisted.internet.protocol import Factory
 
 from ...clock import Clock
@@ -44,6 +42,9 @@
         self._clock = clock
         self._log = log
         self._open: set[CallerConnection] = set()
+        # Shared by all connections, which saves memory.
+        self._on_closed = self._open.discard
+        self._on_limited = self._limited
         self.budget: ConnectionBudget[Displaceable] = ConnectionBudget(bounds)
 
     def buildProtocol(self, addr: object) -> CallerConnection:  # noqa: N802
@@ -52,8 +53,9 @@
             self._handler,
             self._clock,
             self.budget,
-            on_closed=self._open.discard,
-            on_limited=partial(self._limited, addr),
+            on_closed=self._on_closed,
+            on_limited=self._on_limited,
+            address=getattr(addr, "host", ""),
         )
         self._open.add(connection)
         return connection
@@ -73,6 +75,6 @@
         """Number of connections with a request in progress."""
         return sum(not connection.idle for connection in self._open)
 
-    def _limited(self, addr: object, cause: LimitCause) -> None:
+    def _limited(self, cause: LimitCause, address: str) -> None:
         if self._log is not None:
-            self._log.reached(cause, getattr(addr, "host", ""))
+            self._log.reached(cause, address)
--- a/lycheestall/entry/callers/connection_budget.py
+++ b/lycheestall/entry/callers/connection_budget.py
@@ -160,6 +160,8 @@
             self.descriptors <= refusable
             and self.used_bytes <= self._bounds.memory_bytes
         )
+        if granted and not evicted:
+            return usage, _GRANTED  # type: ignore[return-value]
         return usage, Decision(granted, tuple(evicted))
 
     def disconnect(self, usage: Usage[Owner]) -> None:
--- a/lycheestall/entry/callers/connection_use.py
+++ b/lycheestall/entry/callers/connection_use.py
@@ -43,11 +43,20 @@
         now: The current time.
 
     Attributes:
-        accepted: Whether the connection may stay open.
         queued_bytes: Memory of complete requests that wait.
         response_bytes: Memory of a response that is collected.
     """
 
+    __slots__ = (
+        "_budget",
+        "_connected",
+        "_running_bytes",
+        "_unsent_bytes",
+        "_usage",
+        "queued_bytes",
+        "response_bytes",
+    )
+
     def __init__(
         self,
         owner: Displaceable,
@@ -58,13 +67,17 @@
         self._usage, self._connected = budget.connect(owner, now)
         self._running_bytes = 0
         self._unsent_bytes = 0
-        self.accepted = self._connected.granted
         self.queued_bytes = 0
         self.response_bytes = 0
 
-    def displace_others(self) -> None:
-        """Closes the connections that give way to this one."""
+    def displace_others(self) -> bool:
+        """Closes the connections that give way to this one.
+
+        Returns:
+            Whether this one may stay open.
+        """
         _displace(self._connected, LimitCause.DESCRIPTORS)
+        return self._connected.granted
 
     def start_request(
         self, head_bytes: int, body_bytes: int, now: float
--- a/lycheestall/entry/callers/request_reader.py
+++ b/lycheestall/entry/callers/request_reader.py
@@ -2,15 +2,16 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from abc import ABC, abstractmethod
 
 import httptools
 
+from ...clock import Clock
 from ..configuration import CallerLimits
 from ..http_messages import Header, Request
 from .refusals import LimitCause, Refusal
 
-__all__ = ["RequestReader"]
+__all__ = ["RequestListener", "RequestReader"]
 
 HEADER_LINE_BYTES = 224
 """Memory of a header besides its characters: a tuple, two byte strings and
@@ -26,15 +27,33 @@
 """Bytes of a header line besides its name and its value."""
 
 
+class RequestListener(ABC):
+    """Receives what a ``RequestReader`` has read."""
+
+    @abstractmethod
+    def next_limits(self) -> CallerLimits:
+        """Returns the limits for the next request."""
+
+    @abstractmethod
+    def request_read(self, request: Request, *, head_bytes: int) -> None:
+        """Receives a whole request.
+
+        Args:
+            request: The request.
+            head_bytes: Memory of its head.
+        """
+
+    @abstractmethod
+    def continue_expected(self) -> None:
+        """Called when a caller waits before it sends a body."""
+
+
 class RequestReader:
     """Parses pipelined requests.
 
     Args:
-        limits: Returns the limits for the next request.
-        now: Returns the current time.
-        on_request: Called with each whole request and the memory of its
-            head.
-        on_continue: Called when a caller waits before it sends a body.
+        listener: Receives the requests.
+        clock: Tells when they were received.
 
     Attributes:
         refusal: Why nothing more is read, if so.
@@ -46,12 +65,10 @@
 
     __slots__ = (
         "_body",
+        "_clock",
         "_head_size",
         "_headers",
-        "_limits",
-        "_now",
-        "_on_continue",
-        "_on_request",
+        "_listener",
         "_parser",
         "_received",
         "_url",
@@ -62,20 +79,11 @@
         "refusal",
     )
 
-    def __init__(
-        self,
-        limits: Callable[[], CallerLimits],
-        now: Callable[[], float],
-        *,
-        on_request: Callable[[Request, int], None],
-        on_continue: Callable[[], None],
-    ) -> None:
-        self._limits = limits
-        self._now = now
-        self._on_request = on_request
-        self._on_continue = on_continue
+    def __init__(self, listener: RequestListener, clock: Clock) -> None:
+        self._listener = listener
+        self._clock = clock
         self._parser = httptools.HttpRequestParser(self)
-        self.limits = limits()
+        self.limits = listener.next_limits()
         self.refusal: Refusal | None = None
         self.in_message = False
         self.head_done = False
@@ -141,7 +149,7 @@
         self._headers = []
         self._head_size = 0
         self._body = b""
-        self.limits = self._limits()
+        self.limits = self._listener.next_limits()
 
     def on_url(self, url: bytes) -> None:
         """Appends a part of the URL."""
@@ -171,7 +179,7 @@
             if lower == b"transfer-encoding" and value.lower() != b"chunked":
                 self._refuse_malformed("unsupported transfer encoding")
             elif lower == b"expect" and value.lower() == b"100-continue":
-                self._on_continue()
+                self._listener.continue_expected()
             elif lower == b"content-length" and self._exceeds_body_limit(
                 value
             ):
@@ -204,16 +212,16 @@
         self._headers = []
         self._body = b""
         self.head_done = False
-        self._on_request(
+        self._listener.request_read(
             Request(
                 method=self._parser.get_method(),
                 url=self._url,
                 headers=headers,
                 body=body,
                 keep_alive=self._parser.should_keep_alive(),
-                received_at=self._now(),
+                received_at=self._clock.seconds(),
             ),
-            head_held_bytes,
+            head_bytes=head_held_bytes,
         )
 
     @property
--- a/lycheestall/entry/crash_reports.py
+++ b/lycheestall/entry/crash_reports.py
@@ -62,7 +62,7 @@
     def take_writes(self) -> list[KeyedWrite]:
         """Returns the counts not yet written and marks them as written."""
         writes: list[KeyedWrite] = []
-        for fingerprint in self._unwritten:
+        for fingerprint in tuple(self._unwritten):
             count = self._counts(fingerprint).get(self._holder, 0)
             key = _SEPARATOR.join((_KEY_PREFIX, fingerprint, self._holder))
             writes.append(KeyedWrite(key.encode(), str(count).encode()))
@@ -72,7 +72,9 @@
     def write_failed(self, writes: list[KeyedWrite]) -> None:
         """Marks counts as not yet written after a failed write."""
         for write in writes:
-            self._unwritten.add(write.key.decode().split(_SEPARATOR)[1])
+            fingerprint = write.key.decode().split(_SEPARATOR)[1]
+            if fingerprint in self._by_fingerprint:
+                self._unwritten.add(fingerprint)
 
     def has_due_records(self) -> bool:
         """Returns whether any counts are not yet written."""
@@ -98,5 +100,6 @@
             counts = {}
             self._by_fingerprint[fingerprint] = counts
             if len(self._by_fingerprint) > MAX_TRACKED_REQUESTS:
-                self._by_fingerprint.popitem(last=False)
+                oldest, _ = self._by_fingerprint.popitem(last=False)
+                self._unwritten.discard(oldest)
         return counts
