End connections whose callers never read

A connection with an unread response and waiting requests had no timer: its idle timeout now closes it. pytest tests/callers tests/entry/test_caller_connection.py: 37 passed.

--- a/lycheestall/entry/callers/caller_connection.py
+++ b/lycheestall/entry/callers/caller_connection.py
@@ -109,7 +109,7 @@
         if not self._use.displace_others():
             self.give_way(LimitCause.DESCRIPTORS)
             return
-        self._set_timer(self._reader.limits.idle_timeout_s, self._idle_timeout)
+        self._set_idle_timer()
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Parses received bytes."""
@@ -224,9 +224,7 @@
             self._close()
             return
         if not self._queue and not self._reader.in_message:
-            self._set_timer(
-                self._reader.limits.idle_timeout_s, self._idle_timeout
-            )
+            self._set_idle_timer()
         self._update()
         if self._queue or self._reader.refusal is not None:
             self._clock.callLater(0, self._handle_next)
@@ -299,7 +297,12 @@
         return self._handler.should_close() and not self._queue
 
     def _handle_next(self) -> None:
-        if self._closing or self._current is not None or self._writing_paused:
+        if self._closing or self._current is not None:
+            return
+        if self._writing_paused:
+            if self._timer is None:
+                # Nothing else ends a connection whose caller never reads.
+                self._set_idle_timer()
             return
         if self._queue and self._start_next():
             assert self._current is not None
@@ -384,7 +387,10 @@
 
     def _idle_timeout(self) -> None:
         self._timer = None
-        self.close_if_idle()
+        if self._writing_paused and self._current is None:
+            self.give_way(LimitCause.UNREAD)
+        else:
+            self.close_if_idle()
 
     def _close(self) -> None:
         self._closing = True
@@ -395,6 +401,9 @@
         self.transport.loseConnection()
         self._set_timer(LINGER_S, self.transport.abortConnection)
 
+    def _set_idle_timer(self) -> None:
+        self._set_timer(self._reader.limits.idle_timeout_s, self._idle_timeout)
+
     def _set_timer(self, delay_s: float, call: Callable[[], None]) -> None:
         self._cancel_timer()
         self._timer = self._clock.callLater(delay_s, call)
--- a/tests/callers/test_odd_input.py
+++ b/tests/callers/test_odd_input.py
@@ -12,7 +12,8 @@
 from lycheestall.entry.configuration import CallerLimits
 from lycheestall.entry.exchange import Exchange, RequestHandler
 from lycheestall.entry.peer_messages import decode
-from tests.entry.fake_network import FakeReactor, FakeTransport
+from tests.callers.conftest import Caller
+from tests.entry.fake_network import FakeReactor
 
 LIMITS = CallerLimits(
     header_bytes=600,
@@ -46,22 +47,6 @@
         return False
 
 
-class Caller:
-    """The other end of a connection; takes note of what it receives."""
-
-    def __init__(self) -> None:
-        self.data = b""
-        self.lost = False
-
-    def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        """Collects received data."""
-        self.data += data
-
-    def connectionLost(self, reason: object) -> None:  # noqa: N802
-        """Notes that the connection is closed."""
-        self.lost = True
-
-
 TOKENS = st.sampled_from([b"a", b"Host", b"content-length", b"X-Y", b"", b":"])
 VALUES = st.sampled_from([b"", b"1", b"-1", b"9" * 30, b"chunked", b"\xff\t "])
 LINES = st.one_of(
@@ -115,22 +100,17 @@
     reactor = FakeReactor()
     handler = Answerer()
     factory = CallerFactory(handler, reactor, bounds=BOUNDS)
-    connection, caller = factory.buildProtocol(None), Caller()
-    near, far = FakeTransport(reactor), FakeTransport(reactor)
-    near.protocol, far.protocol = connection, caller
-    near.peer, far.peer = far, near
-    connection.transport = near
-    connection.connectionMade()
+    caller = Caller(factory, reactor)
     data = b"".join(messages)
     for start in range(0, len(data), piece_bytes):
-        far.write(data[start : start + piece_bytes])
+        caller.transport.write(data[start : start + piece_bytes])
         reactor.run(pause_s)
     assert factory.budget.used_bytes <= BOUNDS.memory_bytes
     reactor.run(LIMITS.idle_timeout_s * 2 + 2.0)
     held = factory.busy_connections
     if not held:
         assert caller.lost
-    far.loseConnection()
+    caller.transport.loseConnection()
     reactor.run(0.1)
     assert factory.budget.used_bytes == factory.budget.connections == 0
 
