--- a/lycheestall/entry/callers/caller_connection.py
+++ b/lycheestall/entry/callers/caller_connection.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
 from typing import Any
 
 from twisted.internet.protocol import Protocol
@@ -30,31 +29,16 @@
     LimitCause,
     Refusal,
 )
+from .request_queue import QueuedRequest, RequestQueue
 from .request_reader import RequestListener, RequestReader
 
 __all__ = ["CallerConnection"]
 
-MAX_PIPELINED = 8
-"""Complete requests that may be queued on one connection."""
-
-MAX_QUEUED_BYTES = 65_536
-"""Memory of queued requests from which on no more is read."""
-
 LINGER_S = 1.0
 """Seconds to keep reading after the last response; closing at once could
 send a reset that discards the response before the caller reads it."""
 
 
-@dataclass(frozen=True, slots=True)
-class _Queued:
-    request: Request
-    head_bytes: int
-
-    @property
-    def size(self) -> int:
-        return self.head_bytes + len(self.request.body)
-
-
 class CallerConnection(
     Protocol, ResponseChannel, RequestListener, Displaceable
 ):
@@ -89,7 +73,7 @@
         self._address = address
         self._reader = RequestReader(self, clock)
         self._use = ConnectionUse(self, budget, clock.seconds())
-        self._queue: list[_Queued] = []
+        self._queue = RequestQueue()
         self._current: Exchange | None = None
         self._proven = False
         self._reading_paused = False
@@ -268,13 +252,8 @@
         """Queues a complete request."""
         self._cancel_timer()
         self._proven = True
-        queued = _Queued(request, head_bytes)
-        self._queue.append(queued)
-        self._use.queued_bytes += queued.size
-        if (
-            len(self._queue) >= MAX_PIPELINED
-            or self._use.queued_bytes > MAX_QUEUED_BYTES
-        ):
+        self._queue.append(QueuedRequest(request, head_bytes))
+        if self._queue.full:
             self._pause_reading()
 
     def continue_expected(self) -> None:
@@ -313,9 +292,8 @@
             self._send_refusal()
 
     def _start_next(self) -> bool:
-        queued = self._queue.pop(0)
+        queued = self._queue.pop()
         request = queued.request
-        self._use.queued_bytes -= queued.size
         self._current = Exchange(request, self)
         refusal: Refusal | None = None
         if not self._use.start_request(
@@ -331,7 +309,6 @@
         self._current = None
         self._use.end_request()
         self._queue.clear()
-        self._use.queued_bytes = 0
         # It has not run, nor will those that follow it.
         self._reader.refusal = None
         self._refuse(refusal)
@@ -340,7 +317,9 @@
     def _update(self) -> bool:
         # Returns whether there is memory for all that the connection holds.
         return self._use.update(
-            self._standing(), self._reader.held_bytes, self._clock.seconds()
+            self._standing(),
+            self._reader.held_bytes + self._queue.size,
+            self._clock.seconds(),
         )
 
     def _standing(self) -> Standing:
--- a/lycheestall/entry/callers/connection_use.py
+++ b/lycheestall/entry/callers/connection_use.py
@@ -43,7 +43,6 @@
         now: The current time.
 
     Attributes:
-        queued_bytes: Memory of complete requests that wait.
         response_bytes: Memory of a response that is collected.
     """
 
@@ -53,7 +52,6 @@
         "_running_bytes",
         "_unsent_bytes",
         "_usage",
-        "queued_bytes",
         "response_bytes",
     )
 
@@ -67,7 +65,6 @@
         self._usage, self._connected = budget.connect(owner, now)
         self._running_bytes = 0
         self._unsent_bytes = 0
-        self.queued_bytes = 0
         self.response_bytes = 0
 
     def displace_others(self) -> bool:
@@ -116,13 +113,13 @@
         self._budget.progressed(self._usage, size, now)
 
     def update(
-        self, standing: Standing, reading_bytes: int, now: float
+        self, standing: Standing, waiting_bytes: int, now: float
     ) -> bool:
         """Reports the current use.
 
         Args:
             standing: What the connection does.
-            reading_bytes: Memory of the request that is being read.
+            waiting_bytes: Memory of the requests that are read or wait.
             now: The current time.
 
         Returns:
@@ -131,8 +128,7 @@
         if standing is not self._usage.standing:
             self._budget.change(self._usage, standing, now)
         size = (
-            reading_bytes
-            + self.queued_bytes
+            waiting_bytes
             + self._running_bytes
             + self.response_bytes
             + self._unsent_bytes
