Grant several turns without the ledger beside one silent VM

Cause: nothing limited what a VM may have recorded in its last moments.

Change: what one VM's records of a program allocate within 0.7 s is limited to half of the budget (or one turn), unless a peer has read the ledger since (ReadLedger): for bursts only, three peers at once and three more every 0.02 s. In an outage VMs tell when they last read. If only one member is silent, the store was read within 0.7 s before and the member's build has that limit, half of a budget, less what is recorded, may be granted, as after a loss of grants. A VM that stood still for 0.6 s asks for grants before its next record. Records of joining and leaving move to member_records.py, calls for peers to routed_store.py.

What remains: a VM that alone reaches the store and no peer; programs whose deciding VM is silent.

--- a/lycheestall/entry/_program_tokens.py
+++ b/lycheestall/entry/_program_tokens.py
@@ -5,7 +5,8 @@
 from dataclasses import dataclass, field
 from typing import NewType
 
-from .outage_allocator import budget_without_lost_grants
+from .ledger_gap import UNREAD_WINDOW_S
+from .outage_allocator import budget_without_lost_grants, outage_allowance
 from .reservation_decision import ReservationDecision
 from .token_ledger import EMPTY_ALLOCATION, Allocation, TurnRef
 
@@ -42,6 +43,8 @@
             other VMs.
         tokens_for_others: Tokens that this VM records for a turn of another
             VM.
+        recent_limits: When records were read back and their limits, from the
+            last one before the unread window on.
         last_used_at: Time of the last reservation or settlement.
     """
 
@@ -59,12 +62,28 @@
     urgent: bool = False
     outage_turns: set[TurnRef] = field(default_factory=set)
     tokens_for_others: dict[TurnRef, int] = field(default_factory=dict)
+    recent_limits: list[tuple[float, int]] = field(default_factory=list)
     last_used_at: float = 0.0
 
     def committed(self) -> int:
         """Returns the tokens used or reserved for running turns."""
         return self.used + sum(self.reserved_by_turn.values())
 
+    def grows_unread(self, limit: int, now: float) -> bool:
+        """Notes a record; returns whether another VM must read it.
+
+        Args:
+            limit: The limit that was recorded.
+            now: Current time.
+        """
+        window = self.recent_limits
+        while len(window) > 1 and window[1][0] <= now - UNREAD_WINDOW_S:
+            window.pop(0)
+        window.append((now, limit))
+        growth = limit - min(earlier for _, earlier in window)
+        most = outage_allowance(self.budget, self.largest_turn)
+        return bool(self.budget) and growth > most
+
     def has_room_for_turn(self, desired: Allocation) -> bool:
         """Returns whether the recorded allocation covers another turn.
 
--- a/lycheestall/entry/grant_handover.py
+++ b/lycheestall/entry/grant_handover.py
@@ -7,8 +7,8 @@
 
 from ..ids import ProgramId
 from ..rendezvous import rendezvous
-from .ledger_writer import LedgerWriter
-from .members import Members, leave_record
+from .member_records import MemberRecords
+from .members import Members
 from .outage import OutageTracker
 from .peer_messages import Handover, HandoverGrants
 from .peer_rpc import PeerClient, call_all
@@ -30,7 +30,7 @@
         members: The VMs of the system.
         grants: Unrecorded grants.
         outage: Tracks outages of the store.
-        writer: Writes to the ledger.
+        records: Writes the records of members.
         peers: Calls other VMs.
         clock: Provides the time.
 
@@ -46,7 +46,7 @@
         members: Members,
         grants: UnrecordedGrants,
         outage: OutageTracker,
-        writer: LedgerWriter,
+        records: MemberRecords,
         peers: PeerClient,
         clock: Any,
     ) -> None:
@@ -54,7 +54,7 @@
         self._members = members
         self._grants = grants
         self._outage = outage
-        self._writer = writer
+        self._records = records
         self._peers = peers
         self._clock = clock
         self._named_by: set[HolderId] = set()
@@ -115,7 +115,7 @@
             if self._members.get(holder) is None:
                 continue
             if rendezvous(holder, others) == self._holder:
-                self._writer.append_record(leave_record(holder))
+                self._records.remove(holder)
 
 
 def _tokens_by_holder(grants: Iterable[TurnGrant]) -> tuple[OutageGrant, ...]:
--- a/lycheestall/entry/ledger_catch_up.py
+++ b/lycheestall/entry/ledger_catch_up.py
@@ -10,6 +10,7 @@
 
 from ..ids import Offset
 from ..logs import Logger
+from .ledger_gap import UNREAD_WINDOW_S, LedgerGap
 from .ledger_messages import (
     AskLedger,
     AskPosition,
@@ -50,6 +51,8 @@
         members: The VMs of the system.
         peers: Calls them.
         position: Returns the offset from which on the ledger is not read.
+        read_at: Returns when the ledger was last read.
+        unavailable_since: Returns when the store became unavailable.
         store_unavailable: Returns whether this VM's writes fail.
         clock: Provides the time.
         logger: Receives the results.
@@ -64,6 +67,8 @@
         members: Members,
         peers: PeerClient,
         position: Callable[[], Offset],
+        read_at: Callable[[], float],
+        unavailable_since: Callable[[], float],
         store_unavailable: Callable[[], bool],
         clock: Any,
         logger: Logger,
@@ -74,6 +79,9 @@
         self._members = members
         self._peers = peers
         self._position = position
+        self._read_at = read_at
+        self._unavailable_since = unavailable_since
+        self._peers_read_at = float("-inf")
         self._store_unavailable = store_unavailable
         self._clock = clock
         self._logger = logger
@@ -116,6 +124,7 @@
         self._calls.clear()
         self._unread_vms.clear()
         self._collected_until = Offset(0)
+        self._peers_read_at = float("-inf")
         self._logged_progress = None
         self._notify()
 
@@ -139,6 +148,21 @@
         """Whether the records of all VMs are known."""
         return self.group_complete and not self._incomplete_groups()
 
+    @property
+    def gap(self) -> LedgerGap:
+        """Whose records may be missing."""
+        if self.complete:
+            return LedgerGap.NONE
+        silent = self._silent_vms()
+        if silent is None or len(silent) != 1:
+            return LedgerGap.MANY
+        (holder,) = silent
+        if not self._members.limits_unread(holder):
+            return LedgerGap.MANY
+        if self._last_read_at() < self._unavailable_since() - UNREAD_WINDOW_S:
+            return LedgerGap.MANY
+        return LedgerGap.ONE_VM
+
     def reply(self, message: AskLedger) -> LedgerTail:
         """Returns the records that a peer has not read."""
         start = message.start
@@ -164,6 +188,7 @@
             away=self._store_unavailable(),
             position=self._read_until(),
             unheard=unheard,
+            read_ago_s=self._clock.seconds() - self._last_read_at(),
             grants=tuple(self._grants.all()),
         )
 
@@ -194,6 +219,24 @@
     def _read_until(self) -> Offset:
         return max(self._position(), self._collected_until)
 
+    def _last_read_at(self) -> float:
+        return max(self._read_at(), self._peers_read_at)
+
+    def _silent_vms(self) -> set[HolderId] | None:
+        # None if a VM may only be slow, or has joined too late.
+        if any(self._members.get(h) is None for h in self._unread_vms):
+            return None
+        silent = set(self._unheard_in_group())
+        if not silent <= self._no_position_from:
+            return None
+        until = self._read_until()
+        for group in self._incomplete_groups():
+            unheard = self._unheard_by_group.get(group)
+            if unheard is None or self._position_by_group[group][0] > until:
+                return None
+            silent |= unheard
+        return silent
+
     def _log_progress(self) -> None:
         unheard = self._unheard_in_group()
         missing = len(self._incomplete_groups())
@@ -208,6 +251,7 @@
             missing_groups=missing,
             group_complete=self.group_complete,
             complete=self.complete,
+            gap=self.gap.value,
             ledger_position=self._position(),
             collected_until=self._read_until(),
         )
@@ -313,6 +357,8 @@
             return
         if not self._store_unavailable():
             return
+        read_at = self._clock.seconds() - reply.read_ago_s
+        self._peers_read_at = max(self._peers_read_at, read_at)
         group = view.group_of(asked)
         if self._holder in group:
             self._position_by_vm[asked] = reply.position
--- a/lycheestall/entry/ledger_messages.py
+++ b/lycheestall/entry/ledger_messages.py
@@ -16,6 +16,7 @@
     "AskPosition",
     "LedgerPosition",
     "LedgerTail",
+    "ReadLedger",
     "decode_position",
     "encode_position",
 ]
@@ -80,6 +81,8 @@
         position: Offset before which it has all records, those of other VMs
             included.
         unheard: Members of its group whose records may be missing.
+        read_ago_s: Seconds since it, or a VM that it has asked, last read the
+            ledger.
         grants: All unrecorded grants that it knows of.
     """
 
@@ -87,9 +90,23 @@
     away: bool
     position: Offset
     unheard: tuple[HolderId, ...]
+    read_ago_s: float
     grants: tuple[TurnGrant, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class ReadLedger:
+    """Asks a peer to read the ledger.
+
+    Attributes:
+        holder: The VM that asks.
+        until: Offset before which the peer must have read all records.
+    """
+
+    holder: HolderId
+    until: Offset
+
+
 def encode_position(message: LedgerPosition) -> list[Any]:
     """Returns the fields of a message."""
     return [
@@ -97,12 +114,19 @@
         message.away,
         message.position,
         list(message.unheard),
+        message.read_ago_s,
         encode_grants(message.grants),
     ]
 
 
 def decode_position(fields: list[Any]) -> LedgerPosition:
     """Decodes the fields of a message."""
-    holder, away, position, unheard, rows = fields
-    grants = decode_grants(rows)
-    return LedgerPosition(holder, away, position, tuple(unheard), grants)
+    holder, away, position, unheard, read_ago_s, rows = fields
+    return LedgerPosition(
+        holder,
+        away,
+        position,
+        tuple(unheard),
+        read_ago_s,
+        decode_grants(rows),
+    )
--- a/lycheestall/entry/ledger_writer.py
+++ b/lycheestall/entry/ledger_writer.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 from typing import Any
 
@@ -49,6 +49,11 @@
 ReservationResult = ReservationDecision | None
 """Result of a turn's reservation; None if no decision could be made."""
 
+AllocationCheck = Callable[
+    [list[AllocationWrite]], Coroutine[Deferred[Any], Any, bool]
+]
+"""Returns whether allocations that were read back may take effect."""
+
 
 @dataclass(frozen=True, slots=True)
 class _PendingReservation:
@@ -72,6 +77,8 @@
         logger: Receives appends with an unknown result.
         recovering: Returns whether other VMs' grants of an outage may be
             unrecorded, so that nothing is allocated in advance.
+        may_use: Returns whether allocations that were read back may take
+            effect; otherwise they are written again.
     """
 
     def __init__(
@@ -86,7 +93,9 @@
         health: StoreHealth,
         logger: Logger,
         recovering: Callable[[], bool],
+        may_use: AllocationCheck | None = None,
     ) -> None:
+        self._may_use = may_use
         self._recovering = recovering
         self._store = store
         self._follower = follower
@@ -179,9 +188,9 @@
         """Notes a record read from the ledger; it may be one of this VM's."""
         self._unread_writes.discard((record.key, record.value))
 
-    def append_record(self, write: KeyedWrite) -> None:
-        """Queues a record that is not an allocation or a crash report."""
-        self._other_writes.append(write)
+    def append_records(self, *writes: KeyedWrite) -> None:
+        """Queues records that are not allocations or crash reports."""
+        self._other_writes.extend(writes)
         self.wake()
 
     def wake(self) -> None:
@@ -282,14 +291,12 @@
                 records=len(writes),
                 waited_ms=round((now - started_at) * 1000, 1),
             )
-            self._records_applied(allocations)
-            return True
+            return await self._records_read(allocations)
         if isinstance(outcome, Appended):
             self._health.succeeded(now)
             last = Offset(outcome.first + len(writes) - 1)
             if await self._follower.read_until(last):
-                self._records_applied(allocations)
-                return True
+                return await self._records_read(allocations)
         else:
             # The store rejects a delayed copy of this append by its old epoch.
             self._epoch += 1
@@ -323,6 +330,16 @@
                 return None
         return await appending
 
+    async def _records_read(self, allocations: list[AllocationWrite]) -> bool:
+        if self._may_use is not None and not await self._may_use(allocations):
+            self._logger.warning(
+                "no peer has read the ledger", records=len(allocations)
+            )
+            self._allocator.write_failed(allocations)
+            return False
+        self._records_applied(allocations)
+        return True
+
     def _records_applied(self, allocations: list[AllocationWrite]) -> None:
         for write in allocations:
             decisions = self._allocator.record_applied(write)
--- a/lycheestall/entry/members.py
+++ b/lycheestall/entry/members.py
@@ -19,6 +19,8 @@
     "Member",
     "MemberView",
     "Members",
+    "build_record",
+    "forget_build_record",
     "join_record",
     "leave_record",
     "majority_size",
@@ -32,6 +34,8 @@
 """Highest TCP port."""
 
 _MEMBER_KEY = "m"
+_BUILD_KEY = "b"
+_LIMITS_UNREAD = b"unread"
 _SEPARATOR = "\x1f"
 
 
@@ -139,6 +143,23 @@
     return KeyedWrite(_key(member.holder), value.encode())
 
 
+def build_record(holder: HolderId) -> KeyedWrite:
+    """Returns the ledger record that tells what a VM's build does.
+
+    It limits what it allocates before another VM has read its records; VMs of
+    6dec397 don't, and ignore this record.
+
+    Args:
+        holder: The VM.
+    """
+    return KeyedWrite(_build_key(holder), _LIMITS_UNREAD)
+
+
+def forget_build_record(holder: HolderId) -> KeyedWrite:
+    """Returns the ledger record that drops a ``build_record``."""
+    return KeyedWrite(_build_key(holder), None)
+
+
 def leave_record(holder: HolderId) -> KeyedWrite:
     """Returns the ledger record with which a VM leaves."""
     return KeyedWrite(_key(holder), None)
@@ -150,11 +171,15 @@
     def __init__(self) -> None:
         self._by_holder: dict[HolderId, tuple[Offset, Member | None]] = {}
         self._excused: set[HolderId] = set()
+        self._limiting: set[HolderId] = set()
         self._view: MemberView | None = None
 
     def apply(self, record: KeyedRecord) -> bool:
         """Applies a record; returns whether it is about a member."""
         parts = record.key.decode("utf-8", "replace").split(_SEPARATOR)
+        if len(parts) == 2 and parts[0] == _BUILD_KEY:
+            self._apply_build(HolderId(parts[1]), record.value)
+            return True
         if len(parts) != 2 or parts[0] != _MEMBER_KEY:
             return False
         holder = HolderId(parts[1])
@@ -168,6 +193,15 @@
         self._view = None
         return True
 
+    def limits_unread(self, holder: HolderId) -> bool:
+        """Returns whether a VM limits what no other VM has read."""
+        return holder in self._limiting
+
+    def _apply_build(self, holder: HolderId, value: bytes | None) -> None:
+        self._limiting.discard(holder)
+        if value == _LIMITS_UNREAD:
+            self._limiting.add(holder)
+
     def records(self) -> tuple[KeyedRecord, ...]:
         """Returns the ledger's newest records about members."""
         records: list[KeyedRecord] = []
@@ -292,6 +326,10 @@
         return [holder for _, holder in newest.values()]
 
 
+def _build_key(holder: HolderId) -> bytes:
+    return _SEPARATOR.join((_BUILD_KEY, holder)).encode()
+
+
 def _key(holder: HolderId) -> bytes:
     return _SEPARATOR.join((_MEMBER_KEY, holder)).encode()
 
--- a/lycheestall/entry/outage_allocator.py
+++ b/lycheestall/entry/outage_allocator.py
@@ -6,6 +6,7 @@
 from enum import Enum
 
 from ..ids import ProgramId
+from .ledger_gap import LedgerGap
 from .token_ledger import HolderId, TokenLedger, TurnRef
 from .unrecorded_grants import TurnGrant, UnrecordedGrants
 
@@ -65,9 +66,9 @@
         ledger: Allocations recorded up to the outage.
         grants: Receives the grants. Those of earlier outages that are not
             recorded yet count as well.
-        ledger_complete: Returns whether ``ledger`` has all that was recorded
-            before the outage. Otherwise it may lack up to the whole budget,
-            and a program gets no more than one turn beyond that.
+        ledger_gap: Returns whose records before the outage ``ledger`` may
+            lack. If it may lack any, up to the whole budget, a program gets no
+            more than one turn beyond that.
         may_have_lost_grants: Returns whether grants of a program in an earlier
             outage may be lost; their maximum is left out.
     """
@@ -77,12 +78,12 @@
         ledger: TokenLedger,
         grants: UnrecordedGrants,
         *,
-        ledger_complete: Callable[[], bool],
+        ledger_gap: Callable[[], LedgerGap],
         may_have_lost_grants: Callable[[ProgramId], bool],
     ) -> None:
         self._ledger = ledger
         self._grants = grants
-        self._ledger_complete = ledger_complete
+        self._ledger_gap = ledger_gap
         self._may_have_lost_grants = may_have_lost_grants
         self._closed_by: dict[ProgramId, set[HolderId]] = {}
         self._reported_limits: dict[ProgramId, int] = {}
@@ -123,16 +124,23 @@
         required = self._grants.tokens(program) + max_tokens
         if recorded.committed + required > budget:
             return OutageDecision.SPENT
-        allowance = max_tokens
-        if self._ledger_complete():
-            allowance = outage_allowance(budget, max_tokens)
         usable = budget
-        if recorded.maybe_incomplete or self._may_have_lost_grants(program):
+        doubtful = recorded.maybe_incomplete or self._may_have_lost_grants(
+            program
+        )
+        if doubtful:
+            usable = budget_without_lost_grants(budget, max_tokens)
+        total = max(recorded.limit, reported_limit) + required
+        fits = required <= max_tokens and total <= usable
+        gap = self._ledger_gap()
+        if gap is LedgerGap.ONE_VM and not doubtful:
             usable = budget_without_lost_grants(budget, max_tokens)
-        if (
-            required > allowance
-            or max(recorded.limit, reported_limit) + required > usable
-        ):
+        several = gap is LedgerGap.NONE or (
+            gap is LedgerGap.ONE_VM and not doubtful
+        )
+        if several and required <= outage_allowance(budget, max_tokens):
+            fits = fits or total <= usable
+        if not fits:
             return OutageDecision.WAIT
         self._grants.add(grant, now=now)
         return OutageDecision.GRANTED
--- a/lycheestall/entry/outage_recovery.py
+++ b/lycheestall/entry/outage_recovery.py
@@ -102,8 +102,19 @@
         self._doubt_until.clear()
         self._settled.begin()
 
+    def step(self) -> None:
+        """Notes that this VM runs."""
+        self._note_suspension()
+        self._settled.step()
+
+    def _note_suspension(self) -> None:
+        if self._settled.suspended():
+            self._logger.warning("this VM stood still; asking for grants")
+            self.begin(knows_own=False)
+
     def is_settled(self, program: ProgramId) -> bool:
         """Returns whether all unrecorded grants of a program are known."""
+        self._note_suspension()
         if self._outage.participated:
             return False
         if self._clock.seconds() - self._began_at > RECOVERY_LIMIT_S:
--- a/lycheestall/entry/outage_start.py
+++ b/lycheestall/entry/outage_start.py
@@ -11,6 +11,7 @@
 from ..clock import sleep
 from ..logs import Logger
 from .ledger_catch_up import LedgerCatchUp
+from .ledger_gap import LedgerGap
 from .ledger_messages import AskPosition, LedgerPosition
 from .outage import OutageMode, OutageTracker
 from .peer_survey import PeerSurvey
@@ -97,10 +98,11 @@
         for _ in range(STEPS):
             if not self._store_unavailable():
                 break
-            surveyed: Deferred[None] = ensureDeferred(self._survey.step())
-            surveyed.addErrback(self._step_failed)
+            if not self._decides():
+                surveyed: Deferred[None] = ensureDeferred(self._survey.step())
+                surveyed.addErrback(self._step_failed)
             await self._catch_up.step()
-            if self._decides() and self._catch_up.complete:
+            if self._decides() and self._catch_up.gap is not LedgerGap.MANY:
                 break
             await sleep(self._clock, STEP_S)
         self._running = False
--- a/lycheestall/entry/peer_messages.py
+++ b/lycheestall/entry/peer_messages.py
@@ -22,6 +22,7 @@
     AskPosition,
     LedgerPosition,
     LedgerTail,
+    ReadLedger,
     decode_position,
     encode_position,
 )
@@ -178,6 +179,7 @@
     | AskSettled
     | AskLedger
     | AskPosition
+    | ReadLedger
     | SettleTokens
     | HoldGrant
     | Handover
@@ -233,6 +235,7 @@
         SettledReport,
         AskLedger,
         AskPosition,
+        ReadLedger,
         SettleTokens,
         Understood,
         Appended,
--- a/lycheestall/entry/routed_store.py
+++ b/lycheestall/entry/routed_store.py
@@ -172,6 +172,29 @@
         topic = Topic.LEDGER
         return self._observed(self.direct.read(topic, start), "probe", topic)
 
+    def call_for_peer(self, message: object) -> Deferred[Any]:
+        """Calls the store directly for a peer that doesn't reach it.
+
+        Raises:
+            ValueError: If the message is not a call to the store.
+        """
+        if isinstance(message, RelayAppend):
+            return self.direct.append(
+                message.topic,
+                message.writes,
+                message.fence,
+                shard=message.shard,
+            )
+        if isinstance(message, RelayRead):
+            return self.direct.read(
+                message.topic, message.start, wait_s=message.wait_s
+            )
+        if isinstance(message, RelayNewest):
+            return self.direct.newest(
+                message.topic, after=message.after, shard=message.shard
+            )
+        raise ValueError(f"unexpected peer message {type(message).__name__}")
+
     def check_reachable(self, start: Offset) -> Deferred[bool]:
         """Returns whether this VM can reach the store directly.
 
--- a/lycheestall/entry/settled_groups.py
+++ b/lycheestall/entry/settled_groups.py
@@ -74,13 +74,20 @@
         self._groups.clear()
         self._asked_at.clear()
 
+    def suspended(self) -> bool:
+        """Returns whether this VM stood still and may have missed an outage.
+
+        It returns so once.
+        """
+        now = self._clock.seconds()
+        if now - self._stepped_at <= MAX_STEP_GAP_S:
+            return False
+        self._suspended_at = self._stepped_at = now
+        return True
+
     def step(self) -> None:
         """Notes that this VM runs, and which lost VMs left no grants."""
-        now = self._clock.seconds()
-        if now - self._stepped_at > MAX_STEP_GAP_S:
-            # It may have missed an outage of the others.
-            self._suspended_at = now
-        self._stepped_at = now
+        self._stepped_at = self._clock.seconds()
         for group in self._members.crashed_groups():
             if self._vouches_for(group):
                 self._members.excuse_crashed(group)
--- a/lycheestall/entry/token_allocator.py
+++ b/lycheestall/entry/token_allocator.py
@@ -283,6 +283,10 @@
             )
         return decisions
 
+    def state_of(self, program: ProgramId) -> ProgramTokens | None:
+        """Returns a program's state on this VM, None without turns."""
+        return self._by_program.get(program)
+
     def other_vm_recorded(self, program: ProgramId, now: float) -> None:
         """Releases tokens that another VM needs or has recorded itself.
 
@@ -351,6 +355,7 @@
             # All tokens recorded before an eviction count as used.
             recorded = self._ledger.allocation_of(program, self._holder)
             state.used = recorded.limit
+            state.recent_limits = [(float("-inf"), state.used)]
             state.outage_turns |= recorded.outage_turns
             state.recorded = None if state.used else EMPTY_ALLOCATION
             state.maybe_incomplete = self._ledger.total(
--- a/lycheestall/entry/token_service.py
+++ b/lycheestall/entry/token_service.py
@@ -14,9 +14,11 @@
 from .grant_handover import GrantHandover
 from .grant_recorder import GrantRecorder
 from .ledger_catch_up import LedgerCatchUp
-from .ledger_messages import AskLedger, AskPosition, LedgerTail
+from .ledger_messages import AskLedger, AskPosition, LedgerTail, ReadLedger
+from .ledger_readers import LedgerReaders
 from .ledger_writer import LedgerWriter
-from .members import Member, Members, join_record, leave_record
+from .member_records import MemberRecords
+from .members import Members
 from .outage import OutageMode, OutageTracker
 from .outage_allocator import OutageAllocator
 from .outage_start import OutageStart
@@ -38,7 +40,6 @@
 )
 from .peer_rpc import PeerClient, PeerHandler
 from .peer_survey import PeerSurvey
-from .relay_messages import RelayAppend, RelayNewest, RelayRead
 from .routed_store import RoutedStore
 from .settled_groups import SettledGroups
 from .store import KeyedRecord, Topic
@@ -47,6 +48,7 @@
 from .token_ledger import HolderId, TokenLedger
 from .topic_follower import TopicFollower
 from .turn_reservations import TurnReservations
+from .unread_growth import UnreadGrowth
 from .unrecorded_grants import UnrecordedGrants
 from .vm_settings import Address
 
@@ -56,10 +58,6 @@
 """Seconds after the last read of the ledger at which it is read again;
 writes read it as well."""
 
-CRASHED_MEMBERS_KEPT_S = 60.0
-"""Seconds after a start for which a crash of this VM's process before it stays
-in the ledger, so that other VMs learn of it."""
-
 
 class TokenService(PeerHandler):
     """Connects the ledger, the allocators, the outage tracker and the peers.
@@ -99,8 +97,6 @@
         logger: Logger,
     ) -> None:
         self._holder = holder
-        self._address = address
-        self._zone = zone
         self._store = store
         self._peers = peers
         self._reactor = reactor
@@ -119,6 +115,8 @@
             members=members,
             peers=peers,
             position=self._position,
+            read_at=lambda: self.follower.read_at,
+            unavailable_since=lambda: health.unavailable_since,
             store_unavailable=self._writes_fail,
             clock=reactor,
             logger=logger,
@@ -131,6 +129,13 @@
             health=health,
             apply=self._apply,
         )
+        self._readers = LedgerReaders(
+            holder=holder,
+            members=members,
+            peers=peers,
+            follower=self.follower,
+            clock=reactor,
+        )
         self.writer = LedgerWriter(
             store=store,
             follower=self.follower,
@@ -141,6 +146,11 @@
             health=health,
             logger=logger,
             recovering=lambda: self.outage.recovering(reactor.seconds()),
+            may_use=UnreadGrowth(
+                allocator=self._allocator,
+                readers=self._readers,
+                clock=reactor,
+            ).may_use,
         )
         self._settled = SettledGroups(
             holder=holder,
@@ -158,7 +168,7 @@
             outage_allocator=OutageAllocator(
                 self.ledger,
                 self._grants,
-                ledger_complete=lambda: self._catch_up.complete,
+                ledger_gap=lambda: self._catch_up.gap,
                 may_have_lost_grants=self.members.may_have_lost_grants,
             ),
             grants=self._grants,
@@ -192,12 +202,20 @@
             position=self._position,
             store_unavailable=lambda: health.unavailable,
         )
+        self._member_records = MemberRecords(
+            holder=holder,
+            address=address,
+            zone=zone,
+            members=members,
+            writer=self.writer,
+            clock=reactor,
+        )
         self._handover = GrantHandover(
             holder=holder,
             members=members,
             grants=self._grants,
             outage=self.outage,
-            writer=self.writer,
+            records=self._member_records,
             peers=peers,
             clock=reactor,
         )
@@ -250,7 +268,7 @@
 
         While this VM reaches it, records what others have left unrecorded.
         """
-        self._settled.step()
+        self.reservations.step()
         await self._peer_survey.step()
         reached = self._store.direct_up and not self.writer.store_unavailable
         if self.outage.participated and reached:
@@ -268,7 +286,7 @@
             return
         failed = await self._failure_detector.step()
         if failed is not None:
-            self.writer.append_record(leave_record(failed))
+            self._member_records.remove(failed)
 
     def forget_idle(self) -> None:
         """Evicts programs that had no turns for a while."""
@@ -286,7 +304,7 @@
     async def leave(self) -> None:
         """Hands over this VM's grants and writes its last records."""
         await self._handover.hand_over()
-        self.writer.append_record(leave_record(self._holder))
+        self._member_records.remove(self._holder)
         await self.writer.flush()
 
     def handle_message(
@@ -309,6 +327,8 @@
             return self._reply_ledger(message)
         if isinstance(message, AskPosition):
             return ensureDeferred(self._outage_start.reply_position(message))
+        if isinstance(message, ReadLedger):
+            return ensureDeferred(self._readers.read(message))
         if isinstance(message, AskSettled):
             return self._settled.reply(message)
         if isinstance(message, AskUnrecorded):
@@ -325,7 +345,7 @@
         if isinstance(message, Handover):
             self._handover.take_over(message)
             return Understood()
-        relayed: Deferred[PeerReply] = self._relayed(message)
+        relayed: Deferred[PeerReply] = self._store.call_for_peer(message)
         return relayed
 
     def _reply_ledger(self, message: AskLedger) -> LedgerTail:
@@ -341,25 +361,6 @@
         self.reservations.outage_ended()
         self._handover.remove_members_that_left()
 
-    def _relayed(self, message: PeerMessage | PeerReply) -> Any:
-        store = self._store.direct
-        if isinstance(message, RelayAppend):
-            return store.append(
-                message.topic,
-                message.writes,
-                message.fence,
-                shard=message.shard,
-            )
-        if isinstance(message, RelayRead):
-            return store.read(
-                message.topic, message.start, wait_s=message.wait_s
-            )
-        if isinstance(message, RelayNewest):
-            return store.newest(
-                message.topic, after=message.after, shard=message.shard
-            )
-        raise ValueError(f"unexpected peer message {type(message).__name__}")
-
     def _position(self) -> Offset:
         return self.follower.position or Offset(0)
 
@@ -373,15 +374,7 @@
     def _join(self) -> None:
         self._joined = True
         self.reservations.started()
-        member = Member(self._holder, self._address, self._zone)
-        self.writer.append_record(join_record(member))
-        self._reactor.callLater(CRASHED_MEMBERS_KEPT_S, self._remove_crashed)
-
-    def _remove_crashed(self) -> None:
-        for holder in self.members.crashed():
-            member = self.members.get(holder)
-            if member is not None and member.address == self._address:
-                self.writer.append_record(leave_record(holder))
+        self._member_records.join()
 
     def _apply(self, record: KeyedRecord) -> None:
         self.writer.observe(record)
--- a/lycheestall/entry/turn_reservations.py
+++ b/lycheestall/entry/turn_reservations.py
@@ -171,6 +171,10 @@
         if self._deciders.decided(turn):
             self._deciders.settle(program, turn, used)
 
+    def step(self) -> None:
+        """Notes regularly that this VM runs."""
+        self._recovery.step()
+
     def started(self) -> None:
         """Notes that this VM has read the ledger for the first time."""
         self._recovery.begin(knows_own=False)
