Count turns whose budgets can't be checked by reason and age

Refusals "budgets can't be checked now" looked all alike: whether no agreement was reached, the deciding VM was silent or declined, and how long the store had been away, could only be guessed from other lines.

--- a/lycheestall/entry/deciding_vms.py
+++ b/lycheestall/entry/deciding_vms.py
@@ -10,6 +10,7 @@
 from ..clock import sleep
 from ..ids import ProgramId
 from ..logs import Logger
+from .budget_refusals import BudgetRefusals, RefusalReason
 from .ledger_writer import ReservationResult
 from .members import Members
 from .outage import OutageTracker
@@ -62,6 +63,9 @@
         peers: Calls them.
         clock: Times the calls.
         logger: Receives grants made without the store.
+
+    Attributes:
+        refusals: Why turns were not granted.
     """
 
     def __init__(
@@ -89,6 +93,7 @@
         self._clock = clock
         self._logger = logger
         self._decider_by_turn: dict[TurnId, HolderId] = {}
+        self.refusals = BudgetRefusals()
 
     def decided(self, turn: TurnId) -> bool:
         """Returns whether a deciding VM was asked for a turn."""
@@ -221,10 +226,12 @@
             return ReservationDecision.GRANTED
         if reply is None:
             self._give_up(program, turn, budget)
+            self.refusals.note(turn, RefusalReason.DECIDER_SILENT)
             return None
         self._decider_by_turn.pop(turn, None)
         if isinstance(reply, TokenAnswer) and reply.spent:
             return ReservationDecision.SPENT
+        self.refusals.note(turn, RefusalReason.DECLINED)
         return None
 
     def _give_up(self, program: ProgramId, turn: TurnId, budget: int) -> None:
--- a/lycheestall/entry/entry_metrics.py
+++ b/lycheestall/entry/entry_metrics.py
@@ -46,6 +46,11 @@
             "Streams resumed from other requests, by how their software "
             "version was found.",
         )
+        self._budgets_unchecked = self.counter(
+            "budgets_unchecked_total",
+            "Turns refused because their budgets could not be checked, by "
+            "reason and seconds since the store became unavailable.",
+        )
         self._turns_kept = self.counter(
             "turns_kept_total", "Turns made durable, by how."
         )
@@ -66,6 +71,15 @@
         """Counts a decision on a request to a target with a limit."""
         self._permits.inc({"granted": str(granted).lower()})
 
+    def budget_unchecked(self, reason: str, age: str) -> None:
+        """Counts a turn whose budget could not be checked.
+
+        Args:
+            reason: What was missing.
+            age: Class of the time since the store became unavailable.
+        """
+        self._budgets_unchecked.inc({"reason": reason, "age_s": age})
+
     def stream_origin_found(self, source: str) -> None:
         """Counts a stream that a caller resumes with another request."""
         self._stream_origins.inc({"source": source})
--- a/lycheestall/entry/final_response.py
+++ b/lycheestall/entry/final_response.py
@@ -140,6 +140,9 @@
         elif decision is ReservationDecision.UNPROVEN:
             self.refuse(503, "tokens may be unrecorded", UNPROVEN_RETRY_S)
         else:
+            self._deps.log.turns.budget_unchecked(
+                self._metadata, self._budget.take_refusal()
+            )
             retry_s = self._deps.reservations.decider_retry_s()
             self.refuse(503, "budgets can't be checked now", retry_s)
 
--- a/lycheestall/entry/turn_budget.py
+++ b/lycheestall/entry/turn_budget.py
@@ -6,6 +6,7 @@
 
 from twisted.internet.defer import CancelledError, Deferred
 
+from .budget_refusals import BudgetRefusal
 from .configuration import Service
 from .ledger_writer import ReservationResult
 from .message_metadata import RequestMetadata
@@ -117,6 +118,10 @@
             self._program, self._turn, self.tokens_for_events(events)
         )
 
+    def take_refusal(self) -> BudgetRefusal:
+        """Returns why the reservation got no decision."""
+        return self._reservations.take_refusal(self._turn)
+
     def cancel_reservation(self) -> None:
         """Cancels a pending reservation."""
         if self._pending is not None:
--- a/lycheestall/entry/turn_log.py
+++ b/lycheestall/entry/turn_log.py
@@ -6,6 +6,7 @@
 
 from ..logs import Logger
 from ._log_fields import decode_id
+from .budget_refusals import BudgetRefusal
 from .conversation_lookup import TurnNotFound
 from .entry_metrics import EntryMetrics
 from .message_metadata import RequestMetadata
@@ -113,3 +114,21 @@
             request=decode_id(metadata.request_id),
             error=error,
         )
+
+    def budget_unchecked(
+        self, metadata: RequestMetadata, refusal: BudgetRefusal
+    ) -> None:
+        """Logs a turn whose budget could not be checked.
+
+        Args:
+            metadata: The request's metadata.
+            refusal: Why it was refused.
+        """
+        self._metrics.budget_unchecked(refusal.reason.value, refusal.age_label)
+        self._write(
+            "budget not checked",
+            request=decode_id(metadata.request_id),
+            program=metadata.program,
+            reason=refusal.reason.value,
+            store_away_s=round(refusal.age_s, 3),
+        )
--- a/lycheestall/entry/turn_reservations.py
+++ b/lycheestall/entry/turn_reservations.py
@@ -8,6 +8,7 @@
 
 from ..ids import ProgramId
 from ..logs import Logger
+from .budget_refusals import BudgetRefusal, RefusalReason
 from .deciding_vms import DecidingVms
 from .ledger_catch_up import LedgerCatchUp
 from .ledger_writer import LedgerWriter, ReservationResult
@@ -159,6 +160,19 @@
             return AGREEMENT_DELAY_S
         return STORE_RETRY_S
 
+    def take_refusal(self, turn: TurnId) -> BudgetRefusal:
+        """Returns why a turn got no decision."""
+        now = self._clock.seconds()
+        reason = self._deciders.refusals.take(turn)
+        if not self._writer.store_unavailable:
+            return BudgetRefusal(reason or RefusalReason.STORE_SLOW, 0.0)
+        if reason is None:
+            reason = RefusalReason.NO_AGREEMENT
+            if self._outage.mode(now) is OutageMode.ALONE:
+                reason = RefusalReason.AGREEMENT_EXPIRED
+        age_s = now - self._writer.store_unavailable_since
+        return BudgetRefusal(reason, age_s)
+
     def settle(self, program: ProgramId, turn: TurnId, used: int) -> None:
         """Replaces a turn's reservation by the tokens that it used.
 
