Date a silent VM's last records by the first call that failed

Seen: 12 VMs, a store that doesn't reply for 4.5 s, VMs killed 0.3, 2.2 and 4.1 s into it: 6 of 10 programs that start in the outage fail, since the deciding VMs grant a single turn.

Cause: the time from the last read of the ledger to the outage was measured to the first time-out, 0.4 to 0.9 s after the store went silent; and a VM whose process had started again inside the outage counted as slow, not as silent.

Change: VMs tell when the call started that failed first (LastReads), and a reply of another run of the process shows that the one asked is gone.

--- a/lycheestall/entry/ledger_catch_up.py
+++ b/lycheestall/entry/ledger_catch_up.py
@@ -10,7 +10,7 @@
 
 from ..ids import Offset
 from ..logs import Logger
-from .ledger_gap import UNREAD_WINDOW_S, LedgerGap
+from .ledger_gap import UNREAD_WINDOW_S, LastReads, LedgerGap
 from .ledger_messages import (
     AskLedger,
     AskPosition,
@@ -51,8 +51,7 @@
         members: The VMs of the system.
         peers: Calls them.
         position: Returns the offset from which on the ledger is not read.
-        read_at: Returns when the ledger was last read.
-        unavailable_since: Returns when the store became unavailable.
+        reads: When the VMs last read the ledger.
         store_unavailable: Returns whether this VM's writes fail.
         clock: Provides the time.
         logger: Receives the results.
@@ -67,8 +66,7 @@
         members: Members,
         peers: PeerClient,
         position: Callable[[], Offset],
-        read_at: Callable[[], float],
-        unavailable_since: Callable[[], float],
+        reads: LastReads,
         store_unavailable: Callable[[], bool],
         clock: Any,
         logger: Logger,
@@ -79,9 +77,7 @@
         self._members = members
         self._peers = peers
         self._position = position
-        self._read_at = read_at
-        self._unavailable_since = unavailable_since
-        self._peers_read_at = float("-inf")
+        self._reads = reads
         self._store_unavailable = store_unavailable
         self._clock = clock
         self._logger = logger
@@ -124,7 +120,7 @@
         self._calls.clear()
         self._unread_vms.clear()
         self._collected_until = Offset(0)
-        self._peers_read_at = float("-inf")
+        self._reads.clear()
         self._logged_progress = None
         self._notify()
 
@@ -159,7 +155,7 @@
         (holder,) = silent
         if not self._members.limits_unread(holder):
             return LedgerGap.MANY
-        if self._last_read_at() < self._unavailable_since() - UNREAD_WINDOW_S:
+        if self._reads.unread_s(self._clock.seconds()) > UNREAD_WINDOW_S:
             return LedgerGap.MANY
         return LedgerGap.ONE_VM
 
@@ -188,7 +184,8 @@
             away=self._store_unavailable(),
             position=self._read_until(),
             unheard=unheard,
-            read_ago_s=self._clock.seconds() - self._last_read_at(),
+            read_ago_s=self._clock.seconds() - self._reads.read_at,
+            failing_for_s=self._clock.seconds() - self._reads.failing_since,
             grants=tuple(self._grants.all()),
         )
 
@@ -219,9 +216,6 @@
     def _read_until(self) -> Offset:
         return max(self._position(), self._collected_until)
 
-    def _last_read_at(self) -> float:
-        return max(self._read_at(), self._peers_read_at)
-
     def _silent_vms(self) -> set[HolderId] | None:
         # None if a VM may only be slow, or has joined too late.
         if any(self._members.get(h) is None for h in self._unread_vms):
@@ -350,15 +344,21 @@
         if not isinstance(reply, LedgerPosition):
             self._no_position_from.add(asked)
             return
-        self._no_position_from.discard(asked)
         self._grants.add_all(reply.grants, now=self._clock.seconds())
-        # A process that has started again replies with another ID.
-        if reply.holder != asked or not reply.away:
+        if reply.holder != asked:
+            # A process that has started again replies with another ID.
+            self._no_position_from.add(asked)
+            return
+        self._no_position_from.discard(asked)
+        if not reply.away:
             return
         if not self._store_unavailable():
             return
-        read_at = self._clock.seconds() - reply.read_ago_s
-        self._peers_read_at = max(self._peers_read_at, read_at)
+        now = self._clock.seconds()
+        self._reads.add(
+            read_at=now - reply.read_ago_s,
+            failing_since=now - reply.failing_for_s,
+        )
         group = view.group_of(asked)
         if self._holder in group:
             self._position_by_vm[asked] = reply.position
--- a/lycheestall/entry/ledger_gap.py
+++ b/lycheestall/entry/ledger_gap.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from enum import Enum
 
-__all__ = ["LedgerGap", "UNREAD_WINDOW_S"]
+__all__ = ["LastReads", "LedgerGap", "UNREAD_WINDOW_S"]
 
 UNREAD_WINDOW_S = 0.7
 """Seconds in which a VM's records of one program allocate at most half of the
@@ -25,3 +26,54 @@
     NONE = "none"
     ONE_VM = "one vm"
     MANY = "many"
+
+
+class LastReads:
+    """When the VMs that have told so last read the ledger, and failed to.
+
+    Args:
+        read_at: Returns when this VM last read it.
+        failing_since: Returns when its first call started that failed.
+    """
+
+    def __init__(
+        self,
+        *,
+        read_at: Callable[[], float],
+        failing_since: Callable[[], float],
+    ) -> None:
+        self._read_at = read_at
+        self._failing_since = failing_since
+        self._peers_read_at = float("-inf")
+        self._peers_failing_since: set[float] = set()
+
+    @property
+    def read_at(self) -> float:
+        """When any of the VMs last read the ledger."""
+        return max(self._read_at(), self._peers_read_at)
+
+    @property
+    def failing_since(self) -> float:
+        """When this VM's first call started that failed."""
+        return self._failing_since()
+
+    def unread_s(self, now: float) -> float:
+        """Returns the seconds from the last read to the first failed call.
+
+        Args:
+            now: Current time.
+        """
+        read_at = self.read_at
+        failing = {self._failing_since(), *self._peers_failing_since}
+        later = [since for since in failing if since >= read_at]
+        return min(later, default=now) - read_at
+
+    def add(self, *, read_at: float, failing_since: float) -> None:
+        """Adds what a peer has told."""
+        self._peers_read_at = max(self._peers_read_at, read_at)
+        self._peers_failing_since.add(failing_since)
+
+    def clear(self) -> None:
+        """Forgets what peers have told."""
+        self._peers_read_at = float("-inf")
+        self._peers_failing_since.clear()
--- a/lycheestall/entry/ledger_messages.py
+++ b/lycheestall/entry/ledger_messages.py
@@ -83,6 +83,7 @@
         unheard: Members of its group whose records may be missing.
         read_ago_s: Seconds since it, or a VM that it has asked, last read the
             ledger.
+        failing_for_s: Seconds since its first call started that failed.
         grants: All unrecorded grants that it knows of.
     """
 
@@ -91,6 +92,7 @@
     position: Offset
     unheard: tuple[HolderId, ...]
     read_ago_s: float
+    failing_for_s: float
     grants: tuple[TurnGrant, ...]
 
 
@@ -115,18 +117,20 @@
         message.position,
         list(message.unheard),
         message.read_ago_s,
+        message.failing_for_s,
         encode_grants(message.grants),
     ]
 
 
 def decode_position(fields: list[Any]) -> LedgerPosition:
     """Decodes the fields of a message."""
-    holder, away, position, unheard, read_ago_s, rows = fields
+    holder, away, position, unheard, read_ago_s, failing_for_s, rows = fields
     return LedgerPosition(
         holder,
         away,
         position,
         tuple(unheard),
         read_ago_s,
+        failing_for_s,
         decode_grants(rows),
     )
--- a/lycheestall/entry/store_health.py
+++ b/lycheestall/entry/store_health.py
@@ -38,6 +38,7 @@
     Attributes:
         state: Availability of the store.
         unavailable_since: When the store last became unavailable.
+        failing_since: When the call started that found it unavailable.
     """
 
     def __init__(
@@ -54,6 +55,7 @@
         self._on_unavailable = on_unavailable
         self.state = StoreState.UNKNOWN
         self.unavailable_since = 0.0
+        self.failing_since = 0.0
         self._succeeded_at = float("-inf")
 
     @property
@@ -92,6 +94,7 @@
             return
         self._logger.warning("store is away", topics=self._topics, error=error)
         self.unavailable_since = now
+        self.failing_since = started_at
         self.state = StoreState.UNAVAILABLE
         if self._on_unavailable is not None:
             self._on_unavailable()
--- a/lycheestall/entry/token_service.py
+++ b/lycheestall/entry/token_service.py
@@ -14,6 +14,7 @@
 from .grant_handover import GrantHandover
 from .grant_recorder import GrantRecorder
 from .ledger_catch_up import LedgerCatchUp
+from .ledger_gap import LastReads
 from .ledger_messages import AskLedger, AskPosition, LedgerTail, ReadLedger
 from .ledger_readers import LedgerReaders
 from .ledger_writer import LedgerWriter
@@ -115,8 +116,14 @@
             members=members,
             peers=peers,
             position=self._position,
-            read_at=lambda: self.follower.read_at,
-            unavailable_since=lambda: health.unavailable_since,
+            reads=LastReads(
+                read_at=lambda: self.follower.read_at,
+                failing_since=lambda: (
+                    health.failing_since
+                    if health.unavailable
+                    else reactor.seconds()
+                ),
+            ),
             store_unavailable=self._writes_fail,
             clock=reactor,
             logger=logger,
