--- a/lycheestall/entry/peer_messages.py
+++ b/lycheestall/entry/peer_messages.py
@@ -22,6 +22,7 @@
     AskPosition,
     LedgerPosition,
     LedgerTail,
+    ReadLedger,
     decode_position,
     encode_position,
 )
@@ -188,6 +189,7 @@
     | AskSettled
     | AskLedger
     | AskPosition
+    | ReadLedger
     | SettleTokens
     | HoldGrant
     | Handover
@@ -248,6 +250,7 @@
         SettledReport,
         AskLedger,
         AskPosition,
+        ReadLedger,
         SettleTokens,
         Understood,
         Appended,
