Begin with full buckets only at the first start of all VMs

Cause: settings may call it the first start for as long as a VM has the file, so a restart of all VMs would have given a second burst. Change: the ledger must show no member that has left or crashed.

--- a/lycheestall/entry/quotas/quota_decisions.py
+++ b/lycheestall/entry/quotas/quota_decisions.py
@@ -61,7 +61,8 @@
         settings: How exactly the quotas are kept.
         terms: The accounts' quotas.
         ranking: Which VMs decide on an account.
-        first_start: Whether the whole system starts for the first time.
+        first_start: Returns whether the whole system starts for the first
+            time.
         now: Current time.
     """
 
@@ -72,14 +73,15 @@
         settings: QuotaSettings,
         terms: AccountTerms,
         ranking: AccountRanking,
-        first_start: bool,
+        first_start: Callable[[], bool],
         now: float,
     ) -> None:
         self._holder = holder
         self._settings = settings
         self._terms = terms
         self._ranking = ranking
-        self._full_until = now + FIRST_START_S if first_start else now
+        self._first_start = first_start
+        self._full_until = now + FIRST_START_S
         self._decider_by_account: dict[AccountId, AccountDecider] = {}
         self._stand_in_by_account: dict[AccountId, AccountDecider] = {}
         self._own_share_by_account: dict[AccountId, AccountDecider] = {}
@@ -236,7 +238,7 @@
             handed = handed_by_account.get(account)
             if handed is not None:
                 decider.take_over(handed, now)
-            elif is_new and now < self._full_until:
+            elif is_new and now < self._full_until and self._first_start():
                 decider.bucket.add(decider.bucket.capacity, now)
 
     def take_back(self, returned: ReturnedPermits, now: float) -> None:
--- a/lycheestall/entry/quotas/quota_service.py
+++ b/lycheestall/entry/quotas/quota_service.py
@@ -104,7 +104,8 @@
             settings=settings,
             terms=AccountTerms(configuration),
             ranking=self._ranking,
-            first_start=first_start,
+            # The settings may still say so when all VMs start again.
+            first_start=lambda: first_start and not _have_restarted(members),
             now=clock.seconds(),
         )
         self._silent_until: dict[HolderId, float] = {}
@@ -303,3 +304,10 @@
             ReturnQuota(self._holder, decider, returned),
             timeout_s=RETURN_TIMEOUT_S,
         )
+
+
+def _have_restarted(members: Members) -> bool:
+    """Returns whether the ledger shows a member that has left or crashed."""
+    if members.crashed():
+        return True
+    return any(record.value is None for record in members.records())
--- a/tests/entry/quota_simulation.py
+++ b/tests/entry/quota_simulation.py
@@ -112,7 +112,7 @@
         self.service = QuotaService(
             holder=self.holder,
             settings=SETTINGS,
-            first_start=False,
+            first_start=system.first_start,
             configuration=lambda: self.configuration,
             members=self.members,
             peers=self,  # type: ignore[arg-type]
@@ -176,17 +176,24 @@
         vms: Number of VMs.
         accounts: The accounts in the configuration.
         skew_s: Longest time until a VM knows of a change of the members.
+        first_start: Whether the settings call it the first start.
 
     Attributes:
         run_at_by_account: When targets ran requests of each account.
     """
 
     def __init__(
-        self, *, vms: int, accounts: Iterable[Account], skew_s: float = 0.0
+        self,
+        *,
+        vms: int,
+        accounts: Iterable[Account],
+        skew_s: float = 0.0,
+        first_start: bool = False,
     ) -> None:
         self.clock = SimulatedClock()
         self.random = random.Random(vms)
         self._skew_s = skew_s
+        self.first_start = first_start
         self._shared_members = Members()
         self._records: list[KeyedRecord] = []
         self.configuration = Configuration(1, (), {}, accounts=tuple(accounts))
--- a/tests/entry/test_quota_faults.py
+++ b/tests/entry/test_quota_faults.py
@@ -113,8 +113,9 @@
 
 
 # Guards against a whole system that starts again and again with full buckets.
-def test_restarting_all_vms_gives_no_second_burst() -> None:
-    system = QuotaSystem(vms=VMS, accounts=[ACCOUNT])
+@pytest.mark.parametrize("first_start", [False, True])
+def test_restarting_all_vms_gives_no_second_burst(first_start: bool) -> None:
+    system = QuotaSystem(vms=VMS, accounts=[ACCOUNT], first_start=first_start)
     system.run(5.0)
     for _ in range(5):
         for _ in range(60):
@@ -126,6 +127,21 @@
     assert most_in_window(times, SETTINGS.window_s) <= allowed(ACCOUNT)
 
 
+def test_only_the_first_start_of_all_begins_with_full_buckets() -> None:
+    served = []
+    for first_start in (False, True):
+        system = QuotaSystem(
+            vms=VMS, accounts=[ACCOUNT], first_start=first_start
+        )
+        system.run(0.3)
+        for _ in range(60):
+            ensureDeferred(system.send(ACCOUNT))
+        system.run(0.1)
+        served.append(len(system.run_at_by_account[ACCOUNT.account]))
+    assert served[0] <= 0.5 * ACCOUNT.burst
+    assert served[1] >= 0.9 * ACCOUNT.burst
+
+
 # Guards against many VMs without contact that each use a share of their own.
 def test_all_vms_without_contact_stay_within_the_slack() -> None:
     system = QuotaSystem(vms=VMS, accounts=[ACCOUNT])
