--- a/tests/entry/test_quota_bucket.py
+++ b/tests/entry/test_quota_bucket.py
@@ -37,6 +37,7 @@
             assert len(used) - first <= carried + 1e-6
 
 
+# Guards against an account that loses what was never run.
 def test_a_permit_that_is_given_back_can_be_granted_again() -> None:
     bucket = QuotaBucket(rate_per_s=1.0, capacity=2.0, level=2.0, now=0.0)
     assert bucket.take(0.0, max_wait_s=0.0).taken
@@ -48,6 +49,7 @@
     assert not bucket.take(0.4, max_wait_s=0.0).taken
 
 
+# Guards against a stock that was filled under the old quota.
 def test_a_lowered_quota_cuts_the_stock_at_once() -> None:
     bucket = QuotaBucket(rate_per_s=9.0, capacity=90.0, level=90.0, now=0.0)
     bucket.change(rate_per_s=2.0, capacity=3.0, now=0.0)
@@ -55,6 +57,7 @@
     assert bucket.level(100.0) == 3.0
 
 
+# Guards against permits for a time in which another VM decided.
 def test_nothing_is_added_for_a_time_that_was_missed_or_steps_back() -> None:
     bucket = QuotaBucket(rate_per_s=1.0, capacity=9.0, level=0.0, now=50.0)
     bucket.skip(58.0)
--- a/tests/entry/test_quota_faults.py
+++ b/tests/entry/test_quota_faults.py
@@ -127,6 +127,7 @@
     assert most_in_window(times, SETTINGS.window_s) <= allowed(ACCOUNT)
 
 
+# Guards against a first start that refuses what accounts may send at once.
 def test_only_the_first_start_of_all_begins_with_full_buckets() -> None:
     served = []
     for first_start in (False, True):
@@ -155,6 +156,7 @@
     assert most_in_window(times, SETTINGS.window_s) > 0
 
 
+# Guards against a stock that was filled under the old quota.
 def test_a_lowered_quota_is_binding_one_window_later() -> None:
     system = QuotaSystem(vms=VMS, accounts=[ACCOUNT])
     ProgramLoad(system, ACCOUNT, excess=2.0).start()
--- a/tests/entry/test_quota_programs.py
+++ b/tests/entry/test_quota_programs.py
@@ -87,6 +87,7 @@
     ) == pytest.approx(delays_s[1])
 
 
+# Guards against new programs that use up what running ones need.
 def test_a_new_program_leaves_the_stock_to_programs_that_have_begun() -> None:
     programs = ProgramAdmission()
     begun = 0
--- a/tests/entry/test_quota_requests.py
+++ b/tests/entry/test_quota_requests.py
@@ -104,6 +104,7 @@
     )
 
 
+# Guards against one account's excess reaching targets or other accounts.
 def test_an_account_over_its_quota_gets_429_and_others_are_served(
     fleet: Fleet,
 ) -> None:
@@ -125,6 +126,7 @@
     assert len(served) >= 0.9 * LIMITED.rate_per_s * 8.0
 
 
+# Guards against costs for deployments and accounts without quotas.
 def test_no_message_is_sent_for_requests_without_a_quota(
     fleet: Fleet,
 ) -> None:
@@ -138,6 +140,7 @@
     assert fleet.links.sent[ReturnQuota] == 0
 
 
+# Guards against retries that targets run and no quota counts.
 def test_each_further_attempt_needs_another_permit(fleet: Fleet) -> None:
     def break_first(request: ReceivedRequest) -> None:
         if len(received_at) < 2:
