--- a/tests/untrusted_callers/vm_process.py
+++ b/tests/untrusted_callers/vm_process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -15,6 +16,10 @@
 MAX_DESCRIPTORS = 350
 """Descriptors of the VM in the tests' settings."""
 
+PORTS = (20_000, 32_000)
+"""Below the kernel's range of ephemeral ports, from which the connections of
+other processes could take a port before the VM listens on it."""
+
 SETTINGS = """\
 node_name=vm-1
 zone=zone-a
@@ -44,8 +49,9 @@
     """
 
     def __init__(self, directory: Path, store_port: int) -> None:
-        self.callers_port, self.readiness_port = free_ports(2)
-        self.metrics_port = adjacent_ports()
+        self.callers_port, self.readiness_port, self.metrics_port = free_ports(
+            3
+        )
         self.peers_port = self.metrics_port + 1
         settings = directory / "vm.conf"
         settings.write_text(
@@ -92,20 +98,21 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Returns ports of the loopback address that nothing uses."""
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [listening.getsockname()[1] for listening in sockets]
-    for listening in sockets:
-        listening.close()
+    """Returns ports of the loopback address that nothing uses.
+
+    Each is followed by another free one.
+    """
+    ports: list[int] = []
+    while len(ports) < count:
+        port = random.randrange(*PORTS, 2)
+        if port not in ports and _is_free(port) and _is_free(port + 1):
+            ports.append(port)
     return ports
 
 
-def adjacent_ports() -> int:
-    """Returns the first of two free ports that follow each other."""
-    while True:
-        (port,) = free_ports(1)
-        try:
-            socket.create_server(("127.0.0.1", port + 1)).close()
-        except OSError:
-            continue
-        return port
+def _is_free(port: int) -> bool:
+    try:
+        socket.create_server(("127.0.0.1", port)).close()
+    except OSError:
+        return False
+    return True
