--- a/tests/entry/test_quota_requests.py
+++ b/tests/entry/test_quota_requests.py
@@ -4,13 +4,10 @@
 
 from collections.abc import Callable, Iterator
 from dataclasses import replace
-from typing import Any
 
 import pytest
 
-from lycheestall.entry import request_router
 from lycheestall.entry.accounts import Account, AccountId
-from lycheestall.entry.configuration import Configuration
 from lycheestall.entry.peer_messages import decode, encode
 from lycheestall.entry.quotas.quota_messages import (
     AskQuota,
@@ -23,11 +20,10 @@
     ReturnQuota,
 )
 from lycheestall.entry.quotas.quota_terms import QuotaTerms
-from lycheestall.entry.request_processor import RequestProcessor
 from lycheestall.entry.token_ledger import HolderId
 from tests.entry import entry_vm_harness
-from tests.entry.entry_vm_harness import status_of
-from tests.entry.fake_network import ReceivedRequest
+from tests.entry.entry_vm_harness import ROUTES, status_of
+from tests.entry.fake_network import ReceivedRequest, RecordingCaller
 from tests.entry.fleet import Fleet
 from tests.entry.quota_simulation import SETTINGS, allowed, most_in_window
 
@@ -36,43 +32,38 @@
 FREE = Account(AccountId("free"))
 VM = HolderId("vm-1.1")
 TERMS = QuotaTerms(3, 4.0, 6.0)
-
-
-class AccountDecoder(entry_vm_harness.PlatformRecordDecoder):
-    """Decodes configurations that contain the accounts of these tests."""
-
-    def decode_configuration(self, *args: Any) -> Any:
-        """Returns the configuration with the accounts."""
-        decoded = super().decode_configuration(*args)
-        assert isinstance(decoded, Configuration)
-        return replace(decoded, accounts=(LIMITED, FREE))
-
-
-def processor(*args: Any, **kwargs: Any) -> RequestProcessor:
-    """Returns the processor of a request of the account in its path."""
-    path = args[1].request.path
-    account = None
-    if "limited" in path:
-        account = LIMITED
-    elif "free" in path:
-        account = FREE
-    return RequestProcessor(*args, **kwargs, account=account)
+OPEN = {**ROUTES[1], "path_prefix": "/open/", "anonymous": True}
+ACCOUNTS = [
+    {
+        "name": account.account,
+        "api_keys": [f"key-of-{account.account}"],
+        "rate_per_s": account.rate_per_s,
+        "burst": account.burst,
+    }
+    for account in (LIMITED, FREE)
+]
 
 
 @pytest.fixture
 def fleet(monkeypatch: pytest.MonkeyPatch) -> Iterator[Fleet]:
-    """VMs whose requests belong to the accounts named in their paths."""
-    monkeypatch.setattr(
-        entry_vm_harness, "PlatformRecordDecoder", AccountDecoder
-    )
-    monkeypatch.setattr(request_router, "RequestProcessor", processor)
+    """VMs of a deployment with one account that has a quota."""
     settings = entry_vm_harness.settings
     monkeypatch.setattr(
         entry_vm_harness,
         "settings",
         lambda *args: replace(settings(*args), quotas=SETTINGS),
     )
-    yield Fleet(vms=VMS)
+    fleet = Fleet(vms=VMS)
+    fleet.vms[0].configure([*ROUTES, OPEN], tenants=ACCOUNTS)
+    yield fleet
+
+
+def send(fleet: Fleet, path: str, account: Account | None) -> RecordingCaller:
+    """Sends a request of an account, or of none."""
+    headers = ""
+    if account is not None:
+        headers = f"Authorization: Bearer key-of-{account.account}\r\n"
+    return fleet.send(path, headers=headers)
 
 
 def add_target(
@@ -112,8 +103,8 @@
     fleet.start()
     limited, free = [], []
     for _ in range(160):
-        limited.append(fleet.send("/orders/limited"))
-        free.append(fleet.send("/orders/free"))
+        limited.append(send(fleet, "/orders/", LIMITED))
+        free.append(send(fleet, "/orders/", FREE))
         fleet.reactor.run(0.05)
     fleet.reactor.run(1.0)
     assert {status_of(caller.data) for caller in limited} == {200, 429}
@@ -133,8 +124,8 @@
     add_target(fleet)
     fleet.start()
     for _ in range(20):
-        fleet.send("/orders/free")
-        fleet.send("/orders/none")
+        send(fleet, "/orders/", FREE)
+        send(fleet, "/open/", None)
         fleet.reactor.run(0.02)
     assert fleet.links.sent[AskQuota] == 0
     assert fleet.links.sent[ReturnQuota] == 0
@@ -150,7 +141,7 @@
 
     received_at = add_target(fleet, "t", break_first)
     fleet.start()
-    caller = fleet.send("/maps/limited")
+    caller = send(fleet, "/maps/", LIMITED)
     fleet.reactor.run(1.0)
     assert status_of(caller.data) == 200
     assert len(received_at) == granted(fleet) == 2
@@ -165,7 +156,7 @@
     fleet.start()
     fleet.reactor.run(2.0)
     for _ in range(40):
-        caller = fleet.send("/orders/limited")
+        caller = send(fleet, "/orders/", LIMITED)
         fleet.reactor.run(0.1)
         assert status_of(caller.data) == 503
     assert len(refused_at) >= 40
@@ -179,7 +170,7 @@
     fleet.start()
     fleet.reactor.run(2.0)
     for _ in range(40):
-        caller = fleet.send("/orders/limited")
+        caller = send(fleet, "/orders/", LIMITED)
         fleet.reactor.run(0.1)
         assert b"no target is up" in caller.data
     assert granted(fleet) == 40
@@ -194,7 +185,7 @@
     for number in range(VMS):
         fleet.cut_peers(number)
     for _ in range(100):
-        caller = fleet.send("/orders/limited")
+        caller = send(fleet, "/orders/", LIMITED)
         fleet.reactor.run(0.4)
         assert status_of(caller.data) in (200, 429, 503)
     assert received_at
