--- a/lycheestall/entry/deciding_vms.py
+++ b/lycheestall/entry/deciding_vms.py
@@ -158,6 +158,7 @@
             now=now,
         )
         if decision is not OutageDecision.GRANTED:
+            self._log_declined(message, decision)
             spent = decision is OutageDecision.SPENT
             return TokenAnswer(granted=False, spent=spent)
         group = self._outage.group
@@ -169,6 +170,27 @@
         grant = TurnGrant(message.program, turn, message.max_tokens)
         return ensureDeferred(self._copied(grant, message.budget))
 
+    def _log_declined(
+        self, message: AskTokens, decision: OutageDecision
+    ) -> None:
+        program = message.program
+        allocator = self._outage_allocator
+        self._logger.info(
+            "declined a turn without the ledger",
+            program=program,
+            holder=message.holder,
+            turn=message.turn,
+            decision=decision.value,
+            max_tokens=message.max_tokens,
+            budget=message.budget,
+            granted=self._grants.tokens(program),
+            recorded_limit=self._ledger.total(program).limit,
+            reported_limit=message.recorded_limit,
+            gap=allocator.ledger_gap.value,
+            doubtful=allocator.is_doubtful(program),
+            closed=allocator.is_closed(program),
+        )
+
     def settle(self, program: ProgramId, turn: TurnId, used: int) -> None:
         """Tells a turn's deciding VM what the turn has used."""
         decider = self._decider_by_turn.pop(turn)
--- a/lycheestall/entry/outage_allocator.py
+++ b/lycheestall/entry/outage_allocator.py
@@ -125,14 +125,12 @@
         if recorded.committed + required > budget:
             return OutageDecision.SPENT
         usable = budget
-        doubtful = recorded.maybe_incomplete or self._may_have_lost_grants(
-            program
-        )
+        doubtful = self.is_doubtful(program)
         if doubtful:
             usable = budget_without_lost_grants(budget, max_tokens)
         total = max(recorded.limit, reported_limit) + required
         fits = required <= max_tokens and total <= usable
-        gap = self._ledger_gap()
+        gap = self.ledger_gap
         if gap is LedgerGap.ONE_VM and not doubtful:
             usable = budget_without_lost_grants(budget, max_tokens)
         several = gap is LedgerGap.NONE or (
@@ -145,6 +143,21 @@
         self._grants.add(grant, now=now)
         return OutageDecision.GRANTED
 
+    @property
+    def ledger_gap(self) -> LedgerGap:
+        """Whose records before the outage the ledger may lack."""
+        return self._ledger_gap()
+
+    def is_doubtful(self, program: ProgramId) -> bool:
+        """Returns whether an earlier outage may have left grants unknown."""
+        if self._ledger.total(program).maybe_incomplete:
+            return True
+        return self._may_have_lost_grants(program)
+
+    def is_closed(self, program: ProgramId) -> bool:
+        """Returns whether a VM has asked to stop granting a program's turns."""
+        return bool(self._closed_by.get(program))
+
     def close_program(self, program: ProgramId, holder: HolderId) -> None:
         """Stops granting tokens of a program.
 
