--- a/lycheestall/entry/outage_allocator.py
+++ b/lycheestall/entry/outage_allocator.py
@@ -155,7 +155,7 @@
         return self._may_have_lost_grants(program)
 
     def is_closed(self, program: ProgramId) -> bool:
-        """Returns whether a VM has asked to stop granting a program's turns."""
+        """Returns whether a VM has asked to stop granting a program."""
         return bool(self._closed_by.get(program))
 
     def close_program(self, program: ProgramId, holder: HolderId) -> None:
