Move target selection into a package of its own

Placement grows by the speed and the load of targets; its modules get a package first. No behaviour changes: only the imports are adapted.

Tests of the moved modules (target latencies and subset, engine bursts, attempt timeouts, slow target reports, gray failures) pass.

--- a/lycheestall/entry/attempt_relay.py
+++ b/lycheestall/entry/attempt_relay.py
@@ -30,10 +30,10 @@
 from .link_monitor import LinkMonitor
 from .message_metadata import RequestMetadata
 from .peer_messages import encode
+from .placement.target_chooser import TargetChooser
 from .relayed_attempt import RELAYED_HEADER, UNTIL_CLOSE_HEADER, RelayedKind
 from .target_announcements import TargetAnnouncements
 from .target_attempt import TargetAttempt
-from .target_chooser import TargetChooser
 from .target_table import TargetRegistration, TargetTable
 from .token_ledger import HolderId
 
--- a/lycheestall/entry/attempt_timeouts.py
+++ b/lycheestall/entry/attempt_timeouts.py
@@ -4,7 +4,7 @@
 
 import math
 
-from .latency_baselines import LatencyBaseline, LatencyBaselines
+from .placement.latency_baselines import LatencyBaseline, LatencyBaselines
 
 __all__ = ["AttemptTimeouts"]
 
--- a/lycheestall/entry/peer_messages.py
+++ b/lycheestall/entry/peer_messages.py
@@ -29,6 +29,7 @@
     LimitNews,
     PermitAnswer,
 )
+from .placement.target_latencies import SlowResponses
 from .relay_messages import (
     AskConfiguration,
     RelayAppend,
@@ -49,7 +50,6 @@
     Topic,
     WriterFence,
 )
-from .target_latencies import SlowResponses
 from .token_ledger import HolderId
 from .token_messages import (
     AskGranted,
--- /dev/null
+++ b/lycheestall/entry/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Selection of the target that runs a request."""
--- a/lycheestall/entry/target_chooser.py
+++ b/lycheestall/entry/placement/target_chooser.py
@@ -7,13 +7,13 @@
 
 import xxhash
 
-from ..ejection import OutlierEjection
-from ..ids import SoftwareVersion, TargetId
-from .configuration import ServiceId
+from ...ejection import OutlierEjection
+from ...ids import SoftwareVersion, TargetId
+from ..configuration import ServiceId
+from ..target_table import TargetRegistration, TargetTable
 from .latency_baselines import LatencyBaselines
 from .target_latencies import SlowResponses, TargetLatencies
 from .target_subset import TargetSubset
-from .target_table import TargetRegistration, TargetTable
 
 __all__ = ["TargetChooser"]
 
--- a/lycheestall/entry/target_latencies.py
+++ b/lycheestall/entry/placement/target_latencies.py
@@ -7,7 +7,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from ..ids import TargetId
+from ...ids import TargetId
 from .latency_baselines import LatencyBaselines
 
 __all__ = ["SlowResponses", "TargetLatencies"]
--- a/lycheestall/entry/target_subset.py
+++ b/lycheestall/entry/placement/target_subset.py
@@ -14,8 +14,8 @@
 
 import xxhash
 
-from .configuration import ServiceId
-from .target_table import TargetRegistration
+from ..configuration import ServiceId
+from ..target_table import TargetRegistration
 
 __all__ = ["TargetSubset"]
 
--- a/lycheestall/entry/request_dependencies.py
+++ b/lycheestall/entry/request_dependencies.py
@@ -14,10 +14,10 @@
 from .header_codec import HeaderCodec
 from .link_monitor import LinkMonitor
 from .permit_service import PermitService
+from .placement.target_chooser import TargetChooser
 from .relay_client import RelayClient
 from .stream_origin_service import StreamOriginService
 from .target_announcements import TargetAnnouncements
-from .target_chooser import TargetChooser
 from .target_table import TargetRegistration, TargetTable
 from .turn_reservations import TurnReservations
 
--- a/lycheestall/entry/slow_target_reporter.py
+++ b/lycheestall/entry/slow_target_reporter.py
@@ -14,7 +14,7 @@
 from .members import Members
 from .peer_messages import SlowTargets
 from .peer_rpc import PeerClient, call_all
-from .target_chooser import TargetChooser
+from .placement.target_chooser import TargetChooser
 from .token_ledger import HolderId
 
 __all__ = ["SlowTargetReporter"]
--- a/lycheestall/entry/store_view.py
+++ b/lycheestall/entry/store_view.py
@@ -12,10 +12,10 @@
 from .configuration_relay import ConfigurationRelay, ReaderState
 from .configuration_state import ConfigurationState
 from .connection_pool import ConnectionPool
+from .placement.target_chooser import TargetChooser
 from .record_decoder import RecordDecoder, UnreadableRecord
 from .store import KeyedRecord, Store, Topic
 from .store_health import StoreHealth
-from .target_chooser import TargetChooser
 from .target_table import TargetProcess, TargetRegistration, TargetTable
 from .topic_follower import TopicFollower
 
--- a/lycheestall/entry/target_admission.py
+++ b/lycheestall/entry/target_admission.py
@@ -11,9 +11,9 @@
 from .decision_log import DecisionLog
 from .message_metadata import RequestMetadata
 from .permit_service import Permit, PermitDenied, PermitService
+from .placement.target_chooser import TargetChooser
 from .retry_policy import AttemptHistory
 from .stream_version import StreamVersion
-from .target_chooser import TargetChooser
 from .target_table import TargetRegistration, TargetTable
 
 __all__ = ["Admission", "AtLimits", "TargetAdmission"]
--- a/lycheestall/entry/target_service.py
+++ b/lycheestall/entry/target_service.py
@@ -24,11 +24,11 @@
 from .permit_deciders import PermitDeciders
 from .permit_messages import AskPermit
 from .permit_service import PermitService
+from .placement.target_chooser import TargetChooser
 from .slow_target_reporter import SlowTargetReporter
 from .store import Store
 from .stream_origin_service import StreamOriginService
 from .target_announcements import TargetAnnouncements
-from .target_chooser import TargetChooser
 from .target_limits import TargetLimits
 from .target_table import TargetTable
 from .token_ledger import HolderId
--- a/tests/entry/choosers.py
+++ b/tests/entry/choosers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from lycheestall.entry.configuration import ServiceId
-from lycheestall.entry.target_chooser import TargetChooser
+from lycheestall.entry.placement.target_chooser import TargetChooser
 from lycheestall.entry.target_table import TargetRegistration, TargetTable
 from lycheestall.ids import SoftwareVersion, TargetId, ZoneId
 
--- a/tests/entry/test_attempt_timeouts.py
+++ b/tests/entry/test_attempt_timeouts.py
@@ -14,7 +14,7 @@
     RESPONSES_PER_RETRY,
     AttemptTimeouts,
 )
-from lycheestall.entry.latency_baselines import LatencyBaselines
+from lycheestall.entry.placement.latency_baselines import LatencyBaselines
 
 MIN_S = 0.1
 
--- a/tests/entry/test_configuration_relay.py
+++ b/tests/entry/test_configuration_relay.py
@@ -25,10 +25,10 @@
     decode,
     encode,
 )
+from lycheestall.entry.placement.target_chooser import TargetChooser
 from lycheestall.entry.store import KeyedRecord, KeyedWrite, Topic
 from lycheestall.entry.store_health import StoreHealth
 from lycheestall.entry.store_view import StoreView
-from lycheestall.entry.target_chooser import TargetChooser
 from lycheestall.entry.target_table import TargetTable
 from lycheestall.entry.token_ledger import HolderId
 from lycheestall.entry.vm_settings import Address
--- a/tests/entry/test_engine_bursts.py
+++ b/tests/entry/test_engine_bursts.py
@@ -12,7 +12,7 @@
 import random
 import statistics
 
-from lycheestall.entry.target_chooser import TargetChooser
+from lycheestall.entry.placement.target_chooser import TargetChooser
 from lycheestall.ids import TargetId
 from tests.entry.choosers import SERVICE, new_table
 
--- a/tests/entry/test_slow_target_reporter.py
+++ b/tests/entry/test_slow_target_reporter.py
@@ -14,10 +14,10 @@
 
 from lycheestall.entry.members import Member, Members, join_record
 from lycheestall.entry.peer_messages import SlowTargets, decode, encode
+from lycheestall.entry.placement.target_chooser import TargetChooser
+from lycheestall.entry.placement.target_latencies import SlowResponses
 from lycheestall.entry.slow_target_reporter import SlowTargetReporter
 from lycheestall.entry.store import KeyedRecord
-from lycheestall.entry.target_chooser import TargetChooser
-from lycheestall.entry.target_latencies import SlowResponses
 from lycheestall.entry.token_ledger import HolderId
 from lycheestall.entry.vm_settings import Address
 from lycheestall.ids import Offset, TargetId, ZoneId
--- a/tests/entry/test_target_latencies.py
+++ b/tests/entry/test_target_latencies.py
@@ -4,8 +4,8 @@
 
 import random
 
-from lycheestall.entry.target_chooser import TargetChooser
-from lycheestall.entry.target_latencies import TargetLatencies
+from lycheestall.entry.placement.target_chooser import TargetChooser
+from lycheestall.entry.placement.target_latencies import TargetLatencies
 from lycheestall.ids import TargetId
 from tests.entry.choosers import SERVICE, new_chooser
 
--- a/tests/entry/test_target_subset.py
+++ b/tests/entry/test_target_subset.py
@@ -9,8 +9,11 @@
 import random
 from dataclasses import dataclass, field
 
-from lycheestall.entry.target_chooser import BUSY_RUNNING, TargetChooser
-from lycheestall.entry.target_subset import MIN_TARGETS
+from lycheestall.entry.placement.target_chooser import (
+    BUSY_RUNNING,
+    TargetChooser,
+)
+from lycheestall.entry.placement.target_subset import MIN_TARGETS
 from lycheestall.ids import TargetId
 from tests.entry.choosers import SERVICE, new_table
 
