--- a/lycheestall/placement.py
+++ b/lycheestall/placement.py
@@ -17,13 +17,13 @@
 from .dispatch import ChatJob
 from .dispatch_commands import JobKey
 from .engine_load import EngineLoadEstimate
+from .engine_queue import batch_slowdown, queue_wait_s
 from .ids import ProgramId, TargetId, VmId
 from .service_estimate import ServiceEstimate
 
 __all__ = ["Candidate", "Placement"]
 
 PREFILL_WEIGHT = 8.0
-BATCH_SLOWDOWN = 1.0
 EVICTION_WEIGHT = 1.0
 PREFIX_GROWTH = 1.2  # size after the answer, relative to the prompt
 COLD_CANDIDATES = 2  # sampled when no engine has the prefix cached
@@ -145,12 +145,12 @@
         cached = self.cached_tokens(job, target)
         slots = load.batch_slots(target)
         run_s = service.service_s(job.account, job.program_class)
-        wait_s = (
-            load.queue_length_ahead(target) / slots * service.residence_s()
+        wait_s = queue_wait_s(
+            load.queue_length_ahead(target), slots, service.residence_s()
         )
-        utilization = min(load.requests(target) / slots, 1.0)
+        slowdown = batch_slowdown(load.requests(target), slots)
         prefill_s = service.prefill_s(job.prompt_tokens - cached)
-        cost_s = wait_s + utilization * BATCH_SLOWDOWN * run_s
+        cost_s = wait_s + (slowdown - 1.0) * run_s
         cost_s += PREFILL_WEIGHT * prefill_s
         cost_s += self._eviction_s(job, target, cached)
         return Candidate(target, cost_s, cached)
