Choose targets by speed and expected completion time

A chooser that counted only its own requests treated engines of 0.7 and 1.7 of the usual speed alike. The time for a unit of work is now learned by kind of work, apart from load and size. Where targets differ in speed or are under load, two are drawn in proportion to their speed, those with the prefix cached are added, and the earliest expected completion decides.

--- a/lycheestall/entry/attempt_feedback.py
+++ b/lycheestall/entry/attempt_feedback.py
@@ -15,6 +15,7 @@
     WholeAnswer,
 )
 from .http_client_connection import CONNECTION_LOST, BreakReason
+from .placement.work import CompletedStream
 from .request_dependencies import RequestDependencies
 
 __all__ = ["AttemptFeedback"]
@@ -52,6 +53,7 @@
         first_event_at: float | None,
         deadline_passed: bool,
         relayed: bool,
+        stream: CompletedStream | None = None,
     ) -> None:
         """Reports the outcome of an attempt.
 
@@ -62,6 +64,7 @@
             first_event_at: When the first event arrived, if any did.
             deadline_passed: Whether the request's deadline has passed.
             relayed: Whether a peer has sent it, which then reports crashes.
+            stream: Times of the stream, if this attempt received all of it.
         """
         chooser = self._deps.chooser
         now: float = self._deps.clock.seconds()
@@ -75,7 +78,9 @@
             chooser.record_failure(target, now, down=False)
             if outcome.reason is BreakReason.OVERDUE:
                 self._record_no_response(target, now - started_at, now)
-                self._deps.timeouts.record_retry()
+                self._deps.timeouts.record_retry(
+                    self._route_name, now - started_at
+                )
             elif outcome.reason in CONNECTION_LOST and not relayed:
                 self._deps.crash_reporter.connection_lost(
                     target, self.fingerprint
@@ -93,7 +98,14 @@
                 if first_event_at is None
                 else max(first_event_at, started_at)
             )
-            self._record_response(target, responded_at - started_at, now)
+            took_s = responded_at - started_at
+            if stream is not None:
+                chooser.record_stream(target, stream, now)
+            elif isinstance(outcome, WholeAnswer):
+                chooser.record_plain_speed(
+                    target, self._route_name, took_s, now
+                )
+            self._record_response(target, took_s, now)
         elif outcome.reason is NotRunReason.OTHER_INSTANCE:
             chooser.record_failure(target, now, down=True)
 
--- a/lycheestall/entry/attempt_runner.py
+++ b/lycheestall/entry/attempt_runner.py
@@ -10,6 +10,7 @@
 from .attempt_outcomes import (
     AttemptOutcome,
     NotSent,
+    StreamEnded,
     Unreachable,
 )
 from .configuration import Route
@@ -18,6 +19,7 @@
 from .message_metadata import RequestMetadata
 from .overdue_timer import start_overdue_timer
 from .peer_rpc import encode_call
+from .placement.work import CompletedStream
 from .relay_client import MAX_PEERS_ASKED
 from .request_dependencies import RequestDependencies
 from .retry_policy import NextStep
@@ -297,6 +299,11 @@
             attempt,
             can_retry_elsewhere=can_retry_elsewhere,
             remaining_s=self._target_request.remaining_s,
+            pace=self._deps.chooser.pace(
+                registration.target,
+                self._started_at,
+                is_stream=self._forwarder is not None,
+            ),
             on_overdue=lambda: self._report_overdue(registration),
         )
         try:
@@ -324,6 +331,23 @@
             first_event_at=first_event_at,
             deadline_passed=deadline_passed,
             relayed=self.relayed_by is not None,
+            stream=self._completed_stream(outcome),
+        )
+
+    def _completed_stream(
+        self, outcome: AttemptOutcome
+    ) -> CompletedStream | None:
+        forwarder = self._forwarder
+        if forwarder is None or not isinstance(outcome, StreamEnded):
+            return None
+        first_event_at = forwarder.first_event_at
+        if first_event_at is None or first_event_at < self._started_at:
+            return None
+        return CompletedStream(
+            prefix_tokens=self._metadata.affinity_tokens,
+            first_event_s=first_event_at - self._started_at,
+            streaming_s=self._deps.clock.seconds() - first_event_at,
+            events=forwarder.events_sent,
         )
 
     def _report_overdue(self, registration: TargetRegistration) -> None:
--- a/lycheestall/entry/decision_log.py
+++ b/lycheestall/entry/decision_log.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass
 from http import HTTPStatus
 
+import xxhash
+
 from ..clock import Clock
 from ..logs import Logger
 from ._log_fields import decode_id, milliseconds, outcome_fields
@@ -17,6 +19,7 @@
 from .message_metadata import RequestMetadata, UnreadableLimit
 from .origin_search import OriginLookup
 from .permit_service import Permit, PermitDenied
+from .placement.choice import Choice
 from .retry_policy import NextStep
 from .software_versions import VersionKnowledge
 from .target_links import LinkContact, LinkSummary
@@ -26,6 +29,9 @@
 
 __all__ = ["DecisionContext", "DecisionLog"]
 
+REQUESTS_PER_CHOICE_LINE = 16
+"""Requests of which the choices of one are logged."""
+
 
 @dataclass(frozen=True, slots=True)
 class DecisionContext:
@@ -75,6 +81,31 @@
         self._write = DecisionWriter(logger, clock).write
         self.turns = TurnLog(logger, metrics, self._write)
 
+    def target_chosen(self, metadata: RequestMetadata, choice: Choice) -> None:
+        """Logs a choice by expected completion time, and its figures.
+
+        Choices are frequent, so only a share of the requests is logged; all
+        choices of one request are.
+        """
+        digest = xxhash.xxh3_64_intdigest(metadata.request_id)
+        if digest % REQUESTS_PER_CHOICE_LINE:
+            return
+        self._write(
+            "target chosen",
+            request=decode_id(metadata.request_id),
+            target=choice.registration.target,
+            target_started_ms=choice.registration.started_ms,
+            expected_ms=milliseconds(choice.expected_s),
+            wait_ms=milliseconds(choice.wait_s),
+            load=round(choice.load, 1),
+            own=choice.own,
+            load_age_ms=milliseconds(choice.load_age_s),
+            relative_time=round(choice.relative_time, 2),
+            speed_weight=round(choice.speed_weight, 1),
+            recent_delay=round(choice.recent_delay, 2),
+            cached=choice.cached,
+        )
+
     def attempt_failed(
         self,
         metadata: RequestMetadata,
--- a/lycheestall/entry/overdue_timer.py
+++ b/lycheestall/entry/overdue_timer.py
@@ -7,6 +7,7 @@
 from ..clock import Timer
 from .attempt import Attempt
 from .configuration import Route
+from .placement.target_pace import TargetPace
 from .request_dependencies import RequestDependencies
 
 __all__ = ["start_overdue_timer"]
@@ -26,6 +27,7 @@
     *,
     can_retry_elsewhere: bool,
     remaining_s: float,
+    pace: TargetPace,
     on_overdue: Callable[[], None],
 ) -> Timer | None:
     """Returns the timer, or None if it isn't known when a response is due.
@@ -36,6 +38,7 @@
         attempt: The attempt; it times out if it can be repeated.
         can_retry_elsewhere: Whether another target may run the request.
         remaining_s: Seconds until the request's deadline.
+        pace: How fast the target is.
         on_overdue: Called when the response is overdue but the attempt has
             to go on.
     """
@@ -45,13 +48,13 @@
     timeout_s: float | None = None
     if can_retry_elsewhere:
         timeout_s = deps.timeouts.timeout_s(
-            route.name, min_s=min_s, remaining_s=remaining_s
+            route.name, min_s=min_s, remaining_s=remaining_s, pace=pace
         )
     timer: Timer
     if timeout_s is not None:
         timer = deps.clock.callLater(timeout_s, attempt.time_out)
         return timer
-    overdue_s = deps.timeouts.overdue_s(route.name, min_s=min_s)
+    overdue_s = deps.timeouts.overdue_s(route.name, min_s=min_s, pace=pace)
     if overdue_s is None:
         return None
     timer = deps.clock.callLater(overdue_s, on_overdue)
--- /dev/null
+++ b/lycheestall/entry/placement/completion_chooser.py
@@ -0,0 +1,384 @@
+"""Selects targets by the expected completion time of a request."""
+
+from __future__ import annotations
+
+import math
+import statistics
+from collections import OrderedDict
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+import xxhash
+
+from ...engine_queue import batch_slowdown, queue_wait_s
+from ...ids import TargetId
+from ..configuration import ServiceId
+from ..target_table import TargetRegistration, TargetTable
+from .choice import Choice
+from .service_speeds import ServiceSpeeds, compare_speeds
+from .target_latencies import TargetLatencies
+from .target_loads import TargetLoads
+from .target_pace import TargetPace
+from .target_speeds import TargetSpeeds
+from .work import CompletedStream, Work, WorkKind
+
+__all__ = ["CompletionChooser"]
+
+COMPARED = 2
+"""Targets that are drawn for a request and compared. All VMs have much the
+same figures; if each took the best of all targets, they would flood it."""
+
+BUSY_SHARE = 0.5
+"""Share of the targets' slots in use from which they count as under load."""
+
+REFRESH_S = 0.2
+"""Shortest time after which the speeds of a service are compared again."""
+
+REFRESH_S_PER_TARGET = 0.0005
+"""The same for each target, so that large services cost no more."""
+
+UNKNOWN_LOAD_SHARE = 0.75
+"""Share of a target's speed, as an exponent, that is not compared where
+nothing is known of the targets' loads."""
+
+MIN_READ_TOKENS = 800
+"""Prefix tokens from which the time to the first event shows how fast a
+target reads; fewer are lost in the variation of that time."""
+
+MIN_STREAM_EVENTS = 2
+"""Events of a stream from which the time between them is known."""
+
+MAX_SESSIONS = 4096
+"""Affinity keys whose last target is remembered."""
+
+MAX_SERVICES = 1024
+"""Services whose speeds are kept."""
+
+TYPICAL_EVENTS = 5.0
+"""Events of a stream before any was received."""
+
+EVENTS_SMOOTHING = 0.05
+"""Weight of the newest stream in the mean number of events."""
+
+_HASH_RANGE = 2.0**64
+
+
+@dataclass(slots=True)
+class _ServiceState:
+    """What is known of one service.
+
+    Attributes:
+        speeds: The speeds of its targets.
+        expires_at: When they are compared again.
+        revision: Revision of the table that they are of.
+        busy: Whether its targets are under load.
+        mean_load: Mean of the running requests that were reported.
+        events: Mean number of events of a stream.
+    """
+
+    speeds: ServiceSpeeds
+    expires_at: float = -math.inf
+    revision: int = -1
+    busy: bool = False
+    mean_load: float = 0.0
+    events: float = TYPICAL_EVENTS
+
+
+class CompletionChooser:
+    """Compares targets by when they are expected to complete a request.
+
+    It is used for services whose targets differ in speed or are under load.
+    Two targets are drawn with probabilities in proportion to their speed,
+    those that have the request's prefix cached are added, and the one with
+    the earliest expected completion runs the request.
+
+    Args:
+        table: The registered targets.
+        vm: Name of this VM.
+        latencies: Recent response times.
+        loads: Running requests.
+        speeds: Observed speeds.
+    """
+
+    def __init__(
+        self,
+        table: TargetTable,
+        *,
+        vm: str,
+        latencies: TargetLatencies,
+        loads: TargetLoads,
+        speeds: TargetSpeeds,
+    ) -> None:
+        self._table = table
+        self._vm = vm.encode()
+        self._latencies = latencies
+        self._loads = loads
+        self._speeds = speeds
+        self._state_by_service: OrderedDict[ServiceId, _ServiceState] = (
+            OrderedDict()
+        )
+        self._target_by_session: OrderedDict[str, TargetId] = OrderedDict()
+
+    def applies(self, service: ServiceId, work: Work, now: float) -> bool:
+        """Returns whether a service's targets differ or are under load."""
+        state = self._state(service, work.is_engine, now)
+        return state.speeds.uneven or state.busy
+
+    def choose(
+        self,
+        service: ServiceId,
+        candidates: Sequence[TargetRegistration],
+        work: Work,
+        *,
+        affinity: str | None,
+        tie_break: bytes,
+        now: float,
+    ) -> Choice:
+        """Returns the choice among candidates, of which there is one at least.
+
+        Args:
+            service: The service.
+            candidates: Its targets that can be used.
+            work: The size of the request.
+            affinity: Key shared by requests with a common prompt prefix.
+            tie_break: Hash input that spreads requests over targets.
+            now: Current time.
+        """
+        state = self._state(service, work.is_engine, now)
+        drawn = self._draw(candidates, state, self._vm + tie_break)
+        cached: set[TargetId] = set()
+        if affinity is not None and work.prefix_tokens > 0:
+            homes = self._homes(candidates, state, affinity)
+            cached = {home.target for home in homes}
+            drawn += [home for home in homes if home not in drawn]
+        choices = [
+            self._evaluate(
+                registration,
+                state,
+                work,
+                cached=registration.target in cached,
+                now=now,
+            )
+            for registration in drawn
+        ]
+        trust = self._loads.trust(now)
+        best = min(choices, key=lambda choice: _cost(choice, trust))
+        if affinity is not None:
+            self._remember(affinity, best.registration.target)
+        return best
+
+    def pace(
+        self, registration: TargetRegistration, *, is_engine: bool, now: float
+    ) -> TargetPace:
+        """Returns how fast a target is.
+
+        Args:
+            registration: The target.
+            is_engine: Whether it is a model engine.
+            now: Current time.
+        """
+        state = self._state(registration.service, is_engine, now)
+        if not state.speeds.uneven:
+            return TargetPace(busy=state.busy)
+        relative = state.speeds.relative(registration.target)
+        return TargetPace(math.exp(relative), state.busy)
+
+    def record_stream(
+        self,
+        registration: TargetRegistration,
+        stream: CompletedStream,
+        now: float,
+    ) -> None:
+        """Learns from a stream that one attempt received as a whole.
+
+        Args:
+            registration: The target.
+            stream: Its times.
+            now: Current time.
+        """
+        state = self._state(registration.service, True, now)
+        state.events += EVENTS_SMOOTHING * (stream.events - state.events)
+        if stream.events < MIN_STREAM_EVENTS:
+            return
+        target = registration.target
+        others = self._load(target, state, now)
+        event_s = stream.streaming_s / (stream.events - 1)
+        slots = max(registration.slots, 1)
+        unit_s = event_s / batch_slowdown(others, slots)
+        self._speeds.record(target, WorkKind.GENERATE, unit_s, now)
+        # The first event carries output as well. With a queue, the time until
+        # then says nothing of the reading.
+        reading_s = stream.first_event_s - event_s
+        if reading_s <= 0.0 or others >= slots:
+            return
+        if stream.prefix_tokens < MIN_READ_TOKENS:
+            return
+        read_s = reading_s / stream.prefix_tokens
+        self._speeds.record(target, WorkKind.READ, read_s, now)
+
+    def services(self) -> dict[ServiceId, ServiceSpeeds]:
+        """Returns the speeds that were compared last."""
+        return {
+            service: state.speeds
+            for service, state in self._state_by_service.items()
+        }
+
+    def _state(
+        self, service: ServiceId, is_engine: bool, now: float
+    ) -> _ServiceState:
+        state = self._state_by_service.get(service)
+        if state is None:
+            state = _ServiceState(ServiceSpeeds(0.0, 0.0))
+            self._state_by_service[service] = state
+            if len(self._state_by_service) > MAX_SERVICES:
+                self._state_by_service.popitem(last=False)
+        if now < state.expires_at and state.revision == self._table.revision:
+            return state
+        registrations = self._table.usable(service)
+        kind = WorkKind.GENERATE if is_engine else WorkKind.PLAIN
+        state.speeds = compare_speeds(
+            self._speeds,
+            registrations,
+            kind=kind,
+            now=now,
+            was_uneven=state.speeds.uneven,
+        )
+        if registrations:
+            state.mean_load = self._loads.mean_reported(
+                r.target for r in registrations
+            )
+        state.busy = self._is_under_load(registrations, state, now)
+        refresh_s = max(REFRESH_S, REFRESH_S_PER_TARGET * len(registrations))
+        state.expires_at = now + refresh_s
+        state.revision = self._table.revision
+        return state
+
+    def _is_under_load(
+        self,
+        registrations: Sequence[TargetRegistration],
+        state: _ServiceState,
+        now: float,
+    ) -> bool:
+        if not registrations or not self._loads.has_reports(now):
+            return False
+        used = statistics.fmean(
+            self._load(r.target, state, now) for r in registrations
+        )
+        slots = statistics.fmean(r.slots for r in registrations)
+        return used >= BUSY_SHARE * slots
+
+    def _load(
+        self, target: TargetId, state: _ServiceState, now: float
+    ) -> float:
+        return self._loads.estimate(target, now, mean=state.mean_load)
+
+    def _draw(
+        self,
+        candidates: Sequence[TargetRegistration],
+        state: _ServiceState,
+        seed: bytes,
+    ) -> list[TargetRegistration]:
+        """Draws candidates with probabilities in proportion to their speed."""
+        ranked = sorted(
+            candidates, key=lambda r: _race(seed, r.target, state.speeds)
+        )
+        return ranked[:COMPARED]
+
+    def _homes(
+        self,
+        candidates: Sequence[TargetRegistration],
+        state: _ServiceState,
+        affinity: str,
+    ) -> list[TargetRegistration]:
+        """Returns the targets that are likely to have a prefix cached.
+
+        All VMs send requests of the same affinity to the same target if
+        nothing speaks against it; this VM's last one went to the other.
+        """
+        seed = affinity.encode()
+        homes = [
+            min(candidates, key=lambda r: _race(seed, r.target, state.speeds))
+        ]
+        last = self._target_by_session.get(affinity)
+        if last is None or last == homes[0].target:
+            return homes
+        homes += [r for r in candidates if r.target == last]
+        return homes
+
+    def _remember(self, affinity: str, target: TargetId) -> None:
+        self._target_by_session.pop(affinity, None)
+        self._target_by_session[affinity] = target
+        if len(self._target_by_session) > MAX_SESSIONS:
+            self._target_by_session.popitem(last=False)
+
+    def _evaluate(
+        self,
+        registration: TargetRegistration,
+        state: _ServiceState,
+        work: Work,
+        *,
+        cached: bool,
+        now: float,
+    ) -> Choice:
+        target = registration.target
+        speeds = state.speeds
+        load = self._load(target, state, now)
+        slots = max(registration.slots, 1)
+        unit_s = speeds.unit_s(target)
+        read_s = 0.0
+        full_s = unit_s
+        run_s = unit_s
+        if work.is_engine:
+            events = state.events
+            if work.max_events:
+                events = min(events, work.max_events)
+            run_s = unit_s * events * batch_slowdown(load, slots)
+            full_s = unit_s * state.events * batch_slowdown(slots, slots)
+            if not cached:
+                read_s = work.prefix_tokens * speeds.read_s(target)
+        wait_s = queue_wait_s(load + 1.0 - slots, slots, full_s)
+        delay = self._recent_delay(target, speeds, now)
+        return Choice(
+            registration=registration,
+            expected_s=(wait_s + read_s + run_s) * delay,
+            wait_s=wait_s,
+            load=load,
+            own=self._loads.own(target),
+            load_age_s=self._loads.report_age_s(now),
+            relative_time=math.exp(speeds.relative(target)),
+            speed_weight=speeds.weight.get(target, 0.0),
+            recent_delay=delay,
+            cached=cached,
+        )
+
+    def _recent_delay(
+        self, target: TargetId, speeds: ServiceSpeeds, now: float
+    ) -> float:
+        # Recent responses of a slow machine are late by as much as it is
+        # slow; only what goes beyond is a moment of slowness or a queue.
+        excess = self._latencies.excess(target, now)
+        return math.exp(max(0.0, excess - max(0.0, speeds.relative(target))))
+
+
+def _cost(choice: Choice, trust: float) -> float:
+    """Returns the expected time, without the speed if loads are unknown.
+
+    Targets are drawn in proportion to their speed. Comparing the speed once
+    more sends fast ones more than that; only their load tells when to stop.
+
+    Args:
+        choice: What was chosen.
+        trust: How much is known of the loads, from 0 to 1.
+    """
+    share = UNKNOWN_LOAD_SHARE * (1.0 - trust)
+    return float(choice.expected_s / choice.relative_time**share)
+
+
+def _race(seed: bytes, target: TargetId, speeds: ServiceSpeeds) -> float:
+    """Returns when a target finishes in a race of exponential clocks.
+
+    The first one is a draw with probabilities in proportion to the speeds.
+    """
+    number = xxhash.xxh3_64_intdigest(seed + target.encode())
+    uniform = (number + 0.5) / _HASH_RANGE
+    return -math.log(uniform) * speeds.unit_s(target)
--- a/lycheestall/entry/placement/target_chooser.py
+++ b/lycheestall/entry/placement/target_chooser.py
@@ -11,9 +11,15 @@
 from ...ids import SoftwareVersion, TargetId
 from ..configuration import ServiceId
 from ..target_table import TargetRegistration, TargetTable
+from .choice import Choice
+from .completion_chooser import CompletionChooser
 from .latency_baselines import LatencyBaselines
 from .target_latencies import SlowResponses, TargetLatencies
+from .target_loads import TargetLoads
+from .target_pace import TargetPace
+from .target_speeds import TargetSpeeds
 from .target_subset import TargetSubset
+from .work import CompletedStream, Work, WorkKind
 
 __all__ = ["TargetChooser"]
 
@@ -31,6 +37,10 @@
 """Running requests of this VM at each target of its subset from which it
 uses the others as well."""
 
+MAX_COMPARED = 64
+"""Targets of a service up to which all of them are compared where they differ
+in speed or are under load; of more, each VM uses a subset."""
+
 
 class TargetChooser:
     """Selects targets by affinity, load, latency and recent failures.
@@ -45,17 +55,34 @@
     Of a large service, each VM uses a subset (see ``TargetSubset``), except
     for requests with a long prefix in common.
 
+    Where the targets of a service differ in speed, or are under load, the
+    expected completion time decides (see ``CompletionChooser``).
+
     Args:
         table: The registered targets.
         vm: Name of this VM.
+
+    Attributes:
+        loads: Running requests at the targets.
+        speeds: Observed speeds of the targets.
+        completion: Compares targets by their expected completion time.
     """
 
     def __init__(self, table: TargetTable, *, vm: str = "") -> None:
         self._table = table
         self._subset = TargetSubset(vm)
         self._ejection = OutlierEjection()
-        self._running: dict[TargetId, int] = {}
         self._latencies = TargetLatencies()
+        self._last_choice: Choice | None = None
+        self.loads = TargetLoads()
+        self.speeds = TargetSpeeds()
+        self.completion = CompletionChooser(
+            table,
+            vm=vm,
+            latencies=self._latencies,
+            loads=self.loads,
+            speeds=self.speeds,
+        )
 
     @property
     def baselines(self) -> LatencyBaselines:
@@ -74,6 +101,7 @@
         at_limit: Collection[TargetId] = (),
         software_version: SoftwareVersion | None = None,
         is_new_attempt: bool = True,
+        work: Work | None = None,
     ) -> TargetRegistration | None:
         """Returns a target, or None if none is available.
 
@@ -94,7 +122,10 @@
             is_new_attempt: Whether no target has been chosen for this
                 attempt yet; only then it counts towards the rate of
                 requests, which determines how many targets are used.
+            work: The size of the request; without it, completion times are
+                not compared.
         """
+        self._last_choice = None
         if is_new_attempt:
             self._subset.record_request(service, now)
         candidates = [
@@ -117,6 +148,18 @@
             return None
         slow = self._latencies.slow([c.target for c in candidates], now)
         candidates = [c for c in candidates if c.target not in slow]
+        if work is not None and self.completion.applies(service, work, now):
+            if len(candidates) > MAX_COMPARED:
+                candidates = self._narrow(service, candidates, now)
+            self._last_choice = self.completion.choose(
+                service,
+                candidates,
+                work,
+                affinity=affinity,
+                tie_break=tie_break,
+                now=now,
+            )
+            return self._last_choice.registration
         if affinity is None or prefix_tokens < SHARED_PREFIX_TOKENS:
             candidates = self._narrow(service, candidates, now)
         if affinity is None:
@@ -137,8 +180,13 @@
                 best, best_weight = candidate, weight
         return best
 
+    def take_choice(self) -> Choice | None:
+        """Returns the figures of the last choice, None if it used none."""
+        choice, self._last_choice = self._last_choice, None
+        return choice
+
     def _running_cost(self, target: TargetId) -> float:
-        return math.log1p(self._running.get(target, 0))
+        return math.log1p(self.loads.own(target))
 
     def _time_cost(self, target: TargetId, now: float) -> float:
         # Logarithm of the time that a request may take.
@@ -152,9 +200,7 @@
         now: float,
     ) -> list[TargetRegistration]:
         subset = self._subset.narrow(service, candidates, now)
-        busy = all(
-            self._running.get(c.target, 0) >= BUSY_RUNNING for c in subset
-        )
+        busy = all(self.loads.own(c.target) >= BUSY_RUNNING for c in subset)
         return candidates if busy else list(subset)
 
     def can_choose(
@@ -179,16 +225,12 @@
 
     def request_started(self, target: TargetId) -> None:
         """Counts a request as running on a target."""
-        self._running[target] = self._running.get(target, 0) + 1
+        self.loads.request_started(target)
         self._ejection.record_sent(target)
 
     def request_ended(self, target: TargetId) -> None:
         """Counts a request as finished, whatever its outcome."""
-        running = self._running.get(target, 0) - 1
-        if running > 0:
-            self._running[target] = running
-        else:
-            self._running.pop(target, None)
+        self.loads.request_ended(target)
         self._ejection.probe_inconclusive(target)
 
     def record_response(
@@ -205,6 +247,46 @@
         self._ejection.record_answer(target)
         self._latencies.record_response(target, route_name, took_s, now)
 
+    def record_plain_speed(
+        self, target: TargetId, route_name: str, took_s: float, now: float
+    ) -> None:
+        """Learns from a response other than a stream.
+
+        Args:
+            target: The target.
+            route_name: Name of the route; its typical time is the unit.
+            took_s: Seconds until the response.
+            now: Current time.
+        """
+        baseline = self.baselines.get(route_name)
+        if baseline is None:
+            return
+        unit = math.exp(baseline.log_ratio(took_s))
+        self.speeds.record(target, WorkKind.PLAIN, unit, now)
+
+    def pace(
+        self, target: TargetId, now: float, *, is_stream: bool
+    ) -> TargetPace:
+        """Returns how fast a target is.
+
+        Args:
+            target: The target.
+            now: Current time.
+            is_stream: Whether the request's response is a stream.
+        """
+        registration = self._table.get(target)
+        if registration is None:
+            return TargetPace()
+        return self.completion.pace(registration, is_engine=is_stream, now=now)
+
+    def record_stream(
+        self, target: TargetId, stream: CompletedStream, now: float
+    ) -> None:
+        """Learns from a stream that one attempt received as a whole."""
+        registration = self._table.get(target)
+        if registration is not None:
+            self.completion.record_stream(registration, stream, now)
+
     def record_no_response(
         self, target: TargetId, route_name: str, waited_s: float, now: float
     ) -> None:
@@ -255,3 +337,5 @@
         """Resets a target's state when it registers after a start."""
         self._ejection.forget(target)
         self._latencies.forget(target)
+        self.loads.forget(target)
+        self.speeds.forget(target)
--- a/lycheestall/entry/target_admission.py
+++ b/lycheestall/entry/target_admission.py
@@ -12,6 +12,7 @@
 from .message_metadata import RequestMetadata
 from .permit_service import Permit, PermitDenied, PermitService
 from .placement.target_chooser import TargetChooser
+from .placement.work import Work
 from .retry_policy import AttemptHistory
 from .stream_version import StreamVersion
 from .target_table import TargetRegistration, TargetTable
@@ -84,6 +85,7 @@
         self._history = history
         self._stream_version = stream_version
         self._affinity: str | None = None
+        self._work = Work.of_request(metadata, service)
         if service is not None and service.engine is not None:
             self._affinity = metadata.affinity
 
@@ -203,7 +205,7 @@
     def _choose(
         self, at_limit: Set[TargetId], *, is_new_attempt: bool
     ) -> TargetRegistration | None:
-        return self._chooser.choose(
+        registration = self._chooser.choose(
             self._service_id,
             affinity=self._affinity,
             tie_break=self._metadata.request_id,
@@ -213,7 +215,12 @@
             software_version=self._stream_version.required,
             prefix_tokens=self._metadata.affinity_tokens,
             is_new_attempt=is_new_attempt,
+            work=self._work,
         )
+        choice = self._chooser.take_choice()
+        if choice is not None:
+            self._log.target_chosen(self._metadata, choice)
+        return registration
 
     async def _acquire(
         self, registration: TargetRegistration, max_wait_s: float
