Share the load and the speed of targets between VMs

One VM in seventy sees too little of the work to know the load of an engine. Each VM reports its running requests and its observations of speed to one VM of its group, which replies with the sums; these VMs exchange the sums of their groups. It is one message a VM every 0.4 s, only where the configuration contains accounts.

--- a/lycheestall/entry/configuration_state.py
+++ b/lycheestall/entry/configuration_state.py
@@ -36,6 +36,11 @@
             return CallerLimits()
         return self.current.limits
 
+    @property
+    def has_accounts(self) -> bool:
+        """Whether the configuration in force contains client accounts."""
+        return self.current is not None and bool(self.current.accounts)
+
     def update(self, configuration: Configuration) -> bool:
         """Applies a configuration if it is newer; returns whether it was."""
         if configuration.version <= self.version:
--- a/lycheestall/entry/entry_vm.py
+++ b/lycheestall/entry/entry_vm.py
@@ -136,6 +136,7 @@
             log=self._log,
             logger=logger,
             metrics=metrics,
+            shares_figures=lambda: self._view.configuration.has_accounts,
         )
         self._relay = ConfigurationRelay(
             address=address,
--- a/lycheestall/entry/peer_messages.py
+++ b/lycheestall/entry/peer_messages.py
@@ -29,6 +29,11 @@
     LimitNews,
     PermitAnswer,
 )
+from .placement.figure_messages import (
+    ShareFigures,
+    decode_figures,
+    encode_figures,
+)
 from .placement.target_latencies import SlowResponses
 from .relay_messages import (
     AskConfiguration,
@@ -171,6 +176,7 @@
     | RelayRead
     | RelayNewest
     | SlowTargets
+    | ShareFigures
     | ChangedLimits
     | AskPermit
     | HoldTurns
@@ -201,6 +207,7 @@
     | FoundStreamOrigin
     | AttemptResult
     | LinkReport
+    | ShareFigures
 )
 
 _POSITIONAL_TYPES: dict[str, Callable[..., Any]] = {
@@ -255,6 +262,8 @@
             list(astuple(slow)) for slow in message.slow_responses
         ]
         return [message.holder, slow_responses]
+    if isinstance(message, ShareFigures):
+        return encode_figures(message)
     if isinstance(message, ChangedLimits):
         return [message.holder, [_news_row(news) for news in message.news]]
     if isinstance(message, AskPermit):
@@ -309,6 +318,8 @@
     if name == SlowTargets.__name__:
         slow_responses = tuple(SlowResponses(*slow) for slow in fields[1])
         return SlowTargets(fields[0], slow_responses)
+    if name == ShareFigures.__name__:
+        return decode_figures(fields)
     if name == ChangedLimits.__name__:
         return ChangedLimits(
             fields[0], tuple(LimitNews(*row) for row in fields[1])
--- a/lycheestall/entry/target_service.py
+++ b/lycheestall/entry/target_service.py
@@ -24,6 +24,9 @@
 from .permit_deciders import PermitDeciders
 from .permit_messages import AskPermit
 from .permit_service import PermitService
+from .placement.figure_messages import ShareFigures
+from .placement.figures_reporter import FiguresReporter
+from .placement.placement_gauges import set_placement_gauges
 from .placement.target_chooser import TargetChooser
 from .slow_target_reporter import SlowTargetReporter
 from .store import Store
@@ -52,6 +55,8 @@
         log: Logs decisions about requests.
         logger: Logs what other VMs report.
         metrics: Receives the gauges.
+        shares_figures: Returns whether VMs tell each other the load and the
+            speed of targets.
 
     Attributes:
         table: The registered targets.
@@ -77,9 +82,11 @@
         log: DecisionLog,
         logger: Logger,
         metrics: EntryMetrics,
+        shares_figures: Callable[[], bool] = lambda: False,
     ) -> None:
         self._limits = TargetLimits()
         self._metrics = metrics
+        self._clock = clock
         self.table = TargetTable()
         self.chooser = TargetChooser(self.table, vm=vm)
         self.timeouts = AttemptTimeouts(self.chooser.baselines)
@@ -134,10 +141,20 @@
             logger=logger,
         )
 
+        self._figures_reporter = FiguresReporter(
+            holder=holder,
+            members=members,
+            peers=peers,
+            chooser=self.chooser,
+            enabled=shares_figures,
+            clock=clock,
+        )
+
     async def send_reports(self) -> None:
         """Tells other VMs what was observed since the last reports."""
         await self._limit_reporter.send_report()
         await self._slow_target_reporter.send_report()
+        await self._figures_reporter.send_report()
 
     def handle_message(
         self, message: PeerMessage | PeerReply
@@ -150,6 +167,8 @@
         if isinstance(message, SlowTargets):
             self._slow_target_reporter.receive_report(message)
             return Understood()
+        if isinstance(message, ShareFigures):
+            return self._figures_reporter.receive_report(message)
         if isinstance(message, ChangedLimits):
             self._limit_reporter.receive_report(message)
             return Understood()
@@ -164,3 +183,6 @@
             len(self._limits.limited()),
             description="Targets that name a request limit.",
         )
+        set_placement_gauges(
+            self._metrics, self.chooser, self._clock.seconds()
+        )
