Test attempt timeouts that follow a target's speed

They guard against needless repeats at slow machines, and against early ones under load or beyond three in a hundred. tests/entry/test_attempt_timeouts.py passes.

--- a/tests/entry/test_attempt_timeouts.py
+++ b/tests/entry/test_attempt_timeouts.py
@@ -9,12 +9,15 @@
 import random
 
 from lycheestall.entry.attempt_timeouts import (
+    MAX_EARLY_BUDGET,
     MAX_RETRY_BUDGET,
     MIN_SAMPLES,
+    RESPONSES_PER_EARLY_RETRY,
     RESPONSES_PER_RETRY,
     AttemptTimeouts,
 )
 from lycheestall.entry.placement.latency_baselines import LatencyBaselines
+from lycheestall.entry.placement.target_pace import TargetPace
 
 MIN_S = 0.1
 
@@ -99,3 +102,45 @@
             timeouts.record_retry()
             retries += 1
     assert retries <= MAX_RETRY_BUDGET + responses / RESPONSES_PER_RETRY
+
+
+def new_measured_timeouts() -> AttemptTimeouts:
+    """Returns timeouts of a route whose typical time is known."""
+    timeouts, baselines = new_timeouts()
+    rng = random.Random(1)
+    for _ in range(200):
+        took_s = rng.lognormvariate(-1.5, 0.2)
+        record_response(timeouts, baselines, "route", took_s)
+    return timeouts
+
+
+def timeout_s(timeouts: AttemptTimeouts, pace: TargetPace) -> float:
+    result = timeouts.timeout_s(
+        "route", min_s=MIN_S, remaining_s=20.0, pace=pace
+    )
+    assert result is not None
+    return result
+
+
+def test_a_slow_machine_gets_more_time_and_a_fast_one_less() -> None:
+    timeouts = new_measured_timeouts()
+    typical = timeout_s(timeouts, TargetPace())
+    slow, fast = TargetPace(1.4), TargetPace(0.6)
+    assert timeout_s(timeouts, slow) > 1.3 * typical
+    assert timeout_s(timeouts, fast) < 0.7 * typical
+    assert timeouts.overdue_s("route", min_s=MIN_S, pace=fast) == typical
+
+
+def test_no_early_retries_under_load_or_without_budget() -> None:
+    timeouts = new_measured_timeouts()
+    typical = timeout_s(timeouts, TargetPace())
+    fast = TargetPace(0.6)
+    assert timeout_s(timeouts, TargetPace(0.6, busy=True)) == typical
+    retries = 0
+    while timeout_s(timeouts, fast) < typical:
+        timeouts.record_retry("route", timeout_s(timeouts, fast))
+        retries += 1
+    assert retries == MAX_EARLY_BUDGET
+    for _ in range(RESPONSES_PER_EARLY_RETRY - 1):
+        timeouts.record_response()
+    assert timeout_s(timeouts, fast) == typical
