Keep speeds by kind of work, and test what a VM learns and logs

A service with streams and other requests compared its targets by whichever kind came last. The new test sends streams through a whole VM and checks the log line of a choice and the gauges. It passes, with the tests of affinity and of slow moments.

--- a/lycheestall/entry/placement/completion_chooser.py
+++ b/lycheestall/entry/placement/completion_chooser.py
@@ -9,6 +9,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 from itertools import accumulate
+from typing import TypeAlias
 
 import xxhash
 
@@ -61,6 +62,8 @@
 
 _HASH_RANGE = 2.0**64
 
+_StateKey: TypeAlias = tuple[ServiceId, WorkKind]
+
 
 @dataclass(slots=True)
 class _ServiceState:
@@ -113,14 +116,14 @@
         self._latencies = latencies
         self._loads = loads
         self._speeds = speeds
-        self._state_by_service: OrderedDict[ServiceId, _ServiceState] = (
+        self._state_by_service: OrderedDict[_StateKey, _ServiceState] = (
             OrderedDict()
         )
         self._target_by_session: OrderedDict[str, TargetId] = OrderedDict()
 
     def applies(self, service: ServiceId, work: Work, now: float) -> bool:
         """Returns whether a service's targets differ or are under load."""
-        state = self._state(service, work.is_engine, now)
+        state = self._state(service, work.kind, now)
         return state.speeds.uneven or state.busy
 
     def choose(
@@ -143,7 +146,7 @@
             tie_break: Hash input that spreads requests over targets.
             now: Current time.
         """
-        state = self._state(service, work.is_engine, now)
+        state = self._state(service, work.kind, now)
         drawn = self._draw(candidates, state, self._vm + tie_break)
         cached: set[TargetId] = set()
         if affinity is not None and work.prefix_tokens > 0:
@@ -167,16 +170,16 @@
         return best
 
     def pace(
-        self, registration: TargetRegistration, *, is_engine: bool, now: float
+        self, registration: TargetRegistration, *, kind: WorkKind, now: float
     ) -> TargetPace:
         """Returns how fast a target is.
 
         Args:
             registration: The target.
-            is_engine: Whether it is a model engine.
+            kind: The main kind of work of the request.
             now: Current time.
         """
-        state = self._state(registration.service, is_engine, now)
+        state = self._state(registration.service, kind, now)
         if not state.speeds.uneven:
             return TargetPace(busy=state.busy)
         relative = state.speeds.relative(registration.target)
@@ -195,7 +198,7 @@
             stream: Its times.
             now: Current time.
         """
-        state = self._state(registration.service, True, now)
+        state = self._state(registration.service, WorkKind.GENERATE, now)
         state.events += EVENTS_SMOOTHING * (stream.events - state.events)
         if stream.events < MIN_STREAM_EVENTS:
             return
@@ -215,26 +218,23 @@
         read_s = reading_s / stream.prefix_tokens
         self._speeds.record(target, WorkKind.READ, read_s, now)
 
-    def services(self) -> dict[ServiceId, ServiceSpeeds]:
-        """Returns the speeds that were compared last."""
-        return {
-            service: state.speeds
-            for service, state in self._state_by_service.items()
-        }
+    def all_speeds(self) -> list[ServiceSpeeds]:
+        """Returns the speeds of all services, as they were compared last."""
+        return [state.speeds for state in self._state_by_service.values()]
 
     def _state(
-        self, service: ServiceId, is_engine: bool, now: float
+        self, service: ServiceId, kind: WorkKind, now: float
     ) -> _ServiceState:
-        state = self._state_by_service.get(service)
+        key = (service, kind)
+        state = self._state_by_service.get(key)
         if state is None:
             state = _ServiceState(ServiceSpeeds(0.0, 0.0))
-            self._state_by_service[service] = state
+            self._state_by_service[key] = state
             if len(self._state_by_service) > MAX_SERVICES:
                 self._state_by_service.popitem(last=False)
         if now < state.expires_at and state.revision == self._table.revision:
             return state
         registrations = self._table.usable(service)
-        kind = WorkKind.GENERATE if is_engine else WorkKind.PLAIN
         state.speeds = compare_speeds(
             self._speeds,
             registrations,
--- a/lycheestall/entry/placement/target_chooser.py
+++ b/lycheestall/entry/placement/target_chooser.py
@@ -276,7 +276,8 @@
         registration = self._table.get(target)
         if registration is None:
             return TargetPace()
-        return self.completion.pace(registration, is_engine=is_stream, now=now)
+        kind = WorkKind.GENERATE if is_stream else WorkKind.PLAIN
+        return self.completion.pace(registration, kind=kind, now=now)
 
     def record_stream(
         self, target: TargetId, stream: CompletedStream, now: float
--- a/lycheestall/entry/placement/work.py
+++ b/lycheestall/entry/placement/work.py
@@ -43,6 +43,11 @@
     max_events: int = 0
     is_engine: bool = False
 
+    @property
+    def kind(self) -> WorkKind:
+        """The kind of work that takes most of the time."""
+        return WorkKind.GENERATE if self.is_engine else WorkKind.PLAIN
+
     @classmethod
     def of_request(
         cls, metadata: RequestMetadata, service: Service | None
--- a/tests/entry/test_placement.py
+++ b/tests/entry/test_placement.py
@@ -7,13 +7,17 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 
 import pytest
+from structlog.testing import capture_logs
 
 from lycheestall.entry.placement.completion_chooser import CompletionChooser
 from lycheestall.entry.placement.work import CompletedStream, Work
 from lycheestall.ids import TargetId
 from tests.entry.choosers import SERVICE, new_chooser
+from tests.entry.entry_vm_harness import EntryVmHarness
+from tests.entry.fake_network import ReceivedRequest
 from tests.entry.placement_simulation import Cluster
 
 ENGINES = 22
@@ -53,7 +57,7 @@
 
 
 def is_uneven(chooser: CompletionChooser) -> bool:
-    return any(speeds.uneven for speeds in chooser.services().values())
+    return any(speeds.uneven for speeds in chooser.all_speeds())
 
 
 @pytest.mark.parametrize("mode", ["new", "alone"])
@@ -143,6 +147,47 @@
     assert relative_time(62.0) > 1.5
 
 
+def test_a_vm_learns_from_its_streams_and_logs_its_choices(
+    harness: EntryVmHarness,
+) -> None:
+    def respond(event_s: float) -> Callable[[ReceivedRequest], None]:
+        def send_events(request: ReceivedRequest) -> None:
+            request.start_stream()
+            for number in range(1, 6):
+                harness.reactor.callLater(
+                    event_s * number, request.send_event, number
+                )
+            harness.reactor.callLater(event_s * 5, request.end_stream)
+
+        return send_events
+
+    for number in range(4):
+        harness.add_target(
+            f"engine-{number}",
+            respond(0.02 if number < 2 else 0.05),
+            service="engines",
+        )
+    harness.start()
+    with capture_logs() as lines:
+        for number in range(80):
+            harness.send_request(
+                "/plan/x",
+                method="POST",
+                body="{}",
+                headers=f"X-Program-Id: p{number}\r\nX-Session-Id: s\r\n"
+                f"X-Token-Usage: 1000,80\r\n"
+                f"X-Prompt-Prefix: aa:512,b{number}:300\r\n",
+                request_id=f"r{number}",
+                run_s=0.3,
+            )
+    chosen = [line for line in lines if line["event"] == "target chosen"]
+    assert 0 < len(chosen) < 20
+    assert all(line["target"] and line["expected_ms"] for line in chosen)
+    metrics = harness.metrics.render()
+    assert b'lycheestall_measured_targets{vm="vm"} 4' in metrics
+    assert b'lycheestall_uneven_services{vm="vm"} 1' in metrics
+
+
 def test_affinity_is_worth_the_prompt_tokens_that_need_not_be_read() -> None:
     chooser = new_chooser(12)
     for step in range(200):
