--- a/lycheestall/entry/placement/completion_chooser.py
+++ b/lycheestall/entry/placement/completion_chooser.py
@@ -3,88 +3,36 @@
 from __future__ import annotations
 
 import math
-import statistics
 from bisect import bisect_right
 from collections import OrderedDict
 from collections.abc import Sequence
-from dataclasses import dataclass
 from itertools import accumulate
-from typing import TypeAlias
 
 import xxhash
 
 from ...engine_queue import batch_slowdown, queue_wait_s
 from ...ids import TargetId
 from ..configuration import ServiceId
-from ..target_table import TargetRegistration, TargetTable
+from ..target_table import TargetRegistration
 from .choice import Choice
-from .service_speeds import ServiceSpeeds, compare_speeds
+from .service_speeds import ServiceSpeeds
+from .service_states import ServiceState, ServiceStates
 from .target_latencies import TargetLatencies
 from .target_loads import TargetLoads
 from .target_pace import TargetPace
-from .target_speeds import TargetSpeeds
-from .work import CompletedStream, Work, WorkKind
+from .work import Work, WorkKind
 
 __all__ = ["CompletionChooser"]
 
-BUSY_SHARE = 0.5
-"""Share of the targets' slots in use from which they count as under load."""
-
-REFRESH_S = 1.0
-"""Time after which the speeds of a service are compared again: the speed of
-a machine lasts, and a comparison costs as much as several choices."""
-
-REFRESH_S_PER_TARGET = 0.002
-"""The same for each target, so that large services cost no more."""
-
 UNKNOWN_LOAD_SHARE = 0.75
 """Share of a target's speed, as an exponent, that is not compared where
 nothing is known of the targets' loads."""
 
-MIN_READ_TOKENS = 800
-"""Prefix tokens from which the time to the first event shows how fast a
-target reads; fewer are lost in the variation of that time."""
-
-MIN_STREAM_EVENTS = 2
-"""Events of a stream from which the time between them is known."""
-
 MAX_SESSIONS = 4096
 """Affinity keys whose last target is remembered."""
 
-MAX_SERVICES = 1024
-"""Services whose speeds are kept."""
-
-TYPICAL_EVENTS = 5.0
-"""Events of a stream before any was received."""
-
-EVENTS_SMOOTHING = 0.05
-"""Weight of the newest stream in the mean number of events."""
-
 _HASH_RANGE = 2.0**64
 
-_StateKey: TypeAlias = tuple[ServiceId, WorkKind]
-
-
-@dataclass(slots=True)
-class _ServiceState:
-    """What is known of one service.
-
-    Attributes:
-        speeds: The speeds of its targets.
-        expires_at: When they are compared again.
-        revision: Revision of the table that they are of.
-        busy: Whether its targets are under load.
-        mean_load: Mean of the running requests that were reported.
-        events: Mean number of events of a stream.
-    """
-
-    speeds: ServiceSpeeds
-    expires_at: float = -math.inf
-    revision: int = -1
-    busy: bool = False
-    mean_load: float = 0.0
-    events: float = TYPICAL_EVENTS
-
 
 class CompletionChooser:
     """Compares targets by when they are expected to complete a request.
@@ -95,35 +43,29 @@
     the earliest expected completion runs the request.
 
     Args:
-        table: The registered targets.
+        states: What is known of each service.
         vm: Name of this VM.
         latencies: Recent response times.
         loads: Running requests.
-        speeds: Observed speeds.
     """
 
     def __init__(
         self,
-        table: TargetTable,
+        states: ServiceStates,
         *,
         vm: str,
         latencies: TargetLatencies,
         loads: TargetLoads,
-        speeds: TargetSpeeds,
     ) -> None:
-        self._table = table
         self._vm = vm.encode()
         self._latencies = latencies
         self._loads = loads
-        self._speeds = speeds
-        self._state_by_service: OrderedDict[_StateKey, _ServiceState] = (
-            OrderedDict()
-        )
+        self._states = states
         self._target_by_session: OrderedDict[str, TargetId] = OrderedDict()
 
     def applies(self, service: ServiceId, work: Work, now: float) -> bool:
         """Returns whether a service's targets differ or are under load."""
-        state = self._state(service, work.kind, now)
+        state = self._states.get(service, work.kind, now)
         return state.speeds.uneven or state.busy
 
     def choose(
@@ -146,7 +88,7 @@
             tie_break: Hash input that spreads requests over targets.
             now: Current time.
         """
-        state = self._state(service, work.kind, now)
+        state = self._states.get(service, work.kind, now)
         drawn = self._draw(candidates, state, self._vm + tie_break)
         cached: set[TargetId] = set()
         if affinity is not None and work.prefix_tokens > 0:
@@ -179,102 +121,16 @@
             kind: The main kind of work of the request.
             now: Current time.
         """
-        state = self._state(registration.service, kind, now)
+        state = self._states.get(registration.service, kind, now)
         if not state.speeds.uneven:
             return TargetPace(busy=state.busy)
         relative = state.speeds.relative(registration.target)
         return TargetPace(math.exp(relative), state.busy)
 
-    def record_stream(
-        self,
-        registration: TargetRegistration,
-        stream: CompletedStream,
-        now: float,
-    ) -> None:
-        """Learns from a stream that one attempt received as a whole.
-
-        Args:
-            registration: The target.
-            stream: Its times.
-            now: Current time.
-        """
-        state = self._state(registration.service, WorkKind.GENERATE, now)
-        state.events += EVENTS_SMOOTHING * (stream.events - state.events)
-        if stream.events < MIN_STREAM_EVENTS:
-            return
-        target = registration.target
-        others = self._load(target, state, now)
-        event_s = stream.streaming_s / (stream.events - 1)
-        slots = max(registration.slots, 1)
-        unit_s = event_s / batch_slowdown(others, slots)
-        self._speeds.record(target, WorkKind.GENERATE, unit_s, now)
-        # The first event carries output as well. With a queue, the time until
-        # then says nothing of the reading.
-        reading_s = stream.first_event_s - event_s
-        if reading_s <= 0.0 or others >= slots:
-            return
-        if stream.prefix_tokens < MIN_READ_TOKENS:
-            return
-        read_s = reading_s / stream.prefix_tokens
-        self._speeds.record(target, WorkKind.READ, read_s, now)
-
-    def all_speeds(self) -> list[ServiceSpeeds]:
-        """Returns the speeds of all services, as they were compared last."""
-        return [state.speeds for state in self._state_by_service.values()]
-
-    def _state(
-        self, service: ServiceId, kind: WorkKind, now: float
-    ) -> _ServiceState:
-        key = (service, kind)
-        state = self._state_by_service.get(key)
-        if state is None:
-            state = _ServiceState(ServiceSpeeds(0.0, 0.0))
-            self._state_by_service[key] = state
-            if len(self._state_by_service) > MAX_SERVICES:
-                self._state_by_service.popitem(last=False)
-        if now < state.expires_at and state.revision == self._table.revision:
-            return state
-        registrations = self._table.usable(service)
-        state.speeds = compare_speeds(
-            self._speeds,
-            registrations,
-            kind=kind,
-            now=now,
-            was_uneven=state.speeds.uneven,
-        )
-        if registrations:
-            state.mean_load = self._loads.mean_reported(
-                r.target for r in registrations
-            )
-        state.busy = self._is_under_load(registrations, state, now)
-        refresh_s = max(REFRESH_S, REFRESH_S_PER_TARGET * len(registrations))
-        state.expires_at = now + refresh_s
-        state.revision = self._table.revision
-        return state
-
-    def _is_under_load(
-        self,
-        registrations: Sequence[TargetRegistration],
-        state: _ServiceState,
-        now: float,
-    ) -> bool:
-        if not registrations or not self._loads.has_reports(now):
-            return False
-        used = statistics.fmean(
-            self._load(r.target, state, now) for r in registrations
-        )
-        slots = statistics.fmean(r.slots for r in registrations)
-        return used >= BUSY_SHARE * slots
-
-    def _load(
-        self, target: TargetId, state: _ServiceState, now: float
-    ) -> float:
-        return self._loads.estimate(target, now, mean=state.mean_load)
-
     def _draw(
         self,
         candidates: Sequence[TargetRegistration],
-        state: _ServiceState,
+        state: ServiceState,
         seed: bytes,
     ) -> list[TargetRegistration]:
         """Draws two candidates, with probabilities in proportion to speed.
@@ -299,7 +155,7 @@
     def _homes(
         self,
         candidates: Sequence[TargetRegistration],
-        state: _ServiceState,
+        state: ServiceState,
         affinity: str,
     ) -> list[TargetRegistration]:
         """Returns the targets that are likely to have a prefix cached.
@@ -332,7 +188,7 @@
     def _evaluate(
         self,
         registration: TargetRegistration,
-        state: _ServiceState,
+        state: ServiceState,
         work: Work,
         *,
         cached: bool,
@@ -340,7 +196,7 @@
     ) -> Choice:
         target = registration.target
         speeds = state.speeds
-        load = self._load(target, state, now)
+        load = self._states.load(target, state, now)
         slots = max(registration.slots, 1)
         unit_s = speeds.unit_s(target)
         read_s = 0.0
--- a/lycheestall/entry/placement/placement_gauges.py
+++ b/lycheestall/entry/placement/placement_gauges.py
@@ -20,7 +20,7 @@
         chooser: Knows the figures.
         now: Current time.
     """
-    services = chooser.completion.all_speeds()
+    services = chooser.states.all_speeds()
     times = [
         math.exp(speeds.relative(target))
         for speeds in services
--- a/lycheestall/entry/placement/target_chooser.py
+++ b/lycheestall/entry/placement/target_chooser.py
@@ -14,6 +14,7 @@
 from .choice import Choice
 from .completion_chooser import CompletionChooser
 from .latency_baselines import LatencyBaselines
+from .service_states import ServiceStates
 from .target_latencies import SlowResponses, TargetLatencies
 from .target_loads import TargetLoads
 from .target_pace import TargetPace
@@ -65,6 +66,7 @@
     Attributes:
         loads: Running requests at the targets.
         speeds: Observed speeds of the targets.
+        states: What is known of each service.
         completion: Compares targets by their expected completion time.
     """
 
@@ -76,12 +78,11 @@
         self._last_choice: Choice | None = None
         self.loads = TargetLoads()
         self.speeds = TargetSpeeds()
+        self.states = ServiceStates(
+            table, loads=self.loads, speeds=self.speeds
+        )
         self.completion = CompletionChooser(
-            table,
-            vm=vm,
-            latencies=self._latencies,
-            loads=self.loads,
-            speeds=self.speeds,
+            self.states, vm=vm, latencies=self._latencies, loads=self.loads
         )
 
     @property
@@ -285,7 +286,7 @@
         """Learns from a stream that one attempt received as a whole."""
         registration = self._table.get(target)
         if registration is not None:
-            self.completion.record_stream(registration, stream, now)
+            self.states.record_stream(registration, stream, now)
 
     def record_no_response(
         self, target: TargetId, route_name: str, waited_s: float, now: float
--- a/tests/entry/test_placement.py
+++ b/tests/entry/test_placement.py
@@ -12,7 +12,7 @@
 import pytest
 from structlog.testing import capture_logs
 
-from lycheestall.entry.placement.completion_chooser import CompletionChooser
+from lycheestall.entry.placement.target_chooser import TargetChooser
 from lycheestall.entry.placement.work import CompletedStream, Work
 from lycheestall.ids import TargetId
 from tests.entry.choosers import SERVICE, new_chooser
@@ -52,19 +52,19 @@
 
 def test_moments_of_slowness_do_not_pass_for_slow_machines() -> None:
     cluster = play("alone", 0.4, EQUAL)
-    uneven = [is_uneven(c.completion) for c in cluster.choosers]
+    uneven = [is_uneven(c) for c in cluster.choosers]
     assert sum(uneven) <= 0.05 * len(uneven)
 
 
-def is_uneven(chooser: CompletionChooser) -> bool:
-    return any(speeds.uneven for speeds in chooser.all_speeds())
+def is_uneven(chooser: TargetChooser) -> bool:
+    return any(speeds.uneven for speeds in chooser.states.all_speeds())
 
 
 @pytest.mark.parametrize("mode", ["new", "alone"])
 def test_equal_targets_at_a_low_load_are_chosen_as_before(mode: str) -> None:
     cluster = Cluster(EQUAL, 0.3, mode, moments=0.0)
     cluster.play(4.0)
-    assert not any(is_uneven(c.completion) for c in cluster.choosers)
+    assert not any(is_uneven(c) for c in cluster.choosers)
     before = Cluster(EQUAL, 0.3, "today", moments=0.0)
     before.play(4.0)
     assert len(cluster.done) > 300
@@ -138,7 +138,7 @@
             stream(target, step * 0.5, 1.0)
     for step in range(12):
         stream(targets[0], 30.0 + step * 0.05, 2.5)
-    assert not is_uneven(chooser.completion)
+    assert not is_uneven(chooser)
     assert relative_time(30.8) == 1.0
     for step in range(60):
         for target in targets:
