Keep sessions at a target only where its cache saves time

Sessions spread over engines less evenly than requests. With prefixes of 1,200 tokens, whose reading takes a twentieth of a turn, comparing the session's engine with every turn cost more than it saved. It is compared where the cache saves a tenth of the time. Speeds decay over 40 s instead of 20 s, since machines keep theirs.

--- a/lycheestall/entry/placement/completion_chooser.py
+++ b/lycheestall/entry/placement/completion_chooser.py
@@ -28,6 +28,11 @@
 """Share of a target's speed, as an exponent, that is not compared where
 nothing is known of the targets' loads."""
 
+MIN_CACHE_SHARE = 0.1
+"""Share of a request's time that a cached prefix has to save for its target
+to be compared. Sessions spread less evenly than requests, which costs more
+than a small saving is worth."""
+
 MAX_SESSIONS = 4096
 """Affinity keys whose last target is remembered."""
 
@@ -91,7 +96,7 @@
         state = self._states.get(service, work.kind, now)
         drawn = self._draw(candidates, state, self._vm + tie_break)
         cached: set[TargetId] = set()
-        if affinity is not None and work.prefix_tokens > 0:
+        if affinity is not None and _saves_time(work, state):
             homes = self._homes(candidates, state, affinity)
             cached = {home.target for home in homes}
             drawn += [home for home in homes if home not in drawn]
@@ -234,6 +239,12 @@
         return math.exp(max(0.0, excess - max(0.0, speeds.relative(target))))
 
 
+def _saves_time(work: Work, state: ServiceState) -> bool:
+    speeds = state.speeds
+    saved_s = work.prefix_tokens * math.exp(speeds.typical_read)
+    return saved_s > MIN_CACHE_SHARE * speeds.typical_unit_s * state.events
+
+
 def _cost(choice: Choice, trust: float) -> float:
     """Returns the expected time, without the speed if loads are unknown.
 
--- a/lycheestall/entry/placement/service_speeds.py
+++ b/lycheestall/entry/placement/service_speeds.py
@@ -15,7 +15,7 @@
 
 __all__ = ["ServiceSpeeds", "compare_speeds"]
 
-PRIOR_WEIGHT = 1.0
+PRIOR_WEIGHT = 0.5
 """Weight of the prior that a target is as fast as is typical, so that a new
 one gets the share of a typical one until it is measured."""
 
--- a/lycheestall/entry/placement/speed_estimates.py
+++ b/lycheestall/entry/placement/speed_estimates.py
@@ -12,7 +12,7 @@
 
 __all__ = ["SpeedEstimates", "SpeedKey", "SpeedSums"]
 
-TIME_CONSTANT_S = 20.0
+TIME_CONSTANT_S = 40.0
 """Time constant of the decay of observations: the speed of a machine lasts."""
 
 MOMENT_S = 0.6
--- a/tests/entry/placement_simulation.py
+++ b/tests/entry/placement_simulation.py
@@ -26,6 +26,7 @@
 EVENT_S = 14 * 0.003
 PREFIX_TOKENS = 1200
 MEAN_EVENTS = 5
+SESSIONS = 200
 SLOWDOWN_PER_REQUEST = 0.15
 MOMENT_S = 0.6
 MOMENT_FACTOR = 2.5
@@ -169,7 +170,7 @@
         vms = range(len(self.choosers))
         weights = [self.vm_weight(now, vm) for vm in vms]
         vm = self.random.choices(vms, weights)[0]
-        session = f"{self.random.randrange(60)}-{int(now / 3)}"
+        session = f"{self.random.randrange(SESSIONS)}-{int(now / 3)}"
         events = max(2, round(self.random.gauss(MEAN_EVENTS, 1.2)))
         prefix = int(self.random.lognormvariate(math.log(PREFIX_TOKENS), 0.4))
         target = self._choose(vm, session, prefix, events)
