Spread requests to plain services that differ in speed by load

Below a target's number of slots, its running requests did not count, so the faster of two targets got each request. They now slow each other as in an engine. The new test sends 16 at once to two fast and two slow targets. It passes, with the tests of placement, gray failures and slow target reports.

--- a/lycheestall/entry/placement/completion_chooser.py
+++ b/lycheestall/entry/placement/completion_chooser.py
@@ -204,17 +204,16 @@
         load = self._states.load(target, state, now)
         slots = max(registration.slots, 1)
         unit_s = speeds.unit_s(target)
+        units = full_units = 1.0
         read_s = 0.0
-        full_s = unit_s
-        run_s = unit_s
         if work.is_engine:
-            events = state.events
+            units = full_units = state.events
             if work.max_events:
-                events = min(events, work.max_events)
-            run_s = unit_s * events * batch_slowdown(load, slots)
-            full_s = unit_s * state.events * batch_slowdown(slots, slots)
+                units = min(units, work.max_events)
             if not cached:
                 read_s = work.prefix_tokens * speeds.read_s(target)
+        run_s = unit_s * units * batch_slowdown(load, slots)
+        full_s = unit_s * full_units * batch_slowdown(slots, slots)
         wait_s = queue_wait_s(load + 1.0 - slots, slots, full_s)
         delay = self._recent_delay(target, speeds, now)
         return Choice(
--- a/tests/entry/test_placement.py
+++ b/tests/entry/test_placement.py
@@ -213,3 +213,29 @@
 
     assert len(used(100_000)) == 1
     assert len(used(0)) > 1
+
+
+def test_plain_services_that_differ_in_speed_are_spread_by_load() -> None:
+    chooser = new_chooser(4)
+    for step in range(400):
+        target = TargetId(f"t{step % 4}")
+        took_s = 0.05 if step % 4 < 2 else 0.15
+        chooser.record_response(target, "route", took_s, step * 0.05)
+        chooser.record_plain_speed(target, "route", took_s, step * 0.05)
+    assert chooser.completion.applies(SERVICE, Work(), 21.0)
+    sent: dict[TargetId, int] = {}
+    for number in range(16):
+        chosen = chooser.choose(
+            SERVICE,
+            affinity=None,
+            tie_break=b"%d" % number,
+            avoid=(),
+            now=21.0,
+            work=Work(),
+        )
+        assert chosen is not None
+        chooser.request_started(chosen.target)
+        sent[chosen.target] = sent.get(chosen.target, 0) + 1
+    fast = sent.get(TargetId("t0"), 0), sent.get(TargetId("t1"), 0)
+    assert sum(fast) > 8
+    assert min(fast) >= 4
