--- a/lycheestall/entry/entry_vm.py
+++ b/lycheestall/entry/entry_vm.py
@@ -5,11 +5,13 @@
 import time
 from typing import Any, cast
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, ensureDeferred
 
 from ..logs import Logger
 from ..polling import Poller
 from ..supervisor import Supervisor
+from .accounts.authenticator import Authenticator
+from .accounts.keyless_store import KeylessStore
 from .attempt_messages import AskLinks, SendAttempt
 from .configuration import CallerLimits
 from .configuration_relay import ConfigurationRelay
@@ -25,6 +27,8 @@
 from .outage import OutageMode
 from .peer_messages import PeerMessage, PeerReply
 from .peer_rpc import PeerClient, RelayingPeerHandler
+from .quotas.quota_messages import AskQuota, HoldQuota, ReturnQuota
+from .quotas.quota_service import QuotaService
 from .record_decoder import RecordDecoder
 from .relay_messages import AskConfiguration
 from .request_dependencies import RequestDependencies
@@ -65,6 +69,9 @@
 LINK_CHECK_S = 0.1
 """Seconds between checks of the links to the targets."""
 
+QUOTA_STEP_S = 0.2
+"""Seconds between two returns of permits that were not used."""
+
 HOUSEKEEPING_S = 0.5
 """Seconds between removals of expired state."""
 
@@ -118,9 +125,13 @@
         self._log = DecisionLog(
             logger, metrics, context=self._observed_state, clock=reactor
         )
-        self._store = RoutedStore(store, peers, reactor, logger)
+        keyless = KeylessStore(store, decoder.conceal_keys)
+        self._store = RoutedStore(keyless, peers, reactor, logger)
         self._health = StoreHealth(
-            logger, "ledger", on_recovered=self._on_ledger_recovered
+            logger,
+            "ledger",
+            on_recovered=self._on_ledger_recovered,
+            on_unavailable=lambda: self.token_service.store_lost(),
         )
         address = Address(settings.host, settings.peers_port)
         members = Members()
@@ -212,12 +223,24 @@
             metrics=metrics,
             draining=lambda: self._draining,
         )
+        self._quotas = QuotaService(
+            holder=holder,
+            settings=settings.quotas,
+            first_start=settings.first_start,
+            configuration=lambda: self._view.configuration.current,
+            members=members,
+            peers=peers,
+            clock=reactor,
+            logger=logger,
+            log=self._log.quotas,
+        )
         dependencies = RequestDependencies(
             clock=reactor,
             headers=headers,
             chooser=self._targets.chooser,
             timeouts=self._targets.timeouts,
             permits=self._targets.permits,
+            quotas=self._quotas,
             table=self._targets.table,
             link_monitor=self._links.monitor,
             relay=self._links.client,
@@ -235,6 +258,12 @@
         self._router = RequestRouter(
             dependencies,
             self._view.configuration,
+            authenticator=Authenticator(
+                self._view.configuration,
+                self._view.evidence,
+                revocation_timeout_s=settings.revocation_timeout_s,
+            ),
+            newer_configuration=self._view.newer_configuration,
             loaded=lambda: self.loaded,
             logger=logger,
         )
@@ -288,6 +317,7 @@
             ("housekeeping", self._housekeeping, HOUSEKEEPING_S),
             ("turn records", turns.recorder.write_due, TURN_RECORDS_S),
             ("target links", self._links.check, LINK_CHECK_S),
+            ("quotas", self._quotas.step, QUOTA_STEP_S),
             ("shard sweep", turns.sweep, SHARD_SWEEP_S),
         )
         for name, step, interval_s in pollers:
@@ -331,6 +361,9 @@
         reply = self._targets.handle_message(message)
         if reply is not None:
             return reply
+        if isinstance(message, AskQuota | ReturnQuota | HoldQuota):
+            decided: Any = ensureDeferred(self._quotas.handle(message))
+            return cast("Deferred[PeerReply]", decided)
         if isinstance(message, AskLinks):
             return self._links.report(message)
         if isinstance(message, AskConfiguration):
--- a/lycheestall/entry/final_response.py
+++ b/lycheestall/entry/final_response.py
@@ -4,6 +4,7 @@
 
 from enum import Enum
 
+from .accounts import Account
 from .attempt_outcomes import (
     AttemptOutcome,
     NotRun,
@@ -15,6 +16,7 @@
 from .exchange import Exchange
 from .ledger_writer import ReservationResult
 from .message_metadata import RequestMetadata
+from .quotas.quota_permit import QuotaDenied
 from .request_dependencies import RequestDependencies
 from .reservation_decision import ReservationDecision
 from .retry_policy import AttemptHistory
@@ -66,6 +68,7 @@
         forwarder: Forwards the stream; None if the route has none.
         stream_version: The software version that must run the request.
         version: Version of the configuration that was used.
+        account: The account that the request belongs to, if any.
 
     Attributes:
         fallback: A target's error response, sent if no retry gives a
@@ -84,7 +87,9 @@
         stream_version: StreamVersion,
         *,
         version: int,
+        account: Account | None = None,
     ) -> None:
+        self._account = account
         self._deps = deps
         self._exchange = exchange
         self._metadata = metadata
@@ -140,6 +145,9 @@
         elif decision is ReservationDecision.UNPROVEN:
             self.refuse(503, "tokens may be unrecorded", UNPROVEN_RETRY_S)
         else:
+            self._deps.log.turns.budget_unchecked(
+                self._metadata, self._budget.take_refusal()
+            )
             retry_s = self._deps.reservations.decider_retry_s()
             self.refuse(503, "budgets can't be checked now", retry_s)
 
@@ -168,6 +176,16 @@
             return
         self.refuse(503, "all targets are at their limits", retry_after_s)
 
+    def end_over_quota(self, denied: QuotaDenied) -> None:
+        """Ends a request that its account's quota doesn't admit."""
+        if self._send_fallback():
+            return
+        if self._history.may_have_run:
+            self.fail("no quota left to repeat it")
+            return
+        status = 429 if denied.refusal.over_quota else 503
+        self.refuse(status, denied.refusal.value, denied.retry_after_s)
+
     def end_without_target(self, service: ServiceId) -> None:
         """Ends a request for which no target is available."""
         if self._send_fallback():
@@ -231,6 +249,7 @@
             took_s=self._deps.clock.seconds() - received_at,
             outcome=outcome,
             recorded_tokens=self._budget.recorded_tokens,
+            account=self._account,
         )
 
     def _send_fallback(self) -> bool:
--- a/lycheestall/entry/members.py
+++ b/lycheestall/entry/members.py
@@ -15,9 +15,12 @@
 from .vm_settings import Address
 
 __all__ = [
+    "GroupId",
     "Member",
     "MemberView",
     "Members",
+    "build_record",
+    "forget_build_record",
     "join_record",
     "leave_record",
     "majority_size",
@@ -31,6 +34,8 @@
 """Highest TCP port."""
 
 _MEMBER_KEY = "m"
+_BUILD_KEY = "b"
+_LIMITS_UNREAD = b"unread"
 _SEPARATOR = "\x1f"
 
 
@@ -49,6 +54,19 @@
     zone: ZoneId
 
 
+@dataclass(frozen=True, slots=True)
+class GroupId:
+    """Identifies a group; a VM that restarts stays in it.
+
+    Attributes:
+        number: Number of the group.
+        groups: Number of groups.
+    """
+
+    number: int
+    groups: int
+
+
 @dataclass(frozen=True, slots=True)
 class MemberView:
     """The members that one VM knows; equal views have equal digests.
@@ -95,7 +113,13 @@
         groups = [group for group in self.groups if group]
         if not groups:
             return ()
-        return groups[xxhash.xxh3_64_intdigest(key.encode()) % len(groups)]
+        return groups[self.group_id(key).number]
+
+    def group_id(self, key: str) -> GroupId:
+        """Returns the ID of the group that a key is assigned to."""
+        groups = sum(1 for group in self.groups if group)
+        key_hash = xxhash.xxh3_64_intdigest(key.encode())
+        return GroupId(key_hash % max(1, groups), groups)
 
 
 def majority_size(group: tuple[HolderId, ...]) -> int:
@@ -119,6 +143,23 @@
     return KeyedWrite(_key(member.holder), value.encode())
 
 
+def build_record(holder: HolderId) -> KeyedWrite:
+    """Returns the ledger record that tells what a VM's build does.
+
+    It limits what it allocates before another VM has read its records; VMs of
+    6dec397 don't, and ignore this record.
+
+    Args:
+        holder: The VM.
+    """
+    return KeyedWrite(_build_key(holder), _LIMITS_UNREAD)
+
+
+def forget_build_record(holder: HolderId) -> KeyedWrite:
+    """Returns the ledger record that drops a ``build_record``."""
+    return KeyedWrite(_build_key(holder), None)
+
+
 def leave_record(holder: HolderId) -> KeyedWrite:
     """Returns the ledger record with which a VM leaves."""
     return KeyedWrite(_key(holder), None)
@@ -129,11 +170,16 @@
 
     def __init__(self) -> None:
         self._by_holder: dict[HolderId, tuple[Offset, Member | None]] = {}
+        self._excused: set[HolderId] = set()
+        self._limiting: set[HolderId] = set()
         self._view: MemberView | None = None
 
     def apply(self, record: KeyedRecord) -> bool:
         """Applies a record; returns whether it is about a member."""
         parts = record.key.decode("utf-8", "replace").split(_SEPARATOR)
+        if len(parts) == 2 and parts[0] == _BUILD_KEY:
+            self._apply_build(HolderId(parts[1]), record.value)
+            return True
         if len(parts) != 2 or parts[0] != _MEMBER_KEY:
             return False
         holder = HolderId(parts[1])
@@ -147,6 +193,15 @@
         self._view = None
         return True
 
+    def limits_unread(self, holder: HolderId) -> bool:
+        """Returns whether a VM limits what no other VM has read."""
+        return holder in self._limiting
+
+    def _apply_build(self, holder: HolderId, value: bytes | None) -> None:
+        self._limiting.discard(holder)
+        if value == _LIMITS_UNREAD:
+            self._limiting.add(holder)
+
     def records(self) -> tuple[KeyedRecord, ...]:
         """Returns the ledger's newest records about members."""
         records: list[KeyedRecord] = []
@@ -197,7 +252,13 @@
         ]
 
     def crashed_in(self, group: Iterable[HolderId]) -> list[HolderId]:
-        """Returns the crashed members whose addresses belong to a group."""
+        """Returns the crashed members whose addresses belong to a group.
+
+        Members that left no grants behind are left out.
+
+        Args:
+            group: The group.
+        """
         holders = set(group)
         addresses = {
             member.address
@@ -207,12 +268,29 @@
         crashed: list[HolderId] = []
         for holder in self.crashed():
             member = self.get(holder)
-            if member is None or holder in holders:
+            if member is None or holder in holders | self._excused:
                 continue
             if member.address in addresses:
                 crashed.append(holder)
         return crashed
 
+    def crashed_groups(self) -> list[GroupId]:
+        """Returns the groups of crashed members that may have had grants."""
+        if len(self.crashed()) <= len(self._excused):
+            return []
+        groups = [group for group in self.view().groups if group]
+        return [
+            GroupId(number, len(groups))
+            for number, group in enumerate(groups)
+            if self.crashed_in(group)
+        ]
+
+    def excuse_crashed(self, group: GroupId) -> None:
+        """Notes that the crashed members of a group left no grants behind."""
+        groups = [members for members in self.view().groups if members]
+        if len(groups) == group.groups:
+            self._excused.update(self.crashed_in(groups[group.number]))
+
     def may_have_lost_grants(self, program: ProgramId) -> bool:
         """Returns whether crashes may have lost a program's grants."""
         group = self.view().group_for(program)
@@ -248,6 +326,10 @@
         return [holder for _, holder in newest.values()]
 
 
+def _build_key(holder: HolderId) -> bytes:
+    return _SEPARATOR.join((_BUILD_KEY, holder)).encode()
+
+
 def _key(holder: HolderId) -> bytes:
     return _SEPARATOR.join((_MEMBER_KEY, holder)).encode()
 
--- a/lycheestall/entry/peer_messages.py
+++ b/lycheestall/entry/peer_messages.py
@@ -17,7 +17,15 @@
     decode_attempt_fields,
     encode_attempt_fields,
 )
-from .ledger_messages import AskLedger, LedgerTail
+from .ledger_messages import (
+    AskLedger,
+    AskPosition,
+    LedgerPosition,
+    LedgerTail,
+    ReadLedger,
+    decode_position,
+    encode_position,
+)
 from .origin_messages import (
     FindStreamOrigin,
     FoundStreamOrigin,
@@ -35,6 +43,16 @@
     encode_figures,
 )
 from .placement.target_latencies import SlowResponses
+from .quotas.quota_messages import (
+    AskQuota,
+    HoldQuota,
+    QuotaAnswer,
+    QuotaHeld,
+    QuotaMessage,
+    ReturnQuota,
+    decode_quota_fields,
+    encode_quota_fields,
+)
 from .relay_messages import (
     AskConfiguration,
     RelayAppend,
@@ -58,6 +76,7 @@
 from .token_ledger import HolderId
 from .token_messages import (
     AskGranted,
+    AskSettled,
     AskTokens,
     AskUnrecorded,
     GrantedTokens,
@@ -66,6 +85,7 @@
     HandoverGrants,
     HoldGrant,
     OutageGrant,
+    SettledReport,
     SettleTokens,
     TokenAnswer,
     UnrecordedReport,
@@ -86,18 +106,22 @@
 __all__ = [
     "AskGranted",
     "AskPermit",
+    "AskSettled",
     "AskTokens",
     "AskUnrecorded",
     "AskLedger",
+    "AskPosition",
     "ChangedLimits",
     "GrantedTokens",
     "Handover",
     "HandoverGrants",
     "HoldGrant",
+    "LedgerPosition",
     "LedgerTail",
     "PeerMessage",
     "PeerReply",
     "PermitAnswer",
+    "SettledReport",
     "SettleTokens",
     "SlowTargets",
     "StoreReport",
@@ -167,7 +191,10 @@
     | AskTokens
     | AskGranted
     | AskUnrecorded
+    | AskSettled
     | AskLedger
+    | AskPosition
+    | ReadLedger
     | SettleTokens
     | HoldGrant
     | Handover
@@ -186,13 +213,18 @@
     | FindStreamOrigin
     | SendAttempt
     | AskLinks
+    | AskQuota
+    | ReturnQuota
+    | HoldQuota
 )
 PeerReply: TypeAlias = (
     StoreReport
     | TokenAnswer
     | GrantedTokens
     | UnrecordedReport
+    | SettledReport
     | LedgerTail
+    | LedgerPosition
     | Understood
     | Appended
     | AppendConflict
@@ -208,6 +240,8 @@
     | AttemptResult
     | LinkReport
     | ShareFigures
+    | QuotaAnswer
+    | QuotaHeld
 )
 
 _POSITIONAL_TYPES: dict[str, Callable[..., Any]] = {
@@ -219,7 +253,11 @@
         AskGranted,
         GrantedTokens,
         AskUnrecorded,
+        AskSettled,
+        SettledReport,
         AskLedger,
+        AskPosition,
+        ReadLedger,
         SettleTokens,
         Understood,
         Appended,
@@ -284,6 +322,8 @@
         return encode_turn_fields(message)
     if isinstance(message, AttemptMessage):
         return encode_attempt_fields(message)
+    if isinstance(message, QuotaMessage):
+        return encode_quota_fields(message)
     if isinstance(message, StoreReport):
         return [
             message.holder,
@@ -300,6 +340,8 @@
             _encode_records(message.records),
             encode_grants(message.grants),
         ]
+    if isinstance(message, LedgerPosition):
+        return encode_position(message)
     if isinstance(message, Records):
         return [_encode_records(message.records), message.end]
     if isinstance(message, NewestPage):
@@ -355,6 +397,8 @@
             _decode_records(rows),
             decode_grants(grants),
         )
+    if name == LedgerPosition.__name__:
+        return decode_position(fields)
     if name == Records.__name__:
         return Records(_decode_records(fields[0]), fields[1])
     if name == NewestPage.__name__:
@@ -368,6 +412,9 @@
     attempt_message = decode_attempt_fields(name, fields)
     if attempt_message is not None:
         return attempt_message
+    quota_message = decode_quota_fields(name, fields)
+    if quota_message is not None:
+        return quota_message
     message: PeerMessage | PeerReply = _POSITIONAL_TYPES[name](*fields)
     return message
 
--- a/lycheestall/entry/permit_deciders.py
+++ b/lycheestall/entry/permit_deciders.py
@@ -6,8 +6,9 @@
 
 from .members import Member, Members
 from .target_table import TargetProcess
+from .vm_settings import Address
 
-__all__ = ["PermitDeciders"]
+__all__ = ["PermitDeciders", "member_weight"]
 
 DECIDERS = 2
 """VMs that may decide on a target: the first, and one in its stead."""
@@ -42,12 +43,14 @@
 
     def _rank(self, process: TargetProcess) -> tuple[Member, ...]:
         def weight(member: Member) -> int:
-            address = member.address
-            key = (
-                f"{process.target}:{process.started_ms}"
-                f":{address.host}:{address.port}"
-            )
-            return xxhash.xxh3_64_intdigest(key.encode())
+            key = f"{process.target}:{process.started_ms}"
+            return member_weight(key, member.address)
 
         members = sorted(self._members.all(), key=weight, reverse=True)
         return tuple(members[:DECIDERS])
+
+
+def member_weight(key: str, address: Address) -> int:
+    """Returns the weight of a member; the highest one decides on the key."""
+    text = f"{key}:{address.host}:{address.port}"
+    return xxhash.xxh3_64_intdigest(text.encode())
--- a/lycheestall/entry/placement/completion_chooser.py
+++ b/lycheestall/entry/placement/completion_chooser.py
@@ -69,9 +69,20 @@
         self._target_by_session: OrderedDict[str, TargetId] = OrderedDict()
 
     def applies(self, service: ServiceId, work: Work, now: float) -> bool:
-        """Returns whether a service's targets differ or are under load."""
+        """Returns whether a service's targets differ or are under load.
+
+        Load counts where VMs report it to each other; elsewhere a VM knows
+        too little of it.
+
+        Args:
+            service: The service.
+            work: The size of the request.
+            now: Current time.
+        """
         state = self._states.get(service, work.kind, now)
-        return state.speeds.uneven or state.busy
+        if state.speeds.uneven:
+            return True
+        return state.busy and self._loads.trust(now) > 0.0
 
     def choose(
         self,
--- a/lycheestall/entry/placement/service_states.py
+++ b/lycheestall/entry/placement/service_states.py
@@ -87,6 +87,13 @@
             OrderedDict()
         )
 
+    @property
+    def any_uneven(self) -> bool:
+        """Whether the targets of any service differ in speed."""
+        return any(
+            state.speeds.uneven for state in self._state_by_service.values()
+        )
+
     def get(
         self, service: ServiceId, kind: WorkKind, now: float
     ) -> ServiceState:
--- a/lycheestall/entry/placement/target_chooser.py
+++ b/lycheestall/entry/placement/target_chooser.py
@@ -103,6 +103,7 @@
         software_version: SoftwareVersion | None = None,
         is_new_attempt: bool = True,
         work: Work | None = None,
+        object_key: str | None = None,
     ) -> TargetRegistration | None:
         """Returns a target, or None if none is available.
 
@@ -125,6 +126,9 @@
                 requests, which determines how many targets are used.
             work: The size of the request; without it, completion times are
                 not compared.
+            object_key: Key of requests about one object, which its last
+                target handles faster. All VMs prefer the same one of the
+                targets with the fewest running requests.
         """
         self._last_choice = None
         if is_new_attempt:
@@ -148,6 +152,9 @@
         slow = self._latencies.slow([c.target for c in candidates], now)
         if slow:
             candidates = [c for c in candidates if c.target not in slow]
+        if object_key is not None:
+            # A target is fast for the object that it handled before.
+            work = None
         if work is not None and self.completion.applies(service, work, now):
             if len(candidates) > MAX_COMPARED:
                 candidates = self._narrow(service, candidates, now)
@@ -160,12 +167,15 @@
                 now=now,
             )
             return self._last_choice.registration
-        if affinity is None or prefix_tokens < SHARED_PREFIX_TOKENS:
+        shares_target = prefix_tokens >= SHARED_PREFIX_TOKENS
+        if affinity is None:
+            shares_target = object_key is not None
+        if not shares_target:
             candidates = self._narrow(service, candidates, now)
         if affinity is None:
             costs = [self._running_cost(c.target) for c in candidates]
             limit = min(costs)
-            seed = tie_break
+            seed = tie_break if object_key is None else object_key.encode()
         else:
             costs = [self._time_cost(c.target, now) for c in candidates]
             limit = min(costs) + AFFINITY_MARGIN
--- a/lycheestall/entry/target_service.py
+++ b/lycheestall/entry/target_service.py
@@ -56,7 +56,7 @@
         logger: Logs what other VMs report.
         metrics: Receives the gauges.
         shares_figures: Returns whether VMs tell each other the load and the
-            speed of targets.
+            speed of targets even before they are found to differ in speed.
 
     Attributes:
         table: The registered targets.
@@ -146,7 +146,7 @@
             members=members,
             peers=peers,
             chooser=self.chooser,
-            enabled=shares_figures,
+            enabled=lambda: shares_figures() or self.chooser.states.any_uneven,
             clock=clock,
         )
 
--- a/lycheestall/entry/turn_reservations.py
+++ b/lycheestall/entry/turn_reservations.py
@@ -8,6 +8,7 @@
 
 from ..ids import ProgramId
 from ..logs import Logger
+from .budget_refusals import BudgetRefusal, RefusalReason
 from .deciding_vms import DecidingVms
 from .ledger_catch_up import LedgerCatchUp
 from .ledger_writer import LedgerWriter, ReservationResult
@@ -26,6 +27,7 @@
 )
 from .peer_rpc import PeerClient
 from .reservation_decision import ReservationDecision
+from .settled_groups import SettledGroups
 from .token_allocator import TokenAllocator, TurnId
 from .token_ledger import HolderId, TokenLedger, TurnRef
 from .unrecorded_grants import TurnGrant, UnrecordedGrants
@@ -54,6 +56,7 @@
         outage: Tracks outages of the store.
         outage_allocator: What this VM grants as a deciding VM.
         grants: Unrecorded grants.
+        settled: Groups without unrecorded grants.
         catch_up: Collects what this VM must know to decide.
         members: The VMs of the system.
         peers: Calls them.
@@ -71,6 +74,7 @@
         outage: OutageTracker,
         outage_allocator: OutageAllocator,
         grants: UnrecordedGrants,
+        settled: SettledGroups,
         catch_up: LedgerCatchUp,
         members: Members,
         peers: PeerClient,
@@ -104,6 +108,7 @@
             outage=outage,
             members=members,
             grants=grants,
+            settled=settled,
             peers=peers,
             clock=clock,
             logger=logger,
@@ -155,6 +160,19 @@
             return AGREEMENT_DELAY_S
         return STORE_RETRY_S
 
+    def take_refusal(self, turn: TurnId) -> BudgetRefusal:
+        """Returns why a turn got no decision."""
+        now = self._clock.seconds()
+        reason = self._deciders.refusals.take(turn)
+        if not self._writer.store_unavailable:
+            return BudgetRefusal(reason or RefusalReason.STORE_SLOW, 0.0)
+        if reason is None:
+            reason = RefusalReason.NO_AGREEMENT
+            if self._outage.mode(now) is OutageMode.ALONE:
+                reason = RefusalReason.AGREEMENT_EXPIRED
+        age_s = now - self._writer.store_unavailable_since
+        return BudgetRefusal(reason, age_s)
+
     def settle(self, program: ProgramId, turn: TurnId, used: int) -> None:
         """Replaces a turn's reservation by the tokens that it used.
 
@@ -167,6 +185,10 @@
         if self._deciders.decided(turn):
             self._deciders.settle(program, turn, used)
 
+    def step(self) -> None:
+        """Notes regularly that this VM runs."""
+        self._recovery.step()
+
     def started(self) -> None:
         """Notes that this VM has read the ledger for the first time."""
         self._recovery.begin(knows_own=False)
--- a/tests/entry/entry_vm_harness.py
+++ b/tests/entry/entry_vm_harness.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import Any
 
 import orjson
 from twisted.internet.defer import succeed
 
-from lycheestall.entry.caller_connection import CallerFactory
+from lycheestall.entry.callers import CallerFactory
 from lycheestall.entry.entry_metrics import EntryMetrics
 from lycheestall.entry.entry_vm import EntryVm
 from lycheestall.entry.store import KeyedWrite, Topic
@@ -112,6 +113,8 @@
         incarnation: Number of this run of its process.
         address: Where peers reach the VM.
         zone: Its availability zone.
+        revocation_timeout_s: Seconds without evidence in which it accepts
+            keys; None for no limit.
     """
 
     def __init__(
@@ -124,6 +127,7 @@
         incarnation: int = 1,
         address: Address = PEERS_ADDRESS,
         zone: str = "zone-a",
+        revocation_timeout_s: float | None = None,
     ) -> None:
         self.reactor: Any = reactor or FakeReactor()
         self.log = log or MemoryLog()
@@ -135,7 +139,10 @@
         self.store = MemoryStore(self.log)
         self.metrics = EntryMetrics(vm=name)
         self.vm = EntryVm(
-            settings=settings(name, address, zone),
+            settings=replace(
+                settings(name, address, zone),
+                revocation_timeout_s=revocation_timeout_s,
+            ),
             store=self.store,
             peers=peers,
             headers=PlatformHeaders(),
@@ -154,9 +161,19 @@
         self.reactor.run(0.7)
 
     def configure(
-        self, routes: list[dict[str, Any]], *, limits: Any = None
+        self,
+        routes: list[dict[str, Any]],
+        *,
+        limits: Any = None,
+        **fields: Any,
     ) -> None:
-        """Publishes a configuration."""
+        """Publishes a configuration.
+
+        Args:
+            routes: Its routes.
+            limits: Its limits for callers.
+            **fields: Further fields.
+        """
         self.version += 1
         document = {
             "version": self.version,
@@ -166,6 +183,7 @@
                 {"name": "engines", "engine": ENGINE},
             ],
             "limits": limits or {},
+            **fields,
         }
         self.log.put(
             Topic.CONFIGURATION,
