--- a/lycheestall/entry/peer_messages.py
+++ b/lycheestall/entry/peer_messages.py
@@ -37,6 +37,12 @@
     LimitNews,
     PermitAnswer,
 )
+from .placement.figure_messages import (
+    ShareFigures,
+    decode_figures,
+    encode_figures,
+)
+from .placement.target_latencies import SlowResponses
 from .quotas.quota_messages import (
     AskQuota,
     HoldQuota,
@@ -67,7 +73,6 @@
     Topic,
     WriterFence,
 )
-from .target_latencies import SlowResponses
 from .token_ledger import HolderId
 from .token_messages import (
     AskGranted,
@@ -198,6 +203,7 @@
     | RelayRead
     | RelayNewest
     | SlowTargets
+    | ShareFigures
     | ChangedLimits
     | AskPermit
     | HoldTurns
@@ -233,6 +239,7 @@
     | FoundStreamOrigin
     | AttemptResult
     | LinkReport
+    | ShareFigures
     | QuotaAnswer
     | QuotaHeld
 )
@@ -293,6 +300,8 @@
             list(astuple(slow)) for slow in message.slow_responses
         ]
         return [message.holder, slow_responses]
+    if isinstance(message, ShareFigures):
+        return encode_figures(message)
     if isinstance(message, ChangedLimits):
         return [message.holder, [_news_row(news) for news in message.news]]
     if isinstance(message, AskPermit):
@@ -351,6 +360,8 @@
     if name == SlowTargets.__name__:
         slow_responses = tuple(SlowResponses(*slow) for slow in fields[1])
         return SlowTargets(fields[0], slow_responses)
+    if name == ShareFigures.__name__:
+        return decode_figures(fields)
     if name == ChangedLimits.__name__:
         return ChangedLimits(
             fields[0], tuple(LimitNews(*row) for row in fields[1])
--- a/lycheestall/entry/target_admission.py
+++ b/lycheestall/entry/target_admission.py
@@ -11,9 +11,10 @@
 from .decision_log import DecisionLog
 from .message_metadata import RequestMetadata
 from .permit_service import Permit, PermitDenied, PermitService
+from .placement.target_chooser import TargetChooser
+from .placement.work import Work
 from .retry_policy import AttemptHistory
 from .stream_version import StreamVersion
-from .target_chooser import TargetChooser
 from .target_table import TargetRegistration, TargetTable
 
 __all__ = ["Admission", "AtLimits", "TargetAdmission"]
@@ -87,6 +88,7 @@
         self._history = history
         self._stream_version = stream_version
         self._affinity: str | None = None
+        self._work = Work.of_request(metadata, service)
         self._object_key = object_key
         if service is not None and service.engine is not None:
             self._affinity = metadata.affinity
@@ -208,7 +210,7 @@
     def _choose(
         self, at_limit: Set[TargetId], *, is_new_attempt: bool
     ) -> TargetRegistration | None:
-        return self._chooser.choose(
+        registration = self._chooser.choose(
             self._service_id,
             affinity=self._affinity,
             tie_break=self._metadata.request_id,
@@ -219,7 +221,12 @@
             prefix_tokens=self._metadata.affinity_tokens,
             object_key=self._object_key,
             is_new_attempt=is_new_attempt,
+            work=self._work,
         )
+        choice = self._chooser.take_choice()
+        if choice is not None:
+            self._log.target_chosen(self._metadata, choice)
+        return registration
 
     async def _acquire(
         self, registration: TargetRegistration, max_wait_s: float
--- a/tests/entry/test_session_affinity.py
+++ b/tests/entry/test_session_affinity.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from lycheestall.entry.target_chooser import TargetChooser
+from lycheestall.entry.placement.target_chooser import TargetChooser
 from lycheestall.ids import TargetId
 from tests.entry.choosers import SERVICE, new_chooser
 from tests.entry.entry_vm_harness import ROUTES, EntryVmHarness
