Date a peer's last read by when it was asked, not by its reply

Cause: VMs pass on when the ledger was last read by any of them, as an age. Each counted it from the receipt of the reply, so each exchange made the read younger by a delay. After about half a second the read seemed later than every failed call, the span without a read grew with the time, and one VM that was lost before the outage counted as many: all VMs granted one turn a program. Change: a peer's read is dated from the question, its failure from the reply.

--- a/lycheestall/entry/ledger_catch_up.py
+++ b/lycheestall/entry/ledger_catch_up.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 
 from twisted.internet.defer import Deferred
@@ -35,6 +36,19 @@
 """Members of another group that are asked at once, in case one is lost."""
 
 
+@dataclass(frozen=True, slots=True)
+class _Asked:
+    """What a question about a peer's position refers to.
+
+    Attributes:
+        view: The members that were known.
+        at: When the question was sent.
+    """
+
+    view: MemberView
+    at: float
+
+
 class LedgerCatchUp:
     """Collects the records that other VMs have read or written.
 
@@ -289,7 +303,8 @@
             # VMs of an earlier build reply to this question only.
             self._ask_records(holder, Offset(0))
         message = AskPosition(self._holder, whole_group)
-        self._call(holder, message, self._add_position, self._members.view())
+        asked = _Asked(self._members.view(), self._clock.seconds())
+        self._call(holder, message, self._add_position, asked)
 
     def _ask_records(self, holder: HolderId, position: Offset) -> None:
         message = AskLedger(self._holder, self._read_until())
@@ -339,32 +354,35 @@
         )
 
     def _add_position(
-        self, asked: HolderId, reply: Any, view: MemberView
+        self, holder: HolderId, reply: Any, asked: _Asked
     ) -> None:
         if not isinstance(reply, LedgerPosition):
-            self._no_position_from.add(asked)
+            self._no_position_from.add(holder)
             return
-        self._grants.add_all(reply.grants, now=self._clock.seconds())
-        if reply.holder != asked:
+        now = self._clock.seconds()
+        self._grants.add_all(reply.grants, now=now)
+        if reply.holder != holder:
             # A process that has started again replies with another ID.
-            self._no_position_from.add(asked)
+            self._no_position_from.add(holder)
             return
-        self._no_position_from.discard(asked)
+        self._no_position_from.discard(holder)
         if not reply.away:
             return
         if not self._store_unavailable():
             return
-        now = self._clock.seconds()
+        # The reply was written between both times. The earliest read and the
+        # latest failure leave the longest span, and no delay adds up when VMs
+        # pass on what others have told.
         self._reads.add(
-            read_at=now - reply.read_ago_s,
+            read_at=asked.at - reply.read_ago_s,
             failing_since=now - reply.failing_for_s,
         )
-        group = view.group_of(asked)
+        group = asked.view.group_of(holder)
         if self._holder in group:
-            self._position_by_vm[asked] = reply.position
+            self._position_by_vm[holder] = reply.position
             return
         self._unheard_by_group[group] = frozenset(reply.unheard)
-        self._position_by_group[group] = (reply.position, asked)
+        self._position_by_group[group] = (reply.position, holder)
 
     def _add_records(self, asked: HolderId, reply: Any, until: Offset) -> None:
         if not isinstance(reply, LedgerTail):
--- a/tests/entry/test_outage_start.py
+++ b/tests/entry/test_outage_start.py
@@ -4,9 +4,11 @@
 
 import pytest
 
+from tests.entry import token_fleet
 from tests.entry.token_fleet import TokenFleet
 
 FIRST_TURN_S = 0.3
+SLOW_REPLY_S = 0.03
 NEW_PROGRAMS = 8
 TURNS = 4
 
@@ -77,3 +79,24 @@
     fleet.advance(1.0)
     fleet.fail_store()
     assert max(waits_in_outage(fleet)) < FIRST_TURN_S
+
+
+# Guards against ages of reads that grow too young, reply by reply, as VMs pass
+# on what others have told: after half a second of it, what the silent VM may
+# have recorded seemed unread for the whole outage.
+def test_slow_replies_leave_a_silent_vm_alone_unread(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(token_fleet, "PEER_DELAY_S", SLOW_REPLY_S)
+    fleet = TokenFleet(vms=24)
+    fleet.vms[1].kill()
+    for number in range(40):
+        vm = fleet.vms[2 + number % 20]
+        fleet.run_turns(vm, f"before-{number}", 1)
+        fleet.advance(0.05)
+    fleet.fail_store()
+    fleet.advance(2.0)
+    waits = waits_in_outage(fleet)
+    in_time = sum(wait_s < FIRST_TURN_S for wait_s in waits)
+    # The programs that the killed VM decides on are refused.
+    assert in_time >= len(waits) - TURNS
