Reword names, docstrings and messages that stopped a newcomer

Change: comments, docstrings, log messages and private names; a VM without a group no longer exchanges sums with other groups. Measured: types, linter and the tests of the changed packages pass.

--- a/lycheestall/engine_queue.py
+++ b/lycheestall/engine_queue.py
@@ -5,8 +5,7 @@
 __all__ = ["batch_slowdown", "queue_wait_s"]
 
 BATCH_SLOWDOWN = 1.0
-"""Share by which a full batch makes a request take longer than an empty
-one."""
+"""Relative increase of a request's time in a full batch: it doubles."""
 
 
 def batch_slowdown(others: float, slots: float) -> float:
--- a/lycheestall/entry/accounts/__init__.py
+++ b/lycheestall/entry/accounts/__init__.py
@@ -1,6 +1,7 @@
 """Client accounts: who sends a request, and what the account may use.
 
-What depends on the configuration is in ``authenticator``.
+``authenticator`` is not exported here: it imports the configuration, which
+imports this package.
 """
 
 from __future__ import annotations
--- a/lycheestall/entry/accounts/account.py
+++ b/lycheestall/entry/accounts/account.py
@@ -18,6 +18,7 @@
 """Digest of a key in hexadecimal digits; it doesn't reveal the key."""
 
 _DIGEST_BYTES = 16
+"""128 bits, so that two keys never have the same digest."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/lycheestall/entry/accounts/authenticator.py
+++ b/lycheestall/entry/accounts/authenticator.py
@@ -26,8 +26,7 @@
 ]
 
 UNCERTAIN_RETRY_S = 0.4
-"""Retry delay for callers while this VM may lack a newer configuration; the
-store is read again twice within it."""
+"""Retry delay for callers while this VM may lack a newer configuration."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,7 +54,7 @@
 
 @dataclass(frozen=True, slots=True)
 class UnknownRoute:
-    """No route leads anywhere, and none does in a newer configuration."""
+    """No route matches; no newer configuration is waited for."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/lycheestall/entry/callers/bounds.py
+++ b/lycheestall/entry/callers/bounds.py
@@ -22,19 +22,26 @@
 """A request with the largest body fits into this memory."""
 
 PEER_SHARE = 0.05
+"""Share of the process's memory for the connections of peers."""
+
 MIN_PEER_BYTES = 6_000_000
+"""Memory for them, in bytes, where that share is less."""
+
 RESERVED_DESCRIPTORS = 200
 """Descriptors that are not for callers: the store, peers, listeners, idle
 connections to targets, and connections that are being refused."""
 
 MIN_DESCRIPTORS = 50
+"""Descriptors for callers where a VM may open few."""
+
 PEER_DESCRIPTORS = 64
-"""Connections of peers at a time, where a VM may open few descriptors."""
+"""Descriptors for peers where a VM may open few."""
 
 STATUS_CONNECTIONS = 16
 """Connections to the readiness or the metrics endpoint at a time."""
 
 STATUS_BYTES = 2_000_000
+"""Memory in bytes for the connections to each of these endpoints."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/lycheestall/entry/callers/connection_budget.py
+++ b/lycheestall/entry/callers/connection_budget.py
@@ -34,6 +34,8 @@
 """Share of the memory for connections without requests."""
 
 STALL_S = 1.0
+"""Seconds without progress after which a connection counts as stalled."""
+
 PROGRESS_BYTES = 4096
 """Bytes in ``STALL_S`` seconds that count as progress."""
 
@@ -65,7 +67,9 @@
     RUNNING = 6
 
 
+# Searched in this order for what to evict for memory.
 _HOLDS_MEMORY = (Standing.UNPROVEN, Standing.READING, Standing.UNREAD)
+# Closed for descriptors, or for the memory of connections, in this order.
 _MAY_BE_CLOSED = (Standing.CLOSING, Standing.UNUSED, Standing.IDLE)
 
 
@@ -277,6 +281,8 @@
             victim = self._first((standing,), besides=usage)
             if victim is None:
                 continue
+            # Unread responses give way only if stalled, also to requests in
+            # progress.
             stalled = now - victim.progress_at >= STALL_S
             if stalled or standing < min(usage.standing, Standing.UNREAD):
                 return victim
--- a/lycheestall/entry/callers/connection_use.py
+++ b/lycheestall/entry/callers/connection_use.py
@@ -48,7 +48,7 @@
 
     __slots__ = (
         "_budget",
-        "_connected",
+        "_connect_decision",
         "_running_bytes",
         "_unsent_bytes",
         "_usage",
@@ -62,19 +62,19 @@
         now: float,
     ) -> None:
         self._budget = budget
-        self._usage, self._connected = budget.connect(owner, now)
+        self._usage, self._connect_decision = budget.connect(owner, now)
         self._running_bytes = 0
         self._unsent_bytes = 0
         self.response_bytes = 0
 
     def displace_others(self) -> bool:
-        """Closes the connections that give way to this one.
+        """Closes the connections that were evicted when this one was added.
 
         Returns:
             Whether this one may stay open.
         """
-        _displace(self._connected, LimitCause.DESCRIPTORS)
-        return self._connected.granted
+        _displace(self._connect_decision, LimitCause.DESCRIPTORS)
+        return self._connect_decision.granted
 
     def start_request(
         self, head_bytes: int, body_bytes: int, now: float
@@ -92,7 +92,7 @@
         return decision.granted
 
     def end_request(self) -> None:
-        """Counts no request in progress any more."""
+        """Stops counting the request in progress."""
         self._running_bytes = 0
         self.response_bytes = 0
 
@@ -139,7 +139,7 @@
         return decision.granted
 
     def disconnect(self) -> None:
-        """Uses nothing any more."""
+        """Removes the connection from the budget."""
         self._budget.disconnect(self._usage)
 
 
--- a/lycheestall/entry/callers/refusals.py
+++ b/lycheestall/entry/callers/refusals.py
@@ -29,7 +29,8 @@
         FRAMING_BYTES: Trailers or chunk extensions are too long.
         MALFORMED: The request is malformed.
         MEMORY: The memory for connections is used up.
-        DESCRIPTORS: The descriptors for connections are used up.
+        DESCRIPTORS: The descriptors, or the memory of idle connections, are
+            used up.
         UNREAD: The caller doesn't read its responses.
     """
 
--- a/lycheestall/entry/entry_vm.py
+++ b/lycheestall/entry/entry_vm.py
@@ -70,7 +70,7 @@
 """Seconds between checks of the links to the targets."""
 
 QUOTA_STEP_S = 0.2
-"""Seconds between two returns of permits that were not used."""
+"""Seconds between steps of the quotas: suspensions, leases, returns."""
 
 HOUSEKEEPING_S = 0.5
 """Seconds between removals of expired state."""
--- a/lycheestall/entry/ledger_catch_up.py
+++ b/lycheestall/entry/ledger_catch_up.py
@@ -64,7 +64,7 @@
         grants: Receives the unrecorded grants.
         members: The VMs of the system.
         peers: Calls them.
-        position: Returns the offset from which on the ledger is not read.
+        position: Returns the offset of the first record not read.
         reads: When the VMs last read the ledger.
         store_unavailable: Returns whether this VM's writes fail.
         clock: Provides the time.
@@ -96,6 +96,8 @@
         self._clock = clock
         self._logger = logger
         self._position_by_vm: dict[HolderId, Offset] = {}
+        # Of other groups: the members whose records may be missing, and how
+        # far the group has read, with the member that replied.
         self._unheard_by_group: dict[
             tuple[HolderId, ...], frozenset[HolderId]
         ] = {}
@@ -103,9 +105,11 @@
             tuple[HolderId, ...], tuple[Offset, HolderId]
         ] = {}
         self._collected_until = Offset(0)
+        # Did not reply, or are of a build that doesn't know ``AskPosition``.
         self._no_position_from: set[HolderId] = set()
         self._calls: set[tuple[HolderId, type]] = set()
-        self._unread_vms: set[HolderId] = set()
+        # Take part in the outage, but their member records were not read.
+        self._unknown_vms: set[HolderId] = set()
         self._waiting: list[Deferred[None]] = []
         self._outages = 0
         self._steps = 0
@@ -132,7 +136,7 @@
         self._position_by_group.clear()
         self._no_position_from.clear()
         self._calls.clear()
-        self._unread_vms.clear()
+        self._unknown_vms.clear()
         self._collected_until = Offset(0)
         self._reads.clear()
         self._logged_progress = None
@@ -144,12 +148,12 @@
         It may have joined so late that no other VM has read of it.
         """
         if self._store_unavailable() and self._members.get(holder) is None:
-            self._unread_vms.add(holder)
+            self._unknown_vms.add(holder)
 
     @property
     def group_complete(self) -> bool:
         """Whether the records of this VM's group are known."""
-        if any(self._members.get(h) is None for h in self._unread_vms):
+        if any(self._members.get(h) is None for h in self._unknown_vms):
             return False
         return not self._unheard_in_group()
 
@@ -192,7 +196,7 @@
             await self._wait_for_group()
         unheard: tuple[HolderId, ...] = ()
         if message.whole_group:
-            unheard = (*self._unheard_in_group(), *self._unread_vms)
+            unheard = (*self._unheard_in_group(), *self._unknown_vms)
         return LedgerPosition(
             self._holder,
             away=self._store_unavailable(),
@@ -232,7 +236,7 @@
 
     def _silent_vms(self) -> set[HolderId] | None:
         # None if a VM may only be slow, or has joined too late.
-        if any(self._members.get(h) is None for h in self._unread_vms):
+        if any(self._members.get(h) is None for h in self._unknown_vms):
             return None
         silent = set(self._unheard_in_group())
         if not silent <= self._no_position_from:
@@ -300,7 +304,7 @@
 
     def _ask_member(self, holder: HolderId, *, whole_group: bool) -> None:
         if holder in self._no_position_from:
-            # VMs of an earlier build reply to this question only.
+            # VMs of an earlier build know only ``AskLedger``.
             self._ask_records(holder, Offset(0))
         message = AskPosition(self._holder, whole_group)
         asked = _Asked(self._members.view(), self._clock.seconds())
@@ -370,9 +374,10 @@
             return
         if not self._store_unavailable():
             return
-        # The reply was written between both times. The earliest read and the
-        # latest failure leave the longest span, and no delay adds up when VMs
-        # pass on what others have told.
+        # The reply was written between ``asked.at`` and ``now``. Dating the
+        # read from the question and the failure from the reply can only
+        # overestimate the time for which records were not read, also when
+        # VMs pass on each other's times.
         self._reads.add(
             read_at=asked.at - reply.read_ago_s,
             failing_since=now - reply.failing_for_s,
--- a/lycheestall/entry/ledger_writer.py
+++ b/lycheestall/entry/ledger_writer.py
@@ -333,8 +333,10 @@
     async def _records_read(self, allocations: list[AllocationWrite]) -> bool:
         if self._may_use is not None and not await self._may_use(allocations):
             self._logger.warning(
-                "no peer has read the ledger", records=len(allocations)
+                "no peer confirmed reading the ledger; writing again",
+                records=len(allocations),
             )
+            # The write succeeded, but is not used until it is written again.
             self._allocator.write_failed(allocations)
             return False
         self._records_applied(allocations)
--- a/lycheestall/entry/outage_allocator.py
+++ b/lycheestall/entry/outage_allocator.py
@@ -124,6 +124,10 @@
         required = self._grants.tokens(program) + max_tokens
         if recorded.committed + required > budget:
             return OutageDecision.SPENT
+        # One turn may be granted whatever the gap; more, up to the outage
+        # allowance, only if one VM's records at most are missing. As much is
+        # then held back for them as for lost grants. A budget can't hold back
+        # both, so a doubtful program with a gap gets one turn.
         usable = budget
         doubtful = self.is_doubtful(program)
         if doubtful:
@@ -133,10 +137,12 @@
         gap = self.ledger_gap
         if gap is LedgerGap.ONE_VM and not doubtful:
             usable = budget_without_lost_grants(budget, max_tokens)
-        several = gap is LedgerGap.NONE or (
+        may_grant_several = gap is LedgerGap.NONE or (
             gap is LedgerGap.ONE_VM and not doubtful
         )
-        if several and required <= outage_allowance(budget, max_tokens):
+        if may_grant_several and required <= outage_allowance(
+            budget, max_tokens
+        ):
             fits = fits or total <= usable
         if not fits:
             return OutageDecision.WAIT
--- a/lycheestall/entry/outage_recovery.py
+++ b/lycheestall/entry/outage_recovery.py
@@ -109,7 +109,9 @@
 
     def _note_suspension(self) -> None:
         if self._settled.suspended():
-            self._logger.warning("this VM stood still; asking for grants")
+            self._logger.warning(
+                "this VM was suspended; asking peers for unrecorded grants"
+            )
             self.begin(knows_own=False)
 
     def is_settled(self, program: ProgramId) -> bool:
--- a/lycheestall/entry/outages/ledger_gap.py
+++ b/lycheestall/entry/outages/ledger_gap.py
@@ -9,8 +9,8 @@
 
 UNREAD_WINDOW_S = 0.7
 """Seconds in which a VM's records of one program allocate at most half of the
-budget, unless another VM has read them. With a dozen VMs that read the ledger
-every 1.5 to 2 s, one of them has nearly always done so within this time."""
+budget, unless another VM has read them. Each VM reads the ledger every 1.5 to
+2 s, so one of a dozen does about every 0.15 s."""
 
 
 class LedgerGap(Enum):
@@ -29,11 +29,11 @@
 
 
 class LastReads:
-    """When the VMs that have told so last read the ledger, and failed to.
+    """Last read and first failed call of this VM, and those of its peers.
 
     Args:
         read_at: Returns when this VM last read it.
-        failing_since: Returns when its first call started that failed.
+        failing_since: Returns when the first of its failed calls started.
     """
 
     def __init__(
@@ -54,7 +54,7 @@
 
     @property
     def failing_since(self) -> float:
-        """When this VM's first call started that failed."""
+        """When the first of this VM's failed calls started."""
         return self._failing_since()
 
     def unread_s(self, now: float) -> float:
--- a/lycheestall/entry/outages/ledger_readers.py
+++ b/lycheestall/entry/outages/ledger_readers.py
@@ -60,8 +60,8 @@
     def confirm(self) -> Deferred[bool]:
         """Returns whether another VM has read what this VM has read.
 
-        All VMs of the group are asked in turn; without a reply of any in time
-        the result is false.
+        The VMs of the group are asked a few at a time. The result is false if
+        none replies in time, and true if this VM is alone in its group.
         """
         others = self._members.group_peers(self._holder)
         # The one that replied last is most likely to reply again.
@@ -102,7 +102,7 @@
         """Reads the ledger up to a peer's position."""
         if await self._follower.read_until(Offset(message.until - 1)):
             return Understood()
-        return StoreFailed("not read")
+        return StoreFailed("ledger not read up to the position")
 
 
 def _finish(result: bool, confirmed: Deferred[bool]) -> None:
--- a/lycheestall/entry/outages/outage_start.py
+++ b/lycheestall/entry/outages/outage_start.py
@@ -67,7 +67,7 @@
         self._running = False
 
     def begin(self) -> None:
-        """Notes that a call has failed since the last successful one."""
+        """Reads the ledger again after a failed call, and starts surveys."""
         # A second failure tells an outage from a single lost call.
         self._refresh()
         if self._running:
@@ -117,5 +117,6 @@
 
     def _step_failed(self, failure: Failure) -> None:
         self._logger.error(
-            "starting an outage failed", error=failure.getTraceback()
+            "surveying peers at the start of an outage failed",
+            error=failure.getTraceback(),
         )
--- a/lycheestall/entry/outages/settled_groups.py
+++ b/lycheestall/entry/outages/settled_groups.py
@@ -1,4 +1,4 @@
-"""Which groups of VMs have no unrecorded grants, as a VM can vouch."""
+"""Which groups of VMs are known to have no unrecorded grants."""
 
 from __future__ import annotations
 
@@ -36,7 +36,7 @@
     Turns are granted without the ledger only in an outage. So once all grants
     of a group are recorded, a VM knows that this stays so until the next
     outage, whichever VMs are lost meanwhile. A VM that has started since can
-    rely on its word.
+    ask it.
 
     Args:
         holder: This VM's ID in the ledger.
@@ -75,9 +75,10 @@
         self._asked_at.clear()
 
     def suspended(self) -> bool:
-        """Returns whether this VM stood still and may have missed an outage.
+        """Detects a suspension in which this VM may have missed an outage.
 
-        It returns so once.
+        Returns true only once for each suspension: the call starts the
+        measurement anew.
         """
         now = self._clock.seconds()
         if now - self._stepped_at <= MAX_STEP_GAP_S:
--- a/lycheestall/entry/outages/unread_growth.py
+++ b/lycheestall/entry/outages/unread_growth.py
@@ -33,8 +33,8 @@
     async def may_use(self, writes: list[AllocationWrite]) -> bool:
         """Notes records that were read back; returns whether to use them.
 
-        They are not used if no peer at all has replied, as after this VM stood
-        still. They are written again then, and used after the window.
+        They are not used if no peer at all has replied, as after a suspension
+        of this VM. They are written again then, and used after the window.
 
         Args:
             writes: The records.
--- a/lycheestall/entry/placement/completion_chooser.py
+++ b/lycheestall/entry/placement/completion_chooser.py
@@ -25,8 +25,9 @@
 __all__ = ["CompletionChooser"]
 
 UNKNOWN_LOAD_SHARE = 0.75
-"""Share of a target's speed, as an exponent, that is not compared where
-nothing is known of the targets' loads."""
+"""Exponent with which a target's relative time is divided out of its cost
+where nothing is known of the loads: 0 compares speeds in full, 1 not at
+all."""
 
 MIN_CACHE_SHARE = 0.1
 """Share of a request's time that a cached prefix has to save for its target
@@ -151,8 +152,9 @@
     ) -> list[TargetRegistration]:
         """Draws two candidates, with probabilities in proportion to speed.
 
-        All VMs have much the same figures; if each took the best of all
-        targets, they would flood it.
+        All VMs have much the same figures and would all send to the best
+        target; hence the choice is between two random ones (power of two
+        choices).
         """
         if len(candidates) <= 2:
             return list(candidates)
@@ -176,15 +178,15 @@
     ) -> list[TargetRegistration]:
         """Returns the targets that are likely to have a prefix cached.
 
-        All VMs send requests of the same affinity to the same target if
-        nothing speaks against it; this VM's last one went to the other.
+        The first one is preferred by all VMs, by rendezvous hashing weighted
+        by speed; the other ran this VM's last request, if it is another one.
         """
         seed = affinity.encode()
         unit_s = state.speeds.unit_s
         best = candidates[0]
         best_time = math.inf
         for candidate in candidates:
-            time = _race(seed + candidate.target.encode())
+            time = _exponential_hash(seed + candidate.target.encode())
             time *= unit_s(candidate.target)
             if time < best_time:
                 best, best_time = candidate, time
@@ -269,11 +271,11 @@
     return float(choice.expected_s / choice.relative_time**share)
 
 
-def _race(seed: bytes) -> float:
+def _exponential_hash(seed: bytes) -> float:
     """Returns a hash with an exponential distribution of mean 1.
 
-    Of several, multiplied by the targets' times, the smallest one is a draw
-    with probabilities in proportion to their speeds.
+    The smallest of several, each times its target's time, is drawn in
+    proportion to speed (weighted rendezvous hashing).
     """
     return -math.log(_uniform(xxhash.xxh3_64_intdigest(seed)))
 
--- a/lycheestall/entry/placement/figure_messages.py
+++ b/lycheestall/entry/placement/figure_messages.py
@@ -21,10 +21,12 @@
 
 MAX_ROWS = 96
 """Largest number of loads, and of speeds, in a message. A collector answers
-each VM of its group twice a second or more; 256 took it 2 ms each."""
+each VM of its group twice a second or more, so messages must stay cheap to
+encode."""
 
 ONE_VM = -1
-"""The group of figures that are about the VM that sends them."""
+"""In place of a group number: figures of the sender alone (a report), or the
+sums of all groups (the reply to one)."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/lycheestall/entry/placement/figures_collector.py
+++ b/lycheestall/entry/placement/figures_collector.py
@@ -95,6 +95,7 @@
             for key, sums in by_key.items():
                 speeds.setdefault(key, SpeedSums()).add(sums)
         loads = [*self._loads_by_vm.values(), *self._loads_by_group.values()]
+        # Only the reply to a report: never passed to ``add``.
         return self._sum_up(ONE_VM, loads, speeds, now, first=first)
 
     def _group_speeds(self, now: float) -> dict[SpeedKey, SpeedSums]:
--- a/lycheestall/entry/placement/figures_reporter.py
+++ b/lycheestall/entry/placement/figures_reporter.py
@@ -26,7 +26,7 @@
 REPORT_TIMEOUT_S = 0.3
 """Timeout of a report; a later reply would be outdated."""
 
-SHUN_S = 10.0
+BACKOFF_S = 10.0
 """Seconds for which a VM that didn't reply isn't asked again: it is lost, or
 of a build that doesn't know the message."""
 
@@ -116,6 +116,9 @@
 
     async def _exchange_with_groups(self, now: float) -> None:
         own_group = self._own_group()
+        if own_group == ONE_VM:
+            # Without a group, the sums would count as one VM's figures.
+            return
         groups = self._members.view().groups
         message = self._collector.group_figures(own_group, now)
         for _ in range(min(GROUPS_PER_REPORT, len(groups) - 1)):
@@ -137,7 +140,7 @@
         )
         if isinstance(reply, ShareFigures):
             return reply
-        until = self._clock.seconds() + SHUN_S
+        until = self._clock.seconds() + BACKOFF_S
         self._shunned_until[member.holder] = until
         return None
 
--- a/lycheestall/entry/placement/service_speeds.py
+++ b/lycheestall/entry/placement/service_speeds.py
@@ -27,14 +27,14 @@
 
 UNEVEN_VARIANCE = 0.04
 """Variance between targets, beyond that of the observations, from which
-their speeds differ: a deviation of a fifth."""
+their speeds differ: a standard deviation of about 20 % of the time."""
 
 CHANCE_FACTOR = 1.5
-"""Multiple of the variance expected by chance that is not counted: with 22
-targets, chance alone seldom makes more."""
+"""Multiple of the variance expected by chance that is subtracted, so that
+equal targets seldom seem to differ."""
 
 EVEN_SHARE = 0.5
-"""Share of that variance below which an uneven service is even again."""
+"""Share of ``UNEVEN_VARIANCE`` below which an uneven service is even again."""
 
 DEFAULT_LOG_UNIT = {
     WorkKind.READ: math.log(1e-5),
--- a/lycheestall/entry/placement/work.py
+++ b/lycheestall/entry/placement/work.py
@@ -16,8 +16,8 @@
     """Kinds of work whose speed differs; the numbers are sent to peers.
 
     Attributes:
-        READ: Reading prompt tokens; the unit is a token.
-        GENERATE: Generating output; the unit is a stream event.
+        READ: Prefill of prompt tokens; the unit is a token.
+        GENERATE: Decoding of output; the unit is a stream event.
         PLAIN: Requests to other services; the unit is the typical time of
             the request's route.
     """
--- a/lycheestall/entry/quotas/program_admission.py
+++ b/lycheestall/entry/quotas/program_admission.py
@@ -1,9 +1,8 @@
-"""Which programs of an account start where it asks for more than its quota.
+"""Admission control for the programs of an account that exceeds its quota.
 
-The load that this answers: an account sends several times its quota. Only
-whole programs count, so a program that is refused half-way wastes what it
-has used. A program starts when the quota carries it beside those that have
-begun; the others are refused at once and told when there is room.
+A program that is refused half-way wastes what it has used. So one starts only
+if the quota has room for it beside those that have begun; others are refused
+at once, with a retry delay after which there should be room.
 """
 
 from __future__ import annotations
@@ -18,7 +17,8 @@
 """Shortest retry delay."""
 
 HONOURED_SHARE = 1 / 3
-"""Share of its remaining time that a caller waits before it retries."""
+"""Callers obey a retry delay up to this share of the time to their deadline; a
+program that was told a longer one gets no place in the order of returns."""
 
 MEMORY_S = 60.0
 """Seconds for which a program that has ended is remembered as begun."""
@@ -31,20 +31,22 @@
 
 MIN_SILENT_S = 0.5
 MAX_SILENT_S = 6.0
+"""Bounds in seconds on the silence after which a program has ended."""
 
 USUAL_GAP_S = 0.5
 USUAL_REQUESTS = 4.0
-"""What programs are taken for before any has been observed."""
+"""Seconds between requests, and requests of a program, that are assumed before
+any is observed."""
 
-USUAL_PROGRAM_S = 5.0
+MIN_OBSERVED_PROGRAM_S = 5.0
 """Least observation in seconds of active programs, so that a few requests at
 once don't count as the usual rate."""
 
 LEARNING_SHARE = 0.05
 """Weight of one observation in the mean."""
 
-MEMORY_RATE_S = 8.0
-"""Time constant in seconds of the requests of an active program."""
+REQUEST_RATE_TIME_CONSTANT_S = 8.0
+"""Time constant of the decaying mean request rate of active programs."""
 
 MAX_HANDED = 500
 """Programs that are handed over to another VM."""
@@ -59,6 +61,8 @@
 
 @dataclass(slots=True)
 class _Program:
+    """When a program was last heard from, and its granted requests."""
+
     seen_at: float
     requests: int = 0
     seen_from_start: bool = True
@@ -80,8 +84,8 @@
         self._return_at: OrderedDict[str, float] = OrderedDict()
         self._last_single_at = float("-inf")
         self._programs_ended = 0
-        self._requests = USUAL_PROGRAM_S / USUAL_GAP_S
-        self._program_s = USUAL_PROGRAM_S
+        self._requests = MIN_OBSERVED_PROGRAM_S / USUAL_GAP_S
+        self._program_s = MIN_OBSERVED_PROGRAM_S
         self._counted_at: float | None = None
 
     @property
@@ -236,12 +240,12 @@
         before = now if self._counted_at is None else self._counted_at
         elapsed_s = max(0.0, now - before)
         self._counted_at = max(now, before)
-        kept = max(0.0, 1.0 - elapsed_s / MEMORY_RATE_S)
+        kept = max(0.0, 1.0 - elapsed_s / REQUEST_RATE_TIME_CONSTANT_S)
         self._requests *= kept
         self._program_s *= kept
         if kept > 0:
             self._program_s += self.active * elapsed_s
-        missing_s = max(0.0, USUAL_PROGRAM_S - self._program_s)
+        missing_s = max(0.0, MIN_OBSERVED_PROGRAM_S - self._program_s)
         self._program_s += missing_s
         self._requests += missing_s / USUAL_GAP_S
 
--- a/lycheestall/entry/quotas/quota_bucket.py
+++ b/lycheestall/entry/quotas/quota_bucket.py
@@ -16,6 +16,8 @@
 
 @dataclass(slots=True)
 class _Grant:
+    """Permits that were granted at one time."""
+
     at: float
     permits: int
 
@@ -65,7 +67,7 @@
         return Slot(taken=True, wait_s=wait_s)
 
     def give_back(self, granted_at: float, permits: int, now: float) -> None:
-        """Takes back permits that were not used.
+        """Cancels permits of a grant; ignored if it is no longer kept.
 
         Args:
             granted_at: When they were granted.
@@ -96,7 +98,7 @@
         self._forget_grants()
 
     def skip(self, until: float) -> None:
-        """Adds nothing for the time until now, which the VM has missed."""
+        """Skips the refill up to a time, since the VM was suspended."""
         self._at = max(self._at, until)
         self._forget_grants()
 
--- a/lycheestall/entry/quotas/quota_decisions.py
+++ b/lycheestall/entry/quotas/quota_decisions.py
@@ -34,8 +34,8 @@
 __all__ = ["QuotaDecisions"]
 
 MISSED_S = 1.0
-"""Gap between two calls after which the VM was suspended; a VM that is only
-busy calls more often."""
+"""Time between two calls of ``advance`` from which the VM counts as suspended;
+a VM that is only busy calls more often."""
 
 FIRST_START_S = 10.0
 """Seconds after the first start of the whole system in which a new decider
@@ -46,7 +46,8 @@
 learns of the members at about the same time."""
 
 PREPARED = 10
-"""Accounts in one call of ``prepare``."""
+"""Accounts in one call of ``prepare``; ranking the members for one takes
+milliseconds in a large system."""
 
 UNREACHABLE_RETRY_S = 0.5
 """Retry delay for callers when no deciding VM is reached; the caller should
@@ -140,8 +141,8 @@
 
     def use_own_share(self, message: AskQuota, now: float) -> QuotaAnswer:
         """Decides on a request of this VM, which reaches no decider."""
-        # The members that decide need none, so the ones after them have one;
-        # the ranking ends with them.
+        # Only the members ranked after the deciding ones have a share of their
+        # own; the ranking lists no others.
         rank = self._ranking.rank_of(message.account, self._holder)
         entitled = rank is not None and rank >= DECIDERS
 
--- a/lycheestall/entry/quotas/quota_leases.py
+++ b/lycheestall/entry/quotas/quota_leases.py
@@ -25,12 +25,12 @@
 
 
 class Lease(Enum):
-    """What the first VM knows of the second one.
+    """State of the first VM's lease, which the second one grants.
 
     Attributes:
-        NEVER: It has not confirmed anything; another VM may be deciding.
-        VALID: It grants nothing.
-        LAPSED: It may grant its half.
+        NEVER: Never granted; another VM may be deciding.
+        VALID: The second VM grants no permits.
+        LAPSED: Expired; the second VM may grant its half.
     """
 
     NEVER = "never"
@@ -40,6 +40,8 @@
 
 @dataclass(frozen=True, slots=True)
 class _Hold:
+    """A lease granted to the first VM, and when it expires."""
+
     holder: HolderId
     until: float
 
@@ -53,7 +55,7 @@
         self._hold_by_account: dict[AccountId, _Hold] = {}
 
     def take_due(self, account: AccountId, now: float) -> bool:
-        """Returns whether to ask for a confirmation, and notes that."""
+        """Returns whether to renew the lease; if so, starts the interval."""
         asked_at = self._asked_at.get(account, float("-inf"))
         if now - asked_at < HOLD_INTERVAL_S:
             return False
@@ -73,19 +75,19 @@
         return Lease.VALID if now < until else Lease.LAPSED
 
     def hold(self, account: AccountId, holder: HolderId, now: float) -> None:
-        """Promises the first VM to grant nothing for a while."""
+        """Grants the first VM a lease; this VM grants no permits then."""
         self._valid_until.pop(account, None)
         self._hold_by_account[account] = _Hold(holder, now + LEASE_S)
 
     def is_held(self, account: AccountId, now: float) -> bool:
-        """Returns whether a promise is in force."""
+        """Returns whether a lease of the first VM is valid."""
         hold = self._hold_by_account.get(account)
         return hold is not None and now < hold.until
 
     def has_lapsed(
         self, account: AccountId, first: HolderId, now: float
     ) -> bool:
-        """Returns whether a promise to the first VM was in force once."""
+        """Returns whether the lease that the first VM had has expired."""
         hold = self._hold_by_account.get(account)
         return hold is not None and hold.holder == first and now >= hold.until
 
--- a/lycheestall/entry/quotas/quota_service.py
+++ b/lycheestall/entry/quotas/quota_service.py
@@ -46,7 +46,8 @@
 """Timeout of a call to a deciding VM."""
 
 FORWARD_TIMEOUT_S = 0.1
-"""Timeout of the stand-in's own call to the first VM."""
+"""Timeout of the stand-in's own call to the first VM; shorter than
+``ASK_TIMEOUT_S``, so that the stand-in can still reply in time."""
 
 HOLD_TIMEOUT_S = 0.3
 """Timeout of a call for a confirmation."""
@@ -170,7 +171,7 @@
         return Understood()
 
     async def step(self) -> None:
-        """Notes the time and sends the permits to be given back."""
+        """Notes suspensions, renews leases and returns unused permits."""
         now = self._clock.seconds()
         self._decisions.advance(now)
         self._decisions.prepare(now)
@@ -219,10 +220,11 @@
             self._silent_until.pop(member.holder, None)
             return reply
         if self._is_silent(member):
+            # A concurrent call has already logged that.
             return None
         self._silent_until[member.holder] = self._clock.seconds() + SILENT_S
         self._logger.warning(
-            "no decision on an account's quota",
+            "deciding VM of a quota did not reply",
             account=message.account,
             decider=member.holder,
         )
--- a/lycheestall/entry/request_processor.py
+++ b/lycheestall/entry/request_processor.py
@@ -86,6 +86,7 @@
         self._budget = TurnBudget(
             deps.reservations, deps.clock, metadata, service, turn=turn
         )
+        # Empty for anonymous requests; None where there are no accounts.
         owner = None if account is None else str(account.account)
         self._turn = KeptTurn(
             deps,
@@ -221,7 +222,11 @@
             self._budget.settle(self._final.events_sent)
 
     async def _acquire_quota(self) -> bool:
-        """Returns whether the request may go on; otherwise it has ended."""
+        """Gets a permit and waits until it is valid, or ends the request.
+
+        Returns:
+            Whether the request may go on.
+        """
         may_have_run = self._history.may_have_run
         denied = await self._quota.acquire(may_have_run=may_have_run)
         delay_s = self._quota.delay_s
--- a/lycheestall/entry/request_router.py
+++ b/lycheestall/entry/request_router.py
@@ -34,14 +34,14 @@
 
 
 class RequestRouter:
-    """Finds the route and account of each request, starts its processing.
+    """Finds each request's route and account, and starts its processing.
 
     Args:
         deps: Dependencies shared by all requests.
         configuration: The configuration in force.
         authenticator: Decides to which account a request belongs.
-        newer_configuration: Asks peers for a newer configuration, before a
-            request is refused that this one may not allow.
+        newer_configuration: Asks peers for a newer configuration before a
+            request is refused because this one may be outdated.
         loaded: Returns whether all state that requests need has been read.
         logger: Receives unexpected errors.
 
