--- a/lycheestall/entry/attempt_timeouts.py
+++ b/lycheestall/entry/attempt_timeouts.py
@@ -51,7 +51,7 @@
     Retries are limited by a budget that responses replenish: when all
     targets are slow, the budget runs out and requests keep waiting.
 
-    A slow machine gets more time. A fast one gets less while the targets are
+    A slow target gets more time. A fast one gets less while the targets are
     not under load; such early retries have a smaller budget of their own.
 
     Args:
--- a/lycheestall/entry/placement/completion_chooser.py
+++ b/lycheestall/entry/placement/completion_chooser.py
@@ -245,7 +245,7 @@
     def _recent_delay(
         self, target: TargetId, speeds: ServiceSpeeds, now: float
     ) -> float:
-        # Recent responses of a slow machine are late by as much as it is
+        # Recent responses of a slow target are late by as much as it is
         # slow; only what goes beyond is a moment of slowness or a queue.
         excess = self._latencies.excess(target, now)
         return math.exp(max(0.0, excess - max(0.0, speeds.relative(target))))
--- a/lycheestall/entry/placement/service_states.py
+++ b/lycheestall/entry/placement/service_states.py
@@ -25,7 +25,7 @@
 
 REFRESH_S = 1.0
 """Time after which the speeds of a service are compared again: the speed of
-a machine lasts, and a comparison costs as much as several choices."""
+a target lasts, and a comparison costs as much as several choices."""
 
 REFRESH_S_PER_TARGET = 0.002
 """The same for each target, so that large services cost no more."""
--- a/lycheestall/entry/placement/speed_estimates.py
+++ b/lycheestall/entry/placement/speed_estimates.py
@@ -13,11 +13,11 @@
 __all__ = ["SpeedEstimates", "SpeedKey", "SpeedSums"]
 
 TIME_CONSTANT_S = 40.0
-"""Time constant of the decay of observations: the speed of a machine lasts."""
+"""Time constant of the decay of observations: the speed of a target lasts."""
 
 MOMENT_S = 0.6
 """Length of a moment of slowness. All observations of a target within it
-weigh as much as one, so that a moment doesn't pass for a slow machine."""
+weigh as much as one, so that a moment doesn't pass for a slow target."""
 
 CLIP_LOG = 0.5
 """Largest distance from the mean at which an observation counts, as a
@@ -111,7 +111,7 @@
 class SpeedEstimates:
     """Decaying estimates by target and kind of work.
 
-    A moment of slowness is told from a slow machine by its duration:
+    A moment of slowness is told from a slow target by its duration:
     observations of the same moment share the weight of one, and a single
     observation moves a known mean by a bounded step.
     """
