Show a safe request refused for good after a few lost answers

Cause: a reset of a connection counts as a crash of the server. The count is kept by method, path and body over all callers, never expires and is read from the ledger again after a restart; three of them block the request everywhere.

Nothing outside of review/ is changed.

--- a/review/lab/deployment.py
+++ b/review/lab/deployment.py
@@ -128,7 +128,7 @@
             "X-Model": "m",
         }
         answer = await send(
-            machine.front, "POST", "/lohu930/2f", headers, b"x" * 200
+            machine.front, "POST", "/lohu930/2f", headers, request.encode() * 9
         )
         text = f"{answer.events} events"
         if answer.status != 200:
@@ -155,6 +155,25 @@
         self.note(f"{request} at {machine.name}: {answer.status} {text}")
         return answer
 
+    async def order(self, machine: Machine) -> tuple[str, Answer]:
+        """Sends an unsafe request of a new program and records its answer."""
+        self._requests += 1
+        request = f"order-{self._requests:05d}"
+        headers = {
+            "Host": HOST,
+            "X-Request-Id": request,
+            "X-Program-Id": f"{self._requests:06x}",
+            "X-Session-Id": f"{self._requests:05x}a",
+            "X-Finish-Ms": "5200",
+        }
+        body = f"order {request}".encode()
+        answer = await send(
+            machine.front, "POST", "/puxa403/2f", headers, body, limit_s=6.0
+        )
+        text = answer.body.decode(errors="replace").strip()
+        self.note(f"{request} at {machine.name}: {answer.status} {text}")
+        return request, answer
+
     def silence_store(self) -> None:
         """Makes the store silent towards all machines."""
         self.store.silent |= {m.store_port for m in self.machines}
--- a/review/lab/servers.py
+++ b/review/lab/servers.py
@@ -12,6 +12,9 @@
 from review.lab.store import Store
 from review.lab.wire import Message, encode_response, read_request
 
+SECOND_ANSWER = encode_response(503, {"X-Not-Executed": "1"})
+"""A second answer, as servers answer when they shed a request."""
+
 
 @dataclass(frozen=True)
 class Run:
@@ -39,13 +42,17 @@
         version: Version of its software.
         events: Events of a stream.
         gap_s: Seconds before each event, or before a plain answer.
+        places: Requests that it takes at a time; None for any number.
         on_run: Called with each request that it runs.
 
     Attributes:
         runs: The requests that it has begun to run.
         extra_headers: Further headers of its answers.
-        lose_each: One in so many plain answers is lost by a reset; None for
+        lose_each: One in so many answers is lost by a reset; None for
             no loss.
+        extra_each: After one in so many plain answers a second one comes,
+            late, where the next answer on the channel is expected; None for
+            no such answer.
     """
 
     def __init__(
@@ -58,6 +65,7 @@
         version: str = "v1",
         events: int = 20,
         gap_s: float = 0.005,
+        places: int | None = None,
         on_run: Callable[[Run], None] = lambda _: None,
     ) -> None:
         self.name = name
@@ -67,10 +75,13 @@
         self.version = version
         self.events = events
         self.gap_s = gap_s
+        self._places = places
+        self._running = 0
         self._on_run = on_run
         self.runs: list[Run] = []
         self.extra_headers: dict[str, str] = {}
         self.lose_each: int | None = None
+        self.extra_each: int | None = None
         self._server: asyncio.Server | None = None
         self._address = ""
 
@@ -104,10 +115,15 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        second_due = False
         try:
             while (request := await read_request(reader)) is not None:
+                if second_due:
+                    writer.write(SECOND_ANSWER)
                 await self._handle(request, writer)
                 await writer.drain()
+                each = self.extra_each
+                second_due = bool(each) and len(self.runs) % each == 0
         except (ConnectionError, asyncio.CancelledError):
             return
         finally:
@@ -123,6 +139,19 @@
         if request.headers.get("x-expect-instance", self.name) != self.name:
             writer.write(encode_response(421, {"X-Instance-Id": self.name}))
             return
+        if self._places is not None and self._running >= self._places:
+            headers = {"X-Request-Id": request_id, "X-Not-Executed": "1"}
+            writer.write(encode_response(503, headers))
+            return
+        self._running += 1
+        try:
+            await self._run(request, request_id, writer)
+        finally:
+            self._running -= 1
+
+    async def _run(
+        self, request: Message, request_id: str, writer: asyncio.StreamWriter
+    ) -> None:
         run = Run(request_id, self.name, asyncio.get_running_loop().time())
         self.runs.append(run)
         self._on_run(run)
@@ -131,11 +160,12 @@
             "X-Response-Seal": f"seal-{request_id}",
             **self.extra_headers,
         }
-        if self.events:
+        lost = self.lose_each and len(self.runs) % self.lose_each == 0
+        if self.events and not lost:
             await self._stream(request, writer, headers)
             return
         await asyncio.sleep(self.gap_s)
-        if self.lose_each and len(self.runs) % self.lose_each == 0:
+        if lost:
             _reset(writer)
             raise ConnectionResetError("the answer is lost")
         body = f"{request_id} {self.name}".encode()
