Let each case read TROUBLE and write its record itself

Cause: both stood in review/lab only, so the folder of a case didn't show them. Besides, an error in a script or a module that can't be loaded would have ended with 1, as if the rule were broken.

The record begins with whether the disruption takes place and ends with the result. A case that has not ended after 110 s counts as not run and ends its processes. What is played and the bounds are unchanged.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import signal
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -185,4 +186,9 @@
 
 
 if __name__ == "__main__":
-    run_case(Path(__file__).resolve().parent, play, deployments=DEPLOYMENTS)
+    run_case(
+        play,
+        Path(__file__).with_name("record.txt").open("w"),
+        trouble=os.environ.get("TROUBLE", "1") != "0",
+        deployments=DEPLOYMENTS,
+    )
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 from pathlib import Path
 
 from review.lab.callers import Answer
@@ -74,4 +75,8 @@
 
 
 if __name__ == "__main__":
-    run_case(Path(__file__).resolve().parent, play)
+    run_case(
+        play,
+        Path(__file__).with_name("record.txt").open("w"),
+        trouble=os.environ.get("TROUBLE", "1") != "0",
+    )
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 from pathlib import Path
 
 from review.lab.deployment import TURN_TOKENS, Deployment, run_case
@@ -117,4 +118,8 @@
 
 
 if __name__ == "__main__":
-    run_case(Path(__file__).resolve().parent, play)
+    run_case(
+        play,
+        Path(__file__).with_name("record.txt").open("w"),
+        trouble=os.environ.get("TROUBLE", "1") != "0",
+    )
--- a/review/lab/deployment.py
+++ b/review/lab/deployment.py
@@ -7,8 +7,10 @@
 import os
 import sys
 import tempfile
+import time
 from collections.abc import Awaitable, Callable
 from pathlib import Path
+from typing import TextIO
 
 from review.lab.callers import Answer, send
 from review.lab.machines import Machine, create_machines
@@ -24,14 +26,22 @@
 ZONES = ["bhuj-a", "bhuj-b", "anjar-c"]
 
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+RESULTS = (
+    "the rule was kept",
+    "the rule was broken",
+    "the case could not run",
+)
+LIMIT_S = 110.0
+"""Seconds after which a case that has not ended counts as not run."""
 
 
 class Deployment:
     """The store, the servers, the machines and the record of a case.
 
     Args:
-        case: Folder of the case, which receives ``record.txt``.
+        record: Receives what was sent, answered and run.
         folder: Temporary folder for settings and logs.
+        trouble: Whether the disruption takes place.
 
     Attributes:
         trouble: Whether the disruption takes place.
@@ -40,13 +50,13 @@
         servers: The servers.
     """
 
-    def __init__(self, case: Path, folder: Path) -> None:
-        self.trouble = os.environ.get("TROUBLE", "1") != "0"
+    def __init__(self, record: TextIO, folder: Path, *, trouble: bool) -> None:
+        self.trouble = trouble
         self.store = Store()
         self.machines: list[Machine] = []
         self.servers: list[Server] = []
         self._folder = folder
-        self._record = (case / "record.txt").open("a")
+        self._record = record
         self._started_at = asyncio.get_running_loop().time()
         self._version = 0
         self._requests = 0
@@ -172,41 +182,51 @@
         for server in self.servers:
             server.stop()
         self.store.close()
-        self._record.close()
 
 
 def run_case(
-    case: Path,
     play: Callable[[Deployment], Awaitable[bool]],
+    record: TextIO,
     *,
+    trouble: bool,
     deployments: int = 1,
 ) -> None:
     """Plays a case and exits with its result.
 
     Args:
-        case: Folder of the case.
         play: Plays it; returns whether the rule was kept.
+        record: Receives what was sent, answered and run, and the result.
+        trouble: Whether the disruption takes place.
         deployments: Number of deployments on which it is played, one after
             the other, as long as the rule is kept.
     """
-    (case / "record.txt").write_text("")
+    deadline = time.monotonic() + LIMIT_S
+    record.write(f"the disruption takes place: {trouble}\n")
     result = NOT_RUN
     for _ in range(deployments):
-        result = asyncio.run(_run(case, play))
+        left_s = deadline - time.monotonic()
+        result = asyncio.run(_run(play, record, trouble, left_s))
         if result != HELD:
             break
+    record.write(f"{RESULTS[result]}\n")
+    record.close()
     sys.exit(result)
 
 
 async def _run(
-    case: Path, play: Callable[[Deployment], Awaitable[bool]]
+    play: Callable[[Deployment], Awaitable[bool]],
+    record: TextIO,
+    trouble: bool,
+    limit_s: float,
 ) -> int:
     with tempfile.TemporaryDirectory() as folder:
-        deployment = Deployment(case, Path(folder))
+        deployment = Deployment(record, Path(folder), trouble=trouble)
         try:
-            held = await play(deployment)
+            async with asyncio.timeout(limit_s):
+                held = await play(deployment)
             result = HELD if held else BROKEN
-        except (OSError, TimeoutError, RuntimeError) as error:
+        except Exception as error:
+            # Whatever goes wrong in the script breaks no rule.
             deployment.note(f"the case could not run: {error!r}")
             result = NOT_RUN
         finally:
