End a case's processes also when it is stopped from outside

Cause: a SIGTERM to a case ended its script at once; the machines that it had started then stopped by themselves, some seconds later.

Done: SIGTERM cancels the case, which ends all of its processes.

--- a/review/lab/deployment.py
+++ b/review/lab/deployment.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import os
+import signal
 import sys
 import tempfile
 import time
@@ -219,6 +220,10 @@
     trouble: bool,
     limit_s: float,
 ) -> int:
+    task = asyncio.current_task()
+    assert task is not None
+    # A case that is stopped from outside ends its processes as well.
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     with tempfile.TemporaryDirectory() as folder:
         deployment = Deployment(record, Path(folder), trouble=trouble)
         try:
