--- a/lycheestall/entry/decision_log.py
+++ b/lycheestall/entry/decision_log.py
@@ -29,11 +29,11 @@
 from .placement.choice import Choice
 from .quotas.quota_log import QuotaLog
 from .retry_policy import NextStep
-from .software_versions import VersionKnowledge
 from .target_links import LinkContact, LinkSummary
 from .target_table import TargetRegistration
 from .token_ledger import HolderId
 from .turn_log import TurnLog
+from .versions.software_versions import VersionKnowledge
 
 __all__ = ["DecisionContext", "DecisionLog"]
 
--- a/lycheestall/entry/origin_search.py
+++ b/lycheestall/entry/origin_search.py
@@ -15,8 +15,8 @@
 from .members import Member
 from .origin_messages import FindStreamOrigin, FoundStreamOrigin
 from .peer_rpc import PeerClient, call_all
-from .software_versions import RecentVersions
 from .stream_origins import UNNAMED_STREAM, StreamKey, StreamOrigin
+from .versions.software_versions import RecentVersions
 
 __all__ = ["OriginLookup", "OriginSearch", "OriginSource"]
 
--- a/lycheestall/entry/stream_origin_service.py
+++ b/lycheestall/entry/stream_origin_service.py
@@ -22,11 +22,6 @@
 from .origin_search import OriginLookup, OriginSearch, OriginSource
 from .peer_messages import PeerMessage, PeerReply, Understood
 from .peer_rpc import PeerClient
-from .software_versions import (
-    RECORDED_S,
-    RecentVersions,
-    SoftwareVersions,
-)
 from .store import Store
 from .stream_origins import (
     UNNAMED_STREAM,
@@ -37,6 +32,11 @@
 )
 from .target_table import TargetRegistration, TargetTable
 from .token_ledger import HolderId
+from .versions.software_versions import (
+    RECORDED_S,
+    RecentVersions,
+    SoftwareVersions,
+)
 
 __all__ = ["StreamOriginService"]
 
--- a/lycheestall/entry/target_service.py
+++ b/lycheestall/entry/target_service.py
@@ -35,7 +35,7 @@
 from .target_limits import TargetLimits
 from .target_table import TargetTable
 from .token_ledger import HolderId
-from .version_register import VersionRegister
+from .versions.version_register import VersionRegister
 
 __all__ = ["TargetService"]
 
--- /dev/null
+++ b/lycheestall/entry/versions/__init__.py
@@ -0,0 +1,1 @@
+"""Which software versions the targets of each service run and have run."""
--- a/lycheestall/entry/software_versions.py
+++ b/lycheestall/entry/versions/software_versions.py
@@ -6,9 +6,9 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from ..ids import SoftwareVersion
-from .configuration import ServiceId
-from .target_table import TargetTable
+from ...ids import SoftwareVersion
+from ..configuration import ServiceId
+from ..target_table import TargetTable
 
 __all__ = [
     "RECORDED_S",
--- a/lycheestall/entry/version_records.py
+++ b/lycheestall/entry/versions/version_records.py
@@ -7,10 +7,10 @@
 import cbor2
 import xxhash
 
-from ..ids import SoftwareVersion
-from .configuration import ServiceId
-from .record_decoder import UnreadableRecord
-from .store import KeyedRecord, KeyedWrite
+from ...ids import SoftwareVersion
+from ..configuration import ServiceId
+from ..record_decoder import UnreadableRecord
+from ..store import KeyedRecord, KeyedWrite
 
 __all__ = [
     "RecordedVersion",
--- a/lycheestall/entry/version_register.py
+++ b/lycheestall/entry/versions/version_register.py
@@ -4,15 +4,15 @@
 
 from collections.abc import Iterable
 
-from ..clock import Clock
-from ..logs import Logger
-from ..rendezvous import rendezvous
-from .configuration import ServiceId
-from .members import Members
-from .record_decoder import UnreadableRecord
+from ...clock import Clock
+from ...logs import Logger
+from ...rendezvous import rendezvous
+from ..configuration import ServiceId
+from ..members import Members
+from ..record_decoder import UnreadableRecord
+from ..store import Appended, KeyedRecord, NewestPage, Store, Topic
+from ..token_ledger import HolderId
 from .software_versions import RECORDED_S, SoftwareVersions
-from .store import Appended, KeyedRecord, NewestPage, Store, Topic
-from .token_ledger import HolderId
 from .version_records import (
     RecordedVersion,
     decode_version,
--- a/tests/entry/test_software_versions.py
+++ b/tests/entry/test_software_versions.py
@@ -6,11 +6,11 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from lycheestall.entry.configuration import ServiceId
-from lycheestall.entry.software_versions import (
+from lycheestall.entry.target_table import TargetRegistration, TargetTable
+from lycheestall.entry.versions.software_versions import (
     RecentVersions,
     SoftwareVersions,
 )
-from lycheestall.entry.target_table import TargetRegistration, TargetTable
 from lycheestall.ids import SoftwareVersion, TargetId, ZoneId
 
 SERVICE = ServiceId("engines")
--- a/tests/entry/test_version_register.py
+++ b/tests/entry/test_version_register.py
@@ -9,14 +9,14 @@
 
 from lycheestall.entry.configuration import ServiceId
 from lycheestall.entry.record_decoder import UnreadableRecord
-from lycheestall.entry.software_versions import RECORDED_S
 from lycheestall.entry.store import KeyedRecord, KeyedWrite, Topic
-from lycheestall.entry.version_records import (
+from lycheestall.entry.versions.software_versions import RECORDED_S
+from lycheestall.entry.versions.version_records import (
     RecordedVersion,
     decode_version,
     encode_version,
 )
-from lycheestall.entry.version_register import ESTABLISHED_S
+from lycheestall.entry.versions.version_register import ESTABLISHED_S
 from lycheestall.ids import Offset, SoftwareVersion
 from tests.entry.entry_vm_harness import status_of
 from tests.entry.fleet import Fleet
