Record a software version before streams begin at it

Callers saw: streams that began at a new version of a target's software and went on, answered 200, at the old one (ORDER), after all VMs had been killed just as the new version came and left. Cause: VMs used a version as soon as they read its registration; the chosen VM wrote its record at its next step, up to 0.25 s later. When all VMs died in between, the records of the service lacked the version, were taken for complete, and made the other one the only one possible. Why this works: a record precedes the first stream, so no loss of VMs can leave a used version without one. A service without records is not affected, since nobody takes its records for complete.

--- a/lycheestall/entry/entry_vm.py
+++ b/lycheestall/entry/entry_vm.py
@@ -179,6 +179,7 @@
         self._targets_reader = TargetsReader(
             view=self._view,
             stream_origins=self._targets.stream_origins,
+            version_register=self._targets.version_register,
             drain_s=settings.drain_s,
             logger=logger,
         )
@@ -245,6 +246,7 @@
             link_monitor=self._links.monitor,
             relay=self._links.client,
             stream_origins=self._targets.stream_origins,
+            withheld_targets=self._targets.withheld,
             announcements=self._targets.announcements,
             reservations=self.token_service.reservations,
             crash_reporter=self._crash_reporter,
@@ -294,6 +296,8 @@
     @property
     def loaded(self) -> bool:
         """Whether all state that requests need has been read."""
+        if not self._targets.version_register.tried:
+            return False
         return self._view.loaded and self.token_service.loaded
 
     def start(self) -> None:
--- a/lycheestall/entry/request_dependencies.py
+++ b/lycheestall/entry/request_dependencies.py
@@ -21,6 +21,7 @@
 from .target_announcements import TargetAnnouncements
 from .target_table import TargetRegistration, TargetTable
 from .turn_reservations import TurnReservations
+from .versions.withheld_targets import WithheldTargets
 
 __all__ = ["RequestDependencies"]
 
@@ -40,6 +41,8 @@
         link_monitor: Knows which of them this VM reaches itself.
         relay: Has attempts sent by peers that reach others.
         stream_origins: Knows which software versions began streams.
+        withheld_targets: Knows which targets must not begin resumable streams
+            yet.
         announcements: Takes note of what targets say about themselves.
         reservations: Reserves and settles the tokens of turns.
         crash_reporter: Reports requests whose targets crash while running
@@ -63,6 +66,7 @@
     link_monitor: LinkMonitor
     relay: RelayClient
     stream_origins: StreamOriginService
+    withheld_targets: WithheldTargets
     announcements: TargetAnnouncements
     reservations: TurnReservations
     crash_reporter: CrashReporter
--- a/lycheestall/entry/stream_version.py
+++ b/lycheestall/entry/stream_version.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from ..ids import SoftwareVersion
+from collections.abc import Set
+
+from ..ids import SoftwareVersion, TargetId
 from .configuration import RetrySafety, Route, ServiceId
 from .message_metadata import RequestMetadata
 from .request_dependencies import RequestDependencies
@@ -104,6 +106,12 @@
         """Notes that the caller has received the whole stream."""
         self._deps.stream_origins.ended(self._metadata.request_id)
 
+    def withheld(self) -> Set[TargetId]:
+        """Returns the targets that must not begin the request's stream."""
+        if not self._resumable or self.required is not None:
+            return frozenset()
+        return self._deps.withheld_targets.of_service(self._service_id)
+
     def allows(self, registration: TargetRegistration) -> bool:
         """Returns whether a target may run the request."""
         return self.required in (None, registration.software_version)
--- a/lycheestall/entry/target_admission.py
+++ b/lycheestall/entry/target_admission.py
@@ -102,7 +102,7 @@
         Args:
             excluding: A target that doesn't count.
         """
-        avoid = self._history.excluded | self._permits.denied().keys()
+        avoid = self._avoided() | self._permits.denied().keys()
         if excluding is not None:
             avoid = avoid | {excluding.target}
         return self._chooser.can_choose(
@@ -197,16 +197,24 @@
     def _first_free(
         self, denied: Mapping[TargetId, PermitDenied]
     ) -> TargetId | None:
+        avoided = self._avoided()
         limited = [
             registration.target
             for registration in self._table.usable(
                 self._service_id, self._stream_version.required
             )
             if registration.target in denied
-            and registration.target not in self._history.excluded
+            and registration.target not in avoided
         ]
         return min(limited, key=lambda t: denied[t].until, default=None)
 
+    def _avoided(self) -> Set[TargetId]:
+        """Returns the targets that must not run the next attempt."""
+        withheld = self._stream_version.withheld()
+        if not withheld:
+            return self._history.excluded
+        return self._history.excluded | withheld
+
     def _choose(
         self, at_limit: Set[TargetId], *, is_new_attempt: bool
     ) -> TargetRegistration | None:
@@ -214,7 +222,7 @@
             self._service_id,
             affinity=self._affinity,
             tie_break=self._metadata.request_id,
-            avoid=self._history.excluded,
+            avoid=self._avoided(),
             now=self._clock.seconds(),
             at_limit=at_limit,
             software_version=self._stream_version.required,
--- a/lycheestall/entry/target_service.py
+++ b/lycheestall/entry/target_service.py
@@ -36,6 +36,7 @@
 from .target_table import TargetTable
 from .token_ledger import HolderId
 from .versions.version_register import VersionRegister
+from .versions.withheld_targets import WithheldTargets
 
 __all__ = ["TargetService"]
 
@@ -66,6 +67,7 @@
         permits: Keeps to the limits that targets name.
         stream_origins: Remembers which software versions began streams.
         version_register: Keeps in the store which versions there are.
+        withheld: Knows which targets must not begin resumable streams yet.
     """
 
     def __init__(
@@ -113,6 +115,9 @@
             clock=clock,
             logger=logger,
         )
+        self.withheld = WithheldTargets(
+            self.table, self.version_register, clock
+        )
         deciders = PermitDeciders(members)
         self.permits = PermitService(
             holder=holder,
@@ -183,6 +188,11 @@
             len(self._limits.limited()),
             description="Targets that name a request limit.",
         )
+        self._metrics.set_gauge(
+            "withheld_targets",
+            self.withheld.count(),
+            description="Targets whose software version awaits its record.",
+        )
         set_placement_gauges(
             self._metrics, self.chooser, self._clock.seconds()
         )
--- a/lycheestall/entry/targets_reader.py
+++ b/lycheestall/entry/targets_reader.py
@@ -8,6 +8,7 @@
 from .shared_read import SharedRead
 from .store_view import StoreView
 from .stream_origin_service import StreamOriginService
+from .versions.version_register import VersionRegister
 
 __all__ = ["TargetsReader", "current_s"]
 
@@ -38,6 +39,7 @@
     Args:
         view: Holds the registrations.
         stream_origins: Learns of each read.
+        version_register: Records the versions that a read brings.
         drain_s: Seconds for which a draining target still takes requests.
         logger: Receives reads that end with an exception.
 
@@ -50,11 +52,13 @@
         *,
         view: StoreView,
         stream_origins: StreamOriginService,
+        version_register: VersionRegister,
         drain_s: float,
         logger: Logger,
     ) -> None:
         self._view = view
         self._stream_origins = stream_origins
+        self._version_register = version_register
         self.interval_s = drain_s * POLL_SHARE
         self._reads = SharedRead(self._read, logger)
 
@@ -78,3 +82,4 @@
         self._stream_origins.observe_targets(
             self._view.targets_read_at, listed_at=self._view.targets_listed_at
         )
+        self._version_register.notice_versions()
--- a/lycheestall/entry/versions/software_versions.py
+++ b/lycheestall/entry/versions/software_versions.py
@@ -128,6 +128,10 @@
         seen_at = self._seen_at.setdefault(service, {})
         seen_at[version] = max(at, seen_at.get(version, -math.inf))
 
+    def registered(self) -> set[tuple[ServiceId, SoftwareVersion]]:
+        """Returns the services' versions that targets ran at the last read."""
+        return self._registered
+
     def mark_complete(self, service: ServiceId) -> None:
         """Notes that the records named all versions before the listing.
 
--- a/lycheestall/entry/versions/version_register.py
+++ b/lycheestall/entry/versions/version_register.py
@@ -4,7 +4,10 @@
 
 from collections.abc import Iterable
 
+from twisted.internet.defer import ensureDeferred
+
 from ...clock import Clock
+from ...ids import SoftwareVersion
 from ...logs import Logger
 from ...rendezvous import rendezvous
 from ..configuration import ServiceId
@@ -26,7 +29,7 @@
 """Seconds for which a VM has followed the targets before it writes the first
 record of a service: then it knows all versions that can have begun streams."""
 
-OTHERS_DELAY_S = 1.0
+OTHERS_DELAY_S = 0.5
 """Seconds after which a version is recorded by a VM that is not the one
 chosen for it, which may be gone."""
 
@@ -41,7 +44,10 @@
     records tell it of those that have left while it was down, even if no VM
     is left that has seen them. They change only when versions come or go. That
     a service has records means that all its versions have: the first ones are
-    written by a VM that has followed the targets for long.
+    written by a VM that has followed the targets for long, and a version that
+    comes later begins no resumable stream before it is recorded. Otherwise
+    the loss of all VMs just after its first stream would leave records that
+    deny it.
 
     Args:
         holder: This VM.
@@ -52,6 +58,10 @@
             current.
         clock: Tells the time.
         logger: Receives changes and unreadable records.
+
+    Attributes:
+        tried: Whether the records have been asked for since the start.
+        revision: Changes whenever other versions may be used.
     """
 
     def __init__(
@@ -73,32 +83,107 @@
         self._clock = clock
         self._logger = logger
         self._recorded: set[RecordedVersion] = set()
+        self._confirmed: set[RecordedVersion] = set()
+        self._unestablished: set[RecordedVersion] = set()
         self._noticed_at: dict[RecordedVersion, float] = {}
         self._loaded_for: float | None = None
         self._all_readable = True
         self._retry_at = 0.0
+        self._stepping = False
+        self.tried = False
+        self.revision = 0
 
     async def step(self) -> None:
         """Loads the records if necessary and brings them up to date.
 
-        Nothing happens before this VM has read the targets and the members.
+        Nothing happens before this VM has read the targets, and nothing is
+        written before it knows the members.
         """
         now = self._clock.seconds()
         if (
-            self._versions.read_age_s(now) > self._current_s
+            self._stepping
+            or self._versions.read_age_s(now) > self._current_s
             or now < self._retry_at
         ):
             return
-        if not self._members.all():
+        self._stepping = True
+        try:
+            await self._bring_up_to_date()
+        finally:
+            self._stepping = False
+            self.tried = True
+
+    def is_usable(self, service: ServiceId, version: SoftwareVersion) -> bool:
+        """Returns whether targets of a version may begin resumable streams.
+
+        They may if the store names the version, or if it named no version of
+        the service after this one came: then no VM that starts takes the
+        records for complete.
+
+        Args:
+            service: The service.
+            version: A version of it.
+        """
+        one = RecordedVersion(service, version)
+        return one in self._confirmed or one in self._unestablished
+
+    def unusable_since(
+        self, service: ServiceId, version: SoftwareVersion
+    ) -> float:
+        """Returns since when a version has been waiting for its record.
+
+        Args:
+            service: The service.
+            version: A version of it that may not be used yet.
+        """
+        return self._notice(RecordedVersion(service, version))
+
+    def notice_versions(self) -> None:
+        """Brings the records up to date at once if a version may not be used.
+
+        This is to be called after each read of the targets.
+        """
+        if self._stepping or not self._unusable():
             return
+        step = ensureDeferred(self.step())
+        step.addErrback(
+            lambda failure: self._logger.error(
+                "recording software versions failed",
+                error=failure.getTraceback(),
+            )
+        )
+
+    async def _bring_up_to_date(self) -> None:
         loaded = self._loaded_for == self._versions.listed_at
         if not loaded and not await self._load():
             return
+        self._forget_absent()
+        if not self._members.all():
+            return
         await self._record_new()
         await self._delete_old()
 
+    def _forget_absent(self) -> None:
+        """Forgets that versions are recorded which have been away for long.
+
+        Their records may be deleted; if they come back, the records are read
+        again.
+        """
+        now = self._clock.seconds()
+        present = {
+            RecordedVersion(service, version)
+            for service, version in self._versions.seen_within(
+                RECORDED_S / 2, now
+            )
+        }
+        if not self._confirmed <= present:
+            self._confirmed &= present
+            self.revision += 1
+
     async def _load(self) -> bool:
         listed_at = self._versions.listed_at
+        now = self._clock.seconds()
+        seen = self._versions.seen_within(RECORDED_S / 2, now)
         records = await self._list()
         if records is None:
             return False
@@ -111,6 +196,7 @@
         self._recorded = known
         self._loaded_for = listed_at
         self._all_readable = not unreadable
+        self._note_usable(seen)
         if unreadable:
             self._logger.warning(
                 "software versions unreadable", reason=unreadable[0].reason
@@ -138,10 +224,35 @@
             if after is None:
                 return records
 
+    def _note_usable(
+        self, seen: Iterable[tuple[ServiceId, SoftwareVersion]]
+    ) -> None:
+        """Notes which versions may be used by the records just read.
+
+        These are the versions that they name, and those of services that had
+        no records although the version was there.
+
+        Args:
+            seen: The versions that were known before the records were read.
+        """
+        established = _services(self._recorded)
+        for recorded in self._recorded:
+            self._noticed_at.pop(recorded, None)
+        self._confirmed = set(self._recorded)
+        self._unestablished = {
+            RecordedVersion(service, version)
+            for service, version in seen
+            if service not in established
+        }
+        self.revision += 1
+
     async def _record_new(self) -> None:
-        missing = self._missing()
-        if not missing:
+        unusable = self._unusable()
+        for one in unusable:
+            self._notice(one)
+        if unusable and not await self._load():
             return
+        missing = self._missing()
         due = [recorded for recorded in missing if self._is_chosen(recorded)]
         if not due and self._is_overdue(missing):
             if not await self._load():
@@ -150,6 +261,26 @@
         if due:
             await self._append(due)
 
+    def _unusable(self) -> list[RecordedVersion]:
+        """Returns the versions of registered targets that may not be used."""
+        return [
+            RecordedVersion(service, version)
+            for service, version in self._versions.registered()
+            if not self.is_usable(service, version)
+        ]
+
+    def _notice(self, one: RecordedVersion) -> float:
+        """Returns when a version without a record was noticed."""
+        now = self._clock.seconds()
+        noticed_at = self._noticed_at.setdefault(one, now)
+        if noticed_at == now:
+            self._logger.info(
+                "software version awaits its record",
+                service=one.service,
+                software_version=one.version,
+            )
+        return noticed_at
+
     def _missing(self) -> list[RecordedVersion]:
         now = self._clock.seconds()
         missing: list[RecordedVersion] = []
@@ -159,7 +290,7 @@
             recorded = RecordedVersion(service, version)
             if recorded in self._recorded or not self._may_record(service):
                 continue
-            self._noticed_at.setdefault(recorded, now)
+            self._notice(recorded)
             missing.append(recorded)
         return missing
 
@@ -185,14 +316,17 @@
             self._retry_at = self._clock.seconds() + RETRY_S
             return
         now = self._clock.seconds()
+        self.revision += 1
         for recorded in new:
-            self._noticed_at.pop(recorded, None)
+            noticed_at = self._noticed_at.pop(recorded, now)
             self._recorded.add(recorded)
+            self._confirmed.add(recorded)
             self._versions.note(recorded.service, recorded.version, now)
             self._logger.info(
                 "software version recorded",
                 service=recorded.service,
                 software_version=recorded.version,
+                waited_ms=round(1000 * (now - noticed_at), 1),
             )
         self._mark_complete(_services(new))
 
--- a/tests/entry/test_version_register.py
+++ b/tests/entry/test_version_register.py
@@ -14,9 +14,11 @@
 from lycheestall.entry.versions.version_records import (
     RecordedVersion,
     decode_version,
+    delete_version,
     encode_version,
 )
 from lycheestall.entry.versions.version_register import ESTABLISHED_S
+from lycheestall.entry.versions.withheld_targets import LAST_RESORT_S
 from lycheestall.ids import Offset, SoftwareVersion
 from tests.entry.entry_vm_harness import status_of
 from tests.entry.fleet import Fleet
@@ -25,6 +27,7 @@
     ALL_EVENTS,
     BREAK_AFTER,
     Engines,
+    begin_stream,
     event_ids,
     take_up_stream,
 )
@@ -168,3 +171,88 @@
 def test_no_record_of_a_version_ends_the_reader(value: bytes) -> None:
     decoded = decode_version(KeyedRecord(Offset(0), b"key", value))
     assert isinstance(decoded, RecordedVersion | UnreadableRecord)
+
+
+def begun_at(fleet: Fleet, engines: Engines, version: str) -> int:
+    """Begins streams at all VMs; returns how many begin at a version."""
+    engines.breaks = False
+    before = len(engines.began_at(version))
+    for number in range(40):
+        begin_stream(fleet, 1000 + len(engines.versions_by_stream) + number)
+    fleet.reactor.run(0.3)
+    return len(engines.began_at(version)) - before
+
+
+# Guards against streams of a version that no record names while another one
+# serves, however long the store takes no records.
+@pytest.mark.parametrize("away_s", [1.0, 10.0])
+def test_a_version_that_cannot_be_recorded_waits_while_another_one_serves(
+    fleet: Fleet, engines: Engines, away_s: float
+) -> None:
+    fleet.start()
+    fleet.reactor.run(START_S)
+    for vm in fleet.vms:
+        vm.store.refused_topics.add(Topic.VERSIONS)
+    engines.add("new", "v2")
+    fleet.reactor.run(away_s)
+    assert begun_at(fleet, engines, "v2") == 0
+    assert begun_at(fleet, engines, "v1") > 0
+    for vm in fleet.vms:
+        vm.store.refused_topics.clear()
+    fleet.reactor.run(RECORDING_S)
+    assert begun_at(fleet, engines, "v2") > 0
+
+
+# Guards against refusing all streams for as long as the store takes no
+# records, when the only targets run a version that none names.
+def test_a_version_that_serves_alone_is_used_without_a_record_in_the_end(
+    fleet: Fleet, engines: Engines
+) -> None:
+    fleet.start()
+    fleet.reactor.run(START_S)
+    for vm in fleet.vms:
+        vm.store.refused_topics.add(Topic.VERSIONS)
+    fleet.remove_target("old")
+    engines.add("new", "v2")
+    fleet.reactor.run(1.0)
+    assert begun_at(fleet, engines, "v2") == 0
+    fleet.reactor.run(LAST_RESORT_S)
+    assert begun_at(fleet, engines, "v2") > 0
+
+
+# Guards against a version that waits for the record of a VM that is gone.
+def test_a_version_is_recorded_although_the_chosen_vm_is_gone(
+    fleet: Fleet, engines: Engines
+) -> None:
+    fleet.start()
+    fleet.reactor.run(START_S)
+    for number in range(VMS - 1):
+        fleet.kill(number)
+    for version in ("v2", "v3", "v4"):
+        engines.add(f"new-{version}", version)
+    fleet.reactor.run(RECORDING_S)
+    assert recorded_versions(fleet) == ["v1", "v2", "v3", "v4"]
+
+
+# Guards against using a version by a record that was deleted while it was
+# away.
+def test_a_version_that_comes_back_is_recorded_again(
+    fleet: Fleet, engines: Engines
+) -> None:
+    fleet.start()
+    fleet.reactor.run(START_S)
+    engines.add("new", "v2")
+    fleet.reactor.run(RECORDING_S)
+    fleet.remove_target("new")
+    fleet.reactor.run(RECORDED_S / 2 + RECORDING_S)
+    fleet.log.put(
+        Topic.VERSIONS,
+        delete_version(
+            RecordedVersion(ServiceId("engines"), SoftwareVersion("v2"))
+        ),
+    )
+    for vm in fleet.vms:
+        vm.store.refused_topics.add(Topic.VERSIONS)
+    engines.add("again", "v2")
+    fleet.reactor.run(1.0)
+    assert begun_at(fleet, engines, "v2") == 0
