Allocate nothing in advance while grants may be unknown

Cause: after an outage a VM asks the others for unrecorded grants, but only for a turn that needs a new record. A turn that fits into what the VM holds in advance is granted without that, and each turn that ends renewed what is held, from a ledger that lacks the lost grants. Why this works: what is held was in the ledger when the grants were made, so spending it is safe; only growth needs to know them. Growth now waits until the program's grants are known or counted as lost, also by what other VMs have recorded.

--- a/lycheestall/entry/ledger_writer.py
+++ b/lycheestall/entry/ledger_writer.py
@@ -77,6 +77,8 @@
         logger: Receives appends with an unknown result.
         recovering: Returns whether other VMs' grants of an outage may be
             unrecorded, so that nothing is allocated in advance.
+        grants_known: Returns whether all unrecorded grants of a program are
+            known; otherwise nothing more of it is allocated in advance.
         may_use: Returns whether allocations that were read back may take
             effect; otherwise they are written again.
     """
@@ -93,10 +95,12 @@
         health: StoreHealth,
         logger: Logger,
         recovering: Callable[[], bool],
+        grants_known: Callable[[ProgramId], bool],
         may_use: AllocationCheck | None = None,
     ) -> None:
         self._may_use = may_use
         self._recovering = recovering
+        self._grants_known = grants_known
         self._store = store
         self._follower = follower
         self._allocator = allocator
@@ -268,7 +272,9 @@
         # Grants of other VMs in an outage may not be recorded yet.
         preallocate = not self._stopping and not self._recovering()
         allocations = self._allocator.take_writes(
-            self._clock.seconds(), preallocate=preallocate
+            self._clock.seconds(),
+            preallocate=preallocate,
+            grants_known=self._grants_known,
         )
         crash_reports = self._crashes.take_writes()
         writes = [
--- a/lycheestall/entry/token_allocator.py
+++ b/lycheestall/entry/token_allocator.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from ..ids import ProgramId
 from ._program_tokens import ProgramTokens, TurnId
 from .reservation_decision import ReservationDecision
@@ -193,7 +195,11 @@
         self._state_for(program, budget).maybe_incomplete = True
 
     def take_writes(
-        self, now: float, *, preallocate: bool
+        self,
+        now: float,
+        *,
+        preallocate: bool,
+        grants_known: Callable[[ProgramId], bool],
     ) -> list[AllocationWrite]:
         """Returns the records that are due; the caller appends them.
 
@@ -201,6 +207,10 @@
             now: Current time.
             preallocate: Whether to allocate turns in advance within the
                 budget.
+            grants_known: Returns whether all grants of a program that are not
+                in the ledger are known. Otherwise nothing more is allocated
+                in advance: the ledger may show tokens as free that were
+                granted without it.
         """
         writes: list[AllocationWrite] = []
         for program in self._dirty:
@@ -212,6 +222,7 @@
                 state,
                 preallocate=preallocate
                 and now >= state.no_preallocation_until,
+                grants_known=grants_known(program),
             )
             if allocation == state.recorded and not state.pending_by_turn:
                 continue
@@ -367,10 +378,16 @@
         return state
 
     def _desired_allocation(
-        self, program: ProgramId, state: ProgramTokens, *, preallocate: bool
+        self,
+        program: ProgramId,
+        state: ProgramTokens,
+        *,
+        preallocate: bool,
+        grants_known: bool,
     ) -> Allocation:
         committed = state.committed() + sum(state.pending_by_turn.values())
         others = self._ledger.total_except(program, self._holder)
+        state.maybe_incomplete |= others.maybe_incomplete
         free = (
             state.usable_budget()
             - others.limit
@@ -382,6 +399,9 @@
             turns = int(free * PREALLOCATION_SHARE) // state.largest_turn
         turns = max(0, min(turns, PREALLOCATED_TURNS))
         limit = committed + turns * state.largest_turn
+        if not grants_known:
+            # What was allocated before stays: the grants left it free.
+            limit = max(committed, min(limit, state.limit))
         return Allocation(
             limit,
             committed,
--- a/lycheestall/entry/token_service.py
+++ b/lycheestall/entry/token_service.py
@@ -153,6 +153,9 @@
             health=health,
             logger=logger,
             recovering=lambda: self.outage.recovering(reactor.seconds()),
+            grants_known=lambda program: self.reservations.grants_known(
+                program
+            ),
             may_use=UnreadGrowth(
                 allocator=self._allocator,
                 readers=self._readers,
--- a/lycheestall/entry/turn_reservations.py
+++ b/lycheestall/entry/turn_reservations.py
@@ -143,6 +143,10 @@
             return final_result
         return self._or_ask_decider(result, program, turn, max_tokens, budget)
 
+    def grants_known(self, program: ProgramId) -> bool:
+        """Returns whether all unrecorded grants of a program are known."""
+        return self._recovery.is_settled(program)
+
     def recorded_tokens(self, program: ProgramId) -> int:
         """Returns the program's committed tokens according to the ledger."""
         return self._ledger.total(program).committed
--- a/tests/entry/ledger_simulation.py
+++ b/tests/entry/ledger_simulation.py
@@ -57,6 +57,7 @@
             clock=clock,
             health=self.health,
             logger=logger,
+            grants_known=lambda program: True,
             recovering=lambda: False,
         )
 
--- a/tests/entry/outage_simulation.py
+++ b/tests/entry/outage_simulation.py
@@ -94,6 +94,7 @@
         clock: Clock,
     ) -> None:
         logger = get_logger()
+        self.holder = HolderId(name)
         self.ledger_polled_only = False
         self.address = address
         self.direct = MemoryStore(log)
@@ -107,7 +108,7 @@
             on_unavailable=lambda: self.service.store_lost(),
         )
         self.service = TokenService(
-            holder=HolderId(name),
+            holder=self.holder,
             address=address,
             zone=ZoneId("zone"),
             members=Members(),
@@ -223,6 +224,10 @@
     def restart(self, vm: OutageVm) -> OutageVm:
         """Kills a VM and starts a new one at its address."""
         self.kill(vm)
+        return self.start_again(vm)
+
+    def start_again(self, vm: OutageVm) -> OutageVm:
+        """Starts a new VM at the address of one that was killed."""
         restarted = self._vm(vm.address)
         if self._store_fails:
             restarted.direct.fault = Fault.REFUSES
