Count VMs that were removed as failed among the lost ones

Cause: a VM that didn't see the outage asks the members of the moment, and counts half of a budget as lost if too many are silent. The failure detector wrote that a failed VM had left, as if in good order, so one silent VM fewer was counted and the rest passed for all there is. Why this works: whoever removes a failed VM leaves a record of it in the ledger (key l, which VMs of skip), unless it can vouch that all grants of its group are recorded. It counts as lost for all who read it, also by what peers pass on in an outage, for 60 s, the time in which a program may come back; then one member drops the record. Cost: one small record for a VM that fails after an outage, none else.

--- a/lycheestall/entry/failure_detector.py
+++ b/lycheestall/entry/failure_detector.py
@@ -8,7 +8,11 @@
 from .peer_rpc import PeerClient
 from .token_ledger import HolderId
 
-__all__ = ["MEMBER_CHECK_INTERVAL_S", "FailureDetector"]
+__all__ = [
+    "MEMBER_CHECK_INTERVAL_S",
+    "MISSES_UNTIL_FAILED",
+    "FailureDetector",
+]
 
 MEMBER_CHECK_INTERVAL_S = 10.0
 """Seconds between two calls to the next member of the group."""
--- a/lycheestall/entry/members.py
+++ b/lycheestall/entry/members.py
@@ -22,7 +22,9 @@
     "build_record",
     "forget_build_record",
     "join_record",
+    "forget_lost_record",
     "leave_record",
+    "lost_record",
     "majority_size",
     "tolerated_losses",
 ]
@@ -35,6 +37,7 @@
 
 _MEMBER_KEY = "m"
 _BUILD_KEY = "b"
+_LOST_KEY = "l"
 _LIMITS_UNREAD = b"unread"
 _SEPARATOR = "\x1f"
 
@@ -165,10 +168,29 @@
     return KeyedWrite(_key(holder), None)
 
 
+def lost_record(member: Member) -> KeyedWrite:
+    """Returns the ledger record of a VM that was removed as failed.
+
+    What it was granted without the ledger may be unknown. Without this record
+    a VM that reads only the remaining members would miss nobody.
+
+    Args:
+        member: The VM.
+    """
+    value = join_record(member).value
+    return KeyedWrite(_lost_key(member.holder), value)
+
+
+def forget_lost_record(holder: HolderId) -> KeyedWrite:
+    """Returns the ledger record that drops a ``lost_record``."""
+    return KeyedWrite(_lost_key(holder), None)
+
+
 class Members:
     """Members folded from the ledger; per address, the newest one counts."""
 
     def __init__(self) -> None:
+        self._lost: dict[HolderId, tuple[Offset, Member]] = {}
         self._by_holder: dict[HolderId, tuple[Offset, Member | None]] = {}
         self._excused: set[HolderId] = set()
         self._limiting: set[HolderId] = set()
@@ -180,6 +202,9 @@
         if len(parts) == 2 and parts[0] == _BUILD_KEY:
             self._apply_build(HolderId(parts[1]), record.value)
             return True
+        if len(parts) == 2 and parts[0] == _LOST_KEY:
+            self._apply_lost(HolderId(parts[1]), record)
+            return True
         if len(parts) != 2 or parts[0] != _MEMBER_KEY:
             return False
         holder = HolderId(parts[1])
@@ -202,6 +227,13 @@
         if value == _LIMITS_UNREAD:
             self._limiting.add(holder)
 
+    def _apply_lost(self, holder: HolderId, record: KeyedRecord) -> None:
+        member = _decode(holder, record.value)
+        if member is None:
+            self._lost.pop(holder, None)
+        else:
+            self._lost[holder] = (record.offset, member)
+
     def records(self) -> tuple[KeyedRecord, ...]:
         """Returns the ledger's newest records about members."""
         records: list[KeyedRecord] = []
@@ -210,6 +242,9 @@
             if member is not None:
                 write = join_record(member)
             records.append(KeyedRecord(offset, write.key, write.value))
+        for offset, member in self._lost.values():
+            write = lost_record(member)
+            records.append(KeyedRecord(offset, write.key, write.value))
         return tuple(records)
 
     def get(self, holder: HolderId) -> Member | None:
@@ -251,8 +286,12 @@
             if member is not None and holder not in newest
         ]
 
+    def lost(self) -> list[HolderId]:
+        """Returns members that were removed as failed."""
+        return list(self._lost)
+
     def crashed_in(self, group: Iterable[HolderId]) -> list[HolderId]:
-        """Returns the crashed members whose addresses belong to a group.
+        """Returns a group's crashed members, and those removed as failed.
 
         Members that left no grants behind are left out.
 
@@ -272,11 +311,18 @@
                 continue
             if member.address in addresses:
                 crashed.append(holder)
+        groups = self._group_count()
+        numbers = {_group_number(address, groups) for address in addresses}
+        for holder, (_, member) in self._lost.items():
+            if holder in holders or holder in self._excused:
+                continue
+            if _group_number(member.address, groups) in numbers:
+                crashed.append(holder)
         return crashed
 
     def crashed_groups(self) -> list[GroupId]:
         """Returns the groups of crashed members that may have had grants."""
-        if len(self.crashed()) <= len(self._excused):
+        if not {*self.crashed(), *self._lost} - self._excused:
             return []
         groups = [group for group in self.view().groups if group]
         return [
@@ -291,6 +337,10 @@
         if len(groups) == group.groups:
             self._excused.update(self.crashed_in(groups[group.number]))
 
+    def excuse(self, holder: HolderId) -> None:
+        """Notes that a lost member's programs can't come back any more."""
+        self._excused.add(holder)
+
     def may_have_lost_grants(self, program: ProgramId) -> bool:
         """Returns whether crashes may have lost a program's grants."""
         group = self.view().group_for(program)
@@ -299,22 +349,18 @@
     def _groups(
         self, holders: list[HolderId]
     ) -> tuple[tuple[HolderId, ...], ...]:
-        # The number of groups is a power of two, so that it seldom changes
-        # as the system grows. Hashing the address keeps a VM in its group
-        # after a restart.
-        count = 1
-        while len(holders) > MAX_GROUP_MEMBERS * count:
-            count *= 2
+        count = _count_groups(len(holders))
         groups: list[list[HolderId]] = [[] for _ in range(count)]
         for holder in holders:
             member = self.get(holder)
             if member is None:
                 continue
-            address = f"{member.address.host}:{member.address.port}"
-            group_hash = xxhash.xxh3_64_intdigest(address.encode())
-            groups[group_hash % count].append(holder)
+            groups[_group_number(member.address, count)].append(holder)
         return tuple(tuple(group) for group in groups)
 
+    def _group_count(self) -> int:
+        return _count_groups(sum(map(len, self.view().groups)))
+
     def _current_holders(self) -> list[HolderId]:
         newest: dict[Address, tuple[Offset, HolderId]] = {}
         for holder, (offset, member) in self._by_holder.items():
@@ -326,6 +372,24 @@
         return [holder for _, holder in newest.values()]
 
 
+def _count_groups(members: int) -> int:
+    # A power of two, so that it seldom changes as the system grows.
+    count = 1
+    while members > MAX_GROUP_MEMBERS * count:
+        count *= 2
+    return count
+
+
+def _group_number(address: Address, groups: int) -> int:
+    # Hashing the address keeps a VM in its group after a restart.
+    text = f"{address.host}:{address.port}"
+    return xxhash.xxh3_64_intdigest(text.encode()) % groups
+
+
+def _lost_key(holder: HolderId) -> bytes:
+    return _SEPARATOR.join((_LOST_KEY, holder)).encode()
+
+
 def _build_key(holder: HolderId) -> bytes:
     return _SEPARATOR.join((_BUILD_KEY, holder)).encode()
 
--- a/lycheestall/entry/outages/settled_groups.py
+++ b/lycheestall/entry/outages/settled_groups.py
@@ -101,6 +101,18 @@
         """Returns whether all grants of a program's group are recorded."""
         return self._members.view().group_id(program) in self._groups
 
+    def vouches_for_member(self, holder: HolderId) -> bool:
+        """Returns whether a member was granted nothing that is unrecorded.
+
+        Args:
+            holder: The member.
+        """
+        groups = [group for group in self._members.view().groups if group]
+        for number, group in enumerate(groups):
+            if holder in group:
+                return self._vouches_for(GroupId(number, len(groups)))
+        return False
+
     def reply(self, message: AskSettled) -> SettledReport:
         """Returns whether all grants of a group are recorded."""
         group = GroupId(message.group, message.groups)
--- a/lycheestall/entry/token_service.py
+++ b/lycheestall/entry/token_service.py
@@ -294,9 +294,13 @@
         """Removes a failed member from the ledger."""
         if not self._store.direct_up:
             return
+        self._member_records.forget_lost()
         failed = await self._failure_detector.step()
         if failed is not None:
-            self._member_records.remove(failed)
+            self._member_records.remove_failed(
+                failed,
+                left_grants=not self._settled.vouches_for_member(failed),
+            )
 
     def forget_idle(self) -> None:
         """Evicts programs that had no turns for a while."""
--- a/tests/entry/outage_simulation.py
+++ b/tests/entry/outage_simulation.py
@@ -17,6 +17,10 @@
 )
 from twisted.internet.task import Clock
 
+from lycheestall.entry.failure_detector import (
+    MEMBER_CHECK_INTERVAL_S,
+    MISSES_UNTIL_FAILED,
+)
 from lycheestall.entry.ledger_writer import ReservationResult
 from lycheestall.entry.members import Members
 from lycheestall.entry.peer_messages import (
@@ -234,6 +238,20 @@
         self.vms.append(restarted)
         return restarted
 
+    def add(self) -> OutageVm:
+        """Starts a VM at a new address."""
+        added = self._vm(Address(f"10.0.1.{self._incarnations}", 1))
+        self.vms.append(added)
+        return added
+
+    def detect_failures(self) -> None:
+        """Lets VMs call each other until one that is gone is removed."""
+        for _ in range(MISSES_UNTIL_FAILED):
+            for vm in self.vms:
+                if vm.address not in self.network.frozen:
+                    ensureDeferred(vm.service.detect_failures())
+            self.advance(MEMBER_CHECK_INTERVAL_S)
+
     def freeze(self, vm: OutageVm) -> None:
         """Stops a VM's process; it calls nobody and doesn't reply."""
         self.network.frozen.add(vm.address)
