Count a lost connection as a crash only if its target went down

Cause: a connection lost while a request ran counted as a crash, unless another target's was lost within 0.05 s; counts were summed over VMs and callers, and nothing took them back. A log line tells why each connection was lost. Why this works: a target that has crashed refuses a new connection while others take one, or registers a newer process; a lost answer does neither. A crash counts once a process. An answer withdraws the records.

--- a/lycheestall/entry/attempt_feedback.py
+++ b/lycheestall/entry/attempt_feedback.py
@@ -70,6 +70,8 @@
         now: float = self._deps.clock.seconds()
         if isinstance(outcome, PermitExpired | Unreachable):
             return
+        if isinstance(outcome, WholeAnswer | StreamEnded):
+            self._deps.request_answered(self.fingerprint)
         if isinstance(outcome, NotSent):
             chooser.record_failure(target, now, down=True)
         elif isinstance(outcome, Broken):
--- a/lycheestall/entry/attempt_relay.py
+++ b/lycheestall/entry/attempt_relay.py
@@ -20,7 +20,7 @@
     Unreachable,
 )
 from .connection_pool import ConnectionPool
-from .crash_reporter import CrashReporter
+from .crashes.crash_reporter import CrashReporter
 from .decision_log import DecisionLog
 from .event_splitter import EVENT_SEPARATORS
 from .exchange import Exchange
--- a/lycheestall/entry/connection_pool.py
+++ b/lycheestall/entry/connection_pool.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from typing import Any
 
 from twisted.internet.defer import Deferred, succeed
@@ -36,7 +35,6 @@
         connect_timeout_s: Timeout for opening a connection.
         idle_s: Idle time after which a connection is not reused, where
             the peer has not announced its own timeout.
-        on_idle_reset: Called when an idle connection is reset.
     """
 
     def __init__(
@@ -47,14 +45,12 @@
         *,
         connect_timeout_s: float,
         idle_s: float = DEFAULT_IDLE_TIMEOUT_S,
-        on_idle_reset: Callable[[], None] | None = None,
     ) -> None:
         self._reactor = reactor
         self._host = host
         self._port = port
         self._connect_timeout_s = connect_timeout_s
         self._idle_s = idle_s
-        self._on_idle_reset = on_idle_reset
         self._idle: list[HttpClientConnection] = []
 
     def acquire(self) -> Deferred[HttpClientConnection]:
@@ -106,11 +102,8 @@
         return factory.connected
 
     def _remove(self, connection: HttpClientConnection) -> None:
-        if connection not in self._idle:
-            return
-        self._idle.remove(connection)
-        if connection.was_reset and self._on_idle_reset is not None:
-            self._on_idle_reset()
+        if connection in self._idle:
+            self._idle.remove(connection)
 
 
 def is_timeout(failure: Failure) -> bool:
--- /dev/null
+++ b/lycheestall/entry/crashes/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that crash the targets that run them."""
--- a/lycheestall/entry/entry_vm.py
+++ b/lycheestall/entry/entry_vm.py
@@ -16,7 +16,7 @@
 from .configuration import CallerLimits
 from .configuration_relay import ConfigurationRelay
 from .conversation_service import ConversationService
-from .crash_reporter import CrashReporter
+from .crashes.crash_reporter import CrashReporter
 from .decision_log import DecisionContext, DecisionLog
 from .entry_metrics import EntryMetrics
 from .exchange import Exchange, RequestHandler
@@ -172,8 +172,8 @@
             logger=logger,
             relay=self._relay,
             members_known=lambda: self.token_service.loaded,
-            on_idle_reset=lambda target: self._crash_reporter.connection_lost(
-                target, None
+            on_restarted=lambda process: (
+                self._crash_reporter.target_registered(process)
             ),
         )
         self._targets_reader = TargetsReader(
@@ -207,7 +207,11 @@
             metrics=metrics,
         )
         self._crash_reporter = CrashReporter(
-            reactor, self.token_service.writer.report_crash
+            reactor,
+            table=self._targets.table,
+            contact=lambda: self._links.monitor,
+            report=self.token_service.writer.report_crash,
+            logger=logger,
         )
         self._links = LinkService(
             holder=holder,
@@ -251,6 +255,7 @@
             reservations=self.token_service.reservations,
             crash_reporter=self._crash_reporter,
             is_blocked=self.token_service.crashes.is_blocked,
+            request_answered=self.token_service.writer.request_answered,
             pool_of=self._view.pool_of,
             log=self._log,
             conversations=self.conversations,
--- a/lycheestall/entry/http_client_connection.py
+++ b/lycheestall/entry/http_client_connection.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 import httptools
-from twisted.internet.error import ConnectionDone, ConnectionLost
+from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import Protocol
 from twisted.python.failure import Failure
 
@@ -96,7 +96,6 @@
         idle_since: When the last response ended; set by the pool.
         idle_timeout_s: Idle timeout announced by the peer, if any.
         on_lost: Called with the connection when it is closed.
-        was_reset: Whether the peer has reset it, or no longer answered.
         refused: Whether the peer has refused a request on it.
     """
 
@@ -107,7 +106,6 @@
         self.idle_since = 0.0
         self.idle_timeout_s: float | None = None
         self.on_lost: Any = None
-        self.was_reset = False
         self.refused = False
         self._parser = httptools.HttpResponseParser(self)
         self._receiver: ResponseReceiver | None = None
@@ -208,9 +206,6 @@
         """Ends the response in progress."""
         self._lost = True
         self.reusable = False
-        self.was_reset = reason is not None and bool(
-            reason.check(ConnectionLost)
-        )
         if self.on_lost is not None:
             self.on_lost(self)
         receiver = self._receiver
--- a/lycheestall/entry/ledger_writer.py
+++ b/lycheestall/entry/ledger_writer.py
@@ -16,7 +16,7 @@
 from ..clock import sleep
 from ..ids import Offset, ProgramId
 from ..logs import Logger
-from .crash_reports import CrashReports
+from .crashes.crash_reports import CrashReports
 from .reservation_decision import ReservationDecision
 from .store import (
     AppendConflict,
@@ -30,6 +30,7 @@
     WriterFence,
 )
 from .store_health import StoreHealth
+from .target_table import TargetProcess
 from .token_allocator import TokenAllocator, TurnId
 from .token_ledger import AllocationWrite, HolderId, encode_allocation
 from .topic_follower import TopicFollower
@@ -182,12 +183,17 @@
         self._allocator.settle(program, turn, used, self._clock.seconds())
         self.wake()
 
-    def report_crash(self, fingerprint: str) -> int:
-        """Reports a target that was lost while it ran a request."""
-        count = self._crashes.record_crash(fingerprint)
+    def report_crash(self, fingerprint: str, process: TargetProcess) -> int:
+        """Reports a target's process that has crashed running a request."""
+        count = self._crashes.record_crash(fingerprint, process)
         self.wake()
         return count
 
+    def request_answered(self, fingerprint: str) -> None:
+        """Notes that a target has answered a request."""
+        if self._crashes.request_answered(fingerprint):
+            self.wake()
+
     def observe(self, record: KeyedRecord) -> None:
         """Notes a record read from the ledger; it may be one of this VM's."""
         self._unread_writes.discard((record.key, record.value))
--- a/lycheestall/entry/link_monitor.py
+++ b/lycheestall/entry/link_monitor.py
@@ -5,14 +5,16 @@
 from collections.abc import Callable
 from typing import Any
 
+from twisted.internet.defer import Deferred, DeferredList, succeed
 from twisted.python.failure import Failure
 
 from ..ids import TargetId
 from ..logs import Logger
 from ._log_fields import milliseconds
 from .connection_pool import ConnectionPool, is_timeout
+from .crashes.target_contact import ProbeResult, TargetContact
 from .entry_metrics import EntryMetrics
-from .target_links import LinkSummary, TargetLinks
+from .target_links import MAX_PROBES_AT_ONCE, LinkSummary, TargetLinks
 from .target_table import TargetRegistration, TargetTable
 
 __all__ = ["LinkMonitor", "LinkUse"]
@@ -63,7 +65,7 @@
         self._monitor.end_use(self, self._target)
 
 
-class LinkMonitor:
+class LinkMonitor(TargetContact):
     """Connects the decisions about links with connections and logs.
 
     Args:
@@ -129,10 +131,55 @@
             self._log_change(summary)
         return summary
 
+    def heard_since(self, target: TargetId, at: float) -> bool:
+        """Returns whether a target was heard after some time."""
+        return self.links.contact(target, self.now()).target_s < (
+            self.now() - at
+        )
+
+    def probe(self, target: TargetId) -> Deferred[ProbeResult]:
+        """Opens a connection to a target, which is kept as an idle one."""
+        registration = self._table.get(target)
+        if registration is None:
+            return succeed(ProbeResult.SILENT)
+        probe: Any = self._pool_of(registration).probe(
+            timeout_s=PROBE_TIMEOUT_S
+        )
+        result: Deferred[ProbeResult] = probe.addCallbacks(
+            lambda _: self._probe_connected(target), _failed_probe
+        )
+        return result
+
+    def reaches_another(
+        self, target: TargetId, *, since: float
+    ) -> Deferred[bool]:
+        """Returns whether this VM reaches another target.
+
+        Args:
+            target: The target that doesn't count.
+            since: Time after which it is enough to have heard one.
+        """
+        others = [one for one in self._table.targets() if one != target]
+        if any(self.heard_since(other, since) for other in others):
+            return succeed(True)
+        others.sort(key=lambda one: self.links.contact(one, 0.0).target_s)
+        probes = [self.probe(other) for other in others[:MAX_PROBES_AT_ONCE]]
+        results: Any = DeferredList(probes, consumeErrors=True)
+        reached: Deferred[bool] = results.addCallback(
+            lambda replies: any(
+                result is ProbeResult.CONNECTED for _, result in replies
+            )
+        )
+        return reached
+
     def remove_expired(self) -> None:
         """Forgets targets that are no longer registered."""
         self.links.keep_only(self._table.targets())
 
+    def _probe_connected(self, target: TargetId) -> ProbeResult:
+        self.links.connected(target, self.now())
+        return ProbeResult.CONNECTED
+
     def _probe(self, target: TargetId) -> None:
         registration = self._table.get(target)
         if registration is None:
@@ -188,3 +235,7 @@
             float(summary.all_lost),
             description="1 if this VM reaches no target itself.",
         )
+
+
+def _failed_probe(failure: Failure) -> ProbeResult:
+    return ProbeResult.SILENT if is_timeout(failure) else ProbeResult.REFUSED
--- a/lycheestall/entry/link_service.py
+++ b/lycheestall/entry/link_service.py
@@ -9,7 +9,7 @@
 from .attempt_messages import AskLinks, LinkReport, SendAttempt
 from .attempt_relay import AttemptRelay
 from .connection_pool import ConnectionPool
-from .crash_reporter import CrashReporter
+from .crashes.crash_reporter import CrashReporter
 from .decision_log import DecisionLog
 from .entry_metrics import EntryMetrics
 from .exchange import Exchange
--- a/lycheestall/entry/request_dependencies.py
+++ b/lycheestall/entry/request_dependencies.py
@@ -9,7 +9,7 @@
 from .attempt_timeouts import AttemptTimeouts
 from .connection_pool import ConnectionPool
 from .conversation_service import ConversationService
-from .crash_reporter import CrashReporter
+from .crashes.crash_reporter import CrashReporter
 from .decision_log import DecisionLog
 from .header_codec import HeaderCodec
 from .link_monitor import LinkMonitor
@@ -49,6 +49,8 @@
             them.
         is_blocked: Returns whether a request, given its fingerprint, is
             blocked because it crashes targets.
+        request_answered: Notes that a target has answered a request, given
+            its fingerprint.
         pool_of: Returns the connection pool of a target.
         log: Logs decisions about requests.
         conversations: Keeps conversations for callers.
@@ -71,6 +73,7 @@
     reservations: TurnReservations
     crash_reporter: CrashReporter
     is_blocked: Callable[[str], bool]
+    request_answered: Callable[[str], None]
     pool_of: Callable[[TargetRegistration], ConnectionPool]
     log: DecisionLog
     conversations: ConversationService
--- a/lycheestall/entry/request_processor.py
+++ b/lycheestall/entry/request_processor.py
@@ -17,7 +17,7 @@
 )
 from .attempt_runner import AttemptRunner
 from .configuration import RetrySafety, Route, Service, ServiceId
-from .crash_reports import fingerprint_request
+from .crashes.crash_reports import fingerprint_request
 from .exchange import Exchange
 from .final_response import EarlyEnd, FinalResponse
 from .kept_turn import KeptTurn
--- a/lycheestall/entry/store_view.py
+++ b/lycheestall/entry/store_view.py
@@ -67,8 +67,7 @@
         logger: Logs changes.
         relay: Passes configurations on within the zone.
         members_known: Returns whether the zone's other VMs are known.
-        on_idle_reset: Called with a target that has reset an idle
-            connection.
+        on_restarted: Called with a target's newer process.
 
     Attributes:
         configuration: The configuration in force.
@@ -88,9 +87,9 @@
         logger: Logger,
         relay: ConfigurationRelay,
         members_known: Callable[[], bool],
-        on_idle_reset: Callable[[TargetId], None],
+        on_restarted: Callable[[TargetProcess], None],
     ) -> None:
-        self._on_idle_reset = on_idle_reset
+        self._on_restarted = on_restarted
         self._relay = relay
         self._members_known = members_known
         self._configuration_record: KeyedRecord | None = None
@@ -217,7 +216,6 @@
                 registration.host,
                 registration.port,
                 connect_timeout_s=CONNECT_TIMEOUT_S,
-                on_idle_reset=lambda: self._on_idle_reset(process.target),
             )
             self._pool_by_process[process] = pool
         return pool
@@ -314,6 +312,7 @@
         )
         if previous is None or previous.started_ms != registration.started_ms:
             self._chooser.forget(registration.target)
+            self._on_restarted(registration.process)
 
     def _apply_listing(self, keys: set[bytes]) -> None:
         targets = {TargetId(key.decode("utf-8", "replace")) for key in keys}
--- a/lycheestall/entry/target_links.py
+++ b/lycheestall/entry/target_links.py
@@ -13,7 +13,13 @@
 
 from ..ids import TargetId
 
-__all__ = ["LinkContact", "LinkState", "LinkSummary", "TargetLinks"]
+__all__ = [
+    "MAX_PROBES_AT_ONCE",
+    "LinkContact",
+    "LinkState",
+    "LinkSummary",
+    "TargetLinks",
+]
 
 ALL_SILENT_S = 0.25
 """Silence of all targets, while several owe a response, after which their
--- a/lycheestall/entry/token_service.py
+++ b/lycheestall/entry/token_service.py
@@ -9,7 +9,7 @@
 
 from ..ids import Offset, ZoneId
 from ..logs import Logger
-from .crash_reports import CrashReports
+from .crashes.crash_reports import CrashReports
 from .failure_detector import FailureDetector
 from .grant_recorder import GrantRecorder
 from .ledger_catch_up import LedgerCatchUp
@@ -106,7 +106,7 @@
         self._joined = False
         self.members = members
         self.ledger = TokenLedger()
-        self.crashes = CrashReports(holder)
+        self.crashes = CrashReports(reactor)
         self.outage = OutageTracker(holder)
         self._grants = UnrecordedGrants(self.ledger)
         self._catch_up = LedgerCatchUp(
--- a/tests/callers/test_caller_tables.py
+++ b/tests/callers/test_caller_tables.py
@@ -11,8 +11,8 @@
 from twisted.internet.task import Clock
 
 from lycheestall.entry.configuration import ServiceId
-from lycheestall.entry.crash_reporter import CrashReporter
-from lycheestall.entry.crash_reports import CrashReports
+from lycheestall.entry.crashes.crash_reporter import CrashReporter
+from lycheestall.entry.crashes.crash_reports import CrashReports
 from lycheestall.entry.members import Members
 from lycheestall.entry.origin_journal import OriginJournal
 from lycheestall.entry.stream_origins import (
