Take a status outside 100 to 599 for no answer, at once

Cause: every status under 200 was skipped as an interim response, and no upper end was checked. Why this works: RFC 9110, section 15, has 100 to 599. Anything else ends the attempt where the head is parsed, as other malformed bytes do: an order gets 502 at once and runs once, a safe request goes elsewhere. What a peer of an earlier build passes on is checked where it is decoded.

--- a/lycheestall/entry/http_client_connection.py
+++ b/lycheestall/entry/http_client_connection.py
@@ -13,7 +13,7 @@
 from twisted.python.failure import Failure
 
 from ..logs import get_logger
-from .http_messages import Header, ResponseHead
+from .http_messages import STATUSES, Header, ResponseHead
 
 __all__ = [
     "CONNECTION_LOST",
@@ -243,6 +243,9 @@
         """Passes the head to the receiver."""
         self._head_done = True
         status = self._parser.get_status_code()
+        if status not in STATUSES:
+            self._fail(BreakReason.MALFORMED)
+            return
         if self._receiver is None or status < 200:
             return
         names = {name.lower() for name, _ in self._headers}
--- a/lycheestall/entry/http_messages.py
+++ b/lycheestall/entry/http_messages.py
@@ -7,6 +7,7 @@
 from http import HTTPStatus
 
 __all__ = [
+    "STATUSES",
     "ResponseHead",
     "Header",
     "Request",
@@ -16,6 +17,9 @@
     "encode_request",
 ]
 
+STATUSES = range(100, 600)
+"""Status codes of HTTP responses; RFC 9110, section 15."""
+
 Header = tuple[bytes, bytes]
 """A header's name, with its case as received, and its value."""
 
--- a/lycheestall/entry/relayed_attempt.py
+++ b/lycheestall/entry/relayed_attempt.py
@@ -20,7 +20,7 @@
 from .http_client_connection import (
     BreakReason,
 )
-from .http_messages import ResponseHead
+from .http_messages import STATUSES, ResponseHead
 from .message_metadata import ResponseMetadata
 from .peer_messages import decode
 
@@ -146,6 +146,9 @@
             return malformed
         head = getattr(message.outcome, "head", None)
         if head is not None:
+            # A peer of an earlier build passes on any status.
+            if head.status not in STATUSES:
+                return Broken(BreakReason.MALFORMED, response_started=True)
             self._observe(head)
         if isinstance(message.outcome, Unreachable):
             self.peer_failed = not message.outcome.target_lost
