Bound the crash records that wait to be written

Cause: kept its records to write in a table without a bound; its tests ran without tests/callers, whose list of tables failed.

--- a/lycheestall/entry/crashes/crash_reporter.py
+++ b/lycheestall/entry/crashes/crash_reporter.py
@@ -16,7 +16,7 @@
 from ..target_table import TargetProcess, TargetTable
 from .target_contact import ProbeResult, TargetContact
 
-__all__ = ["CrashReporter", "CrashVerdict"]
+__all__ = ["DOUBT_S", "CrashReporter", "CrashVerdict"]
 
 DOUBT_S = 0.05
 """Seconds after a lost connection in which its target may still be heard, or
--- a/lycheestall/entry/crashes/crash_reports.py
+++ b/lycheestall/entry/crashes/crash_reports.py
@@ -69,7 +69,7 @@
         """
         key = _key(fingerprint, process)
         self._add(fingerprint, key)
-        self._unwritten[key] = KeyedWrite(key, b"1")
+        self._write(KeyedWrite(key, b"1"))
         return len(self._by_fingerprint[fingerprint])
 
     def request_answered(self, fingerprint: str) -> bool:
@@ -85,7 +85,7 @@
         if crashes is None:
             return False
         for key in crashes:
-            self._unwritten[key] = KeyedWrite(key, None)
+            self._write(KeyedWrite(key, None))
         return True
 
     def is_blocked(self, fingerprint: str) -> bool:
@@ -124,6 +124,11 @@
         if not crashes:
             self._by_fingerprint.pop(parts[1], None)
 
+    def _write(self, write: KeyedWrite) -> None:
+        self._unwritten[write.key] = write
+        if len(self._unwritten) > MAX_TRACKED_REQUESTS:
+            del self._unwritten[next(iter(self._unwritten))]
+
     def _add(self, fingerprint: str, key: bytes) -> None:
         crashes = self._by_fingerprint.setdefault(fingerprint, {})
         crashes.setdefault(key, self._clock.seconds())
@@ -140,7 +145,7 @@
         if now - noted_at < EVIDENCE_KEPT_S:
             return
         del crashes[key]
-        self._unwritten[key] = KeyedWrite(key, None)
+        self._write(KeyedWrite(key, None))
         for other in crashes:
             crashes[other] = now
 
--- a/tests/callers/test_caller_tables.py
+++ b/tests/callers/test_caller_tables.py
@@ -5,13 +5,14 @@
 import re
 from collections.abc import Sized
 from pathlib import Path
+from types import SimpleNamespace
 from typing import Any
 
 import pytest
 from twisted.internet.task import Clock
 
 from lycheestall.entry.configuration import ServiceId
-from lycheestall.entry.crashes.crash_reporter import CrashReporter
+from lycheestall.entry.crashes.crash_reporter import DOUBT_S, CrashReporter
 from lycheestall.entry.crashes.crash_reports import CrashReports
 from lycheestall.entry.members import Members
 from lycheestall.entry.origin_journal import OriginJournal
@@ -20,8 +21,8 @@
     StreamOrigins,
     stream_key,
 )
-from lycheestall.entry.token_ledger import HolderId
-from lycheestall.ids import SoftwareVersion, TargetId
+from lycheestall.entry.target_table import TargetRegistration, TargetTable
+from lycheestall.ids import SoftwareVersion, TargetId, ZoneId
 from lycheestall.logs import get_logger
 
 ROOT = Path(__file__).resolve().parent.parent.parent
@@ -34,6 +35,17 @@
     r"AffinityKey|CallerConnection)\b"
 )
 OVERFILL = 12_000
+TARGET = TargetRegistration(
+    TargetId("one"),
+    started_ms=1,
+    service=ServiceId("app"),
+    host="10.1.0.1",
+    port=80,
+    zone=ZoneId("zone-a"),
+    software_version=SoftwareVersion("v1"),
+    slots=8,
+    draining=False,
+)
 ORIGIN = StreamOrigin(ServiceId("engines"), SoftwareVersion("v1"))
 
 
@@ -69,16 +81,27 @@
 
 
 def fill_crash_reports() -> CrashReports:
-    reports = CrashReports(HolderId("vm.1"))
+    reports = CrashReports(Clock())
     for number in range(OVERFILL):
-        reports.record_crash(str(number))
+        reports.record_crash(str(number), TARGET.process)
     return reports
 
 
 def fill_crash_reporter() -> CrashReporter:
-    reporter = CrashReporter(Clock(), lambda _: None)
+    clock = Clock()
+    table = TargetTable()
+    table.register(TARGET)
+    contact: Any = SimpleNamespace(heard_since=lambda target, at: True)
+    reporter = CrashReporter(
+        clock,
+        table=table,
+        contact=lambda: contact,
+        report=lambda fingerprint, process: None,
+        logger=get_logger(),
+    )
     for number in range(OVERFILL):
-        reporter.connection_lost(TargetId("one"), str(number))
+        reporter.connection_lost(TARGET.target, str(number))
+    clock.advance(DOUBT_S)
     return reporter
 
 
@@ -104,9 +127,9 @@
 
 
 FILLED = {
-    ("crash_reports.py", "_by_fingerprint"): fill_crash_reports,
-    ("crash_reports.py", "_unwritten"): fill_crash_reports,
-    ("crash_reporter.py", "_losses"): fill_crash_reporter,
+    ("crashes/crash_reports.py", "_by_fingerprint"): fill_crash_reports,
+    ("crashes/crash_reports.py", "_unwritten"): fill_crash_reports,
+    ("crashes/crash_reporter.py", "_undecided"): fill_crash_reporter,
     ("stream_origins.py", "_by_key"): fill_stream_origins,
     ("origin_journal.py", "_pending"): fill_origin_journal,
 }
