Bound what endless and fragmented responses cost a VM in all

Causes, from tests/untrusted_targets, a VM of 96 MB as a process, two of three targets faulty, 72 requests at once: - headers were bounded in bytes on the wire, not in memory: very many short ones took 339 MB; - the body of an attempt that ended stayed in memory until the next garbage collection: 122 to 158 MB, although each and all together were bounded; - each piece of a body costs time whatever its size, and a stream's partial event was copied and searched from its start for each piece: with chunks of 1 or 20 bytes 51 of 72 requests got 504. Change: headers count with 128 bytes each, up to 64 KiB a head; bodies are collected in one buffer that is dropped as the attempt ends; a body of over 4,096 pieces has to have a mean size of 8 bytes a piece, 32 if it is collected; events are searched from where the last search ended.

--- a/lycheestall/entry/event_splitter.py
+++ b/lycheestall/entry/event_splitter.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Iterator
 from dataclasses import dataclass
 
@@ -10,6 +11,8 @@
 EVENT_SEPARATORS = (b"\n\n", b"\r\n\r\n", b"\r\r")
 """Line ends with which an event ends."""
 
+_SEPARATOR = re.compile(b"|".join(map(re.escape, EVENT_SEPARATORS)))
+
 
 @dataclass(frozen=True, slots=True)
 class ServerSentEvent:
@@ -42,10 +45,15 @@
 
 
 class EventSplitter:
-    """Buffers bytes until an event is complete."""
+    """Buffers bytes until an event is complete.
+
+    No byte is searched again as more arrive: a target may send a large event
+    in very small pieces.
+    """
 
     def __init__(self) -> None:
-        self._buffer = b""
+        self._buffer = bytearray()
+        self._searched = 0
 
     @property
     def partial_bytes(self) -> int:
@@ -55,20 +63,25 @@
     def feed(self, data: bytes) -> Iterator[ServerSentEvent]:
         """Adds bytes and yields the events that they complete."""
         self._buffer += data
-        while True:
-            end = self._event_end()
-            if end is None:
-                return
-            event, self._buffer = self._buffer[:end], self._buffer[end:]
-            yield ServerSentEvent(event, _event_id(event))
-
-    def _event_end(self) -> int | None:
-        ends: list[int] = []
-        for separator in EVENT_SEPARATORS:
-            at = self._buffer.find(separator)
-            if at >= 0:
-                ends.append(at + len(separator))
-        return min(ends, default=None)
+        start = 0
+        try:
+            while True:
+                end = self._event_end(start)
+                if end is None:
+                    return
+                event = bytes(self._buffer[start:end])
+                start = end
+                yield ServerSentEvent(event, _event_id(event))
+        finally:
+            del self._buffer[:start]
+            self._searched = len(self._buffer)
+
+    def _event_end(self, start: int) -> int | None:
+        # A separator may have begun in the bytes that were searched before.
+        overlap = max(map(len, EVENT_SEPARATORS)) - 1
+        search_from = max(start, self._searched - overlap)
+        found = _SEPARATOR.search(self._buffer, search_from)
+        return None if found is None else found.end()
 
 
 def _event_id(event: bytes) -> int | None:
--- a/lycheestall/entry/http_client_connection.py
+++ b/lycheestall/entry/http_client_connection.py
@@ -20,6 +20,7 @@
     "BreakReason",
     "HttpClientConnection",
     "ResponseReceiver",
+    "is_fragmented",
 ]
 
 UNACKNOWLEDGED_MS = 1500
@@ -32,10 +33,23 @@
 KEEPALIVE_PROBES = 2
 """Unanswered keepalive probes, one second apart, that end a connection."""
 
-MAX_UNPRODUCTIVE_BYTES = 262_144
+MAX_UNPRODUCTIVE_BYTES = 131_072
 """Bytes that a peer may send without any of the body that is waited for:
 heads, trailers and responses to other requests."""
 
+MAX_HEAD_BYTES = 65_536
+"""Memory of the headers of one response."""
+
+HEADER_BYTES = 128
+"""Memory of a header besides its name and value."""
+
+MAX_SMALL_PIECES = 4096
+"""Pieces of a body that may be of any size."""
+
+MIN_MEAN_PIECE_BYTES = 8
+"""Mean size of the pieces of a body with more of them. Each costs as much time
+as some hundred bytes, and an event of a stream is larger."""
+
 _STATUSES_WITHOUT_BODY = (204, 304)
 
 
@@ -116,6 +130,9 @@
         self._is_head_request = False
         self._lost = False
         self._unproductive_bytes = 0
+        self._head_bytes = 0
+        self._body_pieces = 0
+        self._body_bytes = 0
         self._reading = True
 
     @property
@@ -228,6 +245,9 @@
     def on_message_begin(self) -> None:
         """Starts a response; without a request it is unsolicited."""
         self._headers = []
+        self._head_bytes = 0
+        self._body_pieces = 0
+        self._body_bytes = 0
         self._head = None
         self._head_done = False
         self._skipping = False
@@ -236,8 +256,13 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collects a header; trailers are dropped."""
-        if not self._head_done:
-            self._headers.append((name, value))
+        if self._head_done or self._receiver is None:
+            return
+        self._head_bytes += len(name) + len(value) + HEADER_BYTES
+        if self._head_bytes > MAX_HEAD_BYTES:
+            self._fail(BreakReason.TOO_LARGE)
+            return
+        self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Passes the head to the receiver."""
@@ -272,9 +297,17 @@
 
     def on_body(self, body: bytes) -> None:
         """Passes a chunk of the body to the receiver."""
-        if self._receiver is not None and not self._skipping:
-            self._unproductive_bytes = 0
-            self._receiver.response_body(body)
+        if self._receiver is None or self._skipping:
+            return
+        self._unproductive_bytes = 0
+        self._body_pieces += 1
+        self._body_bytes += len(body)
+        if is_fragmented(
+            self._body_pieces, self._body_bytes, MIN_MEAN_PIECE_BYTES
+        ):
+            self._fail(BreakReason.TOO_LARGE)
+            return
+        self._receiver.response_body(body)
 
     def on_message_complete(self) -> None:
         """Ends the response."""
@@ -295,3 +328,14 @@
         self.transport.abortConnection()
         if receiver is not None:
             receiver.response_failed(reason)
+
+
+def is_fragmented(pieces: int, size: int, min_mean_bytes: int) -> bool:
+    """Returns whether a body comes in too many pieces for its size.
+
+    Args:
+        pieces: Pieces so far.
+        size: Their bytes.
+        min_mean_bytes: Mean size from ``MAX_SMALL_PIECES`` pieces on.
+    """
+    return pieces > MAX_SMALL_PIECES and size < pieces * min_mean_bytes
--- a/lycheestall/entry/relayed_attempt.py
+++ b/lycheestall/entry/relayed_attempt.py
@@ -82,8 +82,7 @@
         self._sink = sink
         self._on_response = on_response
         self._kind: RelayedKind | None = None
-        self._result: list[bytes] = []
-        self._result_bytes = 0
+        self._result = bytearray()
         self.peer_failed = False
 
     def response_started(self, head: ResponseHead) -> bool:
@@ -108,11 +107,9 @@
             if not self._sink.feed(data):
                 self._break(BreakReason.MALFORMED)
             return
-        self._result.append(data)
-        self._result_bytes += len(data)
-        if self._result_bytes > MAX_RESULT_BYTES or not self.hold(
-            self._result_bytes
-        ):
+        self._result += data
+        size = len(self._result)
+        if size > MAX_RESULT_BYTES or not self.hold(size):
             self._break(BreakReason.TOO_LARGE)
 
     def response_ended(self) -> None:
@@ -134,12 +131,17 @@
         self.peer_failed = True
         self._end(Broken(reason, response_started=self.started))
 
+    def _end(self, outcome: AttemptOutcome) -> None:
+        # The attempt itself may be kept until the next garbage collection.
+        self._result = bytearray()
+        super()._end(outcome)
+
     def _decode_result(self) -> AttemptOutcome:
         malformed = Broken(BreakReason.MALFORMED, response_started=False)
         if self._kind is not RelayedKind.RESULT:
             return malformed
         try:
-            message = decode(b"".join(self._result))
+            message = decode(bytes(self._result))
         except ValueError:
             return malformed
         if not isinstance(message, AttemptResult):
--- a/lycheestall/entry/target_attempt.py
+++ b/lycheestall/entry/target_attempt.py
@@ -18,9 +18,7 @@
 )
 from .connection_pool import ConnectionPool, is_timeout
 from .header_codec import HeaderCodec
-from .http_client_connection import (
-    BreakReason,
-)
+from .http_client_connection import BreakReason, is_fragmented
 from .http_messages import ResponseHead
 from .link_monitor import LinkUse
 from .message_metadata import ResponseMetadata
@@ -30,6 +28,9 @@
 MAX_BUFFERED_BODY_BYTES = 4_194_304
 """Largest body of a response that is buffered as a whole."""
 
+MIN_MEAN_BUFFERED_BYTES = 32
+"""Mean size of the pieces of a buffered body that has many of them."""
+
 # These imply that the request was not run. Without a header that states it,
 # or status 421, the response is treated as malformed.
 _NOT_RUN_STATUSES = (408, 421, 429, 503)
@@ -70,8 +71,8 @@
         self._forwarder = forwarder
         self._head: ResponseHead | None = None
         self._metadata: ResponseMetadata | None = None
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._body = bytearray()
+        self._body_pieces = 0
         self._streaming = False
 
     def link_lost(self, *, may_repeat: bool) -> None:
@@ -121,16 +122,23 @@
         if self._ended:
             return
         if not self._streaming or self._forwarder is None:
-            self._body.append(data)
-            self._body_bytes += len(data)
-            if self._body_bytes > MAX_BUFFERED_BODY_BYTES or not self.hold(
-                self._body_bytes
-            ):
+            if not self._buffer(data):
                 self._break(BreakReason.TOO_LARGE)
             return
         if not self._forwarder.feed(data):
             self._break(BreakReason.MALFORMED)
 
+    def _buffer(self, data: bytes) -> bool:
+        """Appends a part of the body; returns whether it may be as large."""
+        self._body += data
+        self._body_pieces += 1
+        size = len(self._body)
+        if size > MAX_BUFFERED_BODY_BYTES:
+            return False
+        if is_fragmented(self._body_pieces, size, MIN_MEAN_BUFFERED_BYTES):
+            return False
+        return self.hold(size)
+
     def response_ended(self) -> None:
         """Ends the attempt with a complete response."""
         if self._ended:
@@ -148,6 +156,11 @@
         """Ends the attempt without a complete response."""
         self._end(Broken(reason, response_started=self.started))
 
+    def _end(self, outcome: AttemptOutcome) -> None:
+        # The attempt itself may be kept until the next garbage collection.
+        self._body = bytearray()
+        super()._end(outcome)
+
     def _release(self) -> None:
         head, metadata = self._head, self._metadata
         connection = self._connection
@@ -188,7 +201,7 @@
         head, metadata = self._head, self._metadata
         if head is None or metadata is None:
             return Broken(BreakReason.MALFORMED, response_started=False)
-        body = b"".join(self._body)
+        body = bytes(self._body)
         if _is_refusal(head, metadata):
             return NotRun(
                 _not_run_reason(head.status), head.status, head, body
--- a/tests/untrusted_callers/stand_ins.py
+++ b/tests/untrusted_callers/stand_ins.py
@@ -77,14 +77,21 @@
     }
     log.put(Topic.CONFIGURATION, KeyedWrite(b"config", orjson.dumps(document)))
     for service in ("app", "engines"):
-        registration = {
-            "service": service,
-            "address": f"127.0.0.1:{target_port}",
-            "zone": "zone-a",
-            "version": "v1",
-            "slots": 1000,
-            "state": "ready",
-            "born": 1,
-        }
-        write = KeyedWrite(service.encode(), orjson.dumps(registration))
-        log.put(Topic.TARGETS, write)
+        register_target(log, service, service, target_port)
+
+
+def register_target(
+    log: MemoryLog, name: str, service: str, port: int
+) -> None:
+    """Writes a target's registration."""
+    registration = {
+        "service": service,
+        "address": f"127.0.0.1:{port}",
+        "zone": "zone-a",
+        "version": "v1",
+        "slots": 1000,
+        "state": "ready",
+        "born": 1,
+    }
+    write = KeyedWrite(name.encode(), orjson.dumps(registration))
+    log.put(Topic.TARGETS, write)
