Refuse late in a planned stop what would be cut off at its end

Cause: a VM that shuts down passed on every request until its process ended, whatever was left of the grace period, and closed connections with requests in progress. Why this works: a request is passed on if its deadline, or what its route's requests are known to last at most, lies within what is left; the others are refused as not run, with 0.05 s as Retry-After, since the other VMs serve them. What still runs at the end gets a response in the last 0.2 s: 503 if it wasn't sent, else 502.

--- a/lycheestall/entry/entry_process.py
+++ b/lycheestall/entry/entry_process.py
@@ -50,6 +50,10 @@
 """Seconds of the grace period that are reserved for the last steps of the
 shutdown."""
 
+ANSWER_MARGIN_S = 0.2
+"""Seconds in which callers whose requests are cut off receive their
+responses."""
+
 DRAIN_POLL_S = 0.05
 """Seconds between checks whether requests are still running."""
 
@@ -198,16 +202,20 @@
     async def _shut_down(self) -> None:
         started = self._reactor.seconds()
         deadline = started + self._settings.grace_s - EXIT_MARGIN_S
-        self._vm.drain()
+        self._vm.drain(ends_at=deadline - ANSWER_MARGIN_S)
         self._callers.close_idle()
         await sleep(self._reactor, DEREGISTRATION_DELAY_S)
         for port in self._ports:
             await defer.maybeDeferred(port.stopListening)
-        while self._reactor.seconds() < deadline:
+        while self._reactor.seconds() < deadline - ANSWER_MARGIN_S:
             self._callers.close_idle()
             if not self._callers.busy_connections and not self._vm.running:
                 break
             await sleep(self._reactor, DRAIN_POLL_S)
+        cut_off = self._vm.end_requests()
+        if cut_off:
+            self._logger.warning("requests cut off", requests=cut_off)
+            await sleep(self._reactor, ANSWER_MARGIN_S)
         remaining_s = max(0.1, deadline - self._reactor.seconds())
         stopped = ensureDeferred(self._vm.stop())
         stopped.addTimeout(remaining_s, self._reactor)
--- a/lycheestall/entry/entry_vm.py
+++ b/lycheestall/entry/entry_vm.py
@@ -34,6 +34,7 @@
 from .request_dependencies import RequestDependencies
 from .request_router import RequestRouter
 from .routed_store import RoutedStore
+from .shutdown.drain_window import DrainWindow
 from .store import Store
 from .store_health import StoreHealth
 from .store_view import StoreView
@@ -121,7 +122,7 @@
         self._reactor = reactor
         self._metrics = metrics
         self._peers = peers
-        self._draining = False
+        self._drain_window = DrainWindow()
         self._log = DecisionLog(
             logger, metrics, context=self._observed_state, clock=reactor
         )
@@ -226,7 +227,7 @@
             log=self._log,
             logger=logger,
             metrics=metrics,
-            draining=lambda: self._draining,
+            draining=lambda: self._drain_window.draining,
         )
         self._quotas = QuotaService(
             holder=holder,
@@ -256,6 +257,7 @@
             crash_reporter=self._crash_reporter,
             is_blocked=self.token_service.crashes.is_blocked,
             request_answered=self.token_service.writer.request_answered,
+            drain_window=self._drain_window,
             pool_of=self._view.pool_of,
             log=self._log,
             conversations=self.conversations,
@@ -284,7 +286,7 @@
     @property
     def ready(self) -> bool:
         """Whether the VM accepts new callers."""
-        if not self.loaded or self._draining:
+        if not self.loaded or self._drain_window.draining:
             return False
         return not self._lacks_store() and not self._links.isolated
 
@@ -334,9 +336,21 @@
                 Poller(name, step, interval_s=interval_s, clock=self._reactor)
             )
 
-    def drain(self) -> None:
-        """Makes the VM not ready; requests are still handled."""
-        self._draining = True
+    def drain(self, *, ends_at: float) -> None:
+        """Makes the VM not ready; requests that end in time are handled.
+
+        Args:
+            ends_at: When ``end_requests`` is to be called.
+        """
+        self._drain_window.begin(ends_at)
+
+    def end_requests(self) -> int:
+        """Answers the requests in progress, as the process is about to end.
+
+        Returns:
+            Their number.
+        """
+        return self._router.end_requests()
 
     async def stop(self) -> None:
         """Releases unused tokens, stops the pollers, closes connections."""
@@ -355,7 +369,7 @@
         While this VM is isolated from the store or the targets, its callers
         may reach another VM that is not.
         """
-        if self._draining or self._lacks_store():
+        if self._drain_window.draining or self._lacks_store():
             return True
         return self._links.isolated
 
--- a/lycheestall/entry/final_response.py
+++ b/lycheestall/entry/final_response.py
@@ -43,6 +43,9 @@
 """Retry delay for callers when neither this VM nor its peers reach targets;
 lost links are probed more often than that."""
 
+SHUTTING_DOWN_RETRY_S = 0.05
+"""Retry delay for callers whose VM shuts down; others serve them at once."""
+
 HELD_RETRY_S = 0.4
 """Retry delay for callers until tokens that another VM holds in advance
 should be free again."""
@@ -53,6 +56,7 @@
 
     CALLER_DISCONNECTED = "caller left"
     DEADLINE_PASSED = "time over"
+    SHUTTING_DOWN = "shutting down"
 
 
 class FinalResponse:
@@ -113,10 +117,10 @@
         self.log_end("served")
 
     def end_early(self, reason: EarlyEnd | None, *, sent: bool) -> None:
-        """Ends a request whose caller left or whose deadline passed.
+        """Ends a request whose caller left, or that has no time left.
 
         Args:
-            reason: Which of the two.
+            reason: Why it ends.
             sent: Whether a target may have run the request.
         """
         if reason is EarlyEnd.CALLER_DISCONNECTED:
@@ -126,7 +130,15 @@
             return
         if self._exchange.started:
             self._exchange.abort()
-            self.log_end("broken off at its deadline")
+            self.log_end(
+                "broken off at the VM's end"
+                if reason is EarlyEnd.SHUTTING_DOWN
+                else "broken off at its deadline"
+            )
+        elif reason is EarlyEnd.SHUTTING_DOWN and sent:
+            self.fail("the VM ends before the answer has come")
+        elif reason is EarlyEnd.SHUTTING_DOWN:
+            self.refuse_shutting_down()
         elif sent:
             self._exchange.send_error(504, "no answer in time")
             self.log_end("timed out")
@@ -151,6 +163,10 @@
             retry_s = self._deps.reservations.decider_retry_s()
             self.refuse(503, "budgets can't be checked now", retry_s)
 
+    def refuse_shutting_down(self) -> None:
+        """Refuses a request that may last longer than the VM does."""
+        self.refuse(503, "shutting down", SHUTTING_DOWN_RETRY_S)
+
     def refuse_isolated(self) -> None:
         """Refuses a request because no VM is known to reach any target."""
         self.refuse(503, "no target is reached", ISOLATED_RETRY_S)
--- a/lycheestall/entry/request_dependencies.py
+++ b/lycheestall/entry/request_dependencies.py
@@ -17,6 +17,7 @@
 from .placement.target_chooser import TargetChooser
 from .quotas.quota_service import QuotaService
 from .relay_client import RelayClient
+from .shutdown.drain_window import DrainWindow
 from .stream_origin_service import StreamOriginService
 from .target_announcements import TargetAnnouncements
 from .target_table import TargetRegistration, TargetTable
@@ -51,6 +52,8 @@
             blocked because it crashes targets.
         request_answered: Notes that a target has answered a request, given
             its fingerprint.
+        drain_window: Tells how long requests may last while this VM shuts
+            down.
         pool_of: Returns the connection pool of a target.
         log: Logs decisions about requests.
         conversations: Keeps conversations for callers.
@@ -74,6 +77,7 @@
     crash_reporter: CrashReporter
     is_blocked: Callable[[str], bool]
     request_answered: Callable[[str], None]
+    drain_window: DrainWindow
     pool_of: Callable[[TargetRegistration], ConnectionPool]
     log: DecisionLog
     conversations: ConversationService
--- a/lycheestall/entry/request_processor.py
+++ b/lycheestall/entry/request_processor.py
@@ -194,10 +194,38 @@
             if timer.active():
                 timer.cancel()
             self._quota.release()
+            self._record_duration()
             if not self._exchange.ended:
                 self._final.fail("internal error")
 
+    def _record_duration(self) -> None:
+        if self._early_end is not None or not self._history.attempts:
+            return
+        took_s = (
+            self._deps.clock.seconds() - self._exchange.request.received_at
+        )
+        self._deps.drain_window.record(self._route.name, took_s)
+
+    def shut_down(self) -> None:
+        """Ends the request at once, since the VM's process is about to end."""
+        self._stop(EarlyEnd.SHUTTING_DOWN)
+
+    def _fits_before_shutdown(self) -> bool:
+        """Returns whether the request may be passed on to a target.
+
+        One that may have run already is tried to the end.
+        """
+        if self._history.may_have_run:
+            return True
+        now = self._deps.clock.seconds()
+        return self._deps.drain_window.admits(
+            self._route.name, longest_s=self._deadline - now, now=now
+        )
+
     async def _process(self) -> None:
+        if not self._fits_before_shutdown():
+            self._final.refuse_shutting_down()
+            return
         if self._feedback.crashes_targets:
             self._final.refuse(503, "the request crashes its targets", 5.0)
             return
@@ -285,6 +313,9 @@
                     self._early_end, sent=self._history.may_have_run
                 )
                 return
+            if not self._fits_before_shutdown():
+                self._final.refuse_shutting_down()
+                return
             if admission is None and self._waits_for_full_targets():
                 await self._sleep(FULL_TARGETS_RETRY_DELAY_S)
                 continue
--- a/lycheestall/entry/request_router.py
+++ b/lycheestall/entry/request_router.py
@@ -67,6 +67,18 @@
         self._logger = logger
         self._last_turn = 0
         self.running = 0
+        self._processors: set[RequestProcessor] = set()
+
+    def end_requests(self) -> int:
+        """Answers all requests in progress at once, since the VM ends.
+
+        Returns:
+            Their number.
+        """
+        processors = list(self._processors)
+        for processor in processors:
+            processor.shut_down()
+        return len(processors)
 
     def handle(self, exchange: Exchange) -> None:
         """Handles one request of a caller."""
@@ -191,9 +203,14 @@
             authenticated=configuration.has_accounts,
         )
         self.running += 1
+        self._processors.add(processor)
         finished = ensureDeferred(processor.process())
         finished.addErrback(self._on_failed, metadata)
-        finished.addCallback(self._on_ended)
+        finished.addCallback(self._on_processed, processor)
+
+    def _on_processed(self, _: object, processor: RequestProcessor) -> None:
+        self._processors.discard(processor)
+        self.running -= 1
 
     def _on_ended(self, _: object) -> None:
         self.running -= 1
--- a/tests/entry/test_attempt_relay.py
+++ b/tests/entry/test_attempt_relay.py
@@ -149,7 +149,7 @@
 def test_a_vm_that_shuts_down_carries_nothing(
     harness: EntryVmHarness, target: FakeTarget, ask: Ask
 ) -> None:
-    harness.vm.drain()
+    harness.vm.drain(ends_at=60.0)
     assert isinstance(outcome_of(ask(ATTEMPT)), Unreachable)
     report = harness.vm.handle_message(AskLinks(ASKING_VM))
     assert isinstance(report, LinkReport)
--- a/tests/entry/test_caller_connection.py
+++ b/tests/entry/test_caller_connection.py
@@ -132,7 +132,7 @@
 ) -> None:
     caller = limited_harness.connect()
     limited_harness.send_request("/maps/x", caller=caller)
-    limited_harness.vm.drain()
+    limited_harness.vm.drain(ends_at=60.0)
     assert not limited_harness.vm.ready
     data = limited_harness.send_request(
         "/maps/x", request_id="r2", caller=caller
