Ask a full target again instead of one more than may run a request

Cause: after a lost answer a stream goes to the same target again, since no other may run it. If that one was full, the refusal led to another target, without a look at how many may have run the request. Why this works: a refusal adds no target while as many as the route allows may have run the request and are up; the full one is asked again, within the same number of attempts. A target that is cut off doesn't count any more, as one that is down.

--- a/lycheestall/entry/request_processor.py
+++ b/lycheestall/entry/request_processor.py
@@ -416,6 +416,12 @@
             remaining_s=self._deadline - now,
         )
         admission: Admission | AtLimits | None
+        if same_target is None and self._history.runs_out(
+            self._route.max_attempts
+        ):
+            same_target = self._usable_executor()
+            if same_target is None:
+                return None
         if same_target is not None:
             admission = await self._admission.wait_for(
                 same_target, max_wait_s=wait_s
@@ -430,6 +436,14 @@
                 await self._sleep(delay_s)
         return admission
 
+    def _usable_executor(self) -> TargetRegistration | None:
+        """Returns a target that may have run the request and may again."""
+        for target in sorted(self._history.possible_executors):
+            registration = self._admission.get_usable(target)
+            if registration is not None:
+                return registration
+        return None
+
     def _starts_program(self) -> bool:
         if self._history.may_have_run:
             return False
--- a/lycheestall/entry/retry_policy.py
+++ b/lycheestall/entry/retry_policy.py
@@ -40,7 +40,7 @@
     Attributes:
         attempts: Number of attempts.
         possible_executors: Targets that may have run the request and
-            are still up.
+            are still up and reached.
         may_have_run: Whether any target may have run the request,
             including one that is gone.
         excluded: Targets that must not be chosen again.
@@ -63,6 +63,8 @@
             self.possible_executors.discard(target)
             self.excluded.add(target)
         elif isinstance(outcome, Unreachable):
+            # It is cut off, so that its run doesn't count any more.
+            self.possible_executors.discard(target)
             self.excluded.add(target)
         elif isinstance(outcome, NotRun):
             self.excluded.add(target)
@@ -72,6 +74,15 @@
             self.possible_executors.add(target)
             self.may_have_run = True
 
+    def runs_out(self, max_attempts: int) -> bool:
+        """Returns whether no further target may run the request.
+
+        Args:
+            max_attempts: Maximum number of targets that may run it.
+        """
+        executors = len(self.possible_executors)
+        return executors > 0 and executors >= max_attempts
+
     def readmit_full(self) -> bool:
         """Allows targets that were full again; returns whether any were."""
         readmitted = bool(self.full)
@@ -92,7 +103,8 @@
     A request that was not run goes to another target. One that may have
     run is retried only if it is idempotent or a stream that can be
     resumed. Once as many targets as the route allows may have run it, it
-    is retried at the same target, which adds no target. A broken stream
+    is retried at the same target, which adds no target, also if that one
+    is full now. A broken stream
     is resumed at its target, whose cache still has the prompt; an overdue
     one is resumed at another target.
 
@@ -104,6 +116,13 @@
     """
     if history.attempts >= MAX_TOTAL_ATTEMPTS:
         return NextStep.GIVE_UP
+    if (
+        isinstance(outcome, NotRun)
+        and outcome.reason is NotRunReason.FULL
+        and history.runs_out(max_attempts)
+    ):
+        # Another target would be one more that may run it.
+        return NextStep.SAME_TARGET
     if isinstance(outcome, NotSent | NotRun | Unreachable):
         return NextStep.OTHER_TARGET
     if retry_safety is RetrySafety.ONCE:
