--- a/lycheestall/entry/attempt_runner.py
+++ b/lycheestall/entry/attempt_runner.py
@@ -15,7 +15,7 @@
 )
 from .configuration import Route
 from .exchange import Exchange
-from .members import Member
+from .membership import Member
 from .message_metadata import RequestMetadata
 from .overdue_timer import start_overdue_timer
 from .peer_rpc import encode_call
--- a/lycheestall/entry/configuration_relay.py
+++ b/lycheestall/entry/configuration_relay.py
@@ -17,7 +17,7 @@
 from ..ids import Offset, ZoneId
 from ..logs import Logger
 from ..rendezvous import rendezvous, rendezvous_order
-from .members import Members
+from .membership import Members
 from .peer_rpc import PeerClient
 from .relay_messages import AskConfiguration, RelayedConfiguration
 from .store import KeyedRecord, StoreFailed
--- a/lycheestall/entry/conversation_service.py
+++ b/lycheestall/entry/conversation_service.py
@@ -19,7 +19,7 @@
 from ..rendezvous import rendezvous
 from .conversation_lookup import ConversationLookup, LookupResult
 from .entry_metrics import EntryMetrics
-from .members import Members
+from .membership import Members
 from .peer_messages import PeerMessage, PeerReply, Understood
 from .peer_rpc import PeerClient, PeerHandler
 from .store import Store
--- a/lycheestall/entry/deciding_vms.py
+++ b/lycheestall/entry/deciding_vms.py
@@ -11,7 +11,7 @@
 from ..ids import ProgramId
 from ..logs import Logger
 from .ledger_writer import ReservationResult
-from .members import Members
+from .membership import Members
 from .outage import OutageTracker
 from .outage_allocator import OutageAllocator, OutageDecision
 from .outages.budget_refusals import BudgetRefusals, RefusalReason
--- a/lycheestall/entry/entry_vm.py
+++ b/lycheestall/entry/entry_vm.py
@@ -23,7 +23,7 @@
 from .failure_detector import MEMBER_CHECK_INTERVAL_S
 from .header_codec import HeaderCodec
 from .link_service import LinkService
-from .members import Members
+from .membership import Members
 from .outage import OutageMode
 from .peer_messages import PeerMessage, PeerReply
 from .peer_rpc import PeerClient, RelayingPeerHandler
--- a/lycheestall/entry/failure_detector.py
+++ b/lycheestall/entry/failure_detector.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from ..logs import Logger
-from .members import Member, Members
+from .membership import Member, Members
 from .peer_messages import Survey
 from .peer_rpc import PeerClient
 from .token_ledger import HolderId
--- a/lycheestall/entry/grant_recorder.py
+++ b/lycheestall/entry/grant_recorder.py
@@ -6,7 +6,7 @@
 
 from ..logs import Logger
 from .ledger_writer import LedgerWriter
-from .members import Members
+from .membership import Members
 from .outage import OutageMode, OutageTracker
 from .token_allocator import TokenAllocator
 from .token_ledger import HolderId
--- a/lycheestall/entry/ledger_catch_up.py
+++ b/lycheestall/entry/ledger_catch_up.py
@@ -17,7 +17,7 @@
     LedgerPosition,
     LedgerTail,
 )
-from .members import Members, MemberView
+from .membership import Members, MemberView
 from .outages.ledger_gap import UNREAD_WINDOW_S, LastReads, LedgerGap
 from .peer_rpc import PeerClient
 from .token_ledger import HolderId, TokenLedger
--- a/lycheestall/entry/limit_reporter.py
+++ b/lycheestall/entry/limit_reporter.py
@@ -8,7 +8,7 @@
 
 from typing import Any
 
-from .members import Member, Members
+from .membership import Member, Members
 from .peer_messages import ChangedLimits
 from .peer_rpc import PeerClient, call_all
 from .permit_deciders import PermitDeciders
--- a/lycheestall/entry/link_service.py
+++ b/lycheestall/entry/link_service.py
@@ -15,7 +15,7 @@
 from .exchange import Exchange
 from .header_codec import HeaderCodec
 from .link_monitor import LinkMonitor
-from .members import Members
+from .membership import Members
 from .peer_rpc import PeerClient
 from .relay_client import RelayClient
 from .target_service import TargetService
--- a/lycheestall/entry/origin_journal.py
+++ b/lycheestall/entry/origin_journal.py
@@ -9,7 +9,7 @@
 
 from ..ids import Offset
 from ..logs import Logger
-from .members import Members
+from .membership import Members
 from .origin_records import decode_origins, encode_origins
 from .record_decoder import UnreadableRecord
 from .shared_read import SharedRead
--- a/lycheestall/entry/origin_search.py
+++ b/lycheestall/entry/origin_search.py
@@ -12,7 +12,7 @@
 from ..clock import Clock
 from ..ids import SoftwareVersion
 from .configuration import ServiceId
-from .members import Member
+from .membership import Member
 from .origin_messages import FindStreamOrigin, FoundStreamOrigin
 from .peer_rpc import PeerClient, call_all
 from .stream_origins import UNNAMED_STREAM, StreamKey, StreamOrigin
--- a/lycheestall/entry/outage.py
+++ b/lycheestall/entry/outage.py
@@ -14,7 +14,7 @@
 from enum import Enum
 
 from ..ids import ProgramId
-from .members import MemberView, majority_size
+from .membership import MemberView, majority_size
 from .peer_messages import StoreReport
 from .token_ledger import HolderId
 
--- a/lycheestall/entry/outage_recovery.py
+++ b/lycheestall/entry/outage_recovery.py
@@ -10,7 +10,7 @@
 
 from ..ids import ProgramId
 from ..logs import Logger
-from .members import Members, MemberView, tolerated_losses
+from .membership import Members, MemberView, tolerated_losses
 from .outage import RECOVERY_S, OutageTracker
 from .outages.settled_groups import RECOVERY_LIMIT_S, SettledGroups
 from .peer_rpc import PeerClient
--- a/lycheestall/entry/outages/grant_handover.py
+++ b/lycheestall/entry/outages/grant_handover.py
@@ -7,7 +7,7 @@
 
 from ...ids import ProgramId
 from ...rendezvous import rendezvous
-from ..members import Members
+from ..membership import Members
 from ..outage import OutageTracker
 from ..peer_messages import Handover, HandoverGrants
 from ..peer_rpc import PeerClient, call_all
--- a/lycheestall/entry/outages/ledger_readers.py
+++ b/lycheestall/entry/outages/ledger_readers.py
@@ -8,7 +8,7 @@
 
 from ...ids import Offset
 from ..ledger_messages import ReadLedger
-from ..members import Member, Members
+from ..membership import Member, Members
 from ..peer_messages import PeerReply, Understood
 from ..peer_rpc import PeerClient
 from ..store import StoreFailed
--- a/lycheestall/entry/outages/member_records.py
+++ b/lycheestall/entry/outages/member_records.py
@@ -7,7 +7,7 @@
 from ...ids import ZoneId
 from ...rendezvous import rendezvous
 from ..ledger_writer import LedgerWriter
-from ..members import (
+from ..membership import (
     Member,
     Members,
     build_record,
--- a/lycheestall/entry/outages/settled_groups.py
+++ b/lycheestall/entry/outages/settled_groups.py
@@ -7,7 +7,7 @@
 from twisted.internet.defer import Deferred
 
 from ...ids import ProgramId
-from ..members import GroupId, Members
+from ..membership import GroupId, Members
 from ..outage import OutageTracker
 from ..peer_rpc import PeerClient
 from ..token_ledger import HolderId
--- a/lycheestall/entry/peer_rpc.py
+++ b/lycheestall/entry/peer_rpc.py
@@ -20,7 +20,7 @@
 from .exchange import Exchange, RequestHandler
 from .http_call import CallResponse, call
 from .http_messages import encode_request
-from .members import Member
+from .membership import Member
 from .peer_messages import PeerMessage, PeerReply, decode, encode
 from .vm_settings import Address
 
--- a/lycheestall/entry/peer_survey.py
+++ b/lycheestall/entry/peer_survey.py
@@ -10,7 +10,7 @@
 
 from ..ids import Offset, ZoneId
 from ..logs import Logger
-from .members import Member, Members, MemberView
+from .membership import Member, Members, MemberView
 from .outage import OutageTracker, SurveyResult
 from .peer_messages import PeerReply, StoreReport, Survey
 from .peer_rpc import PeerClient
--- a/lycheestall/entry/permit_deciders.py
+++ b/lycheestall/entry/permit_deciders.py
@@ -4,7 +4,7 @@
 
 import xxhash
 
-from .members import Member, Members
+from .membership import Member, Members
 from .target_table import TargetProcess
 from .vm_settings import Address
 
--- a/lycheestall/entry/permit_service.py
+++ b/lycheestall/entry/permit_service.py
@@ -12,7 +12,7 @@
 
 from ..ids import TargetId
 from ..logs import Logger
-from .members import Member, Members
+from .membership import Member, Members
 from .peer_rpc import PeerClient
 from .permit_bucket import MIN_RATE_PER_S, PermitBucket
 from .permit_deciders import PermitDeciders
--- a/lycheestall/entry/placement/figures_reporter.py
+++ b/lycheestall/entry/placement/figures_reporter.py
@@ -13,7 +13,7 @@
 from typing import Any
 
 from ...rendezvous import rendezvous_order
-from ..members import Member, Members
+from ..membership import Member, Members
 from ..peer_rpc import PeerClient
 from ..token_ledger import HolderId
 from .figure_messages import ONE_VM, ShareFigures
--- a/lycheestall/entry/quotas/account_ranking.py
+++ b/lycheestall/entry/quotas/account_ranking.py
@@ -5,7 +5,7 @@
 import heapq
 
 from ..accounts import AccountId
-from ..members import Member, Members
+from ..membership import Member, Members
 from ..permit_deciders import member_weight
 from ..token_ledger import HolderId
 from ..vm_settings import Address
--- a/lycheestall/entry/quotas/quota_decisions.py
+++ b/lycheestall/entry/quotas/quota_decisions.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Iterable
 
 from ..accounts import AccountId
-from ..members import Member
+from ..membership import Member
 from ..token_ledger import HolderId
 from ..vm_settings import QuotaSettings
 from .account_decider import AccountDecider, QuotaDecision, QuotaRefusal
--- a/lycheestall/entry/quotas/quota_service.py
+++ b/lycheestall/entry/quotas/quota_service.py
@@ -18,7 +18,7 @@
 from ...logs import Logger
 from ..accounts import Account, AccountId
 from ..configuration import Configuration
-from ..members import Member, Members
+from ..membership import Member, Members
 from ..peer_messages import PeerReply, Understood
 from ..peer_rpc import PeerClient
 from ..token_ledger import HolderId
--- a/lycheestall/entry/relay_client.py
+++ b/lycheestall/entry/relay_client.py
@@ -10,7 +10,7 @@
 from .attempt_messages import AskLinks, LinkReport
 from .header_codec import HeaderCodec
 from .http_messages import ResponseHead
-from .members import Member, Members
+from .membership import Member, Members
 from .message_metadata import ResponseMetadata
 from .peer_rpc import PeerClient, call_all
 from .relay_peers import RelayPeers
--- a/lycheestall/entry/relay_peers.py
+++ b/lycheestall/entry/relay_peers.py
@@ -9,7 +9,7 @@
 
 from ..ids import TargetId, ZoneId
 from .attempt_messages import LinkReport
-from .members import Member, Members
+from .membership import Member, Members
 from .token_ledger import HolderId
 
 __all__ = ["RelayPeers"]
--- a/lycheestall/entry/routed_store.py
+++ b/lycheestall/entry/routed_store.py
@@ -10,7 +10,7 @@
 from ..clock import Timer
 from ..ids import Offset
 from ..logs import Logger
-from .members import Member
+from .membership import Member
 from .peer_rpc import PeerClient
 from .relay_messages import RelayAppend, RelayNewest, RelayRead
 from .store import (
--- a/lycheestall/entry/slow_target_reporter.py
+++ b/lycheestall/entry/slow_target_reporter.py
@@ -11,7 +11,7 @@
 
 from ..ids import TargetId
 from ..logs import Logger
-from .members import Members
+from .membership import Members
 from .peer_messages import SlowTargets
 from .peer_rpc import PeerClient, call_all
 from .placement.target_chooser import TargetChooser
--- a/lycheestall/entry/stream_origin_service.py
+++ b/lycheestall/entry/stream_origin_service.py
@@ -12,7 +12,7 @@
 from ..conversations import CopyCandidate, choose_copy_holders
 from ..logs import Logger
 from .configuration import ServiceId
-from .members import Member, Members
+from .membership import Member, Members
 from .origin_journal import OriginJournal
 from .origin_messages import (
     FindStreamOrigin,
--- a/lycheestall/entry/target_service.py
+++ b/lycheestall/entry/target_service.py
@@ -12,7 +12,7 @@
 from .decision_log import DecisionLog
 from .entry_metrics import EntryMetrics
 from .limit_reporter import LimitReporter
-from .members import Members
+from .membership import Members
 from .peer_messages import (
     ChangedLimits,
     PeerMessage,
--- a/lycheestall/entry/token_service.py
+++ b/lycheestall/entry/token_service.py
@@ -15,7 +15,7 @@
 from .ledger_catch_up import LedgerCatchUp
 from .ledger_messages import AskLedger, AskPosition, LedgerTail, ReadLedger
 from .ledger_writer import LedgerWriter
-from .members import Members
+from .membership import Members
 from .outage import OutageMode, OutageTracker
 from .outage_allocator import OutageAllocator
 from .outages.grant_handover import GrantHandover
--- a/lycheestall/entry/turn_copies.py
+++ b/lycheestall/entry/turn_copies.py
@@ -12,7 +12,7 @@
     choose_copy_holders,
 )
 from ..ids import ProgramId
-from .members import Member, Members
+from .membership import Member, Members
 from .peer_rpc import PeerClient
 from .token_ledger import HolderId
 from .turn_messages import (
--- a/lycheestall/entry/turn_reservations.py
+++ b/lycheestall/entry/turn_reservations.py
@@ -11,7 +11,7 @@
 from .deciding_vms import DecidingVms
 from .ledger_catch_up import LedgerCatchUp
 from .ledger_writer import LedgerWriter, ReservationResult
-from .members import Members
+from .membership import Members
 from .outage import OutageMode, OutageTracker
 from .outage_allocator import OutageAllocator
 from .outage_recovery import GrantKnowledge, OutageRecovery
--- a/lycheestall/entry/versions/version_register.py
+++ b/lycheestall/entry/versions/version_register.py
@@ -11,7 +11,7 @@
 from ...logs import Logger
 from ...rendezvous import rendezvous
 from ..configuration import ServiceId
-from ..members import Members
+from ..membership import Members
 from ..record_decoder import UnreadableRecord
 from ..store import Appended, KeyedRecord, NewestPage, Store, Topic
 from ..token_ledger import HolderId
--- a/scripts/quota_cost.py
+++ b/scripts/quota_cost.py
@@ -20,7 +20,7 @@
 sys.path.insert(0, str(Path(__file__).parent.parent))
 
 from lycheestall.entry.accounts import Account, AccountId  # noqa: E402
-from lycheestall.entry.members import (  # noqa: E402
+from lycheestall.entry.membership import (  # noqa: E402
     Member,
     Members,
     join_record,
--- a/tests/callers/test_caller_tables.py
+++ b/tests/callers/test_caller_tables.py
@@ -14,7 +14,7 @@
 from lycheestall.entry.configuration import ServiceId
 from lycheestall.entry.crashes.crash_reporter import DOUBT_S, CrashReporter
 from lycheestall.entry.crashes.crash_reports import CrashReports
-from lycheestall.entry.members import Members
+from lycheestall.entry.membership import Members
 from lycheestall.entry.origin_journal import OriginJournal
 from lycheestall.entry.stream_origins import (
     StreamOrigin,
--- a/tests/entry/conversation_simulation.py
+++ b/tests/entry/conversation_simulation.py
@@ -32,7 +32,7 @@
 )
 from lycheestall.entry.conversation_service import ConversationService
 from lycheestall.entry.entry_metrics import EntryMetrics
-from lycheestall.entry.members import Member, Members, join_record
+from lycheestall.entry.membership import Member, Members, join_record
 from lycheestall.entry.peer_messages import (
     PeerMessage,
     PeerReply,
--- a/tests/entry/outage_simulation.py
+++ b/tests/entry/outage_simulation.py
@@ -22,7 +22,7 @@
     MISSES_UNTIL_FAILED,
 )
 from lycheestall.entry.ledger_writer import ReservationResult
-from lycheestall.entry.members import Members
+from lycheestall.entry.membership import Members
 from lycheestall.entry.peer_messages import (
     PeerMessage,
     PeerReply,
--- a/tests/entry/quota_simulation.py
+++ b/tests/entry/quota_simulation.py
@@ -15,7 +15,7 @@
 from lycheestall.entry.accounts import Account, AccountId
 from lycheestall.entry.configuration import Configuration
 from lycheestall.entry.limit_waits import STARTED_WAIT_S
-from lycheestall.entry.members import Member, Members, join_record
+from lycheestall.entry.membership import Member, Members, join_record
 from lycheestall.entry.peer_messages import decode, encode
 from lycheestall.entry.quotas.account_ranking import (
     DECIDERS,
--- a/tests/entry/test_builds_side_by_side.py
+++ b/tests/entry/test_builds_side_by_side.py
@@ -8,7 +8,7 @@
 from twisted.internet.defer import Deferred, succeed
 
 from lycheestall.entry.configuration import ServiceId
-from lycheestall.entry.members import Member
+from lycheestall.entry.membership import Member
 from lycheestall.entry.origin_messages import (
     FindStreamOrigin,
     FoundStreamOrigin,
--- a/tests/entry/test_caller_connection.py
+++ b/tests/entry/test_caller_connection.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from lycheestall.entry.members import Member, join_record
+from lycheestall.entry.membership import Member, join_record
 from lycheestall.entry.store import Topic
 from lycheestall.entry.token_ledger import HolderId
 from lycheestall.entry.vm_settings import Address
--- a/tests/entry/test_configuration_relay.py
+++ b/tests/entry/test_configuration_relay.py
@@ -18,7 +18,7 @@
     MIN_ZONE_VMS,
     ConfigurationRelay,
 )
-from lycheestall.entry.members import Member, Members, join_record
+from lycheestall.entry.membership import Member, Members, join_record
 from lycheestall.entry.peer_messages import (
     PeerMessage,
     PeerReply,
--- a/tests/entry/test_odd_ledger_records.py
+++ b/tests/entry/test_odd_ledger_records.py
@@ -8,7 +8,7 @@
 from twisted.internet.task import Clock
 
 from lycheestall.entry.crashes.crash_reports import CrashReports
-from lycheestall.entry.members import Members
+from lycheestall.entry.membership import Members
 from lycheestall.entry.store import KeyedRecord, KeyedWrite, Topic
 from lycheestall.entry.token_ledger import TokenLedger
 from lycheestall.ids import Offset
--- a/tests/entry/test_origin_journal.py
+++ b/tests/entry/test_origin_journal.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 
 from lycheestall.entry.configuration import ServiceId
-from lycheestall.entry.members import Member, Members, join_record
+from lycheestall.entry.membership import Member, Members, join_record
 from lycheestall.entry.origin_journal import (
     APPENDS_PER_S,
     MAX_PENDING,
--- a/tests/entry/test_permits.py
+++ b/tests/entry/test_permits.py
@@ -13,7 +13,7 @@
     max_wait_s,
     retry_after_s,
 )
-from lycheestall.entry.members import Member, Members, join_record
+from lycheestall.entry.membership import Member, Members, join_record
 from lycheestall.entry.peer_messages import decode, encode
 from lycheestall.entry.permit_bucket import (
     BURST_S,
--- a/tests/entry/test_relay_peers.py
+++ b/tests/entry/test_relay_peers.py
@@ -25,7 +25,7 @@
 )
 from lycheestall.entry.http_client_connection import BreakReason
 from lycheestall.entry.http_messages import ResponseHead
-from lycheestall.entry.members import Member, Members, join_record
+from lycheestall.entry.membership import Member, Members, join_record
 from lycheestall.entry.peer_messages import (
     PeerMessage,
     PeerReply,
--- a/tests/entry/test_shared_figures.py
+++ b/tests/entry/test_shared_figures.py
@@ -13,7 +13,7 @@
 from twisted.internet.defer import Deferred, ensureDeferred, succeed
 from twisted.internet.task import Clock
 
-from lycheestall.entry.members import Member, Members, join_record
+from lycheestall.entry.membership import Member, Members, join_record
 from lycheestall.entry.peer_messages import PeerReply, decode, encode
 from lycheestall.entry.placement.figure_messages import (
     MAX_ROWS,
--- a/tests/entry/test_slow_target_reporter.py
+++ b/tests/entry/test_slow_target_reporter.py
@@ -12,7 +12,7 @@
 from twisted.internet.defer import ensureDeferred, succeed
 from twisted.internet.task import Clock
 
-from lycheestall.entry.members import Member, Members, join_record
+from lycheestall.entry.membership import Member, Members, join_record
 from lycheestall.entry.peer_messages import SlowTargets, decode, encode
 from lycheestall.entry.placement.target_chooser import TargetChooser
 from lycheestall.entry.placement.target_latencies import SlowResponses
--- a/tests/entry/test_store_outage.py
+++ b/tests/entry/test_store_outage.py
@@ -11,7 +11,7 @@
 
 from lycheestall.entry.entry_vm import SURVEY_INTERVAL_S
 from lycheestall.entry.grant_recorder import OWN_RECORD_WINDOW_S
-from lycheestall.entry.members import MemberView
+from lycheestall.entry.membership import MemberView
 from lycheestall.entry.outage import (
     AGREEMENT_VALID_S,
     RECOVERY_S,
--- a/tests/entry/token_fleet.py
+++ b/tests/entry/token_fleet.py
@@ -17,7 +17,7 @@
 
 from lycheestall.entry.entry_vm import LEDGER_CHECK_S, SURVEY_INTERVAL_S
 from lycheestall.entry.failure_detector import MEMBER_CHECK_INTERVAL_S
-from lycheestall.entry.members import Members
+from lycheestall.entry.membership import Members
 from lycheestall.entry.peer_messages import (
     PeerMessage,
     PeerReply,
