--- a/lycheestall/entry/request_processor.py
+++ b/lycheestall/entry/request_processor.py
@@ -28,6 +28,7 @@
 from .reservation_decision import ReservationDecision
 from .retry_options import RetryOptions
 from .retry_policy import AttemptHistory, NextStep, choose_next_step
+from .shutdown.request_drain import RequestDrain
 from .stream_forwarder import StreamForwarder
 from .stream_version import StreamVersion
 from .target_admission import Admission, AtLimits, TargetAdmission
@@ -121,6 +122,14 @@
         if metadata.deadline_s is not None:
             limit_s = min(limit_s, metadata.deadline_s)
         self._deadline = exchange.request.received_at + limit_s
+        self._drain = RequestDrain(
+            deps.drain_window,
+            deps.clock,
+            self._history,
+            route_name=route.name,
+            received_at=exchange.request.received_at,
+            deadline=self._deadline,
+        )
         self._quota = RequestQuota(
             deps.quotas,
             deps.log.quotas,
@@ -194,36 +203,17 @@
             if timer.active():
                 timer.cancel()
             self._quota.release()
-            self._record_duration()
+            if self._early_end is None:
+                self._drain.ended()
             if not self._exchange.ended:
                 self._final.fail("internal error")
 
-    def _record_duration(self) -> None:
-        if self._early_end is not None or not self._history.attempts:
-            return
-        took_s = (
-            self._deps.clock.seconds() - self._exchange.request.received_at
-        )
-        self._deps.drain_window.record(self._route.name, took_s)
-
     def shut_down(self) -> None:
         """Ends the request at once, since the VM's process is about to end."""
         self._stop(EarlyEnd.SHUTTING_DOWN)
 
-    def _fits_before_shutdown(self) -> bool:
-        """Returns whether the request may be passed on to a target.
-
-        One that may have run already is tried to the end.
-        """
-        if self._history.may_have_run:
-            return True
-        now = self._deps.clock.seconds()
-        return self._deps.drain_window.admits(
-            self._route.name, longest_s=self._deadline - now, now=now
-        )
-
     async def _process(self) -> None:
-        if not self._fits_before_shutdown():
+        if not self._drain.admits():
             self._final.refuse_shutting_down()
             return
         if self._feedback.crashes_targets:
@@ -313,7 +303,7 @@
                     self._early_end, sent=self._history.may_have_run
                 )
                 return
-            if not self._fits_before_shutdown():
+            if not self._drain.admits():
                 self._final.refuse_shutting_down()
                 return
             if admission is None and self._waits_for_full_targets():
