Let a stream go on elsewhere when its target is leaving

A target that is full is still asked again. Measured: the tests of attempts, streams and versions pass.

--- a/lycheestall/entry/request_processor.py
+++ b/lycheestall/entry/request_processor.py
@@ -409,9 +409,8 @@
         if same_target is None and self._history.runs_out(
             self._route.max_attempts
         ):
+            # Without one, its run has ended or is about to.
             same_target = self._usable_executor()
-            if same_target is None:
-                return None
         if same_target is not None:
             admission = await self._admission.wait_for(
                 same_target, max_wait_s=wait_s
