--- a/tests/entry/outage_simulation.py
+++ b/tests/entry/outage_simulation.py
@@ -43,6 +43,8 @@
 from tests.entry.memory_store import Fault, MemoryLog, MemoryStore
 
 STEP_S = 0.05
+TURN_S = 0.3
+"""Seconds that a turn lasts."""
 
 
 class Network:
@@ -278,6 +280,37 @@
             turn.results.append(result)
         return turn
 
+    def spend(
+        self,
+        vm: OutageVm,
+        program: str,
+        *,
+        max_tokens: int,
+        budget: int,
+        turns: int,
+        pause_s: float = 0.0,
+    ) -> list[Turn]:
+        """Runs a program's turns at one VM, each after the one before.
+
+        Args:
+            vm: The VM.
+            program: The program.
+            max_tokens: What each turn uses.
+            budget: The program's budget.
+            turns: Number of turns that are asked for.
+            pause_s: Seconds between two turns.
+        """
+        asked: list[Turn] = []
+        for _ in range(turns):
+            turn = self.ask(vm, program, max_tokens=max_tokens, budget=budget)
+            self.advance(TURN_S)
+            asked.append(turn)
+            if turn.granted:
+                vm.reservations.settle(turn.program, turn.turn_id, max_tokens)
+            if pause_s:
+                self.advance(pause_s)
+        return asked
+
     def run_loop(
         self, program: str, *, max_tokens: int, budget: int, turns: int
     ) -> int:
--- a/tests/entry/test_held_tokens.py
+++ b/tests/entry/test_held_tokens.py
@@ -32,20 +32,17 @@
     program: str,
     *,
     turns: int,
-    pause_s: float = 0.05,
+    pause_s: float = 0.0,
 ) -> list[Turn]:
     """Runs a program's turns one after the other at a VM."""
-    asked: list[Turn] = []
-    for _ in range(turns):
-        turn = simulation.ask(
-            vm, program, max_tokens=MAX_TOKENS, budget=BUDGET
-        )
-        simulation.advance(0.15)
-        asked.append(turn)
-        if turn.granted:
-            vm.reservations.settle(turn.program, turn.turn_id, MAX_TOKENS)
-        simulation.advance(pause_s)
-    return asked
+    return simulation.spend(
+        vm,
+        program,
+        max_tokens=MAX_TOKENS,
+        budget=BUDGET,
+        turns=turns,
+        pause_s=pause_s,
+    )
 
 
 def lose(
--- a/tests/entry/test_version_register.py
+++ b/tests/entry/test_version_register.py
@@ -173,6 +173,14 @@
     assert isinstance(decoded, RecordedVersion | UnreadableRecord)
 
 
+def start_and_refuse_records(fleet: Fleet) -> None:
+    """Starts the VMs; the store takes no records once the first are there."""
+    fleet.start()
+    fleet.reactor.run(START_S)
+    for vm in fleet.vms:
+        vm.store.refused_topics.add(Topic.VERSIONS)
+
+
 def begun_at(fleet: Fleet, engines: Engines, version: str) -> int:
     """Begins streams at all VMs; returns how many begin at a version."""
     engines.breaks = False
@@ -189,10 +197,7 @@
 def test_a_version_that_cannot_be_recorded_waits_while_another_one_serves(
     fleet: Fleet, engines: Engines, away_s: float
 ) -> None:
-    fleet.start()
-    fleet.reactor.run(START_S)
-    for vm in fleet.vms:
-        vm.store.refused_topics.add(Topic.VERSIONS)
+    start_and_refuse_records(fleet)
     engines.add("new", "v2")
     fleet.reactor.run(away_s)
     assert begun_at(fleet, engines, "v2") == 0
@@ -208,10 +213,7 @@
 def test_a_version_that_serves_alone_is_used_without_a_record_in_the_end(
     fleet: Fleet, engines: Engines
 ) -> None:
-    fleet.start()
-    fleet.reactor.run(START_S)
-    for vm in fleet.vms:
-        vm.store.refused_topics.add(Topic.VERSIONS)
+    start_and_refuse_records(fleet)
     fleet.remove_target("old")
     engines.add("new", "v2")
     fleet.reactor.run(1.0)
--- a/tests/untrusted_callers/conftest.py
+++ b/tests/untrusted_callers/conftest.py
@@ -35,19 +35,24 @@
     return run_to_end
 
 
-@pytest.fixture
-def vm(reactor: Any, run_async: RunAsync, tmp_path: Path) -> Iterator[Any]:
-    """A VM that is ready and has served a request."""
-    log = MemoryLog()
+def listen(reactor: Any, log: MemoryLog) -> list[Any]:
+    """Starts a store and a target; returns their listening ports."""
     ports = [
         reactor.listenTCP(
             0, CallerFactory(handler, reactor), interface="127.0.0.1"
         )
         for handler in (FakeStoreServer(log, reactor), Target())
     ]
-    store, target = (port.getHost().port for port in ports)
-    fill_store(log, target)
-    process = VmProcess(tmp_path, store)
+    fill_store(log, ports[1].getHost().port)
+    return ports
+
+
+@pytest.fixture
+def vm(reactor: Any, run_async: RunAsync, tmp_path: Path) -> Iterator[Any]:
+    """A VM that is ready and has served a request."""
+    log = MemoryLog()
+    ports = listen(reactor, log)
+    process = VmProcess(tmp_path, ports[0].getHost().port)
 
     async def wait_until_serving() -> None:
         while True:
--- a/tests/untrusted_targets/test_endless_targets.py
+++ b/tests/untrusted_targets/test_endless_targets.py
@@ -14,16 +14,10 @@
 
 import pytest
 
-from lycheestall.entry.callers import CallerFactory
-from tests.entry.fake_store_server import FakeStoreServer
 from tests.entry.memory_store import MemoryLog
-from tests.untrusted_callers.conftest import RunAsync, run_async
+from tests.untrusted_callers.conftest import RunAsync, listen, run_async
 from tests.untrusted_callers.crowd import head
-from tests.untrusted_callers.stand_ins import (
-    Target,
-    fill_store,
-    register_target,
-)
+from tests.untrusted_callers.stand_ins import register_target
 from tests.untrusted_callers.vm_process import MEMORY_MB, VmProcess
 from tests.untrusted_targets.endless_targets import EndlessTarget, patterns
 
@@ -50,15 +44,8 @@
 ) -> Iterator[tuple[VmProcess, list[EndlessTarget]]]:
     """A VM that is ready, one sound target and some faulty ones."""
     log = MemoryLog()
-    ports = [
-        reactor.listenTCP(
-            0, CallerFactory(handler, reactor), interface="127.0.0.1"
-        )
-        for handler in (FakeStoreServer(log, reactor), Target())
-    ]
-    store, target = (port.getHost().port for port in ports)
-    fill_store(log, target)
-    process = VmProcess(tmp_path, store)
+    ports = listen(reactor, log)
+    process = VmProcess(tmp_path, ports[0].getHost().port)
     faulty = [EndlessTarget(request.param) for _ in range(FAULTY_TARGETS)]
 
     async def start() -> None:
