Let the soak's targets lose answers, send no status and no end

The soak learns what targets in trouble do: for 0.3 to 3 s one of them resets connections after it has run a request, answers with status 0, or sends a body without end.

--- a/tests/soak/soak_faults.py
+++ b/tests/soak/soak_faults.py
@@ -15,7 +15,7 @@
 from tests.entry.memory_store import MemoryLog
 from tests.soak.loopback_proxy import LoopbackProxy, ProxyMode
 from tests.soak.soak_limits import SoakLimits
-from tests.soak.soak_targets import SoakTarget
+from tests.soak.soak_targets import SoakTarget, TargetFault
 from tests.soak.soak_vm import SoakVm
 
 ENGINES = "engines"
@@ -96,6 +96,7 @@
                     self._change_configuration,
                     self._kill_all,
                     self._remove_engine,
+                    self._garble_one_target,
                 )
             )
             self._counts[fault.__name__.strip("_")] += 1
@@ -184,6 +185,16 @@
         self._log.put(Topic.TARGETS, removal)
         self._reactor.callLater(away_s, self._add_engine, engine)
 
+    def _garble_one_target(self) -> None:
+        """Lets a target answer faultily for some time."""
+        target = self._random.choice(self._targets)
+        target.fault = self._random.choice(list(TargetFault))
+        duration_s = self._random.uniform(0.3, 3.0)
+        self._reactor.callLater(duration_s, self._mend, target)
+
+    def _mend(self, target: SoakTarget) -> None:
+        target.fault = None
+
     def _add_engine(self, engine: SoakTarget) -> None:
         engine.registered = True
         self._log.put(Topic.TARGETS, engine.registration())
--- a/tests/soak/soak_targets.py
+++ b/tests/soak/soak_targets.py
@@ -4,6 +4,7 @@
 
 from collections import Counter
 from collections.abc import Callable
+from enum import Enum
 from typing import Any
 
 import orjson
@@ -11,7 +12,7 @@
 from lycheestall.entry.callers import CallerFactory
 from lycheestall.entry.configuration import CallerLimits
 from lycheestall.entry.exchange import Exchange, RequestHandler
-from lycheestall.entry.http_messages import Request
+from lycheestall.entry.http_messages import Header, Request
 from lycheestall.entry.store import KeyedWrite
 from tests.soak.loopback_proxy import LoopbackProxy
 
@@ -22,6 +23,24 @@
 
 NOT_EXECUTED = (b"X-Not-Executed", b"1")
 
+ENDLESS_PIECE = b"x" * 65_536
+ENDLESS_INTERVAL_S = 0.005
+"""Seconds between two pieces of a body without end."""
+
+
+class TargetFault(Enum):
+    """What a target in trouble does with the requests that it has run.
+
+    Attributes:
+        LOSES_ANSWERS: It resets the connection.
+        INVALID_STATUS: It answers with a status that is none.
+        ENDLESS_BODY: It sends a body without end.
+    """
+
+    LOSES_ANSWERS = "loses answers"
+    INVALID_STATUS = "invalid status"
+    ENDLESS_BODY = "endless body"
+
 
 class SoakTarget(RequestHandler):
     """An application or engine behind a proxy.
@@ -40,6 +59,7 @@
 
     Attributes:
         received_at: When it received its requests.
+        fault: What is wrong with it; None if nothing is.
         full_for_new: Whether it refuses requests that resume no stream.
         registered: Whether it has an entry in the store.
     """
@@ -68,6 +88,7 @@
         self._events = events
         self._event_interval_s = event_interval_s
         self.limit_per_s = limit_per_s
+        self.fault: TargetFault | None = None
         self.full_for_new = False
         self.registered = True
         self.received_at: list[float] = []
@@ -112,6 +133,9 @@
             (b"X-Request-Id", request_id),
             (b"X-Response-Seal", b"seal"),
         ]
+        if self.fault is not None:
+            self._answer_faultily(exchange, common_headers)
+            return
         if self.limit_per_s is not None:
             limit = b"%.1f" % self.limit_per_s
             common_headers.append((b"Server-Limit", limit))
@@ -126,6 +150,28 @@
         first = int(headers.get(b"last-event-id", b"0")) + 1
         self._send_event(exchange, request_id, first)
 
+    def _answer_faultily(
+        self, exchange: Exchange, headers: list[Header]
+    ) -> None:
+        if self.fault is TargetFault.LOSES_ANSWERS:
+            exchange.abort()
+        elif self.fault is TargetFault.INVALID_STATUS:
+            exchange.respond(0, headers, b"invalid")
+        else:
+            exchange.start(200, headers)
+            self._send_endlessly(exchange)
+
+    def _send_endlessly(self, exchange: Exchange) -> None:
+        if exchange.ended:
+            return
+        if self.fault is None:
+            exchange.abort()
+            return
+        exchange.write(ENDLESS_PIECE)
+        self._reactor.callLater(
+            ENDLESS_INTERVAL_S, self._send_endlessly, exchange
+        )
+
     def stop(self) -> None:
         """Stops listening."""
         self.proxy.stop()
