Let the soak's faulty targets name their limits as well

The soak's target was at fault, since it still counted on its limit. Change: it names the limit in what it sends faultily, too.

--- a/tests/soak/soak_targets.py
+++ b/tests/soak/soak_targets.py
@@ -133,12 +133,12 @@
             (b"X-Request-Id", request_id),
             (b"X-Response-Seal", b"seal"),
         ]
-        if self.fault is not None:
-            self._answer_faultily(exchange, common_headers)
-            return
         if self.limit_per_s is not None:
             limit = b"%.1f" % self.limit_per_s
             common_headers.append((b"Server-Limit", limit))
+        if self.fault is not None:
+            self._answer_faultily(exchange, common_headers)
+            return
         if self.service == "app":
             self._reactor.callLater(
                 0.02, exchange.respond, 200, common_headers, request_id * 20
