Bind a request to its targets only after a run, and wait for full ones

Change: only targets that have sent a response, or broken one off, bind it; the delay before a full one is asked again doubles from 0.1 to 0.8 s.

--- a/lycheestall/entry/request_processor.py
+++ b/lycheestall/entry/request_processor.py
@@ -27,7 +27,12 @@
 from .request_dependencies import RequestDependencies
 from .reservation_decision import ReservationDecision
 from .retry_options import RetryOptions
-from .retry_policy import AttemptHistory, NextStep, choose_next_step
+from .retry_policy import (
+    AttemptHistory,
+    NextStep,
+    choose_next_step,
+    same_target_delay_s,
+)
 from .shutdown.request_drain import RequestDrain
 from .stream_forwarder import StreamForwarder
 from .stream_version import StreamVersion
@@ -42,9 +47,6 @@
 FULL_TARGETS_RETRY_DELAY_S = 0.05
 """Delay before a stream is sent again to targets that were full."""
 
-SAME_TARGET_RETRY_DELAY_S = 0.03
-"""Delay before a retry at the same target."""
-
 
 class RequestProcessor:
     """Processes one request.
@@ -366,7 +368,9 @@
                     step = NextStep.SAME_TARGET
             if step is NextStep.SAME_TARGET:
                 same_target = self._admission.get_usable(registration.target)
-                await self._sleep(SAME_TARGET_RETRY_DELAY_S)
+                await self._sleep(
+                    same_target_delay_s(outcome, self._history.attempts)
+                )
 
     def _waits_for_full_targets(self) -> bool:
         # A stream that has begun can't go on at any other target.
@@ -426,8 +430,8 @@
         return admission
 
     def _usable_executor(self) -> TargetRegistration | None:
-        """Returns a target that may have run the request and may again."""
-        for target in sorted(self._history.possible_executors):
+        """Returns a target that has run the request and may run it again."""
+        for target in sorted(self._history.executors):
             registration = self._admission.get_usable(target)
             if registration is not None:
                 return registration
--- a/lycheestall/entry/retry_policy.py
+++ b/lycheestall/entry/retry_policy.py
@@ -18,7 +18,19 @@
 from .configuration import RetrySafety
 from .http_client_connection import BreakReason
 
-__all__ = ["AttemptHistory", "NextStep", "choose_next_step"]
+__all__ = [
+    "AttemptHistory",
+    "NextStep",
+    "choose_next_step",
+    "same_target_delay_s",
+]
+
+SAME_TARGET_RETRY_DELAY_S = 0.03
+"""Delay before a retry at the same target."""
+
+FULL_TARGET_RETRY_DELAY_S = 0.025
+"""Delay before the first retry at a target that is full; it doubles with each
+attempt, so that the few that are left reach over a second or two."""
 
 MAX_TOTAL_ATTEMPTS = 6
 """Attempts for one request, including those that did not run it."""
@@ -41,6 +53,9 @@
         attempts: Number of attempts.
         possible_executors: Targets that may have run the request and
             are still up and reached.
+        executors: Those of them that have run it, as far as a broken or a
+            whole response tells; one that was overdue may have kept it in its
+            queue.
         may_have_run: Whether any target may have run the request,
             including one that is gone.
         excluded: Targets that must not be chosen again.
@@ -50,6 +65,7 @@
 
     attempts: int = 0
     possible_executors: set[TargetId] = field(default_factory=set)
+    executors: set[TargetId] = field(default_factory=set)
     may_have_run: bool = False
     excluded: set[TargetId] = field(default_factory=set)
     full: set[TargetId] = field(default_factory=set)
@@ -60,12 +76,10 @@
         self.attempts += 1
         if isinstance(outcome, NotSent):
             # The target no longer accepts connections, so a run there ended.
-            self.possible_executors.discard(target)
-            self.excluded.add(target)
+            self._run_ended(target)
         elif isinstance(outcome, Unreachable):
             # It is cut off, so that its run doesn't count any more.
-            self.possible_executors.discard(target)
-            self.excluded.add(target)
+            self._run_ended(target)
         elif isinstance(outcome, NotRun):
             self.excluded.add(target)
             if outcome.reason is NotRunReason.FULL:
@@ -73,6 +87,14 @@
         elif isinstance(outcome, Broken | WholeAnswer):
             self.possible_executors.add(target)
             self.may_have_run = True
+            overdue = getattr(outcome, "reason", None) is BreakReason.OVERDUE
+            if not overdue:
+                self.executors.add(target)
+
+    def _run_ended(self, target: TargetId) -> None:
+        self.possible_executors.discard(target)
+        self.executors.discard(target)
+        self.excluded.add(target)
 
     def runs_out(self, max_attempts: int) -> bool:
         """Returns whether no further target may run the request.
@@ -80,7 +102,7 @@
         Args:
             max_attempts: Maximum number of targets that may run it.
         """
-        executors = len(self.possible_executors)
+        executors = len(self.executors)
         return executors > 0 and executors >= max_attempts
 
     def readmit_full(self) -> bool:
@@ -139,3 +161,15 @@
     ):
         return NextStep.OTHER_TARGET
     return NextStep.SAME_TARGET
+
+
+def same_target_delay_s(outcome: AttemptOutcome, attempts: int) -> float:
+    """Returns the delay before a retry at the same target.
+
+    Args:
+        outcome: How the last attempt there ended.
+        attempts: Attempts of the request so far.
+    """
+    if isinstance(outcome, NotRun):
+        return float(FULL_TARGET_RETRY_DELAY_S * 2**attempts)
+    return SAME_TARGET_RETRY_DELAY_S
