--- a/lycheestall/entry/request_processor.py
+++ b/lycheestall/entry/request_processor.py
@@ -410,7 +410,7 @@
             remaining_s=self._deadline - now,
         )
         admission: Admission | AtLimits | None
-        if same_target is None and self._history.runs_out(
+        if same_target is None and self._history.executors_exhausted(
             self._route.max_attempts
         ):
             # Without one, its run has ended or is about to.
--- a/lycheestall/entry/retry_policy.py
+++ b/lycheestall/entry/retry_policy.py
@@ -28,9 +28,10 @@
 SAME_TARGET_RETRY_DELAY_S = 0.03
 """Delay before a retry at the same target."""
 
-FULL_TARGET_RETRY_DELAY_S = 0.025
-"""Delay before the first retry at a target that is full; it doubles with each
-attempt, so that the few that are left reach over a second or two."""
+FULL_TARGET_RETRY_UNIT_S = 0.025
+"""Unit of the delay before a target that was full is asked again. The delay
+doubles with each attempt of the request, from 0.1 s after the second one to
+0.8 s after the fifth, since a slot may take as long to become free."""
 
 MAX_TOTAL_ATTEMPTS = 6
 """Attempts for one request, including those that did not run it."""
@@ -87,8 +88,7 @@
         elif isinstance(outcome, Broken | WholeAnswer):
             self.possible_executors.add(target)
             self.may_have_run = True
-            overdue = getattr(outcome, "reason", None) is BreakReason.OVERDUE
-            if not overdue:
+            if not _is_overdue(outcome):
                 self.executors.add(target)
 
     def _run_ended(self, target: TargetId) -> None:
@@ -96,7 +96,7 @@
         self.executors.discard(target)
         self.excluded.add(target)
 
-    def runs_out(self, max_attempts: int) -> bool:
+    def executors_exhausted(self, max_attempts: int) -> bool:
         """Returns whether no further target may run the request.
 
         Args:
@@ -141,7 +141,7 @@
     if (
         isinstance(outcome, NotRun)
         and outcome.reason is NotRunReason.FULL
-        and history.runs_out(max_attempts)
+        and history.executors_exhausted(max_attempts)
     ):
         # Another target would be one more that may run it.
         return NextStep.SAME_TARGET
@@ -163,6 +163,12 @@
     return NextStep.SAME_TARGET
 
 
+def _is_overdue(outcome: AttemptOutcome) -> bool:
+    return (
+        isinstance(outcome, Broken) and outcome.reason is BreakReason.OVERDUE
+    )
+
+
 def same_target_delay_s(outcome: AttemptOutcome, attempts: int) -> float:
     """Returns the delay before a retry at the same target.
 
@@ -171,5 +177,5 @@
         attempts: Attempts of the request so far.
     """
     if isinstance(outcome, NotRun):
-        return float(FULL_TARGET_RETRY_DELAY_S * 2**attempts)
+        return float(FULL_TARGET_RETRY_UNIT_S * 2**attempts)
     return SAME_TARGET_RETRY_DELAY_S
--- a/tests/entry/test_version_register.py
+++ b/tests/entry/test_version_register.py
@@ -238,7 +238,7 @@
 
 # Guards against using a version by a record that was deleted while it was
 # away.
-def test_a_version_that_comes_back_is_recorded_again(
+def test_a_version_that_comes_back_is_not_used_by_a_deleted_record(
     fleet: Fleet, engines: Engines
 ) -> None:
     fleet.start()
