Review case 13: a stream goes on at a restarted runner of another version

Cause: the newest entry in the store is taken for the process that listens; a runner that has started again under its id is sent streams of the old version until it writes its entry.

--- a/review/lab3/runner.py
+++ b/review/lab3/runner.py
@@ -77,15 +77,17 @@
         *,
         zone: str = "zone-a",
         slots: int = 8,
+        version: str = "v1",
     ) -> None:
         self._store = store
         self._behaviour = behaviour
         self._server = Server(self._handle)
         self._beating: asyncio.Task[None] | None = None
+        self._port = 0
         self._entry: dict[str, object] = {
             "service": service,
             "zone": zone,
-            "version": "v1",
+            "version": version,
             "slots": slots,
             "state": "ready",
             "cold_remaining_ms": 0,
@@ -94,20 +96,41 @@
         self.name = name
         self.ran: list[str] = []
 
-    async def start(self) -> None:
-        """Listens and registers."""
-        await self._server.start()
-        self._entry["address"] = f"127.0.0.1:{self._server.port}"
-        self._beating = asyncio.create_task(self._beat())
+    async def start(self, *, first_beat_s: float = 0.0) -> None:
+        """Listens and registers.
+
+        Args:
+            first_beat_s: Seconds until it writes its entry for the first
+                time.
+        """
+        await self._server.start(port=self._port)
+        self._port = self._server.port
+        self._entry["address"] = f"127.0.0.1:{self._port}"
+        self._beating = asyncio.create_task(self._beat(first_beat_s))
+
+    def restarted(self, behaviour: Behaviour, version: str) -> Runner:
+        """Returns the next run of it: same id and address, later start."""
+        again = Runner(
+            self._store,
+            self.name,
+            str(self._entry["service"]),
+            behaviour,
+            zone=str(self._entry["zone"]),
+            slots=int(str(self._entry["slots"])),
+            version=version,
+        )
+        again._port = self._port
+        return again
 
     async def stop(self) -> None:
-        """Stops without a word."""
+        """Stops without a word, as in a crash."""
         if self._beating is not None:
             self._beating.cancel()
         await self._server.stop()
 
-    async def _beat(self) -> None:
+    async def _beat(self, first_beat_s: float) -> None:
         sequence = 0
+        await asyncio.sleep(first_beat_s)
         while True:
             sequence += 1
             self._store.put(
