--- a/review/lab3/runner.py
+++ b/review/lab3/runner.py
@@ -52,6 +52,11 @@
         self._writer.write(chunk(f"id: {number}\ndata: {data}\n\n".encode()))
         await self._writer.drain()
 
+    async def comment(self, text: str) -> None:
+        """Sends a comment, which is no event."""
+        self._writer.write(chunk(f": {text}\n\n".encode()))
+        await self._writer.drain()
+
     async def end_stream(self) -> None:
         """Ends the stream."""
         self._writer.write(b"0\r\n\r\n")
