Let a request have one answer, whatever ends it

Cause: five ends of a request sent a kept error if there was one, and Exchange.respond refused to write only after the end of a response, not within one. Each end had to look for itself. The log line said "served" with status 500 and 20 tokens, so it could not tell what the caller had received. Change: the states of a response and what may follow are one table, ResponseProgress, which each write passes. An end says what it knows; in a started response that resets the connection. The connection takes bytes only of the exchange whose turn it is. What only a defect leads to is counted and logged. "request ended" says what the caller has received; streams that were cut are counted.

--- a/lycheestall/entry/attempt_relay.py
+++ b/lycheestall/entry/attempt_relay.py
@@ -23,7 +23,6 @@
 from .crashes.crash_reporter import CrashReporter
 from .decision_log import DecisionLog
 from .event_splitter import EVENT_SEPARATORS
-from .exchange import Exchange
 from .header_codec import HeaderCodec
 from .http_client_connection import CONNECTION_LOST
 from .http_messages import Header, ResponseHead, encode_request
@@ -32,6 +31,7 @@
 from .peer_messages import encode
 from .placement.target_chooser import TargetChooser
 from .relayed_attempt import RELAYED_HEADER, UNTIL_CLOSE_HEADER, RelayedKind
+from .responses import Exchange
 from .target_announcements import TargetAnnouncements
 from .target_attempt import TargetAttempt
 from .target_table import TargetRegistration, TargetTable
--- a/lycheestall/entry/attempt_runner.py
+++ b/lycheestall/entry/attempt_runner.py
@@ -14,7 +14,6 @@
     Unreachable,
 )
 from .configuration import Route
-from .exchange import Exchange
 from .membership import Member
 from .message_metadata import RequestMetadata
 from .overdue_timer import start_overdue_timer
@@ -22,6 +21,7 @@
 from .placement.work import CompletedStream
 from .relay_client import MAX_PEERS_ASKED
 from .request_dependencies import RequestDependencies
+from .responses import Exchange
 from .retry_policy import NextStep
 from .stream_forwarder import StreamForwarder
 from .target_admission import Admission
--- a/lycheestall/entry/callers/__init__.py
+++ b/lycheestall/entry/callers/__init__.py
@@ -11,7 +11,7 @@
 from .caller_connection import CallerConnection
 from .caller_factory import CallerFactory
 from .connection_budget import ConnectionBudget, Decision, Standing, Usage
-from .limit_log import LimitLog
+from .connection_log import ConnectionLog
 from .refusals import LimitCause, Refusal
 from .request_reader import RequestReader
 
@@ -22,7 +22,7 @@
     "ConnectionBudget",
     "Decision",
     "LimitCause",
-    "LimitLog",
+    "ConnectionLog",
     "Refusal",
     "RequestReader",
     "Standing",
--- a/lycheestall/entry/callers/caller_connection.py
+++ b/lycheestall/entry/callers/caller_connection.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from abc import ABC, abstractmethod
+from collections.abc import Callable
 from typing import Any
 
 from twisted.internet.protocol import Protocol
@@ -10,16 +11,13 @@
 
 from ...clock import Clock, Timer
 from ..configuration import CallerLimits
-from ..exchange import (
+from ..http_messages import Request
+from ..responses import (
     Exchange,
     RequestHandler,
     ResponseChannel,
-)
-from ..http_messages import (
-    Header,
-    Request,
-    encode_response,
-    encode_response_head,
+    ResponseState,
+    ResponseStep,
 )
 from .connection_budget import ConnectionBudget, Standing
 from .connection_use import ConnectionUse, Displaceable
@@ -32,13 +30,42 @@
 from .request_queue import QueuedRequest, RequestQueue
 from .request_reader import RequestListener, RequestReader
 
-__all__ = ["CallerConnection"]
+__all__ = ["CallerConnection", "ConnectionObserver"]
 
 LINGER_S = 1.0
 """Seconds to keep reading after the last response; closing at once could
 send a reset that discards the response before the caller reads it."""
 
 
+class ConnectionObserver(ABC):
+    """Learns what happens to connections."""
+
+    @abstractmethod
+    def closed(self, connection: CallerConnection) -> None:
+        """Notes that a connection is closed."""
+
+    @abstractmethod
+    def limited(self, cause: LimitCause, address: str) -> None:
+        """Notes that a connection was refused or closed.
+
+        Args:
+            cause: The bound that was reached.
+            address: IP address of the other end.
+        """
+
+    @abstractmethod
+    def step_misused(
+        self, step: ResponseStep, before: ResponseState, request: Request
+    ) -> None:
+        """Notes a step of a response that was not allowed.
+
+        Args:
+            step: The step.
+            before: State of the response in which it was taken.
+            request: The request.
+        """
+
+
 class CallerConnection(
     Protocol, ResponseChannel, RequestListener, Displaceable
 ):
@@ -48,9 +75,8 @@
         handler: Handles the requests.
         clock: Schedules the timeouts.
         budget: Decides on the memory and the descriptors that it may use.
-        on_closed: Called with the connection once it is closed.
-        on_limited: Called with the bound that the connection has reached
-            and the address.
+        observer: Learns what happens to it; shared by all connections, which
+            saves memory.
         address: IP address of the caller.
     """
 
@@ -62,14 +88,12 @@
         clock: Clock,
         budget: ConnectionBudget[Displaceable],
         *,
-        on_closed: Callable[[CallerConnection], None],
-        on_limited: Callable[[LimitCause, str], None],
+        observer: ConnectionObserver,
         address: str,
     ) -> None:
         self._handler = handler
         self._clock = clock
-        self._on_closed = on_closed
-        self._on_limited = on_limited
+        self._observer = observer
         self._address = address
         self._reader = RequestReader(self, clock)
         self._use = ConnectionUse(self, budget, clock.seconds())
@@ -121,7 +145,7 @@
         current, self._current = self._current, None
         if current is not None:
             current.caller_disconnected()
-        self._on_closed(self)
+        self._observer.closed(self)
 
     def pauseProducing(self) -> None:  # noqa: N802
         """Notes that the caller doesn't read as fast as it is sent to."""
@@ -146,35 +170,11 @@
     def stopProducing(self) -> None:  # noqa: N802
         """Does nothing: ``connectionLost`` ends the response."""
 
-    def send_response(
-        self,
-        exchange: Exchange,
-        status: int,
-        headers: Sequence[Header],
-        body: bytes,
-    ) -> None:
-        """Writes a complete response and continues with the next request."""
-        if self._closing:
+    def write(self, exchange: Exchange, data: bytes) -> None:
+        """Writes encoded bytes of the response in progress."""
+        if self._closing or exchange is not self._current:
             return
-        close = self._should_close_after(exchange.request)
         self._use.response_bytes = 0
-        self.write(encode_response(status, headers, body, close=close))
-        self.exchange_ended(close=close)
-
-    def send_head(
-        self, exchange: Exchange, status: int, headers: Sequence[Header]
-    ) -> None:
-        """Writes the head of a chunked response."""
-        if self._closing:
-            return
-        all_headers = [*headers, (b"Transfer-Encoding", b"chunked")]
-        close = not exchange.request.keep_alive
-        self.write(encode_response_head(status, all_headers, close=close))
-
-    def write(self, data: bytes) -> None:
-        """Writes encoded bytes of the current response."""
-        if self._closing:
-            return
         self.transport.write(data)
         if not self._writing_paused:
             return
@@ -191,19 +191,14 @@
         self._use.response_bytes = size
         return self._update()
 
-    def exchange_ended(self, *, close: bool | None = None) -> None:
-        """Continues with the next request, or closes the connection.
-
-        Args:
-            close: Whether the response announced ``Connection: close``;
-                None if that depends on the request alone.
-        """
-        current, self._current = self._current, None
+    def response_ended(self, exchange: Exchange, *, close: bool) -> None:
+        """Continues with the next request, or closes the connection."""
+        if exchange is not self._current:
+            return
+        self._current = None
         self._use.end_request()
         if self._closing:
             return
-        if close is None:
-            close = current is None or not current.request.keep_alive
         if close:
             self._close()
             return
@@ -213,13 +208,27 @@
         if self._queue or self._reader.refusal is not None:
             self._clock.callLater(0, self._handle_next)
 
-    def abort(self) -> None:
-        """Resets the connection."""
+    def abort(self, exchange: Exchange) -> None:
+        """Resets the connection within the response in progress."""
+        if exchange is not self._current:
+            return
         self._current = None
         self._closing = True
         self._cancel_timer()
         self.transport.abortConnection()
 
+    def closes_after(self, request: Request) -> bool:
+        """Returns whether the response to a request is the last one."""
+        if not request.keep_alive:
+            return True
+        return self._handler.should_close() and not self._queue
+
+    def step_misused(
+        self, step: ResponseStep, before: ResponseState, request: Request
+    ) -> None:
+        """Notes a step of a response that was not allowed."""
+        self._observer.step_misused(step, before, request)
+
     def close_if_idle(self) -> None:
         """Closes the connection unless a request is in progress."""
         if self.idle and not self._closing:
@@ -234,7 +243,7 @@
         Args:
             cause: The bound that was reached.
         """
-        self._on_limited(cause, self._address)
+        self._observer.limited(cause, self._address)
         reading = self._current is None and self._reader.in_message
         if self._closing or self._writing_paused or not reading:
             self._closing = True
@@ -270,11 +279,6 @@
         if not self._update():
             self._refuse(OUT_OF_MEMORY)
 
-    def _should_close_after(self, request: Request) -> bool:
-        if not request.keep_alive:
-            return True
-        return self._handler.should_close() and not self._queue
-
     def _handle_next(self) -> None:
         if self._closing or self._current is not None:
             return
@@ -288,7 +292,7 @@
             self._handler.handle(self._current)
             return
         if self._reader.refusal is not None:
-            self._on_limited(self._reader.refusal.cause, self._address)
+            self._observer.limited(self._reader.refusal.cause, self._address)
             self._send_refusal()
 
     def _start_next(self) -> bool:
--- a/lycheestall/entry/callers/caller_factory.py
+++ b/lycheestall/entry/callers/caller_factory.py
@@ -5,12 +5,13 @@
 from twisted.internet.protocol import Factory
 
 from ...clock import Clock
-from ..exchange import RequestHandler
+from ..http_messages import Request
+from ..responses import RequestHandler, ResponseState, ResponseStep
 from .bounds import ConnectionBounds
-from .caller_connection import CallerConnection
+from .caller_connection import CallerConnection, ConnectionObserver
 from .connection_budget import ConnectionBudget
+from .connection_log import ConnectionLog
 from .connection_use import Displaceable
-from .limit_log import LimitLog
 from .refusals import LimitCause
 
 __all__ = ["CallerFactory"]
@@ -18,14 +19,14 @@
 _WITHOUT_BOUNDS = ConnectionBounds(memory_bytes=2**40, descriptors=2**30)
 
 
-class CallerFactory(Factory):
+class CallerFactory(Factory, ConnectionObserver):
     """Creates callers' connections and tracks the open ones.
 
     Args:
         handler: Handles the requests.
         clock: Schedules the timeouts.
         bounds: Bounds on all connections together; none by default.
-        log: Notes the bounds that connections reach, if given.
+        log: Notes what goes wrong on connections, if given.
     """
 
     noisy = False
@@ -36,15 +37,12 @@
         clock: Clock,
         *,
         bounds: ConnectionBounds = _WITHOUT_BOUNDS,
-        log: LimitLog | None = None,
+        log: ConnectionLog | None = None,
     ) -> None:
         self._handler = handler
         self._clock = clock
         self._log = log
         self._open: set[CallerConnection] = set()
-        # Shared by all connections, which saves memory.
-        self._on_closed = self._open.discard
-        self._on_limited = self._limited
         self.budget: ConnectionBudget[Displaceable] = ConnectionBudget(bounds)
 
     def buildProtocol(self, addr: object) -> CallerConnection:  # noqa: N802
@@ -53,8 +51,7 @@
             self._handler,
             self._clock,
             self.budget,
-            on_closed=self._on_closed,
-            on_limited=self._on_limited,
+            observer=self,
             address=getattr(addr, "host", ""),
         )
         self._open.add(connection)
@@ -75,6 +72,18 @@
         """Number of connections with a request in progress."""
         return sum(not connection.idle for connection in self._open)
 
-    def _limited(self, cause: LimitCause, address: str) -> None:
+    def closed(self, connection: CallerConnection) -> None:
+        """Forgets a connection that is closed."""
+        self._open.discard(connection)
+
+    def limited(self, cause: LimitCause, address: str) -> None:
+        """Logs that a connection was refused or closed."""
         if self._log is not None:
             self._log.reached(cause, address)
+
+    def step_misused(
+        self, step: ResponseStep, before: ResponseState, request: Request
+    ) -> None:
+        """Logs a step of a response that was not allowed."""
+        if self._log is not None:
+            self._log.step_misused(step, before, request)
--- a/lycheestall/entry/callers/refusals.py
+++ b/lycheestall/entry/callers/refusals.py
@@ -5,8 +5,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from ..exchange import PLAIN_TEXT_HEADERS
 from ..http_messages import encode_response
+from ..responses import PLAIN_TEXT_HEADERS
 from .connection_budget import STALL_S
 
 __all__ = [
--- a/lycheestall/entry/decision_log.py
+++ b/lycheestall/entry/decision_log.py
@@ -28,6 +28,7 @@
 from .permit_service import Permit, PermitDenied
 from .placement.choice import Choice
 from .quotas.quota_log import QuotaLog
+from .responses import ResponseState
 from .retry_policy import NextStep
 from .target_links import LinkContact, LinkSummary
 from .target_table import TargetRegistration
@@ -279,6 +280,7 @@
         took_s: float,
         outcome: str,
         recorded_tokens: int | None,
+        response: ResponseState,
         account: Account | None = None,
     ) -> None:
         """Logs the end of a request.
@@ -295,9 +297,12 @@
             outcome: How the request ended.
             recorded_tokens: The program's tokens recorded in the ledger,
                 if it has a budget.
+            response: What the caller has received.
             account: The account that it belongs to, if any.
         """
         self._metrics.request_ended(route.name, status, outcome, took_s)
+        if response is ResponseState.BROKEN_OFF:
+            self._metrics.response_broken_off(route.name, outcome)
         self._write(
             "request ended",
             request=decode_id(metadata.request_id),
@@ -307,6 +312,7 @@
             target=target,
             status=status,
             outcome=outcome,
+            response=response.value,
             sends=attempts,
             tokens=tokens,
             budget=metadata.token_budget,
@@ -314,7 +320,7 @@
             known_tokens=recorded_tokens,
             took_ms=round(took_s * 1000, 1),
             **account_fields(account),
-            **self._context_fields(status),
+            **self._context_fields(status, response),
         )
 
     def target_leaving(
@@ -438,8 +444,13 @@
             **self._context_fields(status),
         )
 
-    def _context_fields(self, status: int) -> dict[str, object]:
-        if status == HTTPStatus.OK:
+    def _context_fields(
+        self,
+        status: int,
+        response: ResponseState = ResponseState.COMPLETE,
+    ) -> dict[str, object]:
+        broken_off = response is ResponseState.BROKEN_OFF
+        if status == HTTPStatus.OK and not broken_off:
             return {}
         context = self._context()
         return {
--- a/lycheestall/entry/entry_metrics.py
+++ b/lycheestall/entry/entry_metrics.py
@@ -62,11 +62,29 @@
             "connections_limited_total",
             "Connections refused or closed, by port and the bound reached.",
         )
+        self._broken_responses = self.counter(
+            "broken_responses_total",
+            "Responses that were begun or due, and ended with a reset, by "
+            "route and the outcome of the request.",
+        )
+        self._misused_steps = self.counter(
+            "response_steps_misused_total",
+            "Steps of responses that were not allowed, which are defects, by "
+            "port, state and step.",
+        )
 
     def connection_limited(self, port: str, cause: str) -> None:
         """Counts a connection that has reached a bound."""
         self._connections_limited.inc({"port": port, "cause": cause})
 
+    def response_broken_off(self, route_name: str, outcome: str) -> None:
+        """Counts a response that ended with a reset."""
+        self._broken_responses.inc({"route": route_name, "outcome": outcome})
+
+    def response_step_misused(self, port: str, state: str, step: str) -> None:
+        """Counts a step of a response that was not allowed."""
+        self._misused_steps.inc({"port": port, "state": state, "step": step})
+
     def attempt_relayed(self) -> None:
         """Counts an attempt that a peer is asked to send."""
         self._relayed.inc({})
--- a/lycheestall/entry/entry_process.py
+++ b/lycheestall/entry/entry_process.py
@@ -20,18 +20,18 @@
 from .callers import (
     CallerFactory,
     ConnectionBounds,
-    LimitLog,
+    ConnectionLog,
     caller_bounds,
     peer_bounds,
     status_bounds,
 )
 from .entry_metrics import EntryMetrics
 from .entry_vm import EntryVm
-from .exchange import RequestHandler
 from .header_codec import HeaderCodec
 from .peer_rpc import PeerClient, PeerEndpoint
 from .readiness import MetricsHandler, ReadinessHandler
 from .record_decoder import RecordDecoder
+from .responses import RequestHandler
 from .store import Store
 from .token_ledger import HolderId
 from .vm_settings import Address, EntrySettings, SettingsProblem
@@ -238,7 +238,7 @@
     def _factory(
         self, port: str, handler: RequestHandler, bounds: ConnectionBounds
     ) -> CallerFactory:
-        log = LimitLog(port, self._logger, self._metrics, self._reactor)
+        log = ConnectionLog(port, self._logger, self._metrics, self._reactor)
         return CallerFactory(handler, self._reactor, bounds=bounds, log=log)
 
     def _listen(self, address: Address, factory: CallerFactory) -> None:
--- a/lycheestall/entry/entry_vm.py
+++ b/lycheestall/entry/entry_vm.py
@@ -19,7 +19,6 @@
 from .crashes.crash_reporter import CrashReporter
 from .decision_log import DecisionContext, DecisionLog
 from .entry_metrics import EntryMetrics
-from .exchange import Exchange, RequestHandler
 from .failure_detector import MEMBER_CHECK_INTERVAL_S
 from .header_codec import HeaderCodec
 from .link_service import LinkService
@@ -33,6 +32,7 @@
 from .relay_messages import AskConfiguration
 from .request_dependencies import RequestDependencies
 from .request_router import RequestRouter
+from .responses import Exchange, RequestHandler
 from .routed_store import RoutedStore
 from .shutdown.drain_window import DrainWindow
 from .store import Store
--- a/lycheestall/entry/link_service.py
+++ b/lycheestall/entry/link_service.py
@@ -12,12 +12,12 @@
 from .crashes.crash_reporter import CrashReporter
 from .decision_log import DecisionLog
 from .entry_metrics import EntryMetrics
-from .exchange import Exchange
 from .header_codec import HeaderCodec
 from .link_monitor import LinkMonitor
 from .membership import Members
 from .peer_rpc import PeerClient
 from .relay_client import RelayClient
+from .responses import Exchange
 from .target_service import TargetService
 from .target_table import TargetRegistration
 from .token_ledger import HolderId
--- a/lycheestall/entry/peer_rpc.py
+++ b/lycheestall/entry/peer_rpc.py
@@ -17,11 +17,11 @@
 from .attempt_messages import SendAttempt
 from .configuration import CallerLimits
 from .connection_pool import ConnectionPool
-from .exchange import Exchange, RequestHandler
 from .http_call import CallResponse, call
 from .http_messages import encode_request
 from .membership import Member
 from .peer_messages import PeerMessage, PeerReply, decode, encode
+from .responses import Exchange, RequestHandler
 from .vm_settings import Address
 
 __all__ = [
--- a/lycheestall/entry/readiness.py
+++ b/lycheestall/entry/readiness.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from .configuration import CallerLimits
-from .exchange import Exchange, RequestHandler
+from .responses import Exchange, RequestHandler
 
 __all__ = ["MetricsHandler", "ReadinessHandler"]
 
--- a/lycheestall/entry/request_processor.py
+++ b/lycheestall/entry/request_processor.py
@@ -18,14 +18,14 @@
 from .attempt_runner import AttemptRunner
 from .configuration import RetrySafety, Route, Service, ServiceId
 from .crashes.crash_reports import fingerprint_request
-from .exchange import Exchange
-from .final_response import EarlyEnd, FinalResponse
 from .kept_turn import KeptTurn
 from .limit_waits import max_wait_s, retry_after_s
 from .message_metadata import RequestMetadata
 from .quotas.request_quota import RequestQuota
 from .request_dependencies import RequestDependencies
 from .reservation_decision import ReservationDecision
+from .responses import Exchange
+from .responses.final_response import EarlyEnd, FinalResponse
 from .retry_options import RetryOptions
 from .retry_policy import (
     AttemptHistory,
@@ -396,8 +396,7 @@
         if self._early_end is EarlyEnd.CALLER_DISCONNECTED:
             self._final.log_end("caller left")
             return
-        self._exchange.abort()
-        self._final.log_end("turn not durable in time")
+        self._final.end_unrecorded()
 
     async def _admit(
         self, same_target: TargetRegistration | None
@@ -446,11 +445,6 @@
         self, registration: TargetRegistration, outcome: AttemptOutcome
     ) -> bool:
         if isinstance(outcome, WholeAnswer):
-            if self._exchange.started:
-                # The response to a resume request was not a stream.
-                self._exchange.abort()
-                self._final.log_end("broken off")
-                return True
             if outcome.failed and self._options.should_retry_elsewhere(
                 registration, outcome
             ):
--- a/lycheestall/entry/request_router.py
+++ b/lycheestall/entry/request_router.py
@@ -19,11 +19,11 @@
 )
 from .configuration import Route
 from .configuration_state import ConfigurationState
-from .exchange import Exchange
 from .header_codec import InvalidRequest
 from .message_metadata import RequestMetadata
 from .request_dependencies import RequestDependencies
 from .request_processor import RequestProcessor
+from .responses import Exchange
 from .shared_read import SharedRead
 from .token_allocator import TurnId
 
--- a/lycheestall/entry/exchange.py
+++ b/lycheestall/entry/responses/exchange.py
@@ -6,8 +6,20 @@
 from collections.abc import Callable, Sequence
 from http import HTTPStatus
 
-from .configuration import CallerLimits
-from .http_messages import Header, Request, encode_chunk
+from ..configuration import CallerLimits
+from ..http_messages import (
+    Header,
+    Request,
+    encode_chunk,
+    encode_response,
+    encode_response_head,
+)
+from .response_progress import (
+    Effect,
+    ResponseProgress,
+    ResponseState,
+    ResponseStep,
+)
 
 __all__ = [
     "PLAIN_TEXT_HEADERS",
@@ -21,35 +33,45 @@
 
 
 class ResponseChannel(ABC):
-    """The connection that a response is written to."""
+    """The connection that responses are written to, one after the other."""
 
     @abstractmethod
-    def send_response(
-        self,
-        exchange: Exchange,
-        status: int,
-        headers: Sequence[Header],
-        body: bytes,
-    ) -> None:
-        """Writes a complete response and continues with the next request."""
+    def write(self, exchange: Exchange, data: bytes) -> None:
+        """Writes encoded bytes of a response.
+
+        Args:
+            exchange: The request that they belong to.
+            data: The bytes.
+        """
 
     @abstractmethod
-    def send_head(
-        self, exchange: Exchange, status: int, headers: Sequence[Header]
-    ) -> None:
-        """Writes the head of a chunked response."""
+    def response_ended(self, exchange: Exchange, *, close: bool) -> None:
+        """Continues with the next request after a complete response.
+
+        Args:
+            exchange: The request that was answered.
+            close: Whether the response has announced that it is the last.
+        """
 
     @abstractmethod
-    def write(self, data: bytes) -> None:
-        """Writes encoded bytes of the current response."""
+    def abort(self, exchange: Exchange) -> None:
+        """Resets the connection within the response to a request."""
 
     @abstractmethod
-    def exchange_ended(self) -> None:
-        """Continues with the next request after a chunked response."""
+    def closes_after(self, request: Request) -> bool:
+        """Returns whether the response to a request is the last one."""
 
     @abstractmethod
-    def abort(self) -> None:
-        """Resets the connection."""
+    def step_misused(
+        self, step: ResponseStep, before: ResponseState, request: Request
+    ) -> None:
+        """Notes a step that was not allowed, which is a defect.
+
+        Args:
+            step: The step.
+            before: State of the response in which it was taken.
+            request: The request.
+        """
 
     def hold_response(self, size: int) -> bool:
         """Notes how much of a response is held until it is complete.
@@ -79,9 +101,12 @@
 class Exchange:
     """One request and its response.
 
+    A handler says what it knows, at any time and as often as it likes; the
+    caller receives one response at most. What can't follow the part that was
+    sent resets the connection, and what comes after the end is dropped.
+
     Attributes:
         request: The request.
-        ended: Whether the response is complete or was aborted.
         status: The status code sent; 0 before that.
         on_disconnect: Called if the caller disconnects before the
             response is complete.
@@ -91,31 +116,44 @@
 
     def __init__(self, request: Request, channel: ResponseChannel) -> None:
         self.request = request
-        self.ended = False
         self.status = 0
         self.on_disconnect: Callable[[], None] | None = None
         self.on_flow: Callable[[bool], None] | None = None
+        self._progress = ResponseProgress()
         self._channel = channel
 
+    @property
+    def state(self) -> ResponseState:
+        """What the caller has received."""
+        return self._progress.state
+
     @property
     def started(self) -> bool:
         """Whether any part of the response was sent."""
         return self.status != 0
 
+    @property
+    def ended(self) -> bool:
+        """Whether nothing more can be sent."""
+        return self._progress.ended
+
     def respond(
         self, status: int, headers: Sequence[Header], body: bytes
     ) -> None:
-        """Sends a complete response."""
-        if self.ended:
+        """Sends a complete response, or breaks off one that was started."""
+        if not self._take(ResponseStep.RESPOND):
             return
         self.status = status
-        self.ended = True
-        self._channel.send_response(self, status, headers, body)
+        close = self._channel.closes_after(self.request)
+        self._channel.write(
+            self, encode_response(status, headers, body, close=close)
+        )
+        self._channel.response_ended(self, close=close)
 
     def send_error(
         self, status: int, reason: str, *, retry_after_s: float | None = None
     ) -> None:
-        """Sends a plain-text error response.
+        """Sends a plain-text error, or breaks off a started response.
 
         Args:
             status: The status code.
@@ -131,31 +169,30 @@
 
     def start(self, status: int, headers: Sequence[Header]) -> None:
         """Sends the head of a chunked response."""
-        if self.ended:
+        if not self._take(ResponseStep.START):
             return
         self.status = status
-        self._channel.send_head(self, status, headers)
+        all_headers = [*headers, (b"Transfer-Encoding", b"chunked")]
+        close = not self.request.keep_alive
+        self._channel.write(
+            self, encode_response_head(status, all_headers, close=close)
+        )
 
     def write(self, data: bytes) -> None:
-        """Sends a chunk of the body."""
-        if self.ended or not data:
-            return
-        self._channel.write(encode_chunk(data))
+        """Sends a part of a chunked body."""
+        if data and self._take(ResponseStep.WRITE):
+            self._channel.write(self, encode_chunk(data))
 
     def finish(self) -> None:
         """Ends a chunked body."""
-        if self.ended:
+        if not self._take(ResponseStep.FINISH):
             return
-        self.ended = True
-        self._channel.write(encode_chunk(b""))
-        self._channel.exchange_ended()
+        self._channel.write(self, encode_chunk(b""))
+        self._channel.response_ended(self, close=not self.request.keep_alive)
 
     def abort(self) -> None:
-        """Aborts the response so that it does not look complete."""
-        if self.ended:
-            return
-        self.ended = True
-        self._channel.abort()
+        """Breaks the response off so that it does not look complete."""
+        self._take(ResponseStep.ABORT)
 
     def hold(self, size: int) -> bool:
         """Notes how much of the response is held until it is complete.
@@ -172,8 +209,17 @@
 
     def caller_disconnected(self) -> None:
         """Ends the exchange and reports the disconnect to its handler."""
-        if self.ended:
+        if not self._take(ResponseStep.DISCONNECT):
             return
-        self.ended = True
         if self.on_disconnect is not None:
             self.on_disconnect()
+
+    def _take(self, step: ResponseStep) -> bool:
+        # Returns whether to do what the step stands for.
+        before = self._progress.state
+        transition = self._progress.take(step)
+        if transition.misuse:
+            self._channel.step_misused(step, before, self.request)
+        if transition.effect is Effect.BREAK_OFF:
+            self._channel.abort(self)
+        return transition.effect is Effect.TAKE
--- a/lycheestall/entry/final_response.py
+++ b/lycheestall/entry/responses/final_response.py
@@ -4,25 +4,27 @@
 
 from enum import Enum
 
-from .accounts import Account
-from .attempt_outcomes import (
+from ..accounts import Account
+from ..attempt_outcomes import (
     AttemptOutcome,
     NotRun,
     NotSent,
     Unreachable,
     WholeAnswer,
 )
-from .configuration import Route, ServiceId
+from ..configuration import Route, ServiceId
+from ..ledger_writer import ReservationResult
+from ..message_metadata import RequestMetadata
+from ..quotas.quota_permit import QuotaDenied
+from ..request_dependencies import RequestDependencies
+from ..reservation_decision import ReservationDecision
+from ..retry_policy import AttemptHistory
+from ..stream_forwarder import StreamForwarder
+from ..stream_version import StreamVersion
+from ..turn_budget import TurnBudget
+from .ending import Ending
 from .exchange import Exchange
-from .ledger_writer import ReservationResult
-from .message_metadata import RequestMetadata
-from .quotas.quota_permit import QuotaDenied
-from .request_dependencies import RequestDependencies
-from .reservation_decision import ReservationDecision
-from .retry_policy import AttemptHistory
-from .stream_forwarder import StreamForwarder
-from .stream_version import StreamVersion
-from .turn_budget import TurnBudget
+from .response_progress import ResponseState
 
 __all__ = ["EarlyEnd", "FinalResponse"]
 
@@ -51,6 +53,20 @@
 should be free again."""
 
 
+CUT_OFF = Ending(
+    502,
+    "the VM ends before the answer has come",
+    outcome_if_started="broken off at the VM's end",
+)
+TIMED_OUT = Ending(
+    504,
+    "no answer in time",
+    outcome="timed out",
+    outcome_if_started="broken off at its deadline",
+)
+NOT_DURABLE = Ending(504, "turn not durable in time")
+
+
 class EarlyEnd(Enum):
     """Why a request ended before it had a response."""
 
@@ -111,10 +127,12 @@
         return 0 if self._forwarder is None else self._forwarder.events_sent
 
     def send(self, response: WholeAnswer) -> None:
-        """Sends a target's response."""
-        headers = self._deps.headers.caller_headers(response.head.headers)
-        self._exchange.respond(response.head.status, headers, response.body)
-        self.log_end("served")
+        """Sends a target's response.
+
+        It breaks off a stream that has begun, since it isn't the rest of it.
+        """
+        self._respond(response)
+        self.log_end("served" if self._complete else "broken off")
 
     def end_early(self, reason: EarlyEnd | None, *, sent: bool) -> None:
         """Ends a request whose caller left, or that has no time left.
@@ -125,23 +143,12 @@
         """
         if reason is EarlyEnd.CALLER_DISCONNECTED:
             self.log_end("caller left")
-            return
-        if self._send_fallback():
-            return
-        if self._exchange.started:
-            self._exchange.abort()
-            self.log_end(
-                "broken off at the VM's end"
-                if reason is EarlyEnd.SHUTTING_DOWN
-                else "broken off at its deadline"
-            )
         elif reason is EarlyEnd.SHUTTING_DOWN and sent:
-            self.fail("the VM ends before the answer has come")
+            self._end(CUT_OFF)
         elif reason is EarlyEnd.SHUTTING_DOWN:
             self.refuse_shutting_down()
         elif sent:
-            self._exchange.send_error(504, "no answer in time")
-            self.log_end("timed out")
+            self._end(TIMED_OUT)
         else:
             self.refuse(503, "no target in time", BUSY_RETRY_S)
 
@@ -185,8 +192,6 @@
         Args:
             retry_after_s: Seconds until one of them takes a request.
         """
-        if self._send_fallback():
-            return
         if self._history.may_have_run:
             self.fail("all targets to repeat it at are at their limits")
             return
@@ -194,8 +199,6 @@
 
     def end_over_quota(self, denied: QuotaDenied) -> None:
         """Ends a request that its account's quota doesn't admit."""
-        if self._send_fallback():
-            return
         if self._history.may_have_run:
             self.fail("no quota left to repeat it")
             return
@@ -204,8 +207,6 @@
 
     def end_without_target(self, service: ServiceId) -> None:
         """Ends a request for which no target is available."""
-        if self._send_fallback():
-            return
         if self._history.may_have_run:
             self.fail("no target to repeat it at")
             return
@@ -225,8 +226,6 @@
 
     def end_after_failure(self, outcome: AttemptOutcome) -> None:
         """Ends a request whose last attempt failed."""
-        if self._send_fallback():
-            return
         may_have_run = self._history.may_have_run
         if (
             isinstance(outcome, NotRun | NotSent | Unreachable)
@@ -236,20 +235,19 @@
             return
         self.fail("the answer was lost")
 
+    def end_unrecorded(self) -> None:
+        """Ends a turn that has run and could not be made durable."""
+        self._end(NOT_DURABLE)
+
     def fail(self, reason: str) -> None:
         """Ends a request that may have run, with an unknown result."""
-        if self._exchange.started:
-            self._exchange.abort()
-        else:
-            self._exchange.send_error(502, reason)
-        self.log_end(reason)
+        self._end(Ending(502, reason))
 
     def refuse(
         self, status: int, reason: str, retry_after_s: float | None
     ) -> None:
         """Refuses a request that was not run."""
-        self._exchange.send_error(status, reason, retry_after_s=retry_after_s)
-        self.log_end(reason)
+        self._end(Ending(status, reason, retry_after_s))
 
     def log_end(self, outcome: str) -> None:
         """Logs how the request ended."""
@@ -266,10 +264,29 @@
             outcome=outcome,
             recorded_tokens=self._budget.recorded_tokens,
             account=self._account,
+            response=self._exchange.state,
         )
 
-    def _send_fallback(self) -> bool:
-        if self.fallback is None or self._exchange.ended:
-            return False
-        self.send(self.fallback)
-        return True
+    @property
+    def _complete(self) -> bool:
+        return self._exchange.state is ResponseState.COMPLETE
+
+    def _end(self, ending: Ending) -> None:
+        fallback = self.fallback
+        if fallback is not None:
+            self._respond(fallback)
+        else:
+            self._exchange.send_error(
+                ending.status,
+                ending.reason,
+                retry_after_s=ending.retry_after_s,
+            )
+        if fallback is not None and self._complete:
+            self.log_end("served")
+            return
+        self.log_end(ending.logged_outcome(started=not self._complete))
+
+    def _respond(self, response: WholeAnswer) -> None:
+        head = response.head
+        headers = self._deps.headers.caller_headers(head.headers)
+        self._exchange.respond(head.status, headers, response.body)
--- a/lycheestall/entry/retry_options.py
+++ b/lycheestall/entry/retry_options.py
@@ -4,7 +4,7 @@
 
 from .attempt_outcomes import WholeAnswer
 from .configuration import RetrySafety, Route
-from .exchange import Exchange
+from .responses import Exchange
 from .retry_policy import AttemptHistory
 from .stream_forwarder import StreamForwarder
 from .target_admission import TargetAdmission
--- a/lycheestall/entry/stream_forwarder.py
+++ b/lycheestall/entry/stream_forwarder.py
@@ -7,8 +7,8 @@
 from ..clock import Clock
 from .attempt import StreamSink
 from .event_splitter import EventSplitter, ServerSentEvent
-from .exchange import Exchange
 from .http_messages import Header, ResponseHead
+from .responses import Exchange
 
 __all__ = ["StreamForwarder"]
 
--- a/tests/callers/test_odd_input.py
+++ b/tests/callers/test_odd_input.py
@@ -10,8 +10,8 @@
 
 from lycheestall.entry.callers import CallerFactory, ConnectionBounds
 from lycheestall.entry.configuration import CallerLimits
-from lycheestall.entry.exchange import Exchange, RequestHandler
 from lycheestall.entry.peer_messages import decode
+from lycheestall.entry.responses import Exchange, RequestHandler
 from tests.callers.conftest import Caller
 from tests.entry.fake_network import FakeReactor
 
--- a/tests/callers/test_unread_responses.py
+++ b/tests/callers/test_unread_responses.py
@@ -6,7 +6,7 @@
 
 from lycheestall.entry.callers import CallerFactory
 from lycheestall.entry.configuration import CallerLimits
-from lycheestall.entry.exchange import Exchange, RequestHandler
+from lycheestall.entry.responses import Exchange, RequestHandler
 from tests.callers.conftest import Caller
 from tests.entry.fake_network import FakeReactor
 
--- a/tests/entry/fake_store_server.py
+++ b/tests/entry/fake_store_server.py
@@ -11,7 +11,7 @@
 from urllib.parse import parse_qs, urlsplit
 
 from lycheestall.entry.configuration import CallerLimits
-from lycheestall.entry.exchange import Exchange, RequestHandler
+from lycheestall.entry.responses import Exchange, RequestHandler
 from lycheestall.entry.store import (
     AppendConflict,
     Appended,
--- a/tests/entry/test_platform_adapter.py
+++ b/tests/entry/test_platform_adapter.py
@@ -19,9 +19,9 @@
 from lycheestall.entry.callers import CallerFactory
 from lycheestall.entry.configuration import CallerLimits
 from lycheestall.entry.connection_pool import ConnectionPool
-from lycheestall.entry.exchange import Exchange, RequestHandler
 from lycheestall.entry.http_call import CallFailed, CallResponse, call
 from lycheestall.entry.http_messages import encode_request
+from lycheestall.entry.responses import Exchange, RequestHandler
 from lycheestall.entry.store import (
     AppendConflict,
     Appended,
--- a/tests/soak/soak_targets.py
+++ b/tests/soak/soak_targets.py
@@ -11,8 +11,8 @@
 
 from lycheestall.entry.callers import CallerFactory
 from lycheestall.entry.configuration import CallerLimits
-from lycheestall.entry.exchange import Exchange, RequestHandler
 from lycheestall.entry.http_messages import Header, Request
+from lycheestall.entry.responses import Exchange, RequestHandler
 from lycheestall.entry.store import KeyedWrite
 from tests.soak.loopback_proxy import LoopbackProxy
 
--- a/tests/untrusted_callers/stand_ins.py
+++ b/tests/untrusted_callers/stand_ins.py
@@ -7,7 +7,7 @@
 import orjson
 
 from lycheestall.entry.configuration import CallerLimits
-from lycheestall.entry.exchange import Exchange, RequestHandler
+from lycheestall.entry.responses import Exchange, RequestHandler
 from lycheestall.entry.store import KeyedWrite, Topic
 from tests.entry.entry_vm_harness import ENGINE, ROUTES
 from tests.entry.memory_store import MemoryLog
