Send no body after the head of an answer that has none

Callers saw: "0\r\n\r\n" after the answer to HEAD on a stream route, the text of the VM's own errors after the answer to any HEAD, so that the next response on the connection began with it, and Content-Length: 0 in 204 and 304. HEAD of a stream whose target gives no framing ended as 502. Cause: chunks and lengths were encoded whatever the method and status. Change: BodyFraming decides once for each response what delimits its body; HEAD on a stream route is answered as a plain request. Why this works: parts and ends go through the framing, which encodes nothing where there is no body, whoever sends them.

--- a/lycheestall/entry/http_client_connection.py
+++ b/lycheestall/entry/http_client_connection.py
@@ -13,7 +13,12 @@
 from twisted.python.failure import Failure
 
 from ..logs import get_logger
-from .http_messages import STATUSES, Header, ResponseHead
+from .http_messages import (
+    STATUSES,
+    STATUSES_WITHOUT_BODY,
+    Header,
+    ResponseHead,
+)
 
 __all__ = [
     "CONNECTION_LOST",
@@ -50,8 +55,6 @@
 """Mean size of the pieces of a body with more of them. Each costs as much time
 as some hundred bytes, and an event of a stream is larger."""
 
-_STATUSES_WITHOUT_BODY = (204, 304)
-
 
 class BreakReason(Enum):
     """Why a response is incomplete.
@@ -275,7 +278,7 @@
             return
         names = {name.lower() for name, _ in self._headers}
         framed = (
-            status in _STATUSES_WITHOUT_BODY
+            status in STATUSES_WITHOUT_BODY
             or b"content-length" in names
             or b"transfer-encoding" in names
         )
--- a/lycheestall/entry/http_messages.py
+++ b/lycheestall/entry/http_messages.py
@@ -8,6 +8,7 @@
 
 __all__ = [
     "STATUSES",
+    "STATUSES_WITHOUT_BODY",
     "ResponseHead",
     "Header",
     "Request",
@@ -20,6 +21,10 @@
 STATUSES = range(100, 600)
 """Status codes of HTTP responses; RFC 9110, section 15."""
 
+STATUSES_WITHOUT_BODY = frozenset((204, 304))
+"""Status codes of responses that end with their head; RFC 9112, section 6.3.
+"""
+
 Header = tuple[bytes, bytes]
 """A header's name, with its case as received, and its value."""
 
--- a/lycheestall/entry/request_processor.py
+++ b/lycheestall/entry/request_processor.py
@@ -100,7 +100,8 @@
         )
         self._stream_version = StreamVersion(deps, metadata, route, service_id)
         self._forwarder: StreamForwarder | None = None
-        if route.is_stream:
+        # The answer to a HEAD request is whole with its head.
+        if route.is_stream and exchange.request.method != b"HEAD":
             self._forwarder = StreamForwarder(
                 exchange,
                 resume_after=metadata.resume_after,
--- a/lycheestall/entry/responses/exchange.py
+++ b/lycheestall/entry/responses/exchange.py
@@ -10,10 +10,8 @@
 from ..http_messages import (
     Header,
     Request,
-    encode_chunk,
-    encode_response,
-    encode_response_head,
 )
+from .body_framing import BodyFraming
 from .response_progress import (
     Effect,
     ResponseProgress,
@@ -120,6 +118,7 @@
         self.on_disconnect: Callable[[], None] | None = None
         self.on_flow: Callable[[bool], None] | None = None
         self._progress = ResponseProgress()
+        self._framing = BodyFraming.NONE
         self._channel = channel
 
     @property
@@ -145,8 +144,9 @@
             return
         self.status = status
         close = self._channel.closes_after(self.request)
-        self._channel.write(
-            self, encode_response(status, headers, body, close=close)
+        self._framing = BodyFraming.of_whole(self.request, status)
+        self._write(
+            self._framing.encode_whole(status, headers, body, close=close)
         )
         self._channel.response_ended(self, close=close)
 
@@ -168,26 +168,24 @@
         self.respond(status, headers, reason.encode() + b"\n")
 
     def start(self, status: int, headers: Sequence[Header]) -> None:
-        """Sends the head of a chunked response."""
+        """Sends the head of a response whose body follows in parts."""
         if not self._take(ResponseStep.START):
             return
         self.status = status
-        all_headers = [*headers, (b"Transfer-Encoding", b"chunked")]
+        self._framing = BodyFraming.of_parts(self.request, status)
         close = not self.request.keep_alive
-        self._channel.write(
-            self, encode_response_head(status, all_headers, close=close)
-        )
+        self._write(self._framing.encode_head(status, headers, close=close))
 
     def write(self, data: bytes) -> None:
-        """Sends a part of a chunked body."""
+        """Sends a part of the body."""
         if data and self._take(ResponseStep.WRITE):
-            self._channel.write(self, encode_chunk(data))
+            self._write(self._framing.encode_part(data))
 
     def finish(self) -> None:
-        """Ends a chunked body."""
+        """Ends a body that was sent in parts."""
         if not self._take(ResponseStep.FINISH):
             return
-        self._channel.write(self, encode_chunk(b""))
+        self._write(self._framing.encode_end())
         self._channel.response_ended(self, close=not self.request.keep_alive)
 
     def abort(self) -> None:
@@ -214,6 +212,10 @@
         if self.on_disconnect is not None:
             self.on_disconnect()
 
+    def _write(self, data: bytes) -> None:
+        if data:
+            self._channel.write(self, data)
+
     def _take(self, step: ResponseStep) -> bool:
         # Returns whether to do what the step stands for.
         before = self._progress.state
