Stream to callers of HTTP/1.0 without chunks

Callers saw: the sizes of chunks as text between the events of a stream; plain answers on a connection that stayed open without a word. Cause: the version of a request was not kept, so that every caller was answered as one of HTTP/1.1. Change: such a stream ends with its connection, or with a reset if it is broken off; each answer is the last one of its connection. Why this works: the framing is decided in one place, from the request.

--- a/lycheestall/entry/callers/request_reader.py
+++ b/lycheestall/entry/callers/request_reader.py
@@ -212,14 +212,18 @@
         self._headers = []
         self._body = b""
         self.head_done = False
+        supports_chunks = self._parser.get_http_version() == "1.1"
         self._listener.request_read(
             Request(
                 method=self._parser.get_method(),
                 url=self._url,
                 headers=headers,
                 body=body,
-                keep_alive=self._parser.should_keep_alive(),
+                # Others need to be told that a connection stays open.
+                keep_alive=supports_chunks
+                and self._parser.should_keep_alive(),
                 received_at=self._clock.seconds(),
+                supports_chunks=supports_chunks,
             ),
             head_bytes=head_held_bytes,
         )
--- a/lycheestall/entry/http_messages.py
+++ b/lycheestall/entry/http_messages.py
@@ -40,6 +40,8 @@
         body: The decoded body, without chunk framing.
         keep_alive: Whether the caller keeps the connection open.
         received_at: Time at which the last byte was read.
+        supports_chunks: Whether the caller understands chunks and interim
+            responses; callers of HTTP/1.0 don't.
     """
 
     method: bytes
@@ -48,6 +50,7 @@
     body: bytes
     keep_alive: bool
     received_at: float
+    supports_chunks: bool = True
 
     @property
     def path(self) -> str:
--- a/lycheestall/entry/responses/body_framing.py
+++ b/lycheestall/entry/responses/body_framing.py
@@ -24,11 +24,14 @@
         NONE: There is no body, whatever the headers say.
         LENGTH: ``Content-Length``.
         CHUNKS: Chunks, of which the last one is empty.
+        UNTIL_CLOSE: The end of the connection. A reset tells a caller that
+            the body is not complete.
     """
 
     NONE = "none"
     LENGTH = "length"
     CHUNKS = "chunks"
+    UNTIL_CLOSE = "until close"
 
     @classmethod
     def of_whole(cls, request: Request, status: int) -> BodyFraming:
@@ -48,7 +51,9 @@
             request: The request.
             status: Status code of the response.
         """
-        return cls.NONE if _has_no_body(request, status) else cls.CHUNKS
+        if _has_no_body(request, status):
+            return cls.NONE
+        return cls.CHUNKS if request.supports_chunks else cls.UNTIL_CLOSE
 
     def encode_whole(
         self,
@@ -73,7 +78,9 @@
 
     def encode_part(self, data: bytes) -> bytes:
         """Encodes a part of the body, which is not empty."""
-        return encode_chunk(data) if self is BodyFraming.CHUNKS else b""
+        if self is BodyFraming.NONE:
+            return b""
+        return encode_chunk(data) if self is BodyFraming.CHUNKS else data
 
     def encode_end(self) -> bytes:
         """Encodes the end of the body."""
--- a/tests/responses/test_framing.py
+++ b/tests/responses/test_framing.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import pytest
+from twisted.internet.error import ConnectionLost
 
 from tests.entry.entry_vm_harness import EntryVmHarness
-from tests.responses.conftest import read_responses
+from tests.entry.fake_network import ReceivedRequest, RecordingCaller
+from tests.responses.conftest import EVENTS, read_responses
 
 PATHS = ["/maps/x", "/orders/x", "/plan/x", "/chat/x", "/unknown/x"]
 
@@ -55,3 +57,68 @@
     data = harness.send_request("/plan/x", method="HEAD")
     (head,) = read_responses(data, ["HEAD"])
     assert head.status == 200
+
+
+def ask_with_http_1_0(
+    vm: EntryVmHarness, path: str, *, headers: str = ""
+) -> RecordingCaller:
+    """Sends a request of HTTP/1.0, and runs the clock until its end."""
+    caller = vm.connect()
+    caller.write(
+        f"POST {path} HTTP/1.0\r\nHost: crew.example\r\nX-Request-Id: r1\r\n"
+        f"{headers}\r\n".encode()
+    )
+    vm.reactor.run(3.2)
+    received: RecordingCaller = caller.protocol
+    return received
+
+
+def was_reset(caller: RecordingCaller) -> bool:
+    """Returns whether a caller's connection ended with a reset."""
+    return caller.lost is not None and bool(caller.lost.check(ConnectionLost))
+
+
+# Guards against chunks in the body that a caller of HTTP/1.0 receives, who
+# takes their sizes for text.
+@pytest.mark.parametrize("path", ["/plan/x", "/chat/x"])
+@pytest.mark.parametrize("headers", ["", "Connection: keep-alive\r\n"])
+def test_a_caller_of_http_1_0_gets_a_stream_without_chunks(
+    vm: EntryVmHarness, path: str, headers: str
+) -> None:
+    caller = ask_with_http_1_0(vm, path, headers=headers)
+    (response,) = read_responses(caller.data, ["POST"], closed=True)
+    assert b"transfer-encoding" not in response.headers
+    assert response.headers[b"connection"] == b"close"
+    assert response.body.count(b"data: piece") == EVENTS
+    assert response.body.startswith(b"id: 1\n")
+    assert caller.lost is not None and not was_reset(caller)
+
+
+# Guards against a stream of HTTP/1.0 that is broken off and looks complete,
+# since nothing but the end of the connection delimits it.
+def test_a_broken_stream_of_http_1_0_ends_with_a_reset() -> None:
+    vm = EntryVmHarness()
+
+    def begin(request: ReceivedRequest) -> None:
+        request.start_stream()
+        request.send_event(1)
+
+    vm.add_target("engine", begin, service="engines")
+    vm.start()
+    caller = ask_with_http_1_0(vm, "/plan/x")
+    assert caller.data.count(b"data: piece") == 1
+    assert was_reset(caller)
+
+
+# Guards against a caller of HTTP/1.0 that waits for the end of a connection
+# which is kept open without a word.
+def test_a_plain_answer_of_http_1_0_is_the_last_one(
+    vm: EntryVmHarness,
+) -> None:
+    caller = ask_with_http_1_0(
+        vm, "/maps/x", headers="Connection: keep-alive\r\n"
+    )
+    (response,) = read_responses(caller.data, ["POST"], closed=True)
+    assert response.body == b"whole"
+    assert response.headers[b"connection"] == b"close"
+    assert caller.lost is not None
