Answer a request that asks for another protocol once

Callers saw: after the answer to a request with Upgrade, as clients send that offer HTTP/2, a 400 that the connection's next request took for its own. Cause: the parser stops after such a request; the reader had passed it on and refused what follows as well. Change: its answer is the connection's last one. Why this works: the connection closes with that answer, so a refusal of what follows is never due.

--- a/lycheestall/entry/callers/request_reader.py
+++ b/lycheestall/entry/callers/request_reader.py
@@ -111,6 +111,7 @@
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
+            # The request itself is answered, as the last one.
             self._refuse_malformed("protocol upgrades are not supported")
         except httptools.HttpParserError as error:
             self._refuse_malformed(f"malformed request: {error}")
@@ -212,6 +213,7 @@
         self._headers = []
         self._body = b""
         self.head_done = False
+        # Callers of HTTP/1.0 need to be told that a connection stays open.
         supports_chunks = self._parser.get_http_version() == "1.1"
         self._listener.request_read(
             Request(
@@ -219,15 +221,18 @@
                 url=self._url,
                 headers=headers,
                 body=body,
-                # Others need to be told that a connection stays open.
-                keep_alive=supports_chunks
-                and self._parser.should_keep_alive(),
+                keep_alive=supports_chunks and self._keeps_alive(),
                 received_at=self._clock.seconds(),
                 supports_chunks=supports_chunks,
             ),
             head_bytes=head_held_bytes,
         )
 
+    def _keeps_alive(self) -> bool:
+        # What follows a request for another protocol can't be read.
+        parser = self._parser
+        return parser.should_keep_alive() and not parser.should_upgrade()
+
     @property
     def _head_held_bytes(self) -> int:
         return self._head_size + len(self._headers) * HEADER_LINE_BYTES
