Ask for a body only between two answers

Callers saw: "100 Continue" inside the chunks of the answer to an earlier request on the connection, or before it; a body that was asked for and refused at once; 408 for a body that nobody had asked for yet. Cause: the reader of requests wrote the interim response when it saw the header, whatever the connection was doing. Change: the reader notes that the caller waits; the connection asks when the requests before are answered, and its time for the body begins then. Why this works: what a connection writes itself goes through one method, which resets the connection rather than writing inside a response.

--- a/lycheestall/entry/callers/caller_connection.py
+++ b/lycheestall/entry/callers/caller_connection.py
@@ -36,6 +36,9 @@
 """Seconds to keep reading after the last response; closing at once could
 send a reset that discards the response before the caller reads it."""
 
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+"""The interim response that asks a caller for the body of its request."""
+
 
 class ConnectionObserver(ABC):
     """Learns what happens to connections."""
@@ -205,7 +208,12 @@
         if not self._queue and not self._reader.in_message:
             self._set_idle_timer()
         self._update()
-        if self._queue or self._reader.refusal is not None:
+        reader = self._reader
+        if (
+            self._queue
+            or reader.refusal is not None
+            or reader.expects_continue
+        ):
             self._clock.callLater(0, self._handle_next)
 
     def abort(self, exchange: Exchange) -> None:
@@ -265,15 +273,14 @@
         if self._queue.full:
             self._pause_reading()
 
-    def continue_expected(self) -> None:
-        """Asks the caller for the body."""
-        self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-
     def _continue_reading(self, received: int, *, begun: bool) -> None:
         reader = self._reader
         self._use.received(received, self._clock.seconds())
-        if reader.head_done:
-            self._set_timer(reader.limits.idle_timeout_s, self._body_timeout)
+        if reader.expects_continue:
+            # Its caller waits until the requests before it are answered.
+            self._cancel_timer()
+        elif reader.head_done:
+            self._set_body_timer()
         elif begun:
             self._set_timer(reader.limits.header_timeout_s, self._head_timeout)
         if not self._update():
@@ -294,6 +301,13 @@
         if self._reader.refusal is not None:
             self._observer.limited(self._reader.refusal.cause, self._address)
             self._send_refusal()
+        elif self._reader.expects_continue:
+            self._ask_for_body()
+
+    def _ask_for_body(self) -> None:
+        self._reader.expects_continue = False
+        self._write_own(CONTINUE)
+        self._set_body_timer()
 
     def _start_next(self) -> bool:
         queued = self._queue.pop()
@@ -344,9 +358,16 @@
     def _send_refusal(self) -> None:
         refusal = self._reader.refusal
         assert refusal is not None
-        self.transport.write(refusal.encode())
+        self._write_own(refusal.encode())
         self._close()
 
+    def _write_own(self, data: bytes) -> None:
+        # What the connection itself has to say never stands in a response.
+        if self._current is not None:
+            self._current.abort()
+        elif not self._closing:
+            self.transport.write(data)
+
     def _pause_reading(self) -> None:
         if not self._reading_paused:
             self._reading_paused = True
@@ -384,6 +405,9 @@
         self.transport.loseConnection()
         self._set_timer(LINGER_S, self.transport.abortConnection)
 
+    def _set_body_timer(self) -> None:
+        self._set_timer(self._reader.limits.idle_timeout_s, self._body_timeout)
+
     def _set_idle_timer(self) -> None:
         self._set_timer(self._reader.limits.idle_timeout_s, self._idle_timeout)
 
--- a/lycheestall/entry/callers/request_reader.py
+++ b/lycheestall/entry/callers/request_reader.py
@@ -43,10 +43,6 @@
             head_bytes: Memory of its head.
         """
 
-    @abstractmethod
-    def continue_expected(self) -> None:
-        """Called when a caller waits before it sends a body."""
-
 
 class RequestReader:
     """Parses pipelined requests.
@@ -59,6 +55,7 @@
         refusal: Why nothing more is read, if so.
         in_message: Whether a part of a request was read.
         head_done: Whether the head of that request was read.
+        expects_continue: Whether the caller waits to be asked for its body.
         limits: The limits of that request.
         messages: Number of requests that were begun.
     """
@@ -72,6 +69,7 @@
         "_parser",
         "_received",
         "_url",
+        "expects_continue",
         "head_done",
         "in_message",
         "limits",
@@ -87,6 +85,7 @@
         self.refusal: Refusal | None = None
         self.in_message = False
         self.head_done = False
+        self.expects_continue = False
         self.messages = 0
         self._url = b""
         self._headers: list[Header] = []
@@ -96,6 +95,11 @@
         self._received = 0
         self._body: bytes | bytearray = b""
 
+    @property
+    def awaits_response(self) -> bool:
+        """Whether the caller is to be refused, or asked for a body."""
+        return self.refusal is not None or self.expects_continue
+
     @property
     def held_bytes(self) -> int:
         """Memory of the request that is being read."""
@@ -146,6 +150,7 @@
         self.messages += 1
         self.in_message = True
         self.head_done = False
+        self.expects_continue = False
         self._url = b""
         self._headers = []
         self._head_size = 0
@@ -175,22 +180,25 @@
         if self._head_size > self.limits.header_bytes:
             self._refuse_head()
             return
+        waits = False
         for name, value in self._headers:
             lower = name.lower()
             if lower == b"transfer-encoding" and value.lower() != b"chunked":
                 self._refuse_malformed("unsupported transfer encoding")
             elif lower == b"expect" and value.lower() == b"100-continue":
-                self._listener.continue_expected()
+                waits = self._supports_chunks
             elif lower == b"content-length" and self._exceeds_body_limit(
                 value
             ):
                 self._refuse_body()
         if not self._url.startswith(b"/"):
             self._refuse_malformed("only paths are supported")
+        self.expects_continue = waits and self.refusal is None
 
     def on_body(self, body: bytes) -> None:
         """Appends a part of the body, up to the size limit."""
         self._received = 0
+        self.expects_continue = False
         if self.refusal is not None:
             return
         if not self._body:
@@ -206,6 +214,7 @@
     def on_message_complete(self) -> None:
         """Passes a whole request on."""
         self.in_message = False
+        self.expects_continue = False
         if self.refusal is not None:
             return
         head_held_bytes = self._head_held_bytes
@@ -213,25 +222,30 @@
         self._headers = []
         self._body = b""
         self.head_done = False
-        # Callers of HTTP/1.0 need to be told that a connection stays open.
-        supports_chunks = self._parser.get_http_version() == "1.1"
         self._listener.request_read(
             Request(
                 method=self._parser.get_method(),
                 url=self._url,
                 headers=headers,
                 body=body,
-                keep_alive=supports_chunks and self._keeps_alive(),
+                keep_alive=self._keeps_alive(),
                 received_at=self._clock.seconds(),
-                supports_chunks=supports_chunks,
+                supports_chunks=self._supports_chunks,
             ),
             head_bytes=head_held_bytes,
         )
 
+    @property
+    def _supports_chunks(self) -> bool:
+        return bool(self._parser.get_http_version() == "1.1")
+
     def _keeps_alive(self) -> bool:
-        # What follows a request for another protocol can't be read.
         parser = self._parser
-        return parser.should_keep_alive() and not parser.should_upgrade()
+        if parser.should_upgrade():
+            # What follows a request for another protocol can't be read.
+            return False
+        # Callers of HTTP/1.0 need to be told that a connection stays open.
+        return self._supports_chunks and bool(parser.should_keep_alive())
 
     @property
     def _head_held_bytes(self) -> int:
--- a/tests/responses/http_reader.py
+++ b/tests/responses/http_reader.py
@@ -19,7 +19,7 @@
     """One response.
 
     Attributes:
-        status: Its status code.
+        status: Its status code; 0 if only interim responses were received.
         headers: Its headers, with names in lowercase.
         body: As much of its body as was received.
         whole: Whether it is complete.
@@ -100,4 +100,6 @@
             return response, client.trailing_data[0], reusable
         else:
             # More bytes are needed, or the connection was closed.
+            if response is None and interim:
+                response = ReceivedResponse(0, {}, interim=interim)
             return response, b"", False
