Count a connection on which a request waits as in use

Callers could see: a request that was read whole, behind another one, cut off without an answer by a planned stop. Cause: "idle" looked at the request in progress and the one being read; between an answer and the next turn of the loop, one that waits whole is neither. Why this works: connections are closed as idle only if nothing waits.

--- a/lycheestall/entry/callers/caller_connection.py
+++ b/lycheestall/entry/callers/caller_connection.py
@@ -110,8 +110,10 @@
 
     @property
     def idle(self) -> bool:
-        """Whether no request is being read or handled."""
-        return self._current is None and not self._reader.in_message
+        """Whether no request is being read, waits or is handled."""
+        if self._current is not None or self._queue:
+            return False
+        return not self._reader.in_message
 
     def connectionMade(self) -> None:  # noqa: N802
         """Starts the idle timeout, or closes a connection too many."""
